--- /dev/null
+++ b/src/backends/canceller.ts
@@ -0,0 +1,45 @@
+/**
+ * Cancels work on engines until each cancel is confirmed.
+ *
+ * Cancelling is idempotent, so it is repeated as long as the engine cannot be
+ * reached. Work given up here is still found by the reconciler of the pool's dispatcher.
+ */
+import {
+	type Clock, type Logger, type RequestId, waitFor,
+} from '../common/index.js';
+import type {EngineClient} from './engine-client.js';
+
+const firstDelay = 100;
+const longestDelay = 2000;
+const mostAttempts = 8;
+
+/** Cancels requests on engines. */
+export class Canceller {
+	readonly #engines: EngineClient;
+	readonly #clock: Clock;
+	readonly #logger: Logger;
+
+	constructor(engines: EngineClient, clock: Clock, logger: Logger) {
+		this.#engines = engines;
+		this.#clock = clock;
+		this.#logger = logger;
+	}
+
+	/** Resolves with true once the engine has confirmed, with false when it could not be reached for long. */
+	async cancel(url: string, requestId: RequestId): Promise<boolean> {
+		let delay = firstDelay;
+		for (let attempt = 1; attempt <= mostAttempts; attempt++) {
+			const result = await this.#engines.cancel(url, requestId);
+			// An engine that does not know the request does not run it either.
+			if (result.caseOf({Left: failure => failure.kind === 'unknown_request', Right: () => true})) {
+				return true;
+			}
+
+			await waitFor(this.#clock, delay);
+			delay = Math.min(longestDelay, delay * 2);
+		}
+
+		this.#logger.warn({event: 'cancel_unconfirmed', request: requestId, backendServer: url}, 'an engine did not confirm a cancel');
+		return false;
+	}
+}
--- /dev/null
+++ b/src/backends/engine-client.ts
@@ -0,0 +1,147 @@
+/**
+ * Client of an engine: OpenAI's completion API over HTTP with server-sent events,
+ * plus resume, cancel and a list of what runs.
+ */
+import {createParser} from 'eventsource-parser';
+import {Left, Right, type Either} from 'purify-ts';
+import {request, type Dispatcher} from 'undici';
+import {z} from 'zod';
+import {type Clock, createTimeout, type RequestId} from '../common/index.js';
+import {classifyThrown, type BackendFailure} from './failure.js';
+
+/** The data of the event that ends a whole answer. */
+export const finishMarker = '[DONE]';
+
+const callTimeout = 2000;
+
+/** One event of an answer. */
+export type EngineEvent = {
+	/** Position in the answer, counted from 1. */
+	sequence: number;
+	/** JSON text of a chunk, or the finish marker. */
+	data: string;
+};
+
+/** A completion to run. */
+export type EngineCall = {
+	url: string;
+	path: '/v1/chat/completions' | '/v1/completions';
+	requestId: RequestId;
+	/** JSON text of the request. */
+	body: string | Uint8Array;
+	signal: AbortSignal;
+};
+
+const runningSchema = z.object({requests: z.array(z.object({id: z.string()}))});
+
+/** Calls engines. Keeps connections open between calls. */
+export class EngineClient {
+	readonly #dispatcher: Dispatcher;
+	readonly #clock: Clock;
+
+	constructor(dispatcher: Dispatcher, clock: Clock) {
+		this.#dispatcher = dispatcher;
+		this.#clock = clock;
+	}
+
+	/** Starts a completion; the events end early, without an error, when the connection breaks. */
+	async startCompletion(call: EngineCall): Promise<Either<BackendFailure, AsyncIterable<EngineEvent>>> {
+		return this.#openStream(`${call.url}${call.path}`, {
+			method: 'POST',
+			headers: {'content-type': 'application/json', 'x-request-id': call.requestId},
+			body: call.body,
+			signal: call.signal,
+		});
+	}
+
+	/** Goes on with an answer after the last event received. */
+	async resumeCompletion(url: string, requestId: RequestId, after: number, signal: AbortSignal): Promise<Either<BackendFailure, AsyncIterable<EngineEvent>>> {
+		return this.#openStream(`${url}/v1/requests/${requestId}/events`, {
+			method: 'GET',
+			headers: {'last-event-id': String(after)},
+			signal,
+		});
+	}
+
+	/** Cancels a request and frees its memory. Right means that the engine no longer runs it. */
+	async cancel(url: string, requestId: RequestId): Promise<Either<BackendFailure, true>> {
+		const answer = await this.#call('POST', `${url}/v1/requests/${requestId}/cancel`);
+		return answer.map(() => true as const);
+	}
+
+	/** Lists the requests that an engine holds. */
+	async listRunning(url: string): Promise<Either<BackendFailure, RequestId[]>> {
+		const answer = await this.#call('GET', `${url}/v1/requests`);
+		return answer.chain(text => {
+			const checked = runningSchema.safeParse(JSON.parse(text));
+			return checked.success
+				? Right(checked.data.requests.map(entry => entry.id as RequestId))
+				: Left({kind: 'lost' as const, message: 'the engine sent a list of requests in an unknown form'});
+		});
+	}
+
+	async #call(method: 'GET' | 'POST', url: string): Promise<Either<BackendFailure, string>> {
+		const timeout = createTimeout(this.#clock, callTimeout);
+		try {
+			const response = await request(url, {method, dispatcher: this.#dispatcher, signal: timeout.signal});
+			const text = await response.body.text();
+			return response.statusCode < 300 ? Right(text) : Left(classifyStatus(response.statusCode, text));
+		} catch (error) {
+			return Left(classifyThrown(error));
+		} finally {
+			timeout.cancel();
+		}
+	}
+
+	async #openStream(url: string, options: Omit<Dispatcher.RequestOptions, 'origin' | 'path'> & {signal: AbortSignal}): Promise<Either<BackendFailure, AsyncIterable<EngineEvent>>> {
+		try {
+			const response = await request(url, {...options, dispatcher: this.#dispatcher});
+			if (response.statusCode !== 200) {
+				return Left(classifyStatus(response.statusCode, await response.body.text()));
+			}
+
+			return Right(readEvents(response.body));
+		} catch (error) {
+			return Left(classifyThrown(error));
+		}
+	}
+}
+
+function classifyStatus(status: number, text: string): BackendFailure {
+	const message = readRemoteMessage(text) ?? `the backend server answered ${status}`;
+	if (status === 404 || status === 410) {
+		return {kind: 'unknown_request', message, status};
+	}
+
+	if (status === 429 || status === 503) {
+		return {kind: 'busy', message, status};
+	}
+
+	return {kind: status < 500 ? 'rejected' : 'lost', message, status};
+}
+
+function readRemoteMessage(text: string): string | undefined {
+	try {
+		return (JSON.parse(text) as {error?: {message?: string}}).error?.message;
+	} catch {
+		return undefined;
+	}
+}
+
+async function * readEvents(body: AsyncIterable<Uint8Array>): AsyncGenerator<EngineEvent> {
+	const decoder = new TextDecoder();
+	const received: EngineEvent[] = [];
+	const parser = createParser({
+		onEvent({id, data}) {
+			received.push({sequence: Number(id), data});
+		},
+	});
+	try {
+		for await (const bytes of body) {
+			parser.feed(decoder.decode(bytes, {stream: true}));
+			yield * received.splice(0);
+		}
+	} catch {
+		// A broken connection is the end of these events; the reader sees that the finish marker is missing.
+	}
+}
--- /dev/null
+++ b/src/cli/index.ts
@@ -0,0 +1,24 @@
+/** The command line. */
+import {Command} from 'commander';
+import {addDevCommand} from './dev-command.js';
+import {exitCodes} from './exit-codes.js';
+import {addNodeCommand} from './node-command.js';
+import {addSettingsCommand} from './settings-command.js';
+import {addStandinCommand} from './standin-command.js';
+
+/** Builds the program with all its commands. */
+export function createProgram(): Command {
+	const program = new Command('cresshook')
+		.description('serving layer for language-model prompts of very unlike lengths')
+		.version('0.1.0');
+	addNodeCommand(program);
+	addDevCommand(program);
+	addSettingsCommand(program);
+	addStandinCommand(program);
+	return program;
+}
+
+/** Exit code of an error that commander has thrown. */
+export function findExitCode(error: {exitCode: number}): number {
+	return error.exitCode === 0 ? exitCodes.done : exitCodes.wrongUse;
+}
--- /dev/null
+++ b/src/common/clock.ts
@@ -0,0 +1,68 @@
+/** Time as a dependency, so that tests and replays can run on a virtual clock. */
+
+/** A timer that has been set and can be cancelled. Cancelling twice is harmless. */
+export type Timer = {
+	cancel(): void;
+};
+
+/** A source of time. Durations and monotonic readings are in milliseconds. */
+export type Clock = {
+	/** Wall-clock time; may jump. */
+	now(): Date;
+
+	/** Milliseconds since an arbitrary start; never goes back. */
+	readMonotonic(): number;
+
+	/** Calls back once after a delay in milliseconds. */
+	setTimer(delay: number, callback: () => void): Timer;
+};
+
+/** The clock of the operating system. */
+export const systemClock: Clock = {
+	now: () => new Date(),
+	readMonotonic: () => performance.now(),
+	setTimer(delay, callback) {
+		const handle = setTimeout(callback, delay);
+		return {
+			cancel() {
+				clearTimeout(handle);
+			},
+		};
+	},
+};
+
+/**
+ * Waits for a delay in milliseconds.
+ *
+ * Resolves early, without an error, when the signal is aborted.
+ */
+export async function waitFor(clock: Clock, delay: number, signal?: AbortSignal): Promise<void> {
+	if (signal?.aborted) {
+		return;
+	}
+
+	await new Promise<void>(resolve => {
+		const finish = () => {
+			timer.cancel();
+			signal?.removeEventListener('abort', finish);
+			resolve();
+		};
+
+		const timer = clock.setTimer(delay, finish);
+		signal?.addEventListener('abort', finish);
+	});
+}
+
+/** Makes an abort signal that fires after a delay in milliseconds; `cancel` stops the timer. */
+export function createTimeout(clock: Clock, delay: number): {signal: AbortSignal; cancel(): void} {
+	const controller = new AbortController();
+	const timer = clock.setTimer(delay, () => {
+		controller.abort();
+	});
+	return {
+		signal: controller.signal,
+		cancel() {
+			timer.cancel();
+		},
+	};
+}
--- /dev/null
+++ b/src/node/config/index.ts
@@ -0,0 +1,2 @@
+export * from './config-watcher.js';
+export * from './fleet-view.js';
--- /dev/null
+++ b/src/node/entry/answer-merge.ts
@@ -0,0 +1,112 @@
+/**
+ * Puts the chunks of a streamed completion together into one whole answer.
+ *
+ * Engines are always asked for a stream, also when the caller wants a whole
+ * answer, since only a stream can be checked piece by piece and resumed.
+ * The rule is generic, so that fields newer than this code survive: strings of a
+ * delta are joined, lists are merged by `index`, anything else is replaced.
+ */
+import type {Operation} from './caller-request.js';
+
+/** A JSON object. */
+export type JsonObject = Record<string, unknown>;
+
+/** Strings that name a thing and are sent once or repeated; they are not joined. */
+const replacedKeys = new Set(['id', 'role', 'type', 'name', 'object', 'model', 'finish_reason']);
+
+/** Collects chunks. */
+export class AnswerMerge {
+	readonly #operation: Operation;
+	#head: JsonObject = {};
+	readonly #choices = new Map<number, JsonObject>();
+
+	constructor(operation: Operation) {
+		this.#operation = operation;
+	}
+
+	/** Adds the next chunk. */
+	addChunk(chunk: JsonObject): void {
+		const {choices, ...head} = chunk;
+		for (const [key, value] of Object.entries(head)) {
+			// Chunks before the last carry `usage: null`.
+			if (value !== null) {
+				this.#head[key] = value;
+			}
+		}
+
+		for (const choice of (choices ?? []) as JsonObject[]) {
+			const index = Number(choice.index ?? 0);
+			this.#choices.set(index, mergeObjects(this.#choices.get(index) ?? {}, choice));
+		}
+	}
+
+	/** Makes the whole answer in the shape that a request without `stream` gets. */
+	build(): JsonObject {
+		const choices = [...this.#choices.entries()].sort(([left], [right]) => left - right).map(([, choice]) => choice);
+		if (this.#operation === 'text') {
+			return {...this.#head, object: 'text_completion', choices};
+		}
+
+		return {
+			...this.#head,
+			object: 'chat.completion',
+			choices: choices.map(({delta, ...choice}) => ({...choice, message: buildMessage(delta as JsonObject | undefined)})),
+		};
+	}
+}
+
+function buildMessage(delta: JsonObject | undefined): JsonObject {
+	const message: JsonObject = {role: 'assistant', content: null, ...delta};
+	if (Array.isArray(message.tool_calls)) {
+		message.tool_calls = (message.tool_calls as JsonObject[]).map(({index: _index, ...call}) => call);
+	}
+
+	return message;
+}
+
+function mergeObjects(target: JsonObject, source: JsonObject): JsonObject {
+	const merged = {...target};
+	for (const [key, value] of Object.entries(source)) {
+		merged[key] = mergeValues(key, merged[key], value);
+	}
+
+	return merged;
+}
+
+function mergeValues(key: string, before: unknown, after: unknown): unknown {
+	if (after === null || after === undefined) {
+		return before ?? after;
+	}
+
+	if (typeof before === 'string' && typeof after === 'string') {
+		return replacedKeys.has(key) ? after : before + after;
+	}
+
+	if (Array.isArray(before) && Array.isArray(after)) {
+		return mergeLists(before as JsonObject[], after as JsonObject[]);
+	}
+
+	if (isObject(before) && isObject(after)) {
+		return mergeObjects(before, after);
+	}
+
+	return after;
+}
+
+function mergeLists(before: JsonObject[], after: JsonObject[]): JsonObject[] {
+	const merged = [...before];
+	for (const item of after) {
+		const place = item.index === undefined ? -1 : merged.findIndex(known => known.index === item.index);
+		if (place === -1) {
+			merged.push(item);
+		} else {
+			merged[place] = mergeObjects(merged[place], item);
+		}
+	}
+
+	return merged;
+}
+
+function isObject(value: unknown): value is JsonObject {
+	return typeof value === 'object' && value !== null && !Array.isArray(value);
+}
--- /dev/null
+++ b/src/node/entry/answer-sink.ts
@@ -0,0 +1,129 @@
+/** Where an answer goes: to a caller's connection, or into a recording. */
+import {Buffer} from 'node:buffer';
+import type {ServerResponse} from 'node:http';
+import {findAnswer, formatErrorBody, type Failure} from '../../common/index.js';
+
+/** The beginning of an answer. */
+export type AnswerHead = {
+	status: number;
+	headers: Record<string, string>;
+};
+
+/** Takes an answer piece by piece. */
+export abstract class AnswerSink {
+	/** Whether `start` has been called. */
+	abstract readonly hasStarted: boolean;
+
+	/** Fires when nobody waits for the answer any more. */
+	abstract readonly gone: AbortSignal;
+
+	/** Sends the head. Called once. */
+	abstract start(head: AnswerHead): void;
+
+	/** Sends a piece; resolves when there is room for the next, so that a slow caller slows the backend server. */
+	abstract write(piece: string | Uint8Array): Promise<void>;
+
+	/** Ends a whole answer. */
+	abstract end(): void;
+
+	/** Ends a short answer: a stream that cannot carry an error of its own is cut, so that its reader sees the lack. */
+	abstract cut(): void;
+}
+
+/** Sends an answer over a caller's HTTP connection. */
+export class HttpAnswerSink extends AnswerSink {
+	readonly #response: ServerResponse;
+	readonly #gone = new AbortController();
+	#hasStarted = false;
+	#hasEnded = false;
+
+	constructor(response: ServerResponse) {
+		super();
+		this.#response = response;
+		response.once('close', () => {
+			if (!this.#hasEnded) {
+				this.#gone.abort();
+			}
+		});
+		response.on('error', () => {
+			this.#gone.abort();
+		});
+	}
+
+	override get hasStarted(): boolean {
+		return this.#hasStarted;
+	}
+
+	override get gone(): AbortSignal {
+		return this.#gone.signal;
+	}
+
+	override start(head: AnswerHead): void {
+		this.#hasStarted = true;
+		this.#response.writeHead(head.status, head.headers);
+	}
+
+	override async write(piece: string | Uint8Array): Promise<void> {
+		if (this.gone.aborted || this.#response.write(piece)) {
+			return;
+		}
+
+		await new Promise<void>(resolve => {
+			const finish = () => {
+				this.#response.off('drain', finish);
+				this.gone.removeEventListener('abort', finish);
+				resolve();
+			};
+
+			this.#response.once('drain', finish);
+			this.gone.addEventListener('abort', finish, {once: true});
+		});
+	}
+
+	override end(): void {
+		this.#hasEnded = true;
+		this.#response.end();
+	}
+
+	override cut(): void {
+		this.#hasEnded = true;
+		this.#response.destroy();
+	}
+}
+
+/** Headers of an error answer. */
+export function formatErrorHead(failure: Failure): AnswerHead {
+	const answer = findAnswer(failure);
+	const headers: Record<string, string> = {'content-type': 'application/json', 'x-cresshook-ran': answer.ran};
+	if (answer.retryAfterSeconds !== undefined) {
+		headers['retry-after'] = String(answer.retryAfterSeconds);
+	}
+
+	// OpenAI's clients repeat some statuses by themselves; a request that may have run must not be.
+	if (answer.ran !== 'no') {
+		headers['x-should-retry'] = 'false';
+	}
+
+	return {status: answer.status, headers};
+}
+
+/** Ends an answer with a failure: a whole error before the first piece, an error event in a stream, a cut elsewhere. */
+export async function sendFailure(sink: AnswerSink, failure: Failure, isEventStream: boolean): Promise<void> {
+	const body = JSON.stringify(formatErrorBody(failure));
+	if (!sink.hasStarted) {
+		const head = formatErrorHead(failure);
+		sink.start({...head, headers: {...head.headers, 'content-length': String(Buffer.byteLength(body))}});
+		await sink.write(body);
+		sink.end();
+		return;
+	}
+
+	if (!isEventStream) {
+		sink.cut();
+		return;
+	}
+
+	// Not awaited for room: a caller too slow to take the error must not hold the request past its bound.
+	void sink.write(`data: ${body}\n\n`);
+	sink.end();
+}
--- /dev/null
+++ b/src/node/entry/continuation.ts
@@ -0,0 +1,53 @@
+/** Builds the request that goes on with an answer whose engine was lost. Pure. */
+import type {CompletionBody, Operation} from './caller-request.js';
+
+/**
+ * Adds the text received to the prompt and lowers the output limit by the tokens received.
+ *
+ * Returns undefined where an answer cannot go on from its text alone: tools, a
+ * prompt that is not one string, or an output limit already reached.
+ */
+export function buildContinuation(operation: Operation, body: CompletionBody, text: string, tokens: number): CompletionBody | undefined {
+	if (text === '' || body.tools !== undefined || body.response_format !== undefined) {
+		return undefined;
+	}
+
+	const limits = lowerLimits(body, tokens);
+	if (limits === undefined) {
+		return undefined;
+	}
+
+	if (operation === 'text') {
+		return typeof body.prompt === 'string' ? {...body, ...limits, prompt: body.prompt + text} : undefined;
+	}
+
+	if (!Array.isArray(body.messages)) {
+		return undefined;
+	}
+
+	return {
+		...body,
+		...limits,
+		messages: [...body.messages as unknown[], {role: 'assistant', content: text}],
+		add_generation_prompt: false,
+		continue_final_message: true,
+	};
+}
+
+function lowerLimits(body: CompletionBody, tokens: number): Record<string, number> | undefined {
+	const limits: Record<string, number> = {};
+	for (const key of ['max_tokens', 'max_completion_tokens']) {
+		const limit = body[key];
+		if (typeof limit !== 'number') {
+			continue;
+		}
+
+		if (limit <= tokens) {
+			return undefined;
+		}
+
+		limits[key] = limit - tokens;
+	}
+
+	return limits;
+}
--- /dev/null
+++ b/src/node/entry/entry.ts
@@ -0,0 +1,246 @@
+/** The callers' side of a node: takes requests, bounds them, runs them, and keeps account of them. */
+import {Buffer} from 'node:buffer';
+import type {IncomingHttpHeaders} from 'node:http';
+import type {Either} from 'purify-ts';
+import type {Canceller, EngineClient, PlainClient} from '../../backends/index.js';
+import {
+	createFailure, parseRunKey, readErrorMessage, type AvailabilityZone, type Clock, type Failure, type Incarnation, type Logger, type Metrics, type RunKeyParts,
+} from '../../common/index.js';
+import type {AnswerFrame, KeyedRequest, NodeClients} from '../../rpc/index.js';
+import type {EntrySettings} from '../../settings/index.js';
+import type {FleetView} from '../config/index.js';
+import type {Members} from '../membership/members.js';
+import {listAddresses, type AddressAnswer} from './addresses.js';
+import {sendFailure, type AnswerSink} from './answer-sink.js';
+import {formatRequestId, type CallerRequest, type RequestOutcome} from './caller-request.js';
+import {CompletionRun} from './completion-run.js';
+import {FrameSink} from './frame-sink.js';
+import type {GrantClient} from './grant-client.js';
+import {KeyedRouter} from './keyed-router.js';
+import {findLengthClass, longestShortPrompt, SlowdownTracker} from './length-class.js';
+import {
+	authenticate, parseCompletion, parsePlainCall, type RawRequest,
+} from './parse-request.js';
+import {PlainRun} from './plain-run.js';
+import {RequestBound} from './request-bound.js';
+import {RetryBudget} from './retry-budget.js';
+import {RunKeyStore} from './run-keys.js';
+import {TokenEstimator} from './token-estimator.js';
+
+/** What an entry needs. */
+export type EntryParts = {
+	settings: EntrySettings;
+	clock: Clock;
+	logger: Logger;
+	metrics: Metrics;
+	random: () => number;
+	view: FleetView;
+	members: Members;
+	clients: NodeClients;
+	engines: EngineClient;
+	plain: PlainClient;
+	canceller: Canceller;
+	grants: GrantClient;
+	incarnation: Incarnation;
+	availabilityZone: AvailabilityZone;
+};
+
+const bytesPerMebibyte = 1_048_576;
+
+/** Serves callers. */
+export class Entry {
+	readonly store: RunKeyStore;
+	readonly #parts: EntryParts;
+	readonly #estimator = new TokenEstimator();
+	readonly #budget: RetryBudget;
+	readonly #slowdowns = new SlowdownTracker();
+	readonly #stopped = new AbortController();
+	readonly #keyed: KeyedRouter;
+	#requestCount = 0;
+	#inProgress = 0;
+	#heldBytes = 0;
+
+	constructor(parts: EntryParts) {
+		this.#parts = parts;
+		this.#budget = new RetryBudget(parts.settings.retryShare);
+		this.store = new RunKeyStore(parts.clock, parts.incarnation, parts.settings.runKeyLifetimeSeconds * 1000, parts.settings.keptOutcomesMebibytes * bytesPerMebibyte);
+		this.#keyed = new KeyedRouter({
+			store: this.store,
+			members: parts.members,
+			clients: parts.clients,
+			self: parts.incarnation,
+			runRequest: async (request, sink) => this.#run(request, sink),
+		});
+	}
+
+	/** Requests in progress. */
+	get inProgress(): number {
+		return this.#inProgress;
+	}
+
+	/** Serves a completion; the sink has been ended when this resolves. */
+	async serveCompletion(raw: RawRequest, operation: 'chat' | 'text', sink: AnswerSink): Promise<void> {
+		await this.#serve(raw, sink, parts => parseCompletion(raw, operation, parts));
+	}
+
+	/** Serves a call on a plain service; the sink has been ended when this resolves. */
+	async servePlain(raw: RawRequest, sink: AnswerSink): Promise<void> {
+		await this.#serve(raw, sink, parts => parsePlainCall(raw, parts));
+	}
+
+	/** Serves a keyed request that another node has passed on. */
+	async * serveForwarded(keyed: KeyedRequest, signal: AbortSignal): AsyncGenerator<AnswerFrame> {
+		const parsed = parseRunKey(keyed.runKey);
+		const parts = parsed.isRight() ? parsed.extract() : undefined;
+		if (parts === undefined || !this.store.answersFor(parts.incarnation)) {
+			yield {kind: 'not_owner'};
+			return;
+		}
+
+		const sink = new FrameSink(signal);
+		void this.#serveForwardedInto(keyed, parts, sink);
+		yield * sink.read();
+	}
+
+	/** Answers which addresses callers may use. */
+	listAddresses(zone: AvailabilityZone): AddressAnswer {
+		return {
+			addresses: listAddresses(this.#parts.members.listReady(), zone, {second: this.store.readSecond(), random: this.#parts.random}),
+			lifetimeSeconds: this.#parts.settings.addressLifetimeSeconds,
+		};
+	}
+
+	/** Lists the models that the owner of a key may use. */
+	listModels(headers: IncomingHttpHeaders): Either<Failure, string[]> {
+		return authenticate(headers, this.#parts.view).map(organisation =>
+			organisation.services.filter(name => this.#parts.view.find('Service', name)?.type === 'engine'));
+	}
+
+	/** Ends every request in progress with an error. */
+	stopNow(): void {
+		this.#stopped.abort();
+	}
+
+	async #serve(raw: RawRequest, sink: AnswerSink, parse: (parts: Parameters<typeof parsePlainCall>[1]) => Either<Failure, CallerRequest>): Promise<void> {
+		const refusal = this.#findRefusal(raw.body.length);
+		if (refusal !== undefined) {
+			this.#parts.metrics.incrementCounter('refusals', {kind: refusal.kind});
+			await sendFailure(sink, refusal, false);
+			return;
+		}
+
+		this.#inProgress++;
+		this.#heldBytes += raw.body.length;
+		try {
+			await this.#serveParsed(parse(this.#parseParts()), sink);
+		} catch (error) {
+			this.#parts.logger.error({event: 'request_crashed', reason: readErrorMessage(error)}, 'a request failed for a reason of the node\'s own');
+			await sendFailure(sink, createFailure('internal', 'the node failed; whether the request ran is not known'), sink.hasStarted);
+		} finally {
+			this.#inProgress--;
+			this.#heldBytes -= raw.body.length;
+		}
+	}
+
+	async #serveParsed(parsed: Either<Failure, CallerRequest>, sink: AnswerSink): Promise<void> {
+		if (parsed.isLeft()) {
+			const failure = parsed.extract();
+			this.#parts.metrics.incrementCounter('refusals', {kind: failure.kind});
+			await sendFailure(sink, failure, false);
+			return;
+		}
+
+		const request = parsed.extract() as CallerRequest;
+		const outcome = request.runKey === undefined
+			? await this.#run(request, sink)
+			: await this.#keyed.serve(request, sink);
+		this.#record(request, outcome);
+	}
+
+	async #serveForwardedInto(keyed: KeyedRequest, parts: RunKeyParts, sink: AnswerSink): Promise<void> {
+		this.#inProgress++;
+		try {
+			const raw = {
+				method: keyed.method, url: keyed.url, headers: keyed.headers, body: Buffer.from(keyed.body, 'base64'),
+			};
+			const parsed = keyed.operation === 'plain' ? parsePlainCall(raw, this.#parseParts()) : parseCompletion(raw, keyed.operation, this.#parseParts());
+			if (parsed.isLeft()) {
+				await sendFailure(sink, parsed.extract(), false);
+				return;
+			}
+
+			const request = parsed.extract() as CallerRequest;
+			this.#record(request, await this.#keyed.serveHere(request, parts, sink));
+		} catch (error) {
+			this.#parts.logger.error({event: 'request_crashed', reason: readErrorMessage(error)}, 'a passed-on request failed');
+			sink.cut();
+		} finally {
+			this.#inProgress--;
+		}
+	}
+
+	async #run(request: CallerRequest, sink: AnswerSink): Promise<RequestOutcome> {
+		this.#budget.addRequest();
+		const bound = new RequestBound(this.#parts.clock, request.deadline, sink.gone, this.#stopped.signal);
+		const parts = {...this.#parts, budget: this.#budget, estimator: this.#estimator};
+		try {
+			const run = request.operation === 'plain'
+				? new PlainRun(parts, request, sink, bound)
+				: new CompletionRun(parts, request, sink, bound);
+			return await run.run();
+		} finally {
+			bound.close();
+		}
+	}
+
+	#findRefusal(bodyLength: number): Failure | undefined {
+		if (this.#parts.view.revision === 0) {
+			return createFailure('node_not_ready', 'this node has not read its configuration yet; use another address');
+		}
+
+		if (this.#inProgress >= this.#parts.settings.requestLimit) {
+			return createFailure('node_busy', 'this node serves as many requests as it may; use another address');
+		}
+
+		if (this.#heldBytes + bodyLength > this.#parts.settings.heldBodiesMebibytes * bytesPerMebibyte) {
+			return createFailure('node_busy', 'this node holds as many request bodies as it may; use another address');
+		}
+
+		return undefined;
+	}
+
+	#parseParts(): Parameters<typeof parsePlainCall>[1] {
+		return {
+			clock: this.#parts.clock,
+			view: this.#parts.view,
+			estimator: this.#estimator,
+			createRequestId: () => formatRequestId(this.#parts.incarnation, ++this.#requestCount),
+		};
+	}
+
+	#record(request: CallerRequest, outcome: RequestOutcome): void {
+		const {metrics, logger, clock} = this.#parts;
+		const lengthClass = findLengthClass(request.promptTokens);
+		if (outcome.firstToken !== undefined) {
+			metrics.recordTiming('first_token', outcome.firstToken, {service: request.service, length: lengthClass});
+			if (request.operation !== 'plain' && request.promptTokens <= longestShortPrompt) {
+				metrics.recordGauge('short_slowdown', this.#slowdowns.measure(request.service, request.promptTokens, outcome.firstToken), {service: request.service});
+			}
+		}
+
+		if (outcome.failure !== undefined) {
+			metrics.incrementCounter('failures', {service: request.service, kind: outcome.failure.kind});
+		}
+
+		logger.info({
+			event: 'request_ended',
+			request: request.requestId,
+			organisation: request.organisation,
+			service: request.service,
+			promptTokens: request.promptTokens,
+			outcome: outcome.failure?.kind ?? 'whole',
+			firstToken: outcome.firstToken === undefined ? undefined : Math.round(outcome.firstToken),
+			took: Math.round(clock.readMonotonic() - request.arrived),
+		}, 'request ended');
+	}
+}
--- /dev/null
+++ b/src/node/entry/grant-client.ts
@@ -0,0 +1,165 @@
+/** Asks dispatchers for grants, keeps account of those held, and gives them back. */
+import {type Either, Left, Right} from 'purify-ts';
+import {
+	Child, createFailure, waitFor, type BackendServerId, type Clock, type Failure, type GrantId, type Incarnation, type PoolId, type RequestId,
+} from '../../common/index.js';
+import type {AdmitRequest, Grant, Heartbeat} from '../dispatch/index.js';
+import type {CallerRequest} from './caller-request.js';
+
+/** The dispatchers as an entry reaches them, wherever they run. */
+export abstract class DispatcherGateway {
+	/** Asks the pool's dispatcher. Fails with `no_dispatcher` when there is none or it cannot be reached; nothing ran then. */
+	abstract admit(pool: PoolId, request: AdmitRequest, signal: AbortSignal): Promise<Either<Failure, Grant>>;
+
+	/** Delivers a heartbeat. */
+	abstract sendHeartbeat(heartbeat: Heartbeat): Promise<Either<Failure, true>>;
+}
+
+/** A grant that an entry holds. */
+export type HeldGrant = {
+	grant: Grant;
+	/** Monotonic time after which it must not be used, in milliseconds. */
+	usableUntil: number;
+};
+
+const askAgainDelay = 50;
+const heartbeatInterval = 1000;
+
+/** Releases are gathered this long before they are sent, in milliseconds. */
+const releaseDelay = 20;
+
+type PoolAccount = {
+	active: Map<GrantId, Grant>;
+	released: GrantId[];
+	/** Monotonic time of the last heartbeat that arrived. */
+	lastSent: number;
+};
+
+/** The grants of one entry. */
+export class GrantClient extends Child {
+	override readonly name = 'grant-client';
+	readonly #gateway: DispatcherGateway;
+	readonly #clock: Clock;
+	readonly #entry: Incarnation;
+	readonly #entryUrl: string;
+	readonly #accounts = new Map<PoolId, PoolAccount>();
+	#wake: (() => void) | undefined;
+
+	constructor(gateway: DispatcherGateway, clock: Clock, entry: Incarnation, entryUrl: string) {
+		super();
+		this.#gateway = gateway;
+		this.#clock = clock;
+		this.#entry = entry;
+		this.#entryUrl = entryUrl;
+	}
+
+	/** Asks until a dispatcher answers, the request's deadline has passed, or the signal is aborted. */
+	async obtain(request: CallerRequest, attemptId: RequestId, excluded: BackendServerId[], signal: AbortSignal): Promise<Either<Failure, HeldGrant>> {
+		let failure = createFailure('no_dispatcher', `no node decides for ${request.pool} at present`);
+		while (!signal.aborted) {
+			const asked = this.#clock.readMonotonic();
+			const result = await this.#gateway.admit(request.pool, this.#describe(request, attemptId, excluded, asked), signal);
+			if (result.isRight()) {
+				return Right(this.#take(result.extract(), asked));
+			}
+
+			failure = result.extract() as Failure;
+			if (failure.kind !== 'no_dispatcher') {
+				return Left(failure);
+			}
+
+			await waitFor(this.#clock, askAgainDelay, signal);
+		}
+
+		return Left(failure);
+	}
+
+	/** Gives a grant back. */
+	release(grant: Grant): void {
+		const account = this.#accountOf(grant.pool);
+		if (account.active.delete(grant.grantId)) {
+			account.released.push(grant.grantId);
+			this.#wake?.();
+		}
+	}
+
+	/** Lists the grants held of a pool, or of all. */
+	listActive(pool?: PoolId): Grant[] {
+		return [...this.#accounts.entries()]
+			.filter(([name]) => pool === undefined || name === pool)
+			.flatMap(([, account]) => [...account.active.values()]);
+	}
+
+	/** Sends heartbeats: every second while grants are held, and soon after a release. */
+	override async run(signal: AbortSignal): Promise<void> {
+		while (!signal.aborted) {
+			await this.#waitForWork(signal);
+			await Promise.all([...this.#accounts.keys()].map(async pool => this.#sendHeartbeat(pool)));
+		}
+	}
+
+	#describe(request: CallerRequest, attemptId: RequestId, excluded: BackendServerId[], now: number): AdmitRequest {
+		return {
+			requestId: attemptId,
+			organisation: request.organisation,
+			service: request.service,
+			entry: this.#entry,
+			promptTokens: request.promptTokens,
+			tokens: request.promptTokens + request.outputTokens,
+			patience: Math.max(0, request.deadline - now),
+			excluded,
+		};
+	}
+
+	#take(grant: Grant, asked: number): HeldGrant {
+		this.#accountOf(grant.pool).active.set(grant.grantId, grant);
+		return {grant, usableUntil: asked + grant.usableFor};
+	}
+
+	#accountOf(pool: PoolId): PoolAccount {
+		let account = this.#accounts.get(pool);
+		if (account === undefined) {
+			account = {active: new Map(), released: [], lastSent: 0};
+			this.#accounts.set(pool, account);
+		}
+
+		return account;
+	}
+
+	async #waitForWork(signal: AbortSignal): Promise<void> {
+		const waiting = new AbortController();
+		const stop = () => {
+			waiting.abort();
+		};
+
+		this.#wake = stop;
+		signal.addEventListener('abort', stop, {once: true});
+		const isDue = [...this.#accounts.values()].some(account => account.released.length > 0);
+		await waitFor(this.#clock, isDue ? releaseDelay : heartbeatInterval, waiting.signal);
+		signal.removeEventListener('abort', stop);
+		if (!isDue) {
+			await waitFor(this.#clock, releaseDelay, signal);
+		}
+	}
+
+	async #sendHeartbeat(pool: PoolId): Promise<void> {
+		const account = this.#accountOf(pool);
+		const now = this.#clock.readMonotonic();
+		const isDue = account.active.size > 0 && now - account.lastSent >= heartbeatInterval;
+		if (account.released.length === 0 && !isDue) {
+			return;
+		}
+
+		const released = account.released.splice(0);
+		const result = await this.#gateway.sendHeartbeat({
+			pool, entry: this.#entry, entryUrl: this.#entryUrl, released, activeCount: account.active.size,
+		});
+		if (result.isLeft()) {
+			// A new dispatcher does not know these grants any more; releasing them again is harmless.
+			account.released.unshift(...released);
+			return;
+		}
+
+		account.lastSent = now;
+	}
+}
--- /dev/null
+++ b/src/node/entry/keyed-router.ts
@@ -0,0 +1,201 @@
+/**
+ * Brings a request with a run key to the one process that may run it.
+ *
+ * The owner is this node, or the node whose address the key carries, or the
+ * successor that inherited its outcomes. When nobody answers for the key's
+ * incarnation any more, its outcome is unknown for ever, and it is not run again.
+ */
+import {Buffer} from 'node:buffer';
+import {createHash} from 'node:crypto';
+import {
+	createFailure, findAnswer, orderByRendezvous, parseRunKey, type Failure, type Incarnation, type RunKeyParts,
+} from '../../common/index.js';
+import type {AnswerFrame, KeyedRequest, NodeClients} from '../../rpc/index.js';
+import type {Members} from '../membership/members.js';
+import {boundHeader} from './headers.js';
+import {sendFailure, type AnswerSink} from './answer-sink.js';
+import type {CallerRequest, RequestOutcome} from './caller-request.js';
+import type {RunKeyStore} from './run-keys.js';
+
+/** What the router needs. */
+export type KeyedRouterParts = {
+	store: RunKeyStore;
+	members: Members;
+	clients: NodeClients;
+	self: Incarnation;
+	/** Runs a request and writes its answer into the sink. */
+	runRequest: (request: CallerRequest, sink: AnswerSink) => Promise<RequestOutcome>;
+};
+
+const askTimeout = 1000;
+
+/** Nodes asked whether they answer for an incarnation that has ended. */
+const mostSuccessorsAsked = 5;
+
+/** Time a silent owner is waited for beyond the request's own bound, in milliseconds. */
+const forwardMargin = 250;
+
+/** How passing a request to another node ended. */
+type ForwardEnd = 'answered' | 'not_owner' | 'unreachable';
+
+/** Routes requests with run keys. */
+export class KeyedRouter {
+	readonly #parts: KeyedRouterParts;
+
+	constructor(parts: KeyedRouterParts) {
+		this.#parts = parts;
+	}
+
+	/** Serves a request that has a run key; the sink has been ended when this resolves. */
+	async serve(request: CallerRequest, sink: AnswerSink): Promise<RequestOutcome> {
+		const parsed = parseRunKey(request.runKey!);
+		if (parsed.isLeft()) {
+			return this.#fail(request, sink, parsed.extract());
+		}
+
+		const parts = parsed.extract() as RunKeyParts;
+		return this.#parts.store.answersFor(parts.incarnation)
+			? this.serveHere(request, parts, sink)
+			: this.#serveElsewhere(request, parts, sink);
+	}
+
+	/** Serves a request whose key this process answers for. */
+	async serveHere(request: CallerRequest, parts: RunKeyParts, sink: AnswerSink): Promise<RequestOutcome> {
+		const verdict = this.#parts.store.claim(request.organisation, request.runKey!, parts, computeFingerprint(request));
+		if (verdict.isLeft()) {
+			return this.#fail(request, sink, verdict.extract());
+		}
+
+		const {kind, recording} = verdict.extract() as Exclude<ReturnType<typeof verdict.extract>, Failure>;
+		if (kind === 'play') {
+			await recording.playInto(sink);
+			return {};
+		}
+
+		const running = this.#parts.runRequest(request, recording);
+		const [outcome] = await Promise.all([running, recording.playInto(sink)]);
+		if (outcome.failure !== undefined && findAnswer(outcome.failure).ran === 'no') {
+			this.#parts.store.forget(request.organisation, request.runKey!);
+		}
+
+		this.#parts.store.trim();
+		return outcome;
+	}
+
+	async #serveElsewhere(request: CallerRequest, parts: RunKeyParts, sink: AnswerSink): Promise<RequestOutcome> {
+		const {members} = this.#parts;
+		const end = members.hasEnded(parts.incarnation) ? 'not_owner' : await this.#forward(parts.url, request, sink);
+		if (end === 'answered') {
+			return {};
+		}
+
+		// Silence proves nothing; another process at the address, or a box gone from the platform's lists, does.
+		const hasEnded = end === 'not_owner' || members.isDropped(parts.incarnation);
+		const successor = await this.#findSuccessor(parts.incarnation);
+		if (successor !== undefined && await this.#forward(successor, request, sink) === 'answered') {
+			return {};
+		}
+
+		return hasEnded && successor === undefined
+			? this.#fail(request, sink, createFailure('outcome_unknown', 'the node that owned this key has ended; whether the request ran is not known, and it is not run again'))
+			: this.#fail(request, sink, createUnreachable());
+	}
+
+	/** Passes the request on and plays the answer into the sink. */
+	async #forward(url: string, request: CallerRequest, sink: AnswerSink): Promise<ForwardEnd> {
+		const limit = new AbortController();
+		const stop = () => {
+			limit.abort();
+		};
+
+		const timer = this.#parts.clients.clock.setTimer(request.deadline - this.#parts.clients.clock.readMonotonic() + forwardMargin, stop);
+		sink.gone.addEventListener('abort', stop, {once: true});
+		try {
+			const frames = await this.#parts.clients.findClient(url).runKeyed.mutate(this.#encode(request), {signal: limit.signal}) as AsyncIterable<AnswerFrame>;
+			return await playFrames(frames, sink);
+		} catch {
+			return await this.#endBroken(request, sink);
+		} finally {
+			timer.cancel();
+			sink.gone.removeEventListener('abort', stop);
+		}
+	}
+
+	async #endBroken(request: CallerRequest, sink: AnswerSink): Promise<ForwardEnd> {
+		if (!sink.hasStarted) {
+			return 'unreachable';
+		}
+
+		await this.#fail(request, sink, createUnreachable());
+		return 'answered';
+	}
+
+	#encode(request: CallerRequest): KeyedRequest {
+		const left = Math.max(1, Math.floor(request.deadline - this.#parts.clients.clock.readMonotonic()));
+		return {
+			organisation: request.organisation,
+			runKey: request.runKey!,
+			operation: request.operation,
+			method: request.method,
+			url: request.path,
+			headers: {...request.rawHeaders, [boundHeader]: String(left)},
+			body: Buffer.from(request.body).toString('base64'),
+		};
+	}
+
+	async #findSuccessor(incarnation: Incarnation): Promise<string | undefined> {
+		const others = this.#parts.members.listAll().filter(member => member.incarnation !== this.#parts.self && member.incarnation !== incarnation);
+		const asked = orderByRendezvous(incarnation, others, member => member.box).slice(0, mostSuccessorsAsked);
+		const answers = await Promise.all(asked.map(async member => {
+			const answer = await this.#parts.clients.ask(member.nodeUrl, askTimeout, async (client, signal) => client.answersFor.query({incarnation}, {signal}));
+			return answer?.isOwner ? member.nodeUrl : undefined;
+		}));
+		return answers.find(url => url !== undefined);
+	}
+
+	async #fail(request: CallerRequest, sink: AnswerSink, failure: Failure): Promise<RequestOutcome> {
+		await sendFailure(sink, failure, request.completion?.stream === true);
+		return {failure};
+	}
+}
+
+async function playFrames(frames: AsyncIterable<AnswerFrame>, sink: AnswerSink): Promise<ForwardEnd> {
+	for await (const frame of frames) {
+		switch (frame.kind) {
+			case 'head': {
+				sink.start(frame.head);
+				break;
+			}
+
+			case 'body': {
+				await sink.write(Buffer.from(frame.body, 'base64'));
+				break;
+			}
+
+			case 'end': {
+				sink.end();
+				return 'answered';
+			}
+
+			case 'cut': {
+				sink.cut();
+				return 'answered';
+			}
+
+			case 'not_owner': {
+				return 'not_owner';
+			}
+		}
+	}
+
+	throw new Error('the answer of the other node broke off');
+}
+
+/** Tells apart two requests that come with the same key. */
+function computeFingerprint(request: CallerRequest): string {
+	return createHash('sha256').update(`${request.method} ${request.path}\n`).update(request.body).digest('hex');
+}
+
+function createUnreachable(): Failure {
+	return createFailure('owner_unreachable', 'the node that owns this key does not answer at present; try again with the same key');
+}
--- /dev/null
+++ b/src/node/entry/parse-request.ts
@@ -0,0 +1,198 @@
+/** Turns a caller's HTTP request into a checked `CallerRequest`, or says what is wrong with it. */
+import {Buffer} from 'node:buffer';
+import type {IncomingHttpHeaders} from 'node:http';
+import {Left, Right, type Either} from 'purify-ts';
+import {z} from 'zod';
+import {
+	createFailure, formatPoolId, readBearerToken, type Clock, type Failure, type OrganisationId, type RequestId, type RunKey, type ServiceName,
+} from '../../common/index.js';
+import type {Entry, FleetView} from '../config/index.js';
+import type {CallerRequest, CompletionBody, Operation} from './caller-request.js';
+import {boundHeader, notRepeatableHeader, runKeyHeader} from './headers.js';
+import type {TokenEstimator} from './token-estimator.js';
+
+/** A request as it arrived. */
+export type RawRequest = {
+	method: string;
+	/** Path and query. */
+	url: string;
+	headers: IncomingHttpHeaders;
+	body: Uint8Array;
+};
+
+/** What parsing needs to know. */
+export type ParseParts = {
+	clock: Clock;
+	view: FleetView;
+	estimator: TokenEstimator;
+	createRequestId(): RequestId;
+};
+
+const passedHeaders = ['accept', 'accept-language', 'content-type'];
+const forwardedHeaders = [...passedHeaders, 'authorization', boundHeader, notRepeatableHeader, runKeyHeader];
+const repeatableMethods = new Set(['GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE']);
+
+const positiveInteger = z.int().positive().nullish();
+const completionSchema = z.looseObject({
+	model: z.string({error: 'name a service in `model`'}),
+	stream: z.boolean({error: '`stream` is true or false'}).nullish(),
+	n: z.int({error: '`n` is a whole number from 1 to 16'}).min(1).max(16).nullish(),
+	max_tokens: positiveInteger,
+	max_completion_tokens: positiveInteger,
+});
+const chatSchema = completionSchema.extend({messages: z.array(z.unknown(), {error: '`messages` is a list'}).min(1, {error: '`messages` is empty'})});
+const textSchema = completionSchema.extend({
+	prompt: z.union([z.string(), z.array(z.unknown())], {error: '`prompt` is a text or a list'}),
+});
+
+/** Finds out which organisation a request comes from. */
+export function authenticate(headers: IncomingHttpHeaders, view: FleetView): Either<Failure, Entry<'Organisation'>> {
+	const key = readBearerToken(headers.authorization);
+	const owner = key === '' ? undefined : view.findKeyOwner(key);
+	const organisation = owner === undefined ? undefined : view.find('Organisation', owner);
+	return organisation === undefined
+		? Left(createFailure('unknown_key', 'the key is missing or unknown; send `Authorization: Bearer KEY` with a key of your organisation'))
+		: Right(organisation);
+}
+
+/** Checks a completion request. */
+export function parseCompletion(raw: RawRequest, operation: 'chat' | 'text', parts: ParseParts): Either<Failure, CallerRequest> {
+	return authenticate(raw.headers, parts.view).chain(organisation =>
+		parseBody(raw.body, operation).chain(completion =>
+			findService(completion.model, 'engine', organisation, parts.view).chain(service =>
+				buildRequest({
+					raw, operation, organisation, service, completion,
+				}, parts))));
+}
+
+/** Checks a call on a plain service. */
+export function parsePlainCall(raw: RawRequest, parts: ParseParts): Either<Failure, CallerRequest> {
+	return authenticate(raw.headers, parts.view).chain(organisation => {
+		const name = findServiceByPath(raw.url, parts.view);
+		if (name === undefined) {
+			return Left(createFailure('unknown_path', `no service answers under ${raw.url.split('?', 1)[0]}`));
+		}
+
+		return findService(name, 'plain', organisation, parts.view).chain(service =>
+			buildRequest({
+				raw, operation: 'plain', organisation, service, completion: undefined,
+			}, parts));
+	});
+}
+
+function parseBody(body: Uint8Array, operation: 'chat' | 'text'): Either<Failure, CompletionBody> {
+	let parsed: unknown;
+	try {
+		parsed = JSON.parse(Buffer.from(body.buffer, body.byteOffset, body.byteLength).toString());
+	} catch {
+		return Left(createFailure('invalid_json', 'the body is not valid JSON'));
+	}
+
+	const schema = operation === 'chat' ? chatSchema : textSchema;
+	const checked = schema.safeParse(parsed);
+	if (checked.success) {
+		return Right(checked.data as CompletionBody);
+	}
+
+	const [issue] = checked.error.issues;
+	return Left(createFailure('invalid_request', `${issue.path.join('.') || 'body'}: ${issue.message}`));
+}
+
+function findServiceByPath(url: string, view: FleetView): string | undefined {
+	const path = url.split('?', 1)[0];
+	const matching = view.list('Service')
+		.filter(({type, pathPrefix}) => type === 'plain' && pathPrefix !== undefined && (path === pathPrefix || path.startsWith(`${pathPrefix}/`)))
+		.sort((left, right) => (right.pathPrefix ?? '').length - (left.pathPrefix ?? '').length);
+	return matching[0]?.name;
+}
+
+function findService(name: string, type: 'engine' | 'plain', organisation: Entry<'Organisation'>, view: FleetView): Either<Failure, Entry<'Service'>> {
+	const service = view.find('Service', name);
+	if (service?.type !== type) {
+		return Left(createFailure('unknown_model', `there is no model '${name}'; GET /v1/models lists those you may use`));
+	}
+
+	return organisation.services.includes(name)
+		? Right(service)
+		: Left(createFailure('service_forbidden', `organisation '${organisation.name}' may not use '${name}'; ask your operators to add it to the organisation's services`));
+}
+
+type RequestParts = {
+	raw: RawRequest;
+	operation: Operation;
+	organisation: Entry<'Organisation'>;
+	service: Entry<'Service'>;
+	completion: CompletionBody | undefined;
+};
+
+function buildRequest({raw, operation, organisation, service, completion}: RequestParts, parts: ParseParts): Either<Failure, CallerRequest> {
+	return parseBound(raw.headers, service).chain(bound => parseMarks(raw, operation).map(marks => {
+		const name = service.name as ServiceName;
+		const arrived = parts.clock.readMonotonic();
+		const requestId = parts.createRequestId();
+		return {
+			requestId,
+			organisation: organisation.name as OrganisationId,
+			service: name,
+			serviceSpec: service,
+			pool: formatPoolId(name, service.region),
+			operation,
+			method: raw.method,
+			path: raw.url,
+			headers: operation === 'plain' ? buildHeaders(raw, requestId, organisation.name, marks.runKey) : {},
+			rawHeaders: pickHeaders(raw.headers, forwardedHeaders),
+			body: raw.body,
+			completion,
+			promptTokens: operation === 'plain' ? 1 : parts.estimator.estimate(name, raw.body.length),
+			outputTokens: operation === 'plain' ? 0 : countOutputTokens(completion, service),
+			arrived,
+			deadline: arrived + bound,
+			...marks,
+		};
+	}));
+}
+
+function parseBound(headers: IncomingHttpHeaders, service: Entry<'Service'>): Either<Failure, number> {
+	const text = headers[boundHeader];
+	if (text === undefined) {
+		return Right(service.defaultBound);
+	}
+
+	const bound = Number(text);
+	return Number.isInteger(bound) && bound >= 1 && bound <= service.longestBound
+		? Right(bound)
+		: Left(createFailure('invalid_time_bound', `${boundHeader} is '${String(text)}'; write whole milliseconds from 1 to ${service.longestBound}`));
+}
+
+function parseMarks(raw: RawRequest, operation: Operation): Either<Failure, {isRepeatable: boolean; runKey: RunKey | undefined}> {
+	const runKey = raw.headers[runKeyHeader] as RunKey | undefined;
+	const mark = raw.headers[notRepeatableHeader];
+	if (mark !== undefined && mark !== 'true' && mark !== 'false') {
+		return Left(createFailure('invalid_request', `${notRepeatableHeader} is '${String(mark)}'; write true or false`));
+	}
+
+	const isRepeatable = operation !== 'plain' || repeatableMethods.has(raw.method);
+	return Right({isRepeatable: isRepeatable && mark !== 'true' && runKey === undefined, runKey});
+}
+
+function buildHeaders(raw: RawRequest, requestId: RequestId, organisation: string, runKey: RunKey | undefined): Record<string, string> {
+	const headers = {...pickHeaders(raw.headers, passedHeaders), 'x-request-id': requestId, 'x-organisation': organisation};
+	return runKey === undefined ? headers : {...headers, 'idempotency-key': runKey};
+}
+
+function pickHeaders(headers: IncomingHttpHeaders, names: string[]): Record<string, string> {
+	const picked: Record<string, string> = {};
+	for (const name of names) {
+		const value = headers[name];
+		if (typeof value === 'string') {
+			picked[name] = value;
+		}
+	}
+
+	return picked;
+}
+
+function countOutputTokens(completion: CompletionBody | undefined, service: Entry<'Service'>): number {
+	const limit = completion?.max_completion_tokens ?? completion?.max_tokens ?? service.defaultOutputTokens;
+	return Number(limit) * Number(completion?.n ?? 1);
+}
--- /dev/null
+++ b/src/node/index.ts
@@ -0,0 +1,2 @@
+export * from './node.js';
+export type {NodeStatus, PoolStatus} from './operators-controller.js';
--- /dev/null
+++ b/src/node/listeners.ts
@@ -0,0 +1,113 @@
+/** The three listeners of a node: callers, operators, other nodes. None answers on another's port. */
+import 'reflect-metadata'; // eslint-disable-line import-x/no-unassigned-import
+import {Module, type DynamicModule, type Type} from '@nestjs/common';
+import {NestFactory} from '@nestjs/core';
+import {FastifyAdapter, type NestFastifyApplication} from '@nestjs/platform-fastify';
+import {fastifyTRPCPlugin} from '@trpc/server/adapters/fastify';
+import type {FastifyError, FastifyReply, FastifyRequest} from 'fastify';
+import {
+	createFailure, formatErrorBody, hashSecret, matchesHash, readBearerToken,
+} from '../common/index.js';
+import {nodeRouter, rpcPath, type NodeService} from '../rpc/index.js';
+import type {ListenerSettings} from '../settings/index.js';
+import {CallersController, callersToken, type CallersContext} from './callers-controller.js';
+import {formatErrorHead} from './entry/index.js';
+import {OperatorsController, operatorsToken, type OperatorsContext} from './operators-controller.js';
+
+/** A listener that has been opened. */
+export type Listener = {
+	/** Base URL. */
+	url: string;
+	/** Stops taking connections; resolves when those open have ended. */
+	close(): Promise<void>;
+};
+
+const bytesPerMebibyte = 1_048_576;
+
+/** Largest message between nodes: a passed-on body in base64, and outcomes in an inheritance. */
+const rpcBodyLimit = 160 * bytesPerMebibyte;
+
+/** Milliseconds for which an idle connection is kept. */
+const keepAlive = 75_000;
+
+@Module({})
+class ListenerModule {}
+
+/** Opens the callers' listener. */
+export async function openCallersListener(settings: ListenerSettings, bodyLimit: number, context: CallersContext): Promise<Listener> {
+	const app = await createApp(CallersController, {provide: callersToken, useValue: context}, bodyLimit);
+	return listen(app, settings);
+}
+
+/** Opens the operators' listener. */
+export async function openOperatorsListener(settings: ListenerSettings, context: OperatorsContext): Promise<Listener> {
+	const app = await createApp(OperatorsController, {provide: operatorsToken, useValue: context}, bytesPerMebibyte);
+	return listen(app, settings);
+}
+
+/** Opens the listener for other nodes. A message without the secret is refused and counted. */
+export async function openNodesListener(settings: ListenerSettings, secret: string, parts: {service: NodeService; onRefused: () => void}): Promise<Listener> {
+	const adapter = createAdapter(rpcBodyLimit);
+	const secretHash = hashSecret(secret);
+	const instance = adapter.getInstance();
+	instance.addHook('onRequest', async (request: FastifyRequest, reply: FastifyReply) => {
+		if (!matchesHash(readBearerToken(request.headers.authorization), secretHash)) {
+			parts.onRefused();
+			await reply.code(401).send({error: 'the secret of the nodes is missing or wrong'});
+		}
+	});
+	await instance.register(fastifyTRPCPlugin, {
+		prefix: rpcPath,
+		trpcOptions: {router: nodeRouter, createContext: () => ({service: parts.service})},
+	});
+	const app = await NestFactory.create<NestFastifyApplication>(ListenerModule, adapter, {logger: false, bodyParser: false, abortOnError: false});
+	return listen(app, settings);
+}
+
+function createAdapter(bodyLimit: number): FastifyAdapter {
+	return new ListenerAdapter(bodyLimit);
+}
+
+/** Fastify's adapter, with errors found before a request reaches its handler answered in the shape of every other error. */
+class ListenerAdapter extends FastifyAdapter {
+	readonly #bodyLimit: number;
+
+	constructor(bodyLimit: number) {
+		super({bodyLimit, keepAliveTimeout: keepAlive, forceCloseConnections: 'idle'});
+		this.#bodyLimit = bodyLimit;
+	}
+
+	override setErrorHandler(): ReturnType<FastifyAdapter['setErrorHandler']> {
+		return this.getInstance().setErrorHandler(async (error: FastifyError, _request, reply) => sendHttpError(error, reply, this.#bodyLimit));
+	}
+}
+
+async function createApp(controller: Type, provider: {provide: symbol; useValue: unknown}, bodyLimit: number): Promise<NestFastifyApplication> {
+	const adapter = createAdapter(bodyLimit);
+	const root: DynamicModule = {module: ListenerModule, controllers: [controller], providers: [provider]};
+	const app = await NestFactory.create<NestFastifyApplication>(root, adapter, {logger: false, bodyParser: false, abortOnError: false});
+	const instance = adapter.getInstance();
+	instance.removeAllContentTypeParsers();
+	instance.addContentTypeParser('*', {parseAs: 'buffer'}, (_request, body, done) => {
+		done(null, body);
+	});
+	return app;
+}
+
+async function sendHttpError(error: FastifyError, reply: FastifyReply, bodyLimit: number): Promise<void> {
+	const failure = error.code === 'FST_ERR_CTP_BODY_TOO_LARGE'
+		? createFailure('body_too_large', `the body is larger than ${bodyLimit / bytesPerMebibyte} MiB, the limit of this node`)
+		: createFailure('invalid_request', `the request could not be read: ${error.message}`);
+	const head = formatErrorHead(failure);
+	await reply.code(head.status).headers(head.headers).send(JSON.stringify(formatErrorBody(failure)));
+}
+
+async function listen(app: NestFastifyApplication, settings: ListenerSettings): Promise<Listener> {
+	await app.listen(settings.port, settings.host);
+	const address = app.getHttpServer().address() as {port: number};
+	const host = settings.host.includes(':') ? `[${settings.host}]` : settings.host;
+	return {
+		url: `http://${host}:${address.port}`,
+		close: async () => app.close(),
+	};
+}
--- /dev/null
+++ b/src/node/membership/gateway.ts
@@ -0,0 +1,129 @@
+/** Reaches a pool's dispatcher, on this node or another. */
+import {type Either, Left, Right} from 'purify-ts';
+import {
+	createFailure, readIncarnationUrl, type Clock, type Failure, type Incarnation, type PoolId,
+} from '../../common/index.js';
+import type {NodeClients} from '../../rpc/index.js';
+import type {FleetView} from '../config/index.js';
+import type {AdmitRequest, Grant, Heartbeat} from '../dispatch/index.js';
+import {DispatcherGateway} from '../entry/index.js';
+import type {PoolHost} from './pool-host.js';
+import type {Reconciler} from './reconciler.js';
+
+/** Added to a request's patience before its admission counts as lost, in milliseconds. */
+const admitMargin = 500;
+const heartbeatTimeout = 1000;
+
+/** What the gateway needs. */
+export type GatewayParts = {
+	self: Incarnation;
+	view: FleetView;
+	host: PoolHost;
+	reconciler: Reconciler;
+	clients: NodeClients;
+	clock: Clock;
+};
+
+/** Routes admissions and heartbeats by the term records in the view. */
+export class PoolGateway extends DispatcherGateway {
+	readonly #parts: GatewayParts;
+	/** Fired and replaced whenever a term changes: what waits on an ended term asks again. */
+	#termChanged = new AbortController();
+
+	constructor(parts: GatewayParts) {
+		super();
+		this.#parts = parts;
+		parts.view.addListener(kind => {
+			if (kind === 'DispatcherTerm') {
+				this.#termChanged.abort();
+				this.#termChanged = new AbortController();
+			}
+		});
+	}
+
+	override async admit(pool: PoolId, request: AdmitRequest, signal: AbortSignal): Promise<Either<Failure, Grant>> {
+		const holder = this.#findHolder(pool);
+		if (holder === undefined) {
+			return Left(createNoDispatcher(pool));
+		}
+
+		if (holder === this.#parts.self) {
+			return this.admitHere(pool, request, signal);
+		}
+
+		return this.#admitThere(holder, pool, request, signal);
+	}
+
+	/** Asks the dispatcher on this node; a withdrawn request leaves the queue. */
+	async admitHere(pool: PoolId, request: AdmitRequest, signal: AbortSignal): Promise<Either<Failure, Grant>> {
+		const dispatcher = this.#parts.host.findDispatcher(pool);
+		if (dispatcher === undefined) {
+			return Left(createNoDispatcher(pool));
+		}
+
+		const withdraw = () => {
+			dispatcher.withdraw(request.requestId);
+		};
+
+		signal.addEventListener('abort', withdraw, {once: true});
+		const result = await dispatcher.admit(request);
+		signal.removeEventListener('abort', withdraw);
+		if (signal.aborted) {
+			// The asker is gone: nobody would give the grant back.
+			result.ifRight(grant => {
+				dispatcher.reclaim(grant.grantId);
+			});
+		}
+
+		return result;
+	}
+
+	override async sendHeartbeat(heartbeat: Heartbeat): Promise<Either<Failure, true>> {
+		const holder = this.#findHolder(heartbeat.pool);
+		if (holder === undefined) {
+			return Left(createNoDispatcher(heartbeat.pool));
+		}
+
+		if (holder === this.#parts.self) {
+			return this.acceptHeartbeat(heartbeat) ? Right(true as const) : Left(createNoDispatcher(heartbeat.pool));
+		}
+
+		const answer = await this.#parts.clients.ask(readIncarnationUrl(holder), heartbeatTimeout, async (client, signal) =>
+			client.acceptHeartbeat.mutate(heartbeat, {signal}));
+		return answer?.isDispatcher ? Right(true as const) : Left(createNoDispatcher(heartbeat.pool));
+	}
+
+	/** Takes a heartbeat for a dispatcher on this node; false when there is none. */
+	acceptHeartbeat(heartbeat: Heartbeat): boolean {
+		const dispatcher = this.#parts.host.findDispatcher(heartbeat.pool);
+		if (dispatcher === undefined) {
+			return false;
+		}
+
+		if (dispatcher.acceptHeartbeat(heartbeat)) {
+			this.#parts.reconciler.noteDisagreement(heartbeat.pool, heartbeat.entry);
+		}
+
+		return true;
+	}
+
+	async #admitThere(holder: Incarnation, pool: PoolId, request: AdmitRequest, signal: AbortSignal): Promise<Either<Failure, Grant>> {
+		const url = readIncarnationUrl(holder);
+		const termChanged = this.#termChanged.signal;
+		const answer = await this.#parts.clients.ask(url, request.patience + admitMargin, async (client, timeout) =>
+			client.admit.mutate({pool, request}, {signal: AbortSignal.any([signal, timeout, termChanged])}));
+		if (answer === undefined) {
+			return Left(createNoDispatcher(pool));
+		}
+
+		return 'grant' in answer ? Right(answer.grant) : Left(answer.failure);
+	}
+
+	#findHolder(pool: PoolId): Incarnation | undefined {
+		return this.#parts.view.find('DispatcherTerm', pool)?.incarnation as Incarnation | undefined;
+	}
+}
+
+function createNoDispatcher(pool: PoolId): Failure {
+	return createFailure('no_dispatcher', `no node decides for ${pool} at present`);
+}
--- /dev/null
+++ b/src/node/membership/members.ts
@@ -0,0 +1,95 @@
+/** The nodes of the system as this node sees them, put together from every source that says something of them. */
+import type {BoxId, Incarnation} from '../../common/index.js';
+import type {Entry, FleetView} from '../config/index.js';
+
+/** A node that has registered. */
+export type Member = {
+	box: BoxId;
+	incarnation: Incarnation;
+	region: string;
+	availabilityZone: string;
+	callerUrl: string;
+	nodeUrl: string;
+};
+
+/** Combines registrations, the platform's live list, peers' words and failed pings. */
+export class Members {
+	readonly #view: FleetView;
+	readonly #leaving = new Set<Incarnation>();
+	readonly #suspected = new Set<Incarnation>();
+
+	constructor(view: FleetView) {
+		this.#view = view;
+	}
+
+	/** Lists all registered nodes, whatever their state. */
+	listAll(): Member[] {
+		return this.#view.list('Node').map(node => toMember(node));
+	}
+
+	/** Lists the nodes that callers may be sent to and that may take pools. */
+	listReady(): Member[] {
+		return this.#view.list('Node')
+			.filter(node => node.state === 'ready' && this.#isOnLiveList(node.name))
+			.map(node => toMember(node))
+			.filter(member => !this.#leaving.has(member.incarnation) && !this.#suspected.has(member.incarnation));
+	}
+
+	/** Whether an incarnation is the present one of its box and none of the sources says that it is gone or leaving. */
+	isReady(incarnation: Incarnation): boolean {
+		return this.listReady().some(member => member.incarnation === incarnation);
+	}
+
+	/** Whether an incarnation has certainly ended: its box has registered another, or is no longer registered. */
+	hasEnded(incarnation: Incarnation): boolean {
+		return this.#view.revision > 0 && !this.listAll().some(member => member.incarnation === incarnation);
+	}
+
+	/** Whether the platform's live list has dropped the box of an incarnation. */
+	isDropped(incarnation: Incarnation): boolean {
+		const member = this.listAll().find(candidate => candidate.incarnation === incarnation);
+		return member === undefined || (this.#view.list('LiveBox').length > 0 && !this.#view.list('LiveBox').some(box => box.name === member.box));
+	}
+
+	/** Notes a node's own word that it leaves. */
+	noteLeaving(incarnation: Incarnation): void {
+		this.#leaving.add(incarnation);
+	}
+
+	/** Notes whether a node answers pings. */
+	noteReachable(incarnation: Incarnation, isReachable: boolean): void {
+		if (isReachable) {
+			this.#suspected.delete(incarnation);
+		} else {
+			this.#suspected.add(incarnation);
+		}
+	}
+
+	/** Forgets words about incarnations that are no longer registered. */
+	prune(): void {
+		const known = new Set(this.listAll().map(member => member.incarnation));
+		for (const notes of [this.#leaving, this.#suspected]) {
+			for (const incarnation of notes) {
+				if (!known.has(incarnation)) {
+					notes.delete(incarnation);
+				}
+			}
+		}
+	}
+
+	#isOnLiveList(box: string): boolean {
+		// A platform that keeps no live list says nothing about anyone.
+		return this.#view.list('LiveBox').length === 0 || this.#view.find('LiveBox', box)?.state === 'live';
+	}
+}
+
+function toMember(node: Entry<'Node'>): Member {
+	return {
+		box: node.name as BoxId,
+		incarnation: node.incarnation as Incarnation,
+		region: node.region,
+		availabilityZone: node.availabilityZone,
+		callerUrl: node.callerUrl,
+		nodeUrl: node.nodeUrl,
+	};
+}
--- /dev/null
+++ b/src/node/membership/peer-monitor.ts
@@ -0,0 +1,99 @@
+/**
+ * Watches a few peers by pings.
+ *
+ * Each node watches the peers that rendezvous hashing gives it, and those whose
+ * pools it would take over; never all. A peer that misses several pings is
+ * suspected only when another node cannot reach it either.
+ */
+import {
+	Child, orderByRendezvous, waitFor, type Clock, type Incarnation, type Logger,
+} from '../../common/index.js';
+import type {NodeClients} from '../../rpc/index.js';
+import type {Member, Members} from './members.js';
+
+/** Peers watched by each node. */
+export const watchedPeers = 3;
+
+/** Time between pings, in milliseconds. */
+export const pingInterval = 500;
+
+const pingTimeout = 400;
+const probeTimeout = 1000;
+
+/** Pings missed in a row before a second opinion is asked. */
+const missesAllowed = 2;
+
+/** Nodes asked for a second opinion. */
+const secondOpinions = 2;
+
+/** What the monitor needs. */
+export type PeerMonitorParts = {
+	clock: Clock;
+	logger: Logger;
+	self: Incarnation;
+	/** Names the incarnations whose pools this node is next to take. */
+	listHolders: () => Incarnation[];
+};
+
+/** Pings peers and notes who does not answer. */
+export class PeerMonitor extends Child {
+	override readonly name = 'peer-monitor';
+	readonly #members: Members;
+	readonly #clients: NodeClients;
+	readonly #clock: Clock;
+	readonly #logger: Logger;
+	readonly #self: Incarnation;
+	readonly #listHolders: () => Incarnation[];
+	readonly #missed = new Map<Incarnation, number>();
+
+	constructor(members: Members, clients: NodeClients, parts: PeerMonitorParts) {
+		super();
+		this.#members = members;
+		this.#clients = clients;
+		this.#clock = parts.clock;
+		this.#logger = parts.logger;
+		this.#self = parts.self;
+		this.#listHolders = parts.listHolders;
+	}
+
+	override async run(signal: AbortSignal): Promise<void> {
+		while (!signal.aborted) {
+			this.#members.prune();
+			await Promise.all(this.#choosePeers().map(async peer => this.#check(peer)));
+			await waitFor(this.#clock, pingInterval, signal);
+		}
+	}
+
+	#choosePeers(): Member[] {
+		const others = this.#members.listAll().filter(member => member.incarnation !== this.#self);
+		const chosen = new Set(orderByRendezvous(this.#self, others, member => member.incarnation).slice(0, watchedPeers));
+		const holders = new Set(this.#listHolders());
+		return others.filter(member => chosen.has(member) || holders.has(member.incarnation));
+	}
+
+	async #check(peer: Member): Promise<void> {
+		const answer = await this.#clients.ask(peer.nodeUrl, pingTimeout, async (client, signal) => client.ping.query(undefined, {signal}));
+		if (answer?.incarnation === peer.incarnation) {
+			this.#missed.delete(peer.incarnation);
+			this.#members.noteReachable(peer.incarnation, true);
+			return;
+		}
+
+		const missed = (this.#missed.get(peer.incarnation) ?? 0) + 1;
+		this.#missed.set(peer.incarnation, missed);
+		// Another incarnation at the address is proof; silence may be this node's own.
+		const isReplaced = answer !== undefined;
+		if (isReplaced || (missed > missesAllowed && !await this.#isSeenByOthers(peer))) {
+			this.#logger.warn({event: 'peer_suspected', box: peer.box, missed}, 'a node does not answer');
+			this.#members.noteReachable(peer.incarnation, false);
+		}
+	}
+
+	async #isSeenByOthers(peer: Member): Promise<boolean> {
+		const others = this.#members.listReady().filter(member => member.incarnation !== this.#self && member.incarnation !== peer.incarnation);
+		const asked = orderByRendezvous(peer.incarnation, others, member => member.incarnation).slice(0, secondOpinions);
+		const answers = await Promise.all(asked.map(async member =>
+			this.#clients.ask(member.nodeUrl, probeTimeout, async (client, signal) => client.probe.query({url: peer.nodeUrl}, {signal}))));
+		return answers.some(answer => answer?.isReachable === true);
+	}
+}
--- /dev/null
+++ b/src/node/membership/pool-host.ts
@@ -0,0 +1,234 @@
+/**
+ * Holds the dispatchers of the pools whose terms this node has.
+ *
+ * A pool's term is a record in the platform that changes only on takeover, by a
+ * conditional update. The node that rendezvous hashing puts first among the ready
+ * nodes of the pool's region takes a term whose holder is no longer ready.
+ */
+import {
+	Child, createFailure, orderByRendezvous, waitFor, type BoxId, type Clock, type IdSource, type Incarnation, type Logger, type Metrics, type PoolId, type ServiceName,
+} from '../../common/index.js';
+import type {Platform} from '../../platform/index.js';
+import type {NodeClients} from '../../rpc/index.js';
+import type {Entry, FleetView} from '../config/index.js';
+import {Dispatcher, type Grant, type ServerState} from '../dispatch/index.js';
+import type {Member, Members} from './members.js';
+
+/** What a pool host needs. */
+export type PoolHostParts = {
+	platform: Platform;
+	view: FleetView;
+	members: Members;
+	clients: NodeClients;
+	clock: Clock;
+	ids: IdSource;
+	logger: Logger;
+	metrics: Metrics;
+	self: {box: BoxId; incarnation: Incarnation; region: string};
+	/** Whether this node may take terms at present. */
+	isEligible: () => boolean;
+};
+
+const checkInterval = 100;
+
+/** Time allowed for nodes to say which grants they hold, in milliseconds. */
+const fillTimeout = 500;
+
+/** Pause after a takeover that failed, in milliseconds. */
+const takeoverPause = 500;
+
+/** Runs this node's dispatchers. */
+export class PoolHost extends Child {
+	override readonly name = 'pool-host';
+	readonly #parts: PoolHostParts;
+	readonly #dispatchers = new Map<PoolId, Dispatcher>();
+	readonly #pausedUntil = new Map<PoolId, number>();
+	/** Backend servers that do not answer. */
+	readonly #unreachable = new Set<string>();
+
+	constructor(parts: PoolHostParts) {
+		super();
+		this.#parts = parts;
+		parts.view.addListener(kind => {
+			if (kind === 'BackendServer') {
+				this.#refreshServers();
+			}
+
+			if (kind === 'DispatcherTerm') {
+				this.#dropLostTerms();
+			}
+		});
+	}
+
+	/** Finds the dispatcher of a pool, if it runs here. */
+	findDispatcher(pool: PoolId): Dispatcher | undefined {
+		return this.#dispatchers.get(pool);
+	}
+
+	/** Lists the dispatchers that run here. */
+	listDispatchers(): Dispatcher[] {
+		return [...this.#dispatchers.values()];
+	}
+
+	/** Lists the holders of terms that this node is next, or next but one, to take. */
+	listWatchedHolders(): Incarnation[] {
+		return this.#parts.view.listPools(this.#parts.self.region).flatMap((pool): Incarnation[] => {
+			const record = this.#parts.view.find('DispatcherTerm', pool);
+			if (record === undefined) {
+				return [];
+			}
+
+			const holder = record.incarnation as Incarnation;
+			const others = this.#listCandidates(pool).filter(member => member.incarnation !== holder);
+			const isNext = others.slice(0, 2).some(member => member.incarnation === this.#parts.self.incarnation);
+			return isNext ? [holder] : [];
+		});
+	}
+
+	/** Notes whether a backend server answers. */
+	noteServer(name: string, isReachable: boolean): void {
+		if (this.#unreachable.has(name) !== isReachable) {
+			return;
+		}
+
+		if (isReachable) {
+			this.#unreachable.delete(name);
+		} else {
+			this.#unreachable.add(name);
+		}
+
+		this.#parts.logger.info({event: 'backend_server_state', backendServer: name, isReachable}, 'a backend server changed state');
+		this.#refreshServers();
+	}
+
+	override async run(signal: AbortSignal): Promise<void> {
+		this.#dropLostTerms();
+		while (!signal.aborted) {
+			if (this.#parts.isEligible()) {
+				const pools = this.#parts.view.listPools(this.#parts.self.region);
+				await Promise.all(pools.map(async pool => this.#checkPool(pool)));
+			}
+
+			await waitFor(this.#parts.clock, checkInterval, signal);
+		}
+	}
+
+	/** Hands every pool to the node that comes next, so that no time passes without grants. */
+	async handOver(): Promise<void> {
+		await Promise.all(this.listDispatchers().map(async dispatcher => {
+			const next = this.#listCandidates(dispatcher.pool).find(member => member.incarnation !== this.#parts.self.incarnation);
+			const record = this.#parts.view.find('DispatcherTerm', dispatcher.pool);
+			if (next === undefined || record === undefined) {
+				return;
+			}
+
+			if (await this.#writeTerm(dispatcher.pool, next, record)) {
+				this.#parts.logger.info({event: 'term_handed_over', pool: dispatcher.pool, to: next.box}, 'handed a pool over');
+			}
+		}));
+	}
+
+	#listCandidates(pool: PoolId): Member[] {
+		const ready = this.#parts.members.listReady().filter(member => member.region === this.#parts.self.region);
+		return orderByRendezvous(pool, ready, member => member.box);
+	}
+
+	async #checkPool(pool: PoolId): Promise<void> {
+		const record = this.#parts.view.find('DispatcherTerm', pool);
+		if (record?.incarnation === this.#parts.self.incarnation) {
+			await this.#startDispatcher(pool, record);
+			return;
+		}
+
+		const holderIsReady = record !== undefined && this.#parts.members.isReady(record.incarnation as Incarnation);
+		const [first] = this.#listCandidates(pool) as [Member | undefined];
+		const now = this.#parts.clock.readMonotonic();
+		if (holderIsReady || first?.incarnation !== this.#parts.self.incarnation || now < (this.#pausedUntil.get(pool) ?? 0)) {
+			return;
+		}
+
+		if (!await this.#writeTerm(pool, first, record)) {
+			this.#pausedUntil.set(pool, now + takeoverPause);
+		}
+	}
+
+	/** Writes a term for a holder; true when it is known to be stored. */
+	async #writeTerm(pool: PoolId, holder: Member, record: Entry<'DispatcherTerm'> | undefined): Promise<boolean> {
+		const spec = {holder: holder.box, incarnation: holder.incarnation, term: (record?.term ?? 0) + 1};
+		const written = await this.#parts.platform.writeObject({kind: 'DispatcherTerm', metadata: {name: pool}, spec}, record?.version ?? 0);
+		if (written.isRight()) {
+			this.#parts.view.applyEvent({type: 'MODIFIED', object: written.extract()});
+			return true;
+		}
+
+		// The write may have taken effect although its reply was lost: the stored record tells.
+		const read = await this.#parts.platform.readObject('DispatcherTerm', pool);
+		const stored = read.isRight() ? read.extract() : undefined;
+		if (stored?.kind !== 'DispatcherTerm') {
+			return false;
+		}
+
+		this.#parts.view.applyEvent({type: 'MODIFIED', object: stored});
+		return stored.spec.incarnation === holder.incarnation;
+	}
+
+	async #startDispatcher(pool: PoolId, record: Entry<'DispatcherTerm'>): Promise<void> {
+		if (this.#dispatchers.get(pool)?.term === record.term) {
+			return;
+		}
+
+		const dispatcher = new Dispatcher({
+			pool,
+			term: record.term,
+			clock: this.#parts.clock,
+			ids: this.#parts.ids,
+			logger: this.#parts.logger,
+			metrics: this.#parts.metrics,
+		});
+		this.#dispatchers.set(pool, dispatcher);
+		dispatcher.setServers(this.#listServers(pool));
+		const grants = await this.#collectGrants(pool);
+		dispatcher.adoptGrants(grants);
+		dispatcher.open();
+		this.#parts.logger.info({
+			event: 'term_started', pool, term: record.term, adopted: grants.length,
+		}, 'this node decides for a pool');
+	}
+
+	/** Asks every registered node for the grants it holds. Those that do not answer in time are found through the engines later. */
+	async #collectGrants(pool: PoolId): Promise<Grant[]> {
+		const answers = await Promise.all(this.#parts.members.listAll().map(async member =>
+			this.#parts.clients.ask(member.nodeUrl, fillTimeout, async (client, signal) => client.listGrants.query({pool}, {signal}))));
+		return answers.flatMap(answer => answer ?? []);
+	}
+
+	#listServers(pool: PoolId): ServerState[] {
+		const service = pool.split('@', 1)[0] as ServiceName;
+		return this.#parts.view.listServers(service).map(server => ({
+			id: server.id,
+			url: server.url,
+			availabilityZone: server.availabilityZone,
+			capacity: server.capacity,
+			open: server.state === 'live' && !this.#unreachable.has(server.id),
+		}));
+	}
+
+	#refreshServers(): void {
+		for (const [pool, dispatcher] of this.#dispatchers) {
+			dispatcher.setServers(this.#listServers(pool));
+		}
+	}
+
+	#dropLostTerms(): void {
+		for (const [pool, dispatcher] of this.#dispatchers) {
+			const record = this.#parts.view.find('DispatcherTerm', pool);
+			if (record !== undefined && record.term > dispatcher.term && record.incarnation !== this.#parts.self.incarnation) {
+				this.#dispatchers.delete(pool);
+				dispatcher.close(createFailure('no_dispatcher', `term ${dispatcher.term} of ${pool} has ended`));
+				this.#parts.logger.info({
+					event: 'term_ended', pool, term: dispatcher.term, holder: record.holder,
+				}, 'another node decides for a pool');
+			}
+		}
+	}
+}
--- /dev/null
+++ b/src/rpc/index.ts
@@ -0,0 +1,3 @@
+export * from './node-clients.js';
+export * from './node-service.js';
+export * from './router.js';
--- /dev/null
+++ b/src/rpc/messages.ts
@@ -0,0 +1,63 @@
+/** Checks on the messages between nodes; one schema a message. */
+import {z} from 'zod';
+import type {
+	GrantId, Incarnation, OrganisationId, PoolId, RequestId, RunKey, ServiceName, BackendServerId,
+} from '../common/index.js';
+
+/** A branded id: a string when checked, its own type when compiled. */
+function id<Id extends string>(): z.ZodType<Id> {
+	return z.string().max(300) as unknown as z.ZodType<Id>;
+}
+
+const duration = z.number().min(0);
+
+export const poolSchema = z.object({pool: id<PoolId>()});
+export const urlSchema = z.object({url: z.url()});
+export const incarnationSchema = z.object({incarnation: id<Incarnation>()});
+
+export const admitSchema = z.object({
+	pool: id<PoolId>(),
+	request: z.object({
+		requestId: id<RequestId>(),
+		organisation: id<OrganisationId>(),
+		service: id<ServiceName>(),
+		entry: id<Incarnation>(),
+		promptTokens: z.number().positive(),
+		tokens: z.number().positive(),
+		patience: duration,
+		excluded: z.array(id<BackendServerId>()),
+	}),
+});
+
+export const heartbeatSchema = z.object({
+	pool: id<PoolId>(),
+	entry: id<Incarnation>(),
+	entryUrl: z.string(),
+	released: z.array(id<GrantId>()),
+	activeCount: z.int().min(0),
+});
+
+export const keyedRequestSchema = z.object({
+	organisation: id<OrganisationId>(),
+	runKey: id<RunKey>(),
+	operation: z.enum(['chat', 'text', 'plain']),
+	method: z.string(),
+	url: z.string(),
+	headers: z.record(z.string(), z.string()),
+	body: z.string(),
+});
+
+export const inheritanceSchema = z.object({
+	incarnations: z.array(id<Incarnation>()),
+	outcomes: z.array(z.object({
+		organisation: id<OrganisationId>(),
+		runKey: id<RunKey>(),
+		fingerprint: z.string(),
+		usableFor: z.number(),
+		answer: z.object({
+			head: z.object({status: z.int(), headers: z.record(z.string(), z.string())}),
+			body: z.string().optional(),
+			wasCut: z.boolean(),
+		}),
+	})),
+});
--- /dev/null
+++ b/src/rpc/node-clients.ts
@@ -0,0 +1,119 @@
+/** Clients of other nodes: one connection pool, the shared secret on each message, bytes counted. */
+import type {Socket} from 'node:net';
+import {
+	createTRPCClient, httpBatchStreamLink, httpLink, splitLink, type TRPCClient,
+} from '@trpc/client';
+import {Agent, buildConnector, fetch as undiciFetch} from 'undici';
+import {createTimeout, type Clock} from '../common/index.js';
+import type {NodeRouter} from './router.js';
+
+/** Path under which the router is served. */
+export const rpcPath = '/rpc';
+
+/** A client of one node. */
+export type NodeClient = TRPCClient<NodeRouter>;
+
+/** Keeps a client for each node asked. */
+export class NodeClients {
+	/** The clock by which calls time out. */
+	readonly clock: Clock;
+	readonly #secret: string;
+	readonly #counter = new ByteCounter();
+	readonly #agent: Agent;
+	readonly #clients = new Map<string, NodeClient>();
+
+	constructor(secret: string, clock: Clock) {
+		this.#secret = secret;
+		this.clock = clock;
+		const connect = buildConnector({timeout: 2000});
+		this.#agent = new Agent({
+			headersTimeout: 0,
+			bodyTimeout: 0,
+			keepAliveTimeout: 30_000,
+			connect: (options, callback) => {
+				connect(options, (...result) => {
+					if (result[0] === null) {
+						this.#counter.addSocket(result[1]);
+					}
+
+					callback(...result);
+				});
+			},
+		});
+	}
+
+	/** Bytes sent to and received from other nodes by calls of this node. */
+	countBytes(): number {
+		return this.#counter.count();
+	}
+
+	/** The client of the node at a URL. */
+	findClient(url: string): NodeClient {
+		let client = this.#clients.get(url);
+		if (client === undefined) {
+			client = this.#create(url);
+			this.#clients.set(url, client);
+		}
+
+		return client;
+	}
+
+	/** Calls a node and gives up after a time in milliseconds; undefined when there was no answer. */
+	async ask<Answer>(url: string, timeout: number, call: (client: NodeClient, signal: AbortSignal) => Promise<Answer>): Promise<Answer | undefined> {
+		const limit = createTimeout(this.clock, timeout);
+		try {
+			return await call(this.findClient(url), limit.signal);
+		} catch {
+			return undefined;
+		} finally {
+			limit.cancel();
+		}
+	}
+
+	/** Closes all connections. */
+	async close(): Promise<void> {
+		await this.#agent.destroy();
+	}
+
+	#create(url: string): NodeClient {
+		const options = {
+			url: `${url}${rpcPath}`,
+			headers: {authorization: `Bearer ${this.#secret}`},
+			fetch: (async (target: string, init: Record<string, unknown>) => undiciFetch(target, {...init, dispatcher: this.#agent})) as unknown as typeof fetch,
+		};
+		return createTRPCClient<NodeRouter>({
+			links: [splitLink({
+				condition: operation => operation.path === 'runKeyed',
+				true: httpBatchStreamLink({...options, maxItems: 1}),
+				false: httpLink(options),
+			})],
+		});
+	}
+}
+
+/** Adds up what sockets have carried. */
+class ByteCounter {
+	readonly #open = new Set<Socket>();
+	#closed = 0;
+
+	addSocket(socket: Socket): void {
+		this.#open.add(socket);
+		socket.once('close', () => {
+			this.#open.delete(socket);
+			this.#closed += countSocket(socket);
+		});
+	}
+
+	count(): number {
+		let total = this.#closed;
+		for (const socket of this.#open) {
+			total += countSocket(socket);
+		}
+
+		return total;
+	}
+}
+
+function countSocket(socket: Socket): number {
+	return socket.bytesRead + socket.bytesWritten;
+}
--- /dev/null
+++ b/src/settings/index.ts
@@ -0,0 +1,2 @@
+export * from './load-settings.js';
+export type * from './settings.js';
--- /dev/null
+++ b/src/standin/index.ts
@@ -0,0 +1,4 @@
+export * from './standin-engine.js';
+export * from './standin-plain.js';
+export * from './standin-platform.js';
+export * from './standin-fleet.js';
--- /dev/null
+++ b/test/helpers/calls.ts
@@ -0,0 +1,77 @@
+/** Calls as a caller of the stand-in fleet makes them. */
+import {request} from 'undici';
+import {standinFleet} from '../../src/standin/index.js';
+
+/** An answer, read to its end or to where it broke. */
+export type CallAnswer = {
+	status: number;
+	headers: Record<string, string | string[] | undefined>;
+	text: string;
+	/** Whether the connection was cut before the answer ended. */
+	wasCut: boolean;
+};
+
+/** The body of an error answer. */
+export type ErrorAnswerBody = {error: {code: string; ran: string; message: string; type: string; retry_after_seconds?: number}};
+
+/** A request body for the engine service. */
+export function chatBody(more: Record<string, unknown> = {}): Record<string, unknown> {
+	return {
+		model: standinFleet.service, messages: [{role: 'user', content: 'Nowcast for tile 37'}], max_tokens: 5, ...more,
+	};
+}
+
+/** Calls a path and reads the answer. */
+export async function call(url: string, options: {body?: unknown; headers?: Record<string, string>; method?: 'GET' | 'POST'; signal?: AbortSignal; key?: string} = {}): Promise<CallAnswer> {
+	const body = typeof options.body === 'string' || options.body === undefined ? options.body : JSON.stringify(options.body);
+	const response = await request(url, {
+		method: options.method ?? 'POST',
+		headers: {authorization: `Bearer ${options.key ?? standinFleet.key}`, 'content-type': 'application/json', ...options.headers},
+		body,
+		signal: options.signal,
+		headersTimeout: 0,
+		bodyTimeout: 0,
+	});
+	const {text, wasCut} = await readAll(response.body);
+	return {
+		status: response.statusCode, headers: response.headers, text, wasCut,
+	};
+}
+
+/** Streams or completes a chat. */
+export async function chat(callerUrl: string, body: Record<string, unknown> = {}, headers: Record<string, string> = {}): Promise<CallAnswer> {
+	return call(`${callerUrl}/v1/chat/completions`, {body: chatBody(body), headers});
+}
+
+/** Joins the text of a streamed chat. */
+export function joinStream(text: string): string {
+	return listStream(text).map(chunk => chunk.choices?.[0]?.delta?.content ?? '').join('');
+}
+
+type StreamChunk = {id: string; choices?: Array<{delta?: {content?: string}}>; error?: ErrorAnswerBody['error']};
+
+/** Lists the chunks of a streamed chat, without the finish marker. */
+export function listStream(text: string): StreamChunk[] {
+	return text.split('\n\n')
+		.filter(event => event.startsWith('data: ') && event !== 'data: [DONE]')
+		.map(event => JSON.parse(event.slice('data: '.length)) as StreamChunk);
+}
+
+/** Reads an error answer. */
+export function readError(answer: CallAnswer): ErrorAnswerBody['error'] {
+	return (JSON.parse(answer.text) as ErrorAnswerBody).error;
+}
+
+async function readAll(body: AsyncIterable<Uint8Array>): Promise<{text: string; wasCut: boolean}> {
+	const decoder = new TextDecoder();
+	let text = '';
+	try {
+		for await (const bytes of body) {
+			text += decoder.decode(bytes, {stream: true});
+		}
+
+		return {text, wasCut: false};
+	} catch {
+		return {text, wasCut: true};
+	}
+}
--- /dev/null
+++ b/test/helpers/fleet.ts
@@ -0,0 +1,81 @@
+/** A fleet of stand-ins on a virtual clock, over real loopback sockets. */
+import {setImmediate as waitForTurn} from 'node:timers/promises';
+import {VirtualClock} from '../../src/common/index.js';
+import {StandinFleet, standinFleet, type StandinFleetOptions} from '../../src/standin/index.js';
+
+/** Turns of the event loop given to sockets before time moves on. */
+const turnsPerStep = 12;
+const stepMilliseconds = 5;
+const mostSteps = 60_000;
+
+/** A fleet under test. */
+export class TestFleet extends StandinFleet {
+	readonly clock: VirtualClock;
+
+	constructor(options: Partial<StandinFleetOptions> = {}) {
+		const clock = new VirtualClock();
+		super({clock, random: createRandom(), ...options});
+		this.clock = clock;
+	}
+
+	/** Starts and waits until every node is ready and every pool is decided somewhere. */
+	async startReady(): Promise<this> {
+		await this.start();
+		await this.until(() => this.nodes.every(node => node.phase === 'ready' && node.readStatus().readyNodes.length === this.nodes.length)
+			&& this.nodes.flatMap(node => node.readStatus().pools).length >= 2
+			&& this.nodes.every(node => node.view.list('DispatcherTerm').length >= 2));
+		return this;
+	}
+
+	/** Lets virtual time pass while sockets work, until something settles. */
+	async settle<Result>(work: Promise<Result>): Promise<Result> {
+		let isSettled = false;
+		const watch = async () => {
+			try {
+				await work;
+			} finally {
+				isSettled = true;
+			}
+		};
+
+		watch().catch(() => undefined); // eslint-disable-line promise/prefer-await-to-then
+		await this.until(() => isSettled);
+		return work;
+	}
+
+	/** Lets virtual time pass while sockets work, until a condition holds. */
+	async until(condition: () => boolean): Promise<void> {
+		for (let step = 0; step < mostSteps; step++) {
+			for (let turn = 0; turn < turnsPerStep; turn++) {
+				await waitForTurn();
+				if (condition()) {
+					return;
+				}
+			}
+
+			this.clock.advance(stepMilliseconds);
+		}
+
+		throw new Error(`the condition did not come to hold in ${mostSteps * stepMilliseconds} ms of virtual time`);
+	}
+
+	/** Lets virtual time pass while sockets work. */
+	async pass(milliseconds: number): Promise<void> {
+		const end = this.clock.readMonotonic() + milliseconds;
+		await this.until(() => this.clock.readMonotonic() >= end);
+	}
+
+	/** The node that decides for the engine service's pool. */
+	findDispatcherNode(): number {
+		return this.nodes.findIndex(node => node.phase !== 'stopped' && node.readStatus().pools.some(pool => pool.pool.startsWith(standinFleet.service)));
+	}
+}
+
+/** A small linear congruential generator: the same numbers in every run. */
+export function createRandom(seed = 1): () => number {
+	let state = seed;
+	return () => {
+		state = ((state * 1_103_515_245) + 12_345) % 2_147_483_648;
+		return state / 2_147_483_648;
+	};
+}
--- /dev/null
+++ b/test/serve-callers.test.ts
@@ -0,0 +1,101 @@
+import {
+	afterAll, beforeAll, expect, test,
+} from '@jest/globals';
+import {standinFleet} from '../src/standin/index.js';
+import {
+	call, chat, chatBody, joinStream, readError,
+} from './helpers/calls.js';
+import {TestFleet} from './helpers/fleet.js';
+
+let fleet: TestFleet;
+let url: string;
+
+beforeAll(async () => {
+	fleet = await new TestFleet().startReady();
+	url = fleet.nodes[0].callerUrl;
+});
+
+afterAll(async () => {
+	await fleet.stop();
+});
+
+test('streams an answer with its finish marker', async () => {
+	const answer = await fleet.settle(chat(url, {stream: true}));
+	expect(answer.status).toBe(200);
+	expect(joinStream(answer.text)).toBe('t1 t2 t3 t4 t5 ');
+	expect(answer.text.endsWith('data: [DONE]\n\n')).toBe(true);
+});
+
+test('gives a whole answer in the shape of OpenAI', async () => {
+	const answer = await fleet.settle(chat(url));
+	expect(answer.headers['x-cresshook-ran']).toBe('yes');
+	expect(JSON.parse(answer.text)).toMatchObject({
+		object: 'chat.completion',
+		choices: [{index: 0, finish_reason: 'length', message: {role: 'assistant', content: 't1 t2 t3 t4 t5 '}}],
+		usage: {completion_tokens: 5},
+	});
+});
+
+test('gives a whole text completion', async () => {
+	const answer = await fleet.settle(call(`${url}/v1/completions`, {body: {model: standinFleet.service, prompt: 'Wind at Siracusa', max_tokens: 2}}));
+	expect(JSON.parse(answer.text)).toMatchObject({object: 'text_completion', choices: [{text: 't1 t2 '}]});
+});
+
+test('either node serves, wherever the dispatcher is', async () => {
+	const answers = await fleet.settle(Promise.all(fleet.nodes.map(async node => chat(node.callerUrl, {stream: true}))));
+	expect(answers.map(answer => joinStream(answer.text))).toEqual(['t1 t2 t3 t4 t5 ', 't1 t2 t3 t4 t5 ']);
+});
+
+test('gives several choices', async () => {
+	const answer = await fleet.settle(chat(url, {n: 2, max_tokens: 2}));
+	const {choices} = JSON.parse(answer.text) as {choices: Array<{message: {content: string}}>};
+	expect(choices.map(choice => choice.message.content)).toEqual(['t1 t2 ', 't1 t2 ']);
+});
+
+test('passes calls on plain services on', async () => {
+	const answer = await fleet.settle(call(`${url}/tessere/37?layer=rain`, {body: 'north'}));
+	expect(JSON.parse(answer.text)).toEqual({
+		method: 'POST', path: '/tessere/37?layer=rain', organisation: standinFleet.organisation, body: 'north', run: 1,
+	});
+});
+
+test('lists the models of the organisation', async () => {
+	const answer = await fleet.settle(call(`${url}/v1/models`, {method: 'GET'}));
+	expect((JSON.parse(answer.text) as {data: Array<{id: string}>}).data.map(model => model.id)).toEqual([standinFleet.service]);
+});
+
+test('tells addresses of the asked-for zone first', async () => {
+	const answer = await fleet.settle(call(`${url}/v1/addresses?availabilityZone=catania-b`, {method: 'GET'}));
+	const {addresses, lifetimeSeconds} = JSON.parse(answer.text) as {addresses: Array<{availabilityZone: string; url: string}>; lifetimeSeconds: number};
+	expect(addresses.map(entry => entry.availabilityZone)).toEqual(['catania-b', 'catania-a']);
+	expect(addresses[0].url).toBe(fleet.nodes[1].callerUrl);
+	expect(lifetimeSeconds).toBe(30);
+});
+
+test.each([
+	['unknown_key', 401, {key: 'sk-wrong', body: chatBody()}],
+	['service_forbidden', 403, {key: standinFleet.otherKey, body: chatBody()}],
+	['unknown_model', 404, {body: chatBody({model: 'mosto-llm'})}],
+	['invalid_json', 400, {body: '{"model": '}],
+	['invalid_request', 400, {body: chatBody({messages: 'no list'})}],
+	['invalid_request', 400, {body: chatBody({n: 0})}],
+	['invalid_request', 400, {body: chatBody(), headers: {'x-not-repeatable': 'maybe'}}],
+	['invalid_time_bound', 400, {body: chatBody(), headers: {'x-time-bound-ms': '0'}}],
+	['invalid_time_bound', 400, {body: chatBody(), headers: {'x-time-bound-ms': '600001'}}],
+	['invalid_time_bound', 400, {body: chatBody(), headers: {'x-time-bound-ms': 'soon'}}],
+	['invalid_run_key', 400, {body: chatBody(), headers: {'x-run-key': 'mine'}}],
+	['prompt_too_large', 400, {body: chatBody({max_tokens: 300_000})}],
+	['body_too_large', 413, {body: `"${'x'.repeat(17 * 1_048_576)}"`}],
+] as const)('refuses with %s (%i) and sends nothing to an engine', async (code, status, options) => {
+	const takenBefore = fleet.engines.map(engine => engine.taken);
+	const answer = await fleet.settle(call(`${url}/v1/chat/completions`, options));
+	expect(answer.status).toBe(status);
+	expect(readError(answer)).toMatchObject({code, ran: 'no'});
+	expect(fleet.engines.map(engine => engine.taken)).toEqual(takenBefore);
+});
+
+test('answers unknown paths with unknown_path', async () => {
+	const answer = await fleet.settle(call(`${url}/nothing`, {method: 'GET'}));
+	expect(answer.status).toBe(404);
+	expect(readError(answer).code).toBe('unknown_path');
+});
