feat(entry): keep the callers' promises when engines, nodes and streams break

Cause: the thin path had no test of the failures it is meant for.

Change: failure tests on a virtual clock over loopback sockets for streams (cut, crossed, doubled, gapped, short), time bounds, run keys (repeats, death, pause, cut network, lost replies, planned stops in a row), planned stops, killed nodes, platform outages, slow readers and limits, and the official client. Found by them and mended: a watch that came back never counted as current again; a planned stop closed connections whose last bytes had not left the process (answers now count until flushed); a request for a pool without open backend servers, or refused by each of them, waited for its bound in silence (now told at once, or after 5 s); a "killed" node still sent its cancels.

Ruled out: retries on a second engine for the failed long-read test; its 60 s bound had simply passed in the test itself.

Conclusion: the promises named in the tests hold in one process over real sockets; separate processes come next.

--- a/src/node/config/config-watcher.ts
+++ b/src/node/config/config-watcher.ts
@@ -32,7 +32,7 @@
 		this.#random = parts.random;
 	}
 
-	/** Whether a watch is open or has just been: the node knows what is in force. */
+	/** Whether a watch is open: the node knows what is in force. */
 	get isCurrent(): boolean {
 		return this.#isCurrent;
 	}
@@ -48,8 +48,13 @@
 
 			mustList = false;
 			const started = this.#clock.readMonotonic();
-			const end = await this.#platform.watchObjects(this.#view.revision, event => {
-				this.#view.applyEvent(event);
+			const end = await this.#platform.watchObjects(this.#view.revision, {
+				onOpen: () => {
+					this.#isCurrent = true;
+				},
+				onEvent: event => {
+					this.#view.applyEvent(event);
+				},
 			}, signal);
 			if (signal.aborted) {
 				return;
@@ -73,7 +78,6 @@
 			},
 			Right: list => {
 				this.#view.applyList(list);
-				this.#isCurrent = true;
 				return true;
 			},
 		});
--- a/src/node/dispatch/dispatcher.ts
+++ b/src/node/dispatch/dispatcher.ts
@@ -26,6 +26,9 @@
 /** A request that has waited this long lets nothing behind it pass, in milliseconds. */
 const overtakingLimit = 2000;
 
+/** How long a request waits while no backend server takes new work: long enough for one that restarts, in milliseconds. */
+const emptyPoolPatience = 5000;
+
 /** Backend servers named in one log line. */
 const loggedServers = 8;
 
@@ -57,6 +60,7 @@
 	#queue: Waiting[] = [];
 	#isOpen = false;
 	#closedBy: Failure | undefined;
+	#emptyTimer: Timer | undefined;
 
 	constructor(parts: DispatcherParts) {
 		this.pool = parts.pool;
@@ -74,11 +78,13 @@
 	open(): void {
 		this.#isOpen = true;
 		this.#serveQueue();
+		this.#watchEmptyPool();
 	}
 
 	/** Stops for good: requests that wait are answered with the failure and nothing more is granted. */
 	close(failure: Failure): void {
 		this.#closedBy = failure;
+		this.#emptyTimer?.cancel();
 		for (const waiting of this.#queue) {
 			this.#finish(waiting, Left(failure));
 		}
@@ -90,6 +96,7 @@
 	setServers(servers: Iterable<ServerState>): void {
 		this.ledger.setServers(servers);
 		this.#serveQueue();
+		this.#watchEmptyPool();
 	}
 
 	/** Takes over grants that another dispatcher gave. */
@@ -117,6 +124,7 @@
 				request, since: this.#parts.clock.readMonotonic(), timer, resolve,
 			});
 			this.#serveQueue();
+			this.#watchEmptyPool();
 		});
 	}
 
@@ -181,6 +189,10 @@
 			return undefined;
 		}
 
+		if (open.every(server => request.excluded.includes(server.id))) {
+			return createFailure('backend_busy', `every backend server of ${this.pool} has just failed to take this request`);
+		}
+
 		return this.#predictOverload(request, open);
 	}
 
@@ -257,14 +269,31 @@
 			return;
 		}
 
-		const hasOpen = this.ledger.listOpen().length > 0;
-		const failure = hasOpen || !this.#isOpen
-			? createFailure('bound_passed_waiting', 'the time bound passed while the request waited for memory')
-			: createFailure('no_backend_server', `no backend server of ${this.pool} takes new work`);
+		const failure = createFailure('bound_passed_waiting', 'the time bound passed while the request waited for memory');
 		this.#logRefusal(waiting.request, failure);
 		this.#finish(waiting, Left(failure));
 	}
 
+	/** Gives up at once on what waits once no backend server has been open for a while: the caller can come back, but must know. */
+	#watchEmptyPool(): void {
+		if (!this.#isOpen || this.ledger.listOpen().length > 0 || this.#emptyTimer !== undefined) {
+			return;
+		}
+
+		this.#emptyTimer = this.#parts.clock.setTimer(emptyPoolPatience, () => {
+			this.#emptyTimer = undefined;
+			if (this.ledger.listOpen().length > 0) {
+				return;
+			}
+
+			const failure = createFailure('no_backend_server', `no backend server of ${this.pool} takes new work`);
+			for (const waiting of this.#queue.splice(0)) {
+				this.#logRefusal(waiting.request, failure);
+				this.#finish(waiting, Left(failure));
+			}
+		});
+	}
+
 	#take(requestId: RequestId): Waiting | undefined {
 		const index = this.#queue.findIndex(waiting => waiting.request.requestId === requestId);
 		return index === -1 ? undefined : this.#queue.splice(index, 1)[0];
--- a/src/node/entry/answer-sink.ts
+++ b/src/node/entry/answer-sink.ts
@@ -26,6 +26,9 @@
 	/** Ends a whole answer. */
 	abstract end(): void;
 
+	/** Resolves when what was written has left the process, or can no longer leave it. */
+	abstract flush(): Promise<void>;
+
 	/** Ends a short answer: a stream that cannot carry an error of its own is cut, so that its reader sees the lack. */
 	abstract cut(): void;
 }
@@ -89,6 +92,17 @@
 		this.#hasEnded = true;
 		this.#response.destroy();
 	}
+
+	override async flush(): Promise<void> {
+		if (this.#response.writableFinished || this.#response.destroyed) {
+			return;
+		}
+
+		await new Promise<void>(resolve => {
+			this.#response.once('finish', resolve);
+			this.#response.once('close', resolve);
+		});
+	}
 }
 
 /** Headers of an error answer. */
--- a/src/node/entry/entry.ts
+++ b/src/node/entry/entry.ts
@@ -137,6 +137,7 @@
 			this.#parts.logger.error({event: 'request_crashed', reason: readErrorMessage(error)}, 'a request failed for a reason of the node\'s own');
 			await sendFailure(sink, createFailure('internal', 'the node failed; whether the request ran is not known'), sink.hasStarted);
 		} finally {
+			await sink.flush();
 			this.#inProgress--;
 			this.#heldBytes -= raw.body.length;
 		}
--- a/src/node/entry/frame-sink.ts
+++ b/src/node/entry/frame-sink.ts
@@ -57,6 +57,10 @@
 		this.#push({kind: 'cut'});
 	}
 
+	override async flush(): Promise<void> {
+		// The reader of the frames waits for them itself.
+	}
+
 	/** Reads the frames until the answer has ended or the reader is gone. */
 	async * read(): AsyncGenerator<AnswerFrame> {
 		for (;;) {
--- a/src/node/entry/recording.ts
+++ b/src/node/entry/recording.ts
@@ -80,6 +80,10 @@
 		this.#wake();
 	}
 
+	override async flush(): Promise<void> {
+		// What is recorded is at its end already.
+	}
+
 	/** Forgets the body of a finished answer; the fact that it ran stays. */
 	drop(): void {
 		this.#pieces.length = 0;
--- a/src/node/listeners.ts
+++ b/src/node/listeners.ts
@@ -18,7 +18,7 @@
 export type Listener = {
 	/** Base URL. */
 	url: string;
-	/** Stops taking connections; resolves when those open have ended. */
+	/** Closes the listener and every connection; call when no answer is in progress. */
 	close(): Promise<void>;
 };
 
@@ -73,7 +73,7 @@
 	readonly #bodyLimit: number;
 
 	constructor(bodyLimit: number) {
-		super({bodyLimit, keepAliveTimeout: keepAlive, forceCloseConnections: 'idle'});
+		super({bodyLimit, keepAliveTimeout: keepAlive, forceCloseConnections: true});
 		this.#bodyLimit = bodyLimit;
 	}
 
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -37,6 +37,8 @@
 	metrics: Metrics;
 	/** Uniform random numbers from 0 up to 1. */
 	random: () => number;
+	/** Clients of other nodes; by default over TCP with the secret of the settings. */
+	clients?: NodeClients;
 	/** Sixteen random hexadecimal digits; by default from the system's source. */
 	incarnationRandom?: string;
 };
@@ -85,7 +87,7 @@
 	constructor(parts: NodeParts) {
 		super();
 		this.#parts = parts;
-		this.#clients = new NodeClients(parts.settings.nodes.secret, parts.clock);
+		this.#clients = parts.clients ?? new NodeClients(parts.settings.nodes.secret, parts.clock);
 	}
 
 	/** This life of this process. */
@@ -160,6 +162,7 @@
 	async crash(): Promise<void> {
 		this.#phase = 'stopped';
 		this.#supervisorStop.abort();
+		await Promise.all([this.#clients.close(), this.#backendAgent.destroy()]);
 		this.#entry.stopNow();
 		await this.#close();
 	}
--- a/src/platform/http-platform.ts
+++ b/src/platform/http-platform.ts
@@ -5,7 +5,9 @@
 import {
 	platformObjectSchema, type PlatformObject, type PlatformObjectInput, type WatchEvent,
 } from './objects.js';
-import {Platform, type ObjectList, type PlatformFailure} from './platform.js';
+import {
+	Platform, type ObjectList, type PlatformFailure, type WatchHandlers,
+} from './platform.js';
 
 const basePath = '/apis/cresshook.dev/v1/objects';
 const callTimeout = 5000;
@@ -47,7 +49,7 @@
 		return Right({objects, resourceVersion});
 	}
 
-	override async watchObjects(after: number, onEvent: (event: WatchEvent) => void, signal: AbortSignal): Promise<PlatformFailure> {
+	override async watchObjects(after: number, handlers: WatchHandlers, signal: AbortSignal): Promise<PlatformFailure> {
 		const silence = new SilenceTimer(this.#clock, watchSilence, signal);
 		try {
 			const response = await request(`${this.#url}${basePath}?watch=1&resourceVersion=${after}`, {dispatcher: this.#agent, signal: silence.signal});
@@ -56,7 +58,8 @@
 				return {kind: response.statusCode === 410 ? 'expired' : 'unreachable', message: `watch answered ${response.statusCode}`};
 			}
 
-			return await readWatch(response.body, onEvent, silence);
+			handlers.onOpen();
+			return await readWatch(response.body, handlers.onEvent, silence);
 		} catch (error) {
 			return {kind: 'unreachable', message: readErrorMessage(error)};
 		} finally {
--- a/src/platform/platform.ts
+++ b/src/platform/platform.ts
@@ -19,6 +19,13 @@
 	resourceVersion: number;
 };
 
+/** What a watch calls back. */
+export type WatchHandlers = {
+	/** The platform has taken the watch: every change after the version will be seen. */
+	onOpen: () => void;
+	onEvent: (event: WatchEvent) => void;
+};
+
 /** The platform's object API. */
 export abstract class Platform {
 	/** Reads every object. */
@@ -29,7 +36,7 @@
 	 *
 	 * Returns why it ended.
 	 */
-	abstract watchObjects(after: number, onEvent: (event: WatchEvent) => void, signal: AbortSignal): Promise<PlatformFailure>;
+	abstract watchObjects(after: number, handlers: WatchHandlers, signal: AbortSignal): Promise<PlatformFailure>;
 
 	/** Reads one object; `undefined` where there is none. */
 	abstract readObject(kind: string, name: string): Promise<Either<PlatformFailure, PlatformObject | undefined>>;
--- a/src/rpc/node-clients.ts
+++ b/src/rpc/node-clients.ts
@@ -3,7 +3,9 @@
 import {
 	createTRPCClient, httpBatchStreamLink, httpLink, splitLink, type TRPCClient,
 } from '@trpc/client';
-import {Agent, buildConnector, fetch as undiciFetch} from 'undici';
+import {
+	Agent, buildConnector, fetch as undiciFetch, type RequestInit, type Response,
+} from 'undici';
 import {createTimeout, type Clock} from '../common/index.js';
 import type {NodeRouter} from './router.js';
 
@@ -75,11 +77,16 @@
 		await this.#agent.destroy();
 	}
 
+	/** Sends one HTTP request. */
+	protected async send(target: string, init: RequestInit): Promise<Response> {
+		return undiciFetch(target, {...init, dispatcher: this.#agent});
+	}
+
 	#create(url: string): NodeClient {
 		const options = {
 			url: `${url}${rpcPath}`,
 			headers: {authorization: `Bearer ${this.#secret}`},
-			fetch: (async (target: string, init: Record<string, unknown>) => undiciFetch(target, {...init, dispatcher: this.#agent})) as unknown as typeof fetch,
+			fetch: (async (target: string, init: RequestInit) => this.send(target, init)) as unknown as typeof fetch,
 		};
 		return createTRPCClient<NodeRouter>({
 			links: [splitLink({
--- a/src/standin/standin-engine.ts
+++ b/src/standin/standin-engine.ts
@@ -108,6 +108,10 @@
 	faults: EngineFaults = {};
 	/** Requests taken in all. */
 	taken = 0;
+	/** Requests refused by the `refuse` fault. */
+	refused = 0;
+	/** Added to every token's text, so that an answer is long in bytes. */
+	padding = '';
 	/** Ids of the requests whose work was cancelled. */
 	readonly cancelled: string[] = [];
 	readonly #options: StandinEngineOptions;
@@ -134,6 +138,11 @@
 		return this.#listHeld().reduce((sum, request) => sum + countTokens(request), 0);
 	}
 
+	/** Bytes of answers written and not yet taken by the network: what slow readers hold up. */
+	get unsentBytes(): number {
+		return this.#listHeld().flatMap(request => [...request.readers]).reduce((sum, reader) => sum + reader.writableLength, 0);
+	}
+
 	/** Ids of the requests held, waiting or running. */
 	get heldRequests(): string[] {
 		return this.#listHeld().map(request => request.id);
@@ -160,6 +169,7 @@
 		for (const path of ['/v1/chat/completions', '/v1/completions']) {
 			this.#app.post(path, async (request, reply) => {
 				if (this.faults.refuse) {
+					this.refused++;
 					return reply.code(503).send({error: {message: 'the engine takes no work'}});
 				}
 
@@ -354,7 +364,7 @@
 	}
 
 	#formatChunk(request: EngineRequest, index: number, isLast: boolean): Record<string, unknown> {
-		const text = `t${request.first + request.made} `;
+		const text = `t${request.first + request.made} ${this.padding}`;
 		const finishReason = isLast ? 'length' : null;
 		return request.isChat
 			? {...formatHead(request), choices: [{index, delta: request.made === 1 ? {role: 'assistant', content: text} : {content: text}, finish_reason: finishReason}]}
--- a/src/standin/standin-fleet.ts
+++ b/src/standin/standin-fleet.ts
@@ -5,6 +5,7 @@
 import {Node} from '../node/index.js';
 import {HttpPlatform, type PlatformObjectInput} from '../platform/index.js';
 import {parseSettings, type Settings} from '../settings/index.js';
+import {FaultyNetwork} from './faulty-network.js';
 import {StandinEngine, type StandinEngineOptions} from './standin-engine.js';
 import {StandinPlain} from './standin-plain.js';
 import {StandinPlatform} from './standin-platform.js';
@@ -63,6 +64,7 @@
 	readonly engines: StandinEngine[] = [];
 	readonly engineUrls: string[] = [];
 	readonly nodes: Node[] = [];
+	readonly network = new FaultyNetwork();
 	plainUrl = '';
 	platformUrl = '';
 	readonly #options: StandinFleetOptions;
@@ -120,15 +122,17 @@
 			ids: this.#options.ids ?? randomIdSource,
 			logger: this.#options.logger ?? createSilentLogger(),
 			metrics: this.#options.metrics ?? new SilentMetrics(),
+			clients: this.network.createClients(box, settings.nodes.secret, clock),
 		});
 		await node.start();
+		this.network.addNode(box, node.nodeUrl);
 		this.nodes.push(node);
 		this.#running.add(node);
 		return node;
 	}
 
-	/** Ends a node as a killed process would. */
-	async crashNode(node: Node): Promise<void> {
+	/** Ends a node as a killed process would: nothing of it reaches anyone any more. */
+	async killNode(node: Node): Promise<void> {
 		this.#running.delete(node);
 		await node.crash();
 	}
--- a/test/helpers/fleet.ts
+++ b/test/helpers/fleet.ts
@@ -5,7 +5,7 @@
 
 /** Turns of the event loop given to sockets before time moves on. */
 const turnsPerStep = 12;
-const stepMilliseconds = 5;
+const defaultStep = 5;
 const mostSteps = 60_000;
 
 /** A fleet under test. */
@@ -44,7 +44,7 @@
 	}
 
 	/** Lets virtual time pass while sockets work, until a condition holds. */
-	async until(condition: () => boolean): Promise<void> {
+	async until(condition: () => boolean, stepMilliseconds = defaultStep): Promise<void> {
 		for (let step = 0; step < mostSteps; step++) {
 			for (let turn = 0; turn < turnsPerStep; turn++) {
 				await waitForTurn();
@@ -60,9 +60,9 @@
 	}
 
 	/** Lets virtual time pass while sockets work. */
-	async pass(milliseconds: number): Promise<void> {
+	async pass(milliseconds: number, stepMilliseconds = defaultStep): Promise<void> {
 		const end = this.clock.readMonotonic() + milliseconds;
-		await this.until(() => this.clock.readMonotonic() >= end);
+		await this.until(() => this.clock.readMonotonic() >= end, stepMilliseconds);
 	}
 
 	/** The node that decides for the engine service's pool. */
