--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -26,6 +26,7 @@
 	Members, PeerMonitor, PoolGateway, PoolHost, Reconciler, Registration,
 } from './membership/index.js';
 import type {NodeStatus} from './operators-controller.js';
+import {StatusReporter} from './status-reporter.js';
 
 /** What a node is made from. */
 export type NodeParts = {
@@ -252,7 +253,8 @@
 			clock, logger, self: this.#incarnation, listHolders: () => this.#host.listWatchedHolders(),
 		});
 		this.#supervisor = new Supervisor('node', clock, logger);
-		for (const child of [this.#watcher, this.#registration, this.#host, reconciler, this.#grants, monitor]) {
+		const reporter = new StatusReporter(clock, metrics, () => this.readStatus());
+		for (const child of [reporter, this.#watcher, this.#registration, this.#host, reconciler, this.#grants, monitor]) {
 			this.#supervisor.addChild(child);
 		}
 
--- /dev/null
+++ b/src/node/status-reporter.ts
@@ -0,0 +1,37 @@
+/** Sends a node's gauges to the metrics collector at a steady pace. */
+import {
+	Child, waitFor, type Clock, type Metrics,
+} from '../common/index.js';
+import type {NodeStatus} from './operators-controller.js';
+
+const interval = 10_000;
+
+/** Reports what `readStatus` says. Holds no state of its own. */
+export class StatusReporter extends Child {
+	override readonly name = 'status-reporter';
+	readonly #clock: Clock;
+	readonly #metrics: Metrics;
+	readonly #readStatus: () => NodeStatus;
+
+	constructor(clock: Clock, metrics: Metrics, readStatus: () => NodeStatus) {
+		super();
+		this.#clock = clock;
+		this.#metrics = metrics;
+		this.#readStatus = readStatus;
+	}
+
+	override async run(signal: AbortSignal): Promise<void> {
+		while (!signal.aborted) {
+			await waitFor(this.#clock, interval, signal);
+			const status = this.#readStatus();
+			this.#metrics.recordGauge('control_bytes', status.controlBytes);
+			this.#metrics.recordGauge('requests_in_progress', status.requestsInProgress);
+			this.#metrics.recordGauge('revision', status.revision);
+			this.#metrics.recordGauge('platform_reachable', status.isPlatformReachable ? 1 : 0);
+			for (const pool of status.pools) {
+				this.#metrics.recordGauge('pool.waiting', pool.waiting, {pool: pool.pool});
+				this.#metrics.recordGauge('pool.grants', pool.grants, {pool: pool.pool});
+			}
+		}
+	}
+}
--- a/src/settings/load-settings.ts
+++ b/src/settings/load-settings.ts
@@ -63,7 +63,7 @@
 	}
 
 	// A check over several keys may concern one that was left out and took its default.
-	const value = readPath(table, issue.path) ?? (issue.code === 'custom' ? issue.params?.value : undefined);
+	const value: unknown = readPath(table, issue.path) ?? (issue.code === 'custom' ? issue.params?.value : undefined);
 	const mend = value === undefined ? `add this key: ${issue.message}` : issue.message;
 	return [{key: issue.path.join('.'), value: showValue(String(issue.path.at(-1)), value), mend}];
 }
--- a/test/document-errors.test.ts
+++ b/test/document-errors.test.ts
@@ -1,6 +1,8 @@
 import {readFileSync} from 'node:fs';
 import {expect, test} from '@jest/globals';
-import {errorTable, findAnswer, formatErrorBody, type ErrorAnswer, type ErrorKind} from '../src/common/index.js';
+import {
+	errorTable, findAnswer, formatErrorBody, type ErrorAnswer, type ErrorKind,
+} from '../src/common/index.js';
 
 const rows = Object.entries(errorTable) as Array<[ErrorKind, ErrorAnswer]>;
 
@@ -17,7 +19,9 @@
 });
 
 test('a failure overrides what its kind says', () => {
-	const failure = {kind: 'overloaded' as const, message: 'full', ran: 'maybe' as const, retryAfterSeconds: 7};
+	const failure = {
+		kind: 'overloaded' as const, message: 'full', ran: 'maybe' as const, retryAfterSeconds: 7,
+	};
 	expect(findAnswer(failure)).toMatchObject({status: 503, ran: 'maybe', retryAfterSeconds: 7});
 	expect(formatErrorBody(failure).error).toMatchObject({
 		code: 'overloaded', ran: 'maybe', retry_after_seconds: 7, message: 'full',
--- /dev/null
+++ b/test/log-decisions.test.ts
@@ -0,0 +1,107 @@
+import {Writable} from 'node:stream';
+import {
+	afterEach, expect, test,
+} from '@jest/globals';
+import {createLogger, Metrics, type MetricTags} from '../src/common/index.js';
+import {standinFleet} from '../src/standin/index.js';
+import {chat, chatBody} from './helpers/calls.js';
+import {TestFleet} from './helpers/fleet.js';
+
+let fleet: TestFleet;
+
+afterEach(async () => {
+	await fleet.stop();
+});
+
+/** Keeps what is written to it. */
+class Memory extends Writable {
+	text = '';
+
+	override _write(chunk: unknown, _encoding: string, done: () => void): void {
+		this.text += String(chunk);
+		done();
+	}
+
+	listLines(event: string): Array<Record<string, unknown>> {
+		return this.text.split('\n').filter(line => line !== '').map(line => JSON.parse(line) as Record<string, unknown>).filter(line => line.event === event);
+	}
+}
+
+/** Keeps the names and tags of metrics. */
+class MemoryMetrics extends Metrics {
+	readonly seen = new Map<string, MetricTags[]>();
+
+	override incrementCounter(name: string, tags: MetricTags = {}): void {
+		this.#add(name, tags);
+	}
+
+	override recordTiming(name: string, _milliseconds: number, tags: MetricTags = {}): void {
+		this.#add(name, tags);
+	}
+
+	override recordGauge(name: string, _value: number, tags: MetricTags = {}): void {
+		this.#add(name, tags);
+	}
+
+	override close(): void {
+		this.#add('closed', {});
+	}
+
+	#add(name: string, tags: MetricTags): void {
+		this.seen.set(name, [...this.seen.get(name) ?? [], tags]);
+	}
+}
+
+async function startLogged(): Promise<{memory: Memory; metrics: MemoryMetrics}> {
+	const memory = new Memory();
+	const metrics = new MemoryMetrics();
+	fleet = await new TestFleet({
+		engines: 2, nodes: 1, logger: createLogger('debug', memory), metrics,
+	}).startReady();
+	return {memory, metrics};
+}
+
+test('a placement is one line with what was weighed, the choice and the reason', async () => {
+	const {memory} = await startLogged();
+	await fleet.settle(chat(fleet.nodes[0].callerUrl));
+	const [line] = memory.listLines('placement');
+	expect(line).toMatchObject({
+		organisation: standinFleet.organisation,
+		service: standinFleet.service,
+		weighed: [{server: 'engine-1'}, {server: 'engine-2'}],
+		choice: 'engine-1',
+		reason: 'most-free-memory',
+	});
+	expect(line.promptTokens).toBeGreaterThan(0);
+	expect(memory.listLines('request_ended')[0]).toMatchObject({request: line.request, outcome: 'whole'});
+});
+
+test('a refusal is one line with its kind and reason', async () => {
+	const {memory} = await startLogged();
+	await fleet.settle(chat(fleet.nodes[0].callerUrl, {max_tokens: 300_000}));
+	expect(memory.listLines('refusal')).toMatchObject([{kind: 'prompt_too_large', organisation: standinFleet.organisation}]);
+});
+
+test('prompts and keys never enter a log', async () => {
+	const {memory} = await startLogged();
+	fleet.engines[0].faults = {cutAfter: 1, forget: true};
+	const secretPrompt = 'the valley of the seven wells';
+	await fleet.settle(chat(fleet.nodes[0].callerUrl, {messages: [{role: 'user', content: secretPrompt}], stream: true}));
+	await fleet.settle(chat(fleet.nodes[0].callerUrl, {...chatBody(), messages: secretPrompt}));
+	expect(memory.text.length).toBeGreaterThan(100);
+	for (const secret of [secretPrompt, standinFleet.key, standinFleet.secret, standinFleet.operatorToken]) {
+		expect(memory.text).not.toContain(secret);
+	}
+});
+
+test('the metrics that operators read are sent', async () => {
+	const {metrics} = await startLogged();
+	fleet.engines[0].faults = {refuse: true};
+	await fleet.settle(Promise.all([1, 2].map(async () => chat(fleet.nodes[0].callerUrl))));
+	await fleet.settle(chat(fleet.nodes[0].callerUrl, {max_tokens: 300_000}));
+	await fleet.pass(10_100);
+	expect(metrics.seen.get('first_token')?.[0]).toEqual({service: standinFleet.service, length: 'to-2k'});
+	for (const name of ['short_slowdown', 'queue.wait', 'refusals', 'retries', 'failures', 'control_bytes', 'pool.waiting', 'platform_reachable']) {
+		expect([...metrics.seen.keys()]).toContain(name);
+	}
+});
