--- a/src/cli/node-command.ts
+++ b/src/cli/node-command.ts
@@ -2,7 +2,7 @@
 import process from 'node:process';
 import type {Command} from 'commander';
 import {
-	createLogger, randomIdSource, readErrorMessage, SilentMetrics, StatsdMetrics, systemClock, type Logger,
+	createLogger, openLogOutput, randomIdSource, readErrorMessage, SilentMetrics, StatsdMetrics, systemClock, type Logger,
 } from '../common/index.js';
 import {Node} from '../node/index.js';
 import {HttpPlatform} from '../platform/index.js';
@@ -30,7 +30,7 @@
 }
 
 async function runNode(settings: Settings): Promise<void> {
-	const logger = createLogger(settings.log.level);
+	const logger = createLogger(settings.log.level, openLogOutput());
 	const node = new Node({
 		settings,
 		platform: new HttpPlatform(settings.platform.url, systemClock),
--- a/src/common/errors.ts
+++ b/src/common/errors.ts
@@ -45,6 +45,10 @@
 	node_not_ready: {
 		status: 503, type: 'server_error', ran: 'no', retryAfterSeconds: 1,
 	},
+	policy_refused: {status: 429, type: 'rate_limit_error', ran: 'no'},
+	rate_limited: {
+		status: 429, type: 'rate_limit_error', ran: 'no', retryAfterSeconds: 1,
+	},
 	overloaded: {
 		status: 503, type: 'rate_limit_error', ran: 'no', retryAfterSeconds: 1,
 	},
--- a/src/node/dispatch/dispatcher.ts
+++ b/src/node/dispatch/dispatcher.ts
@@ -7,11 +7,24 @@
 import {type Either, Left, Right} from 'purify-ts';
 import {
 	createFailure, type BackendServerId, type Clock, type Failure, type GrantId, type IdSource,
-	type Incarnation, type Logger, type Metrics, type PoolId, type RequestId, type Timer,
+	type Incarnation, type Logger, type Metrics, type OrganisationId, type PartnerId, type PoolId, type RequestId, type Timer,
 } from '../../common/index.js';
-import {Ledger, type ServerState} from './ledger.js';
-import type {AdmitRequest, Grant, Heartbeat} from './messages.js';
-import {placeRequest, type Placement} from './placement.js';
+import type {PolicyContext} from '../../policy/index.js';
+import type {PoolDirectory} from './directory.js';
+import {Ledger, type HeldGrant, type ServerState} from './ledger.js';
+import {
+	countTokens, type AdmitRequest, type Grant, type Heartbeat,
+} from './messages.js';
+import {
+	FirstTokenPlacement, type Placement, type PlacementPolicy, type PoolState, type WeighedServer,
+} from './placement.js';
+import {findPriority, isLongPrompt, PrefillBoard} from './prefill-board.js';
+import {PrefixIndex} from './prefix-index.js';
+import {RateLimiter} from './rate-limiter.js';
+import {
+	FairQueue, type Charge, type RequestQueue, type Waiting,
+} from './request-queue.js';
+import {estimateHold, reservePlace, type Reservation} from './reservation.js';
 import {WaitPredictor} from './wait-predictor.js';
 
 /** How long a grant may stay unused, in milliseconds. */
@@ -23,8 +36,8 @@
 /** Silence after which an entry that holds grants counts as dead, in milliseconds. */
 export const entrySilence = 4000;
 
-/** A request that has waited this long lets nothing behind it pass, in milliseconds. */
-const overtakingLimit = 2000;
+/** Waiting requests tried in one look at the queue: one that cannot be placed is behind many that cannot. */
+const mostTried = 64;
 
 /** How long a request waits while no backend server takes new work: long enough for one that restarts, in milliseconds. */
 const emptyPoolPatience = 5000;
@@ -32,13 +45,6 @@
 /** Backend servers named in one log line. */
 const loggedServers = 8;
 
-type Waiting = {
-	request: AdmitRequest;
-	since: number;
-	timer: Timer;
-	resolve(result: Either<Failure, Grant>): void;
-};
-
 /** What a dispatcher needs from its surroundings. */
 export type DispatcherParts = {
 	pool: PoolId;
@@ -47,6 +53,37 @@
 	ids: IdSource;
 	logger: Logger;
 	metrics: Metrics;
+	directory: PoolDirectory;
+	/**
+	 * Chooses servers.
+	 *
+	 * @default FirstTokenPlacement
+	 */
+	placement?: PlacementPolicy;
+	/**
+	 * Orders what waits.
+	 *
+	 * @default FairQueue
+	 */
+	queue?: RequestQueue;
+	/**
+	 * Whether a place is kept for the head of the queue.
+	 *
+	 * @default true
+	 */
+	reservesPlaces?: boolean;
+	/**
+	 * Whether engines are told to read short prompts first.
+	 *
+	 * @default true
+	 */
+	usesPriorities?: boolean;
+	/**
+	 * Whether a request is refused at once when its predicted wait passes its bound.
+	 *
+	 * @default true
+	 */
+	refusesEarly?: boolean;
 };
 
 /** Decides for one pool under one term. */
@@ -55,9 +92,16 @@
 	readonly term: number;
 	readonly ledger = new Ledger();
 	readonly #parts: DispatcherParts;
+	readonly #placement: PlacementPolicy;
+	readonly #queue: RequestQueue;
+	readonly #board = new PrefillBoard();
+	readonly #prefixes = new PrefixIndex();
+	readonly #requestRates = new RateLimiter<OrganisationId>();
+	readonly #tokenRates = new RateLimiter<OrganisationId>();
 	readonly #predictor: WaitPredictor;
 	readonly #lastHeard = new Map<Incarnation, number>();
-	#queue: Waiting[] = [];
+	readonly #charges = new Map<GrantId, Charge>();
+	#reservation: Reservation | undefined;
 	#isOpen = false;
 	#closedBy: Failure | undefined;
 	#emptyTimer: Timer | undefined;
@@ -66,12 +110,14 @@
 		this.pool = parts.pool;
 		this.term = parts.term;
 		this.#parts = parts;
+		this.#placement = parts.placement ?? new FirstTokenPlacement();
+		this.#queue = parts.queue ?? new FairQueue();
 		this.#predictor = new WaitPredictor(parts.clock.readMonotonic());
 	}
 
 	/** Number of requests waiting. */
 	get queueLength(): number {
-		return this.#queue.length;
+		return this.#queue.size;
 	}
 
 	/** Starts granting, once the ledger is filled. */
@@ -85,11 +131,9 @@
 	close(failure: Failure): void {
 		this.#closedBy = failure;
 		this.#emptyTimer?.cancel();
-		for (const waiting of this.#queue) {
-			this.#finish(waiting, Left(failure));
+		for (const waiting of this.#queue.removeAll()) {
+			finishWaiting(waiting, Left(failure));
 		}
-
-		this.#queue = [];
 	}
 
 	/** Replaces the backend servers and places what now fits. */
@@ -99,6 +143,11 @@
 		this.#watchEmptyPool();
 	}
 
+	/** Forgets what a backend server had cached: it was restarted. */
+	forgetCache(server: BackendServerId): void {
+		this.#prefixes.forget(server);
+	}
+
 	/** Takes over grants that another dispatcher gave. */
 	adoptGrants(grants: Grant[]): void {
 		const now = this.#parts.clock.readMonotonic();
@@ -110,7 +159,8 @@
 
 	/** Asks for a place; resolves with a grant, or with a failure no later than the request's patience allows. */
 	async admit(request: AdmitRequest): Promise<Either<Failure, Grant>> {
-		const refusal = this.#closedBy ?? this.#findRefusal(request);
+		const {partner} = this.#parts.directory.findOrganisation(request.organisation);
+		const refusal = this.#closedBy ?? this.#findRefusal(request, partner);
 		if (refusal !== undefined) {
 			this.#logRefusal(request, refusal);
 			return Left(refusal);
@@ -120,19 +170,23 @@
 			const timer = this.#parts.clock.setTimer(request.patience, () => {
 				this.#giveUp(request.requestId);
 			});
-			this.#queue.push({
-				request, since: this.#parts.clock.readMonotonic(), timer, resolve,
-			});
-			this.#serveQueue();
-			this.#watchEmptyPool();
+			const waiting = this.#describeWaiting(request, partner, timer, resolve);
+			// What waits already could not be placed, and a newcomer gives it no room.
+			const isPlaced = this.#isOpen && this.#mayPassQueue() && this.#tryPlace(waiting);
+			if (!isPlaced) {
+				this.#queue.add(waiting);
+				this.#reserveForHead();
+				this.#watchEmptyPool();
+			}
 		});
 	}
 
 	/** Takes a waiting request out of the queue: its caller is gone. */
 	withdraw(requestId: RequestId): void {
-		const waiting = this.#take(requestId);
+		const waiting = this.#queue.remove(requestId);
 		if (waiting !== undefined) {
-			this.#finish(waiting, Left(createFailure('caller_gone', 'the request was withdrawn while it waited', {ran: 'no'})));
+			finishWaiting(waiting, Left(createFailure('caller_gone', 'the request was withdrawn while it waited', {ran: 'no'})));
+			this.#serveQueue();
 		}
 	}
 
@@ -172,38 +226,94 @@
 			.map(held => held.grant);
 	}
 
-	#findRefusal(request: AdmitRequest): Failure | undefined {
+	#describeWaiting(request: AdmitRequest, partner: PartnerId, timer: Timer, resolve: Waiting['resolve']): Waiting {
+		const {directory} = this.#parts;
+		const policy = directory.findPolicy(partner);
+		const context = this.#describeContext(request);
+		return {
+			request,
+			partner,
+			order: policy.evaluateOrder(context),
+			weight: policy.evaluateWeight(context),
+			share: directory.findShare(this.pool, partner),
+			since: this.#parts.clock.readMonotonic(),
+			timer,
+			resolve,
+		};
+	}
+
+	#describeContext(request: AdmitRequest): PolicyContext {
+		const account = this.ledger.readOrganisation(request.organisation);
+		const now = this.#parts.clock.now();
+		return {
+			request: {
+				promptTokens: request.promptTokens, outputTokens: request.outputTokens, service: request.service, bound: request.patience,
+			},
+			organisation: {name: request.organisation, running: account.running, tokensHeld: account.tokens},
+			pool: {name: this.pool, freeShare: this.ledger.freeShare, waiting: this.#queue.size},
+			now: {hour: now.getUTCHours(), minute: now.getUTCMinutes(), weekday: now.getUTCDay()},
+		};
+	}
+
+	#findRefusal(request: AdmitRequest, partner: PartnerId): Failure | undefined {
 		if (!this.#isOpen) {
 			return undefined;
 		}
 
+		return this.#findPoolRefusal(request) ?? this.#findPolicyRefusal(request, partner) ?? this.#findRateRefusal(request) ?? this.#predictOverload(request);
+	}
+
+	#findPoolRefusal(request: AdmitRequest): Failure | undefined {
 		const open = this.ledger.listOpen();
-		const largest = Math.max(0, ...open.map(server => server.capacity));
-		if (open.length > 0 && request.tokens > largest) {
-			const message = `the request needs ${request.tokens} tokens of memory and the largest backend server of ${this.pool} holds ${largest}; `
+		if (open.length === 0) {
+			return undefined;
+		}
+
+		const tokens = countTokens(request);
+		const largest = Math.max(...open.map(server => server.capacity));
+		if (tokens > largest) {
+			const message = `the request needs ${tokens} tokens of memory and the largest backend server of ${this.pool} holds ${largest}; `
 				+ 'shorten the prompt or lower max_tokens';
 			return createFailure('prompt_too_large', message);
 		}
 
-		if (open.length === 0) {
-			return undefined;
-		}
+		return open.every(server => request.excluded.includes(server.id))
+			? createFailure('backend_busy', `every backend server of ${this.pool} has just failed to take this request`)
+			: undefined;
+	}
 
-		if (open.every(server => request.excluded.includes(server.id))) {
-			return createFailure('backend_busy', `every backend server of ${this.pool} has just failed to take this request`);
+	#findPolicyRefusal(request: AdmitRequest, partner: PartnerId): Failure | undefined {
+		const policy = this.#parts.directory.findPolicy(partner);
+		const context = this.#describeContext(request);
+		if (!policy.evaluateAdmit(context)) {
+			return createFailure('policy_refused', `the policy of ${partner} does not take this request`);
 		}
 
-		return this.#predictOverload(request, open);
+		return countTokens(request) > policy.evaluateLimit(context)
+			? createFailure('policy_refused', `the policy of ${partner} lets ${request.organisation} hold fewer tokens than this request needs`)
+			: undefined;
 	}
 
-	#predictOverload(request: AdmitRequest, open: ServerState[]): Failure | undefined {
-		const queued = this.#queue.reduce((sum, waiting) => sum + waiting.request.tokens, 0);
-		if (queued === 0) {
+	#findRateRefusal(request: AdmitRequest): Failure | undefined {
+		const facts = this.#parts.directory.findOrganisation(request.organisation);
+		const now = this.#parts.clock.readMonotonic();
+		const tokenWait = facts.tokensPerMinute === undefined ? 0 : this.#tokenRates.take(request.organisation, countTokens(request), facts.tokensPerMinute, now);
+		const requestWait = facts.requestsPerMinute === undefined || tokenWait > 0
+			? 0
+			: this.#requestRates.take(request.organisation, 1, facts.requestsPerMinute, now);
+		const wait = Math.max(tokenWait, requestWait);
+		return wait === 0
+			? undefined
+			: createFailure('rate_limited', `${request.organisation} sends more ${tokenWait > 0 ? 'tokens' : 'requests'} a minute than it may`, {retryAfterSeconds: Math.ceil(wait / 1000)});
+	}
+
+	#predictOverload(request: AdmitRequest): Failure | undefined {
+		if (this.#queue.size === 0 || this.#parts.refusesEarly === false) {
 			return undefined;
 		}
 
-		const free = open.reduce((sum, server) => sum + Math.max(0, this.ledger.countFree(server.id)), 0);
-		const wait = this.#predictor.predictWait(queued + request.tokens - free);
+		const free = this.ledger.openCapacity * this.ledger.freeShare;
+		const wait = this.#predictor.predictWait(this.#queue.tokens + countTokens(request) - free);
 		if (wait === undefined || wait <= request.patience) {
 			return undefined;
 		}
@@ -212,66 +322,142 @@
 		return createFailure('overloaded', `the predicted wait of ${Math.round(wait)} ms passes the time bound`, {retryAfterSeconds});
 	}
 
+	/** A newcomer is tried at once while the queue's head has its place kept: it then can take nothing away from it. */
+	#mayPassQueue(): boolean {
+		return this.#queue.size === 0 || this.#reservation !== undefined || this.#parts.reservesPlaces === false;
+	}
+
 	#serveQueue(): void {
-		if (!this.#isOpen || this.#queue.length === 0) {
+		if (!this.#isOpen || this.#queue.size === 0) {
 			return;
 		}
 
-		const now = this.#parts.clock.readMonotonic();
-		const left: Waiting[] = [];
-		let isBlocked = false;
-		for (const waiting of this.#queue) {
-			const placement = isBlocked ? undefined : placeRequest(this.ledger, waiting.request);
-			if (placement?.choice === undefined) {
-				left.push(waiting);
-				isBlocked ||= now - waiting.since > overtakingLimit;
-			} else {
-				this.#grant(waiting, placement, placement.choice);
+		this.#reservation = undefined;
+		let tried = 0;
+		let mustLook = true;
+		while (mustLook) {
+			mustLook = false;
+			for (const waiting of this.#queue.listInOrder()) {
+				if (tried++ >= mostTried) {
+					break;
+				}
+
+				if (this.#tryPlace(waiting)) {
+					this.#queue.remove(waiting.request.requestId);
+					// A placement changes whose turn it is.
+					mustLook = true;
+					break;
+				}
+
+				this.#reserveFor(waiting);
 			}
 		}
+	}
+
+	#reserveForHead(): void {
+		const [head] = this.#isOpen ? this.#queue.listInOrder() : [];
+		if (head !== undefined) {
+			this.#reserveFor(head);
+		}
+	}
+
+	/** Keeps a place for the first request that found none. */
+	#reserveFor(waiting: Waiting): void {
+		if (this.#reservation === undefined && this.#parts.reservesPlaces !== false && !this.#isOverLimit(waiting)) {
+			this.#reservation = reservePlace(waiting.request, this.ledger, this.#parts.clock.readMonotonic());
+		}
+	}
+
+	#tryPlace(waiting: Waiting): boolean {
+		if (this.#isOverLimit(waiting)) {
+			return false;
+		}
+
+		const state: PoolState = {
+			ledger: this.ledger, board: this.#board, prefixes: this.#prefixes, reservation: this.#reservation, now: this.#parts.clock.readMonotonic(),
+		};
+		const placement = this.#placement.place(waiting.request, state);
+		if (placement.choice === undefined) {
+			return false;
+		}
 
-		this.#queue = left;
+		this.#grant(waiting, placement, placement.choice);
+		return true;
 	}
 
-	#grant(waiting: Waiting, placement: Placement, server: ServerState): void {
+	/** Whether the organisation holds as much as its partner's policy lets it. */
+	#isOverLimit(waiting: Waiting): boolean {
+		const policy = this.#parts.directory.findPolicy(waiting.partner);
+		const limit = policy.evaluateLimit(this.#describeContext(waiting.request));
+		return this.ledger.readOrganisation(waiting.request.organisation).tokens + countTokens(waiting.request) > limit;
+	}
+
+	#grant(waiting: Waiting, placement: Placement, choice: WeighedServer): void {
 		const {request} = waiting;
+		const {server, cachedTokens} = choice;
 		const now = this.#parts.clock.readMonotonic();
-		const grant: Grant = {
+		const grant = this.#createGrant(waiting, choice, now);
+		if (this.#reservation?.requestId === request.requestId) {
+			this.#reservation = undefined;
+		}
+
+		this.ledger.hold(grant, now);
+		this.#board.recordSent(server, request.promptTokens, cachedTokens, now);
+		this.#prefixes.recordSent(server.id, request.promptTokens, request.prefixes);
+		this.#charges.set(grant.grantId, this.#queue.charge(waiting, computeCost(grant.tokens, grant.expectedHold)));
+		this.#lastHeard.set(request.entry, now);
+		this.#logPlacement(waiting, placement, server.id, now);
+		finishWaiting(waiting, Right(grant));
+	}
+
+	#createGrant(waiting: Waiting, choice: WeighedServer, now: number): Grant {
+		const {request} = waiting;
+		return {
 			grantId: this.#parts.ids.createUuid() as GrantId,
 			requestId: request.requestId,
 			pool: this.pool,
+			organisation: request.organisation,
 			entry: request.entry,
-			backendServer: server.id,
-			url: server.url,
-			tokens: request.tokens,
+			backendServer: choice.server.id,
+			url: choice.server.url,
+			tokens: countTokens(request),
+			isLong: isLongPrompt(request.promptTokens),
+			expectedHold: estimateHold(choice.server, request, choice.cachedTokens),
+			priority: this.#parts.usesPriorities === false ? 0 : findPriority(request.promptTokens),
 			term: this.term,
 			usableFor: now - waiting.since + grantLifetime,
 		};
-		this.ledger.hold(grant, now);
-		this.#lastHeard.set(request.entry, now);
-		this.#logPlacement(waiting, placement, server.id, now);
-		this.#finish(waiting, Right(grant));
 	}
 
 	#release(grantIds: GrantId[]): void {
 		const now = this.#parts.clock.readMonotonic();
 		for (const grantId of grantIds) {
-			const grant = this.ledger.release(grantId);
-			if (grant !== undefined) {
-				this.#predictor.recordRelease(grant.tokens, now);
+			const held = this.ledger.release(grantId);
+			if (held !== undefined) {
+				this.#predictor.recordRelease(held.grant.tokens, now);
+				this.#correctCharge(held, now);
 			}
 		}
 	}
 
+	#correctCharge(held: HeldGrant, now: number): void {
+		const charge = this.#charges.get(held.grant.grantId);
+		if (charge !== undefined) {
+			this.#charges.delete(held.grant.grantId);
+			this.#queue.correct(charge, computeCost(held.grant.tokens, now - held.since));
+		}
+	}
+
 	#giveUp(requestId: RequestId): void {
-		const waiting = this.#take(requestId);
+		const waiting = this.#queue.remove(requestId);
 		if (waiting === undefined) {
 			return;
 		}
 
 		const failure = createFailure('bound_passed_waiting', 'the time bound passed while the request waited for memory');
 		this.#logRefusal(waiting.request, failure);
-		this.#finish(waiting, Left(failure));
+		finishWaiting(waiting, Left(failure));
+		this.#serveQueue();
 	}
 
 	/** Gives up at once on what waits once no backend server has been open for a while: the caller can come back, but must know. */
@@ -287,31 +473,27 @@
 			}
 
 			const failure = createFailure('no_backend_server', `no backend server of ${this.pool} takes new work`);
-			for (const waiting of this.#queue.splice(0)) {
+			for (const waiting of this.#queue.removeAll()) {
 				this.#logRefusal(waiting.request, failure);
-				this.#finish(waiting, Left(failure));
+				finishWaiting(waiting, Left(failure));
 			}
 		});
 	}
 
-	#take(requestId: RequestId): Waiting | undefined {
-		const index = this.#queue.findIndex(waiting => waiting.request.requestId === requestId);
-		return index === -1 ? undefined : this.#queue.splice(index, 1)[0];
-	}
-
-	#finish(waiting: Waiting, result: Either<Failure, Grant>): void {
-		waiting.timer.cancel();
-		waiting.resolve(result);
-	}
-
 	#logPlacement(waiting: Waiting, placement: Placement, choice: BackendServerId, now: number): void {
 		const waited = now - waiting.since;
 		this.#parts.metrics.recordTiming('queue.wait', waited, {pool: this.pool});
+		if (!this.#parts.logger.isLevelEnabled('info')) {
+			return;
+		}
+
 		this.#parts.logger.info({
 			...describeRequest(waiting.request),
 			event: 'placement',
 			term: this.term,
-			weighed: placement.weighed.slice(0, loggedServers).map(({server, freeTokens}) => ({server: server.id, freeTokens})),
+			weighed: placement.weighed.slice(0, loggedServers).map(weighed => ({
+				server: weighed.server.id, freeTokens: weighed.freeTokens, cachedTokens: weighed.cachedTokens, firstToken: Math.round(weighed.firstToken),
+			})),
 			weighedCount: placement.weighed.length,
 			choice,
 			reason: placement.reason,
@@ -327,12 +509,22 @@
 	}
 }
 
+function finishWaiting(waiting: Waiting, result: Either<Failure, Grant>): void {
+	waiting.timer.cancel();
+	waiting.resolve(result);
+}
+
+/** Cost of holding memory, in token-seconds. */
+function computeCost(tokens: number, milliseconds: number): number {
+	return tokens * milliseconds / 1000;
+}
+
 function describeRequest(request: AdmitRequest): Record<string, unknown> {
 	return {
 		request: request.requestId,
 		organisation: request.organisation,
 		service: request.service,
 		promptTokens: request.promptTokens,
-		tokens: request.tokens,
+		tokens: countTokens(request),
 	};
 }
--- a/src/node/dispatch/index.ts
+++ b/src/node/dispatch/index.ts
@@ -1,5 +1,12 @@
+export * from './directory.js';
 export * from './dispatcher.js';
+export * from './fair-clock.js';
 export * from './ledger.js';
-export type * from './messages.js';
+export * from './messages.js';
 export * from './placement.js';
+export * from './prefill-board.js';
+export * from './prefix-index.js';
+export * from './rate-limiter.js';
+export * from './request-queue.js';
+export * from './reservation.js';
 export * from './wait-predictor.js';
--- a/src/node/dispatch/ledger.ts
+++ b/src/node/dispatch/ledger.ts
@@ -1,10 +1,13 @@
 /**
- * The ledger of a pool: how many tokens of each backend server are held, and by which grant.
+ * The ledger of a pool: how many tokens of each backend server are held, by
+ * which grant, and until about when.
  *
- * Pure state. Invariants: no backend server holds more than its capacity through
- * `hold`, nothing is negative, and an idle ledger holds zero.
+ * Pure state. Invariants: `hold` is asked only where there is room, nothing is
+ * negative, and an idle ledger holds zero.
  */
-import type {BackendServerId, GrantId, Incarnation} from '../../common/index.js';
+import type {
+	BackendServerId, GrantId, Incarnation, OrganisationId,
+} from '../../common/index.js';
 import type {Grant} from './messages.js';
 
 /** A backend server as the dispatcher sees it. */
@@ -14,21 +17,61 @@
 	availabilityZone: string;
 	/** Tokens it can hold. */
 	capacity: number;
+	/** Prompt tokens it reads a second. */
+	prefillRate: number;
+	/** Milliseconds between two tokens of an answer. */
+	tokenInterval: number;
 	/** False once any source says that it is leaving or cannot be reached. */
 	open: boolean;
 };
 
-type HeldGrant = {
+/** A grant that is out. */
+export type HeldGrant = {
 	grant: Grant;
 	/** Monotonic time of the grant, in milliseconds. */
 	since: number;
 };
 
+/** What one backend server holds. */
+type ServerAccount = {
+	tokens: number;
+	longTokens: number;
+	grants: Map<GrantId, HeldGrant>;
+};
+
+/** What one organisation holds in the pool. */
+export type OrganisationAccount = {
+	tokens: number;
+	running: number;
+};
+
+const emptyAccount: ServerAccount = {tokens: 0, longTokens: 0, grants: new Map()};
+const emptyOrganisation: OrganisationAccount = {tokens: 0, running: 0};
+
 /** Counts what is held on each backend server. */
 export class Ledger {
+	#open: ServerState[] = [];
 	readonly #servers = new Map<BackendServerId, ServerState>();
-	readonly #held = new Map<BackendServerId, number>();
+	readonly #accounts = new Map<BackendServerId, ServerAccount>();
+	readonly #organisations = new Map<OrganisationId, OrganisationAccount>();
 	readonly #grants = new Map<GrantId, HeldGrant>();
+	#heldTokens = 0;
+	#openCapacity = 0;
+
+	/** Number of grants out. */
+	get grantCount(): number {
+		return this.#grants.size;
+	}
+
+	/** Tokens that the open backend servers can hold together. */
+	get openCapacity(): number {
+		return this.#openCapacity;
+	}
+
+	/** Share of the open memory that is free, from 0 to 1. */
+	get freeShare(): number {
+		return this.#openCapacity === 0 ? 0 : Math.max(0, 1 - (this.#heldTokens / this.#openCapacity));
+	}
 
 	/** Replaces the set of backend servers. Grants on a server that is no longer listed stay until released. */
 	setServers(servers: Iterable<ServerState>): void {
@@ -36,11 +79,14 @@
 		for (const server of servers) {
 			this.#servers.set(server.id, server);
 		}
+
+		this.#open = [...this.#servers.values()].filter(server => server.open);
+		this.#openCapacity = this.#open.reduce((sum, server) => sum + server.capacity, 0);
 	}
 
 	/** Lists the backend servers that take new work. */
-	listOpen(): ServerState[] {
-		return [...this.#servers.values()].filter(server => server.open);
+	listOpen(): readonly ServerState[] {
+		return this.#open;
 	}
 
 	/** Tokens free on a backend server; negative after grants adopted past its capacity. */
@@ -51,12 +97,17 @@
 
 	/** Tokens held on a backend server. */
 	countHeld(id: BackendServerId): number {
-		return this.#held.get(id) ?? 0;
+		return this.#readAccount(id).tokens;
 	}
 
-	/** Number of grants out. */
-	get grantCount(): number {
-		return this.#grants.size;
+	/** Tokens held on a backend server by long prompts. */
+	countLong(id: BackendServerId): number {
+		return this.#readAccount(id).longTokens;
+	}
+
+	/** What an organisation holds. */
+	readOrganisation(id: OrganisationId): Readonly<OrganisationAccount> {
+		return this.#organisations.get(id) ?? emptyOrganisation;
 	}
 
 	/** Records a grant. A grant already recorded is not counted twice. */
@@ -65,27 +116,21 @@
 			return;
 		}
 
-		this.#grants.set(grant.grantId, {grant, since: now});
-		this.#held.set(grant.backendServer, this.countHeld(grant.backendServer) + grant.tokens);
+		const held = {grant, since: now};
+		this.#grants.set(grant.grantId, held);
+		this.#count(held, 1);
 	}
 
 	/** Gives back a grant's tokens; returns it, or `undefined` if it was not out. */
-	release(grantId: GrantId): Grant | undefined {
+	release(grantId: GrantId): HeldGrant | undefined {
 		const held = this.#grants.get(grantId);
 		if (held === undefined) {
 			return undefined;
 		}
 
-		const {grant} = held;
 		this.#grants.delete(grantId);
-		const left = this.countHeld(grant.backendServer) - grant.tokens;
-		if (left === 0) {
-			this.#held.delete(grant.backendServer);
-		} else {
-			this.#held.set(grant.backendServer, left);
-		}
-
-		return grant;
+		this.#count(held, -1);
+		return held;
 	}
 
 	/** Lists the grants of an entry, or all. */
@@ -93,4 +138,45 @@
 		const all = [...this.#grants.values()];
 		return entry === undefined ? all : all.filter(held => held.grant.entry === entry);
 	}
+
+	/** Lists the grants on a backend server. */
+	listServerGrants(id: BackendServerId): HeldGrant[] {
+		return [...this.#readAccount(id).grants.values()];
+	}
+
+	#readAccount(id: BackendServerId): ServerAccount {
+		return this.#accounts.get(id) ?? emptyAccount;
+	}
+
+	#count(held: HeldGrant, sign: 1 | -1): void {
+		const {grant} = held;
+		this.#heldTokens += sign * grant.tokens;
+		this.#countServer(held, sign);
+		const account = this.#organisations.get(grant.organisation) ?? {tokens: 0, running: 0};
+		account.tokens += sign * grant.tokens;
+		account.running += sign;
+		if (account.running === 0) {
+			this.#organisations.delete(grant.organisation);
+		} else {
+			this.#organisations.set(grant.organisation, account);
+		}
+	}
+
+	#countServer(held: HeldGrant, sign: 1 | -1): void {
+		const {grant} = held;
+		const account = this.#accounts.get(grant.backendServer) ?? {tokens: 0, longTokens: 0, grants: new Map<GrantId, HeldGrant>()};
+		account.tokens += sign * grant.tokens;
+		account.longTokens += grant.isLong ? sign * grant.tokens : 0;
+		if (sign === 1) {
+			account.grants.set(grant.grantId, held);
+		} else {
+			account.grants.delete(grant.grantId);
+		}
+
+		if (account.grants.size === 0) {
+			this.#accounts.delete(grant.backendServer);
+		} else {
+			this.#accounts.set(grant.backendServer, account);
+		}
+	}
 }
--- a/src/node/dispatch/messages.ts
+++ b/src/node/dispatch/messages.ts
@@ -2,6 +2,7 @@
 import type {
 	BackendServerId, GrantId, Incarnation, OrganisationId, PoolId, RequestId, ServiceName,
 } from '../../common/index.js';
+import type {PrefixBlock} from './prefix-index.js';
 
 /** A request that asks for a place to run. */
 export type AdmitRequest = {
@@ -12,12 +13,14 @@
 	entry: Incarnation;
 	/** Estimated length of the prompt. */
 	promptTokens: number;
-	/** Memory to hold: prompt and longest output. */
-	tokens: number;
+	/** Longest output asked for, over all choices. */
+	outputTokens: number;
 	/** How long the request can wait. */
 	patience: number;
 	/** Backend servers that have just failed this request. */
 	excluded: BackendServerId[];
+	/** Prefixes of the prompt, from the shortest to the longest. */
+	prefixes: PrefixBlock[];
 };
 
 /** Leave to run one request on one backend server. */
@@ -25,11 +28,18 @@
 	grantId: GrantId;
 	requestId: RequestId;
 	pool: PoolId;
+	organisation: OrganisationId;
 	entry: Incarnation;
 	backendServer: BackendServerId;
 	/** Base URL of the backend server. */
 	url: string;
 	tokens: number;
+	/** Whether it counts against the memory that long prompts may hold. */
+	isLong: boolean;
+	/** How long it is expected to hold its memory. */
+	expectedHold: number;
+	/** Priority at the engine; the least goes first. */
+	priority: number;
 	term: number;
 	/** The entry must send within this time, counted from before it asked. */
 	usableFor: number;
@@ -45,3 +55,8 @@
 	/** Number of grants the entry still holds. */
 	activeCount: number;
 };
+
+/** Memory a request holds while it runs. */
+export function countTokens(request: AdmitRequest): number {
+	return request.promptTokens + request.outputTokens;
+}
--- a/src/node/dispatch/placement.ts
+++ b/src/node/dispatch/placement.ts
@@ -1,41 +1,183 @@
 /** Placement: which of the open backend servers a request runs on. Pure. */
-import type {AdmitRequest} from './messages.js';
 import type {Ledger, ServerState} from './ledger.js';
+import {countTokens, type AdmitRequest} from './messages.js';
+import {isLongPrompt, type PrefillBoard} from './prefill-board.js';
+import type {PrefixIndex} from './prefix-index.js';
+import type {Reservation} from './reservation.js';
 
 /** A backend server that was weighed, with what decided. */
 export type WeighedServer = {
 	server: ServerState;
 	freeTokens: number;
+	/** Tokens of the prompt that it is likely to have cached. */
+	cachedTokens: number;
+	/** Expected milliseconds to the first token; the least is chosen. */
+	firstToken: number;
 };
 
 /** The outcome of a placement. */
 export type Placement = {
 	/** Absent when the request has to wait. */
-	choice: ServerState | undefined;
+	choice: WeighedServer | undefined;
 	weighed: WeighedServer[];
-	reason: 'most-free-memory' | 'no-room' | 'none-open';
+	reason: string;
 };
 
-/** Chooses the open backend server with the largest share of its memory free, among those with room. */
-export function placeRequest(ledger: Ledger, request: AdmitRequest): Placement {
-	const candidates = ledger.listOpen().filter(server => !request.excluded.includes(server.id));
-	const weighed = candidates.map(server => ({server, freeTokens: ledger.countFree(server.id)}));
-	if (weighed.length === 0) {
-		return {choice: undefined, weighed, reason: 'none-open'};
+/** The state of a pool that placements look at. */
+export type PoolState = {
+	ledger: Ledger;
+	board: PrefillBoard;
+	prefixes: PrefixIndex;
+	reservation: Reservation | undefined;
+	now: number;
+};
+
+/** Chooses a server for a request. */
+export abstract class PlacementPolicy {
+	abstract place(request: AdmitRequest, state: PoolState): Placement;
+}
+
+/** How first-token placement treats long prompts; each can be turned off to measure what it does. */
+export type FirstTokenOptions = {
+	/**
+	 * Share of a server's memory that long prompts may hold together; a single one may always run alone.
+	 *
+	 * @default 0.7
+	 */
+	longShare: number;
+	/**
+	 * Whether a server reads one long prompt at a time, the others waiting where they can still be reordered.
+	 *
+	 * @default true
+	 */
+	readsLongSingly: boolean;
+	/**
+	 * Whether cached prefixes count.
+	 *
+	 * @default true
+	 */
+	usesPrefixes: boolean;
+};
+
+/** The options in force. */
+export const defaultFirstTokenOptions: FirstTokenOptions = {longShare: 0.7, readsLongSingly: true, usesPrefixes: true};
+
+/** Backlog of reading that a further long prompt may find on a server, in milliseconds. */
+const longBacklogAllowed = 50;
+
+/** Chooses the server with the least expected time to first token, among those with room. */
+export class FirstTokenPlacement extends PlacementPolicy {
+	readonly #options: FirstTokenOptions;
+
+	constructor(options: Partial<FirstTokenOptions> = {}) {
+		super();
+		this.#options = {...defaultFirstTokenOptions, ...options};
+	}
+
+	override place(request: AdmitRequest, state: PoolState): Placement {
+		const weighed: WeighedServer[] = [];
+		let best: WeighedServer | undefined;
+		let hasOpen = false;
+		for (const server of state.ledger.listOpen()) {
+			if (request.excluded.includes(server.id)) {
+				continue;
+			}
+
+			hasOpen = true;
+			const candidate = this.#weigh(request, server, state);
+			weighed.push(candidate);
+			if (this.#mayTake(request, candidate, state) && (best === undefined || isBetter(candidate, best))) {
+				best = candidate;
+			}
+		}
+
+		const reason = hasOpen ? 'no-room' : 'none-open';
+		return {choice: best, weighed, reason: best === undefined ? reason : describeChoice(best)};
+	}
+
+	#weigh(request: AdmitRequest, server: ServerState, state: PoolState): WeighedServer {
+		const cachedTokens = this.#options.usesPrefixes && request.prefixes.length > 0
+			? state.prefixes.estimateCached(server.id, server.capacity, request.prefixes)
+			: 0;
+		return {
+			server,
+			freeTokens: state.ledger.countFree(server.id),
+			cachedTokens,
+			firstToken: state.board.predictFirstToken(server, request.promptTokens, cachedTokens, state.now),
+		};
+	}
+
+	#mayTake(request: AdmitRequest, candidate: WeighedServer, state: PoolState): boolean {
+		const {server} = candidate;
+		const tokens = countTokens(request);
+		if (candidate.freeTokens < tokens || state.reservation?.isInTheWay(server, request, candidate, state.now)) {
+			return false;
+		}
+
+		return !isLongPrompt(request.promptTokens) || this.#mayTakeLong(server, tokens, state);
+	}
+
+	#mayTakeLong(server: ServerState, tokens: number, state: PoolState): boolean {
+		const longTokens = state.ledger.countLong(server.id);
+		if (longTokens > 0 && longTokens + tokens > server.capacity * this.#options.longShare) {
+			return false;
+		}
+
+		return !this.#options.readsLongSingly || state.board.readBacklog(server.id, state.now) <= longBacklogAllowed || longTokens === 0;
 	}
+}
+
+/** Baseline: one server after another, among those with room. */
+export class RoundRobinPlacement extends PlacementPolicy {
+	#next = 0;
 
-	let best: WeighedServer | undefined;
-	for (const entry of weighed) {
-		if (entry.freeTokens >= request.tokens && (best === undefined || computeFreeShare(entry) > computeFreeShare(best))) {
-			best = entry;
+	override place(request: AdmitRequest, state: PoolState): Placement {
+		const open = state.ledger.listOpen();
+		for (const _ of open) {
+			const server = open[this.#next++ % open.length];
+			if (!request.excluded.includes(server.id) && state.ledger.countFree(server.id) >= countTokens(request)) {
+				return {choice: weighPlainly(server, state), weighed: [], reason: 'next-in-turn'};
+			}
 		}
+
+		return {choice: undefined, weighed: [], reason: open.length === 0 ? 'none-open' : 'no-room'};
+	}
+}
+
+/** Baseline: the server with the fewest requests, among those with room. */
+export class LeastOutstandingPlacement extends PlacementPolicy {
+	override place(request: AdmitRequest, state: PoolState): Placement {
+		let best: {server: ServerState; count: number} | undefined;
+		for (const server of state.ledger.listOpen()) {
+			if (request.excluded.includes(server.id) || state.ledger.countFree(server.id) < countTokens(request)) {
+				continue;
+			}
+
+			const count = state.ledger.listServerGrants(server.id).length;
+			if (best === undefined || count < best.count) {
+				best = {server, count};
+			}
+		}
+
+		return {choice: best === undefined ? undefined : weighPlainly(best.server, state), weighed: [], reason: best === undefined ? 'no-room' : 'fewest-requests'};
+	}
+}
+
+function weighPlainly(server: ServerState, state: PoolState): WeighedServer {
+	return {
+		server, freeTokens: state.ledger.countFree(server.id), cachedTokens: 0, firstToken: 0,
+	};
+}
+
+/** Ties go to the server with more room, so that equal servers fill alike. */
+function isBetter(candidate: WeighedServer, best: WeighedServer): boolean {
+	if (candidate.firstToken !== best.firstToken) {
+		return candidate.firstToken < best.firstToken;
 	}
 
-	return best === undefined
-		? {choice: undefined, weighed, reason: 'no-room'}
-		: {choice: best.server, weighed, reason: 'most-free-memory'};
+	return candidate.freeTokens / candidate.server.capacity > best.freeTokens / best.server.capacity;
 }
 
-function computeFreeShare(weighed: WeighedServer): number {
-	return weighed.freeTokens / weighed.server.capacity;
+function describeChoice(best: WeighedServer): string {
+	return best.cachedTokens > 0 ? 'least-first-token-cached' : 'least-first-token';
 }
--- /dev/null
+++ b/src/node/dispatch/request-queue.ts
@@ -0,0 +1,256 @@
+/** The order in which waiting requests are offered a place. Pure. */
+import type {Either} from 'purify-ts';
+import type {
+	Failure, OrganisationId, PartnerId, RequestId, Timer,
+} from '../../common/index.js';
+import {FairClock} from './fair-clock.js';
+import {countTokens, type AdmitRequest, type Grant} from './messages.js';
+
+/** A request that waits. */
+export type Waiting = {
+	request: AdmitRequest;
+	partner: PartnerId;
+	/** Place within its organisation; the least first. */
+	order: number;
+	/** Weight of its organisation within the partner. */
+	weight: number;
+	/** Agreed share of its partner. */
+	share: number;
+	/** Monotonic time of arrival, in milliseconds. */
+	since: number;
+	timer: Timer;
+	resolve(result: Either<Failure, Grant>): void;
+};
+
+/** Work that has been paid for, so that the charge can be corrected at its end. */
+export type Charge = {
+	partner: PartnerId;
+	organisation: OrganisationId;
+	/** Token-seconds charged. */
+	cost: number;
+	weight: number;
+	share: number;
+};
+
+/** Holds waiting requests. */
+export abstract class RequestQueue {
+	#tokens = 0;
+	#size = 0;
+
+	/** Number of requests waiting. */
+	get size(): number {
+		return this.#size;
+	}
+
+	/** Tokens that the waiting requests need. */
+	get tokens(): number {
+		return this.#tokens;
+	}
+
+	/** Adds a request. */
+	add(waiting: Waiting): void {
+		this.#size++;
+		this.#tokens += countTokens(waiting.request);
+		this.insert(waiting);
+	}
+
+	/** Takes a request out; undefined when it does not wait here. */
+	remove(requestId: RequestId): Waiting | undefined {
+		const waiting = this.extract(requestId);
+		if (waiting !== undefined) {
+			this.#size--;
+			this.#tokens -= countTokens(waiting.request);
+		}
+
+		return waiting;
+	}
+
+	/** Takes all requests out. */
+	removeAll(): Waiting[] {
+		const all = [...this.listInOrder()];
+		for (const waiting of all) {
+			this.remove(waiting.request.requestId);
+		}
+
+		return all;
+	}
+
+	/** The waiting requests, the one to serve next first. Not to be changed while it is read. */
+	abstract listInOrder(): Iterable<Waiting>;
+
+	/** Charges a request's flow when it is given a place. */
+	abstract charge(waiting: Waiting, cost: number): Charge;
+
+	/** Corrects a charge by the true cost, in token-seconds. */
+	abstract correct(charge: Charge, cost: number): void;
+
+	protected abstract insert(waiting: Waiting): void;
+	protected abstract extract(requestId: RequestId): Waiting | undefined;
+}
+
+/** What queues without shares have in common: one list. */
+abstract class ListQueue extends RequestQueue {
+	protected readonly list: Waiting[] = [];
+
+	override charge(waiting: Waiting, cost: number): Charge {
+		return describeCharge(waiting, cost);
+	}
+
+	override correct(): void {
+		// Nothing was charged.
+	}
+
+	override listInOrder(): Iterable<Waiting> {
+		return this.list;
+	}
+
+	protected override extract(requestId: RequestId): Waiting | undefined {
+		const index = this.list.findIndex(waiting => waiting.request.requestId === requestId);
+		return index === -1 ? undefined : this.list.splice(index, 1)[0];
+	}
+}
+
+/** Baseline: first come, first served. */
+export class ArrivalQueue extends ListQueue {
+	protected override insert(waiting: Waiting): void {
+		this.list.push(waiting);
+	}
+}
+
+/** Baseline: the shortest prompt first. */
+export class ShortestQueue extends ListQueue {
+	protected override insert(waiting: Waiting): void {
+		insertSorted(this.list, waiting, other => other.request.promptTokens > waiting.request.promptTokens);
+	}
+}
+
+type OrganisationFlow = {
+	id: OrganisationId;
+	list: Waiting[];
+};
+
+type PartnerFlow = {
+	id: PartnerId;
+	clock: FairClock<OrganisationId>;
+	organisations: Map<OrganisationId, OrganisationFlow>;
+};
+
+/**
+ * Two levels of fair queueing: partners by their agreed shares, organisations by
+ * their policy's weights, and within an organisation its policy's order.
+ */
+export class FairQueue extends RequestQueue {
+	readonly #clock = new FairClock<PartnerId>();
+	readonly #partners = new Map<PartnerId, PartnerFlow>();
+
+	override * listInOrder(): Iterable<Waiting> {
+		const partners = [...this.#partners.values()].filter(partner => partner.organisations.size > 0);
+		sortByStart(partners, partner => this.#clock.readStart(partner.id), partner => readFirst(partner));
+		for (const partner of partners) {
+			yield * listPartner(partner);
+		}
+	}
+
+	override charge(waiting: Waiting, cost: number): Charge {
+		const charge = describeCharge(waiting, cost);
+		this.#clock.charge(charge.partner, cost, charge.share);
+		this.#findPartner(charge.partner).clock.charge(charge.organisation, cost, charge.weight);
+		return charge;
+	}
+
+	override correct(charge: Charge, cost: number): void {
+		this.#clock.correct(charge.partner, cost - charge.cost, charge.share);
+		this.#findPartner(charge.partner).clock.correct(charge.organisation, cost - charge.cost, charge.weight);
+	}
+
+	/** Forgets organisations that are idle and paid for. */
+	prune(): void {
+		for (const partner of this.#partners.values()) {
+			partner.clock.prune();
+		}
+	}
+
+	protected override insert(waiting: Waiting): void {
+		const partner = this.#findPartner(waiting.partner);
+		const id = waiting.request.organisation;
+		const flow = partner.organisations.get(id) ?? {id, list: []};
+		partner.organisations.set(id, flow);
+		insertSorted(flow.list, waiting, other => other.order > waiting.order);
+	}
+
+	protected override extract(requestId: RequestId): Waiting | undefined {
+		for (const partner of this.#partners.values()) {
+			for (const flow of partner.organisations.values()) {
+				const index = flow.list.findIndex(waiting => waiting.request.requestId === requestId);
+				if (index === -1) {
+					continue;
+				}
+
+				const [waiting] = flow.list.splice(index, 1);
+				if (flow.list.length === 0) {
+					partner.organisations.delete(flow.id);
+				}
+
+				return waiting;
+			}
+		}
+
+		return undefined;
+	}
+
+	#findPartner(id: PartnerId): PartnerFlow {
+		let partner = this.#partners.get(id);
+		if (partner === undefined) {
+			partner = {id, clock: new FairClock(), organisations: new Map()};
+			this.#partners.set(id, partner);
+		}
+
+		return partner;
+	}
+}
+
+function * listPartner(partner: PartnerFlow): Iterable<Waiting> {
+	const flows = [...partner.organisations.values()];
+	sortByStart(flows, flow => partner.clock.readStart(flow.id), flow => flow.list[0].since);
+	// Heads first: the second of one organisation comes after the first of every other.
+	const longest = Math.max(...flows.map(flow => flow.list.length));
+	for (let rank = 0; rank < longest; rank++) {
+		for (const flow of flows) {
+			if (rank < flow.list.length) {
+				yield flow.list[rank];
+			}
+		}
+	}
+}
+
+function sortByStart<Flow>(flows: Flow[], readStart: (flow: Flow) => number, readSince: (flow: Flow) => number): void {
+	const keyed = flows.map(flow => ({flow, start: readStart(flow), since: readSince(flow)}));
+	keyed.sort((left, right) => left.start - right.start || left.since - right.since);
+	for (const [index, {flow}] of keyed.entries()) {
+		flows[index] = flow;
+	}
+}
+
+function readFirst(partner: PartnerFlow): number {
+	let first = Number.POSITIVE_INFINITY;
+	for (const flow of partner.organisations.values()) {
+		first = Math.min(first, flow.list[0].since);
+	}
+
+	return first;
+}
+
+function insertSorted(list: Waiting[], waiting: Waiting, isAfter: (other: Waiting) => boolean): void {
+	let index = list.length;
+	while (index > 0 && isAfter(list[index - 1])) {
+		index--;
+	}
+
+	list.splice(index, 0, waiting);
+}
+
+function describeCharge(waiting: Waiting, cost: number): Charge {
+	return {
+		partner: waiting.partner, organisation: waiting.request.organisation, cost, weight: waiting.weight, share: waiting.share,
+	};
+}
--- a/src/node/entry/answer-writer.ts
+++ b/src/node/entry/answer-writer.ts
@@ -76,13 +76,15 @@
 		this.#merge = new AnswerMerge(this.#request.operation);
 	}
 
-	/** Makes the JSON text for the engine: always a stream, with usage. */
-	buildEngineBody(): string {
+	/** Makes the JSON text for the engine: always a stream, with usage, at a priority of which the least goes first. */
+	buildEngineBody(priority: number): string {
 		const body = this.#isContinued
 			? buildContinuation(this.#request.operation, this.#completion, this.#deliveredText, this.#deliveredChunks) ?? this.#completion
 			: this.#completion;
 		const options = (body.stream_options ?? {}) as JsonObject;
-		return JSON.stringify({...body, stream: true, stream_options: {...options, include_usage: true}});
+		return JSON.stringify({
+			...body, stream: true, stream_options: {...options, include_usage: true}, priority,
+		});
 	}
 
 	/** Takes the next checked chunk. */
--- a/src/node/entry/caller-request.ts
+++ b/src/node/entry/caller-request.ts
@@ -2,6 +2,7 @@
 import type {
 	Failure, Incarnation, OrganisationId, PoolId, RequestId, RunKey, ServiceName,
 } from '../../common/index.js';
+import type {PrefixBlock} from '../dispatch/index.js';
 import type {SpecOf} from '../../platform/index.js';
 
 /** How the request is run: on an engine as a completion, or on a plain service as it is. */
@@ -34,6 +35,8 @@
 	completion: CompletionBody | undefined;
 	/** Estimated tokens of the prompt. */
 	promptTokens: number;
+	/** Hashes of the prompt's beginnings. */
+	prefixes: PrefixBlock[];
 	/** Tokens of output to hold memory for. */
 	outputTokens: number;
 	/** Monotonic time of arrival, in milliseconds. */
--- a/src/node/entry/completion-run.ts
+++ b/src/node/entry/completion-run.ts
@@ -170,7 +170,7 @@
 			url: grant.url,
 			path: this.#request.operation === 'chat' ? '/v1/chat/completions' : '/v1/completions',
 			requestId: attemptId,
-			body: this.#writer.buildEngineBody(),
+			body: this.#writer.buildEngineBody(grant.priority),
 			signal: this.#bound.signal,
 		});
 		let events: Either<BackendFailure, AsyncIterable<EngineEvent[]>> = started;
--- a/src/node/entry/entry.ts
+++ b/src/node/entry/entry.ts
@@ -22,6 +22,7 @@
 	authenticate, parseCompletion, parsePlainCall, type RawRequest,
 } from './parse-request.js';
 import {PlainRun} from './plain-run.js';
+import type {PrefixHasher} from './prompt-prefixes.js';
 import {RequestBound} from './request-bound.js';
 import {RetryBudget} from './retry-budget.js';
 import {RunKeyStore} from './run-keys.js';
@@ -41,6 +42,7 @@
 	plain: PlainClient;
 	canceller: Canceller;
 	grants: GrantClient;
+	hasher: PrefixHasher;
 	incarnation: Incarnation;
 	availabilityZone: AvailabilityZone;
 };
@@ -215,6 +217,7 @@
 			clock: this.#parts.clock,
 			view: this.#parts.view,
 			estimator: this.#estimator,
+			hasher: this.#parts.hasher,
 			createRequestId: () => formatRequestId(this.#parts.incarnation, ++this.#requestCount),
 		};
 	}
--- a/src/node/entry/grant-client.ts
+++ b/src/node/entry/grant-client.ts
@@ -105,9 +105,10 @@
 			service: request.service,
 			entry: this.#entry,
 			promptTokens: request.promptTokens,
-			tokens: request.promptTokens + request.outputTokens,
+			outputTokens: request.outputTokens,
 			patience: Math.max(0, request.deadline - now),
 			excluded,
+			prefixes: request.prefixes,
 		};
 	}
 
--- a/src/node/entry/index.ts
+++ b/src/node/entry/index.ts
@@ -1,6 +1,7 @@
 export * from './answer-sink.js';
 export * from './caller-request.js';
 export * from './grant-client.js';
+export * from './prompt-prefixes.js';
 export * from './recording.js';
 export * from './run-keys.js';
 export * from './entry.js';
--- a/src/node/entry/parse-request.ts
+++ b/src/node/entry/parse-request.ts
@@ -8,6 +8,7 @@
 } from '../../common/index.js';
 import type {Entry, FleetView} from '../config/index.js';
 import type {CallerRequest, CompletionBody, Operation} from './caller-request.js';
+import type {PrefixHasher} from './prompt-prefixes.js';
 import {boundHeader, notRepeatableHeader, runKeyHeader} from './headers.js';
 import type {TokenEstimator} from './token-estimator.js';
 
@@ -25,6 +26,7 @@
 	clock: Clock;
 	view: FleetView;
 	estimator: TokenEstimator;
+	hasher: PrefixHasher;
 	createRequestId(): RequestId;
 };
 
@@ -144,6 +146,7 @@
 			body: raw.body,
 			completion,
 			promptTokens: operation === 'plain' ? 1 : parts.estimator.estimate(name, raw.body.length),
+			prefixes: completion === undefined ? [] : parts.hasher.hashPrompt(operation, completion, parts.estimator.readRatio(name)),
 			outputTokens: operation === 'plain' ? 0 : countOutputTokens(completion, service),
 			arrived,
 			deadline: arrived + bound,
--- a/src/node/entry/token-estimator.ts
+++ b/src/node/entry/token-estimator.ts
@@ -13,7 +13,12 @@
 
 	/** Estimates the tokens of a prompt of this many bytes. */
 	estimate(service: ServiceName, bytes: number): number {
-		return Math.max(1, Math.ceil(bytes * (this.#ratios.get(service) ?? initialRatio)));
+		return Math.max(1, Math.ceil(bytes * this.readRatio(service)));
+	}
+
+	/** Tokens that a byte makes. */
+	readRatio(service: ServiceName): number {
+		return this.#ratios.get(service) ?? initialRatio;
 	}
 
 	/** Learns from a report. */
@@ -22,7 +27,7 @@
 			return;
 		}
 
-		const known = this.#ratios.get(service) ?? initialRatio;
+		const known = this.readRatio(service);
 		this.#ratios.set(service, (known * (1 - smoothing)) + ((tokens / bytes) * smoothing));
 	}
 }
--- a/src/node/membership/pool-host.ts
+++ b/src/node/membership/pool-host.ts
@@ -11,8 +11,11 @@
 import type {Platform} from '../../platform/index.js';
 import type {NodeClients} from '../../rpc/index.js';
 import type {Entry, FleetView} from '../config/index.js';
-import {Dispatcher, type Grant, type ServerState} from '../dispatch/index.js';
+import {
+	Dispatcher, type Grant, type PoolDirectory, type ServerState,
+} from '../dispatch/index.js';
 import type {Member, Members} from './members.js';
+import {ViewDirectory} from './view-directory.js';
 
 /** What a pool host needs. */
 export type PoolHostParts = {
@@ -41,6 +44,7 @@
 export class PoolHost extends Child {
 	override readonly name = 'pool-host';
 	readonly #parts: PoolHostParts;
+	readonly #directory: PoolDirectory;
 	readonly #dispatchers = new Map<PoolId, Dispatcher>();
 	readonly #pausedUntil = new Map<PoolId, number>();
 	/** Backend servers that do not answer. */
@@ -49,6 +53,7 @@
 	constructor(parts: PoolHostParts) {
 		super();
 		this.#parts = parts;
+		this.#directory = new ViewDirectory(parts.view, parts.logger);
 		parts.view.addListener(kind => {
 			if (kind === 'BackendServer') {
 				this.#refreshServers();
@@ -184,6 +189,7 @@
 			ids: this.#parts.ids,
 			logger: this.#parts.logger,
 			metrics: this.#parts.metrics,
+			directory: this.#directory,
 		});
 		this.#dispatchers.set(pool, dispatcher);
 		dispatcher.setServers(this.#listServers(pool));
@@ -209,6 +215,8 @@
 			url: server.url,
 			availabilityZone: server.availabilityZone,
 			capacity: server.capacity,
+			prefillRate: server.prefillRate,
+			tokenInterval: server.tokenInterval,
 			open: server.state === 'live' && !this.#unreachable.has(server.id),
 		}));
 	}
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -18,7 +18,7 @@
 import type {Settings} from '../settings/index.js';
 import {ConfigWatcher, FleetView} from './config/index.js';
 import type {AdmitRequest, Grant, Heartbeat} from './dispatch/index.js';
-import {Entry, GrantClient} from './entry/index.js';
+import {Entry, GrantClient, PrefixHasher} from './entry/index.js';
 import {
 	openCallersListener, openNodesListener, openOperatorsListener, type Listener,
 } from './listeners.js';
@@ -132,7 +132,7 @@
 			},
 		});
 		this.#incarnation = createIncarnation(this.#parts.incarnationRandom ?? randomBytes(8).toString('hex'), this.#nodesListener.url);
-		this.#build();
+		this.#build(await PrefixHasher.load());
 		this.#callersListener = await openCallersListener(settings.callers, settings.entry.bodyLimitMebibytes * bytesPerMebibyte, {
 			entry: this.#entry, availabilityZone: settings.availabilityZone as AvailabilityZone,
 		});
@@ -224,7 +224,7 @@
 		this.members.noteLeaving(incarnation);
 	}
 
-	#build(): void {
+	#build(hasher: PrefixHasher): void {
 		const {
 			settings, platform, clock, ids, logger, metrics, random,
 		} = this.#parts;
@@ -247,7 +247,7 @@
 		this.#grants = new GrantClient(this.#gateway, clock, this.#incarnation, this.nodeUrl);
 		this.#entry = new Entry({
 			settings: settings.entry, clock, logger, metrics, random, view, members, clients, engines, canceller,
-			plain: new PlainClient(this.#backendAgent), grants: this.#grants, incarnation: this.#incarnation, availabilityZone: settings.availabilityZone as AvailabilityZone,
+			plain: new PlainClient(this.#backendAgent), grants: this.#grants, hasher, incarnation: this.#incarnation, availabilityZone: settings.availabilityZone as AvailabilityZone,
 		});
 		const monitor = new PeerMonitor(members, clients, {
 			clock, logger, self: this.#incarnation, listHolders: () => this.#host.listWatchedHolders(),
--- a/src/platform/objects.ts
+++ b/src/platform/objects.ts
@@ -14,6 +14,10 @@
 	keyHashes: z.array(z.string()),
 	/** Services the organisation may call. */
 	services,
+	/** Requests a minute to one pool; absent where not limited. */
+	requestsPerMinute: z.number().positive().optional(),
+	/** Tokens a minute to one pool, prompt and longest output. */
+	tokensPerMinute: z.number().positive().optional(),
 });
 
 const serviceSpec = z.object({
@@ -42,6 +46,10 @@
 	capacity: z.int().positive(),
 	/** A leaving backend server gets no new work. */
 	state: z.enum(['live', 'leaving']).default('live'),
+	/** Prompt tokens read a second. The default is an assumption: the partners have not supplied figures. */
+	prefillRate: z.number().positive().default(20_000),
+	/** Milliseconds between two tokens of an answer. An assumption too. */
+	tokenInterval: z.number().positive().default(30),
 	/** Whether it checks the fence of an order. */
 	checksOrders: z.boolean().default(false),
 });
@@ -62,6 +70,12 @@
 	term: z.int().positive(),
 });
 
+/** A partner's policy; its name is the partner's. Programs are CEL texts, as src/policy describes them. */
+const policySpec = z.object({partner: z.string(), programs: z.record(z.string(), z.string())});
+
+/** Shares of partners in a pool; its name is the pool's. */
+const shareAgreementSpec = z.object({shares: z.record(z.string(), z.number().positive())});
+
 /** The platform's lagging list of boxes; the system reads it and never writes it. */
 const liveBoxSpec = z.object({state: z.enum(['live', 'leaving'])});
 
@@ -79,6 +93,8 @@
 	defineKind('Node', nodeSpec),
 	defineKind('DispatcherTerm', dispatcherTermSpec),
 	defineKind('LiveBox', liveBoxSpec),
+	defineKind('Policy', policySpec),
+	defineKind('ShareAgreement', shareAgreementSpec),
 ]);
 
 /** An object of any kind. */
--- /dev/null
+++ b/src/policy/index.ts
@@ -0,0 +1,2 @@
+export * from './policy.js';
+export * from './variables.js';
--- /dev/null
+++ b/src/policy/policy.ts
@@ -0,0 +1,209 @@
+/**
+ * Policies: short CEL programs that say how a partner's work is weighed, limited and ordered.
+ *
+ * Programs are checked against the declared types when they are applied. They
+ * have no loops and bounded length and depth, so each evaluation ends within
+ * microseconds; one partner's program cannot slow the other's work. An error
+ * at run time takes the program's default and is counted.
+ */
+import {Environment, type ASTNode} from '@marcbachmann/cel-js';
+import {Left, Right, type Either} from 'purify-ts';
+import {readErrorMessage} from '../common/index.js';
+import {
+	programTypes, variableTypes, type PolicyContext, type PolicyTexts, type ProgramName,
+} from './variables.js';
+
+/** Something wrong with a program. */
+export type PolicyProblem = {
+	program: string;
+	line: number;
+	column: number;
+	mend: string;
+};
+
+/** Characters in one program. */
+export const longestProgram = 1000;
+
+/** Levels of nesting in one program. */
+export const deepestProgram = 24;
+
+/** Bounds on what programs may give; values outside are brought to the nearest. */
+const weightRange = {least: 0.01, most: 100};
+
+/** Calls that go over a list; none may be used, so that a program has no loops. */
+const loopingCalls = new Set(['all', 'exists', 'exists_one', 'map', 'filter', 'sortBy', 'matches']);
+
+const environment = createEnvironment();
+
+type Program = (context: PolicyContext) => unknown;
+
+/** The checked programs of one partner. */
+export class Policy {
+	/** Programs that have failed at run time, by name. */
+	readonly failures = new Map<ProgramName, number>();
+	readonly #programs: Partial<Record<ProgramName, Program>>;
+
+	constructor(programs: Partial<Record<ProgramName, Program>>) {
+		this.#programs = programs;
+	}
+
+	/** Weight of the organisation within its partner. */
+	evaluateWeight(context: PolicyContext): number {
+		const weight = this.#evaluateNumber('weight', context, 1);
+		return Math.min(weightRange.most, Math.max(weightRange.least, weight));
+	}
+
+	/** Place of the request within its organisation; the least goes first. */
+	evaluateOrder(context: PolicyContext): number {
+		return this.#evaluateNumber('order', context, 0);
+	}
+
+	/** Whether the request is taken. */
+	evaluateAdmit(context: PolicyContext): boolean {
+		const value = this.#evaluate('admit', context);
+		return typeof value === 'boolean' ? value : true;
+	}
+
+	/** Most tokens the organisation may hold in the pool. */
+	evaluateLimit(context: PolicyContext): number {
+		return Math.max(0, this.#evaluateNumber('limit', context, Number.POSITIVE_INFINITY));
+	}
+
+	#evaluateNumber(name: ProgramName, context: PolicyContext, byDefault: number): number {
+		const value = this.#evaluate(name, context);
+		if (value === undefined) {
+			return byDefault;
+		}
+
+		const number = Number(value);
+		if (Number.isNaN(number)) {
+			this.#countFailure(name);
+			return byDefault;
+		}
+
+		return number;
+	}
+
+	#evaluate(name: ProgramName, context: PolicyContext): unknown {
+		const program = this.#programs[name];
+		if (program === undefined) {
+			return undefined;
+		}
+
+		try {
+			return program(context);
+		} catch {
+			this.#countFailure(name);
+			return undefined;
+		}
+	}
+
+	#countFailure(name: ProgramName): void {
+		this.failures.set(name, (this.failures.get(name) ?? 0) + 1);
+	}
+}
+
+/** A policy that gives every program's default. */
+export const defaultPolicy = new Policy({});
+
+/** Checks and compiles the programs of a policy. */
+export function compilePolicy(texts: PolicyTexts): Either<PolicyProblem[], Policy> {
+	const programs: Partial<Record<ProgramName, Program>> = {};
+	const problems: PolicyProblem[] = [];
+	for (const [name, text] of Object.entries(texts)) {
+		if (!(name in programTypes)) {
+			problems.push({
+				program: name, line: 1, column: 1, mend: `there is no such program; a policy has ${Object.keys(programTypes).join(', ')}`,
+			});
+			continue;
+		}
+
+		const compiled = compileProgram(name as ProgramName, text);
+		if (compiled.isLeft()) {
+			problems.push(compiled.extract());
+		} else {
+			programs[name as ProgramName] = compiled.extract() as Program;
+		}
+	}
+
+	return problems.length > 0 ? Left(problems) : Right(new Policy(programs));
+}
+
+/** Formats a problem as one line for people. */
+export function formatPolicyProblem(problem: PolicyProblem): string {
+	return `${problem.program}, line ${problem.line}, column ${problem.column}: ${problem.mend}`;
+}
+
+function createEnvironment(): Environment {
+	let built = new Environment({unlistedVariablesAreDyn: false});
+	for (const [name, schema] of Object.entries(variableTypes)) {
+		built = built.registerVariable(name, {schema});
+	}
+
+	return built;
+}
+
+function compileProgram(name: ProgramName, text: string): Either<PolicyProblem, Program> {
+	const fail = (mend: string, position = 0): Either<PolicyProblem, Program> => Left({program: name, ...findPlace(text, position), mend});
+	if (text.length > longestProgram) {
+		return fail(`shorten the program to ${longestProgram} characters; it has ${text.length}`, longestProgram);
+	}
+
+	try {
+		const parsed = environment.parse(text);
+		const refusal = findRefusal(parsed.ast, 1);
+		if (refusal !== undefined) {
+			return fail(refusal.mend, refusal.node.range.start);
+		}
+
+		const checked = parsed.check();
+		if (!checked.valid) {
+			return fail(describeError(checked.error), readStart(checked.error));
+		}
+
+		const isRight = programTypes[name] === 'bool' ? checked.type === 'bool' : ['int', 'double'].includes(checked.type ?? '');
+		return isRight ? Right(parsed as Program) : fail(`give a ${programTypes[name]}; this gives a ${checked.type}`);
+	} catch (error) {
+		return fail(describeError(error), readStart(error));
+	}
+}
+
+function findRefusal(node: ASTNode, depth: number): {node: ASTNode; mend: string} | undefined {
+	if (depth > deepestProgram) {
+		return {node, mend: `nest at most ${deepestProgram} levels deep`};
+	}
+
+	if ((node.op === 'call' || node.op === 'rcall') && loopingCalls.has(node.args[0])) {
+		return {node, mend: `do without '${node.args[0]}': programs have no loops`};
+	}
+
+	for (const child of listChildren(node.args)) {
+		const refusal = findRefusal(child, depth + 1);
+		if (refusal !== undefined) {
+			return refusal;
+		}
+	}
+
+	return undefined;
+}
+
+function listChildren(value: unknown): ASTNode[] {
+	if (Array.isArray(value)) {
+		return value.flatMap(item => listChildren(item));
+	}
+
+	return typeof value === 'object' && value !== null && 'op' in value ? [value as ASTNode] : [];
+}
+
+function describeError(error: unknown): string {
+	return (error as {summary?: string} | undefined)?.summary ?? readErrorMessage(error);
+}
+
+function readStart(error: unknown): number {
+	return (error as {range?: {start: number}} | undefined)?.range?.start ?? 0;
+}
+
+function findPlace(text: string, position: number): {line: number; column: number} {
+	const before = text.slice(0, position).split('\n');
+	return {line: before.length, column: (before.at(-1)?.length ?? 0) + 1};
+}
--- a/src/rpc/messages.ts
+++ b/src/rpc/messages.ts
@@ -23,9 +23,10 @@
 		service: id<ServiceName>(),
 		entry: id<Incarnation>(),
 		promptTokens: z.number().positive(),
-		tokens: z.number().positive(),
+		outputTokens: z.number().min(0),
 		patience: duration,
 		excluded: z.array(id<BackendServerId>()),
+		prefixes: z.array(z.object({hash: z.string().max(32), tokens: z.number().min(0)})).max(16),
 	}),
 });
 
