--- /dev/null
+++ b/src/cli/replay-command.ts
@@ -0,0 +1,92 @@
+/** `cresshook trace` and `cresshook replay`: make traces, and run the real decisions over them. */
+import {writeFile} from 'node:fs/promises';
+import process from 'node:process';
+import {InvalidArgumentError, Option, type Command} from 'commander';
+import {
+	generateTrace, isShort, measureReplay, readTrace, replayTrace, scenarioNames, variants, formatTrace, type Measures, type Percentiles, type ScenarioName, type Trace,
+} from '../replay/index.js';
+import {exitCodes} from './exit-codes.js';
+
+type GenerateWords = {scenario: ScenarioName; seed: string; minutes: number; factor: number; engineDies?: boolean; out: string};
+
+/** Adds the commands. */
+export function addReplayCommands(program: Command): void {
+	const trace = program.command('trace').description('make trace files');
+	trace.command('generate')
+		.addOption(new Option('--scenario <name>', 'kind of day').choices(scenarioNames).default('peaks'))
+		.option('--seed <text>', 'the same seed makes the same trace', '1')
+		.option('--minutes <count>', 'length', parseNumber, 10)
+		.option('--factor <number>', 'multiplies the load', parseNumber, 1)
+		.option('--engine-dies', 'an engine dies half way')
+		.requiredOption('--out <file>', 'where to write it')
+		.action(async (words: GenerateWords) => {
+			await writeFile(words.out, formatTrace(generateTrace(words)));
+		});
+	program.command('replay <trace>')
+		.description('run the decisions over a trace on a virtual clock and print the measures')
+		.option('--variant <names...>', `ways of deciding to compare: ${Object.keys(variants).join(', ')}`, ['ours'])
+		.option('--all', 'compare every way')
+		.option('--json', 'print JSON')
+		.action(runReplay);
+}
+
+async function runReplay(path: string, words: {variant: string[]; all?: boolean; json?: boolean}): Promise<void> {
+	const names = words.all ? Object.keys(variants) : words.variant;
+	const unknown = names.find(name => !(name in variants));
+	if (unknown !== undefined) {
+		process.stderr.write(`--variant ${unknown}: use one of ${Object.keys(variants).join(', ')}\n`);
+		process.exitCode = exitCodes.wrongUse;
+		return;
+	}
+
+	const trace = await readTrace(path);
+	const rows = [];
+	for (const name of names) {
+		rows.push({name, measures: await measureVariant(trace, name)});
+	}
+
+	process.stdout.write(words.json ? `${JSON.stringify(rows)}\n` : formatTable(rows));
+	if (rows.some(row => row.measures.leakedTokens > 0 || row.measures.leakedGrants > 0)) {
+		process.stderr.write('memory was still held at the end\n');
+		process.exitCode = exitCodes.failed;
+	}
+}
+
+async function measureVariant(trace: Trace, name: string): Promise<Measures> {
+	const whole = await replayTrace(trace, variants[name]());
+	const shorts = trace.requests.filter(request => isShort({request}));
+	const alone = await replayTrace({...trace, requests: shorts}, variants[name]());
+	return measureReplay(whole, alone);
+}
+
+function formatTable(rows: Array<{name: string; measures: Measures}>): string {
+	const lines = ['variant                 goodput  short first ms p50/p95/p99     slowdown p50/p95/p99  medium p95  long p50/p95 s      shares'];
+	for (const {name, measures} of rows) {
+		const shares = Object.entries(measures.heldShares).map(([partner, share]) => `${partner.slice(0, 1)} ${share.toFixed(2)}`).join(' ');
+		lines.push([
+			name.padEnd(23),
+			`${(measures.goodput * 100).toFixed(1)}%`.padStart(7),
+			formatPercentiles(measures.shortFirstToken, 0).padEnd(26),
+			formatPercentiles(measures.shortSlowdown, 2).padEnd(21),
+			measures.mediumFirstToken.p95.toFixed(0).padStart(9),
+			`${(measures.longFirstToken.p50 / 1000).toFixed(1)} / ${(measures.longFirstToken.p95 / 1000).toFixed(1)}`.padStart(14),
+			shares,
+			Object.entries(measures.failures).map(([kind, count]) => `${kind} ${count}`).join(', '),
+		].join('  '));
+	}
+
+	return `${lines.join('\n')}\n`;
+}
+
+function formatPercentiles(values: Percentiles | undefined, digits: number): string {
+	return values === undefined ? '' : [values.p50, values.p95, values.p99].map(value => value.toFixed(digits)).join(' / ');
+}
+
+function parseNumber(text: string): number {
+	const value = Number(text);
+	if (!(value > 0)) {
+		throw new InvalidArgumentError('write a number above 0');
+	}
+
+	return value;
+}
--- a/src/common/virtual-clock.ts
+++ b/src/common/virtual-clock.ts
@@ -1,20 +1,22 @@
 /** A clock that stands still until it is moved: for replays and tests. */
+import TinyQueue from 'tinyqueue';
 import type {Clock, Timer} from './clock.js';
 
 type PendingTimer = {
 	at: number;
 	order: number;
 	callback: () => void;
+	isCancelled: boolean;
 };
 
 /** Unix time at which virtual clocks begin, in milliseconds. */
 const epoch = Date.UTC(2026, 0, 1);
 
-/** Time that moves only by `advance`. Timers due at the same time fire in the order they were set. */
+/** Time that moves only when told. Timers due at the same time fire in the order they were set. */
 export class VirtualClock implements Clock {
 	#elapsed = 0;
 	#order = 0;
-	readonly #timers = new Set<PendingTimer>();
+	readonly #timers = new TinyQueue<PendingTimer>([], (left, right) => left.at - right.at || left.order - right.order);
 
 	now(): Date {
 		return new Date(epoch + this.#elapsed);
@@ -25,11 +27,13 @@
 	}
 
 	setTimer(delay: number, callback: () => void): Timer {
-		const timer = {at: this.#elapsed + Math.max(0, delay), order: this.#order++, callback};
-		this.#timers.add(timer);
+		const timer = {
+			at: this.#elapsed + Math.max(0, delay), order: this.#order++, callback, isCancelled: false,
+		};
+		this.#timers.push(timer);
 		return {
-			cancel: () => {
-				this.#timers.delete(timer);
+			cancel() {
+				timer.isCancelled = true;
 			},
 		};
 	}
@@ -37,24 +41,31 @@
 	/** Moves time forward by milliseconds and fires every timer that falls due on the way. */
 	advance(milliseconds: number): void {
 		const end = this.#elapsed + milliseconds;
-		for (let timer = this.#findNext(end); timer !== undefined; timer = this.#findNext(end)) {
-			this.#timers.delete(timer);
-			this.#elapsed = Math.max(this.#elapsed, timer.at);
-			timer.callback();
+		while (this.#findNext() !== undefined && this.#findNext()!.at <= end) {
+			this.fireNext();
 		}
 
 		this.#elapsed = end;
 	}
 
-	#findNext(end: number): PendingTimer | undefined {
-		let next: PendingTimer | undefined;
-		for (const timer of this.#timers) {
-			const isEarlier = next === undefined || timer.at < next.at || (timer.at === next.at && timer.order < next.order);
-			if (timer.at <= end && isEarlier) {
-				next = timer;
-			}
+	/** Moves time to the next timer and fires it; false when none is left. */
+	fireNext(): boolean {
+		const timer = this.#findNext();
+		if (timer === undefined) {
+			return false;
+		}
+
+		this.#timers.pop();
+		this.#elapsed = Math.max(this.#elapsed, timer.at);
+		timer.callback();
+		return true;
+	}
+
+	#findNext(): PendingTimer | undefined {
+		while (this.#timers.peek()?.isCancelled) {
+			this.#timers.pop();
 		}
 
-		return next;
+		return this.#timers.peek();
 	}
 }
--- /dev/null
+++ b/src/replay/index.ts
@@ -0,0 +1,5 @@
+export * from './generate-trace.js';
+export * from './measures.js';
+export * from './replay.js';
+export * from './trace.js';
+export * from './variants.js';
