perf(dispatch): weigh the harm done to long reads; predict waits from what is ahead

Change: reading times are kept for each engine priority; a placement adds a quarter of the delay it causes to later reads; the cap on long memory is gone; a request is refused for its predicted wait only when it cannot be placed now, counting what is no larger than itself.

--- a/src/node/dispatch/dispatcher.ts
+++ b/src/node/dispatch/dispatcher.ts
@@ -174,9 +174,7 @@
 			// What waits already could not be placed, and a newcomer gives it no room.
 			const isPlaced = this.#isOpen && this.#mayPassQueue() && this.#tryPlace(waiting);
 			if (!isPlaced) {
-				this.#queue.add(waiting);
-				this.#reserveForHead();
-				this.#watchEmptyPool();
+				this.#enqueue(waiting);
 			}
 		});
 	}
@@ -260,7 +258,7 @@
 			return undefined;
 		}
 
-		return this.#findPoolRefusal(request) ?? this.#findPolicyRefusal(request, partner) ?? this.#findRateRefusal(request) ?? this.#predictOverload(request);
+		return this.#findPoolRefusal(request) ?? this.#findPolicyRefusal(request, partner) ?? this.#findRateRefusal(request);
 	}
 
 	#findPoolRefusal(request: AdmitRequest): Failure | undefined {
@@ -307,13 +305,33 @@
 			: createFailure('rate_limited', `${request.organisation} sends more ${tokenWait > 0 ? 'tokens' : 'requests'} a minute than it may`, {retryAfterSeconds: Math.ceil(wait / 1000)});
 	}
 
+	#enqueue(waiting: Waiting): void {
+		const refusal = this.#isOpen ? this.#predictOverload(waiting.request) : undefined;
+		if (refusal !== undefined) {
+			this.#logRefusal(waiting.request, refusal);
+			finishWaiting(waiting, Left(refusal));
+			return;
+		}
+
+		this.#queue.add(waiting);
+		this.#reserveForHead();
+		this.#watchEmptyPool();
+	}
+
+	/** Smaller requests pass larger ones that wait for room, so only those up to its own size are ahead of a request. */
 	#predictOverload(request: AdmitRequest): Failure | undefined {
 		if (this.#queue.size === 0 || this.#parts.refusesEarly === false) {
 			return undefined;
 		}
 
-		const free = this.ledger.openCapacity * this.ledger.freeShare;
-		const wait = this.#predictor.predictWait(this.#queue.tokens + countTokens(request) - free);
+		const tokens = countTokens(request);
+		let ahead = 0;
+		for (const waiting of this.#queue.listInOrder()) {
+			const other = countTokens(waiting.request);
+			ahead += other <= tokens ? other : 0;
+		}
+
+		const wait = this.#predictor.predictWait(ahead + tokens);
 		if (wait === undefined || wait <= request.patience) {
 			return undefined;
 		}
--- a/src/node/dispatch/placement.ts
+++ b/src/node/dispatch/placement.ts
@@ -1,7 +1,7 @@
 /** Placement: which of the open backend servers a request runs on. Pure. */
 import type {Ledger, ServerState} from './ledger.js';
 import {countTokens, type AdmitRequest} from './messages.js';
-import {isLongPrompt, type PrefillBoard} from './prefill-board.js';
+import {computeReadTime, isLongPrompt, type PrefillBoard} from './prefill-board.js';
 import type {PrefixIndex} from './prefix-index.js';
 import type {Reservation} from './reservation.js';
 
@@ -11,8 +11,10 @@
 	freeTokens: number;
 	/** Tokens of the prompt that it is likely to have cached. */
 	cachedTokens: number;
-	/** Expected milliseconds to the first token; the least is chosen. */
+	/** Expected milliseconds to the first token. */
 	firstToken: number;
+	/** Weighted milliseconds by which it would delay others; the least sum of both is chosen. */
+	harm: number;
 };
 
 /** The outcome of a placement. */
@@ -40,11 +42,11 @@
 /** How first-token placement treats long prompts; each can be turned off to measure what it does. */
 export type FirstTokenOptions = {
 	/**
-	 * Share of a server's memory that long prompts may hold together; a single one may always run alone.
+	 * Weight of the delay that a prompt causes to those read after it on a server, against its own.
 	 *
-	 * @default 0.7
+	 * @default 0.25
 	 */
-	longShare: number;
+	harmWeight: number;
 	/**
 	 * Whether a server reads one long prompt at a time, the others waiting where they can still be reordered.
 	 *
@@ -60,7 +62,7 @@
 };
 
 /** The options in force. */
-export const defaultFirstTokenOptions: FirstTokenOptions = {longShare: 0.7, readsLongSingly: true, usesPrefixes: true};
+export const defaultFirstTokenOptions: FirstTokenOptions = {harmWeight: 0.25, readsLongSingly: true, usesPrefixes: true};
 
 /** Backlog of reading that a further long prompt may find on a server, in milliseconds. */
 const longBacklogAllowed = 50;
@@ -104,6 +106,9 @@
 			freeTokens: state.ledger.countFree(server.id),
 			cachedTokens,
 			firstToken: state.board.predictFirstToken(server, request.promptTokens, cachedTokens, state.now),
+			harm: state.board.readLaterBacklog(server.id, request.promptTokens, state.now) > 0
+				? computeReadTime(server, request.promptTokens - cachedTokens) * this.#options.harmWeight
+				: 0,
 		};
 	}
 
@@ -114,16 +119,7 @@
 			return false;
 		}
 
-		return !isLongPrompt(request.promptTokens) || this.#mayTakeLong(server, tokens, state);
-	}
-
-	#mayTakeLong(server: ServerState, tokens: number, state: PoolState): boolean {
-		const longTokens = state.ledger.countLong(server.id);
-		if (longTokens > 0 && longTokens + tokens > server.capacity * this.#options.longShare) {
-			return false;
-		}
-
-		return !this.#options.readsLongSingly || state.board.readBacklog(server.id, state.now) <= longBacklogAllowed || longTokens === 0;
+		return !this.#options.readsLongSingly || !isLongPrompt(request.promptTokens) || state.board.readBacklog(server.id, state.now) <= longBacklogAllowed;
 	}
 }
 
@@ -165,14 +161,15 @@
 
 function weighPlainly(server: ServerState, state: PoolState): WeighedServer {
 	return {
-		server, freeTokens: state.ledger.countFree(server.id), cachedTokens: 0, firstToken: 0,
+		server, freeTokens: state.ledger.countFree(server.id), cachedTokens: 0, firstToken: 0, harm: 0,
 	};
 }
 
 /** Ties go to the server with more room, so that equal servers fill alike. */
 function isBetter(candidate: WeighedServer, best: WeighedServer): boolean {
-	if (candidate.firstToken !== best.firstToken) {
-		return candidate.firstToken < best.firstToken;
+	const difference = candidate.firstToken + candidate.harm - best.firstToken - best.harm;
+	if (difference !== 0) {
+		return difference < 0;
 	}
 
 	return candidate.freeTokens / candidate.server.capacity > best.freeTokens / best.server.capacity;
--- a/src/node/dispatch/prefill-board.ts
+++ b/src/node/dispatch/prefill-board.ts
@@ -1,66 +1,75 @@
 /**
  * When each backend server is expected to have read the prompts sent to it. Pure.
  *
- * Engines honour priorities: a short prompt is read before what is left of a
- * long one. Two times are kept for each server, one for short prompts alone and
- * one for all. They are times, not amounts, so that an error dies out by itself.
+ * Engines honour priorities: a prompt is read before what is left of those of a
+ * later priority. One time is kept for each priority: when all prompts of it and
+ * of earlier ones will have been read. They are times, not amounts, so that an
+ * error dies out by itself.
  */
 import type {BackendServerId} from '../../common/index.js';
 import type {ServerState} from './ledger.js';
 
-/** Prompts over this many tokens are long: they are held to a share of memory and read one at a time on a server. */
-export const longestMediumPrompt = 32_000;
+/** Upper ends of the lengths that share an engine priority, in tokens; shorter goes first. */
+const priorityLengths = [8000, 32_000, 100_000, 300_000, Number.POSITIVE_INFINITY];
 
-/** Upper ends of the lengths that share an engine priority; shorter goes first. */
-const priorityLengths = [8000, longestMediumPrompt, 100_000, 300_000];
+/** First priority of prompts that count as long: a server reads one of them at a time. */
+const firstLongPriority = 2;
 
-type ReadTimes = {
-	/** Monotonic time at which all short prompts have been read. */
-	short: number;
-	/** Monotonic time at which all prompts have been read. */
-	all: number;
-};
+/** Expected time for which a prompt waits for the piece of a later one that is being read, in milliseconds. */
+const pieceWait = 13;
 
 /** Priority of a prompt at the engine; the least goes first. */
 export function findPriority(promptTokens: number): number {
-	const index = priorityLengths.findIndex(length => promptTokens <= length);
-	return index === -1 ? priorityLengths.length : index;
+	return priorityLengths.findIndex(length => promptTokens <= length);
 }
 
 /** Whether a prompt is long. */
 export function isLongPrompt(promptTokens: number): boolean {
-	return promptTokens > longestMediumPrompt;
+	return findPriority(promptTokens) >= firstLongPriority;
 }
 
 /** Expected reading times of a pool's servers. */
 export class PrefillBoard {
-	readonly #times = new Map<BackendServerId, ReadTimes>();
+	/** For each server, the monotonic time for each priority. */
+	readonly #times = new Map<BackendServerId, number[]>();
 
 	/** Milliseconds until the first token of a prompt of which this many tokens are not cached. */
 	predictFirstToken(server: ServerState, promptTokens: number, cached: number, now: number): number {
 		const times = this.#times.get(server.id);
-		const end = isLongPrompt(promptTokens) ? times?.all : times?.short;
-		return Math.max(0, (end ?? 0) - now) + computeReadTime(server, promptTokens - cached);
+		const read = computeReadTime(server, promptTokens - cached);
+		if (times === undefined) {
+			return read;
+		}
+
+		const priority = findPriority(promptTokens);
+		const isReadingLater = times.at(-1)! > Math.max(now, times[priority]);
+		return Math.max(0, times[priority] - now) + read + (isReadingLater ? pieceWait : 0);
 	}
 
 	/** Milliseconds until every prompt on a server has been read. */
 	readBacklog(server: BackendServerId, now: number): number {
-		return Math.max(0, (this.#times.get(server)?.all ?? 0) - now);
+		return Math.max(0, (this.#times.get(server)?.at(-1) ?? 0) - now);
+	}
+
+	/** Milliseconds by which a prompt of a priority holds up those of later ones on a server. */
+	readLaterBacklog(server: BackendServerId, promptTokens: number, now: number): number {
+		const times = this.#times.get(server);
+		return times === undefined ? 0 : Math.max(0, times.at(-1)! - Math.max(now, times[findPriority(promptTokens)]));
 	}
 
 	/** Notes that a prompt was sent to a server. */
 	recordSent(server: ServerState, promptTokens: number, cached: number, now: number): void {
 		const read = computeReadTime(server, promptTokens - cached);
-		const times = this.#times.get(server.id) ?? {short: now, all: now};
-		times.all = Math.max(times.all, now) + read;
-		if (!isLongPrompt(promptTokens)) {
-			times.short = Math.max(times.short, now) + read;
+		const times = this.#times.get(server.id) ?? priorityLengths.map(() => now);
+		for (let priority = findPriority(promptTokens); priority < times.length; priority++) {
+			times[priority] = Math.max(times[priority], now) + read;
 		}
 
 		this.#times.set(server.id, times);
 	}
 }
 
-function computeReadTime(server: ServerState, tokens: number): number {
+/** Milliseconds for reading tokens of a prompt. */
+export function computeReadTime(server: ServerState, tokens: number): number {
 	return Math.max(0, tokens) / server.prefillRate * 1000;
 }
