--- a/src/cli/index.ts
+++ b/src/cli/index.ts
@@ -2,6 +2,7 @@
 import {Command} from 'commander';
 import {addDevCommand} from './dev-command.js';
 import {exitCodes} from './exit-codes.js';
+import {addPolicyCommands} from './policy-command.js';
 import {addReplayCommands} from './replay-command.js';
 import {addNodeCommand} from './node-command.js';
 import {addSettingsCommand} from './settings-command.js';
@@ -17,6 +18,7 @@
 	addNodeCommand(program);
 	addDevCommand(program);
 	addSettingsCommand(program);
+	addPolicyCommands(program);
 	addReplayCommands(program);
 	addStandinCommand(program);
 	return program;
--- a/src/node/dispatch/dispatcher.ts
+++ b/src/node/dispatch/dispatcher.ts
@@ -18,7 +18,9 @@
 import {
 	FirstTokenPlacement, type Placement, type PlacementPolicy, type PoolState, type WeighedServer,
 } from './placement.js';
-import {findPriority, isLongPrompt, PrefillBoard} from './prefill-board.js';
+import {
+	findPriority, isLongPrompt, PrefillBoard, type ExpectedRead,
+} from './prefill-board.js';
 import {PrefixIndex} from './prefix-index.js';
 import {RateLimiter} from './rate-limiter.js';
 import {
@@ -98,6 +100,7 @@
 	readonly #predictor: WaitPredictor;
 	readonly #lastHeard = new Map<Incarnation, number>();
 	readonly #charges = new Map<GrantId, Charge>();
+	readonly #reads = new Map<GrantId, ExpectedRead>();
 	#reservation: Reservation | undefined;
 	#isOpen = false;
 	#closedBy: Failure | undefined;
@@ -419,7 +422,7 @@
 		}
 
 		this.ledger.hold(grant, now);
-		this.#board.recordSent(server, request.promptTokens, cachedTokens, now);
+		this.#reads.set(grant.grantId, this.#board.recordSent(server, request.promptTokens, cachedTokens, now));
 		this.#prefixes.recordSent(server.id, request.promptTokens, request.prefixes.hashes);
 		this.#charges.set(grant.grantId, this.#queue.charge(waiting, computeCost(grant.tokens, grant.expectedHold)));
 		this.#lastHeard.set(request.entry, now);
@@ -453,10 +456,19 @@
 			if (held !== undefined) {
 				this.#predictor.recordRelease(held.grant.tokens, now);
 				this.#correctCharge(held, now);
+				this.#correctRead(grantId, now);
 			}
 		}
 	}
 
+	#correctRead(grantId: GrantId, now: number): void {
+		const read = this.#reads.get(grantId);
+		if (read !== undefined) {
+			this.#reads.delete(grantId);
+			this.#board.recordDone(read, now);
+		}
+	}
+
 	#correctCharge(held: HeldGrant, now: number): void {
 		const charge = this.#charges.get(held.grant.grantId);
 		if (charge !== undefined) {
--- a/src/node/dispatch/prefill-board.ts
+++ b/src/node/dispatch/prefill-board.ts
@@ -18,6 +18,16 @@
 /** Expected time for which a prompt waits for the piece of a later one that is being read, in milliseconds. */
 const pieceWait = 13;
 
+/** When a prompt was expected to have been read. */
+export type ExpectedRead = {
+	server: BackendServerId;
+	priority: number;
+	/** Milliseconds of reading. */
+	read: number;
+	/** Monotonic time. */
+	end: number;
+};
+
 /** Priority of a prompt at the engine; the least goes first. */
 export function findPriority(promptTokens: number): number {
 	return priorityLengths.findIndex(length => promptTokens <= length);
@@ -57,15 +67,35 @@
 		return times === undefined ? 0 : Math.max(0, times.at(-1)! - Math.max(now, times[findPriority(promptTokens)]));
 	}
 
-	/** Notes that a prompt was sent to a server. */
-	recordSent(server: ServerState, promptTokens: number, cached: number, now: number): void {
+	/** Notes that a prompt was sent to a server. Returns what `recordDone` needs when its request has ended. */
+	recordSent(server: ServerState, promptTokens: number, cached: number, now: number): ExpectedRead {
 		const read = computeReadTime(server, promptTokens - cached);
 		const times = this.#times.get(server.id) ?? priorityLengths.map(() => now);
-		for (let priority = findPriority(promptTokens); priority < times.length; priority++) {
+		const first = findPriority(promptTokens);
+		for (let priority = first; priority < times.length; priority++) {
 			times[priority] = Math.max(times[priority], now) + read;
 		}
 
 		this.#times.set(server.id, times);
+		return {
+			server: server.id, priority: first, read, end: times[first],
+		};
+	}
+
+	/**
+	 * Notes that a request has ended. One that ended before its prompt was expected to be read
+	 * shows that the server is ahead of its times, by at most that prompt.
+	 */
+	recordDone(expected: ExpectedRead, now: number): void {
+		const times = this.#times.get(expected.server);
+		const ahead = Math.min(expected.read, expected.end - now);
+		if (times === undefined || ahead <= 0) {
+			return;
+		}
+
+		for (let {priority} = expected; priority < times.length; priority++) {
+			times[priority] -= ahead;
+		}
 	}
 }
 
