fix(dispatch): predict waits by prompt length, so that hopeless requests hear it at once

Change: the rate at which waiting requests are served is kept by engine priority, and falls while nothing of that length is served; a request counts those of its own length as ahead.

--- a/src/node/dispatch/dispatcher.ts
+++ b/src/node/dispatch/dispatcher.ts
@@ -97,7 +97,7 @@
 	readonly #prefixes = new PrefixIndex();
 	readonly #requestRates = new RateLimiter<OrganisationId>();
 	readonly #tokenRates = new RateLimiter<OrganisationId>();
-	readonly #predictor: WaitPredictor;
+	readonly #predictor = new WaitPredictor();
 	readonly #lastHeard = new Map<Incarnation, number>();
 	readonly #charges = new Map<GrantId, Charge>();
 	readonly #reads = new Map<GrantId, ExpectedRead>();
@@ -112,7 +112,6 @@
 		this.#parts = parts;
 		this.#placement = parts.placement ?? new FirstTokenPlacement();
 		this.#queue = parts.queue ?? new FairQueue();
-		this.#predictor = new WaitPredictor(parts.clock.readMonotonic());
 	}
 
 	/** Number of requests waiting. */
@@ -318,20 +317,19 @@
 		this.#watchEmptyPool();
 	}
 
-	/** Smaller requests pass larger ones that wait for room, so only those up to its own size are ahead of a request. */
+	/** Requests of another length are served at a rate of their own, so only those of its own length are ahead of a request. */
 	#predictOverload(request: AdmitRequest): Failure | undefined {
 		if (this.#queue.size === 0 || this.#parts.refusesEarly === false) {
 			return undefined;
 		}
 
-		const tokens = countTokens(request);
-		let ahead = 0;
+		const priority = findPriority(request.promptTokens);
+		let ahead = countTokens(request);
 		for (const waiting of this.#queue.listInOrder()) {
-			const other = countTokens(waiting.request);
-			ahead += other <= tokens ? other : 0;
+			ahead += findPriority(waiting.request.promptTokens) === priority ? countTokens(waiting.request) : 0;
 		}
 
-		const wait = this.#predictor.predictWait(ahead + tokens);
+		const wait = this.#predictor.predictWait(request.promptTokens, ahead, this.#parts.clock.readMonotonic());
 		if (wait === undefined || wait <= request.patience) {
 			return undefined;
 		}
@@ -364,6 +362,7 @@
 				// Most that waits is larger than all that is free: looking at every server for it would hold the loop for milliseconds.
 				if (countTokens(waiting.request) <= largestFree && this.#tryPlace(waiting)) {
 					this.#queue.remove(waiting.request.requestId);
+					this.#predictor.recordServed(waiting.request.promptTokens, countTokens(waiting.request), this.#parts.clock.readMonotonic());
 					// A placement changes whose turn it is.
 					mustLook = true;
 					break;
@@ -454,7 +453,6 @@
 		for (const grantId of grantIds) {
 			const held = this.ledger.release(grantId);
 			if (held !== undefined) {
-				this.#predictor.recordRelease(held.grant.tokens, now);
 				this.#correctCharge(held, now);
 				this.#correctRead(grantId, now);
 			}
