refactor(dispatch): rules and decision log apart from the dispatcher; stand-ins tested

Change: `AdmissionRules` and `DecisionLog` stand alone; `prune` once a second; only time in which something of a length waits counts for its prediction.

--- /dev/null
+++ b/src/node/dispatch/decision-log.ts
@@ -0,0 +1,62 @@
+/** One log line and the metrics for each decision of a dispatcher. */
+import type {
+	BackendServerId, Failure, Logger, Metrics, PoolId,
+} from '../../common/index.js';
+import {countTokens, type AdmitRequest} from './messages.js';
+import type {Placement} from './placement.js';
+
+/** Where decisions are told. */
+export type DecisionLogParts = {
+	pool: PoolId;
+	term: number;
+	logger: Logger;
+	metrics: Metrics;
+};
+
+/** Tells decisions. Prompts never come near it: a dispatcher knows only their lengths and hashes. */
+export class DecisionLog {
+	readonly #parts: DecisionLogParts;
+
+	constructor(parts: DecisionLogParts) {
+		this.#parts = parts;
+	}
+
+	/** A request was given its place after a wait in milliseconds. */
+	logPlacement(request: AdmitRequest, placement: Placement, choice: BackendServerId, more: {waited: number; openCount: number}): void {
+		this.#parts.metrics.recordTiming('queue.wait', more.waited, {pool: this.#parts.pool});
+		if (!this.#parts.logger.isLevelEnabled('info')) {
+			return;
+		}
+
+		this.#parts.logger.info({
+			...describeRequest(request),
+			event: 'placement',
+			term: this.#parts.term,
+			weighed: placement.weighed.map(weighed => ({
+				server: weighed.server.id, freeTokens: weighed.freeTokens, cachedTokens: weighed.cachedTokens, firstToken: Math.round(weighed.firstToken),
+			})),
+			weighedCount: more.openCount,
+			choice,
+			reason: placement.reason,
+			waited: Math.round(more.waited),
+		}, 'request placed');
+	}
+
+	/** A request was refused. */
+	logRefusal(request: AdmitRequest, failure: Failure): void {
+		this.#parts.metrics.incrementCounter('refusals', {pool: this.#parts.pool, kind: failure.kind});
+		this.#parts.logger.info({
+			...describeRequest(request), event: 'refusal', term: this.#parts.term, kind: failure.kind, reason: failure.message,
+		}, 'request refused');
+	}
+}
+
+function describeRequest(request: AdmitRequest): Record<string, unknown> {
+	return {
+		request: request.requestId,
+		organisation: request.organisation,
+		service: request.service,
+		promptTokens: request.promptTokens,
+		tokens: countTokens(request),
+	};
+}
--- a/src/node/dispatch/dispatcher.ts
+++ b/src/node/dispatch/dispatcher.ts
@@ -7,9 +7,10 @@
 import {type Either, Left, Right} from 'purify-ts';
 import {
 	createFailure, type BackendServerId, type Clock, type Failure, type GrantId, type IdSource,
-	type Incarnation, type Logger, type Metrics, type OrganisationId, type PartnerId, type PoolId, type RequestId, type Timer,
+	type Incarnation, type Logger, type Metrics, type PartnerId, type PoolId, type RequestId, type Timer,
 } from '../../common/index.js';
-import type {PolicyContext} from '../../policy/index.js';
+import {AdmissionRules} from './admission-rules.js';
+import {DecisionLog} from './decision-log.js';
 import type {PoolDirectory} from './directory.js';
 import {Ledger, type HeldGrant, type ServerState} from './ledger.js';
 import {
@@ -22,7 +23,6 @@
 	findPriority, isLongPrompt, PrefillBoard, type ExpectedRead,
 } from './prefill-board.js';
 import {PrefixIndex} from './prefix-index.js';
-import {RateLimiter} from './rate-limiter.js';
 import {
 	FairQueue, type Charge, type RequestQueue, type Waiting,
 } from './request-queue.js';
@@ -41,6 +41,9 @@
 /** Waiting requests tried in one look at the queue: one that cannot be placed is behind many that cannot. */
 const mostTried = 64;
 
+/** A predicted wait must pass the bound by this factor: a refusal of what would have fitted is worse than a late answer. */
+const predictionSlack = 1.5;
+
 /** How long a request waits while no backend server takes new work: long enough for one that restarts, in milliseconds. */
 const emptyPoolPatience = 5000;
 
@@ -95,8 +98,8 @@
 	readonly #queue: RequestQueue;
 	readonly #board = new PrefillBoard();
 	readonly #prefixes = new PrefixIndex();
-	readonly #requestRates = new RateLimiter<OrganisationId>();
-	readonly #tokenRates = new RateLimiter<OrganisationId>();
+	readonly #rules: AdmissionRules;
+	readonly #log: DecisionLog;
 	readonly #predictor = new WaitPredictor();
 	readonly #lastHeard = new Map<Incarnation, number>();
 	readonly #charges = new Map<GrantId, Charge>();
@@ -112,6 +115,8 @@
 		this.#parts = parts;
 		this.#placement = parts.placement ?? new FirstTokenPlacement();
 		this.#queue = parts.queue ?? new FairQueue();
+		this.#rules = new AdmissionRules({...parts, ledger: this.ledger, countWaiting: () => this.#queue.size});
+		this.#log = new DecisionLog(parts);
 	}
 
 	/** Number of requests waiting. */
@@ -159,9 +164,9 @@
 	/** Asks for a place; resolves with a grant, or with a failure no later than the request's patience allows. */
 	async admit(request: AdmitRequest): Promise<Either<Failure, Grant>> {
 		const {partner} = this.#parts.directory.findOrganisation(request.organisation);
-		const refusal = this.#closedBy ?? this.#findRefusal(request, partner);
+		const refusal = this.#closedBy ?? (this.#isOpen ? this.#rules.findRefusal(request, partner) : undefined);
 		if (refusal !== undefined) {
-			this.#logRefusal(request, refusal);
+			this.#log.logRefusal(request, refusal);
 			return Left(refusal);
 		}
 
@@ -180,7 +185,7 @@
 
 	/** Takes a waiting request out of the queue: its caller is gone. */
 	withdraw(requestId: RequestId): void {
-		const waiting = this.#queue.remove(requestId);
+		const waiting = this.#leaveQueue(requestId, 0);
 		if (waiting !== undefined) {
 			finishWaiting(waiting, Left(createFailure('caller_gone', 'the request was withdrawn while it waited', {ran: 'no'})));
 			this.#serveQueue();
@@ -223,10 +228,22 @@
 			.map(held => held.grant);
 	}
 
+	/** Forgets what says nothing any more; call once in a while. */
+	prune(): void {
+		this.#queue.prune();
+		this.#rules.prune();
+		const holders = new Set(this.ledger.listGrants().map(held => held.grant.entry));
+		for (const entry of this.#lastHeard.keys()) {
+			if (!holders.has(entry)) {
+				this.#lastHeard.delete(entry);
+			}
+		}
+	}
+
 	#describeWaiting(request: AdmitRequest, partner: PartnerId, timer: Timer, resolve: Waiting['resolve']): Waiting {
 		const {directory} = this.#parts;
 		const policy = directory.findPolicy(partner);
-		const context = this.#describeContext(request);
+		const context = this.#rules.describeContext(request);
 		return {
 			request,
 			partner,
@@ -239,80 +256,16 @@
 		};
 	}
 
-	#describeContext(request: AdmitRequest): PolicyContext {
-		const account = this.ledger.readOrganisation(request.organisation);
-		const now = this.#parts.clock.now();
-		return {
-			request: {
-				promptTokens: request.promptTokens, outputTokens: request.outputTokens, service: request.service, bound: request.patience,
-			},
-			organisation: {name: request.organisation, running: account.running, tokensHeld: account.tokens},
-			pool: {name: this.pool, freeShare: this.ledger.freeShare, waiting: this.#queue.size},
-			now: {hour: now.getUTCHours(), minute: now.getUTCMinutes(), weekday: now.getUTCDay()},
-		};
-	}
-
-	#findRefusal(request: AdmitRequest, partner: PartnerId): Failure | undefined {
-		if (!this.#isOpen) {
-			return undefined;
-		}
-
-		return this.#findPoolRefusal(request) ?? this.#findPolicyRefusal(request, partner) ?? this.#findRateRefusal(request);
-	}
-
-	#findPoolRefusal(request: AdmitRequest): Failure | undefined {
-		const open = this.ledger.listOpen();
-		if (open.length === 0) {
-			return undefined;
-		}
-
-		const tokens = countTokens(request);
-		const largest = Math.max(...open.map(server => server.capacity));
-		if (tokens > largest) {
-			const message = `the request needs ${tokens} tokens of memory and the largest backend server of ${this.pool} holds ${largest}; `
-				+ 'shorten the prompt or lower max_tokens';
-			return createFailure('prompt_too_large', message);
-		}
-
-		return open.every(server => request.excluded.includes(server.id))
-			? createFailure('backend_busy', `every backend server of ${this.pool} has just failed to take this request`)
-			: undefined;
-	}
-
-	#findPolicyRefusal(request: AdmitRequest, partner: PartnerId): Failure | undefined {
-		const policy = this.#parts.directory.findPolicy(partner);
-		const context = this.#describeContext(request);
-		if (!policy.evaluateAdmit(context)) {
-			return createFailure('policy_refused', `the policy of ${partner} does not take this request`);
-		}
-
-		return countTokens(request) > policy.evaluateLimit(context)
-			? createFailure('policy_refused', `the policy of ${partner} lets ${request.organisation} hold fewer tokens than this request needs`)
-			: undefined;
-	}
-
-	#findRateRefusal(request: AdmitRequest): Failure | undefined {
-		const facts = this.#parts.directory.findOrganisation(request.organisation);
-		const now = this.#parts.clock.readMonotonic();
-		const tokenWait = facts.tokensPerMinute === undefined ? 0 : this.#tokenRates.take(request.organisation, countTokens(request), facts.tokensPerMinute, now);
-		const requestWait = facts.requestsPerMinute === undefined || tokenWait > 0
-			? 0
-			: this.#requestRates.take(request.organisation, 1, facts.requestsPerMinute, now);
-		const wait = Math.max(tokenWait, requestWait);
-		return wait === 0
-			? undefined
-			: createFailure('rate_limited', `${request.organisation} sends more ${tokenWait > 0 ? 'tokens' : 'requests'} a minute than it may`, {retryAfterSeconds: Math.ceil(wait / 1000)});
-	}
-
 	#enqueue(waiting: Waiting): void {
 		const refusal = this.#isOpen ? this.#predictOverload(waiting.request) : undefined;
 		if (refusal !== undefined) {
-			this.#logRefusal(waiting.request, refusal);
+			this.#log.logRefusal(waiting.request, refusal);
 			finishWaiting(waiting, Left(refusal));
 			return;
 		}
 
 		this.#queue.add(waiting);
+		this.#predictor.recordWaiting(waiting.request.promptTokens, this.#parts.clock.readMonotonic());
 		this.#reserveForHead();
 		this.#watchEmptyPool();
 	}
@@ -330,7 +283,7 @@
 		}
 
 		const wait = this.#predictor.predictWait(request.promptTokens, ahead, this.#parts.clock.readMonotonic());
-		if (wait === undefined || wait <= request.patience) {
+		if (wait === undefined || wait <= request.patience * predictionSlack) {
 			return undefined;
 		}
 
@@ -361,8 +314,7 @@
 
 				// Most that waits is larger than all that is free: looking at every server for it would hold the loop for milliseconds.
 				if (countTokens(waiting.request) <= largestFree && this.#tryPlace(waiting)) {
-					this.#queue.remove(waiting.request.requestId);
-					this.#predictor.recordServed(waiting.request.promptTokens, countTokens(waiting.request), this.#parts.clock.readMonotonic());
+					this.#leaveQueue(waiting.request.requestId, countTokens(waiting.request));
 					// A placement changes whose turn it is.
 					mustLook = true;
 					break;
@@ -382,13 +334,13 @@
 
 	/** Keeps a place for the first request that found none. */
 	#reserveFor(waiting: Waiting): void {
-		if (this.#reservation === undefined && this.#parts.reservesPlaces !== false && !this.#isOverLimit(waiting)) {
+		if (this.#reservation === undefined && this.#parts.reservesPlaces !== false && !this.#rules.isOverLimit(waiting.request, waiting.partner)) {
 			this.#reservation = reservePlace(waiting.request, this.ledger, this.#parts.clock.readMonotonic());
 		}
 	}
 
 	#tryPlace(waiting: Waiting): boolean {
-		if (this.#isOverLimit(waiting)) {
+		if (this.#rules.isOverLimit(waiting.request, waiting.partner)) {
 			return false;
 		}
 
@@ -404,13 +356,6 @@
 		return true;
 	}
 
-	/** Whether the organisation holds as much as its partner's policy lets it. */
-	#isOverLimit(waiting: Waiting): boolean {
-		const policy = this.#parts.directory.findPolicy(waiting.partner);
-		const limit = policy.evaluateLimit(this.#describeContext(waiting.request));
-		return this.ledger.readOrganisation(waiting.request.organisation).tokens + countTokens(waiting.request) > limit;
-	}
-
 	#grant(waiting: Waiting, placement: Placement, choice: WeighedServer): void {
 		const {request} = waiting;
 		const {server, cachedTokens} = choice;
@@ -425,7 +370,7 @@
 		this.#prefixes.recordSent(server.id, request.promptTokens, request.prefixes.hashes);
 		this.#charges.set(grant.grantId, this.#queue.charge(waiting, computeCost(grant.tokens, grant.expectedHold)));
 		this.#lastHeard.set(request.entry, now);
-		this.#logPlacement(waiting, placement, server.id, now);
+		this.#log.logPlacement(request, placement, server.id, {waited: now - waiting.since, openCount: this.ledger.listOpen().length});
 		finishWaiting(waiting, Right(grant));
 	}
 
@@ -476,17 +421,27 @@
 	}
 
 	#giveUp(requestId: RequestId): void {
-		const waiting = this.#queue.remove(requestId);
+		const waiting = this.#leaveQueue(requestId, 0);
 		if (waiting === undefined) {
 			return;
 		}
 
 		const failure = createFailure('bound_passed_waiting', 'the time bound passed while the request waited for memory');
-		this.#logRefusal(waiting.request, failure);
+		this.#log.logRefusal(waiting.request, failure);
 		finishWaiting(waiting, Left(failure));
 		this.#serveQueue();
 	}
 
+	/** Takes a request out of the queue; `servedTokens` are 0 unless it has been given its place. */
+	#leaveQueue(requestId: RequestId, servedTokens: number): Waiting | undefined {
+		const waiting = this.#queue.remove(requestId);
+		if (waiting !== undefined) {
+			this.#predictor.recordDone(waiting.request.promptTokens, servedTokens, this.#parts.clock.readMonotonic());
+		}
+
+		return waiting;
+	}
+
 	/** Gives up at once on what waits once no backend server has been open for a while: the caller can come back, but must know. */
 	#watchEmptyPool(): void {
 		if (!this.#isOpen || this.ledger.listOpen().length > 0 || this.#emptyTimer !== undefined) {
@@ -501,39 +456,12 @@
 
 			const failure = createFailure('no_backend_server', `no backend server of ${this.pool} takes new work`);
 			for (const waiting of this.#queue.removeAll()) {
-				this.#logRefusal(waiting.request, failure);
+				this.#predictor.recordDone(waiting.request.promptTokens, 0, this.#parts.clock.readMonotonic());
+				this.#log.logRefusal(waiting.request, failure);
 				finishWaiting(waiting, Left(failure));
 			}
 		});
 	}
-
-	#logPlacement(waiting: Waiting, placement: Placement, choice: BackendServerId, now: number): void {
-		const waited = now - waiting.since;
-		this.#parts.metrics.recordTiming('queue.wait', waited, {pool: this.pool});
-		if (!this.#parts.logger.isLevelEnabled('info')) {
-			return;
-		}
-
-		this.#parts.logger.info({
-			...describeRequest(waiting.request),
-			event: 'placement',
-			term: this.term,
-			weighed: placement.weighed.map(weighed => ({
-				server: weighed.server.id, freeTokens: weighed.freeTokens, cachedTokens: weighed.cachedTokens, firstToken: Math.round(weighed.firstToken),
-			})),
-			weighedCount: this.ledger.listOpen().length,
-			choice,
-			reason: placement.reason,
-			waited: Math.round(waited),
-		}, 'request placed');
-	}
-
-	#logRefusal(request: AdmitRequest, failure: Failure): void {
-		this.#parts.metrics.incrementCounter('refusals', {pool: this.pool, kind: failure.kind});
-		this.#parts.logger.info({
-			...describeRequest(request), event: 'refusal', term: this.term, kind: failure.kind, reason: failure.message,
-		}, 'request refused');
-	}
 }
 
 function finishWaiting(waiting: Waiting, result: Either<Failure, Grant>): void {
@@ -545,13 +473,3 @@
 function computeCost(tokens: number, milliseconds: number): number {
 	return tokens * milliseconds / 1000;
 }
-
-function describeRequest(request: AdmitRequest): Record<string, unknown> {
-	return {
-		request: request.requestId,
-		organisation: request.organisation,
-		service: request.service,
-		promptTokens: request.promptTokens,
-		tokens: countTokens(request),
-	};
-}
--- a/src/node/dispatch/index.ts
+++ b/src/node/dispatch/index.ts
@@ -1,3 +1,5 @@
+export * from './admission-rules.js';
+export * from './decision-log.js';
 export * from './directory.js';
 export * from './dispatcher.js';
 export * from './fair-clock.js';
--- a/src/node/dispatch/request-queue.ts
+++ b/src/node/dispatch/request-queue.ts
@@ -75,6 +75,9 @@
 		return all;
 	}
 
+	/** Forgets flows that are idle and paid for. */
+	abstract prune(): void;
+
 	/** The waiting requests, the one to serve next first. Not to be changed while it is read. */
 	abstract listInOrder(): Iterable<Waiting>;
 
@@ -100,6 +103,10 @@
 		// Nothing was charged.
 	}
 
+	override prune(): void {
+		// There are no flows.
+	}
+
 	override listInOrder(): Iterable<Waiting> {
 		return this.list;
 	}
@@ -163,8 +170,7 @@
 		this.#findPartner(charge.partner).clock.correct(charge.organisation, cost - charge.cost, charge.weight);
 	}
 
-	/** Forgets organisations that are idle and paid for. */
-	prune(): void {
+	override prune(): void {
 		for (const partner of this.#partners.values()) {
 			partner.clock.prune();
 		}
--- a/src/node/dispatch/wait-predictor.ts
+++ b/src/node/dispatch/wait-predictor.ts
@@ -2,7 +2,8 @@
  * Predicts how long a request will wait, from how fast requests of its length have been served. Pure.
  *
  * Kept by engine priority: under overload short requests keep passing long ones, so
- * the memory that comes back says nothing of what a long one will get of it.
+ * the memory that comes back says nothing of what a long one will get of it. Only
+ * time in which something of the length waits counts: a quiet hour is no slow service.
  */
 import {findPriority} from './prefill-board.js';
 
@@ -17,17 +18,37 @@
 	rate: number | undefined;
 	tokens: number;
 	since: number;
+	/** Requests of the length that wait. */
+	waiting: number;
 };
 
 /** Follows the rates at which waiting requests are given places. */
 export class WaitPredictor {
 	readonly #rates = new Map<number, ServedRate>();
 
-	/** Notes that a request that had waited was given its place, at a monotonic time in milliseconds. */
-	recordServed(promptTokens: number, tokens: number, now: number): void {
+	/** Notes that a request begins to wait, at a monotonic time in milliseconds. */
+	recordWaiting(promptTokens: number, now: number): void {
 		const priority = findPriority(promptTokens);
-		const served = this.#rates.get(priority) ?? {rate: undefined, tokens: 0, since: now};
+		const served = this.#rates.get(priority) ?? {
+			rate: undefined, tokens: 0, since: now, waiting: 0,
+		};
 		this.#rates.set(priority, served);
+		if (served.waiting === 0) {
+			served.tokens = 0;
+			served.since = now;
+		}
+
+		served.waiting++;
+	}
+
+	/** Notes that a request waits no more. Tokens: of one that was given its place, 0 of one that left. */
+	recordDone(promptTokens: number, tokens: number, now: number): void {
+		const served = this.#rates.get(findPriority(promptTokens));
+		if (served === undefined) {
+			return;
+		}
+
+		served.waiting--;
 		served.tokens += tokens;
 		const elapsed = now - served.since;
 		if (elapsed < interval) {
@@ -43,7 +64,7 @@
 	/** Milliseconds until this many tokens of waiting requests of a length have been served; `undefined` while nothing is known. */
 	predictWait(promptTokens: number, tokens: number, now: number): number | undefined {
 		const served = this.#rates.get(findPriority(promptTokens));
-		if (served?.rate === undefined) {
+		if (served?.rate === undefined || served.waiting === 0) {
 			return undefined;
 		}
 
--- a/src/node/membership/reconciler.ts
+++ b/src/node/membership/reconciler.ts
@@ -68,6 +68,7 @@
 		const service = dispatcher.pool.split('@', 1)[0] as ServiceName;
 		const isEngine = this.#parts.view.find('Service', service)?.type === 'engine';
 		await this.#settleDisagreements(dispatcher);
+		dispatcher.prune();
 		for (const grant of dispatcher.listOrphans()) {
 			void this.#reclaimOrphan(dispatcher, grant, isEngine);
 		}
--- a/test/keep-answers-whole.test.ts
+++ b/test/keep-answers-whole.test.ts
@@ -191,3 +191,15 @@
 	expect(readError(answer)).toMatchObject({code: 'no_backend_server', ran: 'no'});
 	expect(fleet.clock.readMonotonic() - start).toBeLessThanOrEqual(5100);
 });
+
+test('an answer that comes late reaches nobody, also not the next on the same connection', async () => {
+	fleet.engines[0].faults = {hang: true};
+	const late = await stream({}, {'x-time-bound-ms': '500'});
+	expect(readError(late).code).toBe('bound_passed_running');
+	fleet.engines[0].faults = {};
+	await fleet.pass(300);
+	const next = await stream({max_tokens: 2});
+	expect(joinStream(next.text)).toBe('t1 t2 ');
+	expect(new Set(listStream(next.text).map(chunk => chunk.id)).size).toBe(1);
+	expect(listStream(next.text)[0].id).not.toContain(fleet.engines[0].cancelled[0]);
+});
--- /dev/null
+++ b/test/predict-waits.test.ts
@@ -0,0 +1,54 @@
+import {expect, test} from '@jest/globals';
+import {WaitPredictor} from '../src/node/dispatch/index.js';
+
+const short = 2000;
+const long = 200_000;
+
+/** Serves one request of a length every second for ten seconds, while another waits; returns the time after it. */
+function serve(predictor: WaitPredictor, promptTokens: number, tokens: number, from: number): number {
+	for (let second = 0; second < 10; second++) {
+		const start = from + (second * 1000);
+		predictor.recordWaiting(promptTokens, start);
+		predictor.recordWaiting(promptTokens, start);
+		predictor.recordDone(promptTokens, tokens, start + 1000);
+		predictor.recordDone(promptTokens, 0, start + 1000);
+	}
+
+	return from + 10_000;
+}
+
+test('nothing is predicted before anything of the length has been served', () => {
+	const predictor = new WaitPredictor();
+	predictor.recordWaiting(long, 0);
+	expect(predictor.predictWait(long, 500_000, 1000)).toBeUndefined();
+});
+
+test('a wait is what is ahead over the rate at which its length is served', () => {
+	const predictor = new WaitPredictor();
+	const now = serve(predictor, long, 200_000, 0);
+	predictor.recordWaiting(long, now);
+	expect(predictor.predictWait(long, 600_000, now)).toBe(3000);
+});
+
+test('short requests that pass say nothing of long ones', () => {
+	const predictor = new WaitPredictor();
+	const now = serve(predictor, short, 2000, serve(predictor, long, 200_000, 0));
+	predictor.recordWaiting(long, now);
+	predictor.recordWaiting(short, now);
+	expect(predictor.predictWait(long, 600_000, now)).toBe(3000);
+	expect(predictor.predictWait(short, 6000, now)).toBe(3000);
+});
+
+test('time in which nothing waits is no slow service', () => {
+	const predictor = new WaitPredictor();
+	const now = serve(predictor, long, 200_000, 0) + 3_600_000;
+	predictor.recordWaiting(long, now);
+	expect(predictor.predictWait(long, 600_000, now)).toBe(3000);
+});
+
+test('while a length that waits is not served at all, its prediction grows', () => {
+	const predictor = new WaitPredictor();
+	const now = serve(predictor, long, 200_000, 0);
+	predictor.recordWaiting(long, now);
+	expect(predictor.predictWait(long, 600_000, now + 10_000)).toBe(30_000);
+});
