fix(config): a node's own write no longer lets it skip the changes of others

Cause: found while reading: the answer of a write of the node's own raised the revision in force past changes of others that its watch had not yet delivered. A watch that broke in that moment went on from the raised revision, and those changes were never seen by this node. A list made before such a write undid it until the watch caught up.

Change: only lists and watch events raise the revision; what the node has written itself is kept when an older list comes.

--- a/src/node/config/fleet-view.ts
+++ b/src/node/config/fleet-view.ts
@@ -44,11 +44,13 @@
 
 		const kinds = new Set<ObjectKind>([...this.#stores.keys(), ...list.objects.map(object => object.kind)]);
 		this.#deleted.clear();
+		// What this node has written since the list was made is newer than the list.
+		const newer = [...this.#stores.values()].flatMap(store => [...store.list()].filter(object => object.metadata.resourceVersion > list.resourceVersion));
 		for (const store of this.#stores.values()) {
 			store.clear();
 		}
 
-		for (const object of list.objects) {
+		for (const object of [...list.objects, ...newer]) {
 			this.#findStore(object.kind).put(object);
 		}
 
@@ -56,26 +58,20 @@
 		this.#notify(kinds);
 	}
 
-	/** Applies one change seen by the watch, or the answer of a write of this node's own. */
+	/** Applies one change seen by the watch. */
 	applyEvent(event: WatchEvent): void {
-		const {object} = event;
-		const {name, resourceVersion} = object.metadata;
-		const key = `${object.kind}/${name}`;
-		const known = this.#findStore(object.kind).findVersion(name) ?? this.#deleted.get(key) ?? 0;
-		if (resourceVersion <= known) {
-			return;
-		}
-
-		if (event.type === 'DELETED') {
-			this.#findStore(object.kind).remove(name);
-			this.#deleted.set(key, resourceVersion);
-		} else {
-			this.#findStore(object.kind).put(object);
-			this.#deleted.delete(key);
-		}
+		this.#apply(event);
+		this.#revision = Math.max(this.#revision, event.object.metadata.resourceVersion);
+	}
 
-		this.#revision = Math.max(this.#revision, resourceVersion);
-		this.#notify([object.kind]);
+	/**
+	 * Applies the answer of a write or read of this node's own.
+	 *
+	 * The revision stays: changes by others between it and this one may still be on
+	 * their way, and a watch that breaks now must go on from before them.
+	 */
+	applyStored(object: PlatformObject): void {
+		this.#apply({type: 'MODIFIED', object});
 	}
 
 	/** Finds an object by kind and name. */
@@ -108,6 +104,26 @@
 			.map(service => formatPoolId(service.name as ServiceName, region));
 	}
 
+	#apply(event: WatchEvent): void {
+		const {object} = event;
+		const {name, resourceVersion} = object.metadata;
+		const key = `${object.kind}/${name}`;
+		const known = this.#findStore(object.kind).findVersion(name) ?? this.#deleted.get(key) ?? 0;
+		if (resourceVersion <= known) {
+			return;
+		}
+
+		if (event.type === 'DELETED') {
+			this.#findStore(object.kind).remove(name);
+			this.#deleted.set(key, resourceVersion);
+		} else {
+			this.#findStore(object.kind).put(object);
+			this.#deleted.delete(key);
+		}
+
+		this.#notify([object.kind]);
+	}
+
 	#findStore(kind: ObjectKind): KindStore {
 		const store = this.#stores.get(kind) ?? new PlainStore();
 		this.#stores.set(kind, store);
--- a/src/node/membership/index.ts
+++ b/src/node/membership/index.ts
@@ -4,3 +4,4 @@
 export * from './pool-host.js';
 export * from './reconciler.js';
 export * from './registration.js';
+export * from './view-directory.js';
--- a/src/node/membership/pool-host.ts
+++ b/src/node/membership/pool-host.ts
@@ -174,7 +174,7 @@
 		const spec = {holder: holder.box, incarnation: holder.incarnation, term: (record?.term ?? 0) + 1};
 		const written = await this.#parts.platform.writeObject({kind: 'DispatcherTerm', metadata: {name: pool}, spec}, record?.version ?? 0);
 		if (written.isRight()) {
-			this.#parts.view.applyEvent({type: 'MODIFIED', object: written.extract()});
+			this.#parts.view.applyStored(written.extract());
 			return true;
 		}
 
@@ -185,7 +185,7 @@
 			return false;
 		}
 
-		this.#parts.view.applyEvent({type: 'MODIFIED', object: stored});
+		this.#parts.view.applyStored(stored);
 		return stored.spec.incarnation === holder.incarnation;
 	}
 
--- a/src/node/membership/registration.ts
+++ b/src/node/membership/registration.ts
@@ -53,7 +53,7 @@
 				return false;
 			},
 			Right: stored => {
-				this.#view.applyEvent({type: 'MODIFIED', object: stored});
+				this.#view.applyStored(stored);
 				return true;
 			},
 		});
