feat(membership): the next node stands in for a dead dispatcher while the platform is down

Cause: a pool whose dispatcher died during an outage of the platform got no grants until the platform was back: its requests waited for their bounds.

Change: the next node in rendezvous order decides without a term, granting only; entries that find no dispatcher at the holder ask it; it yields to a term or to the holder's return, and what waits with it asks again. It cancels nothing that it does not know.

Ruled out: letting it cancel unclaimed work too; a holder that is only cut off would lose its requests to it.

--- a/src/node/dispatch/dispatcher.ts
+++ b/src/node/dispatch/dispatcher.ts
@@ -51,6 +51,12 @@
 export type DispatcherParts = {
 	pool: PoolId;
 	term: number;
+	/**
+	 * Whether it stands in for a holder without a term of its own.
+	 *
+	 * @default false
+	 */
+	isProvisional?: boolean;
 	clock: Clock;
 	ids: IdSource;
 	logger: Logger;
@@ -92,6 +98,8 @@
 export class Dispatcher {
 	readonly pool: PoolId;
 	readonly term: number;
+	/** Whether it decides without a term; it must not cancel what it does not know. */
+	readonly isProvisional: boolean;
 	readonly ledger = new Ledger();
 	readonly #parts: DispatcherParts;
 	readonly #placement: PlacementPolicy;
@@ -112,6 +120,7 @@
 	constructor(parts: DispatcherParts) {
 		this.pool = parts.pool;
 		this.term = parts.term;
+		this.isProvisional = parts.isProvisional ?? false;
 		this.#parts = parts;
 		this.#placement = parts.placement ?? new FirstTokenPlacement();
 		this.#queue = parts.queue ?? new FairQueue();
--- a/src/node/membership/gateway.ts
+++ b/src/node/membership/gateway.ts
@@ -43,15 +43,11 @@
 
 	override async admit(pool: PoolId, request: AdmitRequest, signal: AbortSignal): Promise<Either<Failure, Grant>> {
 		const holder = this.#findHolder(pool);
-		if (holder === undefined) {
-			return Left(createNoDispatcher(pool));
-		}
-
-		if (holder === this.#parts.self) {
-			return this.admitHere(pool, request, signal);
-		}
-
-		return this.#admitThere(holder, pool, request, signal);
+		const result = holder === undefined ? Left(createNoDispatcher(pool)) : await this.#admitAt(holder, pool, request, signal);
+		const isGone = result.caseOf({Left: failure => failure.kind === 'no_dispatcher', Right: () => false});
+		// The platform may be down and the holder dead: then the next node stands in.
+		const standIn = isGone && !signal.aborted ? this.#parts.host.findStandIn(pool, holder) : undefined;
+		return standIn === undefined ? result : this.#admitAt(standIn.incarnation, pool, request, signal);
 	}
 
 	/** Asks the dispatcher on this node; a withdrawn request leaves the queue. */
@@ -80,17 +76,14 @@
 
 	override async sendHeartbeat(heartbeat: Heartbeat): Promise<Either<Failure, true>> {
 		const holder = this.#findHolder(heartbeat.pool);
-		if (holder === undefined) {
-			return Left(createNoDispatcher(heartbeat.pool));
+		if (holder !== undefined && await this.#deliver(holder, heartbeat)) {
+			return Right(true as const);
 		}
 
-		if (holder === this.#parts.self) {
-			return this.acceptHeartbeat(heartbeat) ? Right(true as const) : Left(createNoDispatcher(heartbeat.pool));
-		}
-
-		const answer = await this.#parts.clients.ask(readIncarnationUrl(holder), heartbeatTimeout, async (client, signal) =>
-			client.acceptHeartbeat.mutate(heartbeat, {signal}));
-		return answer?.isDispatcher ? Right(true as const) : Left(createNoDispatcher(heartbeat.pool));
+		const standIn = this.#parts.host.findStandIn(heartbeat.pool, holder);
+		return standIn !== undefined && await this.#deliver(standIn.incarnation, heartbeat)
+			? Right(true as const)
+			: Left(createNoDispatcher(heartbeat.pool));
 	}
 
 	/** Takes a heartbeat for a dispatcher on this node; false when there is none. */
@@ -107,6 +100,12 @@
 		return true;
 	}
 
+	async #admitAt(holder: Incarnation, pool: PoolId, request: AdmitRequest, signal: AbortSignal): Promise<Either<Failure, Grant>> {
+		return holder === this.#parts.self
+			? this.admitHere(pool, request, signal)
+			: this.#admitThere(holder, pool, request, signal);
+	}
+
 	async #admitThere(holder: Incarnation, pool: PoolId, request: AdmitRequest, signal: AbortSignal): Promise<Either<Failure, Grant>> {
 		const url = readIncarnationUrl(holder);
 		const termChanged = this.#termChanged.signal;
@@ -119,6 +118,17 @@
 		return 'grant' in answer ? Right(answer.grant) : Left(answer.failure);
 	}
 
+	/** Delivers a heartbeat to a node; false when it does not decide for the pool or does not answer. */
+	async #deliver(holder: Incarnation, heartbeat: Heartbeat): Promise<boolean> {
+		if (holder === this.#parts.self) {
+			return this.acceptHeartbeat(heartbeat);
+		}
+
+		const answer = await this.#parts.clients.ask(readIncarnationUrl(holder), heartbeatTimeout, async (client, signal) =>
+			client.acceptHeartbeat.mutate(heartbeat, {signal}));
+		return answer?.isDispatcher === true;
+	}
+
 	#findHolder(pool: PoolId): Incarnation | undefined {
 		return this.#parts.view.find('DispatcherTerm', pool)?.incarnation as Incarnation | undefined;
 	}
--- a/src/node/membership/pool-host.ts
+++ b/src/node/membership/pool-host.ts
@@ -8,7 +8,7 @@
 import {
 	Child, createFailure, orderByRendezvous, waitFor, type BoxId, type Clock, type IdSource, type Incarnation, type Logger, type Metrics, type PoolId, type ServiceName,
 } from '../../common/index.js';
-import type {Platform} from '../../platform/index.js';
+import type {Platform, PlatformObject} from '../../platform/index.js';
 import type {NodeClients} from '../../rpc/index.js';
 import type {Entry, FleetView} from '../config/index.js';
 import {
@@ -37,6 +37,9 @@
 /** Time allowed for nodes to say which grants they hold, in milliseconds. */
 const fillTimeout = 500;
 
+/** What became of a write of a term. */
+type TermWrite = 'stored' | 'refused' | 'unreachable';
+
 /** Pause after a takeover that failed, in milliseconds. */
 const takeoverPause = 500;
 
@@ -72,6 +75,11 @@
 		return this.#dispatchers.get(pool);
 	}
 
+	/** The node that stands in for a pool's holder while the platform cannot be reached. */
+	findStandIn(pool: PoolId, holder: Incarnation | undefined): Member | undefined {
+		return this.#listCandidates(pool).find(member => member.incarnation !== holder);
+	}
+
 	/** Lists the dispatchers that run here. */
 	listDispatchers(): Dispatcher[] {
 		return [...this.#dispatchers.values()];
@@ -129,7 +137,7 @@
 				return;
 			}
 
-			if (await this.#writeTerm(dispatcher.pool, next, record)) {
+			if (await this.#writeTerm(dispatcher.pool, next, record) === 'stored') {
 				this.#parts.logger.info({event: 'term_handed_over', pool: dispatcher.pool, to: next.box}, 'handed a pool over');
 			}
 		}));
@@ -146,7 +154,7 @@
 	}
 
 	#orderCandidates(pool: PoolId): Member[] {
-		const ready = this.#parts.members.listReady().filter(member => member.region === this.#parts.self.region);
+		const ready = this.#parts.members.listReady().filter(member => member.region === pool.split('@')[1]);
 		return orderByRendezvous(pool, ready, member => member.box);
 	}
 
@@ -158,45 +166,78 @@
 		}
 
 		const holderIsReady = record !== undefined && this.#parts.members.isReady(record.incarnation as Incarnation);
+		if (holderIsReady) {
+			this.#endProvisional(pool);
+			return;
+		}
+
 		const [first] = this.#listCandidates(pool) as [Member | undefined];
 		const now = this.#parts.clock.readMonotonic();
-		if (holderIsReady || first?.incarnation !== this.#parts.self.incarnation || now < (this.#pausedUntil.get(pool) ?? 0)) {
+		if (first?.incarnation !== this.#parts.self.incarnation || now < (this.#pausedUntil.get(pool) ?? 0)) {
 			return;
 		}
 
-		if (!await this.#writeTerm(pool, first, record)) {
-			this.#pausedUntil.set(pool, now + takeoverPause);
+		const written = await this.#writeTerm(pool, first, record);
+		if (written === 'stored') {
+			return;
+		}
+
+		this.#pausedUntil.set(pool, now + takeoverPause);
+		if (written === 'unreachable') {
+			await this.#startProvisional(pool, record?.term ?? 0);
 		}
 	}
 
-	/** Writes a term for a holder; true when it is known to be stored. */
-	async #writeTerm(pool: PoolId, holder: Member, record: Entry<'DispatcherTerm'> | undefined): Promise<boolean> {
+	/** Writes a term for a holder, and finds out whether it is stored. */
+	async #writeTerm(pool: PoolId, holder: Member, record: Entry<'DispatcherTerm'> | undefined): Promise<TermWrite> {
 		const spec = {holder: holder.box, incarnation: holder.incarnation, term: (record?.term ?? 0) + 1};
 		const written = await this.#parts.platform.writeObject({kind: 'DispatcherTerm', metadata: {name: pool}, spec}, record?.version ?? 0);
 		if (written.isRight()) {
 			this.#parts.view.applyStored(written.extract());
-			return true;
+			return 'stored';
 		}
 
 		// The write may have taken effect although its reply was lost: the stored record tells.
 		const read = await this.#parts.platform.readObject('DispatcherTerm', pool);
-		const stored = read.isRight() ? read.extract() : undefined;
+		if (read.isLeft()) {
+			return 'unreachable';
+		}
+
+		const stored = read.extract() as PlatformObject | undefined;
 		if (stored?.kind !== 'DispatcherTerm') {
-			return false;
+			return 'refused';
 		}
 
 		this.#parts.view.applyStored(stored);
-		return stored.spec.incarnation === holder.incarnation;
+		return stored.spec.incarnation === holder.incarnation ? 'stored' : 'refused';
 	}
 
 	async #startDispatcher(pool: PoolId, record: Entry<'DispatcherTerm'>): Promise<void> {
-		if (this.#dispatchers.get(pool)?.term === record.term) {
+		const present = this.#dispatchers.get(pool);
+		if (present?.term === record.term && !present.isProvisional) {
 			return;
 		}
 
+		present?.close(createFailure('no_dispatcher', `a term of ${pool} has begun`));
+		await this.#runDispatcher(pool, record.term, false);
+	}
+
+	/**
+	 * Decides for a pool without a term while the platform cannot be reached and the
+	 * holder is gone. It only grants: it cancels nothing that it does not know, since
+	 * the holder may live where this node cannot see it.
+	 */
+	async #startProvisional(pool: PoolId, term: number): Promise<void> {
+		if (!this.#dispatchers.has(pool)) {
+			await this.#runDispatcher(pool, term, true);
+		}
+	}
+
+	async #runDispatcher(pool: PoolId, term: number, isProvisional: boolean): Promise<void> {
 		const dispatcher = new Dispatcher({
 			pool,
-			term: record.term,
+			term,
+			isProvisional,
 			clock: this.#parts.clock,
 			ids: this.#parts.ids,
 			logger: this.#parts.logger,
@@ -209,7 +250,7 @@
 		dispatcher.adoptGrants(grants);
 		dispatcher.open();
 		this.#parts.logger.info({
-			event: 'term_started', pool, term: record.term, adopted: grants.length,
+			event: 'term_started', pool, term, isProvisional, adopted: grants.length,
 		}, 'this node decides for a pool');
 	}
 
@@ -243,12 +284,22 @@
 		for (const [pool, dispatcher] of this.#dispatchers) {
 			const record = this.#parts.view.find('DispatcherTerm', pool);
 			if (record !== undefined && record.term > dispatcher.term && record.incarnation !== this.#parts.self.incarnation) {
-				this.#dispatchers.delete(pool);
-				dispatcher.close(createFailure('no_dispatcher', `term ${dispatcher.term} of ${pool} has ended`));
-				this.#parts.logger.info({
-					event: 'term_ended', pool, term: dispatcher.term, holder: record.holder,
-				}, 'another node decides for a pool');
+				this.#endDispatcher(dispatcher);
 			}
 		}
 	}
+
+	/** The holder of the term is back: a node that stood in for it yields. */
+	#endProvisional(pool: PoolId): void {
+		const dispatcher = this.#dispatchers.get(pool);
+		if (dispatcher?.isProvisional) {
+			this.#endDispatcher(dispatcher);
+		}
+	}
+
+	#endDispatcher(dispatcher: Dispatcher): void {
+		this.#dispatchers.delete(dispatcher.pool);
+		dispatcher.close(createFailure('no_dispatcher', `term ${dispatcher.term} of ${dispatcher.pool} has ended`));
+		this.#parts.logger.info({event: 'term_ended', pool: dispatcher.pool, term: dispatcher.term}, 'another node decides for a pool');
+	}
 }
--- a/src/node/membership/reconciler.ts
+++ b/src/node/membership/reconciler.ts
@@ -116,7 +116,7 @@
 		this.#missed.delete(server.id);
 		this.#parts.host.noteServer(server.id, true);
 		const claimed = new Set(dispatcher.ledger.listGrants().map(held => held.grant.requestId));
-		for (const requestId of running.extract() as RequestId[]) {
+		for (const requestId of dispatcher.isProvisional ? [] : running.extract() as RequestId[]) {
 			this.#judgeRunning(requestId, claimed.has(requestId), server.url);
 		}
 	}
--- a/test/stop-and-crash.test.ts
+++ b/test/stop-and-crash.test.ts
@@ -197,3 +197,28 @@
 	const answer = await fleet.settle(running);
 	expect(joinStream(answer.text)).toBe(countWords(300));
 });
+
+test('when the dispatcher dies while the platform is down, the next node stands in and yields when a term can be written', async () => {
+	const dispatcher = fleet.findDispatcherNode();
+	const others = fleet.nodes.filter((_, index) => index !== dispatcher);
+	const running = chat(others[0].callerUrl, {stream: true, max_tokens: 600});
+	await fleet.until(() => countHeld() > 0);
+	fleet.platform.faults = {down: true};
+	fleet.platform.cutWatches();
+	await fleet.pass(1000);
+	const start = fleet.clock.readMonotonic();
+	await fleet.killNode(fleet.nodes[dispatcher]);
+	const answers = await fleet.settle(Promise.all(others.map(async node => chat(node.callerUrl, {max_tokens: 1}))));
+	expect(answers.map(answer => answer.status)).toEqual([200, 200]);
+	expect(fleet.clock.readMonotonic() - start).toBeLessThan(4000);
+
+	fleet.platform.faults = {};
+	const readTerm = () => others[0].view.find('DispatcherTerm', `${standinFleet.service}@${standinFleet.region}`);
+	const before = readTerm()!.term;
+	await fleet.until(() => others.every(node => node.readStatus().isPlatformReachable) && readTerm()!.term === before + 1);
+	const later = await fleet.settle(Promise.all(others.map(async node => chat(node.callerUrl, {max_tokens: 1}))));
+	expect(later.map(answer => answer.status)).toEqual([200, 200]);
+	const whole = await fleet.settle(running);
+	expect(joinStream(whole.text)).toBe(countWords(600));
+	await fleet.until(() => countHeld() === 0 && others.every(node => node.readStatus().pools.every(pool => pool.grants === 0)));
+}, 30_000);
