fix(entry): a late grant is asked for again, and each ask has a time of its own

Asking the stand-in within the same call made its grant count from the first ask, seconds earlier, so it came "too late"; each such grant also took a retry from the budget and struck its engine off.

Change: holder and stand-in are asked in turn by the grant client, each ask with its own start; a grant past its life is given back and asked for again without a retry.

The new test fails when late grants are accepted.

--- a/src/node/entry/grant-client.ts
+++ b/src/node/entry/grant-client.ts
@@ -6,10 +6,21 @@
 import type {AdmitRequest, Grant, Heartbeat} from '../dispatch/index.js';
 import type {CallerRequest} from './caller-request.js';
 
+/** Whom to ask about a pool. */
+export type AskedNode = {
+	pool: PoolId;
+	/** Ask the node that stands in for the holder, in case the holder is dead and the platform down. */
+	isStandIn: boolean;
+};
+
 /** The dispatchers as an entry reaches them, wherever they run. */
 export abstract class DispatcherGateway {
-	/** Asks the pool's dispatcher. Fails with `no_dispatcher` when there is none or it cannot be reached; nothing ran then. */
-	abstract admit(pool: PoolId, request: AdmitRequest, signal: AbortSignal): Promise<Either<Failure, Grant>>;
+	/**
+	 * Asks the pool's dispatcher, or the node that would stand in for it.
+	 *
+	 * Fails with `no_dispatcher` when that one does not decide or cannot be reached; nothing ran then.
+	 */
+	abstract admit(request: AdmitRequest, asked: AskedNode, signal: AbortSignal): Promise<Either<Failure, Grant>>;
 
 	/** Delivers a heartbeat. */
 	abstract sendHeartbeat(heartbeat: Heartbeat): Promise<Either<Failure, true>>;
@@ -57,11 +68,18 @@
 	/** Asks until a dispatcher answers, the request's deadline has passed, or the signal is aborted. */
 	async obtain(request: CallerRequest, attemptId: RequestId, excluded: BackendServerId[], signal: AbortSignal): Promise<Either<Failure, HeldGrant>> {
 		let failure = createFailure('no_dispatcher', `no node decides for ${request.pool} at present`);
-		while (!signal.aborted) {
+		// Each ask has a time of its own: a grant's life counts from before the ask that brought it.
+		for (let isStandIn = false; !signal.aborted; isStandIn = !isStandIn) {
 			const asked = this.#clock.readMonotonic();
-			const result = await this.#gateway.admit(request.pool, this.#describe(request, attemptId, excluded, asked), signal);
+			const result = await this.#gateway.admit(this.#describe(request, attemptId, excluded, asked), {pool: request.pool, isStandIn}, signal);
 			if (result.isRight()) {
-				return Right(this.#take(result.extract(), asked));
+				const held = this.#take(result.extract(), asked);
+				if (this.#clock.readMonotonic() <= held.usableUntil) {
+					return Right(held);
+				}
+
+				this.release(held.grant);
+				continue;
 			}
 
 			failure = result.extract() as Failure;
--- a/src/node/membership/gateway.ts
+++ b/src/node/membership/gateway.ts
@@ -6,7 +6,7 @@
 import type {NodeClients} from '../../rpc/index.js';
 import type {FleetView} from '../config/index.js';
 import type {AdmitRequest, Grant, Heartbeat} from '../dispatch/index.js';
-import {DispatcherGateway} from '../entry/index.js';
+import {DispatcherGateway, type AskedNode} from '../entry/index.js';
 import type {PoolHost} from './pool-host.js';
 import type {Reconciler} from './reconciler.js';
 
@@ -41,13 +41,16 @@
 		});
 	}
 
-	override async admit(pool: PoolId, request: AdmitRequest, signal: AbortSignal): Promise<Either<Failure, Grant>> {
+	override async admit(request: AdmitRequest, {pool, isStandIn}: AskedNode, signal: AbortSignal): Promise<Either<Failure, Grant>> {
 		const holder = this.#findHolder(pool);
-		const result = holder === undefined ? Left(createNoDispatcher(pool)) : await this.#admitAt(holder, pool, request, signal);
-		const isGone = result.caseOf({Left: failure => failure.kind === 'no_dispatcher', Right: () => false});
-		// The platform may be down and the holder dead: then the next node stands in.
-		const standIn = isGone && !signal.aborted ? this.#parts.host.findStandIn(pool, holder) : undefined;
-		return standIn === undefined ? result : this.#admitAt(standIn.incarnation, pool, request, signal);
+		const asked = isStandIn ? this.#parts.host.findStandIn(pool, holder)?.incarnation : holder;
+		if (asked === undefined) {
+			return Left(createNoDispatcher(pool));
+		}
+
+		return asked === this.#parts.self
+			? this.admitHere(pool, request, signal)
+			: this.#admitThere(asked, pool, request, signal);
 	}
 
 	/** Asks the dispatcher on this node; a withdrawn request leaves the queue. */
@@ -100,12 +103,6 @@
 		return true;
 	}
 
-	async #admitAt(holder: Incarnation, pool: PoolId, request: AdmitRequest, signal: AbortSignal): Promise<Either<Failure, Grant>> {
-		return holder === this.#parts.self
-			? this.admitHere(pool, request, signal)
-			: this.#admitThere(holder, pool, request, signal);
-	}
-
 	async #admitThere(holder: Incarnation, pool: PoolId, request: AdmitRequest, signal: AbortSignal): Promise<Either<Failure, Grant>> {
 		const url = readIncarnationUrl(holder);
 		const termChanged = this.#termChanged.signal;
--- a/test/stop-and-crash.test.ts
+++ b/test/stop-and-crash.test.ts
@@ -222,3 +222,17 @@
 	expect(joinStream(whole.text)).toBe(countWords(600));
 	await fleet.until(() => countHeld() === 0 && others.every(node => node.readStatus().pools.every(pool => pool.grants === 0)));
 }, 30_000);
+
+test('requests that were asking a paused dispatcher are served by the next one', async () => {
+	const dispatcher = fleet.findDispatcherNode();
+	const others = fleet.nodes.filter((_, index) => index !== dispatcher);
+	const box = `box-${dispatcher + 1}`;
+	fleet.network.pause(box);
+	const asking = others.flatMap(node => Array.from({length: 60}, async () => chat(node.callerUrl, {max_tokens: 1}, {'x-time-bound-ms': '20000'})));
+	const answers = await fleet.settle(Promise.all(asking));
+	expect(answers.map(answer => answer.status)).toEqual(asking.map(() => 200));
+	fleet.network.restore(box);
+	await fleet.pass(8000);
+	expect(countHeld()).toBe(0);
+	expect(fleet.nodes.flatMap(node => node.readStatus().pools).reduce((sum, pool) => sum + pool.grants, 0)).toBe(0);
+}, 30_000);
