refactor(dispatch): take out what the cap on long memory left behind

Cause: reading the change as a newcomer would: tokens of long prompts, open capacity and tokens waiting were counted and read by nobody.

--- a/src/node/dispatch/dispatcher.ts
+++ b/src/node/dispatch/dispatcher.ts
@@ -20,7 +20,7 @@
 	FirstTokenPlacement, type Placement, type PlacementPolicy, type PoolState, type WeighedServer,
 } from './placement.js';
 import {
-	findPriority, isLongPrompt, PrefillBoard, type ExpectedRead,
+	findPriority, PrefillBoard, type ExpectedRead,
 } from './prefill-board.js';
 import {PrefixIndex} from './prefix-index.js';
 import {
@@ -394,7 +394,6 @@
 			backendServer: choice.server.id,
 			url: choice.server.url,
 			tokens: countTokens(request),
-			isLong: isLongPrompt(request.promptTokens),
 			expectedHold: estimateHold(choice.server, request, choice.cachedTokens),
 			priority: this.#parts.usesPriorities === false ? 0 : findPriority(request.promptTokens),
 			term: this.term,
--- a/src/node/dispatch/ledger.ts
+++ b/src/node/dispatch/ledger.ts
@@ -35,7 +35,6 @@
 /** What one backend server holds. */
 type ServerAccount = {
 	tokens: number;
-	longTokens: number;
 	grants: Map<GrantId, HeldGrant>;
 };
 
@@ -45,7 +44,7 @@
 	running: number;
 };
 
-const emptyAccount: ServerAccount = {tokens: 0, longTokens: 0, grants: new Map()};
+const emptyAccount: ServerAccount = {tokens: 0, grants: new Map()};
 const emptyOrganisation: OrganisationAccount = {tokens: 0, running: 0};
 
 /** Counts what is held on each backend server. */
@@ -63,11 +62,6 @@
 		return this.#grants.size;
 	}
 
-	/** Tokens that the open backend servers can hold together. */
-	get openCapacity(): number {
-		return this.#openCapacity;
-	}
-
 	/** Share of the open memory that is free, from 0 to 1. */
 	get freeShare(): number {
 		return this.#openCapacity === 0 ? 0 : Math.max(0, 1 - (this.#heldTokens / this.#openCapacity));
@@ -110,11 +104,6 @@
 		return this.#readAccount(id).tokens;
 	}
 
-	/** Tokens held on a backend server by long prompts. */
-	countLong(id: BackendServerId): number {
-		return this.#readAccount(id).longTokens;
-	}
-
 	/** What an organisation holds. */
 	readOrganisation(id: OrganisationId): Readonly<OrganisationAccount> {
 		return this.#organisations.get(id) ?? emptyOrganisation;
@@ -174,9 +163,8 @@
 
 	#countServer(held: HeldGrant, sign: 1 | -1): void {
 		const {grant} = held;
-		const account = this.#accounts.get(grant.backendServer) ?? {tokens: 0, longTokens: 0, grants: new Map<GrantId, HeldGrant>()};
+		const account = this.#accounts.get(grant.backendServer) ?? {tokens: 0, grants: new Map<GrantId, HeldGrant>()};
 		account.tokens += sign * grant.tokens;
-		account.longTokens += grant.isLong ? sign * grant.tokens : 0;
 		if (sign === 1) {
 			account.grants.set(grant.grantId, held);
 		} else {
--- a/src/node/dispatch/messages.ts
+++ b/src/node/dispatch/messages.ts
@@ -33,8 +33,6 @@
 	/** Base URL of the backend server. */
 	url: string;
 	tokens: number;
-	/** Whether it counts against the memory that long prompts may hold. */
-	isLong: boolean;
 	/** How long it is expected to hold its memory. */
 	expectedHold: number;
 	/** Priority at the engine; the least goes first. */
--- a/src/node/dispatch/request-queue.ts
+++ b/src/node/dispatch/request-queue.ts
@@ -4,7 +4,7 @@
 	Failure, OrganisationId, PartnerId, RequestId, Timer,
 } from '../../common/index.js';
 import {FairClock} from './fair-clock.js';
-import {countTokens, type AdmitRequest, type Grant} from './messages.js';
+import type {AdmitRequest, Grant} from './messages.js';
 
 /** A request that waits. */
 export type Waiting = {
@@ -34,7 +34,6 @@
 
 /** Holds waiting requests. */
 export abstract class RequestQueue {
-	#tokens = 0;
 	#size = 0;
 
 	/** Number of requests waiting. */
@@ -42,15 +41,9 @@
 		return this.#size;
 	}
 
-	/** Tokens that the waiting requests need. */
-	get tokens(): number {
-		return this.#tokens;
-	}
-
 	/** Adds a request. */
 	add(waiting: Waiting): void {
 		this.#size++;
-		this.#tokens += countTokens(waiting.request);
 		this.insert(waiting);
 	}
 
@@ -59,7 +52,6 @@
 		const waiting = this.extract(requestId);
 		if (waiting !== undefined) {
 			this.#size--;
-			this.#tokens -= countTokens(waiting.request);
 		}
 
 		return waiting;
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -113,7 +113,6 @@
 			backendServer: servers[server].id,
 			url: '',
 			tokens,
-			isLong: true,
 			expectedHold,
 			priority: 0,
 			term: 1,
