fix(entry): a repeated run key keeps its caller's own bound, and a recording always ends

Cause: found while reading: a caller who sent a key again while the first run went on waited for that run's bound, not its own; a run that failed for a reason of the node's own left its recording open, and with it every such caller; a node whose view lagged behind a new node's registration called its keys' outcomes unknown without asking.

Change: a repeat hears `bound_passed_running`, `maybe`, at its own bound; a run ends its recording whatever happens; the owner is always asked first.

--- a/src/node/entry/keyed-router.ts
+++ b/src/node/entry/keyed-router.ts
@@ -8,12 +8,14 @@
 import {Buffer} from 'node:buffer';
 import {createHash} from 'node:crypto';
 import {
-	createFailure, findAnswer, orderByRendezvous, parseRunKey, type Failure, type Incarnation, type RunKeyParts,
+	createFailure, createTimeout, findAnswer, orderByRendezvous, parseRunKey, readErrorMessage, type Failure, type Incarnation, type RunKeyParts,
 } from '../../common/index.js';
 import type {AnswerFrame, KeyedRequest, NodeClients} from '../../rpc/index.js';
 import type {Members} from '../membership/members.js';
 import {boundHeader} from './headers.js';
 import {sendFailure, type AnswerSink} from './answer-sink.js';
+import {BoundedSink} from './bounded-sink.js';
+import type {Recording} from './recording.js';
 import type {CallerRequest, RequestOutcome} from './caller-request.js';
 import type {RunKeyStore} from './run-keys.js';
 
@@ -68,12 +70,10 @@
 
 		const {kind, recording} = verdict.extract() as Exclude<ReturnType<typeof verdict.extract>, Failure>;
 		if (kind === 'play') {
-			await recording.playInto(sink);
-			return {};
+			return this.#follow(request, recording, sink);
 		}
 
-		const running = this.#parts.runRequest(request, recording);
-		const [outcome] = await Promise.all([running, recording.playInto(sink)]);
+		const [outcome] = await Promise.all([this.#runRecorded(request, recording), recording.playInto(sink)]);
 		if (outcome.failure !== undefined && findAnswer(outcome.failure).ran === 'no') {
 			this.#parts.store.forget(request.organisation, request.runKey!);
 		}
@@ -82,9 +82,33 @@
 		return outcome;
 	}
 
+	/** Runs a request into its recording, which ends whatever happens: others may be waiting for it. */
+	async #runRecorded(request: CallerRequest, recording: Recording): Promise<RequestOutcome> {
+		try {
+			return await this.#parts.runRequest(request, recording);
+		} catch (error) {
+			const failure = createFailure('internal', `the node failed: ${readErrorMessage(error)}`);
+			sendFailure(recording, failure, recording.hasStarted);
+			return {failure};
+		}
+	}
+
+	/** Plays what another caller's run records; a caller whose own bound is shorter hears so at its bound. */
+	async #follow(request: CallerRequest, recording: Recording, sink: AnswerSink): Promise<RequestOutcome> {
+		const {clock} = this.#parts.clients;
+		const limit = createTimeout(clock, request.deadline - clock.readMonotonic());
+		const bounded = new BoundedSink(sink, limit.signal);
+		await recording.playInto(bounded);
+		limit.cancel();
+		return limit.signal.aborted && !bounded.hasEnded
+			? this.#fail(request, sink, createFailure('bound_passed_running', 'the time bound passed while the request ran; send the same key again for its outcome', {ran: 'maybe'}))
+			: {};
+	}
+
 	async #serveElsewhere(request: CallerRequest, parts: RunKeyParts, sink: AnswerSink): Promise<RequestOutcome> {
 		const {members} = this.#parts;
-		const end = members.hasEnded(parts.incarnation) ? 'not_owner' : await this.#forward(parts.url, request, sink);
+		// Asked also when this node's view does not know it: the view may lag behind a new node's registration.
+		const end = await this.#forward(parts.url, request, sink);
 		if (end === 'answered') {
 			return {};
 		}
--- a/src/node/membership/members.ts
+++ b/src/node/membership/members.ts
@@ -50,11 +50,6 @@
 		return this.#read().readyIds.has(incarnation);
 	}
 
-	/** Whether an incarnation has certainly ended: its box has registered another, or is no longer registered. */
-	hasEnded(incarnation: Incarnation): boolean {
-		return this.#view.revision > 0 && !this.listAll().some(member => member.incarnation === incarnation);
-	}
-
 	/** Whether the platform's live list has dropped the box of an incarnation. */
 	isDropped(incarnation: Incarnation): boolean {
 		const member = this.listAll().find(candidate => candidate.incarnation === incarnation);
--- a/test/follow-configuration.test.ts
+++ b/test/follow-configuration.test.ts
@@ -123,7 +123,7 @@
 	expect(listReady()).toBe('');
 	members.noteReachable('e.life' as Incarnation, true);
 	expect(listReady()).toBe('e');
-	expect([members.hasEnded('a.life' as Incarnation), members.hasEnded('a.earlier' as Incarnation)]).toEqual([false, true]);
+	expect([members.isDropped('a.life' as Incarnation), members.isDropped('c.life' as Incarnation), members.isDropped('a.earlier' as Incarnation)]).toEqual([false, true, true]);
 });
 
 test('a write of the node\'s own does not let it skip the changes of others before it', () => {
--- a/test/run-at-most-once.test.ts
+++ b/test/run-at-most-once.test.ts
@@ -121,7 +121,7 @@
 	expect(readError(unreachable)).toMatchObject({code: 'owner_unreachable', ran: 'maybe'});
 
 	await fleet.addNode('box-1');
-	await fleet.until(() => fleet.nodes[3].phase === 'ready' && fleet.nodes[1].members.hasEnded(fleet.nodes[0].incarnation));
+	await fleet.until(() => fleet.nodes[3].phase === 'ready' && !fleet.nodes[1].members.listAll().some(member => member.incarnation === fleet.nodes[0].incarnation));
 	const answers = [await fleet.settle(alert(1, key)), await fleet.settle(alert(3, key))];
 	expect(answers.map(answer => readError(answer))).toMatchObject([{code: 'outcome_unknown', ran: 'maybe'}, {code: 'outcome_unknown', ran: 'maybe'}]);
 	expect(fleet.plain.countRuns(key)).toBe(1);
@@ -209,3 +209,18 @@
 	await fleet.pass(2000);
 	expect(fleet.plain.countRuns(key)).toBe(1);
 });
+
+test('a repeat with a shorter bound hears so at its bound, and later gets the outcome', async () => {
+	fleet.plain.faults = {delay: 3000};
+	const key = await makeKey(0);
+	const first = alert(0, key);
+	await fleet.until(() => fleet.plain.countRuns(key) === 1);
+	const start = fleet.clock.readMonotonic();
+	const repeat = await fleet.settle(alert(0, key, {'x-time-bound-ms': '500'}));
+	expect(readError(repeat)).toMatchObject({code: 'bound_passed_running', ran: 'maybe'});
+	expect(fleet.clock.readMonotonic() - start).toBeLessThanOrEqual(600);
+	const whole = await fleet.settle(first);
+	const later = await fleet.settle(alert(0, key));
+	expect(later.text).toBe(whole.text);
+	expect(fleet.plain.countRuns(key)).toBe(1);
+});
