--- a/src/node/entry/grant-client.ts
+++ b/src/node/entry/grant-client.ts
@@ -95,7 +95,7 @@
 
 	/** Gives a grant back. */
 	release(grant: Grant): void {
-		const account = this.#accountOf(grant.pool);
+		const account = this.#findAccount(grant.pool);
 		if (account.active.delete(grant.grantId)) {
 			account.released.push(grant.grantId);
 			this.#wake?.();
@@ -132,11 +132,11 @@
 	}
 
 	#take(grant: Grant, asked: number): HeldGrant {
-		this.#accountOf(grant.pool).active.set(grant.grantId, grant);
+		this.#findAccount(grant.pool).active.set(grant.grantId, grant);
 		return {grant, usableUntil: asked + grant.usableFor};
 	}
 
-	#accountOf(pool: PoolId): PoolAccount {
+	#findAccount(pool: PoolId): PoolAccount {
 		let account = this.#accounts.get(pool);
 		if (account === undefined) {
 			account = {active: new Map(), released: [], lastSent: 0};
@@ -164,7 +164,7 @@
 	}
 
 	async #sendHeartbeat(pool: PoolId): Promise<void> {
-		const account = this.#accountOf(pool);
+		const account = this.#findAccount(pool);
 		const now = this.#clock.readMonotonic();
 		const isDue = account.active.size > 0 && now - account.lastSent >= heartbeatInterval;
 		if (account.released.length === 0 && !isDue) {
--- a/src/rpc/messages.ts
+++ b/src/rpc/messages.ts
@@ -5,42 +5,42 @@
 } from '../common/index.js';
 
 /** A branded id: a string when checked, its own type when compiled. */
-function id<Id extends string>(): z.ZodType<Id> {
+function createId<Id extends string>(): z.ZodType<Id> {
 	return z.string().max(300) as unknown as z.ZodType<Id>;
 }
 
 const duration = z.number().min(0);
 
-export const poolSchema = z.object({pool: id<PoolId>()});
+export const poolSchema = z.object({pool: createId<PoolId>()});
 export const urlSchema = z.object({url: z.url()});
-export const incarnationSchema = z.object({incarnation: id<Incarnation>()});
+export const incarnationSchema = z.object({incarnation: createId<Incarnation>()});
 
 export const admitSchema = z.object({
-	pool: id<PoolId>(),
+	pool: createId<PoolId>(),
 	request: z.object({
-		requestId: id<RequestId>(),
-		organisation: id<OrganisationId>(),
-		service: id<ServiceName>(),
-		entry: id<Incarnation>(),
+		requestId: createId<RequestId>(),
+		organisation: createId<OrganisationId>(),
+		service: createId<ServiceName>(),
+		entry: createId<Incarnation>(),
 		promptTokens: z.number().positive(),
 		outputTokens: z.number().min(0),
 		patience: duration,
-		excluded: z.array(id<BackendServerId>()),
+		excluded: z.array(createId<BackendServerId>()),
 		prefixes: z.object({hashes: z.array(z.string().max(32)).max(16), firstTokens: z.number().min(0)}),
 	}),
 });
 
 export const heartbeatSchema = z.object({
-	pool: id<PoolId>(),
-	entry: id<Incarnation>(),
+	pool: createId<PoolId>(),
+	entry: createId<Incarnation>(),
 	entryUrl: z.string(),
-	released: z.array(id<GrantId>()),
+	released: z.array(createId<GrantId>()),
 	activeCount: z.int().min(0),
 });
 
 export const keyedRequestSchema = z.object({
-	organisation: id<OrganisationId>(),
-	runKey: id<RunKey>(),
+	organisation: createId<OrganisationId>(),
+	runKey: createId<RunKey>(),
 	operation: z.enum(['chat', 'text', 'plain']),
 	method: z.string(),
 	url: z.string(),
@@ -49,10 +49,10 @@
 });
 
 export const inheritanceSchema = z.object({
-	incarnations: z.array(id<Incarnation>()),
+	incarnations: z.array(createId<Incarnation>()),
 	outcomes: z.array(z.object({
-		organisation: id<OrganisationId>(),
-		runKey: id<RunKey>(),
+		organisation: createId<OrganisationId>(),
+		runKey: createId<RunKey>(),
 		fingerprint: z.string(),
 		usableFor: z.number(),
 		answer: z.object({
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -6,7 +6,7 @@
 const name = z.string({error: 'write a name in quotes'})
 	.regex(/^[a-z\d][a-z\d-]{0,62}$/, {error: 'use 1 to 63 lower-case letters, digits and hyphens, beginning with a letter or digit'});
 
-function wholeNumber(least: number, most: number, byDefault: number) {
+function defineWholeNumber(least: number, most: number, byDefault: number) {
 	const error = `write a whole number from ${least} to ${most}`;
 	return z.int({error}).min(least, {error}).max(most, {error}).default(byDefault);
 }
@@ -17,12 +17,12 @@
 });
 
 const entry = z.strictObject({
-	address_lifetime_seconds: wholeNumber(1, 3600, 30),
-	run_key_lifetime_seconds: wholeNumber(10, 86_400, 600),
-	body_limit_mebibytes: wholeNumber(1, 64, 16),
-	held_bodies_mebibytes: wholeNumber(16, 4096, 256),
-	kept_outcomes_mebibytes: wholeNumber(1, 4096, 64),
-	request_limit: wholeNumber(1, 100_000, 2000),
+	address_lifetime_seconds: defineWholeNumber(1, 3600, 30),
+	run_key_lifetime_seconds: defineWholeNumber(10, 86_400, 600),
+	body_limit_mebibytes: defineWholeNumber(1, 64, 16),
+	held_bodies_mebibytes: defineWholeNumber(16, 4096, 256),
+	kept_outcomes_mebibytes: defineWholeNumber(1, 4096, 64),
+	request_limit: defineWholeNumber(1, 100_000, 2000),
 	retry_share: z.number({error: 'write a number from 0 to 1'})
 		.min(0, {error: 'write a number from 0 to 1'})
 		.max(1, {error: 'write a number from 0 to 1'}).default(0.1),
