refactor(entry): authenticate before a body is parsed

Cause: found on the last read of the change: working on large bodies in turns had moved the parsing before the key check, so a stranger's body of 16 MB was parsed to be refused.

Change: `parseCompletion` checks the key, then parses; the parsed body is no longer carried in `RawRequest`, and the two callers no longer put it there.

--- a/src/node/entry/entry.ts
+++ b/src/node/entry/entry.ts
@@ -17,7 +17,7 @@
 import {CompletionRun} from './completion-run.js';
 import {FrameSink} from './frame-sink.js';
 import type {GrantClient} from './grant-client.js';
-import {giveTurn, parseJsonBody} from './large-body.js';
+import {giveTurn} from './large-body.js';
 import {KeyedRouter} from './keyed-router.js';
 import {findLengthClass, longestShortPrompt, SlowdownTracker} from './length-class.js';
 import {
@@ -86,7 +86,7 @@
 
 	/** Serves a completion; the sink has been ended when this resolves. */
 	async serveCompletion(raw: RawRequest, operation: 'chat' | 'text', sink: AnswerSink): Promise<void> {
-		await this.#serve(raw, sink, async parts => parseCompletion({...raw, json: await parseJsonBody(raw.body)}, operation, parts));
+		await this.#serve(raw, sink, async parts => parseCompletion(raw, operation, parts));
 	}
 
 	/** Serves a call on a plain service; the sink has been ended when this resolves. */
@@ -172,7 +172,7 @@
 			};
 			const parsed = keyed.operation === 'plain'
 				? parsePlainCall(raw, this.#parseParts())
-				: parseCompletion({...raw, json: await parseJsonBody(raw.body)}, keyed.operation, this.#parseParts());
+				: await parseCompletion(raw, keyed.operation, this.#parseParts());
 			if (parsed.isLeft()) {
 				sendFailure(sink, parsed.extract(), false);
 				return;
--- a/src/node/entry/parse-request.ts
+++ b/src/node/entry/parse-request.ts
@@ -9,6 +9,7 @@
 import {noPrefixes} from '../dispatch/index.js';
 import type {CallerRequest, CompletionBody, Operation} from './caller-request.js';
 import {boundHeader, notRepeatableHeader, runKeyHeader} from './headers.js';
+import {parseJsonBody} from './large-body.js';
 import type {TokenEstimator} from './token-estimator.js';
 
 /** A request as it arrived. */
@@ -18,8 +19,6 @@
 	url: string;
 	headers: IncomingHttpHeaders;
 	body: Uint8Array;
-	/** The body of a completion as parsed JSON, or why it could not be. */
-	json?: Either<Failure, unknown>;
 };
 
 /** What parsing needs to know. */
@@ -58,9 +57,16 @@
 }
 
 /** Checks a completion request. */
-export function parseCompletion(raw: RawRequest, operation: 'chat' | 'text', parts: ParseParts): Either<Failure, CallerRequest> {
-	return authenticate(raw.headers, parts.view).chain(organisation =>
-		parseBody(raw, operation).chain(completion =>
+export async function parseCompletion(raw: RawRequest, operation: 'chat' | 'text', parts: ParseParts): Promise<Either<Failure, CallerRequest>> {
+	const authenticated = authenticate(raw.headers, parts.view);
+	if (authenticated.isLeft()) {
+		// Nothing is done for a stranger's body, however large.
+		return Left(authenticated.extract());
+	}
+
+	const json = await parseJsonBody(raw.body);
+	return authenticated.chain(organisation =>
+		json.chain(body => checkBody(body, operation)).chain(completion =>
 			findService(completion.model, 'engine', organisation, parts.view).chain(service =>
 				buildRequest({
 					raw, operation, organisation, service, completion,
@@ -82,18 +88,15 @@
 	});
 }
 
-function parseBody(raw: RawRequest, operation: 'chat' | 'text'): Either<Failure, CompletionBody> {
-	const parsed: Either<Failure, unknown> = raw.json ?? Left(createFailure('invalid_json', 'the body is not valid JSON'));
-	return parsed.chain(body => {
-		const schema = operation === 'chat' ? chatSchema : textSchema;
-		const checked = schema.safeParse(body);
-		if (checked.success) {
-			return Right(checked.data as CompletionBody);
-		}
+function checkBody(body: unknown, operation: 'chat' | 'text'): Either<Failure, CompletionBody> {
+	const schema = operation === 'chat' ? chatSchema : textSchema;
+	const checked = schema.safeParse(body);
+	if (checked.success) {
+		return Right(checked.data as CompletionBody);
+	}
 
-		const [issue] = checked.error.issues;
-		return Left(createFailure('invalid_request', `${issue.path.join('.') || 'body'}: ${issue.message}`));
-	});
+	const [issue] = checked.error.issues;
+	return Left(createFailure('invalid_request', `${issue.path.join('.') || 'body'}: ${issue.message}`));
 }
 
 function findServiceByPath(url: string, view: FleetView): string | undefined {
