feat(gateway): the log line of a call tells its longest pause

Cause: short prompts are late mostly after their first event; the log did not show it. Change: call_ended has longestPause, pauseAim, objective.

--- a/src/gateway/backend-attempt.ts
+++ b/src/gateway/backend-attempt.ts
@@ -67,6 +67,8 @@
 	#head: AnswerHead | undefined;
 	#isStream = false;
 	#hasFirst = false;
+	#lastEventAt: number | undefined;
+	#longestPause = 0;
 	#isOver = false;
 	#silence: Timer | undefined;
 	#resolve!: (end: AttemptEnd) => void;
@@ -94,6 +96,11 @@
 		this.#watchSilence(this.#findFirstSilence());
 	}
 
+	/** Longest time between two events that were passed on, in milliseconds. */
+	get longestPause(): number {
+		return this.#longestPause;
+	}
+
 	/** Stops the server's work: the answer is no longer wanted. */
 	stop(): void {
 		const mayHaveRun = this.exchange.wasSent;
@@ -142,6 +149,7 @@
 			}
 
 			this.#noteFirst();
+			this.#notePause();
 			this.lastEventId = frame.id ?? this.lastEventId;
 			hasRoom = this.#parts.sink.write(frame.bytes);
 		}
@@ -265,6 +273,12 @@
 		}
 	}
 
+	#notePause(): void {
+		const now = this.#parts.clock.readMonotonic();
+		this.#longestPause = Math.max(this.#longestPause, now - (this.#lastEventAt ?? now));
+		this.#lastEventAt = now;
+	}
+
 	/** Only requests that may go elsewhere are taken from a silent server. */
 	#watchSilence(limit: number | undefined): void {
 		this.#silence?.cancel();
--- a/src/gateway/call-run.ts
+++ b/src/gateway/call-run.ts
@@ -65,6 +65,8 @@
 	status: number;
 	/** Milliseconds to the first event or to the answer. */
 	firstAfter?: number;
+	/** Longest pause between two events of one server's stream, in milliseconds. */
+	longestPause: number;
 	sends: number;
 	servers: BackendServerId[];
 	expectedFirst?: number;
@@ -87,6 +89,7 @@
 	#runs = 0;
 	#lastEventId: number | undefined;
 	#firstAfter: number | undefined;
+	#longestPause = 0;
 	#placed: Placed | undefined;
 
 	constructor(parts: CallRunParts, call: Call, sink: CallSink) {
@@ -246,6 +249,7 @@
 		const end = await attempt.ended;
 		this.#attempt = undefined;
 		this.#lastEventId = attempt.lastEventId;
+		this.#longestPause = Math.max(this.#longestPause, attempt.longestPause);
 		return end;
 	}
 
@@ -353,6 +357,7 @@
 		const outcome = {
 			failure,
 			firstAfter: this.#firstAfter,
+			longestPause: this.#longestPause,
 			sends: this.#sends,
 			servers: this.#servers,
 			expectedFirst: this.#placed?.plan.expectedFirst,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -278,6 +278,9 @@
 			decidedBy: outcome.decidedBy,
 			expectedFirst: outcome.expectedFirst === undefined ? undefined : Math.round(outcome.expectedFirst),
 			firstAfter: outcome.firstAfter === undefined ? undefined : Math.round(outcome.firstAfter),
+			longestPause: Math.round(outcome.longestPause),
+			pauseAim: call.route.longestPause,
+			objective: call.route.objective,
 			took: Math.round(clock.readMonotonic() - call.arrived),
 		}, 'a call ended');
 	}
