feat(planning): long reads take turns when servers are free, not before

Change: a long prompt waits in line and is planned when its servers are free; readers are only servers whose writers bear the pause; those that write already go on writing.

--- a/src/gateway/call-run.ts
+++ b/src/gateway/call-run.ts
@@ -16,7 +16,7 @@
 import type {BackendPool} from './backend-pool.js';
 import type {CallSink} from './call-sink.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
-import type {Placed, Placer} from './placer.js';
+import type {PlaceAnswer, Placed, Placer} from './placer.js';
 import type {Reservations} from './reservations.js';
 import type {CallHead, GatewayWire, HelperAddress} from './wire.js';
 
@@ -150,10 +150,33 @@
 		}
 	}
 
-	/** Asks for a place and waits until it is time to send. */
+	/** Asks for a place until there is one, and waits until it is time to send. */
 	async #place(): Promise<Placed | Failure> {
-		const {route, service, organisation, head} = this.#call;
-		const elapsed = this.#parts.clock.readMonotonic() - this.#call.arrived;
+		const askedFirst = this.#parts.clock.readMonotonic();
+		for (;;) {
+			const answer = await this.#ask(askedFirst);
+			if ('askAgainIn' in answer) {
+				await this.#wait(answer.askAgainIn);
+				if (this.#end !== undefined) {
+					return this.#describeEnd();
+				}
+
+				continue;
+			}
+
+			if (!('kind' in answer) && answer.plan.startIn > 0 && this.#end === undefined) {
+				await this.#wait(answer.plan.startIn);
+			}
+
+			return answer;
+		}
+	}
+
+	async #ask(askedFirst: number): Promise<PlaceAnswer | Failure> {
+		const {
+			route, service, organisation, head, arrived,
+		} = this.#call;
+		const now = this.#parts.clock.readMonotonic();
 		const result = await this.#parts.placer.place({
 			requestId: head.requestId,
 			service: service.name,
@@ -161,17 +184,13 @@
 			organisation: organisation?.name,
 			promptTokens: head.promptTokens,
 			outputTokens: head.outputTokens,
-			objective: Math.max(0, route.objective - elapsed),
+			waited: now - askedFirst,
+			objective: route.objective - (now - arrived),
 			patience: this.#timeLeft(),
 			longestPause: route.longestPause,
 			excluded: this.#excluded,
 		});
-		const placed = result.caseOf<Placed | Failure>({Left: failure => failure, Right: value => value});
-		if (!('kind' in placed) && placed.plan.startIn > 0 && this.#end === undefined) {
-			await this.#wait(placed.plan.startIn);
-		}
-
-		return placed;
+		return result.caseOf<PlaceAnswer | Failure>({Left: failure => failure, Right: value => value});
 	}
 
 	async #wait(delay: number): Promise<void> {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -8,7 +8,7 @@
 import {createHash} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
-	readErrorMessage, Supervisor, waitFor, type AvailabilityZone, type BoxId, type Clock, type Failure,
+	readErrorMessage, Supervisor, waitFor, type AvailabilityZone, type BoxId, type Clock,
 	type IdSource, type Logger, type ServiceName,
 } from '../common/index.js';
 import type {Plan, PlanNote, PlanRequest} from '../planning/index.js';
@@ -23,7 +23,7 @@
 import type {HttpSink} from './call-sink.js';
 import {GatewayMetrics} from './gateway-metrics.js';
 import type {GatewaySettings} from './gateway-settings.js';
-import {PeerClients, PeerService} from './peer-rpc.js';
+import {PeerClients, PeerService, type DecisionAnswer} from './peer-rpc.js';
 import {PeerSocket} from './peer-socket.js';
 import {Peers, type PeerInfo} from './peers.js';
 import {Reservations} from './reservations.js';
@@ -178,8 +178,8 @@
 		await Promise.all([this.#clients.close(), this.#pool.close()]);
 	}
 
-	override plan(request: PlanRequest): {plan?: Plan; failure?: Failure} {
-		return this.#placer.planFor(request).caseOf<{plan?: Plan; failure?: Failure}>({Left: failure => ({failure}), Right: plan => ({plan})});
+	override decide(request: PlanRequest): DecisionAnswer {
+		return this.#placer.decideFor(request).caseOf<DecisionAnswer>({Left: failure => ({failure}), Right: decision => ({decision})});
 	}
 
 	override takeNotes(service: ServiceName, notes: PlanNote[]): void {
--- a/src/gateway/peer-rpc.ts
+++ b/src/gateway/peer-rpc.ts
@@ -4,15 +4,20 @@
 import {Agent, request} from 'undici';
 import {z} from 'zod';
 import {createTimeout, type Clock, type Failure, type ServiceName} from '../common/index.js';
-import type {Plan, PlanNote, PlanRequest} from '../planning/index.js';
+import type {
+	Decision, Plan, PlanNote, PlanRequest,
+} from '../planning/index.js';
 import type {FleetSnapshot} from '../routing/index.js';
 
 /** Path under which the calls are served. */
 export const peerRpcPath = '/rpc';
 
+/** A decision, or why there is none. */
+export type DecisionAnswer = {decision?: Decision; failure?: Failure};
+
 /** What a node answers to others. */
 export abstract class PeerService {
-	abstract plan(request: PlanRequest): {plan?: Plan; failure?: Failure};
+	abstract decide(request: PlanRequest): DecisionAnswer;
 	abstract takeNotes(service: ServiceName, notes: PlanNote[]): void;
 	abstract adopt(service: ServiceName, plans: Plan[]): void;
 	abstract takeSnapshot(): FleetSnapshot;
@@ -32,7 +37,7 @@
 
 /** All calls between gateway nodes. */
 export const peerRouter = trpc.router({
-	plan: trpc.procedure.input(planRequestSchema).mutation(({ctx, input}) => ctx.service.plan(input)),
+	decide: trpc.procedure.input(planRequestSchema).mutation(({ctx, input}) => ctx.service.decide(input)),
 	takeNotes: trpc.procedure.input(z.object({service: serviceSchema, notes: z.array(noteSchema)})).mutation(({ctx, input}) => {
 		ctx.service.takeNotes(input.service, input.notes);
 	}),
--- a/src/gateway/placer.ts
+++ b/src/gateway/placer.ts
@@ -10,10 +10,13 @@
 	decidedBy: 'planner' | 'self' | 'fallback';
 };
 
+/** A place, or when to ask again. */
+export type PlaceAnswer = Placed | {askAgainIn: number};
+
 /** Gives requests their places. */
 export abstract class Placer {
 	/** Asks for a place. */
-	abstract place(request: PlanRequest): Promise<Either<Failure, Placed>>;
+	abstract place(request: PlanRequest): Promise<Either<Failure, PlaceAnswer>>;
 
 	/** Tells how a plan goes on. */
 	abstract note(plan: Plan, note: PlanNote): void;
--- a/src/gateway/shared-placer.ts
+++ b/src/gateway/shared-placer.ts
@@ -13,13 +13,13 @@
 	orderByRendezvous, type BoxId, type Clock, type Failure, type IdSource, type Logger, type PlanId, type ServiceName, type Timer,
 } from '../common/index.js';
 import {
-	Planner, type Plan, type PlanNote, type PlanRequest,
+	Planner, type Decision, type Plan, type PlanNote, type PlanRequest,
 } from '../planning/index.js';
 import type {FleetState} from '../routing/index.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
 import type {PeerClients} from './peer-rpc.js';
 import type {PeerInfo, Peers} from './peers.js';
-import {Placer, type Placed} from './placer.js';
+import {Placer, type PlaceAnswer, type Placed} from './placer.js';
 
 /** Time in which the deciding node must answer, in milliseconds: several times the round trip between zones. */
 const askTimeout = 60;
@@ -74,14 +74,18 @@
 		});
 	}
 
-	override async place(request: PlanRequest): Promise<Either<Failure, Placed>> {
+	override async place(request: PlanRequest): Promise<Either<Failure, PlaceAnswer>> {
 		const started = this.#parts.clock.readMonotonic();
-		const placed = await this.#decide(request);
-		placed.ifRight(({plan, decidedBy}) => {
-			this.#findPlans(request.service).own.set(plan.planId, plan);
-			this.#parts.metrics.recordPlace(decidedBy, this.#parts.clock.readMonotonic() - started);
+		const {decidedBy, result} = await this.#decide(request);
+		this.#parts.metrics.recordPlace(decidedBy, this.#parts.clock.readMonotonic() - started);
+		return result.map(decision => {
+			if (decision.kind === 'wait') {
+				return {askAgainIn: decision.askAgainIn};
+			}
+
+			this.#findPlans(request.service).own.set(decision.plan.planId, decision.plan);
+			return {plan: decision.plan, decidedBy};
 		});
-		return placed;
 	}
 
 	override note(plan: Plan, note: PlanNote): void {
@@ -100,11 +104,11 @@
 	}
 
 	/** Decides for a node that asked. */
-	planFor(request: PlanRequest): Either<Failure, Plan> {
-		const plans = this.#findPlans(request.service);
-		const planned = plans.planner.plan(request, this.#parts.clock.readMonotonic());
-		this.#logDecision(request, planned, plans.planner);
-		return planned;
+	decideFor(request: PlanRequest): Either<Failure, Decision> {
+		const {planner} = this.#findPlans(request.service);
+		const decided = planner.decide(request, this.#parts.clock.readMonotonic());
+		this.#logDecision(request, decided, planner);
+		return decided;
 	}
 
 	/** Takes notes of a node that carries plans out. */
@@ -121,30 +125,33 @@
 		this.#findPlans(service).planner.adopt(plans, this.#parts.clock.readMonotonic());
 	}
 
-	async #decide(request: PlanRequest): Promise<Either<Failure, Placed>> {
+	async #decide(request: PlanRequest): Promise<{decidedBy: Placed['decidedBy']; result: Either<Failure, Decision>}> {
 		const plans = this.#findPlans(request.service);
 		const self = this.#parts.self();
 		const decider = this.#findDecider(request.service);
 		this.#changeDecider(request.service, plans, decider);
 		if (decider.name === self.name) {
-			return this.planFor(request).map(plan => ({plan, decidedBy: 'self'}));
+			return {decidedBy: 'self', result: this.decideFor(request)};
+		}
+
+		const answer = await this.#parts.clients.ask(decider.peerAddress, askTimeout, async (client, signal) => client.decide.mutate(request, {signal}));
+		if (answer?.decision?.kind === 'plan') {
+			plans.planner.adopt([answer.decision.plan], this.#parts.clock.readMonotonic());
 		}
 
-		const answer = await this.#parts.clients.ask(decider.peerAddress, askTimeout, async (client, signal) => client.plan.mutate(request, {signal}));
-		if (answer?.plan !== undefined) {
-			plans.planner.adopt([answer.plan], this.#parts.clock.readMonotonic());
-			return Right({plan: answer.plan, decidedBy: 'planner'});
+		if (answer?.decision !== undefined) {
+			return {decidedBy: 'planner', result: Right(answer.decision)};
 		}
 
 		if (answer?.failure !== undefined) {
-			return Left(answer.failure);
+			return {decidedBy: 'planner', result: Left(answer.failure)};
 		}
 
 		this.#parts.peers.noteSlow(decider.name, slowRest);
 		this.#parts.logger.warn({
 			event: 'decider_silent', request: request.requestId, node: decider.name, waited: askTimeout,
 		}, 'the deciding node did not answer; this node decides by its own view');
-		return this.planFor(request).map(plan => ({plan, decidedBy: 'fallback'}));
+		return {decidedBy: 'fallback', result: this.decideFor(request)};
 	}
 
 	/** The first live node in the order of the service. */
@@ -199,23 +206,31 @@
 		}
 	}
 
-	#logDecision(request: PlanRequest, planned: Either<Failure, Plan>, planner: Planner): void {
+	#logDecision(request: PlanRequest, decided: Either<Failure, Decision>, planner: Planner): void {
 		const inputs = {
 			request: request.requestId,
 			service: request.service,
 			node: request.node,
 			promptTokens: request.promptTokens,
+			waited: Math.round(request.waited),
 			patience: Math.round(request.patience),
 			excluded: request.excluded,
 			inProgress: planner.planCount,
 			configVersion: this.#parts.state.configVersion,
 			serversRevision: this.#parts.state.serversRevision,
 		};
-		planned.caseOf({
+		decided.caseOf({
 			Left: failure => {
 				this.#parts.logger.info({event: 'refused', ...inputs, kind: failure.kind, reason: failure.message}, 'no place for a request');
 			},
-			Right: plan => {
+			Right: decision => {
+				if (decision.kind === 'wait') {
+					// A request that waits asks several times a second: only its place is worth a line at the usual level.
+					this.#parts.logger.debug({event: 'waits', ...inputs, askAgainIn: Math.round(decision.askAgainIn)}, 'a long prompt waits for its turn');
+					return;
+				}
+
+				const {plan} = decision;
 				this.#parts.logger.info({
 					event: 'placed', ...inputs, server: plan.server, helpers: plan.helpers.length, startIn: Math.round(plan.startIn), expectedFirst: Math.round(plan.expectedFirst),
 				}, 'a request has its place');
--- a/src/planning/index.ts
+++ b/src/planning/index.ts
@@ -1,4 +1,5 @@
 export * from './engine-model.js';
+export * from './long-queue.js';
 export * from './plan.js';
 export * from './planner.js';
 export * from './server-board.js';
--- a/src/planning/plan.ts
+++ b/src/planning/plan.ts
@@ -14,7 +14,9 @@
 	promptTokens: number;
 	/** Most tokens of the answer. */
 	outputTokens: number;
-	/** Time left until the answer is worth less. */
+	/** Time since it was first asked for: it keeps its turn whoever decides. */
+	waited: number;
+	/** Time left until the answer is worth less; negative when that has passed. */
 	objective: number;
 	/** Time left until the answer is worth nothing. */
 	patience: number;
@@ -45,6 +47,9 @@
 	ownTokens: number;
 };
 
+/** What a planner answers: a plan, or when to ask again because others read first. */
+export type Decision = {kind: 'plan'; plan: Plan} | {kind: 'wait'; askAgainIn: number};
+
 /** How a plan went on, told by the node that carries it out. */
 export type PlanNote =
 	| {planId: PlanId; kind: 'started' | 'ended'}
--- a/src/planning/planner.ts
+++ b/src/planning/planner.ts
@@ -15,7 +15,10 @@
 } from '../common/index.js';
 import type {BackendServer, EngineFigures} from '../routing/index.js';
 import {computePassTime, computeReadTime} from './engine-model.js';
-import type {Plan, PlannedHelper, PlanNote, PlanRequest} from './plan.js';
+import {longestAskPause, LongQueue} from './long-queue.js';
+import type {
+	Decision, Plan, PlannedHelper, PlanNote, PlanRequest,
+} from './plan.js';
 import {ServerBoard} from './server-board.js';
 
 /** Most servers that may help to read one prompt. */
@@ -42,6 +45,15 @@
 /** Pause assumed for requests that state none, in milliseconds. */
 const defaultPause = 250;
 
+/** A long read is planned at most this long before its servers are free, in milliseconds: later plans see more, and passes are about this long. */
+const planAhead = 60;
+
+/** Least time after which a waiting request asks again, in milliseconds. */
+const leastAskPause = 15;
+
+/** What a read leaves of the pause that callers accept, in milliseconds: a short read beside it and the way of an event. */
+const pauseMargin = 40;
+
 /** Kept after a request's patience before its plan is forgotten unasked, in milliseconds. */
 const planMargin = 1000;
 
@@ -63,6 +75,7 @@
 	readonly #ids: IdSource;
 	readonly #boards = new Map<BackendServerId, ServerBoard>();
 	readonly #plans = new Map<PlanId, HeldPlan>();
+	readonly #queue = new LongQueue();
 	#engine: EngineFigures | undefined;
 	#shortestPause = defaultPause;
 	#lastLong = -Infinity;
@@ -98,8 +111,8 @@
 		}
 	}
 
-	/** Decides for one request and holds its place until `note` or `prune` frees it. */
-	plan(request: PlanRequest, now: number): Either<Failure, Plan> {
+	/** Decides for one request. A plan's place is held until `note` or `prune` frees it; a request that waits keeps its turn by asking again. */
+	decide(request: PlanRequest, now: number): Either<Failure, Decision> {
 		this.prune(now);
 		if (request.longestPause !== undefined) {
 			this.#shortestPause = Math.min(this.#shortestPause, request.longestPause);
@@ -113,9 +126,12 @@
 		const planned = this.#engine === undefined || request.promptTokens === 0
 			? this.#planPlain(request, usable)
 			: this.#planPrompt(request, usable, this.#engine, now);
-		return planned.map(plan => {
-			this.#hold(plan, now);
-			return plan;
+		return planned.map(decision => {
+			if (decision.kind === 'plan') {
+				this.#hold(decision.plan, now);
+			}
+
+			return decision;
 		});
 	}
 
@@ -162,6 +178,7 @@
 
 	/** Forgets plans whose time is over. */
 	prune(now: number): void {
+		this.#queue.prune(now);
 		for (const {plan, since} of this.#plans.values()) {
 			if (since + plan.request.patience + planMargin < now) {
 				this.#release(plan);
@@ -177,12 +194,12 @@
 		return [trusted, rested, boards].find(list => list.length > 0) ?? [];
 	}
 
-	#planPlain(request: PlanRequest, usable: ServerBoard[]): Either<Failure, Plan> {
-		const best = findLeast(usable, board => (board.workCount / board.server.slots) + board.health.spoiled);
+	#planPlain(request: PlanRequest, usable: ServerBoard[]): Either<Failure, Decision> {
+		const best = findLeast(usable, board => (board.workCount / board.server.slots) + board.health.spoiled)!;
 		return Right(this.#createPlan(request, best.server.id, {expectedFirst: 0}));
 	}
 
-	#planPrompt(request: PlanRequest, usable: ServerBoard[], engine: EngineFigures, now: number): Either<Failure, Plan> {
+	#planPrompt(request: PlanRequest, usable: ServerBoard[], engine: EngineFigures, now: number): Either<Failure, Decision> {
 		const ordered = usable.sort(compareServers);
 		const readTime = computeReadTime(engine, request.promptTokens);
 		const isLong = readTime > longReadShare * this.#shortestPause;
@@ -195,7 +212,7 @@
 	}
 
 	/** Chooses the server with the earliest first event among those open to short requests. */
-	#planShort(request: PlanRequest, ordered: ServerBoard[], engine: EngineFigures, now: number): Either<Failure, Plan> {
+	#planShort(request: PlanRequest, ordered: ServerBoard[], engine: EngineFigures, now: number): Either<Failure, Decision> {
 		const readTime = computeReadTime(engine, request.promptTokens);
 		const need = request.promptTokens + request.outputTokens;
 		const group = ordered.slice(ordered.length - this.#countShortServers(ordered, engine, now));
@@ -208,9 +225,9 @@
 			return {board, wait, cost: wait + pass + (board.health.spoiled * request.objective)};
 		};
 
-		let best = findLeast(group.map(board => weigh(board)), candidate => candidate.cost);
+		let best = findLeast(group.map(board => weigh(board)), candidate => candidate.cost)!;
 		if (best.wait > readTime + (this.#shortestPause * longReadShare)) {
-			best = findLeast(ordered.map(board => weigh(board)), candidate => candidate.cost);
+			best = findLeast(ordered.map(board => weigh(board)), candidate => candidate.cost)!;
 		}
 
 		const expectedFirst = best.cost + readTime;
@@ -230,23 +247,31 @@
 		return Math.max(1, Math.min(Math.max(wanted, least), most));
 	}
 
-	/** Reads a long prompt on the servers that are free of long reads first, together. */
-	#planLong(request: PlanRequest, ordered: ServerBoard[], engine: EngineFigures, now: number): Either<Failure, Plan> {
+	/**
+	 * Reads a long prompt on several servers together, one long read after the other.
+	 *
+	 * Whose turn it is, is decided when servers become free and not before: what came
+	 * meanwhile may go first, and short requests may need the servers.
+	 */
+	#planLong(request: PlanRequest, ordered: ServerBoard[], engine: EngineFigures, now: number): Either<Failure, Decision> {
 		const group = ordered.slice(0, Math.max(1, ordered.length - this.#countShortServers(ordered, engine, now)));
-		const candidates = group
-			.map(board => ({board, wait: board.findLongReadEnd(now) - now, cost: 0}))
-			.sort((left, right) => left.wait - right.wait);
-		const choice = chooseReaders(candidates.slice(0, mostHelpers + 1), request, engine);
-		if (choice.finish > request.patience) {
-			return Left(describeOverload(choice.finish - request.patience));
+		const choice = chooseReaders(group, request, engine, now);
+		if (choice === undefined || choice.finish > request.patience) {
+			this.#queue.leave(request.requestId);
+			return Left(describeOverload(choice === undefined ? request.patience : choice.finish - request.patience));
+		}
+
+		const ahead = this.#queue.join(request, computeReadTime(engine, request.promptTokens, group.length), now);
+		if (ahead > 0 || choice.wait > planAhead) {
+			return Right({kind: 'wait', askAgainIn: Math.min(longestAskPause, Math.max(leastAskPause, choice.wait - (planAhead / 2), ahead))});
 		}
 
-		const readers = choice.readers.map(candidate => candidate.board);
-		const memory = divideMemory(readers, request, engine);
+		const memory = divideMemory(choice.readers, request, engine);
 		if (memory === undefined) {
-			return Left(describeOverload(choice.finish));
+			return Right({kind: 'wait', askAgainIn: planAhead});
 		}
 
+		this.#queue.leave(request.requestId);
 		return Right(this.#createPlan(request, memory.first.server.id, {
 			helpers: memory.helpers,
 			startIn: choice.wait,
@@ -255,8 +280,8 @@
 		}));
 	}
 
-	#createPlan(request: PlanRequest, server: BackendServerId, more: Partial<Plan>): Plan {
-		return {
+	#createPlan(request: PlanRequest, server: BackendServerId, more: Partial<Plan>): Decision {
+		const plan = {
 			planId: this.#ids.createUuid() as PlanId,
 			request,
 			server,
@@ -266,6 +291,7 @@
 			ownTokens: 0,
 			...more,
 		};
+		return {kind: 'plan', plan};
 	}
 
 	#hold(plan: Plan, now: number): void {
@@ -281,16 +307,16 @@
 			isLong,
 			readTime,
 			readFrom: now + plan.startIn,
-			// A read that is done shows with the first event, up to a pass later; until then it is taken to go on.
-			readUntil: now + plan.startIn + readTime + (isPrompt ? computePassTime(engine, 1, 0) : 0),
+			readUntil: now + plan.startIn + readTime,
 			heldTokens: plan.ownTokens,
+			longestPause: plan.request.longestPause,
 			contextTokens: plan.request.promptTokens / parts,
 			hasStarted: false,
 		};
 		this.#boards.get(plan.server)?.add(work);
 		for (const helper of plan.helpers) {
 			this.#boards.get(helper.server)?.add({
-				...work, isHelper: true, heldTokens: helper.heldTokens, contextTokens: 0,
+				...work, isHelper: true, heldTokens: helper.heldTokens, contextTokens: 0, longestPause: undefined,
 			});
 		}
 
@@ -322,18 +348,30 @@
 }
 
 /** Readers of a prompt, when they begin and when the first event is due; times from now. */
-type ReaderChoice = {readers: Candidate[]; wait: number; finish: number};
-
-/** Chooses how many servers read together: the fewest that end about as soon as the fastest choice. */
-function chooseReaders(candidates: Candidate[], request: PlanRequest, engine: EngineFigures): ReaderChoice {
-	const choices = candidates.map((_, index) => {
-		const readers = candidates.slice(0, index + 1);
-		const wait = readers.at(-1)!.wait;
-		const pass = computePassTime(engine, 1, request.promptTokens / readers.length);
-		return {readers, wait, finish: wait + computeReadTime(engine, request.promptTokens, readers.length) + pass};
-	});
+type ReaderChoice = {readers: ServerBoard[]; wait: number; finish: number};
+
+/**
+ * Chooses how many servers read together: the fewest that end about as soon as the fastest choice.
+ *
+ * Only servers whose writers bear the pause take part. Undefined when there is none.
+ */
+function chooseReaders(group: ServerBoard[], request: PlanRequest, engine: EngineFigures, now: number): ReaderChoice | undefined {
+	const candidates = group
+		.map(board => ({board, wait: board.findLongReadEnd(now) - now, limit: board.findReadLimit(engine) - pauseMargin}))
+		.sort((left, right) => left.wait - right.wait);
+	const choices: ReaderChoice[] = [];
+	for (let count = 1; count <= Math.min(candidates.length, mostHelpers + 1); count++) {
+		const part = computeReadTime(engine, request.promptTokens, count);
+		const readers = candidates.filter(candidate => candidate.limit >= part).slice(0, count);
+		if (readers.length === count) {
+			const wait = readers.at(-1)!.wait;
+			const pass = computePassTime(engine, 1, request.promptTokens / count);
+			choices.push({readers: readers.map(reader => reader.board), wait, finish: wait + part + pass});
+		}
+	}
+
 	const fastest = Math.min(...choices.map(choice => choice.finish));
-	return choices.find(choice => choice.finish <= fastest * fewerServersSlack)!;
+	return choices.find(choice => choice.finish <= fastest * fewerServersSlack);
 }
 
 /** Which server takes the request, and who holds how much of its prompt; undefined when there is no room. */
@@ -341,7 +379,9 @@
 	const need = request.promptTokens + request.outputTokens;
 	const findFree = (board: ServerBoard) => Math.max(0, (engine.memoryTokens * memoryShare) - board.heldTokens);
 	const byRoom = [...readers].sort((left, right) => findFree(right) - findFree(left));
-	const [first, ...others] = byRoom;
+	// Servers that write already go on writing, so that the others stay free for reads of any length.
+	const first = findLeast(byRoom.filter(board => findFree(board) >= need), board => -board.writers) ?? byRoom[0];
+	const others = byRoom.filter(board => board !== first);
 	let missing = Math.max(0, need - findFree(first));
 	const ownTokens = need - missing;
 	const helpers = others.map(board => {
@@ -352,12 +392,13 @@
 	return missing > 0 ? undefined : {first, helpers, ownTokens};
 }
 
-function findLeast<Item>(items: Item[], costOf: (item: Item) => number): Item {
-	let best = items[0];
-	let least = costOf(best);
-	for (const item of items.slice(1)) {
+/** The item with the least cost, the first of equals; undefined for an empty list. */
+function findLeast<Item>(items: Item[], costOf: (item: Item) => number): Item | undefined {
+	let best: Item | undefined;
+	let least = Infinity;
+	for (const item of items) {
 		const cost = costOf(item);
-		if (cost < least) {
+		if (best === undefined || cost < least) {
 			best = item;
 			least = cost;
 		}
--- a/src/planning/server-board.ts
+++ b/src/planning/server-board.ts
@@ -22,6 +22,8 @@
 	readTime: number;
 	/** Memory it holds here, in tokens. */
 	heldTokens: number;
+	/** Longest pause that its caller accepts while it writes here; undefined for helpers. */
+	longestPause?: number;
 	/** Tokens of context while it writes here. */
 	contextTokens: number;
 	/** Whether its first event has been seen. */
@@ -111,6 +113,16 @@
 		return end;
 	}
 
+	/** The longest read that those who write here bear in one pass; infinite when nobody does. */
+	findReadLimit(engine: EngineFigures): number {
+		let pause = Infinity;
+		for (const work of this.#works.values()) {
+			pause = Math.min(pause, work.longestPause ?? Infinity);
+		}
+
+		return pause - this.computePass(engine, 0);
+	}
+
 	/** Time of a pass over those that write here, with one more of so many tokens. */
 	computePass(engine: EngineFigures, moreContext: number): number {
 		let context = moreContext;
