feat(planning): the fewest servers that read a prompt in good time

Change: a read's end counts the pass; servers are added only until the first event comes within a quarter of the objective.

--- a/src/planning/planner.ts
+++ b/src/planning/planner.ts
@@ -36,7 +36,14 @@
 /** Share of a server's memory that is planned with: answers grow, and blocks are not filled. */
 const memoryShare = 0.92;
 
-/** A read by fewer servers is preferred when it ends at most this much later than the fastest. */
+/**
+ * Shares of the time left to a request's objective, tried in turn: the fewest servers that
+ * read a prompt within one are taken. Each server pays a pass beside its part, so small
+ * parts waste what others wait for.
+ */
+const readTargets = [0.25, 0.8];
+
+/** When no target is met, fewer servers are preferred as long as they end at most this much later than the fastest choice. */
 const fewerServersSlack = 1.05;
 
 /** A prompt whose read takes more than this share of the shortest pause is long. */
@@ -300,6 +307,7 @@
 		const isPrompt = engine !== undefined && plan.request.promptTokens > 0;
 		const parts = plan.helpers.length + 1;
 		const readTime = isPrompt ? computeReadTime(engine, plan.request.promptTokens, parts) : 0;
+		const findReadEnd = (board: ServerBoard) => now + plan.startIn + readTime + (isLong ? board.computePass(engine!, 0) : 0);
 		const isLong = isPrompt && computeReadTime(engine, plan.request.promptTokens) > longReadShare * this.#shortestPause;
 		const work = {
 			planId: plan.planId,
@@ -307,16 +315,17 @@
 			isLong,
 			readTime,
 			readFrom: now + plan.startIn,
-			readUntil: now + plan.startIn + readTime,
 			heldTokens: plan.ownTokens,
 			longestPause: plan.request.longestPause,
 			contextTokens: plan.request.promptTokens / parts,
 			hasStarted: false,
 		};
-		this.#boards.get(plan.server)?.add(work);
+		const first = this.#boards.get(plan.server);
+		first?.add({...work, readUntil: findReadEnd(first)});
 		for (const helper of plan.helpers) {
-			this.#boards.get(helper.server)?.add({
-				...work, isHelper: true, heldTokens: helper.heldTokens, contextTokens: 0, longestPause: undefined,
+			const board = this.#boards.get(helper.server);
+			board?.add({
+				...work, readUntil: findReadEnd(board), isHelper: true, heldTokens: helper.heldTokens, contextTokens: 0, longestPause: undefined,
 			});
 		}
 
@@ -362,16 +371,24 @@
 	const choices: ReaderChoice[] = [];
 	for (let count = 1; count <= Math.min(candidates.length, mostHelpers + 1); count++) {
 		const part = computeReadTime(engine, request.promptTokens, count);
-		const readers = candidates.filter(candidate => candidate.limit >= part).slice(0, count);
+		const readers = candidates.filter(candidate => candidate.limit >= part).slice(0, count).map(candidate => candidate.board);
 		if (readers.length === count) {
-			const wait = readers.at(-1)!.wait;
+			const wait = Math.max(...readers.map(board => board.findLongReadEnd(now) - now));
+			const read = Math.max(...readers.map(board => part + board.computePass(engine, 0)));
 			const pass = computePassTime(engine, 1, request.promptTokens / count);
-			choices.push({readers: readers.map(reader => reader.board), wait, finish: wait + part + pass});
+			choices.push({readers, wait, finish: wait + read + pass});
 		}
 	}
 
+	return pickReaders(choices, request.objective);
+}
+
+/** The fewest servers that meet a target, else about the fastest choice. */
+function pickReaders(choices: ReaderChoice[], objective: number): ReaderChoice | undefined {
 	const fastest = Math.min(...choices.map(choice => choice.finish));
-	return choices.find(choice => choice.finish <= fastest * fewerServersSlack);
+	const targets = [...readTargets.map(share => share * objective), fastest * fewerServersSlack];
+	const target = targets.find(limit => limit >= fastest);
+	return choices.find(choice => choice.finish <= target!);
 }
 
 /** Which server takes the request, and who holds how much of its prompt; undefined when there is no room. */
