fix(gateway): an answer without a length that ends by a reset is not whole

Change: each connection is a client of its own, so that the end of its socket is known; such an answer counts as broken. Ruled out: reading the length from the mark of the answer (its parts are not described).

--- a/src/gateway/backend-exchange.ts
+++ b/src/gateway/backend-exchange.ts
@@ -19,6 +19,14 @@
 
 const firstFinalStatus = 200;
 
+/** The connection that carries an exchange. */
+export type ExchangeCarrier = {
+	/** Whether the connection ended with an error. */
+	wasReset: () => boolean;
+	/** Called once when the exchange needs the connection no longer. */
+	onOver: () => void;
+};
+
 /** Handles one exchange. */
 export class BackendExchange implements Dispatcher.DispatchHandler {
 	readonly #listener: ExchangeListener;
@@ -26,6 +34,8 @@
 	#wasSent = false;
 	#isAborted = false;
 	#isOver = false;
+	#isFramed = false;
+	#carrier: ExchangeCarrier | undefined;
 
 	constructor(listener: ExchangeListener) {
 		this.#listener = listener;
@@ -36,6 +46,11 @@
 		return this.#wasSent;
 	}
 
+	/** Notes the connection that carries it. */
+	attach(carrier: ExchangeCarrier): void {
+		this.#carrier = carrier;
+	}
+
 	/** Ends the exchange and closes its connection, so that the server stops working on it. */
 	abort(): void {
 		this.#isAborted = true;
@@ -65,6 +80,7 @@
 	}
 
 	onResponseStart(_controller: Dispatcher.DispatchController, status: number, headers: HeaderFields): void {
+		this.#isFramed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
 		if (status >= firstFinalStatus && !this.#isAborted) {
 			this.#listener.onHead(status, headers);
 		}
@@ -77,15 +93,33 @@
 	}
 
 	onResponseEnd(): void {
-		this.#isOver = true;
-		if (!this.#isAborted) {
-			this.#listener.onEnd();
+		// Without a length only an orderly end of the connection tells that the answer is whole.
+		if (!this.#isFramed && this.#carrier?.wasReset() === true) {
+			this.#end(new Error('the connection was reset within an answer without a length'));
+			return;
 		}
+
+		this.#end();
 	}
 
 	onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
+		this.#end(error);
+	}
+
+	#end(error?: Error): void {
+		if (this.#isOver) {
+			return;
+		}
+
 		this.#isOver = true;
-		if (!this.#isAborted) {
+		this.#carrier?.onOver();
+		if (this.#isAborted) {
+			return;
+		}
+
+		if (error === undefined) {
+			this.#listener.onEnd();
+		} else {
 			this.#listener.onError(error, this.#wasSent);
 		}
 	}
--- a/src/gateway/backend-pool.ts
+++ b/src/gateway/backend-pool.ts
@@ -1,6 +1,14 @@
-/** Connections to backend servers. */
+/**
+ * Connections to backend servers, one request at a time on each.
+ *
+ * Each connection is a client of its own, so that an answer is known to belong to a socket:
+ * an answer without a length that ends by a reset is not whole, and the library takes it
+ * for whole.
+ */
 import type {Buffer} from 'node:buffer';
-import {Agent, type Dispatcher} from 'undici';
+import type {Socket} from 'node:net';
+import {buildConnector, Client, type Dispatcher} from 'undici';
+import type {Clock} from '../common/index.js';
 import type {BackendExchange} from './backend-exchange.js';
 
 /** Time for a new connection, in milliseconds: servers are a few milliseconds away, and one that lost power does not answer at all. */
@@ -9,6 +17,9 @@
 /** How long an idle connection is kept when the server does not say, in milliseconds. */
 const idleTimeout = 4000;
 
+/** How long a connection without requests is remembered, in milliseconds. */
+const forgetAfter = 15_000;
+
 /** A request to a backend server. */
 export type BackendRequest = {
 	method: string;
@@ -17,47 +28,110 @@
 	body: Buffer | string | undefined;
 };
 
-/** Connections to all backend servers, one request at a time on each. */
-export class BackendPool {
-	readonly #agent: Agent;
+/** One connection, opened again by its client when the server has closed it. */
+class BackendConnection {
+	readonly client: Client;
+	idleSince = 0;
+	#socket: Socket | undefined;
 
-	constructor() {
-		this.#agent = new Agent({
-			connect: {timeout: connectTimeout},
+	constructor(address: string) {
+		const connect = buildConnector({timeout: connectTimeout});
+		this.client = new Client(`http://${address}`, {
+			connect: (options, callback) => {
+				connect(options, (...result) => {
+					this.#socket = result[0] === null ? result[1] : undefined;
+					callback(...result);
+				});
+			},
 			headersTimeout: 0,
 			bodyTimeout: 0,
 			keepAliveTimeout: idleTimeout,
 			pipelining: 1,
-			connections: null,
 		});
 	}
 
+	/** Whether the last socket ended with an error rather than in order. */
+	get wasReset(): boolean {
+		return this.#socket?.errored !== null && this.#socket?.errored !== undefined;
+	}
+}
+
+/** Connections to all backend servers. */
+export class BackendPool {
+	readonly #clock: Clock;
+	readonly #idle = new Map<string, BackendConnection[]>();
+	readonly #all = new Set<BackendConnection>();
+
+	constructor(clock: Clock) {
+		this.#clock = clock;
+	}
+
 	/** Sends a request to an address, `IP:PORT`; everything else is told to the exchange. */
 	dispatch(address: string, request: BackendRequest, exchange: BackendExchange): void {
-		this.#agent.dispatch({
-			origin: `http://${address}`,
-			method: request.method as Dispatcher.HttpMethod,
-			path: request.path,
-			headers: request.headers,
-			body: request.body,
-		}, exchange);
+		const connection = this.#take(address);
+		exchange.attach({
+			wasReset: () => connection.wasReset,
+			onOver: () => {
+				this.#giveBack(address, connection);
+			},
+		});
+		connection.client.dispatch({...request, method: request.method as Dispatcher.HttpMethod}, exchange);
 	}
 
-	/** Sends a request and reads its whole answer. */
+	/** Sends a request and reads its whole answer; rejects when there is none in time. */
 	async ask(address: string, request: BackendRequest, timeout: number): Promise<{status: number; text: string}> {
-		const answer = await this.#agent.request({
-			origin: `http://${address}`,
-			method: request.method as Dispatcher.HttpMethod,
-			path: request.path,
-			headers: request.headers,
-			body: request.body,
-			signal: AbortSignal.timeout(timeout),
-		});
-		return {status: answer.statusCode, text: await answer.body.text()};
+		const connection = this.#take(address);
+		try {
+			const answer = await connection.client.request({
+				...request, method: request.method as Dispatcher.HttpMethod, signal: AbortSignal.timeout(timeout),
+			});
+			return {status: answer.statusCode, text: await answer.body.text()};
+		} finally {
+			this.#giveBack(address, connection);
+		}
+	}
+
+	/** Closes the connections that have had no request for long. */
+	prune(): void {
+		const oldest = this.#clock.readMonotonic() - forgetAfter;
+		for (const [address, idle] of this.#idle) {
+			const kept = idle.filter(connection => connection.idleSince >= oldest);
+			for (const connection of idle) {
+				if (connection.idleSince < oldest) {
+					this.#all.delete(connection);
+					void connection.client.destroy();
+				}
+			}
+
+			if (kept.length === 0) {
+				this.#idle.delete(address);
+			} else {
+				this.#idle.set(address, kept);
+			}
+		}
 	}
 
 	/** Closes all connections at once. */
 	async close(): Promise<void> {
-		await this.#agent.destroy();
+		await Promise.all([...this.#all].map(async connection => connection.client.destroy()));
+	}
+
+	/** The connection used last is the least likely to have been closed meanwhile. */
+	#take(address: string): BackendConnection {
+		const idle = this.#idle.get(address)?.pop();
+		if (idle !== undefined) {
+			return idle;
+		}
+
+		const connection = new BackendConnection(address);
+		this.#all.add(connection);
+		return connection;
+	}
+
+	#giveBack(address: string, connection: BackendConnection): void {
+		connection.idleSince = this.#clock.readMonotonic();
+		const idle = this.#idle.get(address) ?? [];
+		idle.push(connection);
+		this.#idle.set(address, idle);
 	}
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -72,7 +72,7 @@
 	readonly state: FleetState;
 	readonly metrics = new GatewayMetrics();
 	readonly #parts: GatewayParts;
-	readonly #pool = new BackendPool();
+	readonly #pool: BackendPool;
 	readonly #clients: PeerClients;
 	readonly #peers: Peers;
 	readonly #placer: SharedPlacer;
@@ -95,6 +95,7 @@
 		this.#parts = parts;
 		this.#life = parts.ids.createUuid();
 		this.state = new FleetState(clock, logger);
+		this.#pool = new BackendPool(clock);
 		this.#clients = new PeerClients(clock);
 		const self = () => this.#describeSelf();
 		this.#peers = new Peers({clock, logger, self});
@@ -364,7 +365,7 @@
 		supervisor.addChild(new PeerSocket({
 			clock, logger, peers: this.#peers, host, port: settings.heartbeat_port,
 			onBeat: () => {
-				this.#watchPeers();
+				this.#tick();
 			},
 		}));
 		await supervisor.run(this.#supervisorStop.signal);
@@ -399,6 +400,12 @@
 		}
 	}
 
+	/** What is done at each heartbeat. */
+	#tick(): void {
+		this.#pool.prune();
+		this.#watchPeers();
+	}
+
 	/** Takes a newer view from another node when this one's source lags or is away. */
 	#watchPeers(): void {
 		const live = this.#peers.listLive();
