--- a/src/common/clock.ts
+++ b/src/common/clock.ts
@@ -53,16 +53,29 @@
 	});
 }
 
-/** Makes an abort signal that fires after a delay in milliseconds; `cancel` stops the timer. */
-export function createTimeout(clock: Clock, delay: number): {signal: AbortSignal; cancel(): void} {
+/**
+ * Makes an abort signal that fires after a delay in milliseconds, or with its parent; `cancel` stops the timer.
+ *
+ * `AbortSignal.any` and `AbortSignal.timeout` of Node.js 20 are not used for this: joined
+ * signals that nobody holds are collected before they fire, and the call waits for ever.
+ */
+export function createTimeout(clock: Clock, delay: number, parent?: AbortSignal): {signal: AbortSignal; cancel(): void} {
 	const controller = new AbortController();
-	const timer = clock.setTimer(delay, () => {
+	const abort = () => {
 		controller.abort();
-	});
+	};
+
+	const timer = clock.setTimer(delay, abort);
+	parent?.addEventListener('abort', abort);
+	if (parent?.aborted === true) {
+		abort();
+	}
+
 	return {
 		signal: controller.signal,
 		cancel() {
 			timer.cancel();
+			parent?.removeEventListener('abort', abort);
 		},
 	};
 }
--- a/src/gateway/backend-attempt.ts
+++ b/src/gateway/backend-attempt.ts
@@ -131,7 +131,7 @@
 	/** The first server's head stands for the whole answer, whoever goes on with it. */
 	#sendStreamHead(head: AnswerHead): void {
 		if (!this.#parts.sink.hasHead) {
-			this.#parts.sink.sendHead(head.status, head.headers);
+			this.#parts.sink.sendHead(head.status, head.headers, head.isFramed);
 		}
 	}
 
@@ -197,7 +197,13 @@
 		}
 
 		this.#noteFirst();
-		this.#parts.sink.end();
+		if (this.#parts.sink.isFramed && this.#head?.isFramed === false) {
+			// The caller's head promises an end that says whether the answer is whole; this server's does not.
+			this.#parts.sink.cut();
+		} else {
+			this.#parts.sink.end();
+		}
+
 		this.#finish({kind: 'done'});
 	}
 
@@ -236,7 +242,8 @@
 			return;
 		}
 
-		sink.sendHead(head.status, {...head.headers, 'content-length': String(body.length)});
+		const length = head.isFramed ? {'content-length': String(body.length)} : {};
+		sink.sendHead(head.status, {...head.headers, ...length}, head.isFramed);
 		sink.end(body);
 	}
 
--- a/src/gateway/backend-pool.ts
+++ b/src/gateway/backend-pool.ts
@@ -8,7 +8,7 @@
 import type {Buffer} from 'node:buffer';
 import type {Socket} from 'node:net';
 import {buildConnector, Client, type Dispatcher} from 'undici';
-import type {Clock} from '../common/index.js';
+import {createTimeout, type Clock} from '../common/index.js';
 import type {BackendExchange} from './backend-exchange.js';
 
 /** Time for a new connection, in milliseconds: servers are a few milliseconds away, and one that lost power does not answer at all. */
@@ -81,12 +81,14 @@
 	/** Sends a request and reads its whole answer; rejects when there is none in time. */
 	async ask(address: string, request: BackendRequest, timeout: number): Promise<{status: number; text: string}> {
 		const connection = this.#take(address);
+		const limit = createTimeout(this.#clock, timeout);
 		try {
 			const answer = await connection.client.request({
-				...request, method: request.method as Dispatcher.HttpMethod, signal: AbortSignal.timeout(timeout),
+				...request, method: request.method as Dispatcher.HttpMethod, signal: limit.signal,
 			});
 			return {status: answer.statusCode, text: await answer.body.text()};
 		} finally {
+			limit.cancel();
 			this.#giveBack(address, connection);
 		}
 	}
--- a/src/gateway/call-run.ts
+++ b/src/gateway/call-run.ts
@@ -403,7 +403,7 @@
 		'content-type': 'application/json',
 		'content-length': String(Buffer.byteLength(body)),
 		...wire.formatFailureHeaders(failure, requestId),
-	});
+	}, true);
 	sink.end(body);
 	return status;
 }
--- a/src/gateway/call-sink.ts
+++ b/src/gateway/call-sink.ts
@@ -8,8 +8,11 @@
 	/** Whether a head has been sent. */
 	abstract readonly hasHead: boolean;
 
-	/** Sends the head. */
-	abstract sendHead(status: number, headers: HeaderFields): void;
+	/** Sends the head. An answer that is not framed ends with its connection, as the backend server's did: the caller sees that its end proves nothing. */
+	abstract sendHead(status: number, headers: HeaderFields, isFramed: boolean): void;
+
+	/** Whether the head that was sent says how the body ends. */
+	abstract readonly isFramed: boolean;
 
 	/** Sends a piece; false when the caller reads more slowly than it is sent. */
 	abstract write(piece: Buffer): boolean;
@@ -28,6 +31,7 @@
 export class HttpSink extends CallSink {
 	readonly #response: ServerResponse;
 	readonly #isStopping: () => boolean;
+	#isFramed = true;
 
 	constructor(response: ServerResponse, isStopping: () => boolean) {
 		super();
@@ -39,15 +43,24 @@
 		return this.#response.headersSent;
 	}
 
-	override sendHead(status: number, headers: HeaderFields): void {
+	override sendHead(status: number, headers: HeaderFields, isFramed: boolean): void {
+		this.#isFramed = isFramed;
 		const fields = Object.entries(headers).filter((entry): entry is [string, string | string[]] => entry[1] !== undefined);
-		if (this.#isStopping()) {
+		if (this.#isStopping() || !isFramed) {
 			this.#response.shouldKeepAlive = false;
 		}
 
+		if (!isFramed) {
+			this.#response.useChunkedEncodingByDefault = false;
+		}
+
 		this.#response.writeHead(status, Object.fromEntries(fields));
 	}
 
+	override get isFramed(): boolean {
+		return this.#isFramed;
+	}
+
 	override write(piece: Buffer): boolean {
 		return this.#response.write(piece);
 	}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -113,7 +113,7 @@
 
 	/** Whether calls are taken and can be served. */
 	get isReady(): boolean {
-		return !this.#isStopping && this.state.table !== undefined;
+		return !this.#isStopping && this.state.isUsable;
 	}
 
 	/** Settles when the node's parts have ended; rejects when one failed past its restart budget. */
--- a/src/gateway/shared-placer.ts
+++ b/src/gateway/shared-placer.ts
@@ -143,14 +143,16 @@
 			return {decidedBy: 'planner', result: Right(answer.decision)};
 		}
 
-		if (answer?.failure !== undefined) {
+		// A node that has just started may know fewer servers than this one.
+		const knowsNone = answer?.failure?.kind === 'no_backend_server' && this.#parts.state.listServers(request.service).length > 0;
+		if (answer?.failure !== undefined && !knowsNone) {
 			return {decidedBy: 'planner', result: Left(answer.failure)};
 		}
 
 		this.#parts.peers.noteSlow(decider.name, slowRest);
 		this.#parts.logger.warn({
-			event: 'decider_silent', request: request.requestId, node: decider.name, waited: askTimeout,
-		}, 'the deciding node did not answer; this node decides by its own view');
+			event: 'decider_passed_over', request: request.requestId, node: decider.name, reason: knowsNone ? 'it knows no server' : `no answer within ${askTimeout} ms`,
+		}, 'this node decides by its own view');
 		return {decidedBy: 'fallback', result: this.decideFor(request)};
 	}
 
--- a/src/gateway/wire.ts
+++ b/src/gateway/wire.ts
@@ -59,6 +59,8 @@
 	isSigned: boolean;
 	/** Whether the server states that it did not run the request. */
 	isDeclined: boolean;
+	/** Whether the head says how the body ends; otherwise it ends with the connection, and whether it is whole cannot be told. */
+	isFramed: boolean;
 	/** Whether the body is encoded, which no true answer is. */
 	isEncoded: boolean;
 	/** Address of the helping server at fault, where it is not the server asked. */
--- a/src/routing/fleet-state.ts
+++ b/src/routing/fleet-state.ts
@@ -71,9 +71,14 @@
 		return this.#serversRevision;
 	}
 
-	/** Whether the source answered when it was last asked. */
+	/** Whether the source answered when it was last asked, and has told of the servers at all. */
 	get isSourceReachable(): boolean {
-		return !this.#isOutage;
+		return !this.#isOutage && this.#serversRevision > 0;
+	}
+
+	/** Whether calls can be served: a configuration and servers are known, from whomever. */
+	get isUsable(): boolean {
+		return this.#table !== undefined && (this.#serversRevision > 0 || this.#servers.size > 0);
 	}
 
 	/** The servers known, as one text: equal for equal views. */
@@ -194,7 +199,7 @@
 			this.applyConfig(snapshot.config, origin);
 		}
 
-		if (!this.#isOutage || !isSourceReachable) {
+		if (this.isSourceReachable || !isSourceReachable) {
 			return;
 		}
 
