--- a/src/gateway/servers.ts
+++ b/src/gateway/servers.ts
@@ -58,16 +58,16 @@
 export async function openCallersServer(address: string, context: CallersContext): Promise<OpenServer> {
 	const server = createServer(defaultBodyLimit * 4);
 	server.removeAllContentTypeParsers();
-	server.addContentTypeParser('*', {parseAs: 'buffer'}, (_request, body, done) => { // eslint-disable-line @typescript-eslint/no-floating-promises -- it returns the server, which can be awaited to start it
+	server.addContentTypeParser('*', {parseAs: 'buffer'}, (_request, body, done) => {
 		done(null, body);
 	});
-	server.setErrorHandler(async (error: {statusCode?: number; message: string}, _request, reply: FastifyReply) => { // eslint-disable-line @typescript-eslint/no-floating-promises -- as above
-		reply.hijack();
+	server.setErrorHandler(async (error: {statusCode?: number; message: string}, _request, reply: FastifyReply) => {
+		void reply.hijack();
 		const kind = error.statusCode === 413 ? 'body_too_large' : 'invalid_request';
 		sendFailure(new HttpSink(reply.raw, () => true), context.wire, createFailure(kind, error.message), undefined);
 	});
 	const serve = async (request: FastifyRequest, reply: FastifyReply) => {
-		reply.hijack();
+		void reply.hijack();
 		const sink = new HttpSink(reply.raw, context.isStopping);
 		const body = request.body as Uint8Array | undefined;
 		if (body !== undefined && body.length > context.findBodyLimit()) {
