--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -175,7 +175,7 @@
 			server.server.closeAllConnections();
 			await server.close();
 		}));
-		await Promise.all([this.#clients.close(), this.#pool.close()]);
+		await Promise.all([this.#clients.close(), this.#pool.close(), this.#parts.source.close()]);
 	}
 
 	override decide(request: PlanRequest): DecisionAnswer {
--- a/src/routing/fleet-source.ts
+++ b/src/routing/fleet-source.ts
@@ -43,4 +43,7 @@
 
 	/** Lists the registered nodes; some may be gone. */
 	abstract listNodes(signal: AbortSignal): Promise<Either<SourceFailure, NodeRegistration[]>>;
+
+	/** Closes all connections. */
+	abstract close(): Promise<void>;
 }
--- /dev/null
+++ b/test/gateway-calls.test.ts
@@ -0,0 +1,228 @@
+import {
+	afterEach, beforeEach, expect, test,
+} from '@jest/globals';
+import {createConfig, GatewayFleet, waitUntil} from './helpers/gateways.js';
+import {
+	answerWhole, decline, formatEvent, markAnswer, streamEvents, type RunnerBehaviour,
+} from './helpers/platform-standins.js';
+
+let fleet: GatewayFleet;
+
+beforeEach(() => {
+	fleet = new GatewayFleet();
+});
+
+afterEach(async () => {
+	await fleet.stop();
+});
+
+const dropConnection: RunnerBehaviour = (_request, _response, socket) => {
+	socket.destroy();
+};
+
+const tokens = {'cresshook-model': 'm', 'cresshook-token-usage': '1460,80', 'cresshook-prompt-prefix': '5c1e:800,91bd:660'};
+
+test('a request reaches a server unchanged, with the organisation for the key', async () => {
+	await fleet.start({runners: [{service: 'app', behaviour: answerWhole('tile')}]});
+	const answer = await fleet.call({path: '/once/a?b=1', body: 'hello', headers: {'x-own': 'kept', 'cresshook-tenant': 'forged'}});
+	expect([answer.status, answer.body, answer.isWhole, answer.headers['cresshook-response-seal']]).toEqual([200, 'tile', true, 'seal']);
+	const [seen] = fleet.runners[0].seen;
+	expect([seen.method, seen.url, seen.body]).toEqual(['POST', '/once/a?b=1', 'hello']);
+	expect(seen.headers).toMatchObject({'x-own': 'kept', 'cresshook-tenant': 'guild', 'cresshook-target-instance': 'i-0'});
+	expect(seen.headers.authorization).toBeUndefined();
+	expect(Number(seen.headers['cresshook-deadline-ms'])).toBeLessThanOrEqual(1500);
+});
+
+test('an unknown key, path and a missing id are refused without asking a server', async () => {
+	await fleet.start({runners: [{service: 'app', behaviour: answerWhole('no')}]});
+	const answers = await Promise.all([
+		fleet.call({path: '/once/', headers: {authorization: 'Bearer other'}}),
+		fleet.call({path: '/nowhere/'}),
+		fleet.call({path: '/once/', headers: {'cresshook-attempt-id': ''}}),
+	]);
+	expect(answers.map(answer => answer.status)).toEqual([401, 404, 400]);
+	expect(fleet.runners[0].seen).toHaveLength(0);
+});
+
+test('a request that may run once is sent once, and a lost answer is no promise', async () => {
+	await fleet.start({
+		runners: [1, 2].map(() => ({service: 'app', behaviour: dropConnection})),
+	});
+	const answer = await fleet.call({path: '/once/'});
+	expect(answer.status).toBe(502);
+	expect(fleet.runners[0].seen.length + fleet.runners[1].seen.length).toBe(1);
+});
+
+test('a request that may run once goes elsewhere when a server says that it did not run', async () => {
+	await fleet.start({runners: [{service: 'app', behaviour: decline}, {service: 'app', behaviour: answerWhole('yes')}]});
+	const answers = await Promise.all([1, 2, 3, 4].map(async () => fleet.call({path: '/once/'})));
+	expect(answers.map(answer => answer.body)).toEqual(['yes', 'yes', 'yes', 'yes']);
+});
+
+test('a refusal by every server says when to come back', async () => {
+	await fleet.start({runners: [{service: 'app', behaviour: decline}]});
+	const answer = await fleet.call({path: '/once/'});
+	expect(answer.status).toBe(503);
+	expect(Number(answer.headers['retry-after'])).toBeGreaterThan(0);
+});
+
+test('a request that may be repeated is answered by another server after a failure', async () => {
+	let count = 0;
+	const failFirst: RunnerBehaviour = (request, response, socket) => {
+		void answerWhole(count++ === 0 ? 'broken' : 'fine', count === 1 ? 500 : 200)(request, response, socket);
+	};
+
+	await fleet.start({runners: [{service: 'app', behaviour: failFirst}, {service: 'app', behaviour: failFirst}]});
+	const answer = await fleet.call({path: '/again/', method: 'GET'});
+	expect([answer.status, answer.body, count]).toEqual([200, 'fine', 2]);
+});
+
+test('a failure of every server is passed on with its mark', async () => {
+	await fleet.start({runners: [1, 2].map(() => ({service: 'app', behaviour: answerWhole('broken', 500)}))});
+	const answer = await fleet.call({path: '/again/', method: 'GET'});
+	expect([answer.status, answer.body, answer.headers['cresshook-response-seal']]).toEqual([500, 'broken', 'seal']);
+});
+
+test('an answer of another request, without the mark or encoded is not passed on', async () => {
+	const behaviours: RunnerBehaviour[] = [
+		(request, response) => void response.writeHead(200, {...markAnswer(request), 'cresshook-attempt-id': 'other'}).end('wrong'),
+		(_request, response) => void response.writeHead(200, {'content-length': '5'}).end('wrong'),
+		(request, response) => void response.writeHead(200, {...markAnswer(request), 'content-encoding': 'gzip'}).end('wrong'),
+	];
+	await fleet.start({runners: [{service: 'app', behaviour: behaviours[0]}]});
+	for (const behaviour of behaviours) {
+		fleet.runners[0].behaviour = behaviour;
+		const answer = await fleet.call({path: '/once/'});
+		expect([answer.status, answer.body.includes('wrong')]).toEqual([502, false]);
+	}
+});
+
+test('an answer without a length stays without one, and a reset inside it is no whole answer', async () => {
+	let isReset = false;
+	const unframed: RunnerBehaviour = (request, response, socket) => {
+		const head = Object.entries(markAnswer(request)).map(([name, value]) => `${name}: ${value}\r\n`).join('');
+		socket.write(`HTTP/1.1 200 OK\r\n${head}connection: close\r\n\r\nhalf`);
+		setTimeout(() => {
+			if (isReset) {
+				socket.resetAndDestroy();
+			} else {
+				socket.end();
+			}
+		}, 20);
+	};
+
+	await fleet.start({runners: [{service: 'app', behaviour: unframed}]});
+	const ended = await fleet.call({path: '/once/'});
+	expect([ended.status, ended.body, ended.headers['content-length'], ended.headers['transfer-encoding'], ended.headers.connection]).toEqual([200, 'half', undefined, undefined, 'close']);
+	isReset = true;
+	const reset = await fleet.call({path: '/once/'});
+	expect([reset.status, reset.body.includes('half')]).toEqual([502, false]);
+});
+
+test('a stream is passed on event by event, unchanged', async () => {
+	await fleet.start({runners: [{service: 'model', behaviour: streamEvents(5)}]});
+	const answer = await fleet.call({path: '/stream/', headers: tokens});
+	expect([answer.status, answer.body, answer.isWhole]).toEqual([200, [1, 2, 3, 4, 5].map(id => formatEvent(id)).join(''), true]);
+	expect(fleet.runners[0].seen[0].headers).toMatchObject(tokens);
+});
+
+test('a stream that breaks inside an event goes on at another server, and the caller sees one whole answer', async () => {
+	let count = 0;
+	const breakFirst: RunnerBehaviour = async (request, response, socket) => streamEvents(6, count++ === 0 ? 3 : Infinity)(request, response, socket);
+	await fleet.start({runners: [{service: 'model', behaviour: breakFirst}, {service: 'model', behaviour: breakFirst}]});
+	const answer = await fleet.call({path: '/stream/', headers: tokens});
+	expect([answer.body, answer.isWhole]).toEqual([[1, 2, 3, 4, 5, 6].map(id => formatEvent(id)).join(''), true]);
+	const resumed = fleet.runners.flatMap(runner => runner.seen).find(seen => seen.headers['last-event-id'] !== undefined);
+	expect(resumed?.headers['last-event-id']).toBe('3');
+});
+
+test('a stream that no server can go on with does not look complete', async () => {
+	await fleet.start({runners: [1, 2, 3].map(() => ({service: 'model', behaviour: streamEvents(6, 2)}))});
+	const answer = await fleet.call({path: '/stream/', headers: tokens});
+	expect([answer.body, answer.isWhole]).toEqual([formatEvent(1) + formatEvent(2), false]);
+});
+
+test('a silent server costs a stream a second, and another one answers', async () => {
+	let count = 0;
+	await fleet.start({
+		runners: [1, 2].map(() => ({service: 'model', behaviour: async (request, response, socket) => count++ === 0 ? undefined : streamEvents(2)(request, response, socket)})),
+	});
+	const answer = await fleet.call({path: '/stream/', headers: tokens});
+	expect([answer.body, count]).toEqual([formatEvent(1) + formatEvent(2), 2]);
+});
+
+test('a caller that leaves stops the server that works for it', async () => {
+	await fleet.start({runners: [{service: 'model', behaviour() {}}]}); // eslint-disable-line @typescript-eslint/no-empty-function -- it never answers
+	await fleet.call({path: '/stream/', headers: tokens, leaveAfter: 200});
+	await waitUntil(() => fleet.runners[0].abandoned === 1, 500);
+});
+
+test('a request is answered when its route\'s time is over', async () => {
+	await fleet.start({runners: [{service: 'app', behaviour() {}}]}); // eslint-disable-line @typescript-eslint/no-empty-function -- it never answers
+	const started = Date.now();
+	const answer = await fleet.call({path: '/once/'});
+	expect(answer.status).toBe(504);
+	expect(Date.now() - started).toBeLessThan(1900);
+});
+
+test('a leaving server gets no new request', async () => {
+	await fleet.start({runners: [{service: 'app', behaviour: answerWhole('old')}, {service: 'app', behaviour: answerWhole('new')}]});
+	fleet.putServer(0, 'app', 'draining');
+	await waitUntil(() => fleet.gateways[0].state.findServer('i-0' as never) === undefined);
+	const answers = await Promise.all([1, 2, 3, 4].map(async () => fleet.call({path: '/once/'})));
+	expect(answers.map(answer => answer.body)).toEqual(['new', 'new', 'new', 'new']);
+});
+
+test('a changed configuration is in force soon and an older one never again', async () => {
+	await fleet.start({runners: [{service: 'app', behaviour: answerWhole('yes')}]});
+	fleet.store.put('config', 'main', createConfig(7, {tenants: [{name: 'guild', apiKeys: ['new-key']}]}));
+	await waitUntil(() => fleet.gateways[0].state.configVersion === 7, 2000);
+	fleet.store.put('config', 'main', createConfig(5));
+	await fleet.call({path: '/once/'});
+	const answers = await Promise.all(['secret-key', 'new-key'].map(async key => fleet.call({path: '/once/', headers: {authorization: `Bearer ${key}`}})));
+	expect(answers.map(answer => answer.status)).toEqual([401, 200]);
+});
+
+test('a node without a configuration says that it is not ready', async () => {
+	fleet.store.trouble = 'busy';
+	await fleet.store.start();
+	await fleet.addGateway();
+	const answer = await fleet.call({path: '/once/'});
+	expect([answer.status, fleet.gateways[0].isReady]).toEqual([503, false]);
+});
+
+test('a node that started beside a silent store learns the servers once it answers', async () => {
+	await fleet.store.start();
+	fleet.store.put('config', 'main', createConfig(1));
+	await fleet.addRunner('app', answerWhole('yes'));
+	fleet.store.trouble = 'silent';
+	await fleet.addGateway();
+	await new Promise(resolve => {
+		setTimeout(resolve, 300);
+	});
+	globalThis.gc?.();
+	fleet.store.trouble = 'none';
+	await waitUntil(() => fleet.gateways[0].isReady, 4000);
+	expect((await fleet.call({path: '/once/'})).status).toBe(200);
+});
+
+test('a planned stop serves what runs and ends within the grace', async () => {
+	await fleet.start({
+		runners: [{
+			service: 'app',
+			behaviour(request, response, socket) {
+				setTimeout(() => {
+					void answerWhole('late')(request, response, socket);
+				}, 800);
+			},
+		}],
+	});
+	const running = fleet.call({path: '/once/'});
+	await waitUntil(() => fleet.runners[0].seen.length === 1);
+	const started = Date.now();
+	const stopped = fleet.gateways[0].stop();
+	expect(fleet.gateways[0].isReady).toBe(false);
+	expect((await running).body).toBe('late');
+	await stopped;
+	expect(Date.now() - started).toBeLessThan(4000);
+});
--- /dev/null
+++ b/test/helpers/gateways.ts
@@ -0,0 +1,228 @@
+/** Gateway nodes over loopback, before stand-ins for the platform's store and runners. */
+import {request as sendRequest} from 'node:http';
+import {createServer, type AddressInfo} from 'node:net';
+import {CallWire, PlatformSource} from '../../platform/index.js';
+import {createSilentLogger, randomIdSource, systemClock} from '../../src/common/index.js';
+import {Gateway, parseGatewaySettings, type GatewaySettings} from '../../src/gateway/index.js';
+import {StandinRunner, StandinStore, type RunnerBehaviour} from './platform-standins.js';
+
+/** Figures of a model server, as the platform writes them. */
+export const engineSpec = {
+	slots: 11,
+	kvCapacityTokens: 315_000,
+	stride: 51,
+	step_ms: 0.85,
+	per_seq_ms: 0.006,
+	context_per_k: 0.002_85,
+	read_per_s: 177_000,
+	pairs_per_m: 0.184,
+	chunk: 2048,
+	hop_ms: 0.05,
+	usual: {prompt: 11_112, answer: 1622},
+};
+
+/** A configuration with one route of each kind. */
+export function createConfig(version: number, changes: Record<string, unknown> = {}): Record<string, unknown> {
+	const common = {
+		host: 'shop.example', priority: 1, allowAnonymous: false, targetLatencyMs: 300,
+	};
+	return {
+		version,
+		routes: [
+			{
+				...common, name: 'stream', pathPrefix: '/stream/', kind: 'streaming', timeoutMs: 5000, maxAttempts: 3, resumeStreams: true, gap_aim_ms: 250, service: 'model',
+			},
+			{
+				...common, name: 'once', pathPrefix: '/once/', kind: 'non_idempotent', timeoutMs: 1500, maxAttempts: 1, service: 'app',
+			},
+			{
+				...common, name: 'again', pathPrefix: '/again/', kind: 'idempotent', timeoutMs: 1500, maxAttempts: 2, service: 'app',
+			},
+		],
+		services: [{name: 'model', maxConnections: 99, engine: engineSpec}, {name: 'app', maxConnections: 99}],
+		limits: {
+			maxHeaderBytes: 16_384, maxBodyBytes: 1_000_000, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
+		},
+		tenants: [{name: 'guild', apiKeys: ['secret-key']}],
+		...changes,
+	};
+}
+
+/** An answer as a caller saw it. */
+export type SeenAnswer = {
+	status: number;
+	headers: Record<string, string | string[] | undefined>;
+	body: string;
+	/** Whether the answer ended as complete. */
+	isWhole: boolean;
+};
+
+/** A call of a test. */
+export type TestCall = {
+	path: string;
+	method?: string;
+	headers?: Record<string, string>;
+	body?: string;
+	/** Closes the connection after so many milliseconds. */
+	leaveAfter?: number;
+};
+
+let callCount = 0;
+
+/** Nodes, a store and runners of one test. */
+export class GatewayFleet {
+	readonly store = new StandinStore();
+	readonly gateways: Gateway[] = [];
+	readonly settings: GatewaySettings[] = [];
+	readonly runners: StandinRunner[] = [];
+
+	/** Starts the store with a configuration, runners for the services named, and nodes. */
+	async start(options: {nodes?: number; runners: Array<{service: string; behaviour: RunnerBehaviour}>}): Promise<this> {
+		await this.store.start();
+		this.store.put('config', 'main', createConfig(1));
+		for (const {service, behaviour} of options.runners) {
+			await this.addRunner(service, behaviour);
+		}
+
+		for (let index = 0; index < (options.nodes ?? 1); index++) {
+			await this.addGateway();
+		}
+
+		await waitUntil(() => this.gateways.every(gateway => gateway.isReady));
+		return this;
+	}
+
+	/** Starts a runner and registers it. */
+	async addRunner(service: string, behaviour: RunnerBehaviour): Promise<StandinRunner> {
+		const runner = await new StandinRunner(behaviour).start();
+		this.runners.push(runner);
+		this.putServer(this.runners.length - 1, service, 'ready');
+		return runner;
+	}
+
+	/** Writes the entry of a runner. */
+	putServer(index: number, service: string, state: 'ready' | 'draining'): void {
+		this.store.put('servers', `i-${index}`, {
+			service, address: this.runners[index].address, zone: 'north', version: 'v1', slots: 11, state, coldRemainingMs: 0, sequence: 1,
+		});
+	}
+
+	/** Starts a node. */
+	async addGateway(): Promise<Gateway> {
+		const index = this.gateways.length;
+		const ports = await findFreePorts(6);
+		const settings = parseGatewaySettings(`
+box = "edge-${index}"
+region = "r"
+availability_zone = "north"
+heartbeat_port = ${ports[4]}
+metrics_port = ${ports[5]}
+seeds = []
+address_lifetime_seconds = 1
+[listen]
+callers = "127.0.0.1:${ports[0]}"
+ready = "127.0.0.1:${ports[1]}"
+addresses = "127.0.0.1:${ports[2]}"
+peers = "127.0.0.1:${ports[3]}"
+[store]
+address = "${this.store.address}"
+[stop]
+grace_seconds = 4
+[retry]
+ratio = 0.2
+slack = 100
+window_seconds = 10
+`).unsafeCoerce();
+		const logger = createSilentLogger();
+		const gateway = new Gateway({
+			settings, source: new PlatformSource(settings.store.address, systemClock, logger), wire: new CallWire(), clock: systemClock, ids: randomIdSource, logger, random: Math.random,
+		});
+		await gateway.start();
+		this.gateways.push(gateway);
+		this.settings.push(settings);
+		return gateway;
+	}
+
+	/** Makes a call at a node. */
+	async call(call: TestCall, node = 0): Promise<SeenAnswer> {
+		return send(this.settings[node].listen.callers, call);
+	}
+
+	/** Ends everything. */
+	async stop(): Promise<void> {
+		await Promise.all(this.gateways.map(async gateway => gateway.close()));
+		await Promise.all([...this.runners, this.store].map(async standin => standin.stop()));
+	}
+}
+
+/** Sends a request and reads what comes. */
+export async function send(address: string, call: TestCall): Promise<SeenAnswer> {
+	const [host, port] = address.split(':');
+	return new Promise(resolve => {
+		const answer = {
+			status: 0, headers: {}, body: '', isWhole: false,
+		} as SeenAnswer;
+		const request = sendRequest({
+			host,
+			port,
+			path: call.path,
+			method: call.method ?? 'POST',
+			headers: {
+				host: 'shop.example', authorization: 'Bearer secret-key', 'cresshook-attempt-id': `id-${++callCount}`, 'cresshook-deadline-ms': '5000', ...call.headers,
+			},
+		}, response => {
+			answer.status = response.statusCode ?? 0;
+			answer.headers = response.headers;
+			response.on('data', chunk => {
+				answer.body += String(chunk);
+			});
+			response.on('end', () => {
+				answer.isWhole = response.complete;
+				resolve(answer);
+			});
+			response.on('error', () => {
+				resolve(answer);
+			});
+		});
+		request.on('error', () => {
+			resolve(answer);
+		});
+		if (call.leaveAfter !== undefined) {
+			setTimeout(() => {
+				request.destroy();
+				resolve(answer);
+			}, call.leaveAfter);
+		}
+
+		request.end(call.body);
+	});
+}
+
+/** Waits until a condition holds; fails after `limit` milliseconds. */
+export async function waitUntil(condition: () => boolean, limit = 8000): Promise<void> {
+	const end = Date.now() + limit;
+	while (!condition()) {
+		if (Date.now() > end) {
+			throw new Error('the condition did not come true in time');
+		}
+
+		await new Promise(resolve => {
+			setTimeout(resolve, 10);
+		});
+	}
+}
+
+async function findFreePorts(count: number): Promise<number[]> {
+	const servers = await Promise.all(Array.from({length: count}, async () => {
+		const server = createServer();
+		await new Promise<void>(resolve => {
+			server.listen(0, '127.0.0.1', resolve);
+		});
+		return server;
+	}));
+	const ports = servers.map(server => (server.address() as AddressInfo).port);
+	await Promise.all(servers.map(async server => new Promise(resolve => {
+		server.close(resolve);
+	})));
+	return ports;
+}
--- /dev/null
+++ b/test/helpers/platform-standins.ts
@@ -0,0 +1,286 @@
+/** Small stand-ins for the platform: its object store and its runners, over loopback sockets. */
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import type {AddressInfo, Socket} from 'node:net';
+
+/** Something that listens on a free port. */
+class Listening {
+	readonly server: Server;
+	readonly sockets = new Set<Socket>();
+
+	constructor(handle: (request: IncomingMessage, response: ServerResponse) => void) {
+		this.server = createServer(handle);
+		this.server.on('connection', socket => {
+			this.sockets.add(socket);
+			socket.once('close', () => this.sockets.delete(socket));
+		});
+	}
+
+	get address(): string {
+		return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+	}
+
+	async start(): Promise<this> {
+		await new Promise<void>(resolve => {
+			this.server.listen(0, '127.0.0.1', resolve);
+		});
+		return this;
+	}
+
+	async stop(): Promise<void> {
+		for (const socket of this.sockets) {
+			socket.destroy();
+		}
+
+		await new Promise<void>(resolve => {
+			this.server.close(() => {
+				resolve();
+			});
+		});
+	}
+}
+
+type Stored = {metadata: {name: string; revision: number}; spec: unknown};
+type StoreEvent = {kind: string; revision: number; gone: boolean; object: Stored};
+
+/** The object store: lists in pages, watches, and the troubles that a test asks for. */
+export class StandinStore extends Listening {
+	/** Objects on one page of a list. */
+	pageSize = 50;
+	/** `silent` answers nothing, `busy` answers 503. */
+	trouble: 'none' | 'silent' | 'busy' = 'none';
+	readonly calls: string[] = [];
+	readonly #objects = new Map<string, Map<string, Stored>>();
+	#events: StoreEvent[] = [];
+	#revision = 0;
+	#oldestKnown = 0;
+	readonly #waiting = new Set<() => void>();
+
+	constructor() {
+		super((request, response) => {
+			void this.#answer(request, response);
+		});
+	}
+
+	/** Writes an object as operators and runners do. */
+	put(kind: string, name: string, spec: unknown): void {
+		const object = {metadata: {name, revision: ++this.#revision}, spec};
+		this.#findKind(kind).set(name, object);
+		this.#publish({
+			kind, revision: this.#revision, gone: false, object,
+		});
+	}
+
+	/** Removes an object. */
+	remove(kind: string, name: string): void {
+		const object = this.#findKind(kind).get(name);
+		this.#findKind(kind).delete(name);
+		if (object !== undefined) {
+			this.#publish({
+				kind, revision: ++this.#revision, gone: true, object,
+			});
+		}
+	}
+
+	override async stop(): Promise<void> {
+		this.#wakeAll();
+		await super.stop();
+	}
+
+	/** Forgets all history: watches from before answer 410. */
+	forgetHistory(): void {
+		this.#events = [];
+		this.#oldestKnown = this.#revision;
+		this.#wakeAll();
+	}
+
+	/** Names of the objects of a kind. */
+	listNames(kind: string): string[] {
+		return [...this.#findKind(kind).keys()];
+	}
+
+	#findKind(kind: string): Map<string, Stored> {
+		const objects = this.#objects.get(kind) ?? new Map<string, Stored>();
+		this.#objects.set(kind, objects);
+		return objects;
+	}
+
+	#publish(event: StoreEvent): void {
+		this.#events.push(event);
+		this.#wakeAll();
+	}
+
+	#wakeAll(): void {
+		for (const wake of this.#waiting) {
+			wake();
+		}
+	}
+
+	async #answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		const url = new URL(request.url ?? '/', 'http://store');
+		this.calls.push(`${request.method} ${request.url}`);
+		if (this.trouble === 'silent') {
+			return;
+		}
+
+		if (this.trouble === 'busy') {
+			response.writeHead(503).end();
+			return;
+		}
+
+		const [kind, name] = url.pathname.split('/').slice(3);
+		if (request.method === 'GET') {
+			const watched = url.searchParams.get('watch');
+			await (watched === null ? this.#list(kind, url, response) : this.#watch(kind, Number(watched), Number(url.searchParams.get('waitMs')), response));
+			return;
+		}
+
+		await this.#write(kind, name, request, response);
+	}
+
+	async #write(kind: string, name: string | undefined, request: IncomingMessage, response: ServerResponse): Promise<void> {
+		const body = JSON.parse(await readText(request)) as {metadata: {name: string}; spec: unknown};
+		const target = name ?? body.metadata.name;
+		if (name === undefined && this.#findKind(kind).has(target)) {
+			response.writeHead(409).end('{}');
+			return;
+		}
+
+		this.put(kind, target, body.spec);
+		sendJson(response, this.#findKind(kind).get(target));
+	}
+
+	#list(kind: string, url: URL, response: ServerResponse): void {
+		const after = url.searchParams.get('sinceRevision') ?? '';
+		const objects = [...this.#findKind(kind).values()]
+			.sort((left, right) => left.metadata.name < right.metadata.name ? -1 : 1)
+			.filter(object => object.metadata.name > after);
+		sendJson(response, {items: objects.slice(0, this.pageSize), more: objects.length > this.pageSize, at: this.#revision});
+	}
+
+	async #watch(kind: string, revision: number, wait: number, response: ServerResponse): Promise<void> {
+		if (revision < this.#oldestKnown) {
+			response.writeHead(410).end('{}');
+			return;
+		}
+
+		const find = () => this.#events.filter(event => event.kind === kind && event.revision > revision);
+		if (find().length === 0) {
+			await this.#waitForEvent(wait);
+		}
+
+		if (revision < this.#oldestKnown) {
+			response.writeHead(410).end('{}');
+			return;
+		}
+
+		sendJson(response, {events: find().map(event => ({object: event.object, gone: event.gone})), at: this.#revision});
+	}
+
+	async #waitForEvent(wait: number): Promise<void> {
+		await new Promise<void>(resolve => {
+			const finish = () => {
+				clearTimeout(timer);
+				this.#waiting.delete(finish);
+				resolve();
+			};
+
+			const timer = setTimeout(finish, wait);
+			this.#waiting.add(finish);
+		});
+	}
+}
+
+/** A request as a runner saw it. */
+export type SeenRequest = {
+	method: string;
+	url: string;
+	headers: Record<string, string | undefined>;
+	body: string;
+};
+
+/** What a runner does with one request. */
+export type RunnerBehaviour = (request: SeenRequest, response: ServerResponse, socket: Socket) => void | Promise<void>;
+
+/** A runner that does as it is told and remembers what reached it. */
+export class StandinRunner extends Listening {
+	readonly seen: SeenRequest[] = [];
+	/** Requests whose caller left before the answer ended. */
+	abandoned = 0;
+	behaviour: RunnerBehaviour;
+
+	constructor(behaviour: RunnerBehaviour = answerWhole('ok')) {
+		super((request, response) => {
+			void this.#answer(request, response);
+		});
+		this.behaviour = behaviour;
+	}
+
+	async #answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		const seen = {
+			method: request.method ?? '', url: request.url ?? '', headers: request.headers as Record<string, string | undefined>, body: await readText(request),
+		};
+		this.seen.push(seen);
+		response.once('close', () => {
+			this.abandoned += response.writableEnded ? 0 : 1;
+		});
+		await this.behaviour(seen, response, request.socket);
+	}
+}
+
+/** Header fields of a true answer. */
+export function markAnswer(request: SeenRequest): Record<string, string> {
+	return {'cresshook-attempt-id': request.headers['cresshook-attempt-id'] ?? '', 'cresshook-response-seal': 'seal'};
+}
+
+/** Answers with a whole body. */
+export function answerWhole(text: string, status = 200): RunnerBehaviour {
+	return (request, response) => {
+		response.writeHead(status, {...markAnswer(request), 'content-length': String(text.length)});
+		response.end(text);
+	};
+}
+
+/** States that the request did not run. */
+export const decline: RunnerBehaviour = (request, response) => {
+	response.writeHead(503, {'cresshook-attempt-id': request.headers['cresshook-attempt-id'] ?? '', 'cresshook-not-executed': '1'});
+	response.end();
+};
+
+/** Formats an event as runners do. */
+export function formatEvent(id: number): string {
+	return `id: ${id}\ndata: piece ${id}\n\n`;
+}
+
+/** Streams the events after the caller's last one up to `last`, and breaks off inside an event after `breakAfter`. */
+export function streamEvents(last: number, breakAfter = Infinity): RunnerBehaviour {
+	return (request, response, socket) => {
+		response.writeHead(200, {...markAnswer(request), 'content-type': 'text/event-stream'});
+		for (let id = Number(request.headers['last-event-id'] ?? 0) + 1; id <= last; id++) {
+			if (id > breakAfter) {
+				response.write(`id: ${id}\ndata: pi`);
+				setTimeout(() => socket.resetAndDestroy(), 10);
+				return;
+			}
+
+			response.write(formatEvent(id));
+		}
+
+		response.end();
+	};
+}
+
+async function readText(request: IncomingMessage): Promise<string> {
+	let text = '';
+	for await (const chunk of request) {
+		text += String(chunk);
+	}
+
+	return text;
+}
+
+function sendJson(response: ServerResponse, value: unknown): void {
+	response.writeHead(200, {'content-type': 'application/json'});
+	response.end(JSON.stringify(value));
+}
