feat(planning): servers are shared out by the demand of long prompts; a smaller program

Change: short requests fill servers loosely only while the reads of the last ten seconds leave room, else tightly; the bundle has only the parts of undici that are used, no schema compilers, no locales of zod.

--- a/scripts/build-gateway.js
+++ b/scripts/build-gateway.js
@@ -1,6 +1,29 @@
-/** Bundles the gateway, small and without what only other commands use, into `target/cresshook.cjs`. */
+/**
+ * Bundles the gateway, small and without what only other commands use, into `target/cresshook.cjs`.
+ *
+ * A node that was killed is back only when its program has loaded: what is not in the
+ * bundle need not be read, compiled and kept.
+ */
+import {fileURLToPath} from 'node:url';
 import {build} from 'esbuild';
 
+const replacements = {
+	undici: 'undici-parts.cjs',
+	'@fastify/ajv-compiler': 'no-schemas.cjs',
+	'@fastify/fast-json-stringify-compiler': 'no-schemas.cjs',
+};
+
+/** Puts a file of this folder in the place of a package's index; paths inside of the package stay. */
+const replacePackages = {
+	name: 'replace-packages',
+	setup(builder) {
+		builder.onResolve({filter: /^[^./]/}, ({path}) => {
+			const file = replacements[path];
+			return file === undefined ? undefined : {path: fileURLToPath(new URL(file, import.meta.url))};
+		});
+	},
+};
+
 await build({
 	entryPoints: {cresshook: 'src/gateway-main.ts'},
 	outdir: 'target',
@@ -10,5 +33,6 @@
 	target: 'node20',
 	format: 'cjs',
 	minify: true,
+	plugins: [replacePackages],
 	logLevel: 'warning',
 });
--- a/src/backends/engine-client.ts
+++ b/src/backends/engine-client.ts
@@ -4,7 +4,7 @@
  */
 import {Left, Right, type Either} from 'purify-ts';
 import {request, type Dispatcher} from 'undici';
-import {z} from 'zod';
+import * as z from 'zod';
 import {type Clock, createTimeout, type RequestId} from '../common/index.js';
 import {EventStreamHandler, type EngineEvent} from './event-stream.js';
 import {classifyThrown, type BackendFailure} from './failure.js';
--- a/src/cli/node-command.ts
+++ b/src/cli/node-command.ts
@@ -2,8 +2,9 @@
 import process from 'node:process';
 import type {Command} from 'commander';
 import {
-	createLogger, openLogOutput, randomIdSource, readErrorMessage, SilentMetrics, StatsdMetrics, systemClock, type Logger,
+	createLogger, openLogOutput, randomIdSource, readErrorMessage, SilentMetrics, systemClock, type Logger,
 } from '../common/index.js';
+import {StatsdMetrics} from '../common/statsd-metrics.js';
 import {Node} from '../node/index.js';
 import {HttpPlatform} from '../store/index.js';
 import {formatProblem, loadSettings, type Settings} from '../settings/index.js';
--- a/src/common/metrics.ts
+++ b/src/common/metrics.ts
@@ -1,6 +1,4 @@
-/** Counters and timings, sent as StatsD datagrams. */
-import {StatsD} from 'hot-shots';
-
+/** Counters and timings, wherever they go. */
 /** Tags of a metric, by name. */
 export type MetricTags = Record<string, string>;
 
@@ -19,37 +17,3 @@
 	override recordGauge(): void {} // eslint-disable-line @typescript-eslint/no-empty-function
 	override close(): void {} // eslint-disable-line @typescript-eslint/no-empty-function
 }
-
-/** Metrics sent over UDP to a StatsD collector. A collector that is down costs nothing. */
-export class StatsdMetrics extends Metrics {
-	readonly #client: StatsD;
-
-	constructor(host: string, port: number) {
-		super();
-		this.#client = new StatsD({
-			host,
-			port,
-			prefix: 'cresshook.',
-			maxBufferSize: 1400,
-			errorHandler() {
-				// Metrics are best effort: a lost datagram is not an event of its own.
-			},
-		});
-	}
-
-	override incrementCounter(name: string, tags: MetricTags = {}, by = 1): void {
-		this.#client.increment(name, by, tags);
-	}
-
-	override recordTiming(name: string, milliseconds: number, tags: MetricTags = {}): void {
-		this.#client.timing(name, milliseconds, tags);
-	}
-
-	override recordGauge(name: string, value: number, tags: MetricTags = {}): void {
-		this.#client.gauge(name, value, tags);
-	}
-
-	override close(): void {
-		this.#client.close();
-	}
-}
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -1,7 +1,7 @@
 /** Settings of a gateway node, in TOML. */
 import {readFile} from 'node:fs/promises';
 import {Left, type Either} from 'purify-ts';
-import {z} from 'zod';
+import * as z from 'zod';
 import {readErrorMessage} from '../common/index.js';
 import {checkToml, type SettingsProblem} from '../settings/index.js';
 
--- a/src/gateway/peer-rpc.ts
+++ b/src/gateway/peer-rpc.ts
@@ -1,8 +1,8 @@
 /** The calls between gateway nodes, over tRPC: plans, notes on plans, and views of the fleet. */
 import {createTRPCClient, httpLink, type TRPCClient} from '@trpc/client';
 import {initTRPC} from '@trpc/server';
-import {Agent, request} from 'undici';
-import {z} from 'zod';
+import {Agent} from 'undici';
+import * as z from 'zod';
 import {
 	createTimeout, type Clock, type Failure, type ServiceName,
 } from '../common/index.js';
@@ -104,12 +104,14 @@
 	}
 
 	async #send(target: string, init: RequestInit): Promise<unknown> {
-		const response = await request(target, {
+		const url = new URL(target);
+		const response = await this.#agent.request({
+			origin: url.origin,
+			path: `${url.pathname}${url.search}`,
 			method: init.method === 'POST' ? 'POST' : 'GET',
 			headers: init.headers as Record<string, string>,
 			body: init.body as string | undefined,
 			signal: init.signal ?? undefined,
-			dispatcher: this.#agent,
 		});
 		return {
 			ok: response.statusCode < 300,
--- a/src/gateway/peer-socket.ts
+++ b/src/gateway/peer-socket.ts
@@ -1,7 +1,7 @@
 /** Carries heartbeats over UDP. */
 import {Buffer} from 'node:buffer';
 import {createSocket, type Socket} from 'node:dgram';
-import {z} from 'zod';
+import * as z from 'zod';
 import {
 	Child, readErrorMessage, waitFor, type Clock, type Logger,
 } from '../common/index.js';
--- a/src/node/entry/parse-request.ts
+++ b/src/node/entry/parse-request.ts
@@ -1,7 +1,7 @@
 /** Turns a caller's HTTP request into a checked `CallerRequest`, or says what is wrong with it. */
 import type {IncomingHttpHeaders} from 'node:http';
 import {Left, Right, type Either} from 'purify-ts';
-import {z} from 'zod';
+import * as z from 'zod';
 import {
 	createFailure, formatPoolId, readBearerToken, type Clock, type Failure, type OrganisationId, type RequestId, type RunKey, type ServiceName,
 } from '../../common/index.js';
--- a/src/planning/planner.ts
+++ b/src/planning/planner.ts
@@ -24,8 +24,14 @@
 /** Most servers that may help to read one prompt. */
 const mostHelpers = 15;
 
-/** Share of a server's places that short requests fill before the next server is opened to them: bursts need the rest. */
-const packing = 0.5;
+/** Share of a server's places that short requests fill before the next server is opened to them, while there are servers to spare: their reads collide less. */
+const loosePacking = 0.5;
+
+/** The same while long prompts need the servers: a step grows by a few hundredths with each writer, and a burst still finds a place. */
+const tightPacking = 0.85;
+
+/** Share of their time for which servers of long prompts are planned to read: the rest is passes of writers and chance. */
+const readUtilisation = 0.6;
 
 /** Least share of the servers for either kind while both are asked for. */
 const leastShare = 0.1;
@@ -85,7 +91,7 @@
 	readonly #queue = new LongQueue();
 	#engine: EngineFigures | undefined;
 	#shortestPause = defaultPause;
-	#lastLong = -Infinity;
+	readonly #longReads: Array<{at: number; readTime: number}> = [];
 	#shortWriters = 0;
 
 	constructor(parts: PlannerParts) {
@@ -211,7 +217,7 @@
 		const readTime = computeReadTime(engine, request.promptTokens);
 		const isLong = readTime > longReadShare * this.#shortestPause;
 		if (isLong) {
-			this.#lastLong = now;
+			this.#noteLongDemand(request, readTime, now);
 			return this.#planLong(request, ordered, engine, now);
 		}
 
@@ -245,13 +251,34 @@
 		return Right(this.#createPlan(request, best.board.server.id, {expectedFirst, ownTokens: need}));
 	}
 
-	/** Servers for short requests: enough for those that write now, and never all while long ones come. */
+	/** A request is demand when it comes, not each time it asks again. */
+	#noteLongDemand(request: PlanRequest, readTime: number, now: number): void {
+		if (request.waited === 0) {
+			this.#longReads.push({at: now, readTime});
+		}
+	}
+
+	/** Servers that the long prompts of the last seconds keep reading. */
+	#countLongServers(now: number): number {
+		while (this.#longReads.length > 0 && this.#longReads[0].at < now - demandMemory) {
+			this.#longReads.shift();
+		}
+
+		const work = this.#longReads.reduce((sum, read) => sum + read.readTime, 0);
+		return Math.ceil(work / demandMemory / readUtilisation);
+	}
+
+	/** Servers for short requests: loosely filled while long prompts leave room, tightly while they do not. */
 	#countShortServers(ordered: ServerBoard[], engine: EngineFigures, now: number): number {
 		const count = ordered.length;
-		const wanted = Math.ceil((this.#shortWriters + 1) / (engine.slots * packing)) + 1;
+		const writers = this.#shortWriters + 1;
+		const loose = Math.ceil(writers / (engine.slots * loosePacking)) + 1;
+		const tight = Math.ceil(writers / (engine.slots * tightPacking));
 		const least = Math.ceil(count * leastShare);
-		const most = now - this.#lastLong < demandMemory ? count - least : count;
-		return Math.max(1, Math.min(Math.max(wanted, least), most));
+		const longServers = this.#countLongServers(now);
+		const left = count - (longServers === 0 ? 0 : Math.max(longServers, least));
+		const wanted = Math.max(Math.min(loose, left), tight, least);
+		return Math.max(1, Math.min(wanted, longServers === 0 ? count : count - least));
 	}
 
 	/**
--- a/src/replay/outcomes.ts
+++ b/src/replay/outcomes.ts
@@ -1,7 +1,7 @@
 /** Stated outcomes of a trace: a TOML file beside it says what its measures must be. */
 import {readFile} from 'node:fs/promises';
 import {parse} from 'smol-toml';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {Measures} from './measures.js';
 
 const outcomesSchema = z.strictObject({
--- a/src/replay/trace.ts
+++ b/src/replay/trace.ts
@@ -4,7 +4,7 @@
  * Times are milliseconds from the start, lengths tokens.
  */
 import {readFile} from 'node:fs/promises';
-import {z} from 'zod';
+import * as z from 'zod';
 
 const fleetSchema = z.object({
 	kind: z.literal('fleet'),
--- a/src/rpc/messages.ts
+++ b/src/rpc/messages.ts
@@ -1,5 +1,5 @@
 /** Checks on the messages between nodes; one schema a message. */
-import {z} from 'zod';
+import * as z from 'zod';
 import type {
 	GrantId, Incarnation, OrganisationId, PoolId, RequestId, RunKey, ServiceName, BackendServerId,
 } from '../common/index.js';
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -1,5 +1,5 @@
 /** The checks on a settings file: types, ranges, defaults. */
-import {z} from 'zod';
+import * as z from 'zod';
 
 const ipNumber = z.union([z.ipv4(), z.ipv6()], {error: 'write an IP number such as "10.0.0.5"; names are not looked up'});
 const port = z.int({error: 'write a whole number from 0 to 65535; 0 takes a free port'}).min(0).max(65_535).default(0);
--- a/src/store/objects.ts
+++ b/src/store/objects.ts
@@ -4,7 +4,7 @@
  * The API follows the Kubernetes conventions: every object has a `kind`, a name
  * and a `resourceVersion` that rises with each write to the collection.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 
 const services = z.array(z.string()).default([]);
 
--- a/test/gateway-calls.test.ts
+++ b/test/gateway-calls.test.ts
@@ -3,7 +3,7 @@
 } from '@jest/globals';
 import {createConfig, GatewayFleet, waitUntil} from './helpers/gateways.js';
 import {
-	answerWhole, decline, formatEvent, markAnswer, streamEvents, type RunnerBehaviour,
+	answerWhole, decline, formatEvent, markAnswer, streamEvents, type RunnerBehaviour, type SeenRequest,
 } from './helpers/platform-standins.js';
 
 let fleet: GatewayFleet;
@@ -20,6 +20,13 @@
 	socket.destroy();
 };
 
+function answerWith(headersOf: (request: SeenRequest) => Record<string, string>): RunnerBehaviour {
+	return (request, response) => {
+		response.writeHead(200, headersOf(request));
+		response.end('wrong');
+	};
+}
+
 const tokens = {'cresshook-model': 'm', 'cresshook-token-usage': '1460,80', 'cresshook-prompt-prefix': '5c1e:800,91bd:660'};
 
 test('a request reaches a server unchanged, with the organisation for the key', async () => {
@@ -85,9 +92,9 @@
 
 test('an answer of another request, without the mark or encoded is not passed on', async () => {
 	const behaviours: RunnerBehaviour[] = [
-		(request, response) => void response.writeHead(200, {...markAnswer(request), 'cresshook-attempt-id': 'other'}).end('wrong'),
-		(_request, response) => void response.writeHead(200, {'content-length': '5'}).end('wrong'),
-		(request, response) => void response.writeHead(200, {...markAnswer(request), 'content-encoding': 'gzip'}).end('wrong'),
+		answerWith(request => ({...markAnswer(request), 'cresshook-attempt-id': 'other'})),
+		answerWith(() => ({'content-length': '5'})),
+		answerWith(request => ({...markAnswer(request), 'content-encoding': 'gzip'})),
 	];
 	await fleet.start({runners: [{service: 'app', behaviour: behaviours[0]}]});
 	for (const behaviour of behaviours) {
@@ -99,7 +106,7 @@
 
 test('an answer without a length stays without one, and a reset inside it is no whole answer', async () => {
 	let isReset = false;
-	const unframed: RunnerBehaviour = (request, response, socket) => {
+	const unframed: RunnerBehaviour = (request, _response, socket) => {
 		const head = Object.entries(markAnswer(request)).map(([name, value]) => `${name}: ${value}\r\n`).join('');
 		socket.write(`HTTP/1.1 200 OK\r\n${head}connection: close\r\n\r\nhalf`);
 		setTimeout(() => {
@@ -203,7 +210,8 @@
 	globalThis.gc?.();
 	fleet.store.trouble = 'none';
 	await waitUntil(() => fleet.gateways[0].isReady, 4000);
-	expect((await fleet.call({path: '/once/'})).status).toBe(200);
+	const answer = await fleet.call({path: '/once/'});
+	expect(answer.status).toBe(200);
 });
 
 test('a planned stop serves what runs and ends within the grace', async () => {
@@ -222,7 +230,8 @@
 	const started = Date.now();
 	const stopped = fleet.gateways[0].stop();
 	expect(fleet.gateways[0].isReady).toBe(false);
-	expect((await running).body).toBe('late');
+	const answer = await running;
+	expect(answer.body).toBe('late');
 	await stopped;
 	expect(Date.now() - started).toBeLessThan(4000);
 });
--- a/test/helpers/platform-standins.ts
+++ b/test/helpers/platform-standins.ts
@@ -132,7 +132,12 @@
 		const [kind, name] = url.pathname.split('/').slice(3);
 		if (request.method === 'GET') {
 			const watched = url.searchParams.get('watch');
-			await (watched === null ? this.#list(kind, url, response) : this.#watch(kind, Number(watched), Number(url.searchParams.get('waitMs')), response));
+			if (watched === null) {
+				this.#list(kind, url, response);
+				return;
+			}
+
+			await this.#watch(kind, Number(watched), Number(url.searchParams.get('waitMs')), response);
 			return;
 		}
 
