fix(gateway): plans whose end was told to another node are forgotten within a second

When a node is passed over for 600 ms, the ends of its plans are told to the next one; and a plan whose answer came too late for its asker has no owner. Both stayed until their patience ran out, 11 s. Change: once a second each node tells the deciding node what it carries out; what it does not know and is older than 500 ms is forgotten.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -8,7 +8,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
 	readErrorMessage, Supervisor, waitFor, type AvailabilityZone, type BoxId, type Clock,
-	type IdSource, type Logger, type ServiceName,
+	type IdSource, type Logger, type PlanId, type ServiceName,
 } from '../common/index.js';
 import type {Plan, PlanNote, PlanRequest} from '../planning/index.js';
 import {
@@ -190,6 +190,10 @@
 		this.#placer.adopt(service, plans);
 	}
 
+	override reconcile(service: ServiceName, node: BoxId, active: PlanId[]): void {
+		this.#placer.reconcile(service, node, active);
+	}
+
 	override takeSnapshot(): FleetSnapshot {
 		return this.state.takeSnapshot();
 	}
@@ -402,6 +406,7 @@
 	/** What is done at each heartbeat. */
 	#tick(): void {
 		this.#pool.prune();
+		this.#placer.tick();
 		this.#watchPeers();
 	}
 
--- a/src/gateway/peer-rpc.ts
+++ b/src/gateway/peer-rpc.ts
@@ -22,6 +22,8 @@
 	abstract decide(request: PlanRequest): DecisionAnswer;
 	abstract takeNotes(service: ServiceName, notes: PlanNote[]): void;
 	abstract adopt(service: ServiceName, plans: Plan[]): void;
+	/** Takes the list of all plans that a node carries out. */
+	abstract reconcile(service: ServiceName, node: BoxId, active: PlanId[]): void;
 	abstract takeSnapshot(): FleetSnapshot;
 }
 
@@ -33,6 +35,8 @@
 const planRequestSchema = defineShape<PlanRequest>(['requestId', 'service', 'node', 'promptTokens', 'patience', 'excluded']);
 const noteSchema = defineShape<PlanNote>(['planId', 'kind']);
 const planSchema = defineShape<Plan>(['planId', 'request', 'server', 'helpers']);
+const nodeSchema = z.string() as unknown as z.ZodType<BoxId>;
+const planIdSchema = z.string() as unknown as z.ZodType<PlanId>;
 const serviceSchema = z.string() as unknown as z.ZodType<ServiceName>;
 
 const trpc = initTRPC.context<{service: PeerService}>().create();
@@ -46,6 +50,9 @@
 	adopt: trpc.procedure.input(z.object({service: serviceSchema, plans: z.array(planSchema)})).mutation(({ctx, input}) => {
 		ctx.service.adopt(input.service, input.plans);
 	}),
+	reconcile: trpc.procedure.input(z.object({service: serviceSchema, node: nodeSchema, active: z.array(planIdSchema)})).mutation(({ctx, input}) => {
+		ctx.service.reconcile(input.service, input.node, input.active);
+	}),
 	takeSnapshot: trpc.procedure.query(({ctx}) => ctx.service.takeSnapshot()),
 });
 
--- a/src/gateway/shared-placer.ts
+++ b/src/gateway/shared-placer.ts
@@ -33,6 +33,9 @@
 /** Time for notes and plans to be taken over, in milliseconds. */
 const noteTimeout = 500;
 
+/** Time between two lists of what a node carries out, in milliseconds. */
+const reconcileEvery = 1000;
+
 /** What the placer needs. */
 export type SharedPlacerParts = {
 	clock: Clock;
@@ -60,6 +63,7 @@
 export class SharedPlacer extends Placer {
 	readonly #parts: SharedPlacerParts;
 	readonly #services = new Map<ServiceName, ServicePlans>();
+	#reconciledAt = 0;
 
 	constructor(parts: SharedPlacerParts) {
 		super();
@@ -125,6 +129,35 @@
 		this.#findPlans(service).planner.adopt(plans, this.#parts.clock.readMonotonic());
 	}
 
+	/** Forgets what a node does not carry out. */
+	reconcile(service: ServiceName, node: BoxId, active: PlanId[]): void {
+		const forgotten = this.#findPlans(service).planner.reconcile(node, new Set(active), this.#parts.clock.readMonotonic());
+		if (forgotten > 0) {
+			this.#parts.logger.info({
+				event: 'plans_reconciled', service, node, forgotten, active: active.length,
+			}, 'plans whose end or answer was lost are forgotten');
+		}
+	}
+
+	/** Tells the deciding nodes once in a while what this node carries out; notes may have been lost. */
+	tick(): void {
+		const now = this.#parts.clock.readMonotonic();
+		if (now - this.#reconciledAt < reconcileEvery) {
+			return;
+		}
+
+		this.#reconciledAt = now;
+		const self = this.#parts.self().name;
+		for (const [service, plans] of this.#services) {
+			const active = [...plans.own.keys()];
+			this.reconcile(service, self, active);
+			const decider = this.#parts.peers.listLive().find(peer => peer.name === plans.decider);
+			if (decider !== undefined) {
+				void this.#parts.clients.ask(decider.peerAddress, noteTimeout, async (client, signal) => client.reconcile.mutate({service, node: self, active}, {signal}));
+			}
+		}
+	}
+
 	async #decide(request: PlanRequest): Promise<{decidedBy: Placed['decidedBy']; result: Either<Failure, Decision>}> {
 		const plans = this.#findPlans(request.service);
 		const self = this.#parts.self();
--- a/src/planning/planner.ts
+++ b/src/planning/planner.ts
@@ -70,6 +70,9 @@
 /** Kept after a request's patience before its plan is forgotten unasked, in milliseconds. */
 const planMargin = 1000;
 
+/** Age from which a plan that its node does not know is forgotten, in milliseconds: a younger one may still be on its way to it. */
+const reconcileAge = 500;
+
 /** Server order is by a hash of the id, so that every node has the same. */
 type Candidate = {board: ServerBoard; cost: number; wait: number};
 
@@ -189,6 +192,19 @@
 		}
 	}
 
+	/** Forgets the plans of a node that it does not carry out: their answer or the note of their end was lost on the way. */
+	reconcile(node: BoxId, active: ReadonlySet<PlanId>, now: number): number {
+		let forgotten = 0;
+		for (const {plan, since} of this.#plans.values()) {
+			if (plan.request.node === node && !active.has(plan.planId) && since < now - reconcileAge) {
+				this.#release(plan);
+				forgotten++;
+			}
+		}
+
+		return forgotten;
+	}
+
 	/** Forgets plans whose time is over. */
 	prune(now: number): void {
 		this.#queue.prune(now);
