--- a/src/planning/planner.ts
+++ b/src/planning/planner.ts
@@ -64,6 +64,12 @@
 /** Least time after which a waiting request asks again, in milliseconds. */
 const leastAskPause = 15;
 
+/** Share of the time to its objective that a long prompt waits for servers whose writers bear its read; then some of them are held up. */
+const waitBeforeHoldingUp = 0.3;
+
+/** Share of a request's time after which it is refused when it would still end too late: one refused earlier might have been served, one held longer has no time to come back. */
+const refuseAfter = 0.4;
+
 /** What a read leaves of the pause that callers accept, in milliseconds: a short read beside it and the way of an event. */
 const pauseMargin = 40;
 
@@ -255,7 +261,8 @@
 		};
 
 		let best = findLeast(group.map(board => weigh(board)), candidate => candidate.cost)!;
-		if (best.wait > readTime + (this.#shortestPause * longReadShare)) {
+		if (best.wait > this.#shortestPause) {
+			// All servers for short requests are full: what it costs others to take another one is less than a refusal.
 			best = findLeast(ordered.map(board => weigh(board)), candidate => candidate.cost)!;
 		}
 
@@ -305,15 +312,10 @@
 	 */
 	#planLong(request: PlanRequest, ordered: ServerBoard[], engine: EngineFigures, now: number): Either<Failure, Decision> {
 		const group = ordered.slice(0, Math.max(1, ordered.length - this.#countShortServers(ordered, engine, now)));
-		const choice = chooseReaders(group, request, engine, now);
-		if (choice === undefined) {
-			// Everyone who writes would be held up for too long: some of them end soon.
-			return Right({kind: 'wait', askAgainIn: planAhead});
-		}
-
-		if (choice.finish > request.patience) {
-			this.#queue.leave(request.requestId);
-			return Left(describeOverload(choice.finish - request.patience));
+		const mayHoldUp = request.waited > waitBeforeHoldingUp * (request.waited + Math.max(0, request.objective));
+		const choice = chooseReaders(group, request, {engine, now, mayHoldUp});
+		if (choice === undefined || choice.finish > request.patience) {
+			return this.#waitOrRefuse(request, choice?.finish ?? request.patience);
 		}
 
 		const askAgainIn = this.#queue.join(request, {
@@ -325,12 +327,13 @@
 			return Right({kind: 'wait', askAgainIn: Math.min(longestAskPause, Math.max(leastAskPause, choice.wait - (planAhead / 2), askAgainIn))});
 		}
 
+		this.#queue.leave(request.requestId);
 		const memory = divideMemory(choice.readers, request, engine);
 		if (memory === undefined) {
+			// It is out of the line meanwhile, so that those who find room pass it.
 			return Right({kind: 'wait', askAgainIn: planAhead});
 		}
 
-		this.#queue.leave(request.requestId);
 		return Right(this.#createPlan(request, memory.first.server.id, {
 			helpers: memory.helpers,
 			startIn: choice.wait,
@@ -339,6 +342,16 @@
 		}));
 	}
 
+	/** Servers become free and writers end: a request is refused only when it has waited for a good part of its time. */
+	#waitOrRefuse(request: PlanRequest, finish: number): Either<Failure, Decision> {
+		this.#queue.leave(request.requestId);
+		if (request.waited < refuseAfter * (request.waited + request.patience)) {
+			return Right({kind: 'wait', askAgainIn: planAhead});
+		}
+
+		return Left(describeOverload(finish - request.patience));
+	}
+
 	#createPlan(request: PlanRequest, server: BackendServerId, more: Partial<Plan>): Decision {
 		const plan = {
 			planId: this.#ids.createUuid() as PlanId,
@@ -414,11 +427,11 @@
 /**
  * Chooses how many servers read together: the fewest that end about as soon as the fastest choice.
  *
- * Only servers whose writers bear the pause take part. Undefined when there is none.
+ * Only servers whose writers bear the pause take part, unless it may hold them up. Undefined when there is none.
  */
-function chooseReaders(group: ServerBoard[], request: PlanRequest, engine: EngineFigures, now: number): ReaderChoice | undefined {
+function chooseReaders(group: ServerBoard[], request: PlanRequest, {engine, now, mayHoldUp}: {engine: EngineFigures; now: number; mayHoldUp: boolean}): ReaderChoice | undefined {
 	const candidates = group
-		.map(board => ({board, wait: board.findLongReadEnd(now) - now, limit: board.findReadLimit(engine) - pauseMargin}))
+		.map(board => ({board, wait: board.findLongReadEnd(now) - now, limit: mayHoldUp ? Infinity : board.findReadLimit(engine) - pauseMargin}))
 		.sort((left, right) => left.wait - right.wait);
 	const choices: ReaderChoice[] = [];
 	for (let count = 1; count <= Math.min(candidates.length, mostHelpers + 1); count++) {
