fix(gateway): a stopping node closes its door early enough to serve all it took

Change: after the life of an address answer, three eighths of the grace at most, the node takes no new connection and closes those at rest. Prompts hold writers up only to meet their objective and when longer than all of theirs by half; late ones are read by few servers.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -48,8 +48,8 @@
 /** Share of the grace after which a stopping node ends whatever goes on. */
 const stopShare = 0.9;
 
-/** Time without a new call after which a stopping node without calls ends, in milliseconds. */
-const quietTime = 700;
+/** Share of the grace for which a stopping node takes new calls at most: what is left must do for their answers. */
+const openShare = 0.375;
 
 /** Pause between looks at whether calls have ended, in milliseconds. */
 const stopPoll = 50;
@@ -84,7 +84,6 @@
 	#infoSequence = 0;
 	#info: PeerInfo | undefined;
 	#isStopping = false;
-	#lastCall = 0;
 	#lastSnapshot = 0;
 	#running: Promise<void> | undefined;
 
@@ -141,21 +140,22 @@
 		void this.#register();
 	}
 
-	/** Stops as planned: leaves the address answers, serves on, and ends when no call is left or the grace is over. */
+	/**
+	 * Stops as planned.
+	 *
+	 * The node leaves the address answers at once, but serves those who still come until the
+	 * answers that name it have run out. Then it closes its door, so that nobody comes too
+	 * late to be served, and ends when no call is left or the grace is over.
+	 */
 	async stop(): Promise<void> {
 		const {clock, logger, settings} = this.#parts;
 		this.#isStopping = true;
-		this.#info = undefined;
 		const stopAt = clock.readMonotonic();
+		const grace = settings.stop.grace_seconds * 1000;
 		logger.info({event: 'stopping', calls: this.#runs.size}, 'the node leaves; calls in progress are served on');
-		const lifetime = settings.address_lifetime_seconds * 1000;
-		const end = stopAt + (settings.stop.grace_seconds * 1000 * stopShare);
-		while (clock.readMonotonic() < end) {
-			const now = clock.readMonotonic();
-			if (this.#runs.size === 0 && now - stopAt > lifetime && now - this.#lastCall > quietTime) {
-				break;
-			}
-
+		await waitFor(clock, Math.min(settings.address_lifetime_seconds * 1000, grace * openShare));
+		this.#closeDoor();
+		while (this.#runs.size > 0 && clock.readMonotonic() < stopAt + (grace * stopShare)) {
 			await waitFor(clock, stopPoll);
 		}
 
@@ -163,6 +163,13 @@
 		await this.close();
 	}
 
+	/** Takes no new connections, and closes kept ones that are at rest; those at work close with their answers. */
+	#closeDoor(): void {
+		const callers = this.#servers.at(-1)?.server;
+		callers?.close();
+		callers?.closeIdleConnections();
+	}
+
 	/** Ends at once. */
 	async close(): Promise<void> {
 		this.#supervisorStop.abort();
@@ -200,7 +207,6 @@
 
 	async #serve(request: IncomingMessage, body: Uint8Array | undefined, sink: HttpSink, response: ServerResponse): Promise<void> {
 		const arrived = this.#parts.clock.readMonotonic();
-		this.#lastCall = arrived;
 		const {wire, logger} = this.#parts;
 		const head = wire.readCall(request.method ?? 'GET', request.url ?? '/', request.headers);
 		const resolved = head.chain(value => this.#resolve(value, body, arrived));
--- a/src/planning/planner.ts
+++ b/src/planning/planner.ts
@@ -49,6 +49,9 @@
  */
 const readTargets = [0.25, 0.8];
 
+/** Share of the time left in which a prompt is read that can no longer meet its objective: by few servers, so that others still can. */
+const lateTarget = 0.5;
+
 /** When no target is met, fewer servers are preferred as long as they end at most this much later than the fastest choice. */
 const fewerServersSlack = 1.05;
 
@@ -65,12 +68,10 @@
 const leastAskPause = 15;
 
 /**
- * Share of its time that a long prompt waits for servers whose writers bear its read; then some of them are held up.
- *
- * This is against starvation only: holding up early makes more answers late than it saves
- * (trial: after three tenths of the objective, 27 of 77 long answers paused too long, before 2).
+ * A read may stretch the pauses of writers past what their callers accept when it thereby meets its own objective
+ * and its prompt is at least this many times as long as all of theirs: what answers are worth grows with their prompts.
  */
-const waitBeforeHoldingUp = 0.35;
+const holdUpRatio = 1.5;
 
 /** Share of a request's time after which it is refused when it would still end too late: one refused earlier might have been served, one held longer has no time to come back. */
 const refuseAfter = 0.4;
@@ -317,8 +318,7 @@
 	 */
 	#planLong(request: PlanRequest, ordered: ServerBoard[], engine: EngineFigures, now: number): Either<Failure, Decision> {
 		const group = ordered.slice(0, Math.max(1, ordered.length - this.#countShortServers(ordered, engine, now)));
-		const mayHoldUp = request.waited > waitBeforeHoldingUp * (request.waited + request.patience);
-		const choice = chooseReaders(group, request, {engine, now, mayHoldUp});
+		const choice = chooseReaders(group, request, engine, now);
 		if (choice === undefined || choice.finish > request.patience) {
 			return this.#waitOrRefuse(request, choice?.finish ?? request.patience);
 		}
@@ -383,6 +383,7 @@
 			planId: plan.planId,
 			isHelper: false,
 			isLong,
+			promptTokens: plan.request.promptTokens,
 			readTime,
 			readFrom: now + plan.startIn,
 			heldTokens: plan.ownTokens,
@@ -395,7 +396,7 @@
 		for (const helper of plan.helpers) {
 			const board = this.#boards.get(helper.server);
 			board?.add({
-				...work, readUntil: findReadEnd(board), isHelper: true, heldTokens: helper.heldTokens, contextTokens: 0, longestPause: undefined,
+				...work, readUntil: findReadEnd(board), isHelper: true, heldTokens: helper.heldTokens, contextTokens: 0, promptTokens: 0, longestPause: undefined,
 			});
 		}
 
@@ -429,36 +430,75 @@
 /** Readers of a prompt, when they begin and when the first event is due; times from now. */
 type ReaderChoice = {readers: ServerBoard[]; wait: number; readTime: number; finish: number};
 
+/** A server that may read, and what its writers bear. */
+type ReaderCandidate = {board: ServerBoard; wait: number; limit: number; writerTokens: number};
+
 /**
  * Chooses how many servers read together: the fewest that end about as soon as the fastest choice.
  *
- * Only servers whose writers bear the pause take part, unless it may hold them up. Undefined when there is none.
+ * Servers whose writers bear the pause come first; others only where that is worth it.
+ * Undefined when there are none.
  */
-function chooseReaders(group: ServerBoard[], request: PlanRequest, {engine, now, mayHoldUp}: {engine: EngineFigures; now: number; mayHoldUp: boolean}): ReaderChoice | undefined {
+function chooseReaders(group: ServerBoard[], request: PlanRequest, engine: EngineFigures, now: number): ReaderChoice | undefined {
 	const candidates = group
-		.map(board => ({board, wait: board.findLongReadEnd(now) - now, limit: mayHoldUp ? Infinity : board.findReadLimit(engine) - pauseMargin}))
+		.map(board => ({
+			board, wait: board.findLongReadEnd(now) - now, limit: board.findReadLimit(engine) - pauseMargin, writerTokens: board.writerTokens,
+		}))
 		.sort((left, right) => left.wait - right.wait);
 	const choices: ReaderChoice[] = [];
 	for (let count = 1; count <= Math.min(candidates.length, mostHelpers + 1); count++) {
 		const part = computeReadTime(engine, request.promptTokens, count);
-		const readers = candidates.filter(candidate => candidate.limit >= part).slice(0, count).map(candidate => candidate.board);
-		if (readers.length === count) {
-			const wait = Math.max(...readers.map(board => board.findLongReadEnd(now) - now));
-			const read = Math.max(...readers.map(board => part + board.computePass(engine, 0)));
-			const pass = computePassTime(engine, 1, request.promptTokens / count);
-			choices.push({
-				readers, wait, readTime: read, finish: wait + read + pass,
-			});
+		const bearing = candidates.filter(candidate => candidate.limit >= part);
+		if (bearing.length >= count) {
+			choices.push(describeChoice(bearing.slice(0, count), request, engine, now));
+			continue;
+		}
+
+		const choice = holdUpWriters(candidates, bearing, {
+			request, engine, now, count,
+		});
+		if (choice !== undefined) {
+			choices.push(choice);
 		}
 	}
 
-	return pickReaders(choices, request.objective);
+	return pickReaders(choices, request);
+}
+
+/** Adds the servers whose writers are worth least; undefined when that costs more than it brings. */
+function holdUpWriters(
+	candidates: ReaderCandidate[],
+	bearing: ReaderCandidate[],
+	{request, engine, now, count}: {request: PlanRequest; engine: EngineFigures; now: number; count: number},
+): ReaderChoice | undefined {
+	const others = candidates
+		.filter(candidate => !bearing.includes(candidate))
+		.sort((left, right) => left.writerTokens - right.writerTokens)
+		.slice(0, count - bearing.length);
+	const heldUp = others.reduce((sum, candidate) => sum + candidate.writerTokens, 0);
+	if (heldUp * holdUpRatio > request.promptTokens) {
+		return undefined;
+	}
+
+	const choice = describeChoice([...bearing, ...others], request, engine, now);
+	return choice.finish <= readTargets.at(-1)! * request.objective ? choice : undefined;
+}
+
+function describeChoice(candidates: ReaderCandidate[], request: PlanRequest, engine: EngineFigures, now: number): ReaderChoice {
+	const readers = candidates.map(candidate => candidate.board);
+	const part = computeReadTime(engine, request.promptTokens, readers.length);
+	const wait = Math.max(...readers.map(board => board.findLongReadEnd(now) - now));
+	const readTime = Math.max(...readers.map(board => part + board.computePass(engine, 0)));
+	const pass = computePassTime(engine, 1, request.promptTokens / readers.length);
+	return {
+		readers, wait, readTime, finish: wait + readTime + pass,
+	};
 }
 
 /** The fewest servers that meet a target, else about the fastest choice. */
-function pickReaders(choices: ReaderChoice[], objective: number): ReaderChoice | undefined {
+function pickReaders(choices: ReaderChoice[], request: PlanRequest): ReaderChoice | undefined {
 	const fastest = Math.min(...choices.map(choice => choice.finish));
-	const targets = [...readTargets.map(share => share * objective), fastest * fewerServersSlack];
+	const targets = [...readTargets.map(share => share * request.objective), lateTarget * request.patience, fastest * fewerServersSlack];
 	const target = targets.find(limit => limit >= fastest);
 	return choices.find(choice => choice.finish <= target!);
 }
--- a/src/planning/server-board.ts
+++ b/src/planning/server-board.ts
@@ -24,6 +24,8 @@
 	heldTokens: number;
 	/** Longest pause that its caller accepts while it writes here; undefined for helpers. */
 	longestPause?: number;
+	/** Tokens of its whole prompt; 0 for helpers. */
+	promptTokens: number;
 	/** Tokens of context while it writes here. */
 	contextTokens: number;
 	/** Whether its first event has been seen. */
@@ -62,6 +64,16 @@
 		return sum;
 	}
 
+	/** Prompt tokens of all who write here: about what their answers are worth together. */
+	get writerTokens(): number {
+		let sum = 0;
+		for (const work of this.#works.values()) {
+			sum += work.promptTokens;
+		}
+
+		return sum;
+	}
+
 	/** Adds work. */
 	add(work: Work): void {
 		this.#works.set(work.planId, work);
