feat(planning): the border between short and long prompts stays put; a long read waits for its servers

Change: groups are cut over all servers; short requests are packed to 0.95 of the places before they take more; a read that misses its objective only for want of servers waits.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -163,13 +163,6 @@
 		await this.close();
 	}
 
-	/** Takes no new connections, and closes kept ones that are at rest; those at work close with their answers. */
-	#closeDoor(): void {
-		const callers = this.#servers.at(-1)?.server;
-		callers?.close();
-		callers?.closeIdleConnections();
-	}
-
 	/** Ends at once. */
 	async close(): Promise<void> {
 		this.#supervisorStop.abort();
@@ -205,6 +198,13 @@
 		return this.state.takeSnapshot();
 	}
 
+	/** Takes no new connections, and closes kept ones that are at rest; those at work close with their answers. */
+	#closeDoor(): void {
+		const callers = this.#servers.at(-1)?.server;
+		callers?.close();
+		callers?.closeIdleConnections();
+	}
+
 	async #serve(request: IncomingMessage, body: Uint8Array | undefined, sink: HttpSink, response: ServerResponse): Promise<void> {
 		const arrived = this.#parts.clock.readMonotonic();
 		const {wire, logger} = this.#parts;
--- a/src/planning/planner.ts
+++ b/src/planning/planner.ts
@@ -28,7 +28,7 @@
 const loosePacking = 0.5;
 
 /** The same while long prompts need the servers: a step grows by a few hundredths with each writer, and a burst still finds a place. */
-const tightPacking = 0.85;
+const tightPacking = 0.95;
 
 /** Share of their time for which servers of long prompts are planned to read: the rest is passes of writers and chance. */
 const readUtilisation = 0.6;
@@ -88,6 +88,9 @@
 /** Server order is by a hash of the id, so that every node has the same. */
 type Candidate = {board: ServerBoard; cost: number; wait: number};
 
+/** The servers open to each kind of request. */
+type ServerGroups = {forLong: ServerBoard[]; forShort: ServerBoard[]};
+
 /** What a planner needs. */
 export type PlannerParts = {
 	ids: IdSource;
@@ -241,22 +244,21 @@
 	}
 
 	#planPrompt(request: PlanRequest, usable: ServerBoard[], engine: EngineFigures, now: number): Either<Failure, Decision> {
-		const ordered = usable.sort(compareServers);
+		const groups = this.#divideServers(usable, engine, now);
 		const readTime = computeReadTime(engine, request.promptTokens);
 		const isLong = readTime > longReadShare * this.#shortestPause;
 		if (isLong) {
 			this.#noteLongDemand(request, readTime, now);
-			return this.#planLong(request, ordered, engine, now);
+			return this.#planLong(request, groups.forLong, engine, now);
 		}
 
-		return this.#planShort(request, ordered, engine, now);
+		return this.#planShort(request, groups, engine, now);
 	}
 
 	/** Chooses the server with the earliest first event among those open to short requests. */
-	#planShort(request: PlanRequest, ordered: ServerBoard[], engine: EngineFigures, now: number): Either<Failure, Decision> {
+	#planShort(request: PlanRequest, groups: ServerGroups, engine: EngineFigures, now: number): Either<Failure, Decision> {
 		const readTime = computeReadTime(engine, request.promptTokens);
 		const need = request.promptTokens + request.outputTokens;
-		const group = ordered.slice(ordered.length - this.#countShortServers(ordered, engine, now));
 		const weigh = (board: ServerBoard): Candidate => {
 			const pass = board.computePass(engine, request.promptTokens);
 			const overfull = Math.max(0, board.writers + 1 - engine.slots);
@@ -266,10 +268,10 @@
 			return {board, wait, cost: wait + pass + (board.health.spoiled * request.objective)};
 		};
 
-		let best = findLeast(group.map(board => weigh(board)), candidate => candidate.cost)!;
+		let best = findLeast(groups.forShort.map(board => weigh(board)), candidate => candidate.cost)!;
 		if (best.wait > this.#shortestPause) {
 			// All servers for short requests are full: what it costs others to take another one is less than a refusal.
-			best = findLeast(ordered.map(board => weigh(board)), candidate => candidate.cost)!;
+			best = findLeast([...groups.forShort, ...groups.forLong].map(board => weigh(board)), candidate => candidate.cost)!;
 		}
 
 		const expectedFirst = best.cost + readTime;
@@ -297,9 +299,25 @@
 		return Math.ceil(work / demandMemory / readUtilisation);
 	}
 
+	/**
+	 * Divides the servers by their fixed order, over all of them: one that rests for a moment must not move the border.
+	 *
+	 * A kind whose servers all rest gets the others.
+	 */
+	#divideServers(usable: ServerBoard[], engine: EngineFigures, now: number): ServerGroups {
+		const all = [...this.#boards.values()].sort(compareServers);
+		const border = Math.max(1, all.length - this.#countShortServers(all.length, engine, now));
+		const longServers = new Set(all.slice(0, border));
+		const forLong = usable.filter(board => longServers.has(board));
+		const forShort = usable.filter(board => !longServers.has(board));
+		return {
+			forLong: (forLong.length > 0 ? forLong : usable).sort(compareServers),
+			forShort: (forShort.length > 0 ? forShort : usable).sort(compareServers),
+		};
+	}
+
 	/** Servers for short requests: loosely filled while long prompts leave room, tightly while they do not. */
-	#countShortServers(ordered: ServerBoard[], engine: EngineFigures, now: number): number {
-		const count = ordered.length;
+	#countShortServers(count: number, engine: EngineFigures, now: number): number {
 		const writers = this.#shortWriters + 1;
 		const loose = Math.ceil(writers / (engine.slots * loosePacking)) + 1;
 		const tight = Math.ceil(writers / (engine.slots * tightPacking));
@@ -316,8 +334,7 @@
 	 * Whose turn it is, is decided when servers become free and not before: what came
 	 * meanwhile may go first, and short requests may need the servers.
 	 */
-	#planLong(request: PlanRequest, ordered: ServerBoard[], engine: EngineFigures, now: number): Either<Failure, Decision> {
-		const group = ordered.slice(0, Math.max(1, ordered.length - this.#countShortServers(ordered, engine, now)));
+	#planLong(request: PlanRequest, group: ServerBoard[], engine: EngineFigures, now: number): Either<Failure, Decision> {
 		const choice = chooseReaders(group, request, engine, now);
 		if (choice === undefined || choice.finish > request.patience) {
 			return this.#waitOrRefuse(request, choice?.finish ?? request.patience);
@@ -462,7 +479,7 @@
 		}
 	}
 
-	return pickReaders(choices, request);
+	return pickReaders(choices, request, computeReadTime(engine, request.promptTokens, Math.min(group.length, mostHelpers + 1)));
 }
 
 /** Adds the servers whose writers are worth least; undefined when that costs more than it brings. */
@@ -495,9 +512,19 @@
 	};
 }
 
-/** The fewest servers that meet a target, else about the fastest choice. */
-function pickReaders(choices: ReaderChoice[], request: PlanRequest): ReaderChoice | undefined {
+/**
+ * The fewest servers that meet a target, else about the fastest choice.
+ *
+ * None while the objective is missed only for want of servers that will be free soon:
+ * `bestRead` is the time that all of them together would take.
+ */
+function pickReaders(choices: ReaderChoice[], request: PlanRequest, bestRead: number): ReaderChoice | undefined {
 	const fastest = Math.min(...choices.map(choice => choice.finish));
+	const inTime = readTargets.at(-1)! * request.objective;
+	if (fastest > inTime && bestRead <= inTime) {
+		return undefined;
+	}
+
 	const targets = [...readTargets.map(share => share * request.objective), lateTarget * request.patience, fastest * fewerServersSlack];
 	const target = targets.find(limit => limit >= fastest);
 	return choices.find(choice => choice.finish <= target!);
