feat(planning): a wait says why

Cause: long prompts waited three seconds after a burst of short ones and the log did not say for what. Change: reasons line, reading, writers, memory; the first wait of a request is logged.

--- a/src/gateway/shared-placer.ts
+++ b/src/gateway/shared-placer.ts
@@ -262,8 +262,11 @@
 			},
 			Right: decision => {
 				if (decision.kind === 'wait') {
-					// A request that waits asks several times a second: only its place is worth a line at the usual level.
-					this.#parts.logger.debug({event: 'waits', ...inputs, askAgainIn: Math.round(decision.askAgainIn)}, 'a long prompt waits for its turn');
+					// A request that waits asks several times a second: its first wait is worth a line at the usual level.
+					const level = request.waited === 0 ? 'info' : 'debug';
+					this.#parts.logger[level]({
+						event: 'waits', ...inputs, reason: decision.reason, askAgainIn: Math.round(decision.askAgainIn),
+					}, 'a long prompt waits for its turn');
 					return;
 				}
 
--- a/src/planning/plan.ts
+++ b/src/planning/plan.ts
@@ -48,7 +48,10 @@
 };
 
 /** What a planner answers: a plan, or when to ask again because others read first. */
-export type Decision = {kind: 'plan'; plan: Plan} | {kind: 'wait'; askAgainIn: number};
+export type Decision = {kind: 'plan'; plan: Plan} | {kind: 'wait'; askAgainIn: number; reason: WaitReason};
+
+/** Why a long prompt waits: others are first, its servers still read, their writers would pause too long or too few are free, or its memory has no room. */
+export type WaitReason = 'line' | 'reading' | 'writers' | 'memory';
 
 /** How a plan went on, told by the node that carries it out. */
 export type PlanNote =
--- a/src/planning/planner.ts
+++ b/src/planning/planner.ts
@@ -346,14 +346,18 @@
 			readEndsIn: choice.wait + choice.readTime,
 		}, now);
 		if (askAgainIn > 0 || choice.wait > planAhead) {
-			return Right({kind: 'wait', askAgainIn: Math.min(longestAskPause, Math.max(leastAskPause, choice.wait - (planAhead / 2), askAgainIn))});
+			return Right({
+				kind: 'wait',
+				askAgainIn: Math.min(longestAskPause, Math.max(leastAskPause, choice.wait - (planAhead / 2), askAgainIn)),
+				reason: askAgainIn > 0 ? 'line' : 'reading',
+			});
 		}
 
 		this.#queue.leave(request.requestId);
 		const memory = divideMemory(choice.readers, request, engine);
 		if (memory === undefined) {
 			// It is out of the line meanwhile, so that those who find room pass it.
-			return Right({kind: 'wait', askAgainIn: planAhead});
+			return Right({kind: 'wait', askAgainIn: planAhead, reason: 'memory'});
 		}
 
 		return Right(this.#createPlan(request, memory.first.server.id, {
@@ -368,7 +372,7 @@
 	#waitOrRefuse(request: PlanRequest, finish: number): Either<Failure, Decision> {
 		this.#queue.leave(request.requestId);
 		if (request.waited < refuseAfter * (request.waited + request.patience)) {
-			return Right({kind: 'wait', askAgainIn: planAhead});
+			return Right({kind: 'wait', askAgainIn: planAhead, reason: 'writers'});
 		}
 
 		return Left(describeOverload(finish - request.patience));
