feat(planning): long answers are spread again

Change: taken out, with the higher bound of what is long. Ruled out by it: that the spread of long writers alone is what long prompts wait for; short answers still being written where a burst has ended are the rest. Conclusion: the simpler code stays.

--- a/src/planning/planner.ts
+++ b/src/planning/planner.ts
@@ -56,7 +56,7 @@
 const fewerServersSlack = 1.05;
 
 /** A prompt whose read takes more than this share of the shortest pause is long. */
-const longReadShare = 0.8;
+const longReadShare = 0.75;
 
 /** Pause assumed for requests that state none, in milliseconds. */
 const defaultPause = 250;
@@ -451,8 +451,8 @@
 /** Readers of a prompt, when they begin and when the first event is due; times from now. */
 type ReaderChoice = {readers: ServerBoard[]; wait: number; readTime: number; finish: number};
 
-/** A server that may read, what its writers bear, and whether the whole prompt has room there. */
-type ReaderCandidate = {board: ServerBoard; wait: number; limit: number; writerTokens: number; hasRoom: boolean};
+/** A server that may read, and what its writers bear. */
+type ReaderCandidate = {board: ServerBoard; wait: number; limit: number; writerTokens: number};
 
 /**
  * Chooses how many servers read together: the fewest that end about as soon as the fastest choice.
@@ -463,11 +463,7 @@
 function chooseReaders(group: ServerBoard[], request: PlanRequest, engine: EngineFigures, now: number): ReaderChoice | undefined {
 	const candidates = group
 		.map(board => ({
-			board,
-			wait: board.findLongReadEnd(now) - now,
-			limit: board.findReadLimit(engine) - pauseMargin,
-			writerTokens: board.writerTokens,
-			hasRoom: board.heldTokens + request.promptTokens + request.outputTokens <= engine.memoryTokens * memoryShare,
+			board, wait: board.findLongReadEnd(now) - now, limit: board.findReadLimit(engine) - pauseMargin, writerTokens: board.writerTokens,
 		}))
 		.sort((left, right) => left.wait - right.wait);
 	const choices: ReaderChoice[] = [];
@@ -475,7 +471,7 @@
 		const part = computeReadTime(engine, request.promptTokens, count);
 		const bearing = candidates.filter(candidate => candidate.limit >= part);
 		if (bearing.length >= count) {
-			choices.push(describeChoice(pickBearing(bearing, count), request, engine, now));
+			choices.push(describeChoice(bearing.slice(0, count), request, engine, now));
 			continue;
 		}
 
@@ -490,20 +486,6 @@
 	return pickReaders(choices, request, computeReadTime(engine, request.promptTokens, Math.min(group.length, mostHelpers + 1)));
 }
 
-/**
- * Picks readers among those whose writers bear it: one where others write already, to write there too,
- * and the rest where nobody writes. Writers on few servers leave the others free for reads of any length.
- */
-function pickBearing(bearing: ReaderCandidate[], count: number): ReaderCandidate[] {
-	const soonest = bearing[count - 1].wait;
-	const homes = bearing.filter(candidate => candidate.hasRoom && candidate.wait <= soonest);
-	const home = findLeast(homes, candidate => -candidate.board.writers) ?? bearing[0];
-	const others = bearing
-		.filter(candidate => candidate !== home && candidate.wait <= soonest)
-		.sort((left, right) => left.writerTokens - right.writerTokens || left.wait - right.wait);
-	return [home, ...others.slice(0, count - 1)];
-}
-
 /** Adds the servers whose writers are worth least; undefined when that costs more than it brings. */
 function holdUpWriters(
 	candidates: ReaderCandidate[],
