--- a/test/helpers/gateways.ts
+++ b/test/helpers/gateways.ts
@@ -159,9 +159,9 @@
 export async function send(address: string, call: TestCall): Promise<SeenAnswer> {
 	const [host, port] = address.split(':');
 	return new Promise(resolve => {
-		const answer = {
+		const answer: SeenAnswer = {
 			status: 0, headers: {}, body: '', isWhole: false,
-		} as SeenAnswer;
+		};
 		const request = sendRequest({
 			host,
 			port,
--- /dev/null
+++ b/test/routing.test.ts
@@ -0,0 +1,133 @@
+import {expect, test} from '@jest/globals';
+import {
+	createSilentLogger, VirtualClock, type AvailabilityZone, type BackendServerId, type OrganisationId, type ServiceName,
+} from '../src/common/index.js';
+import {
+	chooseService, FleetState, returnGrace, RouteTable, type BackendServer, type Route, type RoutingConfig,
+} from '../src/routing/index.js';
+
+function createRoute(pathPrefix: string, changes: Partial<Route> = {}): Route {
+	return {
+		name: pathPrefix,
+		host: 'shop.example',
+		pathPrefix,
+		kind: 'once',
+		timeLimit: 1000,
+		objective: 300,
+		attempts: 1,
+		priority: 3,
+		isAnonymous: false,
+		canResume: false,
+		services: [{service: 'app' as ServiceName, weight: 1}],
+		...changes,
+	};
+}
+
+function createConfig(version: number, changes: Partial<RoutingConfig> = {}): RoutingConfig {
+	return {
+		version,
+		routes: [createRoute('/a/')],
+		services: [{name: 'app' as ServiceName, connectionLimit: 9}],
+		organisations: [{name: 'guild' as OrganisationId, keys: ['key']}],
+		limits: {
+			headerBytes: 1, bodyBytes: 1, headerTime: 1, idleTime: 1,
+		},
+		...changes,
+	};
+}
+
+function createServer(id: string, isLeaving = false): BackendServer {
+	return {
+		id: id as BackendServerId, service: 'app' as ServiceName, address: `10.0.0.1:${id.length}`, availabilityZone: 'a' as AvailabilityZone, slots: 4, isLeaving,
+	};
+}
+
+function createState(): {state: FleetState; clock: VirtualClock} {
+	const clock = new VirtualClock();
+	return {state: new FleetState(clock, createSilentLogger()), clock};
+}
+
+function listIds(state: FleetState): string[] {
+	return state.listServers('app' as ServiceName).map(server => server.id);
+}
+
+test('the longest prefix that begins the path wins, and only on its host', () => {
+	const table = new RouteTable(createConfig(1, {routes: [createRoute('/a/'), createRoute('/a/b/'), createRoute('/a/b/', {host: 'other.example', name: 'other'})]}));
+	const found = ['/a/', '/a/x', '/a/b/x', '/a/bx', '/b/'].map(path => table.findRoute('Shop.Example:80', path)?.name);
+	expect(found).toEqual(['/a/', '/a/', '/a/b/', '/a/', undefined]);
+	expect(table.findRoute('other.example', '/a/b/c')?.name).toBe('other');
+});
+
+test('services are chosen by weight, one with no weight never', () => {
+	const route = createRoute('/a/', {services: [{service: 'x' as ServiceName, weight: 90}, {service: 'y' as ServiceName, weight: 10}, {service: 'z' as ServiceName, weight: 0}]});
+	expect([0, 0.89, 0.9, 0.999].map(draw => chooseService(route, draw))).toEqual(['x', 'x', 'y', 'y']);
+});
+
+test('a call is resolved by its host, path and key', () => {
+	const {state} = createState();
+	const resolve = (target: string, key?: string) => state.resolveCall('shop.example', target, key, 0).caseOf<string>({Left: failure => failure.kind, Right: call => call.organisation?.name ?? 'anonymous'});
+	expect(resolve('/a/', 'key')).toBe('node_not_ready');
+	state.applyConfig(createConfig(1, {routes: [createRoute('/a/'), createRoute('/open/', {isAnonymous: true})]}), 'test');
+	expect([resolve('/a/?x=1', 'key'), resolve('/a/'), resolve('/a/', 'other'), resolve('/b/', 'key'), resolve('/open/')])
+		.toEqual(['guild', 'unknown_key', 'unknown_key', 'unknown_path', 'anonymous']);
+});
+
+test('an older configuration never comes back, from whomever', () => {
+	const {state} = createState();
+	state.applyConfig(createConfig(7), 'source');
+	state.applyConfig(createConfig(5), 'source');
+	state.applySnapshot({config: createConfig(6), serversRevision: 1, servers: []}, true, 'node');
+	expect(state.configVersion).toBe(7);
+	state.applySnapshot({config: createConfig(9), serversRevision: 1, servers: []}, true, 'node');
+	expect(state.configVersion).toBe(9);
+});
+
+test('a server that leaves takes nothing new, whatever an older entry says', () => {
+	const {state} = createState();
+	state.applyServerList({items: [createServer('i-1'), createServer('i-2')], revision: 3}, 'source');
+	state.applyServerChanges([{name: 'i-1', item: createServer('i-1', true)}], 4, 'source');
+	expect(listIds(state)).toEqual(['i-2']);
+	state.applyServerChanges([{name: 'i-1', item: createServer('i-1')}], 5, 'source');
+	expect(listIds(state)).toEqual(['i-2']);
+	expect(state.findServer('i-1' as BackendServerId)).toBeUndefined();
+});
+
+test('a server whose entry goes in calm times is gone at once', () => {
+	const {state} = createState();
+	state.applyServerList({items: [createServer('i-1')], revision: 3}, 'source');
+	state.applyServerChanges([{name: 'i-1', item: undefined}], 4, 'source');
+	expect(listIds(state)).toEqual([]);
+});
+
+test('a server that lapsed in an outage stays until servers had time to register again', () => {
+	const {state, clock} = createState();
+	state.applyServerList({items: [createServer('i-1'), createServer('i-2')], revision: 3}, 'source');
+	state.noteOutage();
+	clock.advance(5000);
+	state.noteReturn();
+	state.applyServerList({items: [], revision: 9}, 'source');
+	expect(listIds(state)).toEqual(['i-1', 'i-2']);
+	state.applyServerChanges([{name: 'i-1', item: createServer('i-1')}], 10, 'source');
+	clock.advance(returnGrace + 1);
+	expect(listIds(state)).toEqual(['i-1']);
+});
+
+test('while the own source is away another node\'s view counts, and its losses are final', () => {
+	const {state} = createState();
+	state.applyServerList({items: [createServer('i-1'), createServer('i-2')], revision: 3}, 'source');
+	const snapshot = {config: undefined, serversRevision: 8, servers: [createServer('i-2'), createServer('i-3')]};
+	state.applySnapshot(snapshot, true, 'node');
+	expect(listIds(state)).toEqual(['i-1', 'i-2']);
+	state.noteOutage();
+	state.applySnapshot(snapshot, false, 'node');
+	expect(listIds(state)).toEqual(['i-1', 'i-2']);
+	state.applySnapshot(snapshot, true, 'node');
+	expect(listIds(state)).toEqual(['i-2', 'i-3']);
+});
+
+test('a list older than what is known changes nothing', () => {
+	const {state} = createState();
+	state.applyServerList({items: [createServer('i-1')], revision: 9}, 'source');
+	state.applyServerList({items: [], revision: 8}, 'source');
+	expect(listIds(state)).toEqual(['i-1']);
+});
