test(gateway): nodes together, the adapter, bad input; a node alone no longer names those that left

Cause: the test of a stopping node showed that the last node named a leaving one to callers: hearing only of one other, it took itself for cut off. Change: a node lists nodes it no longer hears only when it hears nobody and its source is away. 28 tests: store client (pages, watch, lost history, silence), decoding, heads, two nodes, heads and bodies that are refused, and a check that no word of the platform stands outside platform/.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -119,6 +119,11 @@
 		return this.#running ?? Promise.resolve();
 	}
 
+	/** Live nodes that take calls, this one among them when it does. */
+	listReadyNodes(): PeerInfo[] {
+		return this.#peers.listReady();
+	}
+
 	/** Opens the listeners and starts every part. */
 	async start(): Promise<void> {
 		const {settings, wire} = this.#parts;
@@ -307,9 +312,9 @@
 	}
 
 	#listAddresses(zone: AvailabilityZone): {addresses: string[]; lifetime: number} {
-		const ready = this.#peers.listReady();
-		// A node that hears nobody is more likely cut off itself than alone.
-		const known = ready.length > 1 ? ready : [...ready, ...this.#peers.listKnown()];
+		// A node that hears nobody and cannot reach its source is more likely cut off itself than alone.
+		const isCutOff = this.#peers.listLive().length === 0 && !this.state.isSourceReachable;
+		const known = [...this.#peers.listReady(), ...(isCutOff ? this.#peers.listKnown().filter(peer => peer.isReady) : [])];
 		return {addresses: listCallerAddresses(known, zone), lifetime: this.#parts.settings.address_lifetime_seconds};
 	}
 
--- /dev/null
+++ b/test/gateway-nodes.test.ts
@@ -0,0 +1,146 @@
+import {connect} from 'node:net';
+import {
+	afterEach, beforeEach, expect, test,
+} from '@jest/globals';
+import {
+	createConfig, GatewayFleet, send, waitUntil,
+} from './helpers/gateways.js';
+import {answerWhole, streamEvents} from './helpers/platform-standins.js';
+
+let fleet: GatewayFleet;
+
+beforeEach(() => {
+	fleet = new GatewayFleet();
+});
+
+afterEach(async () => {
+	await fleet.stop();
+});
+
+/** Sends bytes as they are and returns what comes back until the connection ends. */
+async function sendRaw(address: string, text: string): Promise<string> {
+	const [host, port] = address.split(':');
+	return new Promise(resolve => {
+		const socket = connect(Number(port), host);
+		let answer = '';
+		socket.on('data', chunk => {
+			answer += String(chunk);
+		});
+		const timer = setTimeout(() => {
+			socket.destroy();
+		}, 1000);
+		socket.on('close', () => {
+			clearTimeout(timer);
+			resolve(answer);
+		});
+		socket.on('error', () => undefined);
+		socket.write(text);
+	});
+}
+
+async function askAddresses(node: number): Promise<string[]> {
+	const answer = await send(fleet.settings[node].listen.addresses, {path: '/v1/resolve?name=shop.example&region=r&zone=north', method: 'GET'});
+	return (JSON.parse(answer.body) as {addresses: string[]}).addresses;
+}
+
+async function startTwo(): Promise<void> {
+	await fleet.start({nodes: 2, runners: [{service: 'app', behaviour: answerWhole('yes')}, {service: 'model', behaviour: streamEvents(2)}]});
+	await waitUntil(() => fleet.gateways.every(gateway => gateway.listReadyNodes().length === 2));
+}
+
+test('nodes find each other by their registrations, and either one is named to callers', async () => {
+	await startTwo();
+	const addresses = await askAddresses(0);
+	expect(addresses.sort()).toEqual(fleet.settings.map(settings => settings.listen.callers).sort());
+});
+
+test('calls at either node are served, whichever decides', async () => {
+	await startTwo();
+	const answers = await Promise.all([0, 1].flatMap(node => [
+		fleet.call({path: '/once/'}, node), fleet.call({path: '/stream/', headers: {'cresshook-token-usage': '5000,80'}}, node),
+	]));
+	expect(answers.map(answer => [answer.status, answer.isWhole])).toEqual([[200, true], [200, true], [200, true], [200, true]]);
+});
+
+test('when a node ends without a word, the other serves on at once and alone is named soon', async () => {
+	await startTwo();
+	await fleet.gateways[0].close();
+	const started = Date.now();
+	const answers = await Promise.all([1, 2, 3].map(async () => fleet.call({path: '/once/'}, 1)));
+	expect(answers.map(answer => answer.status)).toEqual([200, 200, 200]);
+	expect(Date.now() - started).toBeLessThan(1000);
+	await waitUntil(() => fleet.gateways[1].listReadyNodes().length === 1, 3000);
+});
+
+test('a node that stops is no longer named to callers', async () => {
+	await startTwo();
+	const stopped = fleet.gateways[0].stop();
+	await waitUntil(() => fleet.gateways[1].listReadyNodes().length === 1, 1000);
+	expect(await askAddresses(1)).toEqual([fleet.settings[1].listen.callers]);
+	await stopped;
+});
+
+test('the ready answer follows the node\'s life', async () => {
+	await fleet.start({runners: []});
+	fleet.store.put('servers', 'i-9', {
+		service: 'app', address: '127.0.0.1:9', zone: 'north', slots: 1, state: 'ready',
+	});
+	const ready = async () => {
+		const answer = await send(fleet.settings[0].listen.ready, {path: '/v1/readyz', method: 'GET'});
+		return answer.status;
+	};
+
+	expect(await ready()).toBe(200);
+	const stopped = fleet.gateways[0].stop();
+	expect(await ready()).toBe(503);
+	await stopped;
+});
+
+test('a node whose store is away takes a newer configuration from another node', async () => {
+	await startTwo();
+	const other = fleet.gateways[1];
+	other.state.applyConfig({...other.state.table!.config, version: 99}, 'test');
+	await waitUntil(() => fleet.gateways[0].state.configVersion === 99, 3000);
+});
+
+test('a lost history is read again, and nothing is forgotten meanwhile', async () => {
+	await startTwo();
+	fleet.store.put('config', 'main', createConfig(3));
+	fleet.store.forgetHistory();
+	fleet.store.put('config', 'main', createConfig(4));
+	await waitUntil(() => fleet.gateways.every(gateway => gateway.state.configVersion === 4), 3000);
+	const answer = await fleet.call({path: '/once/'});
+	expect(answer.status).toBe(200);
+});
+
+test('figures are served as text', async () => {
+	await startTwo();
+	await fleet.call({path: '/once/'});
+	const answer = await send(`127.0.0.1:${fleet.settings[0].metrics_port}`, {path: '/metrics', method: 'GET'});
+	expect(answer.body).toContain('cresshook_calls_total{service="app",outcome="whole"} 1');
+	expect(answer.body).toContain('cresshook_first_seconds_bucket');
+});
+
+test('bad heads are refused and never reach a server', async () => {
+	await fleet.start({runners: [{service: 'app', behaviour: answerWhole('no')}]});
+	const {callers} = fleet.settings[0].listen;
+	const head = 'POST /once/ HTTP/1.1\r\nHost: shop.example\r\nAuthorization: Bearer secret-key\r\nCresshook-Attempt-Id: x\r\n';
+	const answers = await Promise.all([
+		sendRaw(callers, `${head}Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd`),
+		sendRaw(callers, `${head}Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n`),
+		sendRaw(callers, `${head}X-Long: ${'a'.repeat(70_000)}\r\n\r\n`),
+		sendRaw(callers, 'nonsense\r\n\r\n'),
+		sendRaw(callers, `${head}Transfer-Encoding: chunked\r\n\r\nzz\r\n`),
+	]);
+	expect(answers.map(answer => answer.split(' ')[1])).toEqual(['400', '400', '431', '400', '400']);
+	expect(fleet.runners[0].seen).toHaveLength(0);
+	const after = await fleet.call({path: '/once/'});
+	expect(after.body).toBe('no');
+});
+
+test('a body over the limit is refused', async () => {
+	await fleet.start({runners: [{service: 'app', behaviour: answerWhole('no')}]});
+	const answer = await fleet.call({path: '/once/', body: 'a'.repeat(1_000_001)});
+	expect(answer.status).toBe(413);
+	expect(fleet.runners[0].seen).toHaveLength(0);
+});
--- /dev/null
+++ b/test/platform.test.ts
@@ -0,0 +1,207 @@
+import {readdir, readFile} from 'node:fs/promises';
+import {join} from 'node:path';
+import {
+	afterEach, beforeEach, expect, test,
+} from '@jest/globals';
+import {CallWire, PlatformSource} from '../platform/index.js';
+import {decodeConfig} from '../platform/decode-config.js';
+import {decodeServer} from '../platform/decode-server.js';
+import {
+	createFailure, createSilentLogger, systemClock, type BackendServerId, type OrganisationId,
+} from '../src/common/index.js';
+import type {SendHead} from '../src/gateway/index.js';
+import {createConfig} from './helpers/gateways.js';
+import {StandinStore} from './helpers/platform-standins.js';
+
+let store: StandinStore;
+let source: PlatformSource;
+const wire = new CallWire();
+const {signal} = new AbortController();
+
+beforeEach(async () => {
+	store = await new StandinStore().start();
+	source = new PlatformSource(store.address, systemClock, createSilentLogger());
+});
+
+afterEach(async () => {
+	await source.close();
+	await store.stop();
+});
+
+const serverSpec = {
+	service: 'model', address: '10.0.0.1:80', zone: 'north', version: 'v1', slots: 11, state: 'ready', coldRemainingMs: 0, sequence: 4,
+};
+
+test('a configuration is decoded into the project\'s own terms', () => {
+	const config = decodeConfig(createConfig(7));
+	expect(config.version).toBe(7);
+	expect(config.routes.map(route => [route.kind, route.timeLimit, route.objective, route.longestPause, route.attempts, route.canResume])).toEqual([
+		['stream', 5000, 300, 250, 3, true], ['once', 1500, 300, undefined, 1, false], ['repeatable', 1500, 300, undefined, 2, false],
+	]);
+	expect(config.services[0].engine).toMatchObject({readRate: 177, memoryTokens: 315_000, stepsPerPass: 51});
+	expect(config.organisations).toEqual([{name: 'guild', keys: ['secret-key'], priority: undefined}]);
+});
+
+test('a route with several services keeps their weights', () => {
+	const [route] = (createConfig(1).routes as Array<Record<string, unknown>>);
+	const config = decodeConfig(createConfig(1, {routes: [{...route, service: undefined, backends: [{service: 'x', weight: 90}, {service: 'y', weight: 10}]}]}));
+	expect(config.routes[0].services).toEqual([{service: 'x', weight: 90}, {service: 'y', weight: 10}]);
+});
+
+test('a configuration with a missing or wrong field is refused by its name', () => {
+	expect(() => decodeConfig({...createConfig(1), version: 'seven'})).toThrow('version');
+	expect(() => decodeConfig({...createConfig(1), routes: [{name: 'r'}]})).toThrow('pathPrefix');
+});
+
+test('an entry of a server is decoded, one with an unknown state is refused', () => {
+	expect(decodeServer('i-1', serverSpec)).toEqual({
+		id: 'i-1', service: 'model', address: '10.0.0.1:80', availabilityZone: 'north', slots: 11, isLeaving: false,
+	});
+	expect(decodeServer('i-1', {...serverSpec, state: 'draining'}).isLeaving).toBe(true);
+	expect(() => decodeServer('i-1', {...serverSpec, state: 'asleep'})).toThrow('state');
+});
+
+test('all pages of a list are read, also when there are many', async () => {
+	store.pageSize = 3;
+	for (let index = 0; index < 10; index++) {
+		store.put('servers', `i-${index}`, serverSpec);
+	}
+
+	const listed = await source.servers.list(signal);
+	const listing = listed.unsafeCoerce();
+	expect([listing.items.length, listing.revision]).toEqual([10, 10]);
+});
+
+test('an object that cannot be read is left out, the others count', async () => {
+	store.put('servers', 'i-1', serverSpec);
+	store.put('servers', 'i-2', {service: 5});
+	const listed = await source.servers.list(signal);
+	const listing = listed.unsafeCoerce();
+	expect(listing.items.map(server => server.id)).toEqual(['i-1']);
+});
+
+test('changes after a revision come as they are made, gone ones too', async () => {
+	store.put('servers', 'i-1', serverSpec);
+	const waiting = source.servers.follow(1, 2000, signal);
+	setTimeout(() => {
+		store.remove('servers', 'i-1');
+	}, 50);
+	const followed = await waiting;
+	const changes = followed.unsafeCoerce();
+	expect(changes).toEqual({changes: [{name: 'i-1', item: undefined}], revision: 2});
+});
+
+test('a watch without changes comes back empty', async () => {
+	store.put('servers', 'i-1', serverSpec);
+	const followed = await source.servers.follow(1, 60, signal);
+	const changes = followed.unsafeCoerce();
+	expect(changes).toEqual({changes: [], revision: 1});
+});
+
+test('a forgotten history is told apart from a store that is away', async () => {
+	store.put('servers', 'i-1', serverSpec);
+	store.put('servers', 'i-2', serverSpec);
+	store.forgetHistory();
+	const lost = await source.servers.follow(1, 60, signal);
+	store.trouble = 'busy';
+	const busy = await source.servers.list(signal);
+	expect([lost, busy].map(result => result.swap().unsafeCoerce().kind)).toEqual(['history_lost', 'unreachable']);
+});
+
+test('a silent store is given up in time', async () => {
+	store.trouble = 'silent';
+	const started = Date.now();
+	const followed = await source.servers.follow(1, 100, signal);
+	expect(followed.swap().unsafeCoerce().kind).toBe('unreachable');
+	expect(Date.now() - started).toBeLessThan(2500);
+});
+
+test('a node registers over an entry that an earlier life left', async () => {
+	const registered = [await source.register({name: 'edge-1', peerAddress: '10.0.0.1:1'}, signal), await source.register({name: 'edge-1', peerAddress: '10.0.0.2:1'}, signal)];
+	expect(registered.every(result => result.isRight())).toBe(true);
+	const nodes = await source.listNodes(signal);
+	expect(nodes.unsafeCoerce()).toEqual([{name: 'edge-1', peerAddress: '10.0.0.2:1'}]);
+});
+
+const callHeaders = {
+	host: 'shop.example',
+	'cresshook-attempt-id': '9c41',
+	'cresshook-deadline-ms': '10000',
+	'cresshook-model': 'm',
+	'cresshook-token-usage': '1460,80',
+	'cresshook-prompt-prefix': '5c1e:800',
+	'cresshook-tenant': 'forged',
+	priority: '0',
+	authorization: 'Bearer key',
+	'last-event-id': '12',
+	connection: 'keep-alive, x-hop',
+	'x-hop': 'gone',
+	'x-own': 'kept',
+};
+
+test('a caller\'s head is read, and what it may not set is dropped', () => {
+	const head = wire.readCall('POST', '/a/?b', callHeaders).unsafeCoerce();
+	expect(head).toMatchObject({
+		requestId: '9c41', host: 'shop.example', key: 'key', timeLeft: 10_000, lastEventId: 12, promptTokens: 1460, outputTokens: 80, target: '/a/?b',
+	});
+	expect(Object.keys(head.headers).sort()).toEqual([
+		'cresshook-attempt-id', 'cresshook-model', 'cresshook-prompt-prefix', 'cresshook-token-usage', 'host', 'x-own',
+	]);
+});
+
+test('a head without an id or a host is refused', () => {
+	expect(wire.readCall('GET', '/', {host: 'x'}).isLeft()).toBe(true);
+	expect(wire.readCall('GET', '/', {'cresshook-attempt-id': 'x'}).isLeft()).toBe(true);
+});
+
+test('what is sent to a server names the server, the organisation, the time left and the helpers', () => {
+	const call = wire.readCall('POST', '/a/', callHeaders).unsafeCoerce();
+	const send: SendHead = {
+		call, server: 'i-1' as BackendServerId, organisation: 'guild' as OrganisationId, timeLeft: 900, lastEventId: 14, urgency: 12,
+		helpers: [{address: '10.0.0.1:80', reservation: 't1'}, {address: '10.0.0.2:80'}],
+	};
+	expect(wire.formatSend(send)).toMatchObject({
+		'cresshook-target-instance': 'i-1', 'cresshook-tenant': 'guild', 'cresshook-deadline-ms': '900',
+		'last-event-id': '14', helpers: '10.0.0.1:80/t1,10.0.0.2:80', priority: '9', 'cresshook-model': 'm',
+	});
+});
+
+test('an answer\'s head tells whose it is, whether it ran and whether its end can be trusted', () => {
+	const read = (status: number, headers: Record<string, string>) => {
+		const head = wire.readAnswer(status, headers);
+		return [head.isSigned, head.isDeclined, head.isFramed, head.isEncoded];
+	};
+
+	expect(read(200, {'cresshook-response-seal': 's', 'content-length': '3'})).toEqual([true, false, true, false]);
+	expect(read(503, {'cresshook-not-executed': '1'})).toEqual([false, true, false, false]);
+	expect(read(421, {'transfer-encoding': 'chunked'})).toEqual([false, true, true, false]);
+	expect(read(200, {'content-encoding': 'gzip'})).toEqual([false, false, false, true]);
+});
+
+test('a refusal tells when to come back, in seconds with fractions', () => {
+	const failure = createFailure('overloaded', 'full', {retryAfterSeconds: 0.251_34});
+	expect(wire.formatFailureHeaders(failure, undefined)['retry-after']).toBe('0.251');
+});
+
+test('orders on memory are written as the server reads them', () => {
+	const reserve = wire.formatOrder({
+		kind: 'reserve', reservation: 't1', tokens: 5, holdFor: 3000,
+	});
+	expect([reserve.path, JSON.parse(reserve.body)]).toEqual(['/v1/order', {
+		op: 'reserve', id: 't1', tokens: 5, holdMs: 3000,
+	}]);
+	expect(JSON.parse(wire.formatOrder({kind: 'release', reservation: 't1'}).body)).toEqual({op: 'release', id: 't1'});
+});
+
+test('words of the platform stand only in platform/', async () => {
+	const fieldWords = /\btenants?\b|timeoutMs|targetLatencyMs|maxAttempts|allowAnonymous|kvCapacity|per_seq_ms|coldRemaining|holdMs|ttlS/;
+	const headerWords = /cresshook-(?:attempt|response|token|prompt|deadline|target|not-exec|instance|tenant)/i;
+	const all = await readdir('src', {recursive: true});
+	const files = all.filter(file => file.endsWith('.ts'));
+	const found = await Promise.all(files.map(async file => {
+		const text = await readFile(join('src', file), 'utf8');
+		return fieldWords.test(text) || headerWords.test(text) ? file : '';
+	}));
+	expect(files.length).toBeGreaterThan(50);
+	expect(found.filter(file => file !== '')).toEqual([]);
+});
--- a/test/routing.test.ts
+++ b/test/routing.test.ts
@@ -65,7 +65,8 @@
 
 test('a call is resolved by its host, path and key', () => {
 	const {state} = createState();
-	const resolve = (target: string, key?: string) => state.resolveCall('shop.example', target, key, 0).caseOf<string>({Left: failure => failure.kind, Right: call => call.organisation?.name ?? 'anonymous'});
+	const resolve = (target: string, key?: string) => state.resolveCall('shop.example', target, key, 0)
+		.caseOf<string>({Left: failure => failure.kind, Right: call => call.organisation?.name ?? 'anonymous'});
 	expect(resolve('/a/', 'key')).toBe('node_not_ready');
 	state.applyConfig(createConfig(1, {routes: [createRoute('/a/'), createRoute('/open/', {isAnonymous: true})]}), 'test');
 	expect([resolve('/a/?x=1', 'key'), resolve('/a/'), resolve('/a/', 'other'), resolve('/b/', 'key'), resolve('/open/')])
