--- a/src/cli/settings-command.ts
+++ b/src/cli/settings-command.ts
@@ -3,6 +3,7 @@
 import {text} from 'node:stream/consumers';
 import type {Command} from 'commander';
 import {hashSecret} from '../common/index.js';
+import {loadGatewaySettings} from '../gateway/index.js';
 import {formatProblem, loadSettings} from '../settings/index.js';
 import {exitCodes} from './exit-codes.js';
 
@@ -12,6 +13,7 @@
 	settings.command('check <file>')
 		.description('check a settings file; names the key, the value and the mend')
 		.option('--json', 'print the problems as JSON')
+		.option('--gateway', 'check the settings of a gateway, such as the platform renders them')
 		.action(checkSettings);
 	settings.command('hash')
 		.description('read a key or token from standard input and print its hash')
@@ -21,9 +23,9 @@
 		});
 }
 
-async function checkSettings(file: string, options: {json?: boolean}): Promise<void> {
-	const loaded = await loadSettings(file);
-	const problems = loaded.isLeft() ? loaded.extract() : [];
+async function checkSettings(file: string, options: {json?: boolean; gateway?: boolean}): Promise<void> {
+	const loaded = options.gateway ? await loadGatewaySettings(file) : await loadSettings(file);
+	const problems = loaded.swap().orDefault([]);
 	if (options.json) {
 		process.stdout.write(`${JSON.stringify({file, problems})}\n`);
 	} else if (problems.length === 0) {
--- a/src/common/clock.ts
+++ b/src/common/clock.ts
@@ -79,3 +79,33 @@
 		},
 	};
 }
+
+/**
+ * A signal that fires with the first of several.
+ *
+ * In place of `AbortSignal.any`, for the reason given at `createTimeout`. `release` lets go of
+ * the signals; call it where one of them outlives what is waited for.
+ */
+export function joinSignals(signals: AbortSignal[]): {signal: AbortSignal; release(): void} {
+	const controller = new AbortController();
+	const release = () => {
+		for (const signal of signals) {
+			signal.removeEventListener('abort', abort);
+		}
+	};
+
+	const abort = () => {
+		release();
+		controller.abort();
+	};
+
+	for (const signal of signals) {
+		signal.addEventListener('abort', abort);
+	}
+
+	if (signals.some(signal => signal.aborted)) {
+		abort();
+	}
+
+	return {signal: controller.signal, release};
+}
--- a/src/node/entry/bounded-sink.ts
+++ b/src/node/entry/bounded-sink.ts
@@ -1,4 +1,5 @@
 /** A sink whose reader stops waiting at a bound of its own. */
+import {joinSignals} from '../../common/index.js';
 import {AnswerSink, type AnswerHead} from './answer-sink.js';
 
 /** Passes an answer on until a signal fires. */
@@ -10,7 +11,7 @@
 	constructor(sink: AnswerSink, limit: AbortSignal) {
 		super();
 		this.#sink = sink;
-		this.gone = AbortSignal.any([sink.gone, limit]);
+		this.gone = joinSignals([sink.gone, limit]).signal;
 	}
 
 	/** Whether the whole answer has been passed on. */
--- a/src/node/membership/gateway.ts
+++ b/src/node/membership/gateway.ts
@@ -1,7 +1,7 @@
 /** Reaches a pool's dispatcher, on this node or another. */
 import {type Either, Left, Right} from 'purify-ts';
 import {
-	createFailure, readIncarnationUrl, type Clock, type Failure, type Incarnation, type PoolId,
+	createFailure, joinSignals, readIncarnationUrl, type Clock, type Failure, type Incarnation, type PoolId,
 } from '../../common/index.js';
 import type {NodeClients} from '../../rpc/index.js';
 import type {FleetView} from '../config/index.js';
@@ -106,8 +106,14 @@
 	async #admitThere(holder: Incarnation, pool: PoolId, request: AdmitRequest, signal: AbortSignal): Promise<Either<Failure, Grant>> {
 		const url = readIncarnationUrl(holder);
 		const termChanged = this.#termChanged.signal;
-		const answer = await this.#parts.clients.ask(url, request.patience + admitMargin, async (client, timeout) =>
-			client.admit.mutate({pool, request}, {signal: AbortSignal.any([signal, timeout, termChanged])}));
+		const answer = await this.#parts.clients.ask(url, request.patience + admitMargin, async (client, timeout) => {
+			const joined = joinSignals([signal, timeout, termChanged]);
+			try {
+				return await client.admit.mutate({pool, request}, {signal: joined.signal});
+			} finally {
+				joined.release();
+			}
+		});
 		if (answer === undefined) {
 			return Left(createNoDispatcher(pool));
 		}
--- a/src/planning/planner.ts
+++ b/src/planning/planner.ts
@@ -76,6 +76,9 @@
 /** Share of a request's time after which it is refused when it would still end too late: one refused earlier might have been served, one held longer has no time to come back. */
 const refuseAfter = 0.4;
 
+/** When a prompt is asked to come back that found only servers with writers, in seconds: about the length of a short answer. */
+const holdUpRetry = 1;
+
 /** What a read leaves of the pause that callers accept, in milliseconds: a short read beside it and the way of an event. */
 const pauseMargin = 40;
 
@@ -337,7 +340,7 @@
 	#planLong(request: PlanRequest, group: ServerBoard[], engine: EngineFigures, now: number): Either<Failure, Decision> {
 		const choice = chooseReaders(group, request, engine, now);
 		if (choice === undefined || choice.finish > request.patience) {
-			return this.#waitOrRefuse(request, choice?.finish ?? request.patience);
+			return this.#waitOrRefuse(request, choice?.finish);
 		}
 
 		const askAgainIn = this.#queue.join(request, {
@@ -369,13 +372,15 @@
 	}
 
 	/** Servers become free and writers end: a request is refused only when it has waited for a good part of its time. */
-	#waitOrRefuse(request: PlanRequest, finish: number): Either<Failure, Decision> {
+	#waitOrRefuse(request: PlanRequest, finish: number | undefined): Either<Failure, Decision> {
 		this.#queue.leave(request.requestId);
 		if (request.waited < refuseAfter * (request.waited + request.patience)) {
 			return Right({kind: 'wait', askAgainIn: planAhead, reason: 'writers'});
 		}
 
-		return Left(describeOverload(finish - request.patience));
+		return Left(finish === undefined
+			? createFailure('overloaded', 'every backend server that could read the prompt writes answers which it would hold up', {retryAfterSeconds: holdUpRetry})
+			: describeOverload(finish - request.patience));
 	}
 
 	#createPlan(request: PlanRequest, server: BackendServerId, more: Partial<Plan>): Decision {
