--- /dev/null
+++ b/src/gateway/call-service.ts
@@ -0,0 +1,162 @@
+/** Takes callers' requests: finds where each goes, runs it, and writes down how it ended. */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {
+	readErrorMessage, type BoxId, type Clock, type Logger, type ServiceName,
+} from '../common/index.js';
+import type {FleetState} from '../routing/index.js';
+import type {BackendPool} from './backend-pool.js';
+import {
+	CallRun, sendFailure, type Call, type CallOutcome,
+} from './call-run.js';
+import type {HttpSink} from './call-sink.js';
+import type {GatewayMetrics} from './gateway-metrics.js';
+import type {Placer} from './placer.js';
+import type {Reservations} from './reservations.js';
+import {RetryWindow, type RetryLimits} from './retry-window.js';
+import type {CallHead, GatewayWire} from './wire.js';
+
+/** Prompts up to this many tokens are counted as short in the metrics. */
+const longestShortPrompt = 25_000;
+
+/** What the service needs. */
+export type CallServiceParts = {
+	clock: Clock;
+	logger: Logger;
+	metrics: GatewayMetrics;
+	state: FleetState;
+	wire: GatewayWire;
+	pool: BackendPool;
+	placer: Placer;
+	reservations: Reservations;
+	retry: RetryLimits;
+	/** Live nodes, this one among them. */
+	countNodes: () => number;
+	/** Name of this node. */
+	node: BoxId;
+	/** Uniform random numbers from 0 up to 1. */
+	random: () => number;
+};
+
+/** Serves the calls of one node. */
+export class CallService {
+	readonly #parts: CallServiceParts;
+	readonly #retries = new Map<ServiceName, RetryWindow>();
+	readonly #runs = new Set<CallRun>();
+
+	constructor(parts: CallServiceParts) {
+		this.#parts = parts;
+	}
+
+	/** Calls in progress. */
+	get inProgress(): number {
+		return this.#runs.size;
+	}
+
+	/** Ends all calls at once. */
+	stopNow(): void {
+		for (const run of this.#runs) {
+			run.leave();
+		}
+	}
+
+	/** Serves one call to the end of its answer. */
+	async serve(request: IncomingMessage, body: Uint8Array | undefined, sink: HttpSink, response: ServerResponse): Promise<void> {
+		const arrived = this.#parts.clock.readMonotonic();
+		const {wire, logger} = this.#parts;
+		const head = wire.readCall(request.method ?? 'GET', request.url ?? '/', request.headers);
+		const resolved = head.chain(value => this.#resolve(value, body, arrived));
+		if (resolved.isLeft()) {
+			const failure = resolved.extract();
+			const requestId = head.caseOf<CallHead['requestId'] | undefined>({Left: () => undefined, Right: value => value.requestId});
+			const status = sendFailure(sink, wire, failure, requestId);
+			this.#parts.metrics.countCall('none', failure.kind);
+			logger.info({
+				event: 'call_refused', request: requestId, kind: failure.kind, status, configVersion: this.#parts.state.configVersion,
+			}, failure.message);
+			return;
+		}
+
+		await this.#run(resolved.extract() as Call, sink, response);
+	}
+
+	async #run(call: Call, sink: HttpSink, response: ServerResponse): Promise<void> {
+		const {clock, logger, wire} = this.#parts;
+		const service = call.service.name;
+		const window = this.#findRetries(service);
+		window.addRequest(clock.readMonotonic());
+		const run = new CallRun({
+			clock,
+			logger,
+			metrics: this.#parts.metrics,
+			wire,
+			pool: this.#parts.pool,
+			placer: this.#parts.placer,
+			reservations: this.#parts.reservations,
+			findServer: id => this.#parts.state.findServer(id),
+			takeRetry: () => window.takeRetry(clock.readMonotonic(), this.#parts.countNodes()),
+			node: this.#parts.node,
+		}, call, sink);
+		this.#runs.add(run);
+		response.once('close', () => {
+			if (!response.writableFinished) {
+				run.leave();
+			}
+		});
+		try {
+			this.#record(call, await run.run());
+		} catch (error) {
+			logger.error({event: 'call_crashed', request: call.head.requestId, reason: readErrorMessage(error)}, 'a call failed inside the node');
+			sink.cut();
+		} finally {
+			this.#runs.delete(run);
+		}
+	}
+
+	/** Finds the route, the organisation and the service of a call. */
+	#resolve(head: CallHead, body: Uint8Array | undefined, arrived: number) {
+		return this.#parts.state.resolveCall(head.host, head.target, head.key, this.#parts.random()).map(resolved => ({
+			head, body, arrived, ...resolved,
+		}));
+	}
+
+	#record(call: Call, outcome: CallOutcome): void {
+		const {clock, logger} = this.#parts;
+		const service = call.service.name;
+		this.#parts.metrics.countCall(service, outcome.failure?.kind ?? 'whole');
+		if (outcome.firstAfter !== undefined) {
+			this.#parts.metrics.recordFirst(service, call.head.promptTokens <= longestShortPrompt ? 'short' : 'long', outcome.firstAfter);
+		}
+
+		logger.info({
+			event: 'call_ended',
+			request: call.head.requestId,
+			route: call.route.name,
+			service,
+			organisation: call.organisation?.name,
+			configVersion: call.configVersion,
+			promptTokens: call.head.promptTokens,
+			outcome: outcome.failure?.kind ?? 'whole',
+			reason: outcome.failure?.message,
+			status: outcome.status,
+			sends: outcome.sends,
+			servers: outcome.servers,
+			decidedBy: outcome.decidedBy,
+			expectedFirst: outcome.expectedFirst === undefined ? undefined : Math.round(outcome.expectedFirst),
+			firstAfter: outcome.firstAfter === undefined ? undefined : Math.round(outcome.firstAfter),
+			longestPause: Math.round(outcome.longestPause),
+			pauseAim: call.route.longestPause,
+			objective: call.route.objective,
+			took: Math.round(clock.readMonotonic() - call.arrived),
+		}, 'a call ended');
+	}
+
+	#findRetries(service: ServiceName): RetryWindow {
+		let window = this.#retries.get(service);
+		if (window === undefined) {
+			window = new RetryWindow(this.#parts.retry);
+			this.#retries.set(service, window);
+		}
+
+		return window;
+	}
+}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -5,9 +5,8 @@
  * their places from whichever node decides, and passes them on.
  */
 import {createHash} from 'node:crypto';
-import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
-	readErrorMessage, Supervisor, waitFor, type AvailabilityZone, type BoxId, type Clock,
+	Supervisor, waitFor, type AvailabilityZone, type BoxId, type Clock,
 	type IdSource, type Logger, type PlanId, type ServiceName,
 } from '../common/index.js';
 import type {Plan, PlanNote, PlanRequest} from '../planning/index.js';
@@ -16,22 +15,18 @@
 } from '../routing/index.js';
 import {listCallerAddresses} from './addresses.js';
 import {BackendPool} from './backend-pool.js';
-import {
-	CallRun, sendFailure, type Call, type CallOutcome,
-} from './call-run.js';
-import type {HttpSink} from './call-sink.js';
+import {CallService} from './call-service.js';
 import {GatewayMetrics} from './gateway-metrics.js';
 import type {GatewaySettings} from './gateway-settings.js';
 import {PeerClients, PeerService, type DecisionAnswer} from './peer-rpc.js';
 import {PeerSocket} from './peer-socket.js';
 import {Peers, type PeerInfo} from './peers.js';
 import {Reservations} from './reservations.js';
-import {RetryWindow} from './retry-window.js';
 import {
 	defaultBodyLimit, openAddressServer, openCallersServer, openMetricsServer, openPeersServer, openReadyServer, type OpenServer,
 } from './servers.js';
 import {SharedPlacer} from './shared-placer.js';
-import type {CallHead, GatewayWire} from './wire.js';
+import type {GatewayWire} from './wire.js';
 
 /** What a gateway is made from. */
 export type GatewayParts = {
@@ -63,9 +58,6 @@
 /** Pause before registering again after a failure, in milliseconds. */
 const registerPause = 1000;
 
-/** Prompts up to this many tokens are counted as short in the metrics. */
-const longestShortPrompt = 25_000;
-
 /** One gateway process. */
 export class Gateway extends PeerService {
 	readonly state: FleetState;
@@ -75,9 +67,7 @@
 	readonly #clients: PeerClients;
 	readonly #peers: Peers;
 	readonly #placer: SharedPlacer;
-	readonly #reservations: Reservations;
-	readonly #retries = new Map<ServiceName, RetryWindow>();
-	readonly #runs = new Set<CallRun>();
+	readonly #calls: CallService;
 	readonly #servers: OpenServer[] = [];
 	readonly #supervisorStop = new AbortController();
 	readonly #life: string;
@@ -100,8 +90,22 @@
 		this.#placer = new SharedPlacer({
 			clock, logger, metrics: this.metrics, ids: parts.ids, state: this.state, peers: this.#peers, clients: this.#clients, self,
 		});
-		this.#reservations = new Reservations({
-			clock, logger, wire, pool: this.#pool,
+		const {ratio, slack, window_seconds: seconds} = parts.settings.retry;
+		this.#calls = new CallService({
+			clock,
+			logger,
+			metrics: this.metrics,
+			state: this.state,
+			wire,
+			pool: this.#pool,
+			placer: this.#placer,
+			reservations: new Reservations({
+				clock, logger, wire, pool: this.#pool,
+			}),
+			retry: {ratio, slack, window: seconds * 1000},
+			countNodes: () => this.#peers.listLive().length + 1,
+			node: parts.settings.box as BoxId,
+			random: parts.random,
 		});
 		this.state.addListener(() => {
 			this.#info = undefined;
@@ -137,7 +141,7 @@
 				wire,
 				isStopping: () => this.#isStopping,
 				findBodyLimit: () => this.state.table?.config.limits.bodyBytes ?? defaultBodyLimit,
-				serve: async (request, body, sink, response) => this.#serve(request, body, sink, response),
+				serve: async (request, body, sink, response) => this.#calls.serve(request, body, sink, response),
 			}),
 		);
 		this.#addSeeds(host);
@@ -157,14 +161,14 @@
 		this.#isStopping = true;
 		const stopAt = clock.readMonotonic();
 		const grace = settings.stop.grace_seconds * 1000;
-		logger.info({event: 'stopping', calls: this.#runs.size}, 'the node leaves; calls in progress are served on');
+		logger.info({event: 'stopping', calls: this.#calls.inProgress}, 'the node leaves; calls in progress are served on');
 		await waitFor(clock, Math.min(settings.address_lifetime_seconds * 1000, grace * openShare));
 		this.#closeDoor();
-		while (this.#runs.size > 0 && clock.readMonotonic() < stopAt + (grace * stopShare)) {
+		while (this.#calls.inProgress > 0 && clock.readMonotonic() < stopAt + (grace * stopShare)) {
 			await waitFor(clock, stopPoll);
 		}
 
-		logger.info({event: 'stopped', cutOff: this.#runs.size, took: Math.round(clock.readMonotonic() - stopAt)}, 'the node ends');
+		logger.info({event: 'stopped', cutOff: this.#calls.inProgress, took: Math.round(clock.readMonotonic() - stopAt)}, 'the node ends');
 		await this.close();
 	}
 
@@ -172,9 +176,7 @@
 	async close(): Promise<void> {
 		this.#supervisorStop.abort();
 		await Promise.allSettled([this.#running]);
-		for (const run of this.#runs) {
-			run.leave();
-		}
+		this.#calls.stopNow();
 
 		await Promise.all(this.#servers.map(async server => {
 			server.server.closeAllConnections();
@@ -210,107 +212,6 @@
 		callers?.closeIdleConnections();
 	}
 
-	async #serve(request: IncomingMessage, body: Uint8Array | undefined, sink: HttpSink, response: ServerResponse): Promise<void> {
-		const arrived = this.#parts.clock.readMonotonic();
-		const {wire, logger} = this.#parts;
-		const head = wire.readCall(request.method ?? 'GET', request.url ?? '/', request.headers);
-		const resolved = head.chain(value => this.#resolve(value, body, arrived));
-		if (resolved.isLeft()) {
-			const failure = resolved.extract();
-			const requestId = head.caseOf<CallHead['requestId'] | undefined>({Left: () => undefined, Right: value => value.requestId});
-			const status = sendFailure(sink, wire, failure, requestId);
-			this.metrics.countCall('none', failure.kind);
-			logger.info({
-				event: 'call_refused', request: requestId, kind: failure.kind, status, configVersion: this.state.configVersion,
-			}, failure.message);
-			return;
-		}
-
-		await this.#run(resolved.extract() as Call, sink, response);
-	}
-
-	async #run(call: Call, sink: HttpSink, response: ServerResponse): Promise<void> {
-		const {clock, logger, wire} = this.#parts;
-		const service = call.service.name;
-		const window = this.#findRetries(service);
-		window.addRequest(clock.readMonotonic());
-		const run = new CallRun({
-			clock,
-			logger,
-			metrics: this.metrics,
-			wire,
-			pool: this.#pool,
-			placer: this.#placer,
-			reservations: this.#reservations,
-			findServer: id => this.state.findServer(id),
-			takeRetry: () => window.takeRetry(clock.readMonotonic(), this.#peers.listLive().length + 1),
-			node: this.#parts.settings.box as BoxId,
-		}, call, sink);
-		this.#runs.add(run);
-		response.once('close', () => {
-			if (!response.writableFinished) {
-				run.leave();
-			}
-		});
-		try {
-			this.#record(call, await run.run());
-		} catch (error) {
-			logger.error({event: 'call_crashed', request: call.head.requestId, reason: readErrorMessage(error)}, 'a call failed inside the node');
-			sink.cut();
-		} finally {
-			this.#runs.delete(run);
-		}
-	}
-
-	/** Finds the route, the organisation and the service of a call. */
-	#resolve(head: CallHead, body: Uint8Array | undefined, arrived: number) {
-		return this.state.resolveCall(head.host, head.target, head.key, this.#parts.random()).map(resolved => ({
-			head, body, arrived, ...resolved,
-		}));
-	}
-
-	#record(call: Call, outcome: CallOutcome): void {
-		const {clock, logger} = this.#parts;
-		const service = call.service.name;
-		this.metrics.countCall(service, outcome.failure?.kind ?? 'whole');
-		if (outcome.firstAfter !== undefined) {
-			this.metrics.recordFirst(service, call.head.promptTokens <= longestShortPrompt ? 'short' : 'long', outcome.firstAfter);
-		}
-
-		logger.info({
-			event: 'call_ended',
-			request: call.head.requestId,
-			route: call.route.name,
-			service,
-			organisation: call.organisation?.name,
-			configVersion: call.configVersion,
-			promptTokens: call.head.promptTokens,
-			outcome: outcome.failure?.kind ?? 'whole',
-			reason: outcome.failure?.message,
-			status: outcome.status,
-			sends: outcome.sends,
-			servers: outcome.servers,
-			decidedBy: outcome.decidedBy,
-			expectedFirst: outcome.expectedFirst === undefined ? undefined : Math.round(outcome.expectedFirst),
-			firstAfter: outcome.firstAfter === undefined ? undefined : Math.round(outcome.firstAfter),
-			longestPause: Math.round(outcome.longestPause),
-			pauseAim: call.route.longestPause,
-			objective: call.route.objective,
-			took: Math.round(clock.readMonotonic() - call.arrived),
-		}, 'a call ended');
-	}
-
-	#findRetries(service: ServiceName): RetryWindow {
-		let window = this.#retries.get(service);
-		if (window === undefined) {
-			const {ratio, slack, window_seconds: seconds} = this.#parts.settings.retry;
-			window = new RetryWindow({ratio, slack, window: seconds * 1000});
-			this.#retries.set(service, window);
-		}
-
-		return window;
-	}
-
 	#listAddresses(zone: AvailabilityZone): {addresses: string[]; lifetime: number} {
 		// A node that hears nobody and cannot reach its source is more likely cut off itself than alone.
 		const isCutOff = this.#peers.listLive().length === 0 && !this.state.isSourceReachable;
@@ -426,7 +327,7 @@
 		const live = this.#peers.listLive();
 		this.metrics.setState('live_nodes', live.length + 1);
 		this.metrics.setState('config_version', this.state.configVersion);
-		this.metrics.setState('calls', this.#runs.size);
+		this.metrics.setState('calls', this.#calls.inProgress);
 		const now = this.#parts.clock.readMonotonic();
 		const self = this.#describeSelf();
 		const ahead = live.find(peer => peer.configVersion > self.configVersion
--- a/src/planning/engine-model.ts
+++ b/src/planning/engine-model.ts
@@ -23,8 +23,3 @@
 		+ ((contextTokens / tokensPerThousand) * engine.stepTimePerThousandContext);
 	return step * engine.stepsPerPass;
 }
-
-/** Time to write an answer beside other writers. */
-export function computeWriteTime(engine: EngineFigures, outputTokens: number, writers: number, contextTokens: number): number {
-	return (outputTokens / engine.stepsPerPass) * computePassTime(engine, writers, contextTokens);
-}
--- a/src/planning/server-board.ts
+++ b/src/planning/server-board.ts
@@ -15,8 +15,7 @@
 	isHelper: boolean;
 	/** Whether its reading takes a server for itself. */
 	isLong: boolean;
-	/** When its reading is expected to begin and to be done. */
-	readFrom: number;
+	/** When its reading is expected to be done. */
 	readUntil: number;
 	/** Time of its reading here. */
 	readTime: number;
--- /dev/null
+++ b/src/planning/server-shares.ts
@@ -0,0 +1,97 @@
+/**
+ * How the servers of a pool are divided between short requests and long prompts. Pure.
+ *
+ * The servers stand in the order of their ids, which every node knows alike: long prompts
+ * are read from its beginning, short ones are packed from its end.
+ */
+import type {EngineFigures} from '../routing/index.js';
+import type {PlanRequest} from './plan.js';
+import type {ServerBoard} from './server-board.js';
+
+/** Share of a server's places that short requests fill before the next server is opened to them, while there are servers to spare: their reads collide less. */
+const loosePacking = 0.5;
+
+/** The same while long prompts need the servers: a step grows by a few hundredths with each writer, and a burst still finds a place. */
+const tightPacking = 0.95;
+
+/** Share of their time for which servers of long prompts are planned to read: the rest is passes of writers and chance. */
+const readUtilisation = 0.6;
+
+/** Least share of the servers for either kind while both are asked for. */
+const leastShare = 0.1;
+
+/** How long a kind of request counts as asked for after the last one, in milliseconds. */
+const demandMemory = 10_000;
+
+/** The servers open to each kind of request. */
+export type ServerGroups = {forLong: ServerBoard[]; forShort: ServerBoard[]};
+
+/** Divides servers by what is asked for. */
+export class ServerShares {
+	readonly #longReads: Array<{at: number; readTime: number}> = [];
+	#shortWriters = 0;
+
+	/** Short requests that have a place. */
+	get shortCount(): number {
+		return this.#shortWriters;
+	}
+
+	/** Notes a short request that has a place. */
+	addShort(): void {
+		this.#shortWriters++;
+	}
+
+	/** Notes that a short request has ended. */
+	removeShort(): void {
+		this.#shortWriters--;
+	}
+
+	/** A request is demand when it comes, not each time it asks again. */
+	noteLong(request: PlanRequest, readTime: number, now: number): void {
+		if (request.waited === 0) {
+			this.#longReads.push({at: now, readTime});
+		}
+	}
+
+	/**
+	 * Divides the servers by their fixed order, over all of them: one that rests for a moment must not move the border.
+	 *
+	 * A kind whose servers all rest gets the others.
+	 */
+	divide(all: ServerBoard[], usable: ServerBoard[], engine: EngineFigures, now: number): ServerGroups {
+		const border = Math.max(1, all.length - this.#countShortServers(all.length, engine, now));
+		const longServers = new Set(all.sort(compareServers).slice(0, border));
+		const forLong = usable.filter(board => longServers.has(board));
+		const forShort = usable.filter(board => !longServers.has(board));
+		return {
+			forLong: (forLong.length > 0 ? forLong : usable).sort(compareServers),
+			forShort: (forShort.length > 0 ? forShort : usable).sort(compareServers),
+		};
+	}
+
+	/** Servers that the long prompts of the last seconds keep reading. */
+	#countLongServers(now: number): number {
+		while (this.#longReads.length > 0 && this.#longReads[0].at < now - demandMemory) {
+			this.#longReads.shift();
+		}
+
+		const work = this.#longReads.reduce((sum, read) => sum + read.readTime, 0);
+		return Math.ceil(work / demandMemory / readUtilisation);
+	}
+
+	/** Servers for short requests: loosely filled while long prompts leave room, tightly while they do not. */
+	#countShortServers(count: number, engine: EngineFigures, now: number): number {
+		const writers = this.#shortWriters + 1;
+		const loose = Math.ceil(writers / (engine.slots * loosePacking)) + 1;
+		const tight = Math.ceil(writers / (engine.slots * tightPacking));
+		const least = Math.ceil(count * leastShare);
+		const longServers = this.#countLongServers(now);
+		const left = count - (longServers === 0 ? 0 : Math.max(longServers, least));
+		const wanted = Math.max(Math.min(loose, left), tight, least);
+		return Math.max(1, Math.min(wanted, longServers === 0 ? count : count - least));
+	}
+}
+
+function compareServers(left: ServerBoard, right: ServerBoard): number {
+	return left.server.id < right.server.id ? -1 : 1;
+}
--- a/src/routing/model.ts
+++ b/src/routing/model.ts
@@ -56,10 +56,6 @@
 	timePerMillionPairs: number;
 	/** Steps in one pass over all that writes. */
 	stepsPerPass: number;
-	/** Added to a step of a request whose prompt lies on several servers. */
-	hopTime: number;
-	/** Mean tokens of an answer. */
-	usualAnswer: number;
 };
 
 /** A service and how its backend servers are reached. */
--- a/test/planning.test.ts
+++ b/test/planning.test.ts
@@ -17,8 +17,6 @@
 	readRate: 177,
 	timePerMillionPairs: 0.184,
 	stepsPerPass: 51,
-	hopTime: 0.05,
-	usualAnswer: 1600,
 };
 
 function createIds(): IdSource {
@@ -261,6 +259,21 @@
 	}), {seed: 7, numRuns: 100});
 });
 
+test('a pause shorter than all before does not leave short requests counted for ever', () => {
+	const planner = createPlanner();
+	const first = planNow(planner, ask(20_000, short));
+	const second = planNow(planner, ask(20_000, {...short, longestPause: 60}));
+	for (const plan of [first, second]) {
+		planner.note({planId: plan.planId, kind: 'ended'}, 0);
+	}
+
+	const later = planNow(planner, ask(1000, {...short, longestPause: 60}), 60_000);
+	const fresh = createPlanner();
+	fresh.decide(ask(1000, {...short, longestPause: 60}), 60_000);
+	expect([planner.planCount, planner.shortCount]).toEqual([1, fresh.shortCount]);
+	expect(later.server).toBeDefined();
+});
+
 test('the same asks give the same decisions', () => {
 	fc.assert(fc.property(fc.array(tokensArbitrary, {maxLength: 30}), prompts => {
 		const [left, right] = [createPlanner(), createPlanner()];
