--- a/src/planning/readers.ts
+++ b/src/planning/readers.ts
@@ -64,7 +64,7 @@
 		}
 
 		const choice = holdUpWriters(candidates, bearing, {
-			request, engine, now, count,
+			request, engine, now, count, mustRead,
 		});
 		if (choice !== undefined) {
 			choices.push(choice);
