feat(planning): a long prompt that has waited long is refused again

Conclusion: holding writers up passes the wait on. Left: more servers for long prompts sooner when a burst of short ones ends.

--- a/src/planning/planner.ts
+++ b/src/planning/planner.ts
@@ -36,9 +36,6 @@
 /** Least time after which a waiting request asks again, in milliseconds. */
 const leastAskPause = 15;
 
-/** Share of its time after which a long prompt is read by the servers whose writers are worth least, even if they pause too long: a refusal then loses it, and has held it for nothing. */
-const mustReadAfter = 0.3;
-
 /** Share of a request's time after which it is refused when it would still end too late: one refused earlier might have been served, one held longer has no time to come back. */
 const refuseAfter = 0.4;
 
@@ -256,8 +253,7 @@
 	 * meanwhile may go first, and short requests may need the servers.
 	 */
 	#planLong(request: PlanRequest, group: ServerBoard[], engine: EngineFigures, now: number): Either<Failure, Decision> {
-		const mustRead = request.waited >= mustReadAfter * (request.waited + request.patience);
-		const choice = chooseReaders(group, request, {engine, now, mustRead});
+		const choice = chooseReaders(group, request, engine, now);
 		if (choice === undefined || choice.finish > request.patience) {
 			return this.#waitOrRefuse(request, choice?.finish);
 		}
--- a/src/planning/readers.ts
+++ b/src/planning/readers.ts
@@ -36,9 +36,6 @@
 /** Readers of a prompt, when they begin and when the first event is due; times from now. */
 export type ReaderChoice = {readers: ServerBoard[]; wait: number; readTime: number; finish: number};
 
-/** By which figures and when servers are chosen, and whether a prompt is read whomever it holds up. */
-export type ReadingTerms = {engine: EngineFigures; now: number; mustRead: boolean};
-
 /** A server that may read, and what its writers bear. */
 type ReaderCandidate = {board: ServerBoard; wait: number; limit: number; writerTokens: number};
 
@@ -48,7 +45,7 @@
  * Servers whose writers bear the pause come first; others only where that is worth it.
  * Undefined when there are none.
  */
-export function chooseReaders(group: ServerBoard[], request: PlanRequest, {engine, now, mustRead}: ReadingTerms): ReaderChoice | undefined {
+export function chooseReaders(group: ServerBoard[], request: PlanRequest, engine: EngineFigures, now: number): ReaderChoice | undefined {
 	const candidates = group
 		.map(board => ({
 			board, wait: board.findLongReadEnd(now) - now, limit: board.findReadLimit(engine) - pauseMargin, writerTokens: board.writerTokens,
@@ -64,7 +61,7 @@
 		}
 
 		const choice = holdUpWriters(candidates, bearing, {
-			request, engine, now, count, mustRead,
+			request, engine, now, count,
 		});
 		if (choice !== undefined) {
 			choices.push(choice);
@@ -78,19 +75,19 @@
 function holdUpWriters(
 	candidates: ReaderCandidate[],
 	bearing: ReaderCandidate[],
-	{request, engine, now, count, mustRead}: ReadingTerms & {request: PlanRequest; count: number},
+	{request, engine, now, count}: {request: PlanRequest; engine: EngineFigures; now: number; count: number},
 ): ReaderChoice | undefined {
 	const others = candidates
 		.filter(candidate => !bearing.includes(candidate))
 		.sort((left, right) => left.writerTokens - right.writerTokens)
 		.slice(0, count - bearing.length);
 	const heldUp = others.reduce((sum, candidate) => sum + candidate.writerTokens, 0);
-	if (!mustRead && heldUp * holdUpRatio > request.promptTokens) {
+	if (heldUp * holdUpRatio > request.promptTokens) {
 		return undefined;
 	}
 
 	const choice = describeChoice([...bearing, ...others], request, engine, now);
-	return mustRead || choice.finish <= readTargets.at(-1)! * request.objective ? choice : undefined;
+	return choice.finish <= readTargets.at(-1)! * request.objective ? choice : undefined;
 }
 
 function describeChoice(candidates: ReaderCandidate[], request: PlanRequest, engine: EngineFigures, now: number): ReaderChoice {
