fix(entry): bad messages, unreadable heads and the date of whole answers

Change: a message must be an object; the node's second stands in for a missing one; heads that the parser refuses are answered in the shape of every other error.

--- a/src/node/entry/answer-merge.ts
+++ b/src/node/entry/answer-merge.ts
@@ -20,8 +20,12 @@
 	#head: JsonObject = {};
 	readonly #choices = new Map<number, JsonObject>();
 
-	constructor(operation: Operation) {
+	readonly #createdSecond: number;
+
+	/** `createdSecond` is the Unix second that stands in the answer when the engine names none. */
+	constructor(operation: Operation, createdSecond: number) {
 		this.#operation = operation;
+		this.#createdSecond = createdSecond;
 	}
 
 	/** Adds the next chunk. */
@@ -43,12 +47,16 @@
 	/** Makes the whole answer in the shape that a request without `stream` gets. */
 	build(): JsonObject {
 		const choices = [...this.#choices.entries()].sort(([left], [right]) => left - right).map(([, choice]) => choice);
+		const created = Number(this.#head.created ?? 0) > 0 ? this.#head.created : this.#createdSecond;
 		if (this.#operation === 'text') {
-			return {...this.#head, object: 'text_completion', choices};
+			return {
+				...this.#head, created, object: 'text_completion', choices,
+			};
 		}
 
 		return {
 			...this.#head,
+			created,
 			object: 'chat.completion',
 			choices: choices.map(({delta, ...choice}) => ({...choice, message: buildMessage(delta as JsonObject | undefined)})),
 		};
--- a/src/node/entry/answer-writer.ts
+++ b/src/node/entry/answer-writer.ts
@@ -9,6 +9,8 @@
 
 type Usage = {prompt_tokens?: number};
 
+const millisecondsPerSecond = 1000;
+
 /** Writes one request's answer, over one or more attempts. */
 export class AnswerWriter {
 	/** Whether the caller asked for a stream. */
@@ -40,7 +42,7 @@
 		this.isStream = request.completion.stream === true;
 		this.choiceCount = Number(request.completion.n ?? 1);
 		this.#wantsUsage = (request.completion.stream_options as {include_usage?: boolean} | undefined)?.include_usage === true;
-		this.#merge = new AnswerMerge(request.operation);
+		this.#merge = this.#createMerge();
 	}
 
 	/** Whether any part of the answer has reached the caller. */
@@ -73,7 +75,7 @@
 	/** Prepares for an attempt on another engine. */
 	startAttempt(): void {
 		this.#isContinued = this.hasDelivered;
-		this.#merge = new AnswerMerge(this.#request.operation);
+		this.#merge = this.#createMerge();
 	}
 
 	/** Makes the JSON text for the engine: always a stream, with usage, at a priority of which the least goes first. */
@@ -149,4 +151,8 @@
 			this.#parts.estimator.learn(this.#request.service, this.#request.body.length, usage.prompt_tokens);
 		}
 	}
+
+	#createMerge(): AnswerMerge {
+		return new AnswerMerge(this.#request.operation, Math.floor(this.#parts.clock.now().getTime() / millisecondsPerSecond));
+	}
 }
--- a/src/node/entry/parse-request.ts
+++ b/src/node/entry/parse-request.ts
@@ -41,7 +41,10 @@
 	max_tokens: positiveInteger,
 	max_completion_tokens: positiveInteger,
 });
-const chatSchema = completionSchema.extend({messages: z.array(z.unknown(), {error: '`messages` is a list'}).min(1, {error: '`messages` is empty'})});
+const messageSchema = z.looseObject({}, {error: 'a message is an object with `role` and `content`'});
+const chatSchema = completionSchema.extend({
+	messages: z.array(messageSchema, {error: '`messages` is a list'}).min(1, {error: '`messages` is empty'}),
+});
 const textSchema = completionSchema.extend({
 	prompt: z.union([z.string(), z.array(z.unknown())], {error: '`prompt` is a text or a list'}),
 });
--- a/src/node/listeners.ts
+++ b/src/node/listeners.ts
@@ -1,4 +1,6 @@
 /** The three listeners of a node: callers, operators, other nodes. None answers on another's port. */
+import {Buffer} from 'node:buffer';
+import type {Socket} from 'node:net';
 import 'reflect-metadata'; // eslint-disable-line import-x/no-unassigned-import
 import {Module, type DynamicModule, type Type} from '@nestjs/common';
 import {NestFactory} from '@nestjs/core';
@@ -75,7 +77,9 @@
 	readonly #bodyLimit: number;
 
 	constructor(bodyLimit: number) {
-		super({bodyLimit, keepAliveTimeout: keepAlive, forceCloseConnections: true});
+		super({
+			bodyLimit, keepAliveTimeout: keepAlive, forceCloseConnections: true, clientErrorHandler: refuseUnreadable,
+		});
 		this.#bodyLimit = bodyLimit;
 	}
 
@@ -104,6 +108,20 @@
 	await reply.code(head.status).headers(head.headers).send(JSON.stringify(formatErrorBody(failure)));
 }
 
+/** Answers a head that the parser refuses, in the shape of every other error; nothing of it has been read as a request. */
+function refuseUnreadable(error: Error & {code?: string}, socket: Socket): void {
+	if (!socket.writable) {
+		socket.destroy();
+		return;
+	}
+
+	const isTooLarge = error.code === 'HPE_HEADER_OVERFLOW';
+	const failure = createFailure('invalid_request', isTooLarge ? 'the head of the request is too large' : `the request could not be read: ${error.message}`);
+	const body = JSON.stringify(formatErrorBody(failure));
+	const status = isTooLarge ? '431 Request Header Fields Too Large' : '400 Bad Request';
+	socket.end(`HTTP/1.1 ${status}\r\nContent-Type: application/json\r\nContent-Length: ${Buffer.byteLength(body)}\r\nConnection: close\r\n\r\n${body}`);
+}
+
 async function listen(app: NestFastifyApplication, settings: ListenerSettings): Promise<Listener> {
 	await app.listen(settings.port, settings.host);
 	const address = app.getHttpServer().address() as {port: number};
--- a/test/gateway-nodes.test.ts
+++ b/test/gateway-nodes.test.ts
@@ -1,10 +1,10 @@
-import {connect} from 'node:net';
 import {
 	afterEach, beforeEach, expect, test,
 } from '@jest/globals';
 import {
 	createConfig, GatewayFleet, send, waitUntil,
 } from './helpers/gateways.js';
+import {sendRaw as sendBytes} from './helpers/calls.js';
 import {answerWhole, streamEvents} from './helpers/platform-standins.js';
 
 let fleet: GatewayFleet;
@@ -17,27 +17,6 @@
 	await fleet.stop();
 });
 
-/** Sends bytes as they are and returns what comes back until the connection ends. */
-async function sendRaw(address: string, text: string): Promise<string> {
-	const [host, port] = address.split(':');
-	return new Promise(resolve => {
-		const socket = connect(Number(port), host);
-		let answer = '';
-		socket.on('data', chunk => {
-			answer += String(chunk);
-		});
-		const timer = setTimeout(() => {
-			socket.destroy();
-		}, 1000);
-		socket.on('close', () => {
-			clearTimeout(timer);
-			resolve(answer);
-		});
-		socket.on('error', () => undefined);
-		socket.write(text);
-	});
-}
-
 async function askAddresses(node: number): Promise<string[]> {
 	const answer = await send(fleet.settings[node].listen.addresses, {path: '/v1/resolve?name=shop.example&region=r&zone=north', method: 'GET'});
 	return (JSON.parse(answer.body) as {addresses: string[]}).addresses;
@@ -123,14 +102,15 @@
 
 test('bad heads are refused and never reach a server', async () => {
 	await fleet.start({runners: [{service: 'app', behaviour: answerWhole('no')}]});
-	const {callers} = fleet.settings[0].listen;
+	const [host, port] = fleet.settings[0].listen.callers.split(':');
+	const sendRaw = async (text: string) => sendBytes(host, Number(port), text);
 	const head = 'POST /once/ HTTP/1.1\r\nHost: shop.example\r\nAuthorization: Bearer secret-key\r\nCresshook-Attempt-Id: x\r\n';
 	const answers = await Promise.all([
-		sendRaw(callers, `${head}Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd`),
-		sendRaw(callers, `${head}Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n`),
-		sendRaw(callers, `${head}X-Long: ${'a'.repeat(70_000)}\r\n\r\n`),
-		sendRaw(callers, 'nonsense\r\n\r\n'),
-		sendRaw(callers, `${head}Transfer-Encoding: chunked\r\n\r\nzz\r\n`),
+		sendRaw(`${head}Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd`),
+		sendRaw(`${head}Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n`),
+		sendRaw(`${head}X-Long: ${'a'.repeat(70_000)}\r\n\r\n`),
+		sendRaw('nonsense\r\n\r\n'),
+		sendRaw(`${head}Transfer-Encoding: chunked\r\n\r\nzz\r\n`),
 	]);
 	expect(answers.map(answer => answer.split(' ')[1])).toEqual(['400', '400', '431', '400', '400']);
 	expect(fleet.runners[0].seen).toHaveLength(0);
--- a/test/helpers/calls.ts
+++ b/test/helpers/calls.ts
@@ -1,4 +1,5 @@
 /** Calls as a caller of the stand-in fleet makes them. */
+import {connect} from 'node:net';
 import {request} from 'undici';
 import {standinFleet} from '../../src/standin/index.js';
 
@@ -75,3 +76,23 @@
 		return {text, wasCut: true};
 	}
 }
+
+/** Sends bytes as they are and returns what comes back until the connection ends, a second at most. */
+export async function sendRaw(host: string, port: number, text: string): Promise<string> {
+	return new Promise(resolve => {
+		const socket = connect(port, host);
+		let answer = '';
+		const timer = setTimeout(() => {
+			socket.destroy();
+		}, 1000);
+		socket.on('data', chunk => {
+			answer += String(chunk);
+		});
+		socket.on('error', () => undefined);
+		socket.on('close', () => {
+			clearTimeout(timer);
+			resolve(answer);
+		});
+		socket.write(text);
+	});
+}
--- a/test/serve-callers.test.ts
+++ b/test/serve-callers.test.ts
@@ -3,7 +3,7 @@
 } from '@jest/globals';
 import {standinFleet} from '../src/standin/index.js';
 import {
-	call, chat, chatBody, joinStream, readError,
+	call, chat, chatBody, joinStream, readError, sendRaw, type ErrorAnswerBody,
 } from './helpers/calls.js';
 import {TestFleet} from './helpers/fleet.js';
 
@@ -99,3 +99,29 @@
 	expect(answer.status).toBe(404);
 	expect(readError(answer).code).toBe('unknown_path');
 });
+
+test('messages that are no objects are refused before anything runs', async () => {
+	const answers = await Promise.all([null, 'text', 5].map(async message => fleet.settle(call(`${url}/v1/chat/completions`, {body: chatBody({messages: [message]})}))));
+	expect(answers.map(answer => [answer.status, readError(answer).code, readError(answer).ran])).toEqual([
+		[400, 'invalid_request', 'no'], [400, 'invalid_request', 'no'], [400, 'invalid_request', 'no'],
+	]);
+});
+
+test('a whole answer says when it was made, also when the engine does not', async () => {
+	const answer = await fleet.settle(chat(url));
+	const {created} = JSON.parse(answer.text) as {created: number};
+	expect(created).toBe(Math.floor(fleet.clock.now().getTime() / 1000));
+});
+
+test('heads that cannot be read are refused in the shape of every other error', async () => {
+	const {hostname, port} = new URL(url);
+	const head = 'POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n';
+	const answers = await Promise.all([
+		`${head}X-Long: ${'a'.repeat(40_000)}\r\n\r\n`, `${head}Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd`,
+	].map(async text => sendRaw(hostname, Number(port), text)));
+	const seen = answers.map(answer => {
+		const {error} = JSON.parse(answer.slice(answer.indexOf('\r\n\r\n') + 4)) as ErrorAnswerBody;
+		return [answer.split(' ')[1], error.code, error.ran];
+	});
+	expect(seen).toEqual([['431', 'invalid_request', 'no'], ['400', 'invalid_request', 'no']]);
+});
