--- /dev/null
+++ b/soak/fleet.ts
@@ -0,0 +1,254 @@
+/** The nodes, servers and the store of a run, each a process of its own, with links between them that can be disturbed. */
+import {writeFileSync} from 'node:fs';
+import path from 'node:path';
+import {request as sendRequest} from 'undici';
+import {createConfig, findFreePorts} from '../test/helpers/gateways.js';
+import {Link, pause} from './link.js';
+import type {LinkKind} from './plan.js';
+import {Processes, type SoakProcess} from './processes.js';
+import type {RunRecords} from './records.js';
+
+/** Where the bundles are; `npm run soak` makes them. */
+const gatewayProgram = 'target/cresshook.cjs';
+const standinProgram = 'dist/soak-standin.cjs';
+
+/** Grace of a planned stop, in seconds. */
+const graceSeconds = 4;
+
+/** The same in milliseconds. */
+export const stopGrace = graceSeconds * 1000;
+
+/** Time between the end of a process and its next start, in milliseconds. */
+const restartPause = 300;
+
+/** Time for an answer of the store, and between two tries of a change, in milliseconds. */
+const storeTimeout = 1500;
+const changePause = 100;
+
+/** Services whose turn changes with each version of the configuration. */
+const versionServices = ['turn-0', 'turn-1', 'turn-2'];
+
+/** Ports of one node; they stay through its lives. */
+type NodePorts = {callers: number; ready: number; addresses: number; peers: number; heartbeat: number; metrics: number};
+
+/** One node. */
+export type SoakNode = {
+	name: string;
+	ports: NodePorts;
+	callersLink: Link;
+	storeLink: Link;
+	process: SoakProcess;
+	/** Whether it is being stopped or started again. */
+	isChanging: boolean;
+};
+
+/** One life of a backend server. */
+export type SoakServer = {id: string; service: string; link: Link; port: number; process: SoakProcess};
+
+/** Sizes of a fleet. */
+export type FleetSize = {nodes: number; modelServers: number};
+
+/** Everything that runs. */
+export class SoakFleet {
+	readonly nodes: SoakNode[] = [];
+	servers: SoakServer[] = [];
+	readonly processes: Processes;
+	readonly #folder: string;
+	readonly #records: RunRecords;
+	readonly #size: FleetSize;
+	readonly #links: Link[] = [];
+	#store: SoakProcess | undefined;
+	#storeAddress = '';
+	#version = 0;
+	#serverCount = 0;
+
+	constructor(folder: string, records: RunRecords, size: FleetSize) {
+		this.#folder = folder;
+		this.#records = records;
+		this.#size = size;
+		this.processes = new Processes(folder);
+	}
+
+	/** Starts everything and waits until all nodes are ready. */
+	async start(): Promise<void> {
+		this.#store = this.processes.start('store', standinProgram, ['store']);
+		const line = await this.#store.waitForLine(({address}) => address !== undefined);
+		this.#storeAddress = String(line.address);
+		await this.changeConfig();
+		const services = [...Array.from({length: this.#size.modelServers}, () => 'model'), 'app', 'app', ...versionServices];
+		this.servers = await Promise.all(services.map(async service => this.#startServer(service)));
+		for (let index = 0; index < this.#size.nodes; index++) {
+			this.nodes.push(await this.#createNode(`edge-${index}`));
+		}
+
+		await Promise.all(this.nodes.map(async node => waitUntilReady(node)));
+	}
+
+	/** Writes the next version of the configuration as the operator does; it is recorded when the store has taken it. */
+	async changeConfig(): Promise<void> {
+		const number = ++this.#version;
+		const service = versionServices[number % versionServices.length];
+		const spec = createConfig(number);
+		const route = {
+			host: 'shop.example', priority: 1, allowAnonymous: false, targetLatencyMs: 300, name: 'turn', pathPrefix: '/turn/', kind: 'idempotent', timeoutMs: 1500, maxAttempts: 2, service,
+		};
+		const config = {
+			...spec,
+			routes: [...spec.routes as unknown[], route],
+			services: [...spec.services as unknown[], ...versionServices.map(name => ({name, maxConnections: 99}))],
+		};
+		const body = JSON.stringify({metadata: {name: 'main'}, spec: config});
+		const sentAt = Date.now();
+		while (!await this.#writeConfig(number, body)) {
+			await pause(changePause);
+		}
+
+		this.#records.changes.push({at: Date.now(), sentAt, version: {number, service}});
+	}
+
+	/** Gives the store a trouble, or takes it off. */
+	troubleStore(order: Record<string, unknown>): void {
+		this.#store?.tell(order);
+	}
+
+	/** The link of a kind with a number. */
+	findLink(kind: LinkKind, target: number): {link: Link; node?: SoakNode; server?: SoakServer} {
+		if (kind === 'server') {
+			const server = this.servers[target % this.servers.length];
+			return {link: server.link, server};
+		}
+
+		const node = this.nodes[target % this.nodes.length];
+		return {link: kind === 'callers' ? node.callersLink : node.storeLink, node};
+	}
+
+	/** Starts a node's next life when the present one has ended. */
+	async restartNode(node: SoakNode): Promise<void> {
+		await node.process.ended;
+		await pause(restartPause);
+		node.process = this.#startNode(node.name, node.ports, node.storeLink);
+		await waitUntilReady(node);
+	}
+
+	/** Starts another server in the place of one. */
+	async replaceServer(server: SoakServer): Promise<void> {
+		const next = await this.#startServer(server.service);
+		this.servers = this.servers.map(each => each === server ? next : each);
+	}
+
+	/** Asks each live server which memory it still has set aside. */
+	async listLeftMemory(): Promise<void> {
+		for (const server of this.servers) {
+			if (!server.process.isEnded) {
+				const answer = await sendRequest(`http://127.0.0.1:${server.port}/v1/report`, {headersTimeout: 2000});
+				const {tickets} = await answer.body.json() as {tickets: Array<{id: string}>};
+				this.#records.leftMemory.push(...tickets.map(({id}) => ({server: server.id, reservation: id})));
+			}
+		}
+	}
+
+	/** Ends all processes and links. */
+	async stop(): Promise<void> {
+		await this.processes.stop();
+		for (const link of this.#links) {
+			link.close();
+		}
+	}
+
+	/** Whether the store has acknowledged it; written again, it changes nothing. */
+	async #writeConfig(number: number, body: string): Promise<boolean> {
+		const target = `http://${this.#storeAddress}/v1/objects/config`;
+		try {
+			const created = number === 1 ? await sendRequest(target, {method: 'POST', body, headersTimeout: storeTimeout}) : undefined;
+			await created?.body.dump();
+			const answer = await sendRequest(`${target}/main`, {method: 'PUT', body, headersTimeout: storeTimeout});
+			await answer.body.dump();
+			return answer.statusCode < 300;
+		} catch {
+			// The store is one of the things that fail here.
+			return false;
+		}
+	}
+
+	async #openLink(findTarget: () => number): Promise<Link> {
+		const link = await new Link(findTarget).open();
+		this.#links.push(link);
+		return link;
+	}
+
+	async #createNode(name: string): Promise<SoakNode> {
+		const [callers, ready, addresses, peers, heartbeat, metrics] = await findFreePorts(6);
+		const ports = {
+			callers, ready, addresses, peers, heartbeat, metrics,
+		};
+		const callersLink = await this.#openLink(() => callers);
+		const storeLink = await this.#openLink(() => Number(this.#storeAddress.split(':')[1]));
+		return {
+			name, ports, callersLink, storeLink, process: this.#startNode(name, ports, storeLink), isChanging: false,
+		};
+	}
+
+	#startNode(name: string, ports: NodePorts, storeLink: Link): SoakProcess {
+		const file = path.join(this.#folder, `${name}.toml`);
+		writeFileSync(file, `
+box = "${name}"
+region = "r"
+availability_zone = "north"
+heartbeat_port = ${ports.heartbeat}
+metrics_port = ${ports.metrics}
+address_lifetime_seconds = 1
+[listen]
+callers = "127.0.0.1:${ports.callers}"
+ready = "127.0.0.1:${ports.ready}"
+addresses = "127.0.0.1:${ports.addresses}"
+peers = "127.0.0.1:${ports.peers}"
+[store]
+address = "${storeLink.address}"
+[stop]
+grace_seconds = ${graceSeconds}
+[retry]
+ratio = 0.2
+slack = 100
+window_seconds = 10
+`);
+		return this.processes.start(name, gatewayProgram, ['gateway', '--settings', file]);
+	}
+
+	async #startServer(service: string): Promise<SoakServer> {
+		const id = `i-${++this.#serverCount}`;
+		const [port] = await findFreePorts(1);
+		const link = await this.#openLink(() => port);
+		const started = this.processes.start(id, standinProgram, [
+			'server', '--id', id, '--service', service, '--store', this.#storeAddress, '--advertise', link.address, '--port', String(port),
+		]);
+		started.listen(line => {
+			if (line.event === 'run') {
+				this.#records.runs.push({
+					id: String(line.id), server: id, service, node: String(line.node), at: Number(line.at),
+				});
+			} else if (line.event === 'leaving') {
+				this.#records.changes.push({at: Number(line.at), sentAt: Number(line.at), leaving: id});
+			}
+		});
+		await started.waitForLine(({address}) => address !== undefined);
+		return {
+			id, service, link, port, process: started,
+		};
+	}
+}
+
+async function waitUntilReady(node: SoakNode): Promise<void> {
+	for (let attempt = 0; attempt < 300; attempt++) {
+		try {
+			const answer = await sendRequest(`http://127.0.0.1:${node.ports.ready}/v1/readyz`, {headersTimeout: 500});
+			await answer.body.dump();
+			if (answer.statusCode === 200) {
+				return;
+			}
+		} catch {
+			// It does not listen yet.
+		}
+
+		await pause(50);
+	}
+}
--- /dev/null
+++ b/soak/judge.ts
@@ -0,0 +1,143 @@
+/** Checks the promises of the pages against what was seen from outside. Pure. */
+import type {
+	CallRecord, FaultRecord, RunRecord, RunRecords,
+} from './records.js';
+
+/** A promise that was broken. */
+export type Violation = {promise: string; id: string; detail: string};
+
+/** Statuses that say that a request did not run and never will. */
+const notRunStatuses = new Set([408, 421, 429, 503]);
+
+/** Time beyond its limit in which a request must have ended, in milliseconds: the bound of the pages and the way back. */
+const endSlack = 700;
+
+/** Time after which a leaving server gets nothing new, in milliseconds: the pages' two seconds and the way of a request. */
+const drainLimit = 2300;
+
+/** Time in which a change of the configuration must be in force, in milliseconds: the pages' two seconds and the way of a request. */
+const changeLimit = 2300;
+
+/** Time after an answer by a newer version in which one by an older may still come, in milliseconds: they may have crossed. */
+const rollbackSlack = 250;
+
+/** Time after a fault in which its effects still show, in milliseconds: silences are noticed and views caught up. */
+const aftermath = 3000;
+
+/** Last part of the grace in which a stopping node may end what has not ended, as a share. */
+const cutShare = 5 / 6;
+
+/** Everything that must hold, checked one after the other. */
+export function judgeRun(records: RunRecords, graceMs: number): Violation[] {
+	return [
+		...checkAnswers(records),
+		...checkRuns(records),
+		...checkBounds(records),
+		...checkLeaving(records),
+		...checkVersions(records),
+		...checkStops(records, graceMs),
+		...records.leftMemory.map(left => ({promise: 'memory set aside is freed', id: left.reservation, detail: `still held at ${left.server}`})),
+	];
+}
+
+/** Each answer that looks complete is the whole answer of its own request. */
+function checkAnswers({calls}: RunRecords): Violation[] {
+	return calls
+		.filter(call => call.isComplete && call.wrong !== undefined)
+		.map(call => ({promise: 'a complete answer is whole and its own', id: call.id, detail: `${call.wrong} (status ${call.status}, node ${call.node})`}));
+}
+
+/** What may run once runs once; what was told not to have run has not. */
+function checkRuns({calls, runs}: RunRecords): Violation[] {
+	const counts = new Map<string, RunRecord[]>();
+	for (const run of runs) {
+		counts.set(run.id, [...counts.get(run.id) ?? [], run]);
+	}
+
+	return calls.flatMap(call => {
+		const own = counts.get(call.id) ?? [];
+		const found: Violation[] = [];
+		if (call.kind === 'once' && own.length > 1) {
+			found.push({promise: 'at most once', id: call.id, detail: `ran at ${own.map(run => run.server).join(', ')}`});
+		}
+
+		if (call.isComplete && notRunStatuses.has(call.status) && own.length > 0) {
+			found.push({promise: 'told not to have run, it has not', id: call.id, detail: `status ${call.status}, ran at ${own[0].server}`});
+		}
+
+		return found;
+	});
+}
+
+/** Every request ends within its bound, unless its node or the way to it was disturbed. */
+function checkBounds({calls, faults}: RunRecords): Violation[] {
+	return calls
+		.filter(call => call.endedAt - call.sentAt > call.limit + endSlack)
+		.filter(call => !isDisturbed(faults, call, call.sentAt, call.endedAt))
+		.map(call => ({promise: 'every request ends within its bound', id: call.id, detail: `${call.endedAt - call.sentAt} ms of ${call.limit}, node ${call.node}`}));
+}
+
+/** A leaving server gets nothing new from a node that nothing kept from hearing of it. */
+function checkLeaving({runs, changes, faults}: RunRecords): Violation[] {
+	const leaving = new Map(changes.filter(change => change.leaving !== undefined).map(change => [change.leaving!, change.at]));
+	return runs
+		.filter(run => run.at - (leaving.get(run.server) ?? Infinity) > drainLimit)
+		.filter(run => !isDisturbed(faults, run, leaving.get(run.server)!, run.at))
+		.map(run => ({promise: 'a leaving server gets nothing new', id: run.id, detail: `server ${run.server} got it ${run.at - leaving.get(run.server)!} ms after it left, from ${run.node}`}));
+}
+
+/** A change is in force in time, and no node goes back. */
+function checkVersions({calls, changes, faults}: RunRecords): Violation[] {
+	const versions = changes.flatMap(({at, sentAt, version}) => version === undefined ? [] : [{at, sentAt, ...version}]);
+	const shown = calls.filter(call => call.kind === 'version' && call.isComplete && call.status === 200).sort((left, right) => left.sentAt - right.sentAt);
+	return shown.flatMap((call, index) => {
+		const due = versions.findLastIndex(version => version.at + changeLimit < call.sentAt);
+		const possible = findPossible(versions, call);
+		const newest = Math.max(-1, ...possible);
+		if (newest < due && !isDisturbed(faults, call, versions[due].at, call.endedAt)) {
+			const after = call.sentAt - versions[due].at;
+			return [{promise: 'a change is in force in time', id: call.id, detail: `${call.service} answered at ${call.node} ${after} ms after version ${versions[due].number}`}];
+		}
+
+		const later = shown.slice(0, index).findLast(earlier => earlier.node === call.node
+			&& earlier.endedAt + rollbackSlack < call.sentAt
+			&& Math.min(...findPossible(versions, earlier)) > newest);
+		if (later !== undefined && !isDisturbed(faults, call, later.sentAt, call.endedAt)) {
+			return [{promise: 'a node never goes back to an older configuration', id: call.id, detail: `${call.service} answered at ${call.node} after ${later.service} had`}];
+		}
+
+		return [];
+	});
+}
+
+/** Indexes of the versions that an answer may have come from: sent by then, and not replaced for longer than the bound. */
+function findPossible(versions: Array<{at: number; sentAt: number; service: string}>, call: CallRecord): number[] {
+	return versions.flatMap((version, index) => {
+		const next = versions[index + 1];
+		const isOver = next !== undefined && next.at + changeLimit < call.sentAt;
+		return version.service === call.service && version.sentAt <= call.endedAt && !isOver ? [index] : [];
+	});
+}
+
+/** A planned stop cuts off nothing that was passed on, also of what still comes on open connections. */
+function checkStops({
+	calls, runs, stops, faults,
+}: RunRecords, graceMs: number): Violation[] {
+	const passedOn = new Set(runs.map(run => run.id));
+	return stops.flatMap(stop => calls
+		.filter(call => call.node === stop.node && !call.isComplete && (call.status > 0 || passedOn.has(call.id)))
+		.filter(call => call.sentAt <= stop.endedAt && call.endedAt >= stop.at && call.endedAt <= stop.at + (graceMs * cutShare))
+		.filter(call => !isDisturbed(faults, undefined, call.sentAt - aftermath, call.endedAt))
+		.map(call => ({promise: 'a planned stop cuts nothing off', id: call.id, detail: `cut ${call.endedAt - stop.at} ms after SIGTERM at ${stop.node}`})));
+}
+
+/**
+ * Whether something may have kept a node from keeping a promise in a span.
+ *
+ * Faults of other nodes and servers don't excuse it; with nobody named, every fault does.
+ */
+function isDisturbed(faults: FaultRecord[], who: Pick<CallRecord, 'node'> | undefined, from: number, to: number): boolean {
+	return faults
+		.filter(fault => fault.from <= to && fault.to + aftermath >= from)
+		.some(fault => who === undefined || fault.node === who.node || (fault.node === undefined && fault.server === undefined));
+}
--- /dev/null
+++ b/soak/load.ts
@@ -0,0 +1,182 @@
+/** Callers: they ask for addresses, keep connections, send requests of each kind and check what comes. */
+import {Buffer} from 'node:buffer';
+import {randomUUID} from 'node:crypto';
+import seedrandom from 'seedrandom';
+import {Agent, request as sendRequest, type Dispatcher} from 'undici';
+import {formatStream, formatText} from './answers.js';
+import type {SoakFleet, SoakNode} from './fleet.js';
+import {pause} from './link.js';
+import type {CallRecord, RunRecords} from './records.js';
+
+/** Time between two requests, in milliseconds. */
+const meanGap = 12;
+
+/** Time between two questions for addresses, in milliseconds: the life of an answer. */
+const askEvery = 1000;
+
+/** Prompts in tokens: short, long, and longer than one server's memory. */
+const promptSizes = [{tokens: 4000, share: 0.86}, {tokens: 60_000, share: 0.11}, {tokens: 400_000, share: 0.03}];
+
+/** Share of callers that leave before the answer. */
+const leaveShare = 0.03;
+
+/** Longest body in bytes. */
+const longestBody = 20_000;
+
+/** A kind of request: its path, its share of the traffic, and how long it may take in milliseconds. */
+type CallShape = {kind: CallRecord['kind']; path: string; share: number; limit: number};
+
+const shapes: CallShape[] = [
+	{
+		kind: 'stream', path: '/stream/a', share: 0.5, limit: 5000,
+	},
+	{
+		kind: 'once', path: '/once/a', share: 0.2, limit: 1500,
+	},
+	{
+		kind: 'again', path: '/again/a', share: 0.15, limit: 1500,
+	},
+	{
+		kind: 'version', path: '/turn/a', share: 0.15, limit: 1500,
+	},
+];
+
+/** All callers of a run. */
+export class Load {
+	readonly #fleet: SoakFleet;
+	readonly #records: RunRecords;
+	readonly #random: () => number;
+	readonly #agent = new Agent({connect: {timeout: 1000}, headersTimeout: 0, bodyTimeout: 0});
+	readonly #inProgress = new Set<Promise<void>>();
+	#addresses: string[] = [];
+	#isOver = false;
+
+	constructor(fleet: SoakFleet, records: RunRecords, seed: number) {
+		this.#fleet = fleet;
+		this.#records = records;
+		this.#random = seedrandom(`load-${seed}`);
+	}
+
+	/** Sends requests until `stop`; resolves when the last one has ended. */
+	async run(): Promise<void> {
+		const asking = this.#askAddresses();
+		while (!this.#isOver) {
+			await pause(-Math.log(1 - this.#random()) * meanGap);
+			const node = this.#pickNode();
+			if (node !== undefined) {
+				this.#inProgress.add(this.#call(node, this.#pickShape()));
+			}
+		}
+
+		await Promise.all([asking, ...this.#inProgress]);
+		await this.#agent.destroy();
+	}
+
+	/** Sends nothing more. */
+	stop(): void {
+		this.#isOver = true;
+	}
+
+	/** Keeps the last answer for as long as there is no new one, as callers do. */
+	async #askAddresses(): Promise<void> {
+		while (!this.#isOver) {
+			const {nodes} = this.#fleet;
+			const node = nodes[Math.floor(this.#random() * nodes.length)];
+			try {
+				const answer = await sendRequest(`http://127.0.0.1:${node.ports.addresses}/v1/resolve?name=shop.example&region=r&zone=north`, {headersTimeout: 500});
+				const {addresses} = await answer.body.json() as {addresses?: string[]};
+				if (addresses !== undefined && addresses.length > 0) {
+					this.#addresses = addresses;
+				}
+			} catch {
+				// The node is away; the next one is asked the next time.
+			}
+
+			await pause(this.#addresses.length === 0 ? 50 : askEvery);
+		}
+	}
+
+	#pickNode(): SoakNode | undefined {
+		const address = this.#addresses[Math.floor(this.#random() * this.#addresses.length)];
+		return this.#fleet.nodes.find(node => address?.endsWith(`:${node.ports.callers}`));
+	}
+
+	#pickShape(): CallShape {
+		let left = this.#random();
+		return shapes.find(shape => {
+			left -= shape.share;
+			return left < 0;
+		}) ?? shapes[0];
+	}
+
+	#pickTokens(): number {
+		let left = this.#random();
+		return promptSizes.find(size => {
+			left -= size.share;
+			return left < 0;
+		})?.tokens ?? promptSizes[0].tokens;
+	}
+
+	async #call(node: SoakNode, shape: CallShape): Promise<void> {
+		const id = randomUUID();
+		const body = Buffer.alloc(Math.floor(this.#random() * longestBody), id);
+		const record: CallRecord = {
+			id, kind: shape.kind, node: node.name, sentAt: Date.now(), endedAt: 0, status: 0, isComplete: false, limit: shape.limit,
+		};
+		const leave = new AbortController();
+		if (this.#random() < leaveShare) {
+			setTimeout(() => {
+				leave.abort();
+			}, this.#random() * 300);
+		}
+
+		try {
+			const answer = await sendRequest(node.callersLink.address.replace(/^/, 'http://') + shape.path, {
+				dispatcher: this.#agent, method: 'POST', body, headers: this.#formatHeaders(record, shape), signal: leave.signal,
+			});
+			record.status = answer.statusCode;
+			const text = await answer.body.text();
+			record.isComplete = true;
+			checkAnswer(record, answer, text, formatText(id, body));
+		} catch {
+			// Without a whole answer; what that means is judged from what the servers saw.
+		}
+
+		record.endedAt = Date.now();
+		if (!leave.signal.aborted) {
+			this.#records.calls.push(record);
+		}
+	}
+
+	#formatHeaders(record: CallRecord, shape: CallShape): Record<string, string> {
+		return {
+			host: 'shop.example',
+			authorization: 'Bearer secret-key',
+			'cresshook-attempt-id': record.id,
+			'cresshook-deadline-ms': String(shape.limit),
+			'x-soak-node': record.node,
+			...(shape.kind === 'stream' ? {'cresshook-token-usage': `${this.#pickTokens()},200`} : {}),
+		};
+	}
+}
+
+/** Notes what is wrong with an answer that looks complete, and which service gave it. */
+function checkAnswer(record: CallRecord, answer: Dispatcher.ResponseData, text: string, expected: string): void {
+	if (answer.statusCode !== 200) {
+		return;
+	}
+
+	if (answer.headers['cresshook-attempt-id'] !== record.id) {
+		record.wrong = `it belongs to ${String(answer.headers['cresshook-attempt-id'])}`;
+		return;
+	}
+
+	if (record.kind === 'stream') {
+		record.wrong = text === formatStream(expected) ? undefined : `its ${text.length} bytes are not the whole stream`;
+		return;
+	}
+
+	const [id, digest, service] = text.split(' ');
+	record.service = service;
+	record.wrong = `${id} ${digest}` === expected ? undefined : `it is "${text.slice(0, 80)}"`;
+}
--- /dev/null
+++ b/soak/plan.ts
@@ -0,0 +1,102 @@
+/**
+ * What goes wrong in one run, and when: drawn from a seed, so that a run can be repeated.
+ *
+ * Faults overlap and come in series; each is over by itself. Pure.
+ */
+import seedrandom from 'seedrandom';
+
+/** What a fault does to its target for a while. */
+export type FaultKind =
+	/** A node: SIGKILL, SIGSTOP and SIGCONT, SIGTERM; it is started again. */
+	| 'node_kill' | 'node_pause' | 'node_stop'
+	/** All nodes: SIGKILL at once. */
+	| 'all_kill'
+	/** A backend server: SIGKILL or SIGSTOP, or a planned end; another one takes its place. */
+	| 'server_kill' | 'server_pause' | 'server_drain'
+	/** The store: answers nothing, 503, late, or does a write and loses the answer; or forgets its history. */
+	| 'store_silent' | 'store_busy' | 'store_slow' | 'store_lossy' | 'store_forget'
+	/** A link: bytes are late, stand still in one or both directions, or the connections are reset. */
+	| 'link_delay' | 'link_one_way' | 'link_silent' | 'link_reset'
+	/** The operator changes the configuration. */
+	| 'config_change';
+
+/** One fault; times in milliseconds from the start. */
+export type Fault = {
+	kind: FaultKind;
+	at: number;
+	duration: number;
+	/** Which node, server or link, by a number that is taken modulo how many there are. */
+	target: number;
+	/** Which links, for faults of links. */
+	link?: LinkKind;
+};
+
+/** Callers to a node, a node to the store, nodes to a backend server. */
+export type LinkKind = 'callers' | 'store' | 'server';
+
+const linkKinds: LinkKind[] = ['callers', 'store', 'server'];
+
+/** How often each kind comes, relative to the others. */
+const weights: Record<FaultKind, number> = {
+	node_kill: 3,
+	node_pause: 3,
+	node_stop: 4,
+	all_kill: 0.5,
+	server_kill: 2,
+	server_pause: 2,
+	server_drain: 3,
+	store_silent: 1,
+	store_busy: 1,
+	store_slow: 1,
+	store_lossy: 1,
+	store_forget: 1,
+	link_delay: 2,
+	link_one_way: 2,
+	link_silent: 2,
+	link_reset: 3,
+	config_change: 5,
+};
+
+/** Kinds of fault, in the order in which they are drawn. */
+export const faultKinds = Object.keys(weights) as FaultKind[];
+
+/** Mean time between two faults, in milliseconds: with durations of seconds, two or three overlap. */
+const meanGap = 700;
+
+/** Shortest and longest fault, in milliseconds. */
+const shortest = 200;
+const longest = 4000;
+
+/** Time at the beginning in which nothing goes wrong, in milliseconds: traffic must run before it can be disturbed. */
+const quietStart = 1500;
+
+/** Draws the faults of a run that lasts so many milliseconds. */
+export function drawFaults(seed: number, length: number, kinds: FaultKind[] = faultKinds): Fault[] {
+	const random = seedrandom(`faults-${seed}`);
+	const faults: Fault[] = [];
+	let at = quietStart;
+	for (;;) {
+		at += -Math.log(1 - random()) * meanGap;
+		if (at >= length) {
+			return faults;
+		}
+
+		const kind = pick(kinds, random());
+		faults.push({
+			kind,
+			at: Math.round(at),
+			duration: Math.round(shortest + (random() * (longest - shortest))),
+			target: Math.floor(random() * 1000),
+			link: kind.startsWith('link_') ? linkKinds[Math.floor(random() * linkKinds.length)] : undefined,
+		});
+	}
+}
+
+function pick(kinds: FaultKind[], draw: number): FaultKind {
+	const total = kinds.reduce((sum, kind) => sum + weights[kind], 0);
+	let left = draw * total;
+	return kinds.find(kind => {
+		left -= weights[kind];
+		return left < 0;
+	}) ?? kinds[0];
+}
--- /dev/null
+++ b/soak/processes.ts
@@ -0,0 +1,125 @@
+/** The processes of a run: started, spoken to and ended by their own ids. */
+import {spawn, type ChildProcess} from 'node:child_process';
+import {createWriteStream, type WriteStream} from 'node:fs';
+import path from 'node:path';
+import process from 'node:process';
+import {createInterface} from 'node:readline';
+
+/** Time in which a process must say where it listens, in milliseconds. */
+const startLimit = 15_000;
+
+/** One process. */
+export class SoakProcess {
+	/** Settles when the process has ended. */
+	readonly ended: Promise<true>;
+	readonly #child: ChildProcess;
+	readonly #log: WriteStream;
+	#isEnded = false;
+	#onLine: ((line: Record<string, unknown>) => void) | undefined;
+
+	constructor(program: string, words: string[], logFile: string, onEnd: (ended: SoakProcess) => void) {
+		this.#child = spawn(process.execPath, [program, ...words], {stdio: ['pipe', 'pipe', 'pipe']});
+		this.#log = createWriteStream(logFile, {flags: 'a'});
+		this.#child.stderr!.pipe(this.#log, {end: false});
+		// A pipe whose process is gone breaks; what was to be told to it no longer matters.
+		this.#child.stdin!.on('error', () => {}); // eslint-disable-line @typescript-eslint/no-empty-function
+		createInterface({input: this.#child.stdout!}).on('line', line => {
+			this.#log.write(`${line}\n`);
+			this.#onLine?.(readJson(line));
+		});
+		this.ended = new Promise(resolve => {
+			this.#child.once('exit', () => {
+				this.#isEnded = true;
+				onEnd(this);
+				resolve(true);
+			});
+		});
+	}
+
+	get isEnded(): boolean {
+		return this.#isEnded;
+	}
+
+	/** Calls back with each line that it prints. */
+	listen(onLine: (line: Record<string, unknown>) => void): void {
+		this.#onLine = onLine;
+	}
+
+	/** Waits for a line. */
+	async waitForLine(isWanted: (line: Record<string, unknown>) => boolean): Promise<Record<string, unknown>> {
+		const onLine = this.#onLine;
+		return new Promise((resolve, reject) => {
+			const timer = setTimeout(() => {
+				reject(new Error(`process ${this.#child.pid} did not start in ${startLimit} ms`));
+			}, startLimit);
+			this.#child.once('exit', () => {
+				clearTimeout(timer);
+				reject(new Error(`process ${this.#child.pid} ended before it had started`));
+			});
+			this.#onLine = line => {
+				onLine?.(line);
+				if (isWanted(line)) {
+					clearTimeout(timer);
+					this.#onLine = onLine;
+					resolve(line);
+				}
+			};
+		});
+	}
+
+	/** Sends a signal. */
+	signal(name: NodeJS.Signals): void {
+		if (!this.#isEnded) {
+			this.#child.kill(name);
+		}
+	}
+
+	/** Writes a line to its standard input. */
+	tell(order: Record<string, unknown>): void {
+		this.#child.stdin!.write(`${JSON.stringify(order)}\n`);
+	}
+
+	/** Ends it at once, also when it is paused. */
+	async kill(): Promise<void> {
+		this.signal('SIGKILL');
+		await this.ended;
+		this.#log.end();
+	}
+}
+
+/** Starts processes that log into one folder, and ends them all. */
+export class Processes {
+	readonly #folder: string;
+	readonly #all = new Set<SoakProcess>();
+
+	constructor(folder: string) {
+		this.#folder = folder;
+	}
+
+	/** Starts a program; its lines go to a log of that name. */
+	start(name: string, program: string, words: string[]): SoakProcess {
+		const started = new SoakProcess(program, words, path.join(this.#folder, `${name}.log`), ended => {
+			this.#all.delete(ended);
+		});
+		this.#all.add(started);
+		return started;
+	}
+
+	/** How many run. */
+	get count(): number {
+		return this.#all.size;
+	}
+
+	/** Ends all that were started here. */
+	async stop(): Promise<void> {
+		await Promise.all([...this.#all].map(async started => started.kill()));
+	}
+}
+
+function readJson(line: string): Record<string, unknown> {
+	try {
+		return JSON.parse(line) as Record<string, unknown>;
+	} catch {
+		return {text: line};
+	}
+}
--- /dev/null
+++ b/soak/records.ts
@@ -0,0 +1,53 @@
+/** What callers, backend servers and the operator saw in a run; times are wall-clock milliseconds of one machine. */
+
+/** How a caller's request ended. */
+export type CallRecord = {
+	id: string;
+	/** What may be done with it a second time: nothing, or anything. */
+	kind: 'once' | 'again' | 'stream' | 'version';
+	node: string;
+	sentAt: number;
+	endedAt: number;
+	/** Status of the answer; 0 when there was none. */
+	status: number;
+	/** Whether the answer ended as complete. */
+	isComplete: boolean;
+	/** What is wrong with a complete answer; undefined when it is the whole answer of this request. */
+	wrong?: string;
+	/** The service that answered a request for the version in force. */
+	service?: string;
+	/** Longest time that the request may take. */
+	limit: number;
+};
+
+/** A backend server began to work on a request. */
+export type RunRecord = {id: string; server: string; service: string; node: string; at: number};
+
+/** The store took a change: `sentAt` is when it was first sent, `at` when it was acknowledged. */
+export type ChangeRecord = {at: number; sentAt: number; version?: {number: number; service: string}; leaving?: string};
+
+/** Something was disturbed; `node` or `server` when it was only that one. */
+export type FaultRecord = {kind: string; from: number; to: number; node?: string; server?: string};
+
+/** A planned stop of a node. */
+export type StopRecord = {node: string; at: number; endedAt: number};
+
+/** Memory that a backend server still had set aside at the end. */
+export type LeftMemory = {server: string; reservation: string};
+
+/** All of a run. */
+export type RunRecords = {
+	calls: CallRecord[];
+	runs: RunRecord[];
+	changes: ChangeRecord[];
+	faults: FaultRecord[];
+	stops: StopRecord[];
+	leftMemory: LeftMemory[];
+};
+
+/** An empty set. */
+export function createRecords(): RunRecords {
+	return {
+		calls: [], runs: [], changes: [], faults: [], stops: [], leftMemory: [],
+	};
+}
--- /dev/null
+++ b/soak/run.ts
@@ -0,0 +1,221 @@
+/** One run: starts a fleet, sends traffic, disturbs it by its seed, and judges what was seen. */
+import {
+	SoakFleet, stopGrace, type FleetSize, type SoakNode, type SoakServer,
+} from './fleet.js';
+import {judgeRun, type Violation} from './judge.js';
+import {pause} from './link.js';
+import {Load} from './load.js';
+import {drawFaults, type Fault, type FaultKind} from './plan.js';
+import {createRecords, type FaultRecord, type RunRecords} from './records.js';
+
+/** What one run is. */
+export type RunOptions = {
+	seed: number;
+	/** Milliseconds of traffic. */
+	length: number;
+	size: FleetSize;
+	/** Folder for the logs of all processes. */
+	folder: string;
+	/**
+	 * Kinds of fault that come.
+	 *
+	 * @default all
+	 */
+	kinds?: FaultKind[];
+};
+
+/** What came of it. */
+export type RunResult = {seed: number; calls: number; whole: number; faults: number; processes: number; violations: Violation[]};
+
+/** Calm time at the end, in milliseconds: reservations of dead nodes have run out by then. */
+const calmEnd = 4500;
+
+/** How late the store's second answer may be believed to be over, in milliseconds. */
+const recordMargin = 200;
+
+/** Runs and judges. */
+export async function runOnce(options: RunOptions): Promise<RunResult> {
+	const records = createRecords();
+	const fleet = new SoakFleet(options.folder, records, options.size);
+	try {
+		await fleet.start();
+		const load = new Load(fleet, records, options.seed);
+		const loading = load.run();
+		const faults = drawFaults(options.seed, options.length, options.kinds);
+		const disturbing = disturb(fleet, records, faults);
+		await pause(options.length);
+		await disturbing;
+		load.stop();
+		await loading;
+		await pause(calmEnd);
+		await fleet.listLeftMemory();
+		return {
+			seed: options.seed,
+			calls: records.calls.length,
+			whole: records.calls.filter(call => call.isComplete && call.status === 200).length,
+			faults: faults.length,
+			processes: fleet.processes.count,
+			violations: judgeRun(records, stopGrace),
+		};
+	} finally {
+		await fleet.stop();
+	}
+}
+
+async function disturb(fleet: SoakFleet, records: RunRecords, faults: Fault[]): Promise<void> {
+	const start = Date.now();
+	await Promise.all(faults.map(async fault => {
+		await pause(start + fault.at - Date.now());
+		await new Disturbance(fleet, records, fault).play();
+	}));
+}
+
+/** One fault as it is played. */
+class Disturbance {
+	readonly #fleet: SoakFleet;
+	readonly #records: RunRecords;
+	readonly #fault: Fault;
+
+	constructor(fleet: SoakFleet, records: RunRecords, fault: Fault) {
+		this.#fleet = fleet;
+		this.#records = records;
+		this.#fault = fault;
+	}
+
+	async play(): Promise<void> {
+		const {kind, target} = this.#fault;
+		const [what, how] = kind.split('_');
+		switch (what) {
+			case 'node': {
+				await this.#disturbNode(this.#fleet.nodes[target % this.#fleet.nodes.length], how);
+
+				break;
+			}
+
+			case 'server': {
+				await this.#disturbServer(this.#fleet.servers[target % this.#fleet.servers.length], how);
+
+				break;
+			}
+
+			case 'store': {
+				await this.#disturbStore(how);
+
+				break;
+			}
+
+			case 'link': {
+				await this.#disturbLink();
+
+				break;
+			}
+
+			default: {await (kind === 'all_kill' ? Promise.all(this.#fleet.nodes.map(async node => this.#disturbNode(node, 'kill'))) : this.#fleet.changeConfig());
+			}
+		}
+	}
+
+	/** Records the fault from now until `end` has happened. */
+	async #record(who: Pick<FaultRecord, 'node' | 'server'>, during: () => Promise<void>): Promise<void> {
+		const record: FaultRecord = {
+			kind: this.#fault.kind, from: Date.now() - recordMargin, to: Number.POSITIVE_INFINITY, ...who,
+		};
+		this.#records.faults.push(record);
+		await during();
+		record.to = Date.now();
+	}
+
+	async #disturbNode(node: SoakNode, how: string): Promise<void> {
+		if (node.isChanging) {
+			return;
+		}
+
+		if (how === 'pause') {
+			await this.#record({node: node.name}, async () => {
+				const paused = node.process;
+				paused.signal('SIGSTOP');
+				await pause(this.#fault.duration);
+				paused.signal('SIGCONT');
+			});
+			return;
+		}
+
+		node.isChanging = true;
+		if (how === 'stop') {
+			await this.#stopNode(node);
+		} else {
+			await this.#record({node: node.name}, async () => {
+				await node.process.kill();
+				await pause(this.#fault.duration);
+				await this.#fleet.restartNode(node);
+			});
+		}
+
+		node.isChanging = false;
+	}
+
+	async #stopNode(node: SoakNode): Promise<void> {
+		const stop = {node: node.name, at: Date.now(), endedAt: Number.POSITIVE_INFINITY};
+		this.#records.stops.push(stop);
+		node.process.signal('SIGTERM');
+		const isEnded = await Promise.race([node.process.ended, pause(stopGrace)]);
+		if (isEnded !== true) {
+			await node.process.kill();
+		}
+
+		stop.endedAt = Date.now();
+		await this.#record({node: node.name}, async () => this.#fleet.restartNode(node));
+	}
+
+	async #disturbServer(server: SoakServer, how: string): Promise<void> {
+		// The services of the versions stay: without them nobody could tell which version is in force.
+		if (server.service.startsWith('turn')) {
+			return;
+		}
+
+		await this.#record({server: server.id}, async () => {
+			if (how === 'drain') {
+				await this.#fleet.replaceServer(server);
+				server.process.signal('SIGTERM');
+				await server.process.ended;
+			} else if (how === 'pause') {
+				server.process.signal('SIGSTOP');
+				await pause(this.#fault.duration);
+				server.process.signal('SIGCONT');
+			} else {
+				await server.process.kill();
+				await pause(this.#fault.duration);
+				if (this.#fleet.servers.includes(server)) {
+					await this.#fleet.replaceServer(server);
+				}
+			}
+		});
+	}
+
+	async #disturbStore(how: string): Promise<void> {
+		await this.#record({}, async () => {
+			this.#fleet.troubleStore(how === 'forget' ? {forget: true} : {trouble: how});
+			await pause(this.#fault.duration);
+			this.#fleet.troubleStore({trouble: 'none'});
+		});
+	}
+
+	async #disturbLink(): Promise<void> {
+		const {kind, link: linkKind, target, duration} = this.#fault;
+		const {link, node, server} = this.#fleet.findLink(linkKind ?? 'callers', target);
+		await this.#record({node: node?.name, server: server?.id}, async () => {
+			if (kind === 'link_reset') {
+				link.reset();
+				return;
+			}
+
+			link.setFault({
+				delay: kind === 'link_delay' ? Math.min(duration / 10, 200) : 0,
+				isSilentBack: kind === 'link_silent' || kind === 'link_one_way',
+				isSilentForth: kind === 'link_silent',
+			});
+			await pause(duration);
+			link.heal();
+		});
+	}
+}
--- /dev/null
+++ b/soak/standin.ts
@@ -0,0 +1,267 @@
+/**
+ * A stand-in for the platform's store or for one backend server, as a process of its own.
+ *
+ * A backend server registers itself, keeps its entry fresh, and prints a line for each
+ * request that it begins to work on. SIGTERM makes it leave as planned.
+ */
+import {Buffer} from 'node:buffer';
+import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import process from 'node:process';
+import {Command} from 'commander';
+import {request as sendRequest} from 'undici';
+import {StandinStore} from '../test/helpers/platform-standins.js';
+import {countEvents, formatEvent, formatText} from './answers.js';
+import {pause} from './link.js';
+
+/** Time between two heartbeats of a server, in milliseconds. */
+const heartbeatEvery = 400;
+
+/** Heartbeats missed after which the store takes an entry away. */
+const missedHeartbeats = 3;
+
+/** How long a leaving server serves on, in milliseconds. */
+const leaveAfter = 2500;
+
+/** Requests that a server works on at once. */
+const slots = 11;
+
+/** Memory of a server in tokens. */
+const memoryTokens = 315_000;
+
+/** Time between two events of a stream, in milliseconds. */
+const eventGap = 35;
+
+/** Time in which a plain request is worked on, in milliseconds. */
+const plainTime = 30;
+
+function print(line: Record<string, unknown>): void {
+	process.stdout.write(`${JSON.stringify(line)}\n`);
+}
+
+async function runStore(): Promise<void> {
+	const store = await new StandinStore().start();
+	print({address: store.address});
+	const seen = new Map<string, {sequence: unknown; missed: number}>();
+	setInterval(() => {
+		expireEntries(store, seen);
+	}, heartbeatEvery);
+	for await (const line of readLines()) {
+		const order = JSON.parse(line) as {trouble?: StandinStore['trouble']; forget?: boolean};
+		store.trouble = order.trouble ?? store.trouble;
+		if (order.forget === true) {
+			store.forgetHistory();
+		}
+	}
+}
+
+/** Called once a heartbeat: entries that were not written since, three times in a row, go. */
+function expireEntries(store: StandinStore, seen: Map<string, {sequence: unknown; missed: number}>): void {
+	for (const name of store.listNames('servers')) {
+		const {sequence} = (store.get('servers', name) as {sequence: number});
+		const before = seen.get(name);
+		const missed = before?.sequence === sequence ? before.missed + 1 : 0;
+		seen.set(name, {sequence, missed});
+		if (missed >= missedHeartbeats) {
+			store.remove('servers', name);
+			seen.delete(name);
+		}
+	}
+}
+
+async function * readLines(): AsyncGenerator<string> {
+	let rest = '';
+	for await (const chunk of process.stdin) {
+		const lines = (rest + String(chunk)).split('\n');
+		rest = lines.pop()!;
+		yield * lines;
+	}
+}
+
+type ServerOptions = {id: string; service: string; store: string; advertise: string; port: string};
+
+/** One backend server: serves requests, takes orders on its memory, registers itself. */
+class SoakServer {
+	readonly #options: ServerOptions;
+	readonly #reservations = new Map<string, {tokens: number; until: number}>();
+	#running = 0;
+	#sequence = 0;
+	#isLeaving = false;
+
+	constructor(options: ServerOptions) {
+		this.#options = options;
+	}
+
+	async start(): Promise<void> {
+		const server = createServer((request, response) => {
+			void this.#answer(request, response);
+		});
+		server.keepAliveTimeout = 4000;
+		await new Promise<void>(resolve => {
+			server.listen(Number(this.#options.port), '127.0.0.1', resolve);
+		});
+		print({address: `127.0.0.1:${(server.address() as AddressInfo).port}`});
+		process.once('SIGTERM', () => {
+			void this.#leave();
+		});
+		void this.#register();
+	}
+
+	async #register(): Promise<void> {
+		for (;;) {
+			await this.#writeEntry();
+			await pause(heartbeatEvery);
+		}
+	}
+
+	async #writeEntry(): Promise<boolean> {
+		const {id, service, store, advertise} = this.#options;
+		const body = JSON.stringify({
+			metadata: {name: id},
+			spec: {
+				service, address: advertise, zone: 'north', version: 'v1', slots, state: this.#isLeaving ? 'draining' : 'ready', coldRemainingMs: 0, sequence: ++this.#sequence,
+			},
+		});
+		try {
+			const path = this.#sequence === 1 ? '' : `/${id}`;
+			const answer = await sendRequest(`http://${store}/v1/objects/servers${path}`, {
+				method: path === '' ? 'POST' : 'PUT', body, headersTimeout: 2000,
+			});
+			await answer.body.dump();
+			return answer.statusCode < 300;
+		} catch {
+			// The store is one of the things that fail here; the next heartbeat tries again.
+			return false;
+		}
+	}
+
+	async #leave(): Promise<void> {
+		this.#isLeaving = true;
+		while (!await this.#writeEntry()) {
+			await pause(heartbeatEvery);
+		}
+
+		print({event: 'leaving', at: Date.now()});
+		await pause(leaveAfter);
+		while (this.#running > 0) {
+			await pause(eventGap);
+		}
+
+		process.exit(0); // eslint-disable-line unicorn/no-process-exit -- it is a program; its server would keep it alive
+	}
+
+	async #answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		const body = await readBody(request);
+		if (request.url === '/v1/order') {
+			this.#takeOrder(JSON.parse(Buffer.from(body).toString()) as {op: string; id: string; tokens?: number; holdMs?: number}, response);
+			return;
+		}
+
+		if (request.url === '/v1/report') {
+			this.#expire();
+			sendJson(response, 200, {tickets: [...this.#reservations.keys()].map(id => ({id}))});
+			return;
+		}
+
+		await this.#serve(request, body, response);
+	}
+
+	#takeOrder(order: {op: string; id: string; tokens?: number; holdMs?: number}, response: ServerResponse): void {
+		this.#expire();
+		if (order.op === 'release') {
+			this.#reservations.delete(order.id);
+			sendJson(response, 200, {});
+			return;
+		}
+
+		const others = [...this.#reservations].filter(([id]) => id !== order.id).reduce((sum, [, held]) => sum + held.tokens, 0);
+		const tokens = order.tokens ?? 0;
+		if (others + tokens > memoryTokens) {
+			sendJson(response, 409, {free: memoryTokens - others});
+			return;
+		}
+
+		this.#reservations.set(order.id, {tokens, until: Date.now() + (order.holdMs ?? 0)});
+		sendJson(response, 200, {free: memoryTokens - others - tokens});
+	}
+
+	#expire(): void {
+		for (const [id, {until}] of this.#reservations) {
+			if (until < Date.now()) {
+				this.#reservations.delete(id);
+			}
+		}
+	}
+
+	async #serve(request: IncomingMessage, body: Uint8Array, response: ServerResponse): Promise<void> {
+		const id = String(request.headers['cresshook-attempt-id'] ?? '');
+		const head = {'cresshook-attempt-id': id, 'cresshook-response-seal': 'seal'};
+		const isOther = request.headers['cresshook-target-instance'] !== this.#options.id;
+		if (isOther || this.#running >= slots * 2) {
+			response.writeHead(isOther ? 421 : 503, {...head, 'cresshook-not-executed': '1', 'content-length': '0'});
+			response.end();
+			return;
+		}
+
+		this.#running++;
+		print({
+			event: 'run', id, at: Date.now(), service: this.#options.service, node: String(request.headers['x-soak-node'] ?? ''),
+		});
+		const text = formatText(id, body);
+		try {
+			await (request.headers['cresshook-token-usage'] === undefined
+				? this.#sendWhole(response, head, `${text} ${this.#options.service}`)
+				: this.#sendEvents(request, response, head, text));
+		} finally {
+			this.#running--;
+		}
+	}
+
+	async #sendWhole(response: ServerResponse, head: Record<string, string>, text: string): Promise<void> {
+		await pause(plainTime);
+		response.writeHead(200, {...head, 'content-length': String(text.length)});
+		response.end(text);
+	}
+
+	async #sendEvents(request: IncomingMessage, response: ServerResponse, head: Record<string, string>, text: string): Promise<void> {
+		response.writeHead(200, {...head, 'content-type': 'text/event-stream'});
+		const last = countEvents(text);
+		for (let id = Number(request.headers['last-event-id'] ?? 0) + 1; id <= last && !response.destroyed; id++) {
+			await pause(eventGap);
+			response.write(formatEvent(id, text));
+		}
+
+		response.end();
+	}
+}
+
+async function readBody(request: IncomingMessage): Promise<Uint8Array> {
+	const pieces: Uint8Array[] = [];
+	for await (const piece of request) {
+		pieces.push(piece as Uint8Array);
+	}
+
+	return Buffer.concat(pieces);
+}
+
+function sendJson(response: ServerResponse, status: number, value: unknown): void {
+	response.writeHead(status, {'content-type': 'application/json'});
+	response.end(JSON.stringify(value));
+}
+
+async function main(): Promise<void> {
+	const program = new Command('soak-standin');
+	program.command('store').action(runStore);
+	program.command('server')
+		.requiredOption('--id <id>')
+		.requiredOption('--service <service>')
+		.requiredOption('--store <address>')
+		.requiredOption('--advertise <address>')
+		.option('--port <port>', 'port', '0')
+		.action(async (options: ServerOptions) => {
+			await new SoakServer(options).start();
+		});
+	await program.parseAsync(process.argv);
+}
+
+void main(); // eslint-disable-line unicorn/prefer-top-level-await -- the bundle is CommonJS
--- /dev/null
+++ b/test/soak.test.ts
@@ -0,0 +1,192 @@
+import {
+	createServer, connect, type AddressInfo, type Socket,
+} from 'node:net';
+import {expect, test} from '@jest/globals';
+import {countEvents, formatStream} from '../soak/answers.js';
+import {judgeRun} from '../soak/judge.js';
+import {Link, pause} from '../soak/link.js';
+import {drawFaults, faultKinds} from '../soak/plan.js';
+import {createRecords, type CallRecord, type RunRecords} from '../soak/records.js';
+
+const grace = 4000;
+
+function createCall(changes: Partial<CallRecord> = {}): CallRecord {
+	return {
+		id: 'c-1', kind: 'once', node: 'edge-0', sentAt: 10_000, endedAt: 10_100, status: 200, isComplete: true, limit: 1500, ...changes,
+	};
+}
+
+/** Promises that a run is judged to have broken. */
+function listBroken(fill: (records: RunRecords) => void): string[] {
+	const records = createRecords();
+	fill(records);
+	return judgeRun(records, grace).map(violation => violation.promise);
+}
+
+test('a run in which everything went as promised breaks nothing', () => {
+	expect(listBroken(records => {
+		records.calls.push(createCall());
+		records.runs.push({
+			id: 'c-1', server: 'i-1', service: 'app', node: 'edge-0', at: 10_010,
+		});
+		records.stops.push({node: 'edge-0', at: 10_050, endedAt: 12_000});
+	})).toEqual([]);
+});
+
+test('an answer of another request is found', () => {
+	expect(listBroken(records => records.calls.push(createCall({wrong: 'it belongs to c-2'})))).toEqual(['a complete answer is whole and its own']);
+});
+
+test('a second run, and a run of what was told not to have run, are found', () => {
+	const run = {
+		id: 'c-1', server: 'i-1', service: 'app', node: 'edge-0', at: 10_010,
+	};
+	expect(listBroken(records => {
+		records.calls.push(createCall({status: 503}));
+		records.runs.push(run, {...run, server: 'i-2'});
+	})).toEqual(['at most once', 'told not to have run, it has not']);
+	expect(listBroken(records => {
+		records.calls.push(createCall({kind: 'again'}));
+		records.runs.push(run, {...run, server: 'i-2'});
+	})).toEqual([]);
+});
+
+test('a request held past its bound is found, unless its own node was disturbed', () => {
+	const held = createCall({endedAt: 12_500});
+	expect(listBroken(records => records.calls.push(held))).toEqual(['every request ends within its bound']);
+	expect(listBroken(records => {
+		records.calls.push(held);
+		records.faults.push({
+			kind: 'node_pause', from: 10_500, to: 11_000, node: 'edge-0',
+		});
+	})).toEqual([]);
+	expect(listBroken(records => {
+		records.calls.push(held);
+		records.faults.push({
+			kind: 'node_pause', from: 10_500, to: 11_000, node: 'edge-1',
+		});
+	})).toEqual(['every request ends within its bound']);
+});
+
+test('new work for a leaving server is found, unless its node could not know', () => {
+	const fill = (records: RunRecords) => {
+		records.changes.push({at: 10_000, sentAt: 10_000, leaving: 'i-1'});
+		records.runs.push({
+			id: 'c-1', server: 'i-1', service: 'app', node: 'edge-0', at: 12_400,
+		});
+	};
+
+	expect(listBroken(fill)).toEqual(['a leaving server gets nothing new']);
+	expect(listBroken(records => {
+		fill(records);
+		records.faults.push({kind: 'store_silent', from: 9000, to: 11_000});
+	})).toEqual([]);
+});
+
+test('a change that is not in force in time is found, and a node that goes back', () => {
+	const versions = (records: RunRecords) => {
+		records.changes.push(
+			{at: 1000, sentAt: 990, version: {number: 1, service: 'turn-1'}},
+			{at: 10_000, sentAt: 9990, version: {number: 2, service: 'turn-2'}},
+		);
+	};
+
+	const answer = (id: string, service: string, sentAt: number) => createCall({
+		id, kind: 'version', service, sentAt, endedAt: sentAt + 50,
+	});
+	expect(listBroken(records => {
+		versions(records);
+		records.calls.push(answer('a', 'turn-1', 11_000), answer('b', 'turn-2', 12_900));
+	})).toEqual([]);
+	expect(listBroken(records => {
+		versions(records);
+		records.calls.push(answer('a', 'turn-1', 12_900));
+	})).toEqual(['a change is in force in time']);
+	expect(listBroken(records => {
+		versions(records);
+		records.calls.push(answer('a', 'turn-2', 10_100), answer('b', 'turn-1', 10_900));
+	})).toEqual(['a node never goes back to an older configuration']);
+});
+
+test('what a planned stop cuts off is found, unless it took up the whole grace', () => {
+	const cut = createCall({isComplete: false, status: 0});
+	expect(listBroken(records => {
+		records.calls.push(cut);
+		records.stops.push({node: 'edge-0', at: 10_050, endedAt: 12_000});
+	})).toEqual([]);
+	const run = {
+		id: 'c-1', server: 'i-1', service: 'app', node: 'edge-0', at: 10_010,
+	};
+	expect(listBroken(records => {
+		records.calls.push(cut);
+		records.runs.push(run);
+		records.stops.push({node: 'edge-0', at: 10_050, endedAt: 12_000});
+	})).toEqual(['a planned stop cuts nothing off']);
+	expect(listBroken(records => {
+		records.calls.push({...cut, endedAt: 13_900});
+		records.runs.push(run);
+		records.stops.push({node: 'edge-0', at: 10_050, endedAt: 14_000});
+	})).toEqual(['every request ends within its bound']);
+});
+
+test('memory that is still set aside at the end is found', () => {
+	expect(listBroken(records => records.leftMemory.push({server: 'i-1', reservation: 'r-1'}))).toEqual(['memory set aside is freed']);
+});
+
+test('a seed always draws the same faults, and many seeds draw every kind', () => {
+	expect(drawFaults(7, 20_000)).toEqual(drawFaults(7, 20_000));
+	const drawn = new Set(Array.from({length: 50}, (_, seed) => drawFaults(seed, 20_000)).flat().map(fault => fault.kind));
+	expect([...drawn].sort()).toEqual([...faultKinds].sort());
+});
+
+test('a stream has all its events and belongs to its request', () => {
+	const stream = formatStream('c-1 digest');
+	expect(stream.split('\n\n')).toHaveLength(countEvents('c-1 digest') + 1);
+	expect(stream).not.toBe(formatStream('c-2 digest'));
+});
+
+async function openEcho(): Promise<{port: number; close(): void}> {
+	const server = createServer(socket => {
+		socket.on('error', () => {}); // eslint-disable-line @typescript-eslint/no-empty-function
+		socket.pipe(socket);
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	return {
+		port: (server.address() as AddressInfo).port, close() {
+			server.close();
+		},
+	};
+}
+
+/** What a connection through a link has read so far, and whether it was reset. */
+function listenTo(socket: Socket): {text: string; isReset: boolean} {
+	const seen = {text: '', isReset: false};
+	socket.on('data', data => {
+		seen.text += String(data);
+	});
+	socket.on('error', () => {
+		seen.isReset = true;
+	});
+	return seen;
+}
+
+test('a link holds bytes back while it is silent, and loses none', async () => {
+	const echo = await openEcho();
+	const link = await new Link(() => echo.port).open();
+	const socket = connect(link.port, '127.0.0.1');
+	const seen = listenTo(socket);
+	link.setFault({isSilentBack: true});
+	socket.write('one');
+	await pause(100);
+	expect(seen.text).toBe('');
+	link.heal();
+	await pause(100);
+	expect(seen.text).toBe('one');
+	link.reset();
+	await pause(50);
+	expect(seen.isReset).toBe(true);
+	link.close();
+	echo.close();
+});
