refactor(rpc): calls between nodes share one adapter

Change: `src/rpc/node-fetch.ts` has both; who asks still logs what it does without an answer.

Ruled out: one client class for both: theirs differ in secrets, byte counts and streams.

--- a/src/gateway/peer-rpc.ts
+++ b/src/gateway/peer-rpc.ts
@@ -3,17 +3,15 @@
 import {initTRPC} from '@trpc/server';
 import {Agent} from 'undici';
 import * as z from 'zod';
-import {
-	createTimeout, type Clock, type Failure, type ServiceName,
-} from '../common/index.js';
+import type {Clock, Failure, ServiceName} from '../common/index.js';
 import type {
 	Decision, Plan, PlanRequest,
 } from '../planning/index.js';
+import {
+	askWithin, rpcPath, sendNodeRequest, type NodeRequest,
+} from '../rpc/node-fetch.js';
 import type {FleetSnapshot, KnownView} from '../routing/index.js';
 
-/** Path under which the calls are served. */
-export const peerRpcPath = '/rpc';
-
 /** A decision, or why there is none. */
 export type DecisionAnswer = {decision?: Decision; failure?: Failure};
 
@@ -68,15 +66,7 @@
 
 	/** Calls a node and gives up after a time in milliseconds; undefined when there was no answer. */
 	async ask<Answer>(address: string, timeout: number, call: (client: PeerClient, signal: AbortSignal) => Promise<Answer>): Promise<Answer | undefined> {
-		const limit = createTimeout(this.#clock, timeout);
-		try {
-			return await call(this.#findClient(address), limit.signal);
-		} catch {
-			// Whoever asks logs the decision it takes without an answer.
-			return undefined;
-		} finally {
-			limit.cancel();
-		}
+		return askWithin(this.#clock, timeout, async signal => call(this.#findClient(address), signal));
 	}
 
 	/** Closes all connections. */
@@ -89,8 +79,8 @@
 		if (client === undefined) {
 			client = createTRPCClient<typeof peerRouter>({
 				links: [httpLink({
-					url: `http://${address}${peerRpcPath}`,
-					fetch: (async (target: string, init: RequestInit) => this.#send(target, init)) as unknown as typeof fetch,
+					url: `http://${address}${rpcPath}`,
+					fetch: (async (target: string, init: NodeRequest) => sendNodeRequest(this.#agent, target, init)) as unknown as typeof fetch,
 				})],
 			});
 			this.#clients.set(address, client);
@@ -98,22 +88,4 @@
 
 		return client;
 	}
-
-	async #send(target: string, init: RequestInit): Promise<unknown> {
-		const url = new URL(target);
-		const response = await this.#agent.request({
-			origin: url.origin,
-			path: `${url.pathname}${url.search}`,
-			method: init.method === 'POST' ? 'POST' : 'GET',
-			headers: init.headers as Record<string, string>,
-			body: init.body as string | undefined,
-			signal: init.signal ?? undefined,
-		});
-		return {
-			ok: response.statusCode < 300,
-			status: response.statusCode,
-			body: response.body,
-			json: async () => response.body.json(),
-		};
-	}
 }
--- a/src/gateway/servers.ts
+++ b/src/gateway/servers.ts
@@ -3,10 +3,11 @@
 import {fastifyTRPCPlugin} from '@trpc/server/adapters/fastify';
 import fastify, {type FastifyInstance, type FastifyReply, type FastifyRequest} from 'fastify';
 import {createFailure, type AvailabilityZone} from '../common/index.js';
+import {rpcPath} from '../rpc/node-fetch.js';
 import {HttpSink} from './call-sink.js';
 import {sendFailure} from './call-run.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
-import {peerRouter, peerRpcPath, type PeerService} from './peer-rpc.js';
+import {peerRouter, type PeerService} from './peer-rpc.js';
 import type {GatewayWire} from './wire.js';
 
 /** Largest request head, in bytes: above what any configuration allows, which is checked apart. */
@@ -110,7 +111,7 @@
 export async function openPeersServer(address: string, service: PeerService): Promise<OpenServer> {
 	const server = createServer(mostPeerBytes, peerIdleTime);
 	await server.register(fastifyTRPCPlugin, {
-		prefix: peerRpcPath,
+		prefix: rpcPath,
 		trpcOptions: {router: peerRouter, createContext: () => ({service})},
 	});
 	return listen(server, address);
--- a/src/rpc/index.ts
+++ b/src/rpc/index.ts
@@ -1,3 +1,4 @@
 export * from './node-clients.js';
+export * from './node-fetch.js';
 export * from './node-service.js';
 export * from './router.js';
--- a/src/rpc/node-clients.ts
+++ b/src/rpc/node-clients.ts
@@ -3,29 +3,13 @@
 import {
 	createTRPCClient, httpBatchStreamLink, httpLink, splitLink, type TRPCClient,
 } from '@trpc/client';
-import {Agent, buildConnector, request} from 'undici';
-import {createTimeout, type Clock} from '../common/index.js';
+import {Agent, buildConnector} from 'undici';
+import type {Clock} from '../common/index.js';
+import {
+	askWithin, rpcPath, sendNodeRequest, type NodeRequest, type NodeResponse,
+} from './node-fetch.js';
 import type {NodeRouter} from './router.js';
 
-/** Path under which the router is served. */
-export const rpcPath = '/rpc';
-
-/** A message to a node, as tRPC's links describe it. */
-export type NodeRequest = {
-	method?: string;
-	headers?: Record<string, string>;
-	body?: string;
-	signal?: AbortSignal;
-};
-
-/** An answer, as far as tRPC's links read it. */
-export type NodeResponse = {
-	ok: boolean;
-	status: number;
-	body: NodeJS.ReadableStream;
-	json(): Promise<unknown>;
-};
-
 /** A client of one node. */
 export type NodeClient = TRPCClient<NodeRouter>;
 
@@ -76,14 +60,7 @@
 
 	/** Calls a node and gives up after a time in milliseconds; undefined when there was no answer. */
 	async ask<Answer>(url: string, timeout: number, call: (client: NodeClient, signal: AbortSignal) => Promise<Answer>): Promise<Answer | undefined> {
-		const limit = createTimeout(this.clock, timeout);
-		try {
-			return await call(this.findClient(url), limit.signal);
-		} catch {
-			return undefined;
-		} finally {
-			limit.cancel();
-		}
+		return askWithin(this.clock, timeout, async signal => call(this.findClient(url), signal));
 	}
 
 	/** Closes all connections. */
@@ -91,21 +68,9 @@
 		await this.#agent.destroy();
 	}
 
-	/** Sends one HTTP request. Not by `fetch`, whose own headers alone are more than a ping's share of the bytes a node may send. */
+	/** Sends one HTTP request; tests put a faulty network in its place. */
 	protected async send(target: string, init: NodeRequest): Promise<NodeResponse> {
-		const response = await request(target, {
-			method: init.method === 'POST' ? 'POST' : 'GET',
-			headers: init.headers,
-			body: init.body,
-			signal: init.signal,
-			dispatcher: this.#agent,
-		});
-		return {
-			ok: response.statusCode < 300,
-			status: response.statusCode,
-			body: response.body,
-			json: async () => response.body.json(),
-		};
+		return sendNodeRequest(this.#agent, target, init);
 	}
 
 	#create(url: string): NodeClient {
