feat(gateway): logs that nobody reads are dropped and counted

Change: two mebibytes wait at most; lines beyond are dropped, and `log_lines_dropped` tells how many when there is room again.

Ruled out: writing to a blocked pipe directly, which holds the loop.

--- a/src/common/log.ts
+++ b/src/common/log.ts
@@ -18,14 +18,37 @@
 /** Bytes of lines gathered before they are written, and the longest they wait in milliseconds. */
 const gathering = {minLength: 8192, periodicFlush: 200};
 
+/** Bytes of lines that wait for a reader at most: some thousand lines, and a hundredth of a small box's memory. */
+const mostWaiting = 2 * 1024 * 1024;
+
+/** What a line of lost lines says. */
+const lostLines = 'log lines were dropped: nobody read the output fast enough';
+
 /**
- * Opens standard output for logs.
+ * Opens a file descriptor for logs, standard output by default.
  *
  * Written without waiting: a reader of the logs that is slow would else hold the loop,
- * and with it every stream. What is still gathered is written when the process exits.
+ * and with it every stream. When too much waits, lines are dropped and counted, and the
+ * count is logged when there is room again. What is still gathered is written when the
+ * process exits.
  */
-export function openLogOutput(): DestinationStream {
-	const output = pino.destination({fd: 1, sync: false, ...gathering});
+export function openLogOutput(fd = 1): DestinationStream {
+	const output = pino.destination({
+		fd, sync: false, maxLength: mostWaiting, ...gathering,
+	});
+	let dropped = 0;
+	output.on('drop', () => {
+		dropped++;
+	});
+	output.on('drain', () => {
+		if (dropped > 0) {
+			const line = {
+				level: 'warn', time: new Date().toISOString(), event: 'log_lines_dropped', dropped, msg: lostLines,
+			};
+			dropped = 0;
+			output.write(`${JSON.stringify(line)}\n`);
+		}
+	});
 	process.once('exit', () => {
 		output.flushSync();
 	});
