refactor(gateway): views between nodes in a module of their own

Change: `view-exchange.ts` compares views, catches up and works out who follows the source; `digest.ts` has the one digest.

Ruled out: the exchange as a part of `peers.ts`, which is pure but for the clock.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -4,7 +4,6 @@
  * It follows the configuration and the backend servers, takes callers' requests, gets
  * their places from whichever node decides, and passes them on.
  */
-import {createHash} from 'node:crypto';
 import {
 	Supervisor, waitFor, type AvailabilityZone, type BoxId, type Clock,
 	type IdSource, type Logger, type ServiceName,
@@ -20,14 +19,15 @@
 import type {GatewaySettings} from './gateway-settings.js';
 import {PeerClients, PeerService, type DecisionAnswer} from './peer-rpc.js';
 import {PeerSocket} from './peer-socket.js';
-import type {Peer, PeerView} from './peer-beat.js';
+import {computeDigest} from './digest.js';
+import type {Peer} from './peer-beat.js';
 import {Peers} from './peers.js';
 import {Reservations} from './reservations.js';
 import {
 	defaultBodyLimit, openAddressServer, openCallersServer, openMetricsServer, openPeersServer, openReadyServer, type OpenServer,
 } from './servers.js';
 import {SharedPlacer} from './shared-placer.js';
-import {chooseWatchers} from './watchers.js';
+import {ViewExchange} from './view-exchange.js';
 import type {GatewayWire} from './wire.js';
 
 /** What a gateway is made from. */
@@ -51,15 +51,8 @@
 /** Pause between looks at whether calls have ended, in milliseconds. */
 const stopPoll = 50;
 
-/** Time for a view of another node, in milliseconds. */
-const snapshotTimeout = 800;
-
-/** Least time between two such questions, in milliseconds: changes that follow each other closely come together, and a few such pauses on the way through the fleet stay within the bound for a change. */
-const snapshotEvery = 250;
-
-/** Letters of a life and of a digest: enough that no two among thousands are alike by chance. */
+/** Letters of a life: enough that no two among thousands are alike by chance. */
 const lifeLength = 6;
-const digestLength = 12;
 
 /** Pause before registering again after a failure, in milliseconds. */
 const registerPause = 1000;
@@ -78,10 +71,8 @@
 	readonly #supervisorStop = new AbortController();
 	readonly #life: string;
 	readonly #socket: PeerSocket;
-	#view: PeerView | undefined;
+	readonly #views: ViewExchange;
 	#isStopping = false;
-	#lastSnapshot = 0;
-	#isWatcher = true;
 	#running: Promise<void> | undefined;
 
 	constructor(parts: GatewayParts) {
@@ -93,8 +84,11 @@
 		this.#pool = new BackendPool(clock);
 		this.#clients = new PeerClients(clock);
 		const self = () => this.#describeSelf();
+		this.#views = new ViewExchange({
+			clock, logger, state: this.state, clients: this.#clients, self,
+		});
 		this.#peers = new Peers({
-			clock, logger, self, view: () => this.#describeView(), random: parts.random,
+			clock, logger, self, view: () => this.#views.describeView(), random: parts.random,
 		});
 		this.#socket = new PeerSocket({
 			clock,
@@ -113,7 +107,7 @@
 			this.#socket.announce();
 		});
 		this.#peers.addViewListener((peer, view) => {
-			this.#compareView(peer, view);
+			this.#views.compareView(peer, view);
 		});
 		this.#placer = new SharedPlacer({
 			clock, logger, metrics: this.metrics, ids: parts.ids, state: this.state, peers: this.#peers, clients: this.#clients, socket: this.#socket, self,
@@ -136,7 +130,6 @@
 			random: parts.random,
 		});
 		this.state.addListener(() => {
-			this.#view = undefined;
 			this.#socket.announce();
 			this.#applyLimits();
 		});
@@ -149,7 +142,7 @@
 
 	/** Whether this node is one of those that follow the source. */
 	get isWatcher(): boolean {
-		return this.#isWatcher;
+		return this.#views.isWatcher;
 	}
 
 	/** Settles when the node's parts have ended; rejects when one failed past its restart budget. */
@@ -260,15 +253,6 @@
 		};
 	}
 
-	#describeView(): PeerView {
-		this.#view ??= {
-			configVersion: this.state.configVersion,
-			serversRevision: this.state.serversRevision,
-			serversDigest: computeDigest(this.state.describeServers(), digestLength),
-		};
-		return this.#view;
-	}
-
 	#addSeeds(host: string): void {
 		const {settings} = this.#parts;
 		for (const seed of settings.seeds) {
@@ -282,7 +266,7 @@
 	async #supervise(): Promise<void> {
 		const {clock, logger, random, source} = this.#parts;
 		const supervisor = new Supervisor('gateway', clock, logger);
-		const isWatcher = () => this.#isWatcher;
+		const isWatcher = () => this.#views.isWatcher;
 		supervisor.addChild(new Follower({
 			name: 'configuration',
 			isWatcher,
@@ -344,41 +328,12 @@
 	#tick(): void {
 		this.#pool.prune();
 		this.#placer.tick();
-		this.#chooseWatchers();
+		this.#views.chooseWatchers(this.#peers);
 		this.metrics.setState('live_nodes', this.#peers.listLive().length + 1);
 		this.metrics.setState('config_version', this.state.configVersion);
 		this.metrics.setState('calls', this.#calls.inProgress);
 	}
 
-	#chooseWatchers(): void {
-		const self = this.#describeSelf();
-		const watchers = chooseWatchers([self, ...this.#peers.listLive()]);
-		const isWatcher = watchers.some(node => node.name === self.name);
-		if (isWatcher !== this.#isWatcher) {
-			this.#isWatcher = isWatcher;
-			this.#parts.logger.info({event: 'watcher_changed', isWatcher, watchers: watchers.length}, isWatcher ? 'this node follows the source' : 'other nodes follow the source and tell this one');
-		}
-	}
-
-	/** Takes what another node knows and this one does not. */
-	#compareView(peer: Peer, view: PeerView): void {
-		const now = this.#parts.clock.readMonotonic();
-		const self = this.#describeView();
-		const isAhead = view.configVersion > self.configVersion
-			|| (view.serversRevision > self.serversRevision && view.serversDigest !== self.serversDigest);
-		if (isAhead && now - this.#lastSnapshot >= snapshotEvery) {
-			this.#lastSnapshot = now;
-			void this.#catchUp(peer, self);
-		}
-	}
-
-	async #catchUp(peer: Peer, {configVersion, serversRevision}: PeerView): Promise<void> {
-		const snapshot = await this.#clients.ask(peer.peerAddress, snapshotTimeout, async (client, signal) => client.takeSnapshot.query({configVersion, serversRevision}, {signal}));
-		if (snapshot !== undefined) {
-			this.state.applySnapshot(snapshot, `node ${peer.name}`);
-		}
-	}
-
 	/** Time limits of the configuration hold for new connections at once. */
 	#applyLimits(): void {
 		const limits = this.state.table?.config.limits;
@@ -393,7 +348,3 @@
 function hostOf(settings: GatewaySettings): string {
 	return settings.listen.callers.split(':')[0];
 }
-
-function computeDigest(text: string, length: number): string {
-	return createHash('sha1').update(text).digest('base64url').slice(0, length);
-}
