--- a/soak/load.ts
+++ b/soak/load.ts
@@ -9,7 +9,7 @@
 import type {CallRecord, RunRecords} from './records.js';
 
 /** Time between two requests, in milliseconds. */
-const meanGap = 12;
+const meanGap = 9;
 
 /** Time between two questions for addresses, in milliseconds: the life of an answer. */
 const askEvery = 1000;
--- a/soak/standin.ts
+++ b/soak/standin.ts
@@ -32,8 +32,8 @@
 /** Time between two events of a stream, in milliseconds. */
 const eventGap = 35;
 
-/** Time in which a plain request is worked on, in milliseconds. */
-const plainTime = 30;
+/** Longest time in which a plain request is worked on, in milliseconds: faults must meet some of them half done. */
+const longestPlainTime = 300;
 
 function print(line: Record<string, unknown>): void {
 	process.stdout.write(`${JSON.stringify(line)}\n`);
@@ -218,7 +218,7 @@
 	}
 
 	async #sendWhole(response: ServerResponse, head: Record<string, string>, text: string): Promise<void> {
-		await pause(plainTime);
+		await pause(Math.random() * longestPlainTime);
 		response.writeHead(200, {...head, 'content-length': String(text.length)});
 		response.end(text);
 	}
