feat(gateway): a node starts from V8's code cache

Change: the build writes the code cache of the bundle, under the flags of the deploy file; a small loader runs the bundle from it. V8 refuses a cache of other flags, version or source by itself, and compiles as before.

--- a/scripts/build-gateway.js
+++ b/scripts/build-gateway.js
@@ -1,9 +1,12 @@
 /**
- * Bundles the gateway, small and without what only other commands use, into `target/cresshook.cjs`.
+ * Bundles the gateway, small and without what only other commands use, into `target/`, with its code cache.
  *
  * A node that was killed is back only when its program has loaded: what is not in the
  * bundle need not be read, compiled and kept.
  */
+import {execFileSync} from 'node:child_process';
+import {copyFileSync, readFileSync} from 'node:fs';
+import process from 'node:process';
 import {fileURLToPath} from 'node:url';
 import {build} from 'esbuild';
 
@@ -25,7 +28,7 @@
 };
 
 await build({
-	entryPoints: {cresshook: 'src/gateway-main.ts'},
+	entryPoints: {gateway: 'src/gateway-main.ts'},
 	outdir: 'target',
 	outExtension: {'.js': '.cjs'},
 	bundle: true,
@@ -36,3 +39,9 @@
 	plugins: [replacePackages],
 	logLevel: 'warning',
 });
+
+copyFileSync('scripts/gateway-loader.cjs', 'target/cresshook.cjs');
+
+// V8 takes a cache only under the flags it was written with: those of the deploy file.
+const {flags} = /run = "node (?<flags>.*?) target/.exec(readFileSync('deploy/system.toml', 'utf8')).groups;
+execFileSync(process.execPath, [...flags.split(' '), 'scripts/write-code-cache.cjs'], {stdio: 'inherit'});
