--- a/soak/main.ts
+++ b/soak/main.ts
@@ -1,31 +1,68 @@
 /** `npm run soak`: runs with random faults against real processes, by seed. */
-import {mkdirSync, mkdtempSync, rmSync} from 'node:fs';
+import {
+	mkdirSync, mkdtempSync, readFileSync, rmSync,
+} from 'node:fs';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
 import {Command, Option} from 'commander';
+import {parse} from 'smol-toml';
 import {faultKinds, type FaultKind} from './plan.js';
 import {runOnce} from './run.js';
 
-type Options = {seed: number; seeds: number; seconds: number; nodes: number; servers: number; kinds?: FaultKind[]; logs?: string};
+/** Seeds that failed once, with their causes. */
+const regressionsFile = 'soak/regressions.toml';
+
+/** Violations printed of one run. */
+const mostPrinted = 20;
+
+/** The words of the command line. */
+type Options = {
+	seed: number;
+	seeds: number;
+	seconds: number;
+	nodes: number;
+	servers: number;
+	kinds?: FaultKind[];
+	logs?: string;
+	regressions?: boolean;
+};
+
+/** A run to be made. */
+type SeedRun = {seed: number; seconds: number};
+
+function listRuns(options: Options): SeedRun[] {
+	if (options.regressions === true) {
+		return (parse(readFileSync(regressionsFile, 'utf8')) as {seed: SeedRun[]}).seed;
+	}
+
+	return Array.from({length: options.seeds}, (_, index) => ({seed: options.seed + index, seconds: options.seconds}));
+}
+
+/** Whether every promise was kept. */
+async function runSeed({seed, seconds}: SeedRun, options: Options): Promise<boolean> {
+	const folder = options.logs === undefined ? mkdtempSync(path.join(tmpdir(), 'cresshook-soak-')) : path.join(options.logs, String(seed));
+	mkdirSync(folder, {recursive: true});
+	const result = await runOnce({
+		seed, length: seconds * 1000, size: {nodes: options.nodes, modelServers: options.servers}, folder, kinds: options.kinds,
+	});
+	process.stdout.write(`${JSON.stringify({...result, violations: result.violations.slice(0, mostPrinted), broken: result.violations.length})}\n`);
+	if (options.logs === undefined) {
+		rmSync(folder, {recursive: true});
+	}
+
+	return result.violations.length === 0;
+}
 
 async function runSeeds(options: Options): Promise<void> {
-	let failed = 0;
-	for (let {seed} = options; seed < options.seed + options.seeds; seed++) {
-		const folder = options.logs === undefined ? mkdtempSync(path.join(tmpdir(), 'cresshook-soak-')) : path.join(options.logs, String(seed));
-		mkdirSync(folder, {recursive: true});
-		const result = await runOnce({
-			seed, length: options.seconds * 1000, size: {nodes: options.nodes, modelServers: options.servers}, folder, kinds: options.kinds,
-		});
-		failed += result.violations.length > 0 ? 1 : 0;
-		process.stdout.write(`${JSON.stringify({...result, violations: result.violations.slice(0, 20), broken: result.violations.length})}\n`);
-		if (options.logs === undefined) {
-			rmSync(folder, {recursive: true});
-		}
+	const runs = listRuns(options);
+	let kept = 0;
+	for (const run of runs) {
+		kept += await runSeed(run, options) ? 1 : 0;
 	}
 
-	process.stdout.write(`${options.seeds - failed} of ${options.seeds} seeds kept every promise\n`);
-	process.exit(failed > 0 ? 1 : 0); // eslint-disable-line unicorn/no-process-exit -- sockets of processes that were killed may keep the loop alive
+	process.stdout.write(`${kept} of ${runs.length} seeds kept every promise\n`);
+	process.exit(kept < runs.length ? 1 : 0); // eslint-disable-line unicorn/no-process-exit -- sockets of processes that were killed may keep the loop alive
 }
 
 async function main(): Promise<void> {
@@ -37,6 +74,7 @@
 		.option('--nodes <count>', 'nodes', Number, 6)
 		.option('--servers <count>', 'model servers', Number, 6)
 		.option('--logs <folder>', 'keep the logs of all processes there')
+		.option('--regressions', `the seeds of ${regressionsFile} instead`)
 		.addOption(new Option('--kinds <kinds...>', 'only these kinds of fault').choices(faultKinds))
 		.action(runSeeds);
 	await program.parseAsync(process.argv);
