refactor(dispatch): the grants that are out in a module of their own

Change: `grant-book.ts` holds grants, corrects charges and reads when they end, and knows which entries are silent; the dispatcher admits, queues and places (425 lines).

Ruled out: the queue's service as the part to move: it needs rules, placement and log.

--- a/src/node/dispatch/dispatcher.ts
+++ b/src/node/dispatch/dispatcher.ts
@@ -12,32 +12,22 @@
 import {AdmissionRules} from './admission-rules.js';
 import {DecisionLog} from './decision-log.js';
 import type {PoolDirectory} from './directory.js';
-import {Ledger, type HeldGrant, type ServerState} from './ledger.js';
+import {computeCost, GrantBook, grantLifetime} from './grant-book.js';
+import type {Ledger, ServerState} from './ledger.js';
 import {
 	countTokens, type AdmitRequest, type Grant, type Heartbeat,
 } from './messages.js';
 import {
 	FirstTokenPlacement, type Placement, type PlacementPolicy, type PoolState, type WeighedServer,
 } from './placement.js';
-import {
-	findPriority, PrefillBoard, type ExpectedRead,
-} from './prefill-board.js';
+import {findPriority} from './prefill-board.js';
 import {PrefixIndex} from './prefix-index.js';
 import {
-	FairQueue, type Charge, type RequestQueue, type Waiting,
+	FairQueue, type RequestQueue, type Waiting,
 } from './request-queue.js';
 import {estimateHold, reservePlace, type Reservation} from './reservation.js';
 import {WaitPredictor} from './wait-predictor.js';
 
-/** How long a grant may stay unused, in milliseconds. */
-export const grantLifetime = 2000;
-
-/** Added to a grant's lifetime before the dispatcher takes it back unasked, in milliseconds. */
-export const grantMargin = 1000;
-
-/** Silence after which an entry that holds grants counts as dead, in milliseconds. */
-export const entrySilence = 6000;
-
 /** Waiting requests tried in one look at the queue: one that cannot be placed is behind many that cannot. */
 const mostTried = 64;
 
@@ -100,18 +90,14 @@
 	readonly term: number;
 	/** Whether it decides without a term; it must not cancel what it does not know. */
 	readonly isProvisional: boolean;
-	readonly ledger = new Ledger();
 	readonly #parts: DispatcherParts;
 	readonly #placement: PlacementPolicy;
 	readonly #queue: RequestQueue;
-	readonly #board = new PrefillBoard();
 	readonly #prefixes = new PrefixIndex();
 	readonly #rules: AdmissionRules;
 	readonly #log: DecisionLog;
 	readonly #predictor = new WaitPredictor();
-	readonly #lastHeard = new Map<Incarnation, number>();
-	readonly #charges = new Map<GrantId, Charge>();
-	readonly #reads = new Map<GrantId, ExpectedRead>();
+	readonly #grants: GrantBook;
 	#reservation: Reservation | undefined;
 	#isOpen = false;
 	#closedBy: Failure | undefined;
@@ -124,10 +110,16 @@
 		this.#parts = parts;
 		this.#placement = parts.placement ?? new FirstTokenPlacement();
 		this.#queue = parts.queue ?? new FairQueue();
+		this.#grants = new GrantBook(parts.clock, this.#queue);
 		this.#rules = new AdmissionRules({...parts, ledger: this.ledger, countWaiting: () => this.#queue.size});
 		this.#log = new DecisionLog(parts);
 	}
 
+	/** Grants that are out, and the memory they hold. */
+	get ledger(): Ledger {
+		return this.#grants.ledger;
+	}
+
 	/** Number of requests waiting. */
 	get queueLength(): number {
 		return this.#queue.size;
@@ -163,11 +155,7 @@
 
 	/** Takes over grants that another dispatcher gave. */
 	adoptGrants(grants: Grant[]): void {
-		const now = this.#parts.clock.readMonotonic();
-		for (const grant of grants) {
-			this.ledger.hold(grant, now);
-			this.#lastHeard.set(grant.entry, now);
-		}
+		this.#grants.adopt(grants);
 	}
 
 	/** Asks for a place; resolves with a grant, or with a failure no later than the request's patience allows. */
@@ -203,7 +191,7 @@
 
 	/** Takes back a grant that did not reach its entry, or whose work is known to have ended. */
 	reclaim(grantId: GrantId): void {
-		this.#release([grantId]);
+		this.#grants.release([grantId]);
 		this.#serveQueue();
 	}
 
@@ -213,40 +201,28 @@
 	 * Returns whether the two disagree on how many grants the entry holds.
 	 */
 	acceptHeartbeat(heartbeat: Heartbeat): boolean {
-		this.#lastHeard.set(heartbeat.entry, this.#parts.clock.readMonotonic());
-		this.#release(heartbeat.released);
+		this.#grants.noteHeard(heartbeat.entry);
+		this.#grants.release(heartbeat.released);
 		this.#serveQueue();
 		return this.ledger.listGrants(heartbeat.entry).length !== heartbeat.activeCount;
 	}
 
 	/** Brings the ledger in step with the full list of an entry's grants. Young grants may still be on their way and stay. */
 	reconcileEntry(entry: Incarnation, active: Grant[]): void {
-		this.adoptGrants(active);
-		const kept = new Set(active.map(grant => grant.grantId));
-		const oldest = this.#parts.clock.readMonotonic() - grantLifetime - grantMargin;
-		const stale = this.ledger.listGrants(entry).filter(held => !kept.has(held.grant.grantId) && held.since < oldest);
-		this.#release(stale.map(held => held.grant.grantId));
+		this.#grants.reconcile(entry, active);
 		this.#serveQueue();
 	}
 
 	/** Lists the grants of entries that have been silent for too long; their work must be cancelled, then reclaimed. */
 	listOrphans(): Grant[] {
-		const limit = this.#parts.clock.readMonotonic() - entrySilence;
-		return this.ledger.listGrants()
-			.filter(held => Math.max(held.since, this.#lastHeard.get(held.grant.entry) ?? 0) < limit)
-			.map(held => held.grant);
+		return this.#grants.listOrphans();
 	}
 
 	/** Forgets what says nothing any more; call once in a while. */
 	prune(): void {
 		this.#queue.prune();
 		this.#rules.prune();
-		const holders = new Set(this.ledger.listGrants().map(held => held.grant.entry));
-		for (const entry of this.#lastHeard.keys()) {
-			if (!holders.has(entry)) {
-				this.#lastHeard.delete(entry);
-			}
-		}
+		this.#grants.prune();
 	}
 
 	#describeWaiting(request: AdmitRequest, partner: PartnerId, timer: Timer, resolve: Waiting['resolve']): Waiting {
@@ -354,7 +330,7 @@
 		}
 
 		const state: PoolState = {
-			ledger: this.ledger, board: this.#board, prefixes: this.#prefixes, reservation: this.#reservation, now: this.#parts.clock.readMonotonic(),
+			ledger: this.ledger, board: this.#grants.board, prefixes: this.#prefixes, reservation: this.#reservation, now: this.#parts.clock.readMonotonic(),
 		};
 		const placement = this.#placement.place(waiting.request, state);
 		if (placement.choice === undefined) {
@@ -374,11 +350,9 @@
 			this.#reservation = undefined;
 		}
 
-		this.ledger.hold(grant, now);
-		this.#reads.set(grant.grantId, this.#board.recordSent(server, request.promptTokens, cachedTokens, now));
+		const read = this.#grants.board.recordSent(server, request.promptTokens, cachedTokens, now);
+		this.#grants.hold(grant, read, this.#queue.charge(waiting, computeCost(grant.tokens, grant.expectedHold)));
 		this.#prefixes.recordSent(server.id, request.promptTokens, request.prefixes.hashes);
-		this.#charges.set(grant.grantId, this.#queue.charge(waiting, computeCost(grant.tokens, grant.expectedHold)));
-		this.#lastHeard.set(request.entry, now);
 		this.#log.logPlacement(request, placement, server.id, {waited: now - waiting.since, openCount: this.ledger.listOpen().length});
 		finishWaiting(waiting, Right(grant));
 	}
@@ -401,33 +375,6 @@
 		};
 	}
 
-	#release(grantIds: GrantId[]): void {
-		const now = this.#parts.clock.readMonotonic();
-		for (const grantId of grantIds) {
-			const held = this.ledger.release(grantId);
-			if (held !== undefined) {
-				this.#correctCharge(held, now);
-				this.#correctRead(grantId, now);
-			}
-		}
-	}
-
-	#correctRead(grantId: GrantId, now: number): void {
-		const read = this.#reads.get(grantId);
-		if (read !== undefined) {
-			this.#reads.delete(grantId);
-			this.#board.recordDone(read, now);
-		}
-	}
-
-	#correctCharge(held: HeldGrant, now: number): void {
-		const charge = this.#charges.get(held.grant.grantId);
-		if (charge !== undefined) {
-			this.#charges.delete(held.grant.grantId);
-			this.#queue.correct(charge, computeCost(held.grant.tokens, now - held.since));
-		}
-	}
-
 	#giveUp(requestId: RequestId): void {
 		const waiting = this.#leaveQueue(requestId, 0);
 		if (waiting === undefined) {
@@ -476,8 +423,3 @@
 	waiting.timer.cancel();
 	waiting.resolve(result);
 }
-
-/** Cost of holding memory, in token-seconds. */
-function computeCost(tokens: number, milliseconds: number): number {
-	return tokens * milliseconds / 1000;
-}
--- a/src/node/dispatch/index.ts
+++ b/src/node/dispatch/index.ts
@@ -3,6 +3,7 @@
 export * from './directory.js';
 export * from './dispatcher.js';
 export * from './fair-clock.js';
+export * from './grant-book.js';
 export * from './ledger.js';
 export * from './messages.js';
 export * from './placement.js';
