--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -84,6 +84,12 @@
 		await Promise.all(this.nodes.map(async node => waitUntilReady(node)));
 	}
 
+	/** Rejects when the store's process ends, which no fault makes it do. */
+	async watchStore(): Promise<never> {
+		await this.#store?.ended;
+		throw new Error('the stand-in store ended by itself; its log says why');
+	}
+
 	/** Writes the next version of the configuration as the operator does; it is recorded when the store has taken it. */
 	async changeConfig(): Promise<void> {
 		const number = ++this.#version;
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -39,29 +39,33 @@
 	const fleet = new SoakFleet(options.folder, records, options.size);
 	try {
 		await fleet.start();
-		const load = new Load(fleet, records, options.seed);
-		const loading = load.run();
-		const faults = drawFaults(options.seed, options.length, options.kinds);
-		const disturbing = disturb(fleet, records, faults);
-		await pause(options.length);
-		await disturbing;
-		load.stop();
-		await loading;
-		await pause(calmEnd);
-		await fleet.listLeftMemory();
-		return {
-			seed: options.seed,
-			calls: records.calls.length,
-			whole: records.calls.filter(call => call.isComplete && call.status === 200).length,
-			faults: faults.length,
-			processes: fleet.processes.count,
-			violations: judgeRun(records, stopGrace),
-		};
+		return await Promise.race([playRun(fleet, records, options), fleet.watchStore()]);
 	} finally {
 		await fleet.stop();
 	}
 }
 
+async function playRun(fleet: SoakFleet, records: RunRecords, options: RunOptions): Promise<RunResult> {
+	const load = new Load(fleet, records, options.seed);
+	const loading = load.run();
+	const faults = drawFaults(options.seed, options.length, options.kinds);
+	const disturbing = disturb(fleet, records, faults);
+	await pause(options.length);
+	await disturbing;
+	load.stop();
+	await loading;
+	await pause(calmEnd);
+	await fleet.listLeftMemory();
+	return {
+		seed: options.seed,
+		calls: records.calls.length,
+		whole: records.calls.filter(call => call.isComplete && call.status === 200).length,
+		faults: faults.length,
+		processes: fleet.processes.count,
+		violations: judgeRun(records, stopGrace),
+	};
+}
+
 async function disturb(fleet: SoakFleet, records: RunRecords, faults: Fault[]): Promise<void> {
 	const start = Date.now();
 	await Promise.all(faults.map(async fault => {
--- a/soak/standin.ts
+++ b/soak/standin.ts
@@ -94,7 +94,7 @@
 
 	async start(): Promise<void> {
 		const server = createServer((request, response) => {
-			void this.#answer(request, response);
+			void this.#answerWhole(request, response);
 		});
 		server.keepAliveTimeout = 4000;
 		await new Promise<void>(resolve => {
@@ -150,6 +150,17 @@
 		process.exit(0); // eslint-disable-line unicorn/no-process-exit -- it is a program; its server would keep it alive
 	}
 
+	/** A caller that leaves before its request is read gets no answer. */
+	async #answerWhole(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		try {
+			await this.#answer(request, response);
+		} catch (error) {
+			if (!request.destroyed) {
+				throw error;
+			}
+		}
+	}
+
 	async #answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		const body = await readBody(request);
 		if (request.url === '/v1/order') {
--- a/test/helpers/platform-standins.ts
+++ b/test/helpers/platform-standins.ts
@@ -62,7 +62,7 @@
 
 	constructor() {
 		super((request, response) => {
-			void this.#answer(request, response);
+			void this.#answerWhole(request, response);
 		});
 	}
 
@@ -130,6 +130,17 @@
 		}
 	}
 
+	/** A caller that leaves before its request is read gets no answer. */
+	async #answerWhole(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		try {
+			await this.#answer(request, response);
+		} catch (error) {
+			if (!request.destroyed) {
+				throw error;
+			}
+		}
+	}
+
 	async #answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		const url = new URL(request.url ?? '/', 'http://store');
 		this.calls.push(`${request.method} ${request.url}`);
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -7,6 +7,7 @@
 import {Link, pause} from '../soak/link.js';
 import {drawFaults, faultKinds} from '../soak/plan.js';
 import {createRecords, type CallRecord, type RunRecords} from '../soak/records.js';
+import {StandinStore} from './helpers/platform-standins.js';
 
 const grace = 4000;
 
@@ -203,3 +204,15 @@
 	link.close();
 	echo.close();
 });
+
+test('the stand-in store lives on when a request is broken off', async () => {
+	const store = await new StandinStore().start();
+	const socket = connect(Number(store.address.split(':')[1]), '127.0.0.1');
+	socket.write('POST /v1/objects/servers HTTP/1.1\r\nHost: store\r\nContent-Length: 100\r\n\r\n{"meta');
+	await pause(50);
+	socket.resetAndDestroy();
+	await pause(50);
+	const answer = await fetch(`http://${store.address}/v1/objects/servers`);
+	expect(answer.status).toBe(200);
+	await store.stop();
+});
