--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -113,7 +113,7 @@
 	}
 
 	/** Gives the store a trouble, or takes it off. */
-	troubleStore(order: Record<string, unknown>): void {
+	tellStore(order: Record<string, unknown>): void {
 		this.#store?.tell(order);
 	}
 
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -193,9 +193,9 @@
 
 	async #disturbStore(how: string): Promise<void> {
 		await this.#record({}, async () => {
-			this.#fleet.troubleStore(how === 'forget' ? {forget: true} : {trouble: how});
+			this.#fleet.tellStore(how === 'forget' ? {forget: true} : {trouble: how});
 			await pause(this.#fault.duration);
-			this.#fleet.troubleStore({trouble: 'none'});
+			this.#fleet.tellStore({trouble: 'none'});
 		});
 	}
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -94,7 +94,7 @@
 			clock,
 			logger,
 			peers: this.#peers,
-			host: hostOf(parts.settings),
+			host: findHost(parts.settings),
 			port: parts.settings.heartbeat_port,
 			onBeat: () => {
 				this.#tick();
@@ -158,7 +158,7 @@
 	/** Opens the listeners and starts every part. */
 	async start(): Promise<void> {
 		const {settings, wire} = this.#parts;
-		const host = hostOf(settings);
+		const host = findHost(settings);
 		this.#servers.push(
 			await openPeersServer(settings.listen.peers, this),
 			await openReadyServer(settings.listen.ready, wire, () => this.isReady),
@@ -246,7 +246,7 @@
 			availabilityZone: settings.availability_zone as AvailabilityZone,
 			callerAddress: settings.listen.callers,
 			peerAddress: settings.listen.peers,
-			beatAddress: `${hostOf(settings)}:${settings.heartbeat_port}`,
+			beatAddress: `${findHost(settings)}:${settings.heartbeat_port}`,
 			cores: settings.cpu.share * settings.cpu.cores,
 			isReady: this.isReady,
 			isSourceReachable: this.state.isSourceReachable,
@@ -345,6 +345,6 @@
 	}
 }
 
-function hostOf(settings: GatewaySettings): string {
+function findHost(settings: GatewaySettings): string {
 	return settings.listen.callers.split(':')[0];
 }
