fix(planning): servers that failed are not preferred once an objective has passed

Change: the factor is at least the shortest pause that callers accept.

Ruled out: the time left to the caller as the factor: it would outweigh every wait.

--- a/src/planning/planner.ts
+++ b/src/planning/planner.ts
@@ -232,7 +232,9 @@
 			const lacksRoom = board.heldTokens + need > engine.memoryTokens * memoryShare;
 			const wait = board.findPendingRead(now) + (overfull * pass * 4) + (lacksRoom ? request.patience : 0);
 			// Reads that fall into one pass stretch it for all: equal waits go to the server with fewer writers.
-			return {board, wait, cost: wait + pass + (board.health.spoiled * request.objective)};
+			// A failure costs about an objective; when that has passed, a server that fails is no better for it.
+			const failureCost = Math.max(request.objective, this.#shortestPause);
+			return {board, wait, cost: wait + pass + (board.health.spoiled * failureCost)};
 		};
 
 		let best = findLeast(groups.forShort.map(board => weigh(board)), candidate => candidate.cost)!;
--- a/test/planning.test.ts
+++ b/test/planning.test.ts
@@ -145,6 +145,18 @@
 	expect(later).toContain(plan.server);
 });
 
+test('a server that failed is not preferred for a request whose objective has passed', () => {
+	const planner = createPlanner(4);
+	const plan = planNow(planner, ask(5000, short));
+	planner.note({
+		planId: plan.planId, kind: 'failed', server: plan.server, trouble: 'spoiled',
+	}, 0);
+	planner.note({planId: plan.planId, kind: 'ended'}, 0);
+	const late = planNow(planner, ask(5000, {...short, objective: -1500, patience: 3000}), 1);
+	expect(late.server).not.toBe(plan.server);
+	expect(late.expectedFirst).toBeGreaterThan(0);
+});
+
 test('one failed answer takes nobody out, many do while others are better', () => {
 	const health = new ServerHealth();
 	expect(health.recordTrouble('spoiled', 0)).toBe(false);
