refactor(gateway): stand-ins listen by one class

Cause: the store's stand-in and the soak's servers each had the same listener and the same care for callers that leave early.

Change: `Listening` has both; both use it.

--- a/soak/standin.ts
+++ b/soak/standin.ts
@@ -5,12 +5,11 @@
  * request that it begins to work on. SIGTERM makes it leave as planned.
  */
 import {Buffer} from 'node:buffer';
-import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
-import type {AddressInfo} from 'node:net';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import process from 'node:process';
 import {Command} from 'commander';
 import {request as sendRequest} from 'undici';
-import {StandinStore} from '../test/helpers/platform-standins.js';
+import {Listening, StandinStore} from '../test/helpers/platform-standins.js';
 import {countEvents, formatEvent, formatText} from './answers.js';
 import {pause} from './link.js';
 
@@ -26,6 +25,9 @@
 /** Requests that a server works on at once. */
 const slots = 11;
 
+/** How long a server keeps an idle connection, in milliseconds. */
+const keepAliveTime = 4000;
+
 /** Memory of a server in tokens. */
 const memoryTokens = 315_000;
 
@@ -93,14 +95,10 @@
 	}
 
 	async start(): Promise<void> {
-		const server = createServer((request, response) => {
-			void this.#answerWhole(request, response);
-		});
-		server.keepAliveTimeout = 4000;
-		await new Promise<void>(resolve => {
-			server.listen(Number(this.#options.port), '127.0.0.1', resolve);
-		});
-		print({address: `127.0.0.1:${(server.address() as AddressInfo).port}`});
+		const listening = new Listening(async (request, response) => this.#answer(request, response));
+		listening.server.keepAliveTimeout = keepAliveTime;
+		await listening.start(Number(this.#options.port));
+		print({address: listening.address});
 		process.once('SIGTERM', () => {
 			void this.#leave();
 		});
@@ -150,17 +148,6 @@
 		process.exit(0); // eslint-disable-line unicorn/no-process-exit -- it is a program; its server would keep it alive
 	}
 
-	/** A caller that leaves before its request is read gets no answer. */
-	async #answerWhole(request: IncomingMessage, response: ServerResponse): Promise<void> {
-		try {
-			await this.#answer(request, response);
-		} catch (error) {
-			if (!request.destroyed) {
-				throw error;
-			}
-		}
-	}
-
 	async #answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		const body = await readBody(request);
 		if (request.url === '/v1/order') {
--- a/test/helpers/platform-standins.ts
+++ b/test/helpers/platform-standins.ts
@@ -4,13 +4,15 @@
 } from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
 
-/** Something that listens on a free port. */
-class Listening {
+/** Something that listens on loopback. A caller that leaves before its request is read gets no answer. */
+export class Listening {
 	readonly server: Server;
 	readonly sockets = new Set<Socket>();
 
-	constructor(handle: (request: IncomingMessage, response: ServerResponse) => void) {
-		this.server = createServer(handle);
+	constructor(handle: (request: IncomingMessage, response: ServerResponse) => Promise<void>) {
+		this.server = createServer((request, response) => {
+			void answerCaller(handle, request, response);
+		});
 		this.server.on('connection', socket => {
 			this.sockets.add(socket);
 			socket.once('close', () => this.sockets.delete(socket));
@@ -21,9 +23,10 @@
 		return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
 	}
 
-	async start(): Promise<this> {
+	/** Starts on a port; a free one by default. */
+	async start(port = 0): Promise<this> {
 		await new Promise<void>(resolve => {
-			this.server.listen(0, '127.0.0.1', resolve);
+			this.server.listen(port, '127.0.0.1', resolve);
 		});
 		return this;
 	}
@@ -41,6 +44,20 @@
 	}
 }
 
+async function answerCaller(
+	handle: (request: IncomingMessage, response: ServerResponse) => Promise<void>,
+	request: IncomingMessage,
+	response: ServerResponse,
+): Promise<void> {
+	try {
+		await handle(request, response);
+	} catch (error) {
+		if (!request.destroyed) {
+			throw error;
+		}
+	}
+}
+
 /** Delay of a slow store, in milliseconds. */
 const slowAnswer = 900;
 
@@ -61,9 +78,7 @@
 	readonly #waiting = new Set<() => void>();
 
 	constructor() {
-		super((request, response) => {
-			void this.#answerWhole(request, response);
-		});
+		super(async (request, response) => this.#answer(request, response));
 	}
 
 	/** Writes an object as operators and runners do. */
@@ -130,17 +145,6 @@
 		}
 	}
 
-	/** A caller that leaves before its request is read gets no answer. */
-	async #answerWhole(request: IncomingMessage, response: ServerResponse): Promise<void> {
-		try {
-			await this.#answer(request, response);
-		} catch (error) {
-			if (!request.destroyed) {
-				throw error;
-			}
-		}
-	}
-
 	async #answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		const url = new URL(request.url ?? '/', 'http://store');
 		this.calls.push(`${request.method} ${request.url}`);
@@ -261,9 +265,7 @@
 	behaviour: RunnerBehaviour;
 
 	constructor(behaviour: RunnerBehaviour = answerWhole('ok')) {
-		super((request, response) => {
-			void this.#answer(request, response);
-		});
+		super(async (request, response) => this.#answer(request, response));
 		this.behaviour = behaviour;
 	}
 
