feat(dispatch): reads go by the way that brings most, judged by one measure

Change: each way to read a prompt (how many servers, which, when) is worth its expected credit less what writers lose by the pause, what those to come lose by the servers taken, and the servers' time at a price from demand; those ahead in line, by when they are due, are thought of first. Callers' silence is known to the planner; a stream is moved after 0.65 of it.

--- a/src/gateway/backend-attempt.ts
+++ b/src/gateway/backend-attempt.ts
@@ -8,7 +8,8 @@
 import {
 	readErrorMessage, type BackendServerId, type Clock, type Timer,
 } from '../common/index.js';
-import type {Plan, Trouble} from '../planning/index.js';
+import {moveShare, type Plan, type Trouble} from '../planning/index.js';
+import type {Route} from '../routing/index.js';
 import {BackendExchange} from './backend-exchange.js';
 import type {Call} from './call-run.js';
 import type {CallSink} from './call-sink.js';
@@ -48,12 +49,13 @@
 const firstSilenceFactor = 3;
 const leastFirstSilence = 1000;
 
-/** Silence between events, as a multiple of the longest pause and in milliseconds: callers leave a stream after two seconds or more. */
-const pauseSilenceFactor = 3;
-const leastPauseSilence = 900;
-
 const firstFailureStatus = 500;
 
+/** Silence between two events after which a stream goes on at another server, in milliseconds; undefined when it may not. */
+export function findMoveSilence(route: Route): number | undefined {
+	return route.canResume && route.longestSilence !== undefined ? route.longestSilence * moveShare : undefined;
+}
+
 /** One attempt. */
 export class BackendAttempt {
 	/** Handler to dispatch. */
@@ -98,6 +100,11 @@
 		this.#watchSilence(this.#findFirstSilence());
 	}
 
+	/** When the last event was passed on, by the monotonic clock; undefined before the first. */
+	get lastEventAt(): number | undefined {
+		return this.#lastEventAt;
+	}
+
 	/** Longest time between two events that were passed on, in milliseconds. */
 	get longestPause(): number {
 		return this.#longestPause;
@@ -143,7 +150,7 @@
 			return;
 		}
 
-		this.#watchSilence(this.#findPauseSilence());
+		this.#watchSilence(findMoveSilence(this.#parts.call.route));
 		let hasRoom = true;
 		for (const frame of this.#frames.push(chunk)) {
 			if (frame.id !== undefined && this.lastEventId !== undefined && frame.id <= this.lastEventId) {
@@ -167,7 +174,7 @@
 		this.exchange.pause();
 		this.#parts.sink.onDrain(() => {
 			this.exchange.resume();
-			this.#watchSilence(this.#findPauseSilence());
+			this.#watchSilence(findMoveSilence(this.#parts.call.route));
 		});
 	}
 
@@ -312,11 +319,6 @@
 		return Math.max(leastFirstSilence, route.objective * firstSilenceFactor, (expectedFirst - startIn) * firstSilenceFactor);
 	}
 
-	#findPauseSilence(): number | undefined {
-		const {route} = this.#parts.call;
-		return route.canResume && route.longestPause !== undefined ? Math.max(leastPauseSilence, route.longestPause * pauseSilenceFactor) : undefined;
-	}
-
 	#finish(end: AttemptEnd): void {
 		if (!this.#isOver) {
 			this.#isOver = true;
--- a/src/gateway/call-run.ts
+++ b/src/gateway/call-run.ts
@@ -14,7 +14,7 @@
 import {
 	findRank, type BackendServer, type Organisation, type Route, type ServiceSpec,
 } from '../routing/index.js';
-import {BackendAttempt, type AttemptEnd} from './backend-attempt.js';
+import {BackendAttempt, findMoveSilence, type AttemptEnd} from './backend-attempt.js';
 import type {BackendPool} from './backend-pool.js';
 import type {CallSink} from './call-sink.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
@@ -92,6 +92,7 @@
 	#lastEventId: number | undefined;
 	#firstAfter: number | undefined;
 	#longestPause = 0;
+	#lastEventAt: number | undefined;
 	#placed: Placed | undefined;
 
 	constructor(parts: CallRunParts, call: Call, sink: CallSink) {
@@ -188,13 +189,22 @@
 			outputTokens: head.outputTokens,
 			waited: now - askedFirst,
 			objective: route.objective - (now - arrived),
-			patience: this.#timeLeft(),
+			patience: this.#findPatience(),
+			timeLeft: this.#timeLeft(),
 			longestPause: route.longestPause,
+			longestSilence: findMoveSilence(route),
 			excluded: this.#excluded,
 		});
 		return result.caseOf<PlaceAnswer | Failure>({Left: failure => failure, Right: value => value});
 	}
 
+	/** Time until the caller leaves when nothing comes: it counts from its last event, or from its call. */
+	#findPatience(): number {
+		const {arrived, route} = this.#call;
+		const leavesAt = (this.#lastEventAt ?? arrived) + (route.longestSilence ?? Infinity);
+		return Math.min(this.#timeLeft(), Math.max(0, leavesAt - this.#parts.clock.readMonotonic()));
+	}
+
 	async #wait(delay: number): Promise<void> {
 		await new Promise<void>(resolve => {
 			const timer = this.#parts.clock.setTimer(delay, resolve);
@@ -274,6 +284,7 @@
 		const end = await attempt.ended;
 		this.#attempt = undefined;
 		this.#lastEventId = attempt.lastEventId;
+		this.#lastEventAt = attempt.lastEventAt ?? this.#lastEventAt;
 		this.#longestPause = Math.max(this.#longestPause, attempt.longestPause);
 		return end;
 	}
--- a/src/gateway/peer-rpc.ts
+++ b/src/gateway/peer-rpc.ts
@@ -28,7 +28,7 @@
 	return z.custom<Shape>(value => typeof value === 'object' && value !== null && keys.every(key => key in value));
 }
 
-const planRequestSchema = defineShape<PlanRequest>(['requestId', 'service', 'node', 'promptTokens', 'patience', 'excluded']);
+const planRequestSchema = defineShape<PlanRequest>(['requestId', 'service', 'node', 'promptTokens', 'patience', 'timeLeft', 'excluded']);
 const planSchema = defineShape<Plan>(['planId', 'request', 'server', 'helpers']);
 const serviceSchema = z.string() as unknown as z.ZodType<ServiceName>;
 
--- /dev/null
+++ b/src/planning/credit.ts
@@ -0,0 +1,32 @@
+/**
+ * What answers are worth, so that all decisions weigh the same thing. Pure.
+ *
+ * The unit is a token of prompt: what an answer in time is worth grows with what was asked.
+ * Between kinds of request no figure of worth is stated by operators; this one is assumed.
+ */
+
+/** Worth of an answer beside its prompt's tokens, in tokens: the shortest prompts have somebody waiting too. */
+const baseWorth = 5000;
+
+/** Share of its worth that an answer keeps when it is late: what the customers' sheets state. */
+export const lateShare = 0.25;
+
+/** Uncertainty of a predicted first event: a share of the time until it and milliseconds besides, about a pass. */
+const relativeDoubt = 0.06;
+const leastDoubt = 20;
+
+/** Worth of an answer in time, in tokens. */
+export function computeWorth(promptTokens: number): number {
+	return promptTokens + baseWorth;
+}
+
+/** Share of its worth that a request is expected to earn when its first event comes after `finish`; all times in milliseconds from now. */
+export function estimateCredit(finish: number, objective: number, patience: number): number {
+	if (finish >= patience) {
+		return 0;
+	}
+
+	const doubt = leastDoubt + (relativeDoubt * finish);
+	const inTime = 1 / (1 + Math.exp((finish - objective) / doubt));
+	return lateShare + ((1 - lateShare) * inTime);
+}
--- a/src/planning/index.ts
+++ b/src/planning/index.ts
@@ -1,6 +1,9 @@
+export * from './credit.js';
 export * from './engine-model.js';
-export * from './long-queue.js';
-export type * from './plan.js';
+export * from './plan.js';
 export * from './planner.js';
+export * from './read-demand.js';
+export * from './read-line.js';
+export * from './read-ways.js';
 export * from './server-board.js';
 export * from './server-health.js';
--- a/src/planning/plan.ts
+++ b/src/planning/plan.ts
@@ -3,6 +3,13 @@
 	BackendServerId, BoxId, OrganisationId, PlanId, RequestId, ServiceName,
 } from '../common/index.js';
 
+/**
+ * Share of the silence that a caller bears after which its stream is moved to another server.
+ *
+ * With 0.45 the passes of long reads moved whole servers' streams, with 0.8 too little time was left to move them.
+ */
+export const moveShare = 0.65;
+
 /** A request for a place. Times in milliseconds, counted from the moment of asking. */
 export type PlanRequest = {
 	requestId: RequestId;
@@ -18,10 +25,14 @@
 	waited: number;
 	/** Time left until the answer is worth less; negative when that has passed. */
 	objective: number;
-	/** Time left until the answer is worth nothing. */
+	/** Time left until the caller leaves if it has seen nothing. */
 	patience: number;
+	/** Time left until the answer must have ended. */
+	timeLeft: number;
 	/** Longest pause between events that the caller accepts; undefined when it is not a stream. */
 	longestPause?: number;
+	/** Silence between two events after which the stream is moved elsewhere; undefined when it never is. */
+	longestSilence?: number;
 	/** Servers that must not be chosen. */
 	excluded: BackendServerId[];
 };
--- a/src/planning/planner.ts
+++ b/src/planning/planner.ts
@@ -14,13 +14,16 @@
 	createFailure, type BackendServerId, type BoxId, type Failure, type IdSource, type PlanId,
 } from '../common/index.js';
 import type {BackendServer, EngineFigures} from '../routing/index.js';
-import {computeReadTime} from './engine-model.js';
+import {computeWorth, estimateCredit} from './credit.js';
+import {computePassTime, computeReadTime} from './engine-model.js';
 import {findLeast} from './find-least.js';
-import {longestAskPause, LongQueue} from './long-queue.js';
 import type {
 	Decision, Plan, PlanNote, PlanRequest,
 } from './plan.js';
-import {chooseReaders, divideMemory, memoryShare} from './readers.js';
+import {mostReaders, ReadDemand} from './read-demand.js';
+import {ReadLine} from './read-line.js';
+import {findBestWay, type Opening, type ReadWay} from './read-ways.js';
+import {divideMemory, memoryShare} from './readers.js';
 import {ServerBoard} from './server-board.js';
 import {ServerShares, type ServerGroups} from './server-shares.js';
 
@@ -36,13 +39,28 @@
 /** Least time after which a waiting request asks again, in milliseconds. */
 const leastAskPause = 15;
 
-/** Share of a request's time after which it is refused when it would still end too late: one refused earlier might have been served, one held longer has no time to come back. */
-const refuseAfter = 0.4;
+/** Longest time after which a waiting request asks again, in milliseconds. */
+const longestAskPause = 200;
+
+/** Requests ahead in line that are thought of: what comes after them is decided anew before its turn. */
+const mostAhead = 8;
+
+/** Passes that a request waits for each one too many on a server. */
+const overfullPasses = 4;
+
+/** Share of its worth that a short request loses by the time of a whole objective. */
+const shortDelayCost = 0.2;
+
+/** Share of its worth that a short request must bring on the servers for short ones, else it may take others. */
+const goodShare = 0.6;
+
+/** Room before its objective that a request keeps while it waits for writers to end, in milliseconds. */
+const writersMargin = 100;
 
 /** When a prompt is asked to come back that found only servers with writers, in seconds: about the length of a short answer. */
 const holdUpRetry = 1;
 
-/** Kept after a request's patience before its plan is forgotten unasked, in milliseconds. */
+/** Kept after a request's time before its plan is forgotten unasked, in milliseconds. */
 const planMargin = 1000;
 
 /** Letters of a plan's id: enough that no two of the thousands in progress are alike, and short, since they are listed once a second. */
@@ -52,7 +70,7 @@
 const reconcileAge = 500;
 
 /** A server that a short request may go to. */
-type Candidate = {board: ServerBoard; cost: number; wait: number};
+type Candidate = {board: ServerBoard; cost: number; finish: number};
 
 /** What a planner needs. */
 export type PlannerParts = {
@@ -69,7 +87,8 @@
 	readonly #ids: IdSource;
 	readonly #boards = new Map<BackendServerId, ServerBoard>();
 	readonly #plans = new Map<PlanId, HeldPlan>();
-	readonly #queue = new LongQueue();
+	readonly #line = new ReadLine();
+	readonly #demand = new ReadDemand();
 	#engine: EngineFigures | undefined;
 	#shortestPause = defaultPause;
 	readonly #shares = new ServerShares();
@@ -189,9 +208,9 @@
 
 	/** Forgets plans whose time is over. */
 	prune(now: number): void {
-		this.#queue.prune(now);
+		this.#line.prune(now);
 		for (const {plan, since} of this.#plans.values()) {
-			if (since + plan.request.patience + planMargin < now) {
+			if (since + plan.request.timeLeft + planMargin < now) {
 				this.#release(plan);
 			}
 		}
@@ -215,92 +234,105 @@
 		const readTime = computeReadTime(engine, request.promptTokens);
 		const isLong = readTime > longReadShare * this.#shortestPause;
 		if (isLong) {
+			this.#demand.add(request, engine, now);
 			this.#shares.noteLong(request, readTime, now);
-			return this.#planLong(request, groups.forLong, engine, now);
+			return this.#planLong(request, [...new Set([...groups.forLong, ...groups.forShort])], engine, now);
 		}
 
 		return this.#planShort(request, groups, engine, now);
 	}
 
-	/** Chooses the server with the earliest first event among those open to short requests. */
+	/** Chooses the server where a short request brings most: an early first event, and no pause too long for those who write there. */
 	#planShort(request: PlanRequest, groups: ServerGroups, engine: EngineFigures, now: number): Either<Failure, Decision> {
 		const readTime = computeReadTime(engine, request.promptTokens);
 		const need = request.promptTokens + request.outputTokens;
+		const worth = computeWorth(request.promptTokens);
 		const weigh = (board: ServerBoard): Candidate => {
 			const pass = board.computePass(engine, request.promptTokens);
 			const overfull = Math.max(0, board.writers + 1 - engine.slots);
 			const lacksRoom = board.heldTokens + need > engine.memoryTokens * memoryShare;
-			const wait = board.findPendingRead(now) + (overfull * pass * 4) + (lacksRoom ? request.patience : 0);
+			const pending = board.findPendingRead(now);
+			const wait = pending + (overfull * pass * overfullPasses) + (lacksRoom ? request.patience : 0);
 			// Reads that fall into one pass stretch it for all: equal waits go to the server with fewer writers.
-			// A failure costs about an objective; when that has passed, a server that fails is no better for it.
-			const failureCost = Math.max(request.objective, this.#shortestPause);
-			return {board, wait, cost: wait + pass + (board.health.spoiled * failureCost)};
+			const finish = wait + pass + readTime;
+			const harm = board.estimateHarm(engine, pending + readTime);
+			const earned = estimateCredit(finish, request.objective, request.patience) * (1 - board.health.spoiled);
+			const delay = shortDelayCost * finish / Math.max(this.#shortestPause, request.objective);
+			return {board, finish, cost: (worth * (delay - earned)) + harm};
 		};
 
-		let best = findLeast(groups.forShort.map(board => weigh(board)), candidate => candidate.cost)!;
-		if (best.wait > this.#shortestPause) {
-			// All servers for short requests are full: what it costs others to take another one is less than a refusal.
-			best = findLeast([...groups.forShort, ...groups.forLong].map(board => weigh(board)), candidate => candidate.cost)!;
-		}
-
-		const expectedFirst = best.cost + readTime;
-		if (expectedFirst > request.patience) {
-			return Left(describeOverload(expectedFirst - request.patience));
+		const inGroup = findLeast(groups.forShort.map(board => weigh(board)), candidate => candidate.cost)!;
+		// Servers kept for long prompts are taken where those for short ones would be late.
+		const isGood = inGroup.cost < worth * -goodShare;
+		const best = isGood ? inGroup : findLeast([...groups.forShort, ...groups.forLong].map(board => weigh(board)), candidate => candidate.cost)!;
+		if (best.finish > request.patience) {
+			return Left(describeOverload(best.finish - request.patience));
 		}
 
-		return Right(this.#createPlan(request, best.board.server.id, {expectedFirst, ownTokens: need}));
+		return Right(this.#createPlan(request, best.board.server.id, {expectedFirst: best.finish, ownTokens: need}));
 	}
 
 	/**
-	 * Reads a long prompt on several servers together, one long read after the other.
+	 * Reads a long prompt on several servers together, by the way that brings most.
 	 *
-	 * Whose turn it is, is decided when servers become free and not before: what came
-	 * meanwhile may go first, and short requests may need the servers.
+	 * Those ahead in line are thought of first; a request that would begin later waits and
+	 * asks again: what came meanwhile may go first, and short requests may need the servers.
 	 */
-	#planLong(request: PlanRequest, group: ServerBoard[], engine: EngineFigures, now: number): Either<Failure, Decision> {
-		const choice = chooseReaders(group, request, engine, now);
-		if (choice === undefined || choice.finish > request.patience) {
-			return this.#waitOrRefuse(request, choice?.finish);
+	#planLong(request: PlanRequest, usable: ServerBoard[], engine: EngineFigures, now: number): Either<Failure, Decision> {
+		this.#line.join(request, now);
+		const servers = Math.min(usable.length, mostReaders);
+		const openings = usable.map(board => ({board, freeIn: board.findLongReadEnd(now) - now}));
+		for (const ahead of this.#line.listAhead(request.requestId, engine, servers, now).slice(0, mostAhead)) {
+			const way = findBestWay(openings, {
+				request: ahead, engine, demand: this.#demand, now,
+			});
+			if (way !== undefined && !canAwaitWriters(way, ahead)) {
+				occupy(openings, way);
+			}
 		}
 
-		const askAgainIn = this.#queue.join(request, {
-			readTime: computeReadTime(engine, request.promptTokens, group.length),
-			startIn: choice.wait,
-			readEndsIn: choice.wait + choice.readTime,
-		}, now);
-		if (askAgainIn > 0 || choice.wait > planAhead) {
-			return Right({
-				kind: 'wait',
-				askAgainIn: Math.min(longestAskPause, Math.max(leastAskPause, choice.wait - (planAhead / 2), askAgainIn)),
-				reason: askAgainIn > 0 ? 'line' : 'reading',
-			});
+		const way = findBestWay(openings, {
+			request, engine, demand: this.#demand, now,
+		});
+		if (way === undefined) {
+			return this.#waitOrRefuse(request, engine, servers);
 		}
 
-		this.#queue.leave(request.requestId);
-		const memory = divideMemory(choice.readers, request, engine);
+		if (canAwaitWriters(way, request)) {
+			return Right({kind: 'wait', askAgainIn: planAhead, reason: 'writers'});
+		}
+
+		if (way.wait > planAhead) {
+			return Right({kind: 'wait', askAgainIn: Math.min(longestAskPause, Math.max(leastAskPause, way.wait - (planAhead / 2))), reason: 'reading'});
+		}
+
+		const memory = divideMemory(way.readers, request, engine);
 		if (memory === undefined) {
 			// It is out of the line meanwhile, so that those who find room pass it.
+			this.#line.leave(request.requestId);
 			return Right({kind: 'wait', askAgainIn: planAhead, reason: 'memory'});
 		}
 
+		this.#line.leave(request.requestId);
 		return Right(this.#createPlan(request, memory.first.server.id, {
 			helpers: memory.helpers,
-			startIn: choice.wait,
-			expectedFirst: choice.finish,
+			startIn: way.wait,
+			expectedFirst: way.finish,
 			ownTokens: memory.ownTokens,
 		}));
 	}
 
-	/** Servers become free and writers end: a request is refused only when it has waited for a good part of its time. */
-	#waitOrRefuse(request: PlanRequest, finish: number | undefined): Either<Failure, Decision> {
-		this.#queue.leave(request.requestId);
-		if (request.waited < refuseAfter * (request.waited + request.patience)) {
+	/** Nothing brings anything now. While all servers together could still be in time a request waits, else it is refused. */
+	#waitOrRefuse(request: PlanRequest, engine: EngineFigures, servers: number): Either<Failure, Decision> {
+		const least = computeReadTime(engine, request.promptTokens, servers) + computePassTime(engine, 1, request.promptTokens / servers);
+		if (least < request.objective) {
 			return Right({kind: 'wait', askAgainIn: planAhead, reason: 'writers'});
 		}
 
-		return Left(finish === undefined
-			? createFailure('overloaded', 'every backend server that could read the prompt writes answers which it would hold up', {retryAfterSeconds: holdUpRetry})
-			: describeOverload(finish - request.patience));
+		this.#line.leave(request.requestId);
+		return Left(least > request.patience
+			? describeOverload(least - request.patience)
+			: createFailure('overloaded', 'reading the prompt late would cost others more than it brings', {retryAfterSeconds: holdUpRetry}));
 	}
 
 	#createPlan(request: PlanRequest, server: BackendServerId, more: Partial<Plan>): Decision {
@@ -332,15 +364,23 @@
 			readTime,
 			heldTokens: plan.ownTokens,
 			longestPause: plan.request.longestPause,
+			longestSilence: plan.request.longestSilence,
 			contextTokens: plan.request.promptTokens / parts,
 			hasStarted: false,
+			hasLostPause: false,
 		};
+		if (isPrompt) {
+			this.#forEachBoard(plan, board => {
+				board.markPauses(engine, readTime);
+			});
+		}
+
 		const first = this.#boards.get(plan.server);
 		first?.add({...work, readUntil: findReadEnd(first)});
 		for (const helper of plan.helpers) {
 			const board = this.#boards.get(helper.server);
 			board?.add({
-				...work, readUntil: findReadEnd(board), isHelper: true, heldTokens: helper.heldTokens, contextTokens: 0, promptTokens: 0, longestPause: undefined,
+				...work, readUntil: findReadEnd(board), isHelper: true, heldTokens: helper.heldTokens, contextTokens: 0, promptTokens: 0, longestPause: undefined, longestSilence: undefined,
 			});
 		}
 
@@ -376,6 +416,20 @@
 	}
 }
 
+/** Whether a way that hurts writers may wait until they have ended and still be in time. */
+function canAwaitWriters(way: ReadWay, request: PlanRequest): boolean {
+	return way.harm > 0 && way.finish + planAhead + writersMargin < request.objective;
+}
+
+/** Marks the readers of a way as taken until it has read. */
+function occupy(openings: Opening[], way: ReadWay): void {
+	for (const opening of openings) {
+		if (way.readers.includes(opening.board)) {
+			opening.freeIn = way.wait + way.readTime;
+		}
+	}
+}
+
 function describeOverload(excess: number): Failure {
 	const retryAfterSeconds = Math.max(0.1, excess / 1000);
 	return createFailure('overloaded', `no backend server can begin in time; it would be ${Math.round(excess)} ms too late`, {retryAfterSeconds});
--- /dev/null
+++ b/src/planning/read-ways.ts
@@ -0,0 +1,104 @@
+/**
+ * The ways to read a prompt, and the best of them: how many servers, which ones and when. Pure.
+ *
+ * A way is worth what it is expected to earn, less what those who write there lose by a
+ * pause too long, what those to come lose by the servers taken, and the servers' time.
+ */
+import type {EngineFigures} from '../routing/index.js';
+import {computeWorth, estimateCredit} from './credit.js';
+import {computePassTime, computeReadTime} from './engine-model.js';
+import type {PlanRequest} from './plan.js';
+import {mostReaders, type ReadDemand} from './read-demand.js';
+import type {ServerBoard} from './server-board.js';
+
+/** What a read leaves of the pause that callers accept, in milliseconds: a short read beside it and the way of an event. */
+export const pauseMargin = 40;
+
+/** Share of its worth that an answer loses by the time of a whole objective: sooner is better, and leaves room for what goes wrong. */
+const delayCost = 0.15;
+
+/** Price of a server's time, as a share of what the demand seen brings in it. */
+const demandShare = 0.6;
+
+/** Numbers of servers that are tried: each is by about a third more than the one before. */
+const readerCounts = [1, 2, 3, 4, 6, 8, 12, mostReaders];
+
+/** A server and when it may begin to read, in milliseconds from now. */
+export type Opening = {board: ServerBoard; freeIn: number};
+
+/** A way to read a prompt; times in milliseconds from now, worth in tokens. */
+export type ReadWay = {
+	readers: ServerBoard[];
+	wait: number;
+	readTime: number;
+	/** When the first event is due. */
+	finish: number;
+	/** What those who write at the readers lose. */
+	harm: number;
+	/** What it brings, all in all. */
+	value: number;
+};
+
+/** What ways are judged by. */
+export type WayParts = {
+	request: PlanRequest;
+	engine: EngineFigures;
+	demand: ReadDemand;
+	now: number;
+};
+
+type Candidate = Opening & {harm: number};
+
+/** The way that brings most; undefined when none brings anything. */
+export function findBestWay(openings: Opening[], parts: WayParts): ReadWay | undefined {
+	const byTime = [...openings].sort((left, right) => left.freeIn - right.freeIn);
+	const utilisation = Math.max(parts.demand.countServers(parts.now) / openings.length, computeOccupancy(openings, parts.engine));
+	const timePrice = demandShare * parts.demand.computeWorthRate(parts.now) / openings.length * Math.min(1, utilisation);
+	let best: ReadWay | undefined;
+	for (const count of readerCounts) {
+		if (count > byTime.length) {
+			break;
+		}
+
+		for (const chosen of listChoices(byTime, count, parts)) {
+			const way = describeWay(chosen, {...parts, timePrice, servers: byTime.length});
+			if (way.value > (best?.value ?? 0)) {
+				best = way;
+			}
+		}
+	}
+
+	return best;
+}
+
+/** Share of the servers' places that are taken. */
+function computeOccupancy(openings: Opening[], engine: EngineFigures): number {
+	const writers = openings.reduce((sum, {board}) => sum + board.writers, 0);
+	return writers / (engine.slots * openings.length);
+}
+
+/** The earliest choice of so many servers, and the earliest that hurts nobody. */
+function listChoices(byTime: Opening[], count: number, {engine, request}: WayParts): Candidate[][] {
+	const part = computeReadTime(engine, request.promptTokens, count);
+	const candidates = byTime.map(({board, freeIn}) => ({board, freeIn, harm: board.estimateHarm(engine, part + pauseMargin)}));
+	const harmless = candidates.filter(candidate => candidate.harm === 0).slice(0, count);
+	const latest = candidates[count - 1].freeIn;
+	// Of the servers that are free by then, those where least is lost.
+	const earliest = candidates.filter(candidate => candidate.freeIn <= latest).sort((left, right) => left.harm - right.harm).slice(0, count);
+	return harmless.length === count ? [earliest, harmless] : [earliest];
+}
+
+function describeWay(chosen: Candidate[], {request, engine, demand, timePrice, servers}: WayParts & {timePrice: number; servers: number}): ReadWay {
+	const part = computeReadTime(engine, request.promptTokens, chosen.length);
+	const wait = Math.max(...chosen.map(candidate => candidate.freeIn));
+	const readTime = part + Math.max(...chosen.map(candidate => candidate.board.computePass(engine, 0)));
+	const finish = wait + readTime + computePassTime(engine, 1, request.promptTokens / chosen.length);
+	const harm = chosen.reduce((sum, candidate) => sum + candidate.harm, 0);
+	const credit = estimateCredit(finish, request.objective, request.patience);
+	const wholeObjective = Math.max(1, request.objective + request.waited);
+	const delay = delayCost * credit * Math.min(1, finish / wholeObjective);
+	const costs = harm + (chosen.length * readTime * timePrice) + demand.estimateLoss(chosen.length, servers, wait + readTime);
+	return {
+		readers: chosen.map(candidate => candidate.board), wait, readTime, finish, harm, value: (computeWorth(request.promptTokens) * (credit - delay)) - costs,
+	};
+}
--- a/src/planning/server-board.ts
+++ b/src/planning/server-board.ts
@@ -5,6 +5,7 @@
  */
 import type {PlanId} from '../common/index.js';
 import type {BackendServer, EngineFigures} from '../routing/index.js';
+import {computeWorth, lateShare} from './credit.js';
 import {computePassTime} from './engine-model.js';
 import {ServerHealth} from './server-health.js';
 
@@ -23,29 +24,39 @@
 	heldTokens: number;
 	/** Longest pause that its caller accepts while it writes here; undefined for helpers. */
 	longestPause?: number;
+	/** Silence after which it is moved elsewhere while it writes here; undefined for helpers. */
+	longestSilence?: number;
 	/** Tokens of its whole prompt; 0 for helpers. */
 	promptTokens: number;
 	/** Tokens of context while it writes here. */
 	contextTokens: number;
 	/** Whether its first event has been seen. */
 	hasStarted: boolean;
+	/** Whether a pass that was planned was longer than its caller accepts: longer ones cost it nothing more. */
+	hasLostPause: boolean;
+};
+
+/** Sums over the work of a server, kept until it changes. */
+type Summary = {
+	/** Requests that write here or are about to; helpers don't count. */
+	writers: number;
+	contextTokens: number;
+	heldTokens: number;
+	/** The pauses that writers accept and the silences that they bear, shortest first, and what is lost when a pass is longer than this one, in tokens. */
+	pauses: Array<{longest: number; lost: number}>;
 };
 
 /** The work of one server. */
 export class ServerBoard {
 	readonly health = new ServerHealth();
 	readonly #works = new Map<PlanId, Work>();
+	#summary: Summary | undefined;
 
 	constructor(public server: BackendServer) {}
 
 	/** Requests that write here or are about to; helpers don't count. */
 	get writers(): number {
-		let count = 0;
-		for (const work of this.#works.values()) {
-			count += work.isHelper ? 0 : 1;
-		}
-
-		return count;
+		return this.#summarise().writers;
 	}
 
 	/** All work, helpers too. */
@@ -55,27 +66,13 @@
 
 	/** Tokens of memory in use. */
 	get heldTokens(): number {
-		let sum = 0;
-		for (const work of this.#works.values()) {
-			sum += work.heldTokens;
-		}
-
-		return sum;
-	}
-
-	/** Prompt tokens of all who write here: about what their answers are worth together. */
-	get writerTokens(): number {
-		let sum = 0;
-		for (const work of this.#works.values()) {
-			sum += work.promptTokens;
-		}
-
-		return sum;
+		return this.#summarise().heldTokens;
 	}
 
 	/** Adds work. */
 	add(work: Work): void {
 		this.#works.set(work.planId, work);
+		this.#summary = undefined;
 	}
 
 	/** Notes that the first event of a request was seen: its reading is done everywhere. */
@@ -88,13 +85,14 @@
 		work.hasStarted = true;
 		work.readUntil = Math.min(work.readUntil, now);
 		if (work.isHelper && work.heldTokens === 0) {
-			this.#works.delete(planId);
+			this.remove(planId);
 		}
 	}
 
 	/** Takes work out. */
 	remove(planId: PlanId): void {
 		this.#works.delete(planId);
+		this.#summary = undefined;
 	}
 
 	/** Time of reading still to be done from now on, short and long. */
@@ -121,23 +119,67 @@
 		return end;
 	}
 
-	/** The longest read that those who write here bear in one pass; infinite when nobody does. */
-	findReadLimit(engine: EngineFigures): number {
-		let pause = Infinity;
+	/** What those who write here lose when a pass reads for so long besides, in tokens: a pause too long makes an answer late. */
+	estimateHarm(engine: EngineFigures, readTime: number): number {
+		const pass = this.computePass(engine, 0) + readTime;
+		let lost = 0;
+		for (const pause of this.#summarise().pauses) {
+			if (pause.longest >= pass) {
+				break;
+			}
+
+			lost = pause.lost;
+		}
+
+		return lost;
+	}
+
+	/** Notes that a pass reads for so long: whose pause that is too long for has no more to lose. */
+	markPauses(engine: EngineFigures, readTime: number): void {
+		const pass = this.computePass(engine, 0) + readTime;
 		for (const work of this.#works.values()) {
-			pause = Math.min(pause, work.longestPause ?? Infinity);
+			work.hasLostPause ||= work.longestPause !== undefined && work.longestPause < pass;
 		}
 
-		return pause - this.computePass(engine, 0);
+		this.#summary = undefined;
 	}
 
 	/** Time of a pass over those that write here, with one more of so many tokens. */
 	computePass(engine: EngineFigures, moreContext: number): number {
-		let context = moreContext;
-		for (const work of this.#works.values()) {
-			context += work.contextTokens;
+		const {writers, contextTokens} = this.#summarise();
+		return computePassTime(engine, writers + (moreContext > 0 ? 1 : 0), contextTokens + moreContext);
+	}
+
+	#summarise(): Summary {
+		this.#summary ??= summariseWorks([...this.#works.values()]);
+		return this.#summary;
+	}
+}
+
+function summariseWorks(works: Work[]): Summary {
+	const summary: Summary = {
+		writers: 0, contextTokens: 0, heldTokens: 0, pauses: [],
+	};
+	for (const work of works) {
+		summary.writers += work.isHelper ? 0 : 1;
+		summary.contextTokens += work.contextTokens;
+		summary.heldTokens += work.heldTokens;
+		const worth = computeWorth(work.promptTokens);
+		if (work.longestPause !== undefined && !work.hasLostPause) {
+			summary.pauses.push({longest: work.longestPause, lost: worth * (1 - lateShare)});
 		}
 
-		return computePassTime(engine, this.writers + (moreContext > 0 ? 1 : 0), context);
+		if (work.longestSilence !== undefined) {
+			summary.pauses.push({longest: work.longestSilence, lost: worth * lateShare});
+		}
+	}
+
+	summary.pauses.sort((left, right) => left.longest - right.longest);
+	let lost = 0;
+	for (const pause of summary.pauses) {
+		lost += pause.lost;
+		pause.lost = lost;
 	}
+
+	return summary;
 }
--- a/src/routing/model.ts
+++ b/src/routing/model.ts
@@ -27,6 +27,8 @@
 	objective: number;
 	/** Longest pause between two events of a stream, in milliseconds; undefined for other kinds. */
 	longestPause?: number;
+	/** Silence after which callers of a stream leave, before its first event as well, in milliseconds; undefined for other kinds. */
+	longestSilence?: number;
 	/** Backend servers that may run one request. */
 	attempts: number;
 	/** 0 is the most urgent. */
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -48,6 +48,14 @@
 	expect(config.routes[0].services).toEqual([{service: 'x', weight: 90}, {service: 'y', weight: 10}]);
 });
 
+test('callers of a stream leave after two seconds, four objectives or eight pauses, whichever is longest', () => {
+	const [route] = (createConfig(1).routes as Array<Record<string, unknown>>);
+	const silences = [{targetLatencyMs: 300, gap_aim_ms: 200}, {targetLatencyMs: 1500, gap_aim_ms: 600}, {targetLatencyMs: 300, gap_aim_ms: 600}].map(figures =>
+		decodeConfig(createConfig(1, {routes: [{...route, kind: 'streaming', ...figures}]})).routes[0].longestSilence);
+	expect(silences).toEqual([2000, 6000, 4800]);
+	expect(decodeConfig(createConfig(1, {routes: [{...route, kind: 'idempotent'}]})).routes[0].longestSilence).toBeUndefined();
+});
+
 test('a configuration with a missing or wrong field is refused by its name', () => {
 	expect(() => decodeConfig({...createConfig(1), version: 'seven'})).toThrow('version');
 	expect(() => decodeConfig({...createConfig(1), routes: [{name: 'r'}]})).toThrow('pathPrefix');
