--- a/src/gateway/call-service.ts
+++ b/src/gateway/call-service.ts
@@ -145,6 +145,7 @@
 			firstAfter: outcome.firstAfter === undefined ? undefined : Math.round(outcome.firstAfter),
 			longestPause: Math.round(outcome.longestPause),
 			pauseAim: call.route.longestPause,
+			callerWaits: call.head.timeLeft,
 			objective: call.route.objective,
 			took: Math.round(clock.readMonotonic() - call.arrived),
 		}, 'a call ended');
--- a/src/replay/routed/routed-replay.ts
+++ b/src/replay/routed/routed-replay.ts
@@ -4,7 +4,7 @@
 	AvailabilityZone, BackendServerId, BoxId, IdSource, RequestId, ServiceName,
 } from '../../common/index.js';
 import {
-	moveShare, Planner, type Plan, type PlanRequest,
+	moveShare, Planner, type Plan, type PlanRequest, type Trouble,
 } from '../../planning/index.js';
 import type {BackendServer} from '../../routing/index.js';
 import {PassJob, PassServer, type PassListener} from './pass-server.js';
@@ -244,16 +244,16 @@
 		this.#replay.schedule(this.#request.flow.patience * moveShare, () => {
 			if (this.#lastEventAt === since && !job.isOver && !this.#isOver) {
 				job.isOver = true;
-				this.#takeLoss(plan);
+				this.#takeLoss(plan, 'silent');
 			}
 		});
 	}
 
-	#takeLoss(plan: Plan): void {
+	#takeLoss(plan: Plan, trouble: Trouble = 'unreached'): void {
 		const {planner, schedule} = this.#replay;
 		schedule(lossTime, () => {
 			planner.note({
-				planId: plan.planId, kind: 'failed', server: plan.server, trouble: 'unreached',
+				planId: plan.planId, kind: 'failed', server: plan.server, trouble,
 			}, this.#replay.now);
 			planner.note({planId: plan.planId, kind: 'ended'}, this.#replay.now);
 			this.#excluded.push(plan.server);
