fix(dispatch): a helping server that is named at fault is left alone, not the one that tells of it

Test: a helping server at fault is left out of the next try (failed before: the first server was passed over).

--- a/src/gateway/backend-attempt.ts
+++ b/src/gateway/backend-attempt.ts
@@ -22,8 +22,8 @@
 	| {kind: 'done'}
 	/** The server ran it and answered with a failure; `deliver` passes that answer on. */
 	| {kind: 'failed'; server: BackendServerId; deliver: () => void}
-	/** It did not run. */
-	| {kind: 'declined'; trouble: Trouble; server: BackendServerId; reason: string}
+	/** It did not run; `faultyAddress` when the server names another one that it depended on. */
+	| {kind: 'declined'; trouble: Trouble; server: BackendServerId; reason: string; faultyAddress?: string}
 	/** It may have run, and there is no whole answer. */
 	| {kind: 'lost'; trouble: Trouble; server: BackendServerId; reason: string}
 	/** Stopped from this side. */
@@ -222,7 +222,7 @@
 		if (head.isDeclined) {
 			const fault = head.faultyAddress === undefined ? '' : `, ${head.faultyAddress} at fault`;
 			this.#finish({
-				kind: 'declined', trouble: 'full', server, reason: `status ${head.status}${fault}`,
+				kind: 'declined', trouble: 'full', server, reason: `status ${head.status}${fault}`, faultyAddress: head.faultyAddress,
 			});
 			return;
 		}
--- a/src/gateway/call-run.ts
+++ b/src/gateway/call-run.ts
@@ -145,7 +145,7 @@
 			}
 
 			this.#placed = placed;
-			const end = await this.#send(placed.plan);
+			const end = this.#blame(await this.#send(placed.plan), placed.plan);
 			const verdict = this.#judge(end, placed.plan);
 			if (verdict !== 'again') {
 				return verdict;
@@ -303,6 +303,16 @@
 		return helpers;
 	}
 
+	/** A helping server that is named as the one at fault is the one to leave alone: the server that told of it is well. */
+	#blame(end: AttemptEnd, plan: Plan): AttemptEnd {
+		if (end.kind !== 'declined' || end.faultyAddress === undefined) {
+			return end;
+		}
+
+		const helper = plan.helpers.find(({server}) => this.#parts.findServer(server)?.address === end.faultyAddress);
+		return helper === undefined ? end : {...end, server: helper.server, trouble: 'unreached'};
+	}
+
 	/** Decides after a send: undefined when the answer has been given, a failure, or another try. */
 	#judge(end: AttemptEnd, plan: Plan): Failure | 'again' | undefined {
 		this.#runs += end.kind === 'declined' || (end.kind === 'stopped' && !end.mayHaveRun) ? 0 : 1;
--- a/test/gateway-calls.test.ts
+++ b/test/gateway-calls.test.ts
@@ -73,6 +73,27 @@
 	expect(Number(answer.headers['retry-after'])).toBeGreaterThan(0);
 });
 
+test('a helping server at fault is left out of the next try, not the one that tells of it', async () => {
+	await fleet.start({runners: [1, 2, 3, 4].map(() => ({service: 'model', behaviour: decline}))});
+	const faulty = fleet.runners[1].address;
+	for (const runner of fleet.runners) {
+		runner.behaviour = (request, response, socket) => {
+			if (request.headers.helpers?.includes(faulty) ?? false) {
+				response.writeHead(503, {'cresshook-attempt-id': request.headers['cresshook-attempt-id'] ?? '', 'cresshook-not-executed': '1', 'at-server': faulty});
+				response.end();
+				return;
+			}
+
+			void streamEvents(3)(request, response, socket);
+		};
+	}
+
+	const asked = {'cresshook-model': 'm', 'cresshook-token-usage': '154000,80', 'cresshook-prompt-prefix': '5c1e:154000'};
+	const answers = [await fleet.call({path: '/stream/', headers: asked}), await fleet.call({path: '/stream/', headers: asked})];
+	expect(answers.map(answer => [answer.status, answer.isWhole])).toEqual([[200, true], [200, true]]);
+	expect(fleet.runners.map(runner => runner.seen.length)).toEqual([3, 0, 0, 0]);
+});
+
 test('a request that may be repeated is answered by another server after a failure', async () => {
 	let count = 0;
 	const failFirst: RunnerBehaviour = (request, response, socket) => {
