feat(dispatch): waiting has a price, silence of a planned read is no fault, worth counts from the first try

Change: time has at least the price of what those in line lose; a silence under or after a planned long read is not held against the server; objectives count from the first try, which callers' stated waits show, and late requests give way at their server; who has begun or come back is refused only when nothing else is left. The planner is split: long-reads, short-placement, caller-waits.

--- a/src/gateway/call-run.ts
+++ b/src/gateway/call-run.ts
@@ -28,6 +28,9 @@
 /** Least time in which another server can still be of use, in milliseconds: about one pass of a model server. */
 const leastUsefulTime = 50;
 
+/** Ranks by which a request gives way to others at its server once it can only be late: an answer in time is worth several late ones. */
+const lateRanks = 2;
+
 /** When a caller is asked to come back if servers declined although there was room by the plan, in seconds. */
 const retryAfterDeclined = 0.25;
 
@@ -193,6 +196,9 @@
 			timeLeft: this.#timeLeft(),
 			longestPause: route.longestPause,
 			longestSilence: findMoveSilence(route),
+			route: route.name,
+			callerWaits: head.timeLeft,
+			hasBegun: this.#sink.hasHead,
 			excluded: this.#excluded,
 		});
 		return result.caseOf<PlaceAnswer | Failure>({Left: failure => failure, Right: value => value});
@@ -278,7 +284,7 @@
 				timeLeft: Math.ceil(timeLeft),
 				lastEventId: this.#lastEventId,
 				helpers,
-				urgency: findRank(call.route, call.organisation),
+				urgency: findRank(call.route, call.organisation) + (plan.request.objective > 0 ? 0 : lateRanks),
 			}),
 		}, attempt.exchange);
 		const end = await attempt.ended;
--- a/src/planning/credit.ts
+++ b/src/planning/credit.ts
@@ -4,6 +4,7 @@
  * The unit is a token of prompt: what an answer in time is worth grows with what was asked.
  * Between kinds of request no figure of worth is stated by operators; this one is assumed.
  */
+import type {PlanRequest} from './plan.js';
 
 /** Worth of an answer beside its prompt's tokens, in tokens: the shortest prompts have somebody waiting too. */
 const baseWorth = 5000;
@@ -11,6 +12,10 @@
 /** Share of its worth that an answer keeps when it is late: what the customers' sheets state. */
 export const lateShare = 0.25;
 
+/** What is lost beyond its worth, as a share of it, when an answer that has begun is broken off, and when a caller that came back is turned away again. */
+const brokenOffLoss = 0.5;
+const turnedAwayLoss = 0.3;
+
 /** Uncertainty of a predicted first event: a share of the time until it and milliseconds besides, about a pass. */
 const relativeDoubt = 0.06;
 const leastDoubt = 20;
@@ -20,6 +25,15 @@
 	return promptTokens + baseWorth;
 }
 
+/** Share of its worth that a request loses beyond it when it is not served. */
+export function findStake(request: Pick<PlanRequest, 'hasBegun' | 'hasTried'>): number {
+	if (request.hasBegun) {
+		return brokenOffLoss;
+	}
+
+	return request.hasTried ? turnedAwayLoss : 0;
+}
+
 /** Share of its worth that a request is expected to earn when its first event comes after `finish`; all times in milliseconds from now. */
 export function estimateCredit(finish: number, objective: number, patience: number): number {
 	if (finish >= patience) {
--- /dev/null
+++ b/src/planning/long-reads.ts
@@ -0,0 +1,138 @@
+/**
+ * When long prompts are read, and by which servers. Pure.
+ *
+ * Those ahead in line are thought of first; a request that would begin later waits and
+ * asks again: what came meanwhile may go first, and short requests may need the servers.
+ */
+import {Left, Right, type Either} from 'purify-ts';
+import {createFailure, type BackendServerId, type Failure} from '../common/index.js';
+import type {EngineFigures} from '../routing/index.js';
+import {computePassTime, computeReadTime} from './engine-model.js';
+import type {Plan, PlanRequest, WaitReason} from './plan.js';
+import {mostReaders, ReadDemand} from './read-demand.js';
+import {ReadLine} from './read-line.js';
+import {findBestWay, type Opening, type ReadWay} from './read-ways.js';
+import {divideMemory} from './readers.js';
+import type {ServerBoard} from './server-board.js';
+
+/** A long read is planned at most this long before its servers are free, in milliseconds: later plans see more, and passes are about this long. */
+const planAhead = 60;
+
+/** Least and longest time after which a waiting request asks again, in milliseconds. */
+const leastAskPause = 15;
+const longestAskPause = 200;
+
+/** Requests ahead in line that are thought of: what comes after them is decided anew before its turn. */
+const mostAhead = 8;
+
+/** Room before its objective that a request keeps while it waits for writers to end, in milliseconds. */
+const writersMargin = 100;
+
+/** When a prompt is asked to come back that found only servers with writers, in seconds: about the length of a short answer. */
+const holdUpRetry = 1;
+
+/** What is decided of a long prompt: which server takes it and what else its plan holds, or when to ask again. */
+export type ReadDecision =
+	| {kind: 'read'; server: BackendServerId; parts: Pick<Plan, 'helpers' | 'startIn' | 'expectedFirst' | 'ownTokens'>}
+	| {kind: 'wait'; askAgainIn: number; reason: WaitReason};
+
+/** Long prompts of one service. */
+export class LongReads {
+	readonly #line = new ReadLine();
+	readonly #demand = new ReadDemand();
+
+	/** Decides for one request; it keeps its place in line by asking again. */
+	decide(request: PlanRequest, servers: ServerBoard[], engine: EngineFigures, now: number): Either<Failure, ReadDecision> {
+		this.#demand.add(request, engine, now);
+		this.#line.join(request, now);
+		const openings = servers.map(board => ({board, freeIn: board.findLongReadEnd(now) - now}));
+		this.#occupyAhead(openings, request, engine, now);
+		const way = this.#findWay(openings, request, engine, now);
+		if (way === undefined) {
+			return this.#waitOrRefuse(request, engine, servers.length);
+		}
+
+		if (canAwaitWriters(way, request)) {
+			return Right({kind: 'wait', askAgainIn: planAhead, reason: 'writers'});
+		}
+
+		if (way.wait > planAhead) {
+			return Right({kind: 'wait', askAgainIn: Math.min(longestAskPause, Math.max(leastAskPause, way.wait - (planAhead / 2))), reason: 'reading'});
+		}
+
+		// It leaves the line also when it finds no room: those who do pass it.
+		this.#line.leave(request.requestId);
+		return Right(describeRead(way, request, engine));
+	}
+
+	/** Forgets who has left the line. */
+	prune(now: number): void {
+		this.#line.prune(now);
+	}
+
+	/** Those ahead take their servers first, unless they wait for writers to end. */
+	#occupyAhead(openings: Opening[], request: PlanRequest, engine: EngineFigures, now: number): void {
+		const most = Math.min(openings.length, mostReaders);
+		for (const ahead of this.#line.listAhead(request.requestId, engine, most, now).slice(0, mostAhead)) {
+			const way = this.#findWay(openings, ahead, engine, now);
+			if (way !== undefined && !canAwaitWriters(way, ahead)) {
+				occupy(openings, way);
+			}
+		}
+	}
+
+	#findWay(openings: Opening[], request: PlanRequest, engine: EngineFigures, now: number): ReadWay | undefined {
+		return findBestWay(openings, {
+			request, engine, demand: this.#demand, pressure: this.#line.computePressure(request.requestId, now), now,
+		});
+	}
+
+	/** Nothing brings anything now. While all servers together could still be in time a request waits, else it is refused. */
+	#waitOrRefuse(request: PlanRequest, engine: EngineFigures, servers: number): Either<Failure, ReadDecision> {
+		const readers = Math.min(servers, mostReaders);
+		const least = computeReadTime(engine, request.promptTokens, readers) + computePassTime(engine, 1, request.promptTokens / readers);
+		if (least < request.objective) {
+			return Right({kind: 'wait', askAgainIn: planAhead, reason: 'writers'});
+		}
+
+		this.#line.leave(request.requestId);
+		return Left(least > request.patience
+			? describeOverload(least - request.patience)
+			: createFailure('overloaded', 'reading the prompt late would cost others more than it brings', {retryAfterSeconds: holdUpRetry}));
+	}
+}
+
+/** A refusal of what would come too late; `excess` in milliseconds. */
+export function describeOverload(excess: number): Failure {
+	const retryAfterSeconds = Math.max(0.1, excess / 1000);
+	return createFailure('overloaded', `no backend server can begin in time; it would be ${Math.round(excess)} ms too late`, {retryAfterSeconds});
+}
+
+function describeRead(way: ReadWay, request: PlanRequest, engine: EngineFigures): ReadDecision {
+	const memory = divideMemory(way.readers, request, engine);
+	if (memory === undefined) {
+		return {kind: 'wait', askAgainIn: planAhead, reason: 'memory'};
+	}
+
+	return {
+		kind: 'read',
+		server: memory.first.server.id,
+		parts: {
+			helpers: memory.helpers, startIn: way.wait, expectedFirst: way.finish, ownTokens: memory.ownTokens,
+		},
+	};
+}
+
+/** Whether a way that hurts writers may wait until they have ended and still be in time. */
+function canAwaitWriters(way: ReadWay, request: PlanRequest): boolean {
+	return way.harm > 0 && way.finish + planAhead + writersMargin < request.objective;
+}
+
+/** Marks the readers of a way as taken until it has read. */
+function occupy(openings: Opening[], way: ReadWay): void {
+	for (const opening of openings) {
+		if (way.readers.includes(opening.board)) {
+			opening.freeIn = way.wait + way.readTime;
+		}
+	}
+}
--- a/src/planning/plan.ts
+++ b/src/planning/plan.ts
@@ -33,6 +33,14 @@
 	longestPause?: number;
 	/** Silence between two events after which the stream is moved elsewhere; undefined when it never is. */
 	longestSilence?: number;
+	/** Name of its route: callers of one route wait alike. */
+	route?: string;
+	/** How long its caller said that it waits from its call on; less than others of its route when it has called before. */
+	callerWaits?: number;
+	/** Whether a server has begun to answer it: refused now, it would be broken off. */
+	hasBegun?: boolean;
+	/** Whether its caller has tried before and been turned away or cut off; found out by the planner. */
+	hasTried?: boolean;
 	/** Servers that must not be chosen. */
 	excluded: BackendServerId[];
 };
@@ -61,8 +69,8 @@
 /** What a planner answers: a plan, or when to ask again because others read first. */
 export type Decision = {kind: 'plan'; plan: Plan} | {kind: 'wait'; askAgainIn: number; reason: WaitReason};
 
-/** Why a long prompt waits: others are first, its servers still read, their writers would pause too long or too few are free, or its memory has no room. */
-export type WaitReason = 'line' | 'reading' | 'writers' | 'memory';
+/** Why a long prompt waits: its servers still read or others read first, writers would pause too long, or its memory has no room. */
+export type WaitReason = 'reading' | 'writers' | 'memory';
 
 /** How a plan went on, told by the node that carries it out. */
 export type PlanNote =
--- a/src/planning/planner.ts
+++ b/src/planning/planner.ts
@@ -14,18 +14,16 @@
 	createFailure, type BackendServerId, type BoxId, type Failure, type IdSource, type PlanId,
 } from '../common/index.js';
 import type {BackendServer, EngineFigures} from '../routing/index.js';
-import {computeWorth, estimateCredit} from './credit.js';
-import {computePassTime, computeReadTime} from './engine-model.js';
+import {CallerWaits} from './caller-waits.js';
+import {computeReadTime} from './engine-model.js';
 import {findLeast} from './find-least.js';
 import type {
 	Decision, Plan, PlanNote, PlanRequest,
 } from './plan.js';
-import {mostReaders, ReadDemand} from './read-demand.js';
-import {ReadLine} from './read-line.js';
-import {findBestWay, type Opening, type ReadWay} from './read-ways.js';
-import {divideMemory, memoryShare} from './readers.js';
+import {describeOverload, LongReads} from './long-reads.js';
 import {ServerBoard} from './server-board.js';
 import {ServerShares, type ServerGroups} from './server-shares.js';
+import {placeShort} from './short-placement.js';
 
 /** A prompt whose read takes more than this share of the shortest pause is long. */
 const longReadShare = 0.75;
@@ -33,33 +31,6 @@
 /** Pause assumed for requests that state none, in milliseconds. */
 const defaultPause = 250;
 
-/** A long read is planned at most this long before its servers are free, in milliseconds: later plans see more, and passes are about this long. */
-const planAhead = 60;
-
-/** Least time after which a waiting request asks again, in milliseconds. */
-const leastAskPause = 15;
-
-/** Longest time after which a waiting request asks again, in milliseconds. */
-const longestAskPause = 200;
-
-/** Requests ahead in line that are thought of: what comes after them is decided anew before its turn. */
-const mostAhead = 8;
-
-/** Passes that a request waits for each one too many on a server. */
-const overfullPasses = 4;
-
-/** Share of its worth that a short request loses by the time of a whole objective. */
-const shortDelayCost = 0.2;
-
-/** Share of its worth that a short request must bring on the servers for short ones, else it may take others. */
-const goodShare = 0.6;
-
-/** Room before its objective that a request keeps while it waits for writers to end, in milliseconds. */
-const writersMargin = 100;
-
-/** When a prompt is asked to come back that found only servers with writers, in seconds: about the length of a short answer. */
-const holdUpRetry = 1;
-
 /** Kept after a request's time before its plan is forgotten unasked, in milliseconds. */
 const planMargin = 1000;
 
@@ -69,9 +40,6 @@
 /** Age from which a plan that its node does not know is forgotten, in milliseconds: a younger one may still be on its way to it. */
 const reconcileAge = 500;
 
-/** A server that a short request may go to. */
-type Candidate = {board: ServerBoard; cost: number; finish: number};
-
 /** What a planner needs. */
 export type PlannerParts = {
 	ids: IdSource;
@@ -87,8 +55,8 @@
 	readonly #ids: IdSource;
 	readonly #boards = new Map<BackendServerId, ServerBoard>();
 	readonly #plans = new Map<PlanId, HeldPlan>();
-	readonly #line = new ReadLine();
-	readonly #demand = new ReadDemand();
+	readonly #reads = new LongReads();
+	readonly #callerWaits = new CallerWaits();
 	#engine: EngineFigures | undefined;
 	#shortestPause = defaultPause;
 	readonly #shares = new ServerShares();
@@ -129,8 +97,9 @@
 	}
 
 	/** Decides for one request. A plan's place is held until `note` or `prune` frees it; a request that waits keeps its turn by asking again. */
-	decide(request: PlanRequest, now: number): Either<Failure, Decision> {
+	decide(asked: PlanRequest, now: number): Either<Failure, Decision> {
 		this.prune(now);
+		const request = this.#countEarlierTries(asked);
 		if (request.longestPause !== undefined) {
 			this.#shortestPause = Math.min(this.#shortestPause, request.longestPause);
 		}
@@ -164,7 +133,12 @@
 	/** Takes a note on how a plan went on. */
 	note(note: PlanNote, now: number): void {
 		if (note.kind === 'failed') {
-			this.#boards.get(note.server)?.health.recordTrouble(note.trouble, now);
+			const board = this.#boards.get(note.server);
+			// A server that was given a long read is silent while it reads, and none the worse for it.
+			if (note.trouble !== 'silent' || !board?.hasReadLately(now)) {
+				board?.health.recordTrouble(note.trouble, now);
+			}
+
 			return;
 		}
 
@@ -208,7 +182,7 @@
 
 	/** Forgets plans whose time is over. */
 	prune(now: number): void {
-		this.#line.prune(now);
+		this.#reads.prune(now);
 		for (const {plan, since} of this.#plans.values()) {
 			if (since + plan.request.timeLeft + planMargin < now) {
 				this.#release(plan);
@@ -216,6 +190,21 @@
 		}
 	}
 
+	/** The objective counts from a caller's first try. */
+	#countEarlierTries(request: PlanRequest): PlanRequest {
+		const {route, callerWaits, waited, objective} = request;
+		if (route === undefined || callerWaits === undefined) {
+			return request;
+		}
+
+		if (waited === 0) {
+			this.#callerWaits.add(route, callerWaits);
+		}
+
+		const tried = this.#callerWaits.estimateTried(route, callerWaits);
+		return {...request, objective: objective - tried, hasTried: tried > 0};
+	}
+
 	#listUsable(request: PlanRequest, now: number): ServerBoard[] {
 		const boards = [...this.#boards.values()].filter(board => !request.excluded.includes(board.server.id));
 		const rested = boards.filter(board => !board.health.isResting(now));
@@ -234,7 +223,6 @@
 		const readTime = computeReadTime(engine, request.promptTokens);
 		const isLong = readTime > longReadShare * this.#shortestPause;
 		if (isLong) {
-			this.#demand.add(request, engine, now);
 			this.#shares.noteLong(request, readTime, now);
 			return this.#planLong(request, [...new Set([...groups.forLong, ...groups.forShort])], engine, now);
 		}
@@ -242,97 +230,19 @@
 		return this.#planShort(request, groups, engine, now);
 	}
 
-	/** Chooses the server where a short request brings most: an early first event, and no pause too long for those who write there. */
 	#planShort(request: PlanRequest, groups: ServerGroups, engine: EngineFigures, now: number): Either<Failure, Decision> {
-		const readTime = computeReadTime(engine, request.promptTokens);
-		const need = request.promptTokens + request.outputTokens;
-		const worth = computeWorth(request.promptTokens);
-		const weigh = (board: ServerBoard): Candidate => {
-			const pass = board.computePass(engine, request.promptTokens);
-			const overfull = Math.max(0, board.writers + 1 - engine.slots);
-			const lacksRoom = board.heldTokens + need > engine.memoryTokens * memoryShare;
-			const pending = board.findPendingRead(now);
-			const wait = pending + (overfull * pass * overfullPasses) + (lacksRoom ? request.patience : 0);
-			// Reads that fall into one pass stretch it for all: equal waits go to the server with fewer writers.
-			const finish = wait + pass + readTime;
-			const harm = board.estimateHarm(engine, pending + readTime);
-			const earned = estimateCredit(finish, request.objective, request.patience) * (1 - board.health.spoiled);
-			const delay = shortDelayCost * finish / Math.max(this.#shortestPause, request.objective);
-			return {board, finish, cost: (worth * (delay - earned)) + harm};
-		};
-
-		const inGroup = findLeast(groups.forShort.map(board => weigh(board)), candidate => candidate.cost)!;
-		// Servers kept for long prompts are taken where those for short ones would be late.
-		const isGood = inGroup.cost < worth * -goodShare;
-		const best = isGood ? inGroup : findLeast([...groups.forShort, ...groups.forLong].map(board => weigh(board)), candidate => candidate.cost)!;
+		const best = placeShort(request, groups, engine, now);
 		if (best.finish > request.patience) {
 			return Left(describeOverload(best.finish - request.patience));
 		}
 
-		return Right(this.#createPlan(request, best.board.server.id, {expectedFirst: best.finish, ownTokens: need}));
-	}
-
-	/**
-	 * Reads a long prompt on several servers together, by the way that brings most.
-	 *
-	 * Those ahead in line are thought of first; a request that would begin later waits and
-	 * asks again: what came meanwhile may go first, and short requests may need the servers.
-	 */
-	#planLong(request: PlanRequest, usable: ServerBoard[], engine: EngineFigures, now: number): Either<Failure, Decision> {
-		this.#line.join(request, now);
-		const servers = Math.min(usable.length, mostReaders);
-		const openings = usable.map(board => ({board, freeIn: board.findLongReadEnd(now) - now}));
-		for (const ahead of this.#line.listAhead(request.requestId, engine, servers, now).slice(0, mostAhead)) {
-			const way = findBestWay(openings, {
-				request: ahead, engine, demand: this.#demand, now,
-			});
-			if (way !== undefined && !canAwaitWriters(way, ahead)) {
-				occupy(openings, way);
-			}
-		}
-
-		const way = findBestWay(openings, {
-			request, engine, demand: this.#demand, now,
-		});
-		if (way === undefined) {
-			return this.#waitOrRefuse(request, engine, servers);
-		}
-
-		if (canAwaitWriters(way, request)) {
-			return Right({kind: 'wait', askAgainIn: planAhead, reason: 'writers'});
-		}
-
-		if (way.wait > planAhead) {
-			return Right({kind: 'wait', askAgainIn: Math.min(longestAskPause, Math.max(leastAskPause, way.wait - (planAhead / 2))), reason: 'reading'});
-		}
-
-		const memory = divideMemory(way.readers, request, engine);
-		if (memory === undefined) {
-			// It is out of the line meanwhile, so that those who find room pass it.
-			this.#line.leave(request.requestId);
-			return Right({kind: 'wait', askAgainIn: planAhead, reason: 'memory'});
-		}
-
-		this.#line.leave(request.requestId);
-		return Right(this.#createPlan(request, memory.first.server.id, {
-			helpers: memory.helpers,
-			startIn: way.wait,
-			expectedFirst: way.finish,
-			ownTokens: memory.ownTokens,
-		}));
+		return Right(this.#createPlan(request, best.board.server.id, {expectedFirst: best.finish, ownTokens: request.promptTokens + request.outputTokens}));
 	}
 
-	/** Nothing brings anything now. While all servers together could still be in time a request waits, else it is refused. */
-	#waitOrRefuse(request: PlanRequest, engine: EngineFigures, servers: number): Either<Failure, Decision> {
-		const least = computeReadTime(engine, request.promptTokens, servers) + computePassTime(engine, 1, request.promptTokens / servers);
-		if (least < request.objective) {
-			return Right({kind: 'wait', askAgainIn: planAhead, reason: 'writers'});
-		}
-
-		this.#line.leave(request.requestId);
-		return Left(least > request.patience
-			? describeOverload(least - request.patience)
-			: createFailure('overloaded', 'reading the prompt late would cost others more than it brings', {retryAfterSeconds: holdUpRetry}));
+	#planLong(request: PlanRequest, servers: ServerBoard[], engine: EngineFigures, now: number): Either<Failure, Decision> {
+		return this.#reads.decide(request, servers, engine, now).map(decision => decision.kind === 'wait'
+			? decision
+			: this.#createPlan(request, decision.server, decision.parts));
 	}
 
 	#createPlan(request: PlanRequest, server: BackendServerId, more: Partial<Plan>): Decision {
@@ -415,22 +325,3 @@
 		}
 	}
 }
-
-/** Whether a way that hurts writers may wait until they have ended and still be in time. */
-function canAwaitWriters(way: ReadWay, request: PlanRequest): boolean {
-	return way.harm > 0 && way.finish + planAhead + writersMargin < request.objective;
-}
-
-/** Marks the readers of a way as taken until it has read. */
-function occupy(openings: Opening[], way: ReadWay): void {
-	for (const opening of openings) {
-		if (way.readers.includes(opening.board)) {
-			opening.freeIn = way.wait + way.readTime;
-		}
-	}
-}
-
-function describeOverload(excess: number): Failure {
-	const retryAfterSeconds = Math.max(0.1, excess / 1000);
-	return createFailure('overloaded', `no backend server can begin in time; it would be ${Math.round(excess)} ms too late`, {retryAfterSeconds});
-}
--- a/src/planning/read-line.ts
+++ b/src/planning/read-line.ts
@@ -15,6 +15,9 @@
 /** Time without asking again after which a request has left, in milliseconds: well above the longest pause between asks. */
 const forgetAfter = 600;
 
+/** Least time until it is late by which a request that waits is weighed, in milliseconds: about a pass and a read. */
+const shortestSlack = 300;
+
 /** One request in line; times by the planner's clock. */
 type Waiting = {request: PlanRequest; askedAt: number; due: number};
 
@@ -41,6 +44,18 @@
 		}
 	}
 
+	/** Worth that those who wait lose with each millisecond: what they bring, spread over the time until they are late. */
+	computePressure(requestId: RequestId, now: number): number {
+		let pressure = 0;
+		for (const {request, due} of this.#waiting.values()) {
+			if (request.requestId !== requestId && due > now) {
+				pressure += computeWorth(request.promptTokens) / Math.max(shortestSlack, due - now);
+			}
+		}
+
+		return pressure;
+	}
+
 	/** Those before a request, with their times as of now; `servers` read together. */
 	listAhead(requestId: RequestId, engine: EngineFigures, servers: number, now: number): PlanRequest[] {
 		const ordered = this.#order(engine, servers, now);
--- a/src/planning/read-ways.ts
+++ b/src/planning/read-ways.ts
@@ -5,7 +5,7 @@
  * pause too long, what those to come lose by the servers taken, and the servers' time.
  */
 import type {EngineFigures} from '../routing/index.js';
-import {computeWorth, estimateCredit} from './credit.js';
+import {computeWorth, estimateCredit, findStake} from './credit.js';
 import {computePassTime, computeReadTime} from './engine-model.js';
 import type {PlanRequest} from './plan.js';
 import {mostReaders, type ReadDemand} from './read-demand.js';
@@ -20,6 +20,9 @@
 /** Price of a server's time, as a share of what the demand seen brings in it. */
 const demandShare = 0.6;
 
+/** The same as a share of what those who wait lose meanwhile. */
+const pressureShare = 0.5;
+
 /** Numbers of servers that are tried: each is by about a third more than the one before. */
 const readerCounts = [1, 2, 3, 4, 6, 8, 12, mostReaders];
 
@@ -44,6 +47,8 @@
 	request: PlanRequest;
 	engine: EngineFigures;
 	demand: ReadDemand;
+	/** Worth that others who wait lose with each millisecond. */
+	pressure: number;
 	now: number;
 };
 
@@ -53,7 +58,8 @@
 export function findBestWay(openings: Opening[], parts: WayParts): ReadWay | undefined {
 	const byTime = [...openings].sort((left, right) => left.freeIn - right.freeIn);
 	const utilisation = Math.max(parts.demand.countServers(parts.now) / openings.length, computeOccupancy(openings, parts.engine));
-	const timePrice = demandShare * parts.demand.computeWorthRate(parts.now) / openings.length * Math.min(1, utilisation);
+	const seen = demandShare * parts.demand.computeWorthRate(parts.now) * Math.min(1, utilisation);
+	const timePrice = Math.max(seen, pressureShare * parts.pressure) / openings.length;
 	let best: ReadWay | undefined;
 	for (const count of readerCounts) {
 		if (count > byTime.length) {
@@ -95,10 +101,11 @@
 	const finish = wait + readTime + computePassTime(engine, 1, request.promptTokens / chosen.length);
 	const harm = chosen.reduce((sum, candidate) => sum + candidate.harm, 0);
 	const credit = estimateCredit(finish, request.objective, request.patience);
+	const stake = credit > 0 ? findStake(request) : 0;
 	const wholeObjective = Math.max(1, request.objective + request.waited);
 	const delay = delayCost * credit * Math.min(1, finish / wholeObjective);
 	const costs = harm + (chosen.length * readTime * timePrice) + demand.estimateLoss(chosen.length, servers, wait + readTime);
 	return {
-		readers: chosen.map(candidate => candidate.board), wait, readTime, finish, harm, value: (computeWorth(request.promptTokens) * (credit - delay)) - costs,
+		readers: chosen.map(candidate => candidate.board), wait, readTime, finish, harm, value: (computeWorth(request.promptTokens) * (credit - delay + stake)) - costs,
 	};
 }
--- a/src/planning/server-board.ts
+++ b/src/planning/server-board.ts
@@ -46,11 +46,15 @@
 	pauses: Array<{longest: number; lost: number}>;
 };
 
+/** Time after a long read in which it still explains a silence, in milliseconds: about the silence after which streams are moved. */
+const readMemory = 1500;
+
 /** The work of one server. */
 export class ServerBoard {
 	readonly health = new ServerHealth();
 	readonly #works = new Map<PlanId, Work>();
 	#summary: Summary | undefined;
+	#lastLongReadEnd = -Infinity;
 
 	constructor(public server: BackendServer) {}
 
@@ -73,6 +77,9 @@
 	add(work: Work): void {
 		this.#works.set(work.planId, work);
 		this.#summary = undefined;
+		if (work.isLong) {
+			this.#lastLongReadEnd = Math.max(this.#lastLongReadEnd, work.readUntil);
+		}
 	}
 
 	/** Notes that the first event of a request was seen: its reading is done everywhere. */
@@ -119,6 +126,11 @@
 		return end;
 	}
 
+	/** Whether a long read here is under way or was due to end a moment ago. */
+	hasReadLately(now: number): boolean {
+		return now < this.#lastLongReadEnd + readMemory;
+	}
+
 	/** What those who write here lose when a pass reads for so long besides, in tokens: a pause too long makes an answer late. */
 	estimateHarm(engine: EngineFigures, readTime: number): number {
 		const pass = this.computePass(engine, 0) + readTime;
--- a/src/replay/routed/routed-measures.ts
+++ b/src/replay/routed/routed-measures.ts
@@ -1,5 +1,5 @@
 /** What a replayed day of the routed path brought, as a share of what it could have brought. */
-import type {RoutedRecord} from './routed-replay.js';
+import type {RoutedRecord} from './replayed-request.js';
 import type {DrawnDay, Workload} from './workloads.js';
 
 /** Share of its worth that an answer brings when it is late: the customers' sheets state a quarter. */
--- a/src/replay/routed/workloads.ts
+++ b/src/replay/routed/workloads.ts
@@ -33,6 +33,8 @@
 	phaseLength: number;
 	/** Servers that are lost for a while, in all phases together. */
 	losses: number;
+	/** Whether all nodes restart at the beginning of the last phase. */
+	hasRestart: boolean;
 };
 
 /** One drawn request. */
@@ -42,7 +44,10 @@
 export type DrawnLoss = {at: number; server: number; lasts: number};
 
 /** What happens on one drawn day. */
-export type DrawnDay = {requests: DrawnRequest[]; losses: DrawnLoss[]; length: number};
+export type DrawnDay = {requests: DrawnRequest[]; losses: DrawnLoss[]; restart?: Restart; length: number};
+
+/** All nodes are killed and start again, knowing nothing. */
+export type Restart = {at: number; lasts: number};
 
 const chatEvery = [0.35, 2.5, 0.35];
 const digestEvery = [1.3, 0.5, 1.3];
@@ -81,22 +86,22 @@
 /** Workloads to compare decisions by. */
 export const workloads: Workload[] = [
 	{
-		name: 'swing', engine: denseEngine, servers: 18, flows: [chat, digest, review], phases: swing, phaseLength: 10_000, losses: 0,
+		name: 'swing', engine: denseEngine, servers: 18, flows: [chat, digest, review], phases: swing, phaseLength: 10_000, losses: 1, hasRestart: true,
 	},
 	{
-		name: 'quick', engine: quickEngine, servers: 18, phases: swing, phaseLength: 10_000, losses: 0,
+		name: 'quick', engine: quickEngine, servers: 18, phases: swing, phaseLength: 10_000, losses: 1, hasRestart: true,
 		flows: [chat, {...digest, perSecond: 1.31}, {
 			...review, perSecond: 0.79, promptTokens: {...review.promptTokens, mean: 154_000}, value: 21,
 		}],
 	},
 	{
-		name: 'wide', engine: {...denseEngine, slots: 8, stepsPerPass: 38}, servers: 60, phases: swing, phaseLength: 10_000, losses: 0,
+		name: 'wide', engine: {...denseEngine, slots: 8, stepsPerPass: 38}, servers: 60, phases: swing, phaseLength: 10_000, losses: 1, hasRestart: true,
 		flows: [{...chat, perSecond: 66.6}, {...digest, perSecond: 4.68}, {
 			...review, perSecond: 1.17, objective: 4000, promptTokens: {...review.promptTokens, mean: 260_000}, value: 34,
 		}],
 	},
 	{
-		name: 'slow', engine: slowEngine, servers: 12, phases: [[1, 1, 1], [2, 0.5, 0.2], [0.3, 1.5, 1.8]], phaseLength: 8000, losses: 0,
+		name: 'slow', engine: slowEngine, servers: 12, phases: [[1, 1, 1], [2, 0.5, 0.2], [0.3, 1.5, 1.8]], phaseLength: 8000, losses: 1, hasRestart: true,
 		flows: [
 			{
 				...chat, perSecond: 6, objective: 800, longestPause: 500, timeLimit: 20_000, patience: 4000, promptTokens: {mean: 3000, spread: 0.8, most: 16_000},
@@ -115,6 +120,10 @@
 const shortestLoss = 2000;
 const longestLoss = 5000;
 
+/** When in the last phase the nodes restart, and how long they are away, in milliseconds. */
+const mostRestartDelay = 3000;
+const restartTime = 1200;
+
 /** Draws a day; the same seed gives the same day. */
 export function drawDay(workload: Workload, seed: string): DrawnDay {
 	const random = seedrandom(`${workload.name}-${seed}`);
@@ -126,7 +135,10 @@
 		server: Math.floor(random() * workload.servers),
 		lasts: shortestLoss + (random() * (longestLoss - shortestLoss)),
 	}));
-	return {requests, losses, length};
+	const restart = workload.hasRestart ? {at: length - workload.phaseLength + (random() * mostRestartDelay), lasts: restartTime} : undefined;
+	return {
+		requests, losses, restart, length,
+	};
 }
 
 function drawFlow(workload: Workload, index: number, random: () => number): DrawnRequest[] {
--- a/test/planning.test.ts
+++ b/test/planning.test.ts
@@ -146,6 +146,42 @@
 	expect(later).toContain(plan.server);
 });
 
+test('a server that is silent while it reads a long prompt is not left alone for it, one that had none is', () => {
+	const planner = createPlanner(2);
+	const long = planNow(planner, ask(200_000, {requestId: 'long' as RequestId}));
+	planner.note({
+		planId: long.planId, kind: 'failed', server: long.server, trouble: 'silent',
+	}, 500);
+	planner.note({planId: long.planId, kind: 'ended'}, 500);
+	const servers = (now: number) => new Set(Array.from({length: 20}, () => planNow(planner, ask(1000, short), now).server));
+	expect(servers(600).has(long.server)).toBe(true);
+	planner.note({
+		planId: long.planId, kind: 'failed', server: long.server, trouble: 'silent',
+	}, 20_000);
+	expect(servers(20_100).has(long.server)).toBe(false);
+});
+
+test('an objective counts from the first try of a caller that says that it waits less than others do', () => {
+	const planner = createPlanner();
+	const fresh = {...short, route: 'chat', callerWaits: 10_000};
+	for (let index = 0; index < 5; index++) {
+		expect(planNow(planner, ask(2000, fresh)).request.objective).toBe(300);
+	}
+
+	expect(planNow(planner, ask(2000, {...fresh, callerWaits: 9980})).request.objective).toBe(300);
+	expect(planNow(planner, ask(2000, {...fresh, callerWaits: 8500})).request.objective).toBe(300 - 1500);
+	expect(planNow(planner, ask(2000, {...fresh, route: 'other', callerWaits: 8500})).request.objective).toBe(300);
+});
+
+test('a caller that waits longer than others does not make theirs look like second tries', () => {
+	const planner = createPlanner();
+	for (let index = 0; index < 30; index++) {
+		const callerWaits = index % 15 === 0 ? 30_000 : 10_000;
+		const {objective} = planNow(planner, ask(2000, {...short, route: 'chat', callerWaits}), index * 100).request;
+		expect(index < 15 || objective === 300).toBe(true);
+	}
+});
+
 test('a server that failed is not preferred for a request whose objective has passed', () => {
 	const planner = createPlanner(4);
 	const plan = planNow(planner, ask(5000, short));
@@ -275,6 +311,20 @@
 	expect(late.helpers.length).toBeLessThan(11);
 });
 
+test('who has begun or come back is read late where others would be refused', () => {
+	const decideLate = (changes: Partial<PlanRequest>) => {
+		const planner = createPlanner();
+		for (let index = 0; index < 60; index++) {
+			const plan = planNow(planner, ask(60_000), index * 150);
+			planner.note({planId: plan.planId, kind: 'ended'}, (index * 150) + 140);
+		}
+
+		return planner.decide(ask(650_000, {objective: -100, patience: 11_000, ...changes}), 9100).isRight();
+	};
+
+	expect([decideLate({}), decideLate({hasTried: true}), decideLate({hasBegun: true})]).toEqual([false, true, true]);
+});
+
 test('nobody waits while servers that could serve it in time at no harm are free', () => {
 	fc.assert(fc.property(fc.integer({min: 24_000, max: 400_000}), fc.integer({min: 12, max: 40}), (tokens, count) => {
 		const planner = createPlanner(count);
