--- a/src/gateway/backend-attempt.ts
+++ b/src/gateway/backend-attempt.ts
@@ -11,7 +11,7 @@
 import {moveShare, type Plan, type Trouble} from '../planning/index.js';
 import type {Route} from '../routing/index.js';
 import {BackendExchange} from './backend-exchange.js';
-import type {Call} from './call-run.js';
+import type {Call} from './call.js';
 import type {CallSink} from './call-sink.js';
 import {EventFrames} from './event-frames.js';
 import type {AnswerHead, GatewayWire, HeaderFields} from './wire.js';
--- a/src/gateway/call-run.ts
+++ b/src/gateway/call-run.ts
@@ -11,14 +11,14 @@
 	createFailure, findAnswer, formatErrorBody, type BackendServerId, type Clock, type Failure, type Logger, type Timer,
 } from '../common/index.js';
 import type {Plan, Trouble} from '../planning/index.js';
-import {
-	findRank, type BackendServer, type Organisation, type Route, type ServiceSpec,
-} from '../routing/index.js';
-import {BackendAttempt, findMoveSilence, type AttemptEnd} from './backend-attempt.js';
+import {findRank, type BackendServer} from '../routing/index.js';
+import {BackendAttempt, type AttemptEnd} from './backend-attempt.js';
 import type {BackendPool} from './backend-pool.js';
+import type {Call} from './call.js';
 import type {CallSink} from './call-sink.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
-import type {PlaceAnswer, Placed, Placer} from './placer.js';
+import {PlaceSeeker} from './place-seeker.js';
+import type {Placed, Placer} from './placer.js';
 import type {Reservations} from './reservations.js';
 import type {CallHead, GatewayWire, HelperAddress} from './wire.js';
 
@@ -34,19 +34,6 @@
 /** When a caller is asked to come back if servers declined although there was room by the plan, in seconds. */
 const retryAfterDeclined = 0.25;
 
-/** A call, resolved against the configuration. */
-export type Call = {
-	head: CallHead;
-	body: Uint8Array | undefined;
-	route: Route;
-	service: ServiceSpec;
-	organisation?: Organisation;
-	/** When it arrived, by the monotonic clock. */
-	arrived: number;
-	/** Version of the configuration it was resolved by. */
-	configVersion: number;
-};
-
 /** What runs need. */
 export type CallRunParts = {
 	clock: Clock;
@@ -83,19 +70,16 @@
 	readonly #parts: CallRunParts;
 	readonly #call: Call;
 	readonly #sink: CallSink;
-	readonly #excluded: BackendServerId[] = [];
 	readonly #servers: BackendServerId[] = [];
-	readonly #deadline: number;
+	readonly #seeker: PlaceSeeker;
 	#attempt: BackendAttempt | undefined;
 	#deadlineTimer: Timer | undefined;
-	#wakeWaiting: (() => void) | undefined;
 	#end: 'deadline' | 'gone' | undefined;
 	#sends = 0;
 	#runs = 0;
 	#lastEventId: number | undefined;
 	#firstAfter: number | undefined;
 	#longestPause = 0;
-	#lastEventAt: number | undefined;
 	#placed: Placed | undefined;
 
 	constructor(parts: CallRunParts, call: Call, sink: CallSink) {
@@ -103,12 +87,16 @@
 		this.#call = call;
 		this.#sink = sink;
 		this.#lastEventId = call.head.lastEventId;
-		this.#deadline = call.arrived + Math.min(call.head.timeLeft ?? Infinity, call.route.timeLimit);
+		const deadline = call.arrived + Math.min(call.head.timeLeft ?? Infinity, call.route.timeLimit);
+		const {clock, placer, node} = parts;
+		this.#seeker = new PlaceSeeker({
+			clock, placer, call, node, deadline,
+		});
 	}
 
 	/** Serves the call; the sink has been ended when this resolves. */
 	async run(): Promise<CallOutcome> {
-		this.#deadlineTimer = this.#parts.clock.setTimer(this.#timeLeft(), () => {
+		this.#deadlineTimer = this.#parts.clock.setTimer(this.#seeker.timeLeft, () => {
 			this.#stop('deadline');
 		});
 		try {
@@ -127,18 +115,14 @@
 	#stop(end: 'deadline' | 'gone'): void {
 		this.#end ??= end;
 		this.#attempt?.stop();
-		this.#wakeWaiting?.();
-	}
-
-	#timeLeft(): number {
-		return Math.max(0, this.#deadline - this.#parts.clock.readMonotonic());
+		this.#seeker.stop();
 	}
 
 	/** Undefined when an answer has been given whole. */
 	async #tryServers(): Promise<Failure | undefined> {
 		for (;;) {
-			const placed = await this.#place();
-			if (this.#end !== undefined) {
+			const placed = await this.#seeker.find(this.#sink.hasHead);
+			if (placed === undefined || this.#end !== undefined) {
 				this.#release(placed);
 				return this.#describeEnd();
 			}
@@ -156,74 +140,8 @@
 		}
 	}
 
-	/** Asks for a place until there is one, and waits until it is time to send. */
-	async #place(): Promise<Placed | Failure> {
-		const askedFirst = this.#parts.clock.readMonotonic();
-		for (;;) {
-			const answer = await this.#ask(askedFirst);
-			if ('askAgainIn' in answer) {
-				await this.#wait(answer.askAgainIn);
-				if (this.#end !== undefined) {
-					return this.#describeEnd();
-				}
-
-				continue;
-			}
-
-			if (!('kind' in answer) && answer.plan.startIn > 0 && this.#end === undefined) {
-				await this.#wait(answer.plan.startIn);
-			}
-
-			return answer;
-		}
-	}
-
-	async #ask(askedFirst: number): Promise<PlaceAnswer | Failure> {
-		const {
-			route, service, organisation, head, arrived,
-		} = this.#call;
-		const now = this.#parts.clock.readMonotonic();
-		const result = await this.#parts.placer.place({
-			requestId: head.requestId,
-			service: service.name,
-			node: this.#parts.node,
-			organisation: organisation?.name,
-			promptTokens: head.promptTokens,
-			outputTokens: head.outputTokens,
-			waited: now - askedFirst,
-			objective: route.objective - (now - arrived),
-			patience: this.#findPatience(),
-			timeLeft: this.#timeLeft(),
-			longestPause: route.longestPause,
-			longestSilence: findMoveSilence(route),
-			route: route.name,
-			callerWaits: head.timeLeft,
-			hasBegun: this.#sink.hasHead,
-			excluded: this.#excluded,
-		});
-		return result.caseOf<PlaceAnswer | Failure>({Left: failure => failure, Right: value => value});
-	}
-
-	/** Time until the caller leaves when nothing comes: it counts from its last event, or from its call. */
-	#findPatience(): number {
-		const {arrived, route} = this.#call;
-		const leavesAt = (this.#lastEventAt ?? arrived) + (route.longestSilence ?? Infinity);
-		return Math.min(this.#timeLeft(), Math.max(0, leavesAt - this.#parts.clock.readMonotonic()));
-	}
-
-	async #wait(delay: number): Promise<void> {
-		await new Promise<void>(resolve => {
-			const timer = this.#parts.clock.setTimer(delay, resolve);
-			this.#wakeWaiting = () => {
-				timer.cancel();
-				resolve();
-			};
-		});
-		this.#wakeWaiting = undefined;
-	}
-
-	#release(placed: Placed | Failure): void {
-		if (!('kind' in placed)) {
+	#release(placed: Placed | Failure | undefined): void {
+		if (placed !== undefined && !('kind' in placed)) {
 			this.#parts.placer.note(placed.plan, {planId: placed.plan.planId, kind: 'ended'});
 		}
 	}
@@ -272,7 +190,7 @@
 			},
 		});
 		this.#attempt = attempt;
-		const timeLeft = this.#timeLeft();
+		const {timeLeft} = this.#seeker;
 		this.#parts.pool.dispatch(server.address, {
 			method: call.head.method,
 			path: call.head.target,
@@ -290,7 +208,7 @@
 		const end = await attempt.ended;
 		this.#attempt = undefined;
 		this.#lastEventId = attempt.lastEventId;
-		this.#lastEventAt = attempt.lastEventAt ?? this.#lastEventAt;
+		this.#seeker.lastEventAt = attempt.lastEventAt ?? this.#seeker.lastEventAt;
 		this.#longestPause = Math.max(this.#longestPause, attempt.longestPause);
 		return end;
 	}
@@ -364,7 +282,7 @@
 	}
 
 	#takeTry(server: BackendServerId, reason: string): boolean {
-		if (this.#end !== undefined || this.#timeLeft() < leastUsefulTime) {
+		if (this.#end !== undefined || this.#seeker.timeLeft < leastUsefulTime) {
 			return false;
 		}
 
@@ -374,7 +292,7 @@
 			return false;
 		}
 
-		this.#excluded.push(server);
+		this.#seeker.excluded.push(server);
 		this.#parts.metrics.countRetry(this.#call.service.name, 'sent');
 		this.#parts.logger.info({
 			event: 'retry', request: this.#call.head.requestId, after: server, reason, sends: this.#sends, runs: this.#runs, lastEventId: this.#lastEventId,
--- a/src/gateway/call-service.ts
+++ b/src/gateway/call-service.ts
@@ -5,9 +5,8 @@
 } from '../common/index.js';
 import type {FleetState} from '../routing/index.js';
 import type {BackendPool} from './backend-pool.js';
-import {
-	CallRun, sendFailure, type Call, type CallOutcome,
-} from './call-run.js';
+import type {Call} from './call.js';
+import {CallRun, sendFailure, type CallOutcome} from './call-run.js';
 import type {HttpSink} from './call-sink.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
 import type {Placer} from './placer.js';
--- /dev/null
+++ b/src/gateway/place-seeker.ts
@@ -0,0 +1,112 @@
+/** Finds a place for one call: asks until there is one, and waits until it is time to send. */
+import type {
+	BackendServerId, BoxId, Clock, Failure, Timer,
+} from '../common/index.js';
+import {findMoveSilence} from './backend-attempt.js';
+import type {Call} from './call.js';
+import type {PlaceAnswer, Placed, Placer} from './placer.js';
+
+/** What a seeker needs. */
+export type PlaceSeekerParts = {
+	clock: Clock;
+	placer: Placer;
+	call: Call;
+	/** Name of this node. */
+	node: BoxId;
+	/** When the call must have ended, by the monotonic clock. */
+	deadline: number;
+};
+
+/** Places for one call, one after another. */
+export class PlaceSeeker {
+	/** Servers that must not be chosen again. */
+	readonly excluded: BackendServerId[] = [];
+	/** When the caller saw the last event; undefined before the first. */
+	lastEventAt: number | undefined;
+	readonly #parts: PlaceSeekerParts;
+	#isStopped = false;
+	#wakeWaiting: (() => void) | undefined;
+
+	constructor(parts: PlaceSeekerParts) {
+		this.#parts = parts;
+	}
+
+	/** Time until the call must have ended, in milliseconds. */
+	get timeLeft(): number {
+		return Math.max(0, this.#parts.deadline - this.#parts.clock.readMonotonic());
+	}
+
+	/** A place, with the time to send come; a failure; or undefined once stopped. `hasBegun` says whether the caller has seen the head of an answer. */
+	async find(hasBegun: boolean): Promise<Placed | Failure | undefined> {
+		const askedFirst = this.#parts.clock.readMonotonic();
+		for (;;) {
+			const answer = await this.#ask(askedFirst, hasBegun);
+			if ('askAgainIn' in answer) {
+				await this.#wait(answer.askAgainIn);
+				if (this.#isStopped) {
+					return undefined;
+				}
+
+				continue;
+			}
+
+			if (!('kind' in answer) && answer.plan.startIn > 0) {
+				await this.#wait(answer.plan.startIn);
+			}
+
+			return answer;
+		}
+	}
+
+	/** Ends all waiting. */
+	stop(): void {
+		this.#isStopped = true;
+		this.#wakeWaiting?.();
+	}
+
+	async #ask(askedFirst: number, hasBegun: boolean): Promise<PlaceAnswer | Failure> {
+		const {clock, placer, call, node} = this.#parts;
+		const {route, service, organisation, head, arrived} = call;
+		const now = clock.readMonotonic();
+		const result = await placer.place({
+			requestId: head.requestId,
+			service: service.name,
+			node,
+			organisation: organisation?.name,
+			promptTokens: head.promptTokens,
+			outputTokens: head.outputTokens,
+			waited: now - askedFirst,
+			objective: route.objective - (now - arrived),
+			patience: this.#findPatience(now),
+			timeLeft: this.timeLeft,
+			longestPause: route.longestPause,
+			longestSilence: findMoveSilence(route),
+			route: route.name,
+			callerWaits: head.timeLeft,
+			hasBegun,
+			excluded: this.excluded,
+		});
+		return result.caseOf<PlaceAnswer | Failure>({Left: failure => failure, Right: value => value});
+	}
+
+	/** Time until the caller leaves when nothing comes: it counts from its last event, or from its call. */
+	#findPatience(now: number): number {
+		const {arrived, route} = this.#parts.call;
+		const leavesAt = (this.lastEventAt ?? arrived) + (route.longestSilence ?? Infinity);
+		return Math.min(this.timeLeft, Math.max(0, leavesAt - now));
+	}
+
+	async #wait(delay: number): Promise<void> {
+		if (this.#isStopped) {
+			return;
+		}
+
+		let timer: Timer | undefined;
+		await new Promise<void>(resolve => {
+			timer = this.#parts.clock.setTimer(delay, resolve);
+			this.#wakeWaiting = resolve;
+		});
+		timer?.cancel();
+		this.#wakeWaiting = undefined;
+	}
+}
--- a/src/gateway/shared-placer.ts
+++ b/src/gateway/shared-placer.ts
@@ -277,7 +277,13 @@
 
 				const {plan} = decision;
 				this.#parts.logger.info({
-					event: 'placed', ...inputs, objective: Math.round(plan.request.objective), server: plan.server, helpers: plan.helpers.length, startIn: Math.round(plan.startIn), expectedFirst: Math.round(plan.expectedFirst),
+					event: 'placed',
+					...inputs,
+					objective: Math.round(plan.request.objective),
+					server: plan.server,
+					helpers: plan.helpers.length,
+					startIn: Math.round(plan.startIn),
+					expectedFirst: Math.round(plan.expectedFirst),
 				}, 'a request has its place');
 			},
 		});
--- a/src/planning/long-reads.ts
+++ b/src/planning/long-reads.ts
@@ -25,9 +25,6 @@
 /** Requests ahead in line that are thought of: what comes after them is decided anew before its turn. */
 const mostAhead = 8;
 
-/** Room before its objective that a request keeps while it waits for writers to end, in milliseconds. */
-const writersMargin = 100;
-
 /** When a prompt is asked to come back that found only servers with writers, in seconds: about the length of a short answer. */
 const holdUpRetry = 1;
 
@@ -52,10 +49,6 @@
 			return this.#waitOrRefuse(request, engine, servers.length);
 		}
 
-		if (canAwaitWriters(way, request)) {
-			return Right({kind: 'wait', askAgainIn: planAhead, reason: 'writers'});
-		}
-
 		if (way.wait > planAhead) {
 			return Right({kind: 'wait', askAgainIn: Math.min(longestAskPause, Math.max(leastAskPause, way.wait - (planAhead / 2))), reason: 'reading'});
 		}
@@ -70,12 +63,12 @@
 		this.#line.prune(now);
 	}
 
-	/** Those ahead take their servers first, unless they wait for writers to end. */
+	/** Those ahead take their servers first. */
 	#occupyAhead(openings: Opening[], request: PlanRequest, engine: EngineFigures, now: number): void {
 		const most = Math.min(openings.length, mostReaders);
 		for (const ahead of this.#line.listAhead(request.requestId, engine, most, now).slice(0, mostAhead)) {
 			const way = this.#findWay(openings, ahead, engine, now);
-			if (way !== undefined && !canAwaitWriters(way, ahead)) {
+			if (way !== undefined) {
 				occupy(openings, way);
 			}
 		}
@@ -123,11 +116,6 @@
 	};
 }
 
-/** Whether a way that hurts writers may wait until they have ended and still be in time. */
-function canAwaitWriters(way: ReadWay, request: PlanRequest): boolean {
-	return way.harm > 0 && way.finish + planAhead + writersMargin < request.objective;
-}
-
 /** Marks the readers of a way as taken until it has read. */
 function occupy(openings: Opening[], way: ReadWay): void {
 	for (const opening of openings) {
--- a/src/planning/read-ways.ts
+++ b/src/planning/read-ways.ts
@@ -2,7 +2,8 @@
  * The ways to read a prompt, and the best of them: how many servers, which ones and when. Pure.
  *
  * A way is worth what it is expected to earn, less what those who write there lose by a
- * pause too long, what those to come lose by the servers taken, and the servers' time.
+ * pause too long and the servers' time, at what the demand seen or those who wait would
+ * bring in it.
  */
 import type {EngineFigures} from '../routing/index.js';
 import {computeWorth, estimateCredit, findStake} from './credit.js';
@@ -67,7 +68,7 @@
 		}
 
 		for (const chosen of listChoices(byTime, count, parts)) {
-			const way = describeWay(chosen, {...parts, timePrice, servers: byTime.length});
+			const way = describeWay(chosen, parts, timePrice);
 			if (way.value > (best?.value ?? 0)) {
 				best = way;
 			}
@@ -94,7 +95,7 @@
 	return harmless.length === count ? [earliest, harmless] : [earliest];
 }
 
-function describeWay(chosen: Candidate[], {request, engine, demand, timePrice, servers}: WayParts & {timePrice: number; servers: number}): ReadWay {
+function describeWay(chosen: Candidate[], {request, engine}: WayParts, timePrice: number): ReadWay {
 	const part = computeReadTime(engine, request.promptTokens, chosen.length);
 	const wait = Math.max(...chosen.map(candidate => candidate.freeIn));
 	const readTime = part + Math.max(...chosen.map(candidate => candidate.board.computePass(engine, 0)));
@@ -104,7 +105,7 @@
 	const stake = credit > 0 ? findStake(request) : 0;
 	const wholeObjective = Math.max(1, request.objective + request.waited);
 	const delay = delayCost * credit * Math.min(1, finish / wholeObjective);
-	const costs = harm + (chosen.length * readTime * timePrice) + demand.estimateLoss(chosen.length, servers, wait + readTime);
+	const costs = harm + (chosen.length * readTime * timePrice);
 	return {
 		readers: chosen.map(candidate => candidate.board), wait, readTime, finish, harm, value: (computeWorth(request.promptTokens) * (credit - delay + stake)) - costs,
 	};
