--- a/src/cli/index.ts
+++ b/src/cli/index.ts
@@ -6,6 +6,7 @@
 import {addPolicyCommands} from './policy-command.js';
 import {addReplayCommands} from './replay-command.js';
 import {addNodeCommand} from './node-command.js';
+import {addRehearseCommand} from './rehearse-command.js';
 import {addSettingsCommand} from './settings-command.js';
 import {addStandinCommand} from './standin-command.js';
 
@@ -22,6 +23,7 @@
 	addSettingsCommand(program);
 	addPolicyCommands(program);
 	addReplayCommands(program);
+	addRehearseCommand(program);
 	addStandinCommand(program);
 	return program;
 }
--- a/test/routed-replay.test.ts
+++ b/test/routed-replay.test.ts
@@ -1,4 +1,6 @@
-import {expect, test} from '@jest/globals';
+import process from 'node:process';
+import {expect, jest, test} from '@jest/globals';
+import {createProgram} from '../src/cli/index.js';
 import {
 	drawDay, measureRouted, PassJob, PassServer, replayRouted, workloads, type PassListener, type Workload,
 } from '../src/replay/routed/index.js';
@@ -132,3 +134,19 @@
 ])('of the worth asked for on days of %s with a lost server and a restart of all nodes at least a share of %d is brought', (name, least) => {
 	expect(measureShare({...findWorkload(name), losses: 1, hasRestart: true})).toBeGreaterThan(least);
 });
+
+test('the command prints what each workload brought, and refuses an unknown one by name', async () => {
+	const write = jest.spyOn(process.stdout, 'write').mockImplementation(() => true);
+	const warn = jest.spyOn(process.stderr, 'write').mockImplementation(() => true);
+	const before = process.exitCode;
+	await createProgram().parseAsync(['node', 'cresshook', 'rehearse', '--workload', 'slow', '--seeds', '1', '--json']);
+	const [row] = JSON.parse(String(write.mock.calls[0][0])) as Array<Record<string, unknown>>;
+	await createProgram().parseAsync(['node', 'cresshook', 'rehearse', '--workload', 'unheard']);
+	const complaint = String(warn.mock.calls[0][0]);
+	process.exitCode = before;
+	write.mockRestore();
+	warn.mockRestore();
+	expect(row.name).toBe('slow');
+	expect(Number(row.brought)).toBeGreaterThan(0.5);
+	expect(complaint).toContain('use one of swing, quick, wide, slow');
+});
