refactor(rpc): calls between nodes no longer import the entry; replays share one source of ids

Cause: src/rpc and src/node/entry imported each other; both replays made counting ids. Change: the heads of answers and the stored outcomes that nodes pass to each other stand in src/rpc; src/replay/counting-ids serves both replays. Ruled out: a re-export from the entry's index, which would keep the circle.

--- a/src/node/entry/answer-sink.ts
+++ b/src/node/entry/answer-sink.ts
@@ -2,12 +2,7 @@
 import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
 import {findAnswer, formatErrorBody, type Failure} from '../../common/index.js';
-
-/** The beginning of an answer. */
-export type AnswerHead = {
-	status: number;
-	headers: Record<string, string>;
-};
+import type {AnswerHead} from '../../rpc/index.js';
 
 /** Takes an answer piece by piece. */
 export abstract class AnswerSink {
--- a/src/node/entry/bounded-sink.ts
+++ b/src/node/entry/bounded-sink.ts
@@ -1,6 +1,7 @@
 /** A sink whose reader stops waiting at a bound of its own. */
 import {joinSignals} from '../../common/index.js';
-import {AnswerSink, type AnswerHead} from './answer-sink.js';
+import type {AnswerHead} from '../../rpc/index.js';
+import {AnswerSink} from './answer-sink.js';
 
 /** Passes an answer on until a signal fires. */
 export class BoundedSink extends AnswerSink {
--- a/src/node/entry/frame-sink.ts
+++ b/src/node/entry/frame-sink.ts
@@ -1,7 +1,7 @@
 /** Turns an answer into frames for the node that passed a keyed request on. */
 import {Buffer} from 'node:buffer';
-import type {AnswerFrame} from '../../rpc/index.js';
-import {AnswerSink, type AnswerHead} from './answer-sink.js';
+import type {AnswerFrame, AnswerHead} from '../../rpc/index.js';
+import {AnswerSink} from './answer-sink.js';
 
 /** Frames held for a reader that is slower than the answer. */
 const mostHeld = 64;
--- a/src/node/entry/recording.ts
+++ b/src/node/entry/recording.ts
@@ -1,14 +1,7 @@
 /** Keeps an answer while it is made and after, for every caller that presents the same run key. */
 import {Buffer} from 'node:buffer';
-import {AnswerSink, type AnswerHead} from './answer-sink.js';
-
-/** A recorded answer in a form that can be passed to another node. */
-export type StoredAnswer = {
-	head: AnswerHead;
-	/** Base64; absent when only the fact was kept. */
-	body?: string;
-	wasCut: boolean;
-};
+import type {AnswerHead, StoredAnswer} from '../../rpc/index.js';
+import {AnswerSink} from './answer-sink.js';
 
 /** Records an answer and plays it, also while it is still being made. */
 export class Recording extends AnswerSink {
--- a/src/node/entry/run-keys.ts
+++ b/src/node/entry/run-keys.ts
@@ -10,17 +10,8 @@
 import {
 	createFailure, type Clock, type Failure, type Incarnation, type OrganisationId, type RunKey, type RunKeyParts,
 } from '../../common/index.js';
-import {Recording, type StoredAnswer} from './recording.js';
-
-/** An outcome in a form that can be passed to a successor. */
-export type StoredOutcome = {
-	organisation: OrganisationId;
-	runKey: RunKey;
-	fingerprint: string;
-	/** Milliseconds for which the key can still be used. */
-	usableFor: number;
-	answer: StoredAnswer;
-};
+import type {StoredOutcome} from '../../rpc/index.js';
+import {Recording} from './recording.js';
 
 /** What to do with a key. */
 export type RunKeyVerdict = {
--- a/src/replay/replay.ts
+++ b/src/replay/replay.ts
@@ -2,12 +2,13 @@
 import {setImmediate as waitForTurn} from 'node:timers/promises';
 import {
 	createFailure, createSilentLogger, formatPoolId, SilentMetrics, VirtualClock, type BackendServerId, type ErrorKind, type Failure,
-	type IdSource, type Incarnation, type OrganisationId, type PartnerId, type PoolId, type RequestId, type ServiceName,
+	type Incarnation, type OrganisationId, type PartnerId, type PoolId, type RequestId, type ServiceName,
 } from '../common/index.js';
 import {
 	Dispatcher, noPrefixes, PoolDirectory, type Grant, type OrganisationFacts, type ServerState,
 } from '../node/dispatch/index.js';
 import {compilePolicy, defaultPolicy, type Policy} from '../policy/index.js';
+import {createCountingIds} from './counting-ids.js';
 import {FakeEngine} from './fake-engine.js';
 import type {Trace, TraceFleet, TraceRequest} from './trace.js';
 import type {VariantParts} from './variants.js';
@@ -249,8 +250,3 @@
 function formatServerId(index: number): BackendServerId {
 	return `engine-${index}` as BackendServerId;
 }
-
-function createCountingIds(): IdSource {
-	let count = 0;
-	return {createUuid: () => `g${++count}`};
-}
--- a/src/replay/routed/routed-replay.ts
+++ b/src/replay/routed/routed-replay.ts
@@ -1,10 +1,11 @@
 /** Replays a drawn day: the routed path's real planner over servers that work in passes, on a virtual clock. */
 import TinyQueue from 'tinyqueue';
 import type {
-	AvailabilityZone, BackendServerId, IdSource, RequestId,
+	AvailabilityZone, BackendServerId, RequestId,
 } from '../../common/index.js';
 import {Planner} from '../../planning/index.js';
 import type {BackendServer} from '../../routing/index.js';
+import {createCountingIds} from '../counting-ids.js';
 import {PassServer, type Schedule} from './pass-server.js';
 import {
 	ReplayedRequest, service, type ReplayWorld, type RoutedRecord,
@@ -113,8 +114,3 @@
 		isLeaving: false,
 	};
 }
-
-function createCountingIds(): IdSource {
-	let count = 0;
-	return {createUuid: () => `p${++count}`.padStart(36, '0')};
-}
--- a/src/rpc/index.ts
+++ b/src/rpc/index.ts
@@ -1,3 +1,4 @@
+export type * from './answers.js';
 export * from './node-clients.js';
 export * from './node-fetch.js';
 export * from './node-service.js';
--- a/src/rpc/node-service.ts
+++ b/src/rpc/node-service.ts
@@ -3,7 +3,7 @@
 	Failure, Incarnation, OrganisationId, PoolId, RunKey,
 } from '../common/index.js';
 import type {AdmitRequest, Grant, Heartbeat} from '../node/dispatch/index.js';
-import type {AnswerHead, StoredOutcome} from '../node/entry/index.js';
+import type {AnswerHead, StoredOutcome} from './answers.js';
 
 /** Answer to a ping. */
 export type PingAnswer = {
