fix(gateway): a silent server is left only while another one could take the request over

A server's silence is no reason to end an answer when nobody else may go on with it. Change: an attempt asks before it gives up whether a try, time and a retry of the budget are left; else it waits. Test: a server that falls silent is waited for when no other try is left (cut before).

--- a/src/gateway/backend-attempt.ts
+++ b/src/gateway/backend-attempt.ts
@@ -38,6 +38,8 @@
 	plan: Plan;
 	/** The event after which the stream goes on. */
 	lastEventId: number | undefined;
+	/** Whether another server could take the request over; while none could, a silent server is waited for. */
+	canMove: () => boolean;
 	/** Called once, at the first event or the whole answer. */
 	onFirst: () => void;
 };
@@ -305,7 +307,9 @@
 		}
 
 		this.#silence = this.#parts.clock.setTimer(limit, () => {
-			this.#giveUp('silent', `the server was silent for ${Math.round(limit)} ms`);
+			if (this.#parts.canMove()) {
+				this.#giveUp('silent', `the server was silent for ${Math.round(limit)} ms`);
+			}
 		});
 	}
 
--- a/src/gateway/call-run.ts
+++ b/src/gateway/call-run.ts
@@ -45,6 +45,8 @@
 	reservations: Reservations;
 	/** A server that still takes new work, by this node's own view. */
 	findServer: (id: BackendServerId) => BackendServer | undefined;
+	/** Whether one retry is left of this node's share of the fleet's budget. */
+	hasRetry: () => boolean;
 	/** Takes one retry from this node's share of the fleet's budget. */
 	takeRetry: () => boolean;
 	/** Name of this node. */
@@ -184,6 +186,7 @@
 			sink: this.#sink,
 			plan,
 			lastEventId: this.#lastEventId,
+			canMove: () => this.#canMove(),
 			onFirst: () => {
 				this.#firstAfter ??= this.#parts.clock.readMonotonic() - call.arrived;
 				this.#parts.placer.note(plan, {planId: plan.planId, kind: 'started'});
@@ -274,11 +277,16 @@
 		}
 	}
 
-	/** Whether the request may run a second time. */
-	#mayRepeat(): boolean {
+	/** Whether a server that runs the request now could be replaced: its own run counts already. */
+	#canMove(): boolean {
+		return this.#mayRepeat(this.#runs + 1) && this.#seeker.timeLeft >= leastUsefulTime && this.#parts.hasRetry();
+	}
+
+	/** Whether the request may run once more after so many runs. */
+	#mayRepeat(runs = this.#runs): boolean {
 		const {route} = this.#call;
 		const isRepeatable = route.kind === 'repeatable' || (route.kind === 'stream' && route.canResume);
-		return isRepeatable && this.#runs < Math.max(1, route.attempts);
+		return isRepeatable && runs < Math.max(1, route.attempts);
 	}
 
 	#takeTry(server: BackendServerId, reason: string): boolean {
--- a/src/gateway/call-service.ts
+++ b/src/gateway/call-service.ts
@@ -92,6 +92,7 @@
 			placer: this.#parts.placer,
 			reservations: this.#parts.reservations,
 			findServer: id => this.#parts.state.findServer(id),
+			hasRetry: () => window.hasRetry(clock.readMonotonic(), this.#parts.countNodes()),
 			takeRetry: () => window.takeRetry(clock.readMonotonic(), this.#parts.countNodes()),
 			node: this.#parts.node,
 		}, call, sink);
--- a/src/gateway/retry-window.ts
+++ b/src/gateway/retry-window.ts
@@ -34,11 +34,16 @@
 		this.#forget(now);
 	}
 
-	/** Takes one retry; false when this node's share is spent. */
-	takeRetry(now: number, liveNodes: number): boolean {
+	/** Whether this node's share has room for one more retry. */
+	hasRetry(now: number, liveNodes: number): boolean {
 		this.#forget(now);
 		const allowed = spentShare * ((this.#limits.ratio * this.#requests.length) + (this.#limits.slack / Math.max(1, liveNodes)));
-		if (this.#retries.length + 1 > allowed) {
+		return this.#retries.length + 1 <= allowed;
+	}
+
+	/** Takes one retry; false when this node's share is spent. */
+	takeRetry(now: number, liveNodes: number): boolean {
+		if (!this.hasRetry(now, liveNodes)) {
 			return false;
 		}
 
