--- a/test/gateway-parts.test.ts
+++ b/test/gateway-parts.test.ts
@@ -30,6 +30,14 @@
 	expect(() => frames.push(Buffer.alloc(5_000_000, 'a'))).toThrow('longer than');
 });
 
+test('whether a retry is left is told without taking it', () => {
+	const window = new RetryWindow({ratio: 0, slack: 3, window: 10_000});
+	expect([window.hasRetry(0, 1), window.hasRetry(0, 1), window.hasRetry(0, 1)]).toEqual([true, true, true]);
+	expect([window.takeRetry(0, 1), window.takeRetry(0, 1)]).toEqual([true, true]);
+	expect([window.hasRetry(0, 1), window.takeRetry(0, 1)]).toEqual([false, false]);
+	expect(window.hasRetry(10_001, 1)).toBe(true);
+});
+
 test('retries stay within the ratio and this node\'s part of the slack, in every window', () => {
 	const window = new RetryWindow({ratio: 0.2, slack: 100, window: 10_000});
 	for (let index = 0; index < 100; index++) {
