--- a/test/gateway-calls.test.ts
+++ b/test/gateway-calls.test.ts
@@ -1,7 +1,9 @@
 import {
 	afterEach, beforeEach, expect, test,
 } from '@jest/globals';
-import {createConfig, GatewayFleet, waitUntil} from './helpers/gateways.js';
+import {
+	createConfig, GatewayFleet, waitUntil, type SeenAnswer,
+} from './helpers/gateways.js';
 import {
 	answerWhole, decline, formatEvent, markAnswer, streamEvents, type RunnerBehaviour, type SeenRequest,
 } from './helpers/platform-standins.js';
@@ -254,46 +256,41 @@
 	expect(answer.status).toBe(200);
 });
 
-test('a stopping node takes no new connection once its address answers have run out, and still serves what runs', async () => {
+/** Starts a node and a call that its runner answers after so many milliseconds; returns once the runner has it, with the answer to come. */
+async function startCall(answerAfter: number): Promise<{answer: Promise<SeenAnswer>}> {
 	await fleet.start({
 		runners: [{
 			service: 'app',
 			behaviour(request, response, socket) {
 				setTimeout(() => {
 					void answerWhole('late')(request, response, socket);
-				}, 1400);
+				}, answerAfter);
 			},
 		}],
 	});
-	const running = fleet.call({path: '/once/'});
+	const answer = fleet.call({path: '/once/'});
 	await waitUntil(() => fleet.runners[0].seen.length === 1);
+	return {answer};
+}
+
+test('a stopping node takes no new connection once its address answers have run out, and still serves what runs', async () => {
+	const running = await startCall(1400);
 	const stopped = fleet.gateways[0].stop();
 	await new Promise(resolve => {
 		setTimeout(resolve, 1150);
 	});
 	const newcomer = await fleet.call({path: '/once/'});
-	const answer = await running;
+	const answer = await running.answer;
 	await stopped;
 	expect([newcomer.status, answer.body, fleet.runners[0].seen.length]).toEqual([0, 'late', 1]);
 });
 
 test('a planned stop serves what runs and ends within the grace', async () => {
-	await fleet.start({
-		runners: [{
-			service: 'app',
-			behaviour(request, response, socket) {
-				setTimeout(() => {
-					void answerWhole('late')(request, response, socket);
-				}, 800);
-			},
-		}],
-	});
-	const running = fleet.call({path: '/once/'});
-	await waitUntil(() => fleet.runners[0].seen.length === 1);
+	const running = await startCall(800);
 	const started = Date.now();
 	const stopped = fleet.gateways[0].stop();
 	expect(fleet.gateways[0].isReady).toBe(false);
-	const answer = await running;
+	const answer = await running.answer;
 	expect(answer.body).toBe('late');
 	await stopped;
 	expect(Date.now() - started).toBeLessThan(4000);
--- a/test/gateway-parts.test.ts
+++ b/test/gateway-parts.test.ts
@@ -1,11 +1,11 @@
 import {Buffer} from 'node:buffer';
 import {expect, test} from '@jest/globals';
 import fc from 'fast-check';
-import type {AvailabilityZone, BoxId} from '../src/common/index.js';
+import type {AvailabilityZone} from '../src/common/index.js';
 import {listCallerAddresses} from '../src/gateway/addresses.js';
 import {EventFrames} from '../src/gateway/event-frames.js';
-import type {Peer} from '../src/gateway/peer-beat.js';
 import {RetryWindow} from '../src/gateway/retry-window.js';
+import {createPeer} from './helpers/peers.js';
 
 test('whole events come out unchanged however the bytes are cut', () => {
 	const events = ['id: 1\ndata: a\n\n', 'data: no id\n\n', 'id:2\r\ndata: b\r\n\r\n', 'id: 30\ndata: two\ndata: lines\n\n'];
@@ -54,22 +54,8 @@
 	expect(window.takeRetry(12_000, 5)).toBe(true);
 });
 
-function createPeer(name: string, availabilityZone = 'a'): Peer {
-	return {
-		name: name as BoxId,
-		life: `life-${name}`,
-		availabilityZone: availabilityZone as AvailabilityZone,
-		callerAddress: `${name}:1`,
-		peerAddress: `${name}:2`,
-		beatAddress: `${name}:3`,
-		cores: 1,
-		isReady: true,
-		isSourceReachable: true,
-	};
-}
-
 test('callers hear of their own zone first, and never of one address alone while there are more', () => {
-	const nodes = [createPeer('a'), createPeer('b'), createPeer('c', 'z')];
+	const nodes = [createPeer('a'), createPeer('b'), createPeer('c', {availabilityZone: 'z' as AvailabilityZone})];
 	expect(listCallerAddresses(nodes, 'a' as AvailabilityZone)).toEqual(['a:1', 'b:1']);
 	expect(listCallerAddresses(nodes, 'z' as AvailabilityZone)).toEqual(['a:1', 'b:1', 'c:1']);
 	expect(listCallerAddresses([], 'a' as AvailabilityZone)).toEqual([]);
--- a/test/heartbeats.test.ts
+++ b/test/heartbeats.test.ts
@@ -8,24 +8,10 @@
 	decodeBeat, encodeBeat, type Peer, type PeerBeat, type PeerSign, type PeerView,
 } from '../src/gateway/peer-beat.js';
 import {heartbeatEvery, Peers} from '../src/gateway/peers.js';
+import {createPeer} from './helpers/peers.js';
 
 const view: PeerView = {configVersion: 1, serversRevision: 1, serversDigest: 'x'};
 
-function createPeer(name: string, changes: Partial<Peer> = {}): Peer {
-	return {
-		name: name as BoxId,
-		life: `${name}:one`,
-		availabilityZone: 'a' as AvailabilityZone,
-		callerAddress: `${name}:1`,
-		peerAddress: `${name}:2`,
-		beatAddress: `${name}:3`,
-		cores: 1,
-		isReady: true,
-		isSourceReachable: true,
-		...changes,
-	};
-}
-
 function signOf(peer: Peer, age = 0): PeerSign {
 	return {
 		life: peer.life, age, isReady: peer.isReady, isSourceReachable: peer.isSourceReachable,
--- /dev/null
+++ b/test/helpers/peers.ts
@@ -0,0 +1,19 @@
+/** Nodes as heartbeats describe them, for tests. */
+import type {AvailabilityZone, BoxId} from '../../src/common/index.js';
+import type {Peer} from '../../src/gateway/peer-beat.js';
+
+/** A ready node of one core. */
+export function createPeer(name: string, changes: Partial<Peer> = {}): Peer {
+	return {
+		name: name as BoxId,
+		life: `${name}:one`,
+		availabilityZone: 'a' as AvailabilityZone,
+		callerAddress: `${name}:1`,
+		peerAddress: `${name}:2`,
+		beatAddress: `${name}:3`,
+		cores: 1,
+		isReady: true,
+		isSourceReachable: true,
+		...changes,
+	};
+}
