--- a/test/heartbeats.test.ts
+++ b/test/heartbeats.test.ts
@@ -2,7 +2,7 @@
 import {expect, test} from '@jest/globals';
 import seedrandom from 'seedrandom';
 import {
-	createSilentLogger, VirtualClock, type AvailabilityZone, type BoxId,
+	createSilentLogger, VirtualClock, type AvailabilityZone,
 } from '../src/common/index.js';
 import {
 	decodeBeat, encodeBeat, type Peer, type PeerBeat, type PeerSign, type PeerView,
