--- /dev/null
+++ b/test/helpers/planning.ts
@@ -0,0 +1,82 @@
+/** A planner and what it is asked, for tests. */
+import type {
+	AvailabilityZone, BackendServerId, BoxId, IdSource, RequestId, ServiceName,
+} from '../../src/common/index.js';
+import {
+	Planner, type Decision, type Plan, type PlanRequest,
+} from '../../src/planning/index.js';
+import type {BackendServer, EngineFigures} from '../../src/routing/index.js';
+
+/** Figures of a model server. */
+export const engine: EngineFigures = {
+	slots: 11,
+	memoryTokens: 315_000,
+	stepTime: 0.85,
+	stepTimePerWriter: 0.006,
+	stepTimePerThousandContext: 0.002_85,
+	readRate: 177,
+	timePerMillionPairs: 0.184,
+	stepsPerPass: 51,
+};
+
+/** Counts plans. */
+export function createIds(): IdSource {
+	let count = 0;
+	return {createUuid: () => `plan-${++count}`};
+}
+
+/** So many servers, alike. */
+export function createServers(count: number): BackendServer[] {
+	return Array.from({length: count}, (_, index) => ({
+		id: `i-${String(index).padStart(3, '0')}` as BackendServerId,
+		service: 'model' as ServiceName,
+		address: `10.0.0.${index}:80`,
+		availabilityZone: 'a' as AvailabilityZone,
+		slots: 11,
+		isLeaving: false,
+	}));
+}
+
+/** A planner with so many servers. */
+export function createPlanner(count = 18): Planner {
+	const planner = new Planner({ids: createIds(), engine});
+	planner.setServers(createServers(count), engine);
+	return planner;
+}
+
+let requestCount = 0;
+
+/** A request for a long prompt, with changes. */
+export function ask(promptTokens: number, changes: Partial<PlanRequest> = {}): PlanRequest {
+	return {
+		requestId: `r-${++requestCount}` as RequestId,
+		service: 'model' as ServiceName,
+		node: 'edge-1' as BoxId,
+		promptTokens,
+		outputTokens: 1600,
+		waited: 0,
+		objective: 3000,
+		patience: 15_000,
+		timeLeft: changes.patience ?? 15_000,
+		longestPause: 1000,
+		excluded: [],
+		...changes,
+	};
+}
+
+/** What makes it a short one. */
+export const short = {objective: 300, patience: 10_000, longestPause: 250};
+
+/** The plan of a decision; fails on a wait. */
+export function expectPlan(decision: Decision): Plan {
+	if (decision.kind !== 'plan') {
+		throw new Error(`expected a plan, got a wait for ${decision.reason}`);
+	}
+
+	return decision.plan;
+}
+
+/** Decides and expects a plan. */
+export function planNow(planner: Planner, request: PlanRequest, now = 0): Plan {
+	return expectPlan(planner.decide(request, now).unsafeCoerce());
+}
