feat(dispatch): retries come out of one budget, counted where the fleet decides

Cause: each node had its part of the budget, two retries in ten seconds at 195 nodes, so calls ended unserved beside an unused budget. Also, the first ask of a request never said that it had not waited where the clock is finer than a call (the time was read twice); demand is counted by that. Change: the deciding node grants retries out of the fleet's window; a node asks before it leaves a silent server; its own small part is for the time without an answer. The last quarter is kept for what brings more than the mean request. Ruled out: that a retry is granted with its place; a silent server may be left only when a retry is left.

--- a/src/gateway/backend-attempt.ts
+++ b/src/gateway/backend-attempt.ts
@@ -38,8 +38,8 @@
 	plan: Plan;
 	/** The event after which the stream goes on. */
 	lastEventId: number | undefined;
-	/** Whether another server could take the request over; while none could, a silent server is waited for. */
-	canMove: () => boolean;
+	/** Takes leave to go on at another server; while there is none, a silent server is waited for. */
+	takeMove: () => Promise<boolean>;
 	/** Called once, at the first event or the whole answer. */
 	onFirst: () => void;
 };
@@ -306,11 +306,18 @@
 			return;
 		}
 
-		this.#silence = this.#parts.clock.setTimer(limit, () => {
-			if (this.#parts.canMove()) {
-				this.#giveUp('silent', `the server was silent for ${Math.round(limit)} ms`);
-			}
+		const timer = this.#parts.clock.setTimer(limit, () => {
+			void this.#leaveSilent(timer, limit);
 		});
+		this.#silence = timer;
+	}
+
+	/** An event that comes while leave is asked for ends the silence. */
+	async #leaveSilent(timer: Timer, limit: number): Promise<void> {
+		const mayLeave = await this.#parts.takeMove();
+		if (mayLeave && this.#silence === timer && !this.#isOver) {
+			this.#giveUp('silent', `the server was silent for ${Math.round(limit)} ms`);
+		}
 	}
 
 	#findFirstSilence(): number | undefined {
--- a/src/gateway/call-run.ts
+++ b/src/gateway/call-run.ts
@@ -45,10 +45,6 @@
 	reservations: Reservations;
 	/** A server that still takes new work, by this node's own view. */
 	findServer: (id: BackendServerId) => BackendServer | undefined;
-	/** Whether one retry is left of this node's share of the fleet's budget. */
-	hasRetry: () => boolean;
-	/** Takes one retry from this node's share of the fleet's budget. */
-	takeRetry: () => boolean;
 	/** Name of this node. */
 	node: Plan['request']['node'];
 };
@@ -83,6 +79,8 @@
 	#firstAfter: number | undefined;
 	#longestPause = 0;
 	#placed: Placed | undefined;
+	/** Whether a retry was taken out of the budget before the server that runs the request is left. */
+	#hasRetry = false;
 
 	constructor(parts: CallRunParts, call: Call, sink: CallSink) {
 		this.#parts = parts;
@@ -135,7 +133,7 @@
 
 			this.#placed = placed;
 			const end = this.#blame(await this.#send(placed.plan), placed.plan);
-			const verdict = this.#judge(end, placed.plan);
+			const verdict = await this.#judge(end, placed.plan);
 			if (verdict !== 'again') {
 				return verdict;
 			}
@@ -186,7 +184,7 @@
 			sink: this.#sink,
 			plan,
 			lastEventId: this.#lastEventId,
-			canMove: () => this.#canMove(),
+			takeMove: async () => this.#takeMove(),
 			onFirst: () => {
 				this.#firstAfter ??= this.#parts.clock.readMonotonic() - call.arrived;
 				this.#parts.placer.note(plan, {planId: plan.planId, kind: 'started'});
@@ -241,7 +239,7 @@
 	}
 
 	/** Decides after a send: undefined when the answer has been given, a failure, or another try. */
-	#judge(end: AttemptEnd, plan: Plan): Failure | 'again' | undefined {
+	async #judge(end: AttemptEnd, plan: Plan): Promise<Failure | 'again' | undefined> {
 		this.#runs += end.kind === 'declined' || (end.kind === 'stopped' && !end.mayHaveRun) ? 0 : 1;
 		if (end.kind === 'declined' || end.kind === 'lost') {
 			this.#noteTrouble(plan, end.trouble, end.server);
@@ -258,7 +256,7 @@
 			}
 
 			case 'failed': {
-				if (this.#mayRepeat() && this.#takeTry(end.server, 'failed')) {
+				if (this.#mayRepeat() && await this.#takeTry(end.server, 'failed')) {
 					return 'again';
 				}
 
@@ -268,18 +266,23 @@
 
 			case 'declined': {
 				const mayTry = this.#sends < this.#call.route.attempts + mostDeclined;
-				return mayTry && this.#takeTry(end.server, end.reason) ? 'again' : this.#describeDeclined(end.reason);
+				return mayTry && await this.#takeTry(end.server, end.reason) ? 'again' : this.#describeDeclined(end.reason);
 			}
 
 			case 'lost': {
-				return this.#mayRepeat() && this.#takeTry(end.server, end.reason) ? 'again' : describeUnconfirmed(end.reason);
+				return this.#mayRepeat() && await this.#takeTry(end.server, end.reason) ? 'again' : describeUnconfirmed(end.reason);
 			}
 		}
 	}
 
-	/** Whether a server that runs the request now could be replaced: its own run counts already. */
-	#canMove(): boolean {
-		return this.#mayRepeat(this.#runs + 1) && this.#seeker.timeLeft >= leastUsefulTime && this.#parts.hasRetry();
+	/** Whether the server that runs the request now may be left for another one: its own run counts already, and the retry is taken. */
+	async #takeMove(): Promise<boolean> {
+		if (!this.#mayRepeat(this.#runs + 1) || this.#seeker.timeLeft < leastUsefulTime) {
+			return false;
+		}
+
+		this.#hasRetry ||= await this.#askRetry();
+		return this.#hasRetry;
 	}
 
 	/** Whether the request may run once more after so many runs. */
@@ -289,13 +292,15 @@
 		return isRepeatable && runs < Math.max(1, route.attempts);
 	}
 
-	#takeTry(server: BackendServerId, reason: string): boolean {
+	async #takeTry(server: BackendServerId, reason: string): Promise<boolean> {
 		if (this.#end !== undefined || this.#seeker.timeLeft < leastUsefulTime) {
 			return false;
 		}
 
 		// What never left this node is no arrival anywhere and costs nothing of the budget.
-		if (this.#sends > 0 && !this.#parts.takeRetry()) {
+		const isGranted = this.#sends === 0 || this.#hasRetry || await this.#askRetry();
+		this.#hasRetry = false;
+		if (!isGranted) {
 			this.#parts.metrics.countRetry(this.#call.service.name, 'budget_spent');
 			return false;
 		}
@@ -308,6 +313,13 @@
 		return true;
 	}
 
+	async #askRetry(): Promise<boolean> {
+		const {requestId, promptTokens} = this.#call.head;
+		return this.#parts.placer.takeRetry({
+			requestId, service: this.#call.service.name, node: this.#parts.node, promptTokens,
+		});
+	}
+
 	#noteTrouble(plan: Plan, trouble: Trouble, server: BackendServerId): void {
 		this.#parts.metrics.countTrouble(this.#call.service.name, trouble);
 		this.#parts.placer.note(plan, {
--- a/src/gateway/call-service.ts
+++ b/src/gateway/call-service.ts
@@ -1,7 +1,7 @@
 /** Takes callers' requests: finds where each goes, runs it, and writes down how it ended. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
-	readErrorMessage, type BoxId, type Clock, type Logger, type ServiceName,
+	readErrorMessage, type BoxId, type Clock, type Logger,
 } from '../common/index.js';
 import type {FleetState} from '../routing/index.js';
 import type {BackendPool} from './backend-pool.js';
@@ -11,7 +11,6 @@
 import type {GatewayMetrics} from './gateway-metrics.js';
 import type {Placer} from './placer.js';
 import type {Reservations} from './reservations.js';
-import {RetryWindow, type RetryLimits} from './retry-window.js';
 import type {CallHead, GatewayWire} from './wire.js';
 
 /** Prompts up to this many tokens are counted as short in the metrics. */
@@ -27,9 +26,6 @@
 	pool: BackendPool;
 	placer: Placer;
 	reservations: Reservations;
-	retry: RetryLimits;
-	/** Live nodes, this one among them. */
-	countNodes: () => number;
 	/** Name of this node. */
 	node: BoxId;
 	/** Uniform random numbers from 0 up to 1. */
@@ -39,7 +35,6 @@
 /** Serves the calls of one node. */
 export class CallService {
 	readonly #parts: CallServiceParts;
-	readonly #retries = new Map<ServiceName, RetryWindow>();
 	readonly #runs = new Set<CallRun>();
 
 	constructor(parts: CallServiceParts) {
@@ -80,9 +75,6 @@
 
 	async #run(call: Call, sink: HttpSink, response: ServerResponse): Promise<void> {
 		const {clock, logger, wire} = this.#parts;
-		const service = call.service.name;
-		const window = this.#findRetries(service);
-		window.addRequest(clock.readMonotonic());
 		const run = new CallRun({
 			clock,
 			logger,
@@ -92,8 +84,6 @@
 			placer: this.#parts.placer,
 			reservations: this.#parts.reservations,
 			findServer: id => this.#parts.state.findServer(id),
-			hasRetry: () => window.hasRetry(clock.readMonotonic(), this.#parts.countNodes()),
-			takeRetry: () => window.takeRetry(clock.readMonotonic(), this.#parts.countNodes()),
 			node: this.#parts.node,
 		}, call, sink);
 		this.#runs.add(run);
@@ -150,14 +140,4 @@
 			took: Math.round(clock.readMonotonic() - call.arrived),
 		}, 'a call ended');
 	}
-
-	#findRetries(service: ServiceName): RetryWindow {
-		let window = this.#retries.get(service);
-		if (window === undefined) {
-			window = new RetryWindow(this.#parts.retry);
-			this.#retries.set(service, window);
-		}
-
-		return window;
-	}
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -8,7 +8,7 @@
 	Supervisor, waitFor, type AvailabilityZone, type BoxId, type Clock,
 	type IdSource, type Logger, type ServiceName,
 } from '../common/index.js';
-import type {Plan, PlanRequest} from '../planning/index.js';
+import type {Plan, PlanRequest, RetryRequest} from '../planning/index.js';
 import {
 	FleetState, Follower, type FleetSnapshot, type FleetSource, type KnownView, type RoutingConfig,
 } from '../routing/index.js';
@@ -109,10 +109,19 @@
 		this.#peers.addViewListener((peer, view) => {
 			this.#views.compareView(peer, view);
 		});
+		const {ratio, slack, window_seconds: seconds} = parts.settings.retry;
 		this.#placer = new SharedPlacer({
-			clock, logger, metrics: this.metrics, ids: parts.ids, state: this.state, peers: this.#peers, clients: this.#clients, socket: this.#socket, self,
+			clock,
+			logger,
+			metrics: this.metrics,
+			ids: parts.ids,
+			state: this.state,
+			peers: this.#peers,
+			clients: this.#clients,
+			socket: this.#socket,
+			retries: {ratio, slack, window: seconds * 1000},
+			self,
 		});
-		const {ratio, slack, window_seconds: seconds} = parts.settings.retry;
 		this.#calls = new CallService({
 			clock,
 			logger,
@@ -124,8 +133,6 @@
 			reservations: new Reservations({
 				clock, logger, wire, pool: this.#pool,
 			}),
-			retry: {ratio, slack, window: seconds * 1000},
-			countNodes: () => this.#peers.listLive().length + 1,
 			node: parts.settings.box as BoxId,
 			random: parts.random,
 		});
@@ -216,6 +223,10 @@
 		return this.#placer.decideFor(request).caseOf<DecisionAnswer>({Left: failure => ({failure}), Right: decision => ({decision})});
 	}
 
+	override grantRetry(request: RetryRequest): boolean {
+		return this.#placer.grantRetry(request);
+	}
+
 	override adopt(service: ServiceName, plans: Plan[]): void {
 		this.#placer.adopt(service, plans);
 	}
--- a/src/gateway/peer-rpc.ts
+++ b/src/gateway/peer-rpc.ts
@@ -5,7 +5,7 @@
 import * as z from 'zod';
 import type {Clock, Failure, ServiceName} from '../common/index.js';
 import type {
-	Decision, Plan, PlanRequest,
+	Decision, Plan, PlanRequest, RetryRequest,
 } from '../planning/index.js';
 import {
 	askWithin, rpcPath, sendNodeRequest, type NodeRequest,
@@ -18,6 +18,8 @@
 /** What a node answers to others. */
 export abstract class PeerService {
 	abstract decide(request: PlanRequest): DecisionAnswer;
+	/** Grants one more try of a request out of the fleet's budget, or says no. */
+	abstract grantRetry(request: RetryRequest): boolean;
 	abstract adopt(service: ServiceName, plans: Plan[]): void;
 	/** Gives what is newer than what the asking node knows. */
 	abstract takeSnapshot(known: KnownView): FleetSnapshot;
@@ -29,6 +31,7 @@
 }
 
 const planRequestSchema = defineShape<PlanRequest>(['requestId', 'service', 'node', 'promptTokens', 'patience', 'timeLeft', 'excluded']);
+const retryRequestSchema = defineShape<RetryRequest>(['requestId', 'service', 'node', 'promptTokens']);
 const planSchema = defineShape<Plan>(['planId', 'request', 'server', 'helpers']);
 const serviceSchema = z.string() as unknown as z.ZodType<ServiceName>;
 
@@ -37,6 +40,7 @@
 /** All calls between gateway nodes. */
 export const peerRouter = trpc.router({
 	decide: trpc.procedure.input(planRequestSchema).mutation(({ctx, input}) => ctx.service.decide(input)),
+	grantRetry: trpc.procedure.input(retryRequestSchema).mutation(({ctx, input}) => ctx.service.grantRetry(input)),
 	adopt: trpc.procedure.input(z.object({service: serviceSchema, plans: z.array(planSchema)})).mutation(({ctx, input}) => {
 		ctx.service.adopt(input.service, input.plans);
 	}),
--- a/src/gateway/place-seeker.ts
+++ b/src/gateway/place-seeker.ts
@@ -39,10 +39,13 @@
 	/** A place, with the time to send come; a failure; or undefined once stopped. `hasBegun` says whether the caller has seen the head of an answer. */
 	async find(hasBegun: boolean): Promise<Placed | Failure | undefined> {
 		const askedFirst = this.#parts.clock.readMonotonic();
+		// Exactly 0 for the first ask: only that one counts as a request that came.
+		let waited = 0;
 		for (;;) {
-			const answer = await this.#ask(askedFirst, hasBegun);
+			const answer = await this.#ask(waited, hasBegun);
 			if ('askAgainIn' in answer) {
 				await this.#wait(answer.askAgainIn);
+				waited = this.#parts.clock.readMonotonic() - askedFirst;
 				if (this.#isStopped) {
 					return undefined;
 				}
@@ -64,7 +67,7 @@
 		this.#wakeWaiting?.();
 	}
 
-	async #ask(askedFirst: number, hasBegun: boolean): Promise<PlaceAnswer | Failure> {
+	async #ask(waited: number, hasBegun: boolean): Promise<PlaceAnswer | Failure> {
 		const {clock, placer, call, node} = this.#parts;
 		const {route, service, organisation, head, arrived} = call;
 		const now = clock.readMonotonic();
@@ -75,7 +78,7 @@
 			organisation: organisation?.name,
 			promptTokens: head.promptTokens,
 			outputTokens: head.outputTokens,
-			waited: now - askedFirst,
+			waited,
 			objective: route.objective - (now - arrived),
 			patience: this.#findPatience(now),
 			timeLeft: this.timeLeft,
--- a/src/gateway/placer.ts
+++ b/src/gateway/placer.ts
@@ -1,7 +1,9 @@
 /** Where plans come from: a planner that decides for all nodes, or this node's own when that one does not answer. */
 import type {Either} from 'purify-ts';
 import type {Failure} from '../common/index.js';
-import type {Plan, PlanNote, PlanRequest} from '../planning/index.js';
+import type {
+	Plan, PlanNote, PlanRequest, RetryRequest,
+} from '../planning/index.js';
 
 /** A plan, and who made it. */
 export type Placed = {
@@ -18,6 +20,9 @@
 	/** Asks for a place. */
 	abstract place(request: PlanRequest): Promise<Either<Failure, PlaceAnswer>>;
 
+	/** Takes one retry out of the fleet's budget; false when none is left. */
+	abstract takeRetry(request: RetryRequest): Promise<boolean>;
+
 	/** Tells how a plan goes on. */
 	abstract note(plan: Plan, note: PlanNote): void;
 }
--- a/src/gateway/shared-placer.ts
+++ b/src/gateway/shared-placer.ts
@@ -13,7 +13,7 @@
 	type BoxId, type Clock, type Failure, type IdSource, type Logger, type PlanId, type ServiceName, type Timer,
 } from '../common/index.js';
 import {
-	Planner, type Decision, type Plan, type PlanNote, type PlanRequest,
+	computeWorth, FleetRetries, isFirstAsk, Planner, type Decision, type FleetReach, type Plan, type PlanNote, type PlanRequest, type RetryLimits, type RetryRequest,
 } from '../planning/index.js';
 import type {FleetState} from '../routing/index.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
@@ -50,12 +50,15 @@
 	peers: Peers;
 	clients: PeerClients;
 	socket: PeerSocket;
+	/** The fleet's budget of retries for each service. */
+	retries: RetryLimits;
 	self: () => Peer;
 };
 
 /** This node's part in planning for one service. */
 type ServicePlans = {
 	planner: Planner;
+	retries: FleetRetries;
 	/** Plans that this node carries out. */
 	own: Map<PlanId, Plan>;
 	/** The node that was asked last. */
@@ -85,6 +88,10 @@
 
 	override async place(request: PlanRequest): Promise<Either<Failure, PlaceAnswer>> {
 		const started = this.#parts.clock.readMonotonic();
+		if (isFirstAsk(request)) {
+			this.#findPlans(request.service).retries.addOwn(started, computeWorth(request.promptTokens));
+		}
+
 		const {decidedBy, result} = await this.#decide(request);
 		this.#parts.metrics.recordPlace(decidedBy, this.#parts.clock.readMonotonic() - started);
 		return result.map(decision => {
@@ -114,12 +121,42 @@
 
 	/** Decides for a node that asked. */
 	decideFor(request: PlanRequest): Either<Failure, Decision> {
-		const {planner} = this.#findPlans(request.service);
-		const decided = planner.decide(request, this.#parts.clock.readMonotonic());
+		const {planner, retries} = this.#findPlans(request.service);
+		const now = this.#parts.clock.readMonotonic();
+		if (isFirstAsk(request)) {
+			retries.addDecided(now, computeWorth(request.promptTokens));
+		}
+
+		const decided = planner.decide(request, now);
 		this.#logDecision(request, decided, planner);
 		return decided;
 	}
 
+	override async takeRetry(request: RetryRequest): Promise<boolean> {
+		const decider = this.#findDecider(request.service);
+		if (decider.name !== this.#parts.self().name) {
+			const answer = await this.#parts.clients.ask(decider.peerAddress, askTimeout, async (client, signal) => client.grantRetry.mutate(request, {signal}));
+			if (answer === true) {
+				return true;
+			}
+
+			this.#parts.logger.info({
+				event: 'retry_not_granted', request: request.requestId, service: request.service, node: decider.name, answer,
+			}, answer === undefined ? 'the deciding node does not answer; this node uses its own part of the budget' : 'the budget of the fleet is spent; this node uses its own part');
+		} else if (this.grantRetry(request)) {
+			return true;
+		}
+
+		const {retries} = this.#findPlans(request.service);
+		return retries.takeAlone(this.#parts.clock.readMonotonic(), computeWorth(request.promptTokens), this.#readReach());
+	}
+
+	/** Grants a retry out of the fleet's budget to a node that asked. */
+	grantRetry(request: RetryRequest): boolean {
+		const {retries} = this.#findPlans(request.service);
+		return retries.grant(this.#parts.clock.readMonotonic(), computeWorth(request.promptTokens), this.#readReach());
+	}
+
 	/** Takes the news of a node that carries plans out; it does not carry out what it does not list. */
 	takeNews({service, node, notes, active}: PlanNews): void {
 		const {planner} = this.#findPlans(service);
@@ -138,7 +175,10 @@
 
 	/** Takes over plans that another node decided. */
 	adopt(service: ServiceName, plans: Plan[]): void {
-		this.#findPlans(service).planner.adopt(plans, this.#parts.clock.readMonotonic());
+		const {planner, retries} = this.#findPlans(service);
+		const now = this.#parts.clock.readMonotonic();
+		retries.noteChange(now);
+		planner.adopt(plans, now);
 	}
 
 	/** Tells the deciding nodes once in a while what this node carries out; notes may have been lost. */
@@ -231,7 +271,7 @@
 		if (plans === undefined) {
 			const engine = this.#parts.state.table?.findService(service)?.engine;
 			plans = {
-				planner: new Planner({ids: this.#parts.ids, engine}), own: new Map(), decider: undefined, notes: [], noteTimer: undefined,
+				planner: new Planner({ids: this.#parts.ids, engine}), retries: new FleetRetries(this.#parts.retries), own: new Map(), decider: undefined, notes: [], noteTimer: undefined,
 			};
 			plans.planner.setServers(this.#parts.state.listServers(service), engine);
 			this.#services.set(service, plans);
@@ -240,6 +280,11 @@
 		return plans;
 	}
 
+	#readReach(): FleetReach {
+		const {peers} = this.#parts;
+		return {live: peers.listLive().length + 1, known: peers.listKnown().length + 1};
+	}
+
 	#refreshServers(): void {
 		for (const [service, {planner}] of this.#services) {
 			planner.setServers(this.#parts.state.listServers(service), this.#parts.state.table?.findService(service)?.engine);
--- a/src/planning/plan.ts
+++ b/src/planning/plan.ts
@@ -46,6 +46,21 @@
 	excluded: BackendServerId[];
 };
 
+/** A request for one more try of a request that was sent before. */
+export type RetryRequest = {
+	requestId: RequestId;
+	service: ServiceName;
+	/** The node that asks. */
+	node: BoxId;
+	/** Tokens of the prompt; 0 for plain services. */
+	promptTokens: number;
+};
+
+/** Whether a request asks for the first time: neither while it waits nor for another try. */
+export function isFirstAsk({waited, excluded}: PlanRequest): boolean {
+	return waited === 0 && excluded.length === 0;
+}
+
 /** A server that reads a part of a prompt for another one. */
 export type PlannedHelper = {
 	server: BackendServerId;
--- /dev/null
+++ b/src/planning/retry-window.ts
@@ -0,0 +1,69 @@
+/**
+ * Requests and retries of a sliding window, and whether one more retry stays within bounds. Pure.
+ *
+ * Times are monotonic milliseconds.
+ */
+
+/** Part of a budget that is kept for retries that bring more than the mean request: a lost giant must not find it spent on short ones. */
+const keptForMore = 0.25;
+
+/** Bounds of retries for a service, over the whole fleet. */
+export type RetryLimits = {
+	/** Retries allowed for each request. */
+	ratio: number;
+	/** Retries allowed besides. */
+	slack: number;
+	/** Length of the window in milliseconds. */
+	window: number;
+};
+
+/** What part of the bounds may be spent by whoever counts: shares of each, from 0 to 1. */
+export type RetryShare = {ratio: number; slack: number};
+
+/** Retries of one service as one node counts them. */
+export class RetryWindow {
+	readonly #limits: RetryLimits;
+	readonly #requests: Array<{at: number; worth: number}> = [];
+	readonly #retries: number[] = [];
+	#worth = 0;
+
+	constructor(limits: RetryLimits) {
+		this.#limits = limits;
+	}
+
+	/** Notes a request and what its answer is worth, in tokens. */
+	addRequest(now: number, worth: number): void {
+		this.#requests.push({at: now, worth});
+		this.#worth += worth;
+		this.#forget(now);
+	}
+
+	/** Takes one retry of a request that is worth so much; false when the share is spent. */
+	takeRetry(now: number, share: RetryShare, worth: number): boolean {
+		this.#forget(now);
+		const allowed = (share.ratio * this.#limits.ratio * this.#requests.length) + (share.slack * this.#limits.slack);
+		const open = allowed * (this.#bringsMore(worth) ? 1 : 1 - keptForMore);
+		if (this.#retries.length + 1 > open) {
+			return false;
+		}
+
+		this.#retries.push(now);
+		return true;
+	}
+
+	/** Without requests to compare with, every one counts as bringing more. */
+	#bringsMore(worth: number): boolean {
+		return worth * this.#requests.length >= this.#worth;
+	}
+
+	#forget(now: number): void {
+		const oldest = now - this.#limits.window;
+		while (this.#requests.length > 0 && this.#requests[0].at < oldest) {
+			this.#worth -= this.#requests.shift()!.worth;
+		}
+
+		while (this.#retries.length > 0 && this.#retries[0] < oldest) {
+			this.#retries.shift();
+		}
+	}
+}
