--- a/src/replay/routed/pass-server.ts
+++ b/src/replay/routed/pass-server.ts
@@ -41,12 +41,17 @@
 /** One server's part of a read. */
 type Part = {job: PassJob; tokensLeft: number; timePerToken: number; isJoint: boolean; isOwn: boolean};
 
+/** Time for which what depends on a lost server stands still before that is told, in milliseconds: what the customers' platform states. */
+export const stallTime = 1500;
+
 /** Tokens that a server reads in one step at most. */
 export const defaultChunk = 2048;
 
 /** One server. */
 export class PassServer {
 	isAlive = true;
+	/** Whether it says nothing since it was lost; one that is not dark resets what it held. */
+	isDark = false;
 	/** How many times slower than stated it works. */
 	pace = 1;
 	readonly #engine: EngineFigures;
@@ -65,7 +70,7 @@
 	/** Takes a request that it writes itself; it waits for a place inside. */
 	submit(job: PassJob): void {
 		if (!this.isAlive) {
-			job.listener.onLost();
+			this.#lose([job]);
 			return;
 		}
 
@@ -79,16 +84,31 @@
 		this.#startPass();
 	}
 
-	/** Dies: whatever depends on it is lost. */
-	die(): void {
-		const lost = new Set([...this.#waiting, ...this.#writers, ...this.#parts.map(part => part.job)]);
+	/** Dies: whatever depends on it is lost, which callers of a dark server find out for themselves. */
+	die(isDark = false): void {
+		const own = new Set([...this.#waiting, ...this.#writers, ...this.#parts.filter(part => part.isOwn).map(part => part.job)]);
+		const helped = this.#parts.filter(part => !part.isOwn).map(part => part.job);
 		this.isAlive = false;
+		this.isDark = isDark;
 		this.#life++;
 		this.#isInPass = false;
 		this.#waiting = [];
 		this.#parts = [];
 		this.#writers = [];
-		for (const job of lost) {
+		this.#lose([...own]);
+		this.#schedule(stallTime, () => {
+			this.#tellLost(helped);
+		});
+	}
+
+	#lose(jobs: PassJob[]): void {
+		if (!this.isDark) {
+			this.#tellLost(jobs);
+		}
+	}
+
+	#tellLost(jobs: PassJob[]): void {
+		for (const job of jobs) {
 			if (!job.isOver) {
 				job.isOver = true;
 				job.listener.onLost();
--- a/src/replay/routed/replayed-request.ts
+++ b/src/replay/routed/replayed-request.ts
@@ -6,7 +6,7 @@
 	moveShare, type Plan, type Planner, type PlanRequest, type Trouble,
 } from '../../planning/index.js';
 import {
-	PassJob, type PassListener, type PassServer, type Schedule,
+	PassJob, stallTime, type PassListener, type PassServer, type Schedule,
 } from './pass-server.js';
 import type {DrawnRequest} from './workloads.js';
 
@@ -53,6 +53,10 @@
 /** Time after which a lost server is noticed, in milliseconds. */
 const lossTime = 5;
 
+/** Silence before the first event after which a server is given up: in milliseconds at least, and as a multiple of what was expected. */
+const leastFirstSilence = 1000;
+const firstSilenceFactor = 3;
+
 const mostSends = 2;
 
 /** Time after which servers stop what a node that is gone had sent, in milliseconds. */
@@ -200,12 +204,19 @@
 			promptTokens: this.#request.promptTokens, events: this.#eventsLeft, urgency: plan.request.objective > 0 ? 0 : 1, parts: helpers.length + 1,
 		}, listener);
 		this.#job = job;
-		if (helpers.some(helper => !helper.isAlive)) {
-			job.isOver = true;
-			this.#takeLoss(plan);
+		const faulty = plan.helpers.find((_, index) => !helpers[index].isAlive);
+		if (first.isAlive && faulty !== undefined) {
+			const life = this.#life;
+			this.#replay.schedule(stallTime, () => {
+				if (life === this.#life && !job.isOver) {
+					job.isOver = true;
+					this.#takeLoss(plan, 'unreached', faulty.server);
+				}
+			});
 			return;
 		}
 
+		this.#watchServer(plan, Math.max(leastFirstSilence, firstSilenceFactor * Math.max(this.#request.flow.objective, plan.expectedFirst)));
 		first.submit(job);
 		for (const helper of helpers) {
 			helper.help(job);
@@ -256,10 +267,10 @@
 	}
 
 	/** A stream that is silent for too long is moved to another server. */
-	#watchServer(plan: Plan): void {
+	#watchServer(plan: Plan, silence = this.#request.flow.patience * moveShare): void {
 		const since = this.#lastEventAt;
 		const job = this.#job!;
-		this.#replay.schedule(this.#request.flow.patience * moveShare, () => {
+		this.#replay.schedule(silence, () => {
 			if (this.#lastEventAt === since && !job.isOver && !this.#isOver) {
 				job.isOver = true;
 				this.#takeLoss(plan, 'silent');
@@ -267,7 +278,7 @@
 		});
 	}
 
-	#takeLoss(plan: Plan, trouble: Trouble = 'unreached'): void {
+	#takeLoss(plan: Plan, trouble: Trouble = 'unreached', server = plan.server): void {
 		const {planner, schedule} = this.#replay;
 		const life = this.#life;
 		schedule(lossTime, () => {
@@ -276,10 +287,10 @@
 			}
 
 			planner.note({
-				planId: plan.planId, kind: 'failed', server: plan.server, trouble,
+				planId: plan.planId, kind: 'failed', server, trouble,
 			}, this.#replay.now);
 			planner.note({planId: plan.planId, kind: 'ended'}, this.#replay.now);
-			this.#excluded.push(plan.server);
+			this.#excluded.push(server);
 			this.#askedFirst = this.#replay.now;
 			if (this.#sends < mostSends) {
 				this.ask();
--- a/src/replay/routed/routed-replay.ts
+++ b/src/replay/routed/routed-replay.ts
@@ -16,6 +16,9 @@
 
 const zone = 'zone' as AvailabilityZone;
 
+/** Time after which the entry of a lost server is gone from the source's list, in milliseconds: three heartbeats. */
+const lapseTime = 3600;
+
 type TimedRun = {at: number; order: number; run: () => void};
 
 /** Replays a day to its end. The same day gives the same records. */
@@ -62,10 +65,14 @@
 		for (const loss of this.#day.losses) {
 			const server = this.servers.get(ids[loss.server])!;
 			this.schedule(loss.at, () => {
-				server.die();
+				server.die(loss.isDark);
+			});
+			this.schedule(loss.at + lapseTime, () => {
+				this.#refreshServers();
 			});
 			this.schedule(loss.at + loss.lasts, () => {
 				server.revive();
+				this.#refreshServers();
 			});
 		}
 
@@ -94,6 +101,12 @@
 		return planner;
 	}
 
+	/** The source lists those that live, and those that were lost a moment ago. */
+	#refreshServers(): void {
+		const gone = new Set(this.#day.losses.filter(loss => this.now >= loss.at + lapseTime && this.now < loss.at + loss.lasts).map(loss => loss.server));
+		this.planner.setServers(this.#listServers().filter((_, index) => !gone.has(index)), this.#workload.engine);
+	}
+
 	/** All nodes are gone, and with them what they knew and carried out. */
 	#restart({at, lasts}: Restart): void {
 		this.backAt = at + lasts;
--- a/src/replay/routed/workloads.ts
+++ b/src/replay/routed/workloads.ts
@@ -33,6 +33,8 @@
 	phaseLength: number;
 	/** Servers that are lost for a while, in all phases together. */
 	losses: number;
+	/** Share of the servers that are lost at one moment besides; none when undefined. */
+	lostTogether?: number;
 	/** Whether all nodes restart at the beginning of the last phase. */
 	hasRestart: boolean;
 };
@@ -41,7 +43,7 @@
 export type DrawnRequest = {at: number; flow: Flow; promptTokens: number; events: number};
 
 /** A server that is lost for a while. */
-export type DrawnLoss = {at: number; server: number; lasts: number};
+export type DrawnLoss = {at: number; server: number; lasts: number; isDark: boolean};
 
 /** What happens on one drawn day. */
 export type DrawnDay = {requests: DrawnRequest[]; losses: DrawnLoss[]; restart?: Restart; length: number};
@@ -100,6 +102,20 @@
 			...review, perSecond: 1.17, objective: 4000, promptTokens: {...review.promptTokens, mean: 260_000}, value: 34,
 		}],
 	},
+	{
+		name: 'large', engine: {...quickEngine, slots: 7, stepsPerPass: 80}, servers: 150, phases: swing, phaseLength: 6000, losses: 0, lostTogether: 0.33, hasRestart: false,
+		flows: [
+			{
+				...chat, perSecond: 145, objective: 409, longestPause: 300, events: {mean: 24, spread: 0.7, most: 60},
+			},
+			{
+				...digest, perSecond: 10.6, objective: 1514, longestPause: 800, patience: 6056, events: {mean: 14, spread: 0.6, most: 36},
+			},
+			{
+				...review, perSecond: 3.52, objective: 4024, longestPause: 1200, patience: 15_000, promptTokens: {mean: 220_000, spread: 0.55, most: 900_000}, events: {mean: 12, spread: 0.5, most: 30}, value: 26,
+			},
+		],
+	},
 	{
 		name: 'slow', engine: slowEngine, servers: 12, phases: [[1, 1, 1], [2, 0.5, 0.2], [0.3, 1.5, 1.8]], phaseLength: 8000, losses: 1, hasRestart: true,
 		flows: [
@@ -124,6 +140,13 @@
 const mostRestartDelay = 3000;
 const restartTime = 1200;
 
+/** When servers are lost together, as a share of the day: in the middle, so that the worst windows tell of it. */
+const lossFrom = 0.3;
+const lossSpread = 0.3;
+
+/** Share of those lost together that say nothing; the others reset what they held. */
+const darkShare = 0.5;
+
 /** Draws a day; the same seed gives the same day. */
 export function drawDay(workload: Workload, seed: string): DrawnDay {
 	const random = seedrandom(`${workload.name}-${seed}`);
@@ -134,13 +157,27 @@
 		at: random() * length,
 		server: Math.floor(random() * workload.servers),
 		lasts: shortestLoss + (random() * (longestLoss - shortestLoss)),
+		isDark: false,
 	}));
+	losses.push(...drawLossTogether(workload, length, random));
 	const restart = workload.hasRestart ? {at: length - workload.phaseLength + (random() * mostRestartDelay), lasts: restartTime} : undefined;
 	return {
 		requests, losses, restart, length,
 	};
 }
 
+function drawLossTogether({servers, lostTogether = 0}: Workload, length: number, random: () => number): DrawnLoss[] {
+	if (lostTogether === 0) {
+		return [];
+	}
+
+	const at = (lossFrom + (random() * lossSpread)) * length;
+	const left = Array.from({length: servers}, (_, index) => index);
+	return Array.from({length: Math.round(servers * lostTogether)}, () => ({
+		at, server: left.splice(Math.floor(random() * left.length), 1)[0], lasts: longestLoss + (random() * longestLoss), isDark: random() < darkShare,
+	}));
+}
+
 function drawFlow(workload: Workload, index: number, random: () => number): DrawnRequest[] {
 	const flow = workload.flows[index];
 	const requests: DrawnRequest[] = [];
