feat(dispatch): three nodes follow the store, a first start asks it a handful of times, one log line for a first view

Change: three followers in a fleet of any size, up to six more where they cannot reach the store; changes are gathered for 300 ms; at a first start only the seeds list, the others take their views; a node registers when it follows the store or hears nobody. Lists that are empty are told three times, not each second. The first view is one line.

--- /dev/null
+++ b/src/gateway/decider-choice.ts
@@ -0,0 +1,42 @@
+/** Which node this one asks for the places of a service, kept while nothing changes. */
+import type {Clock, ServiceName} from '../common/index.js';
+import {chooseDecider} from './deciders.js';
+import type {Peer} from './peer-beat.js';
+import type {Peers} from './peers.js';
+
+/** How long a choice holds while nothing changes, in milliseconds: silence and slowness end without a sign. */
+const chosenFor = 50;
+
+type Choice = {revision: number; isReady: boolean; at: number; node: Peer};
+
+/** The deciding nodes as this node sees them. It is asked several times a request, and orders a fleet of hundreds for it. */
+export class DeciderChoice {
+	readonly #clock: Clock;
+	readonly #peers: Peers;
+	readonly #self: () => Peer;
+	readonly #choices = new Map<ServiceName, Choice>();
+
+	constructor(clock: Clock, peers: Peers, self: () => Peer) {
+		this.#clock = clock;
+		this.#peers = peers;
+		this.#self = self;
+	}
+
+	/** Every node finds the same one among the live nodes, unless one was slow to it lately. */
+	choose(service: ServiceName): Peer {
+		const {revision} = this.#peers;
+		const self = this.#self();
+		const now = this.#clock.readMonotonic();
+		const choice = this.#choices.get(service);
+		if (choice?.revision === revision && choice.isReady === self.isReady && now - choice.at < chosenFor) {
+			return choice.node;
+		}
+
+		const nodes = this.#peers.listReady().filter(peer => !this.#peers.isSlow(peer.name));
+		const node = chooseDecider(service, nodes) ?? self;
+		this.#choices.set(service, {
+			revision, isReady: self.isReady, at: now, node,
+		});
+		return node;
+	}
+}
--- /dev/null
+++ b/src/gateway/decision-log.ts
@@ -0,0 +1,54 @@
+/** Writes down what was decided for a request, and from what. */
+import type {Either} from 'purify-ts';
+import type {Failure, Logger} from '../common/index.js';
+import type {Decision, PlanRequest} from '../planning/index.js';
+
+/** What a decision was made from, besides the request. */
+export type DecisionInputs = {
+	/** Plans in progress. */
+	inProgress: number;
+	configVersion: number;
+	serversRevision: number;
+};
+
+/** Logs a place, a wait or a refusal. */
+export function logDecision(logger: Logger, request: PlanRequest, decided: Either<Failure, Decision>, known: DecisionInputs): void {
+	const inputs = {
+		request: request.requestId,
+		service: request.service,
+		node: request.node,
+		promptTokens: request.promptTokens,
+		waited: Math.round(request.waited),
+		patience: Math.round(request.patience),
+		excluded: request.excluded,
+		...known,
+	};
+	decided.caseOf({
+		Left(failure) {
+			logger.info({
+				event: 'refused', ...inputs, kind: failure.kind, reason: failure.message,
+			}, 'no place for a request');
+		},
+		Right(decision) {
+			if (decision.kind === 'wait') {
+				// A request that waits asks several times a second: its first wait is worth a line at the usual level.
+				const level = request.waited === 0 ? 'info' : 'debug';
+				logger[level]({
+					event: 'waits', ...inputs, reason: decision.reason, askAgainIn: Math.round(decision.askAgainIn),
+				}, 'a long prompt waits for its turn');
+				return;
+			}
+
+			const {plan} = decision;
+			logger.info({
+				event: 'placed',
+				...inputs,
+				objective: Math.round(plan.request.objective),
+				server: plan.server,
+				helpers: plan.helpers.length,
+				startIn: Math.round(plan.startIn),
+				expectedFirst: Math.round(plan.expectedFirst),
+			}, 'a request has its place');
+		},
+	});
+}
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -20,6 +20,7 @@
 	heartbeat_port: port,
 	metrics_port: port,
 	seeds: z.array(address).default([]),
+	first_start: z.boolean().default(false),
 	cpu: z.strictObject({
 		share: z.number().gt(0, {error: 'write the part of a core that the process gets, above 0'}).default(1),
 		cores: z.number().gt(0, {error: 'write how many cores that part is taken of, above 0'}).default(1),
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -54,7 +54,10 @@
 /** Letters of a life: enough that no two among thousands are alike by chance. */
 const lifeLength = 6;
 
-/** Pause before registering again after a failure, in milliseconds. */
+/** Time for which a node waits to be heard by those that it was told of before it looks others up, in milliseconds. */
+const registerAfter = 500;
+
+/** Pause before registering again after a failure, and between looks at whether this node is to register, in milliseconds. */
 const registerPause = 1000;
 
 /** One gateway process. */
@@ -85,7 +88,7 @@
 		this.#clients = new PeerClients(clock);
 		const self = () => this.#describeSelf();
 		this.#views = new ViewExchange({
-			clock, logger, state: this.state, clients: this.#clients, self,
+			clock, logger, state: this.state, clients: this.#clients, self, isFirstStart: parts.settings.first_start && !isSeed(parts.settings),
 		});
 		this.#peers = new Peers({
 			clock, logger, self, view: () => this.#views.describeView(), random: parts.random,
@@ -277,10 +280,10 @@
 	async #supervise(): Promise<void> {
 		const {clock, logger, random, source} = this.#parts;
 		const supervisor = new Supervisor('gateway', clock, logger);
-		const isWatcher = () => this.#views.isWatcher;
+		const asksSource = () => this.#views.asksSource;
 		supervisor.addChild(new Follower({
 			name: 'configuration',
-			isWatcher,
+			asksSource,
 			source: source.configurations,
 			state: this.state,
 			onList: listing => {
@@ -292,7 +295,7 @@
 		}, {clock, logger, random}));
 		supervisor.addChild(new Follower({
 			name: 'servers',
-			isWatcher,
+			asksSource,
 			source: source.servers,
 			state: this.state,
 			onList: listing => {
@@ -312,12 +315,22 @@
 		}
 	}
 
-	/** Registers until it has worked once; nodes that find no seed look the others up there. */
+	/**
+	 * Registers until it has worked once; nodes that find no seed look the others up there.
+	 *
+	 * Those that follow the source do, and whoever hears nobody: of a fleet of hundreds a few are enough to be found by.
+	 */
 	async #register(): Promise<void> {
 		const {source, settings, clock, logger} = this.#parts;
 		const {signal} = this.#supervisorStop;
 		const peerAddress = this.#describeSelf().beatAddress;
+		await waitFor(clock, registerAfter, signal);
 		while (!signal.aborted) {
+			if (!this.#views.isWatcher && this.#peers.countLive() > 0) {
+				await waitFor(clock, registerPause, signal);
+				continue;
+			}
+
 			const registered = await source.register({name: settings.box, peerAddress}, signal);
 			const listed = await source.listNodes(signal);
 			listed.ifRight(nodes => {
@@ -356,6 +369,11 @@
 	}
 }
 
+/** Whether the other nodes were told of this one. */
+function isSeed(settings: GatewaySettings): boolean {
+	return settings.seeds.some(seed => seed.split(':')[0] === findHost(settings));
+}
+
 function findHost(settings: GatewaySettings): string {
 	return settings.listen.callers.split(':')[0];
 }
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -16,8 +16,8 @@
 /** Time between heartbeats, in milliseconds. */
 export const heartbeatEvery = 250;
 
-/** Nodes of the same zone to which one beat goes. */
-const nearFanout = 2;
+/** Nodes to which one beat goes: most of them in the same zone. */
+const fanout = 3;
 
 /**
  * Beats that a zone as a whole sends to others, each time: bytes between zones have a price.
@@ -27,12 +27,15 @@
  */
 const farBeats = 8;
 
-/** Signs passed on in one heartbeat at most: a datagram of about two and a half kilobytes. With fewer than all of them, signs come late (a simulation of 60 nodes that passed on 30 had some 2.3 s old, with all 1.5 s). */
-const passedOn = 300;
+/** Signs passed on in one heartbeat at most: a datagram of about four kilobytes. With fewer than all of them, signs come late (a simulation of 60 nodes that passed on 30 had some 2.3 s old, with all 1.5 s). */
+const passedOn = 500;
 
 /** Nodes described in one heartbeat at most: they fill a datagram of about three kilobytes. */
 const mostDescribed = 12;
 
+/** Nodes named in one log line. */
+const mostNamed = 12;
+
 /** Silence after which a node of a small fleet is left out, in milliseconds: above the oldest sign, 1,190, of six simulated nodes that lost every tenth datagram. */
 const silenceLimit = 1300;
 
@@ -78,6 +81,9 @@
 export class Peers {
 	readonly #parts: PeersParts;
 	readonly #known = new Map<BoxId, KnownPeer>();
+	/** Nodes by their present life: looked up for each sign, some two thousand times a second in a fleet of 200. */
+	readonly #lives = new Map<string, KnownPeer>();
+	/** Names by all lives that are remembered, earlier ones too. */
 	readonly #names = new Map<string, BoxId>();
 	readonly #unknown = new Map<string, UnknownLife>();
 	readonly #candidates = new Map<string, number>();
@@ -88,6 +94,7 @@
 	#lastBeat: number;
 	#live: {at: number; peers: KnownPeer[]} | undefined;
 	#revision = 0;
+	#found: BoxId[] = [];
 
 	constructor(parts: PeersParts) {
 		this.#parts = parts;
@@ -139,7 +146,7 @@
 	/** A live node by its name. */
 	findLive(name: BoxId): Peer | undefined {
 		const known = this.#known.get(name);
-		return known !== undefined && this.#isHeard(known, this.#parts.clock.readMonotonic()) ? known.peer : undefined;
+		return known !== undefined && this.#parts.clock.readMonotonic() - known.heardAt <= this.#findSilenceLimit() ? known.peer : undefined;
 	}
 
 	/** Nodes heard of within the last minute, live or not. */
@@ -166,15 +173,20 @@
 	/** Takes a heartbeat; returns what the sender needs at once. */
 	accept(beat: PeerBeat, address: string): OutgoingBeat[] {
 		const now = this.#parts.clock.readMonotonic();
-		for (const sign of [beat.from, ...beat.others]) {
-			this.#hear(sign, now);
+		const limit = this.#findSilenceLimit();
+		const {life} = this.#parts.self();
+		this.#hear(beat.from, now, limit);
+		for (const sign of beat.others) {
+			if (sign.life !== life) {
+				this.#hear(sign, now, limit);
+			}
 		}
 
 		for (const info of beat.described) {
 			this.#learn(info, now);
 		}
 
-		const sender = this.#findByLife(beat.from.life);
+		const sender = this.#lives.get(beat.from.life);
 		if (sender !== undefined) {
 			for (const listener of this.#viewListeners) {
 				listener(sender.peer, beat.view);
@@ -200,6 +212,7 @@
 		}
 
 		this.#lastBeat = now;
+		this.#logFound();
 		this.#noticeSilence(now);
 		const live = this.#listLive(now);
 		const beat = this.#createBeat(now, live);
@@ -210,18 +223,23 @@
 		].filter(outgoing => outgoing.addresses.length > 0);
 	}
 
+	/** One line for all that were found since the last beat: a fleet of 195 that starts has 38,000 pairs. */
+	#logFound(): void {
+		if (this.#found.length > 0) {
+			this.#parts.logger.info({event: 'nodes_found', count: this.#found.length, nodes: this.#found.slice(0, mostNamed)}, 'other nodes are live');
+			this.#found = [];
+		}
+	}
+
 	#listLive(now: number): KnownPeer[] {
 		if (this.#live === undefined || now - this.#live.at > listFor) {
-			this.#live = {at: now, peers: [...this.#known.values()].filter(known => this.#isHeard(known, now))};
+			const limit = this.#findSilenceLimit();
+			this.#live = {at: now, peers: [...this.#known.values()].filter(known => now - known.heardAt <= limit)};
 		}
 
 		return this.#live.peers;
 	}
 
-	#isHeard(known: KnownPeer, now: number): boolean {
-		return now - known.heardAt <= this.#findSilenceLimit();
-	}
-
 	/** The list of live nodes is made anew, and so is what others have worked out from it. */
 	#noteRevision(): void {
 		this.#live = undefined;
@@ -255,7 +273,7 @@
 	}
 
 	#describe(wanted: string[]): PeerInfo[] {
-		const known = wanted.map(life => life === this.#parts.self().life ? this.#parts.self() : this.#findByLife(life)?.peer);
+		const known = wanted.map(life => life === this.#parts.self().life ? this.#parts.self() : this.#lives.get(life)?.peer);
 		return known.flatMap(peer => peer === undefined ? [] : [pickInfo(peer)]);
 	}
 
@@ -263,9 +281,9 @@
 	#drawTargets(live: KnownPeer[]): string[] {
 		const zone: AvailabilityZone = this.#parts.self().availabilityZone;
 		const zoneMates = live.filter(({peer}) => peer.availabilityZone === zone);
-		const near = this.#draw(zoneMates, nearFanout);
 		const farFanout = this.#parts.random() * (zoneMates.length + 1) < farBeats ? 1 : 0;
-		const far = this.#draw(live.filter(({peer}) => peer.availabilityZone !== zone), nearFanout + farFanout - near.length);
+		const near = this.#draw(zoneMates, fanout - farFanout);
+		const far = this.#draw(live.filter(({peer}) => peer.availabilityZone !== zone), fanout - near.length);
 		return [...near, ...far].map(({peer}) => peer.beatAddress);
 	}
 
@@ -290,12 +308,6 @@
 		return due;
 	}
 
-	#findByLife(life: string): KnownPeer | undefined {
-		const name = this.#names.get(life);
-		const known = name === undefined ? undefined : this.#known.get(name);
-		return known?.peer.life === life ? known : undefined;
-	}
-
 	#takeWanted(now: number): string[] {
 		const due = [...this.#unknown].filter(([, unknown]) => now - unknown.askedAt >= askEvery);
 		for (const [, unknown] of due) {
@@ -324,47 +336,51 @@
 		if (before !== undefined) {
 			this.#lose(before, 'started again');
 			this.#candidates.delete(before.peer.beatAddress);
+			this.#lives.delete(before.peer.life);
 		}
 
 		const {isReady, isSourceReachable} = sign;
-		this.#known.set(info.name, {peer: {...info, isReady, isSourceReachable}, heardAt, isLive: true});
+		const known = {peer: {...info, isReady, isSourceReachable}, heardAt, isLive: true};
+		this.#known.set(info.name, known);
+		this.#lives.set(info.life, known);
 		this.#candidates.set(info.beatAddress, now);
 		this.#noteRevision();
-		this.#parts.logger.info({
+		this.#found.push(info.name);
+		this.#parts.logger.debug({
 			event: 'node_found', node: info.name, zone: info.availabilityZone, address: info.peerAddress,
 		}, 'another node is live');
 		this.#notifyChange();
 	}
 
-	#hear(sign: PeerSign, now: number): void {
+	#hear(sign: PeerSign, now: number, limit: number): void {
 		const heardAt = now - sign.age;
-		if (sign.life === this.#parts.self().life) {
-			return;
-		}
-
-		const name = this.#names.get(sign.life);
-		if (name === undefined) {
-			this.#hearUnknown(sign, heardAt, now);
+		const known = this.#lives.get(sign.life);
+		if (known === undefined) {
+			this.#hearUnknown(sign, heardAt, now, limit);
 			return;
 		}
 
-		const known = this.#findByLife(sign.life);
-		if (known === undefined || heardAt <= known.heardAt) {
+		if (heardAt <= known.heardAt) {
 			return;
 		}
 
 		known.heardAt = heardAt;
 		this.#takeStatus(known, sign);
-		if (!known.isLive && now - heardAt <= this.#findSilenceLimit()) {
+		if (!known.isLive && now - heardAt <= limit) {
 			known.isLive = true;
 			this.#noteRevision();
 			this.#parts.logger.info({event: 'node_back', node: known.peer.name}, 'another node is heard again');
 		}
 	}
 
-	#hearUnknown(sign: PeerSign, heardAt: number, now: number): void {
+	/** A late sign of an earlier life tells nothing new. */
+	#hearUnknown(sign: PeerSign, heardAt: number, now: number, limit: number): void {
+		if (this.#names.has(sign.life)) {
+			return;
+		}
+
 		const unknown = this.#unknown.get(sign.life);
-		if (now - heardAt <= this.#findSilenceLimit() && (unknown === undefined || unknown.heardAt < heardAt)) {
+		if (now - heardAt <= limit && (unknown === undefined || unknown.heardAt < heardAt)) {
 			this.#unknown.set(sign.life, {askedAt: unknown?.askedAt ?? -Infinity, sign, heardAt});
 		}
 	}
@@ -393,6 +409,7 @@
 
 			if (now - known.heardAt > forgetAfter) {
 				this.#known.delete(name);
+				this.#lives.delete(known.peer.life);
 				this.#candidates.delete(known.peer.beatAddress);
 			}
 		}
--- a/src/gateway/shared-placer.ts
+++ b/src/gateway/shared-placer.ts
@@ -22,7 +22,8 @@
 import type {PlanNews} from './plan-news.js';
 import type {Peer} from './peer-beat.js';
 import type {Peers} from './peers.js';
-import {chooseDecider} from './deciders.js';
+import {DeciderChoice} from './decider-choice.js';
+import {logDecision} from './decision-log.js';
 import {Placer, type PlaceAnswer, type Placed} from './placer.js';
 
 /** Time in which the deciding node must answer, in milliseconds: a box that has used up its quota stands still for most of a tenth of a second; with 60, 14 asks were given up within two seconds of one played day. */
@@ -31,9 +32,6 @@
 /** How long a node that did not answer is passed over, in milliseconds: its death shows in its heartbeats after that. */
 const slowRest = 600;
 
-/** How long the choice of the deciding node holds while nothing changes, in milliseconds: silence and slowness end without a sign. */
-const chosenFor = 50;
-
 /** Time in which notes are gathered, in milliseconds. */
 const noteDelay = 8;
 
@@ -43,6 +41,9 @@
 /** Time between two lists of what a node carries out, in milliseconds. */
 const reconcileEvery = 1000;
 
+/** Empty lists told after the last plan has ended: any of them may be lost. Hundreds of nodes at rest tell nothing. */
+const emptyLists = 3;
+
 /** What the placer needs. */
 export type SharedPlacerParts = {
 	clock: Clock;
@@ -64,11 +65,11 @@
 	retries: FleetRetries;
 	/** Plans that this node carries out. */
 	own: Map<PlanId, Plan>;
-	/** The node that decides by what was known at a revision of the others, and whether this node took calls then. */
-	chosen: {revision: number; isReady: boolean; at: number; node: Peer} | undefined;
 	/** The node that was asked last. */
 	decider: BoxId | undefined;
 	notes: PlanNote[];
+	/** Empty lists that are still to be told. */
+	emptyLeft: number;
 	noteTimer: Timer | undefined;
 };
 
@@ -76,11 +77,13 @@
 export class SharedPlacer extends Placer {
 	readonly #parts: SharedPlacerParts;
 	readonly #services = new Map<ServiceName, ServicePlans>();
+	readonly #deciders: DeciderChoice;
 	#reconciledAt = 0;
 
 	constructor(parts: SharedPlacerParts) {
 		super();
 		this.#parts = parts;
+		this.#deciders = new DeciderChoice(parts.clock, parts.peers, parts.self);
 		parts.state.addListener(() => {
 			this.#refreshServers();
 		});
@@ -133,12 +136,13 @@
 		}
 
 		const decided = planner.decide(request, now);
-		this.#logDecision(request, decided, planner);
+		const {logger, state} = this.#parts;
+		logDecision(logger, request, decided, {inProgress: planner.planCount, configVersion: state.configVersion, serversRevision: state.serversRevision});
 		return decided;
 	}
 
 	override async takeRetry(request: RetryRequest): Promise<boolean> {
-		const decider = this.#findDecider(request.service);
+		const decider = this.#deciders.choose(request.service);
 		if (decider.name !== this.#parts.self().name) {
 			const answer = await this.#parts.clients.ask(decider.peerAddress, askTimeout, async (client, signal) => client.grantRetry.mutate(request, {signal}));
 			if (answer === true) {
@@ -200,14 +204,17 @@
 				service, node: self, notes: [], active: [...plans.own.keys()],
 			};
 			this.takeNews(news);
-			this.#tellDecider(plans, news);
+			plans.emptyLeft = plans.own.size > 0 ? emptyLists : plans.emptyLeft - 1;
+			if (plans.emptyLeft >= 0) {
+				this.#tellDecider(plans, news);
+			}
 		}
 	}
 
 	async #decide(request: PlanRequest): Promise<{decidedBy: Placed['decidedBy']; result: Either<Failure, Decision>}> {
 		const plans = this.#findPlans(request.service);
 		const self = this.#parts.self();
-		const decider = this.#findDecider(request.service);
+		const decider = this.#deciders.choose(request.service);
 		this.#changeDecider(request.service, plans, decider);
 		if (decider.name === self.name) {
 			return {decidedBy: 'self', result: this.decideFor(request)};
@@ -235,25 +242,6 @@
 		return {decidedBy: 'fallback', result: this.decideFor(request)};
 	}
 
-	/** Every node finds the same one among the live nodes, unless one was slow to it lately. */
-	#findDecider(service: ServiceName): Peer {
-		const plans = this.#findPlans(service);
-		const {revision} = this.#parts.peers;
-		const self = this.#parts.self();
-		const now = this.#parts.clock.readMonotonic();
-		const {chosen} = plans;
-		if (chosen?.revision === revision && chosen.isReady === self.isReady && now - chosen.at < chosenFor) {
-			return chosen.node;
-		}
-
-		const nodes = this.#parts.peers.listReady().filter(peer => !this.#parts.peers.isSlow(peer.name));
-		const node = chooseDecider(service, nodes) ?? self;
-		plans.chosen = {
-			revision, isReady: self.isReady, at: now, node,
-		};
-		return node;
-	}
-
 	/** A new decider learns what this node has running. */
 	#changeDecider(service: ServiceName, plans: ServicePlans, decider: Peer): void {
 		if (plans.decider === decider.name) {
@@ -264,6 +252,7 @@
 			event: 'decider_changed', service, from: plans.decider, to: decider.name, own: plans.own.size,
 		}, 'another node decides for a service');
 		plans.decider = decider.name;
+		plans.emptyLeft = emptyLists;
 		const running = [...plans.own.values()].map(plan => ({...plan, startIn: 0}));
 		if (decider.name !== this.#parts.self().name && running.length > 0) {
 			void this.#parts.clients.ask(decider.peerAddress, adoptTimeout, async (client, signal) => client.adopt.mutate({service, plans: running}, {signal}));
@@ -289,7 +278,13 @@
 		if (plans === undefined) {
 			const engine = this.#parts.state.table?.findService(service)?.engine;
 			plans = {
-				planner: new Planner({ids: this.#parts.ids, engine}), retries: new FleetRetries(this.#parts.retries), own: new Map(), chosen: undefined, decider: undefined, notes: [], noteTimer: undefined,
+				planner: new Planner({ids: this.#parts.ids, engine}),
+				retries: new FleetRetries(this.#parts.retries),
+				own: new Map(),
+				decider: undefined,
+				notes: [],
+				emptyLeft: emptyLists,
+				noteTimer: undefined,
 			};
 			plans.planner.setServers(this.#parts.state.listServers(service), engine);
 			this.#services.set(service, plans);
@@ -308,47 +303,4 @@
 			planner.setServers(this.#parts.state.listServers(service), this.#parts.state.table?.findService(service)?.engine);
 		}
 	}
-
-	#logDecision(request: PlanRequest, decided: Either<Failure, Decision>, planner: Planner): void {
-		const inputs = {
-			request: request.requestId,
-			service: request.service,
-			node: request.node,
-			promptTokens: request.promptTokens,
-			waited: Math.round(request.waited),
-			patience: Math.round(request.patience),
-			excluded: request.excluded,
-			inProgress: planner.planCount,
-			configVersion: this.#parts.state.configVersion,
-			serversRevision: this.#parts.state.serversRevision,
-		};
-		decided.caseOf({
-			Left: failure => {
-				this.#parts.logger.info({
-					event: 'refused', ...inputs, kind: failure.kind, reason: failure.message,
-				}, 'no place for a request');
-			},
-			Right: decision => {
-				if (decision.kind === 'wait') {
-					// A request that waits asks several times a second: its first wait is worth a line at the usual level.
-					const level = request.waited === 0 ? 'info' : 'debug';
-					this.#parts.logger[level]({
-						event: 'waits', ...inputs, reason: decision.reason, askAgainIn: Math.round(decision.askAgainIn),
-					}, 'a long prompt waits for its turn');
-					return;
-				}
-
-				const {plan} = decision;
-				this.#parts.logger.info({
-					event: 'placed',
-					...inputs,
-					objective: Math.round(plan.request.objective),
-					server: plan.server,
-					helpers: plan.helpers.length,
-					startIn: Math.round(plan.startIn),
-					expectedFirst: Math.round(plan.expectedFirst),
-				}, 'a request has its place');
-			},
-		});
-	}
 }
--- a/src/gateway/view-exchange.ts
+++ b/src/gateway/view-exchange.ts
@@ -19,6 +19,12 @@
 /** Least time between two such questions, in milliseconds: changes that follow each other closely come together, and a few such pauses on the way through the fleet stay within the bound for a change. */
 const snapshotEvery = 250;
 
+/** Time for which a node of a fleet that starts for the first time waits for the view of those that it was told of, in milliseconds: callers come many seconds later, and one call to the source by each of hundreds has a price. */
+const firstPatience = 4000;
+
+/** Least time between two such questions meanwhile, in milliseconds: servers come one by one then. */
+const firstSnapshotEvery = 1000;
+
 /** What the exchange needs. */
 export type ViewExchangeParts = {
 	clock: Clock;
@@ -26,6 +32,8 @@
 	state: FleetState;
 	clients: PeerClients;
 	self: () => Peer;
+	/** Whether other nodes will read the source first: the whole fleet starts, and this node is none of those that the others were told of. */
+	isFirstStart: boolean;
 };
 
 /** A node's view beside those of the others. */
@@ -33,11 +41,14 @@
 	readonly #parts: ViewExchangeParts;
 	#view: PeerView | undefined;
 	#lastSnapshot = -Infinity;
-	#isWatcher = true;
+	#isWatcher: boolean;
+	readonly #patientUntil: number;
 	#chosenAt: {revision: number; isReachable: boolean} | undefined;
 
 	constructor(parts: ViewExchangeParts) {
 		this.#parts = parts;
+		this.#isWatcher = !parts.isFirstStart;
+		this.#patientUntil = parts.isFirstStart ? parts.clock.readMonotonic() + firstPatience : -Infinity;
 		parts.state.addListener(() => {
 			this.#view = undefined;
 		});
@@ -48,6 +59,15 @@
 		return this.#isWatcher;
 	}
 
+	/** Whether this node asks the source itself: a watcher does, and any node that knows too little to serve. */
+	get asksSource(): boolean {
+		return this.#isWatcher || !(this.#parts.state.isUsable || this.#isPatient);
+	}
+
+	get #isPatient(): boolean {
+		return this.#parts.clock.readMonotonic() < this.#patientUntil;
+	}
+
 	/** How new this node's view is. */
 	describeView(): PeerView {
 		const {state} = this.#parts;
@@ -62,6 +82,10 @@
 	/** Works out anew who follows the source, when something has changed. */
 	chooseWatchers(peers: Peers): void {
 		const self = this.#parts.self();
+		if (this.#isPatient) {
+			return;
+		}
+
 		const {revision} = peers;
 		const isReachable = self.isSourceReachable;
 		if (this.#chosenAt?.revision === revision && this.#chosenAt.isReachable === isReachable) {
@@ -83,7 +107,7 @@
 		const own = this.describeView();
 		const isAhead = view.configVersion > own.configVersion
 			|| (view.serversRevision > own.serversRevision && view.serversDigest !== own.serversDigest);
-		if (isAhead && now - this.#lastSnapshot >= snapshotEvery) {
+		if (isAhead && now - this.#lastSnapshot >= (this.#isPatient ? firstSnapshotEvery : snapshotEvery)) {
 			this.#lastSnapshot = now;
 			void this.#catchUp(peer.name, peer.peerAddress, own);
 		}
--- a/src/gateway/watchers.ts
+++ b/src/gateway/watchers.ts
@@ -8,12 +8,11 @@
 import {orderByRendezvous} from '../common/index.js';
 import type {Peer} from './peer-beat.js';
 
-/** Nodes that follow the source at least, and the share of the fleet: six who fail together are rarer than a source that is away. */
-const leastWatchers = 6;
-const watcherShare = 0.1;
+/** Nodes that follow the source, in a fleet of any size: three that fail together are rarer than a source that is away. */
+const watcherCount = 3;
 
-/** At most this many times as many follow when the first ones cannot reach the source: it may be away for all. */
-const mostExtra = 2;
+/** At most this many times as many follow when the first ones cannot reach the source: it may turn a part of the fleet away, or be away for all. */
+const mostExtra = 3;
 
 /**
  * The nodes that follow the source, out of all live ones.
@@ -21,10 +20,9 @@
  * The first ones in a fixed order, and for each of those that cannot reach it the next one that can.
  */
 export function chooseWatchers(nodes: Peer[]): Peer[] {
-	const count = Math.max(leastWatchers, Math.ceil(nodes.length * watcherShare));
 	const ordered = orderByRendezvous('source', nodes, node => node.name);
-	const first = ordered.slice(0, count);
+	const first = ordered.slice(0, watcherCount);
 	const missing = first.filter(node => !node.isSourceReachable).length;
-	const extra = ordered.slice(count, count * mostExtra).filter(node => node.isSourceReachable).slice(0, missing);
+	const extra = ordered.slice(watcherCount, watcherCount * mostExtra).filter(node => node.isSourceReachable).slice(0, missing);
 	return [...first, ...extra];
 }
--- a/src/planning/index.ts
+++ b/src/planning/index.ts
@@ -3,7 +3,7 @@
 export * from './fleet-retries.js';
 export * from './plan.js';
 export * from './planner.js';
-export * from './pool-view.js';
+export type * from './pool-view.js';
 export * from './read-demand.js';
 export * from './read-line.js';
 export * from './read-ways.js';
--- a/src/planning/planner.ts
+++ b/src/planning/planner.ts
@@ -162,13 +162,6 @@
 		this.#release(held.plan);
 	}
 
-	#noteTrouble(board: ServerBoard, trouble: Trouble, now: number): void {
-		board.health.recordTrouble(trouble, now);
-		if (trouble === 'unreached' || trouble === 'silent') {
-			this.#doubt.addLoss(board.server.id, now);
-		}
-	}
-
 	/** Forgets the plans of a node that is gone. */
 	forgetNode(node: BoxId): void {
 		for (const {plan} of this.#plans.values()) {
@@ -201,6 +194,13 @@
 		}
 	}
 
+	#noteTrouble(board: ServerBoard, trouble: Trouble, now: number): void {
+		board.health.recordTrouble(trouble, now);
+		if (trouble === 'unreached' || trouble === 'silent') {
+			this.#doubt.addLoss(board.server.id, now);
+		}
+	}
+
 	/** The objective counts from a caller's first try. */
 	#countEarlierTries(request: PlanRequest): PlanRequest {
 		const {route, callerWaits, waited, objective} = request;
--- a/src/planning/read-ways.ts
+++ b/src/planning/read-ways.ts
@@ -93,7 +93,9 @@
 /** The earliest choice of so many servers, and the earliest that hurts nobody and has no doubtful server. */
 function listChoices(byTime: Opening[], count: number, {engine, request, doubts}: WayParts): Candidate[][] {
 	const part = computeReadTime(engine, request.promptTokens, count);
-	const candidates = byTime.map(({board, freeIn}) => ({board, freeIn, harm: board.estimateHarm(engine, part + pauseMargin), doubt: doubts.get(board) ?? 0}));
+	const candidates = byTime.map(({board, freeIn}) => ({
+		board, freeIn, harm: board.estimateHarm(engine, part + pauseMargin), doubt: doubts.get(board) ?? 0,
+	}));
 	const worth = computeWorth(request.promptTokens);
 	const computeRisk = ({harm, doubt}: Candidate) => harm + (doubt * worth);
 	const harmless = candidates.filter(candidate => computeRisk(candidate) === 0).slice(0, count);
--- a/src/planning/short-placement.ts
+++ b/src/planning/short-placement.ts
@@ -32,7 +32,7 @@
 	return findLeast([best, ...groups.forLong.map(board => weigh(board))], place => place.cost)!;
 }
 
-function weighPlace(board: ServerBoard, request: PlanRequest, {engine, doubts, now}: PoolView): ShortPlace {
+function weighPlace(board: ServerBoard, request: PlanRequest, {engine, now}: PoolView): ShortPlace {
 	const readTime = computeReadTime(engine, request.promptTokens);
 	const worth = computeWorth(request.promptTokens);
 	const pass = board.computePass(engine, request.promptTokens);
@@ -41,7 +41,7 @@
 	const lacksRoom = board.heldTokens + request.promptTokens + request.outputTokens > engine.memoryTokens * memoryShare;
 	const finish = pending + (overfull * pass * overfullPasses) + (lacksRoom ? request.patience : 0) + pass + readTime;
 	const harm = board.estimateHarm(engine, pending + readTime);
-	const earned = estimateCredit(finish, request.objective, request.patience) * (1 - board.health.spoiled) * (1 - (doubts.get(board) ?? 0));
+	const earned = estimateCredit(finish, request.objective, request.patience) * (1 - board.health.spoiled);
 	const delay = delayCost * finish / Math.max(pass, request.objective);
 	return {board, finish, cost: (worth * (delay - earned)) + harm};
 }
--- a/src/replay/routed/pass-server.ts
+++ b/src/replay/routed/pass-server.ts
@@ -101,6 +101,11 @@
 		});
 	}
 
+	/** Comes back, empty. */
+	revive(): void {
+		this.isAlive = true;
+	}
+
 	#lose(jobs: PassJob[]): void {
 		if (!this.isDark) {
 			this.#tellLost(jobs);
@@ -116,11 +121,6 @@
 		}
 	}
 
-	/** Comes back, empty. */
-	revive(): void {
-		this.isAlive = true;
-	}
-
 	#addPart(job: PassJob, isOwn: boolean): void {
 		const {promptTokens, parts} = job.spec;
 		const tokens = promptTokens / parts;
--- a/src/replay/routed/workloads.ts
+++ b/src/replay/routed/workloads.ts
@@ -103,7 +103,8 @@
 		}],
 	},
 	{
-		name: 'large', engine: {...quickEngine, slots: 7, stepsPerPass: 80}, servers: 150, phases: swing, phaseLength: 6000, losses: 0, lostTogether: 0.33, hasRestart: false,
+		name: 'large', engine: {...quickEngine, slots: 7, stepsPerPass: 80}, servers: 150, phases: swing, phaseLength: 6000,
+		losses: 0, lostTogether: 0.33, hasRestart: false,
 		flows: [
 			{
 				...chat, perSecond: 145, objective: 409, longestPause: 300, events: {mean: 24, spread: 0.7, most: 60},
@@ -112,7 +113,8 @@
 				...digest, perSecond: 10.6, objective: 1514, longestPause: 800, patience: 6056, events: {mean: 14, spread: 0.6, most: 36},
 			},
 			{
-				...review, perSecond: 3.52, objective: 4024, longestPause: 1200, patience: 15_000, promptTokens: {mean: 220_000, spread: 0.55, most: 900_000}, events: {mean: 12, spread: 0.5, most: 30}, value: 26,
+				...review, perSecond: 3.52, objective: 4024, longestPause: 1200, patience: 15_000, value: 26,
+				promptTokens: {mean: 220_000, spread: 0.55, most: 900_000}, events: {mean: 12, spread: 0.5, most: 30},
 			},
 		],
 	},
--- a/src/routing/fleet-state.ts
+++ b/src/routing/fleet-state.ts
@@ -133,7 +133,7 @@
 			}
 		}
 
-		this.#serversRevision = listing.revision;
+		this.#noteRevision(listing.revision, origin);
 		this.#notify();
 	}
 
@@ -210,7 +210,7 @@
 
 		if (snapshot.servers !== undefined && snapshot.servers.revision > this.#serversRevision) {
 			this.#applyServers(snapshot.servers.items, origin);
-			this.#serversRevision = snapshot.servers.revision;
+			this.#noteRevision(snapshot.servers.revision, origin);
 			this.#notify();
 		}
 	}
@@ -267,7 +267,9 @@
 		const isLeaving = server.isLeaving || before?.isLeaving === true;
 		this.#servers.set(server.id, {server: {...server, isLeaving}});
 		if (before?.isLeaving !== isLeaving) {
-			this.#logger.info({
+			// At its first view a node finds all servers of a fleet at once: one line counts them.
+			const level = this.#serversRevision === 0 ? 'debug' : 'info';
+			this.#logger[level]({
 				event: isLeaving ? 'server_leaving' : 'server_added', server: server.id, service: server.service, address: server.address, origin,
 			}, 'a backend server changed');
 		}
@@ -304,6 +306,16 @@
 		}
 	}
 
+	#noteRevision(revision: number, origin: string): void {
+		if (this.#serversRevision === 0) {
+			this.#logger.info({
+				event: 'servers_known', servers: this.#servers.size, revision, origin,
+			}, 'this node knows the backend servers');
+		}
+
+		this.#serversRevision = revision;
+	}
+
 	#notify(): void {
 		for (const listener of this.#listeners) {
 			listener();
--- a/src/routing/follower.ts
+++ b/src/routing/follower.ts
@@ -14,6 +14,9 @@
 const firstPause = 100;
 const longestPause = 800;
 
+/** Time in which changes are gathered before they are followed on, in milliseconds: each answer has a price, and a rollout changes several servers a second. A tenth of the bounds within which a change must hold. */
+const gatherTime = 300;
+
 /** Pause between looks at whether this node is to follow the source, in milliseconds: one heartbeat. */
 const idlePause = 250;
 
@@ -22,8 +25,8 @@
 	name: string;
 	source: ItemSource<Item>;
 	state: FleetState;
-	/** Whether this node is one of those that follow the source; the others list once, when they know nothing yet. */
-	isWatcher: () => boolean;
+	/** Whether this node asks the source itself; else other nodes tell it what changes. */
+	asksSource: () => boolean;
 	onList: (listing: Listing<Item>) => void;
 	onChanges: (changes: Changes<Item>) => void;
 };
@@ -50,7 +53,7 @@
 		let revision: number | undefined;
 		let pause = firstPause;
 		while (!signal.aborted) {
-			if (!this.#items.isWatcher() && this.#items.state.isUsable) {
+			if (!this.#items.asksSource()) {
 				// Other nodes tell what changes; the revision is too old when it is this node's turn again.
 				revision = undefined;
 				await waitFor(this.#clock, idlePause, signal);
@@ -98,14 +101,18 @@
 
 	async #follow(revision: number, signal: AbortSignal): Promise<number | SourceFailure> {
 		const followed = await this.#items.source.follow(revision, followWait, signal);
-		return followed.caseOf<number | SourceFailure>({
-			Left: failure => failure,
-			Right: changes => {
-				this.#items.state.noteReturn();
-				this.#items.onChanges(changes);
-				return changes.revision;
-			},
-		});
+		if (followed.isLeft()) {
+			return followed.extract();
+		}
+
+		const changes = followed.extract() as Changes<Item>;
+		this.#items.state.noteReturn();
+		this.#items.onChanges(changes);
+		if (changes.changes.length > 0) {
+			await waitFor(this.#clock, gatherTime, signal);
+		}
+
+		return changes.revision;
 	}
 
 	#noteFailure(failure: SourceFailure): void {
