--- a/src/planning/fleet-retries.ts
+++ b/src/planning/fleet-retries.ts
@@ -3,7 +3,7 @@
  *
  * Load pattern: servers die together and the calls they held are spread over hundreds of
  * nodes. Cut into one part a node, a budget of 460 retries leaves each of 195 nodes two in ten
- * seconds, and calls end unserved beside a budget of which nine tenths are unused.
+ * seconds, and calls end unserved beside a budget that is mostly unused.
  *
  * Times are monotonic milliseconds.
  */
