--- a/src/planning/long-reads.ts
+++ b/src/planning/long-reads.ts
@@ -9,7 +9,6 @@
 import type {EngineFigures} from '../routing/index.js';
 import {computePassTime, computeReadTime} from './engine-model.js';
 import type {Plan, PlanRequest, WaitReason} from './plan.js';
-import type {PoolView} from './pool-view.js';
 import {mostReaders, ReadDemand} from './read-demand.js';
 import {ReadLine} from './read-line.js';
 import {findBestWay, type Opening, type ReadWay} from './read-ways.js';
@@ -49,13 +48,12 @@
 	readonly #demand = new ReadDemand();
 
 	/** Decides for one request; it keeps its place in line by asking again. */
-	decide(request: PlanRequest, servers: ServerBoard[], pool: PoolView): Either<Failure, ReadDecision> {
-		const {engine, now} = pool;
+	decide(request: PlanRequest, servers: ServerBoard[], engine: EngineFigures, now: number): Either<Failure, ReadDecision> {
 		this.#demand.add(request, engine, now);
 		this.#line.join(request, now);
 		const openings = servers.map(board => ({board, freeIn: board.findLongReadEnd(now) - now}));
-		this.#occupyAhead(openings, request, pool);
-		const way = this.#findWay(openings, request, pool);
+		this.#occupyAhead(openings, request, engine, now);
+		const way = this.#findWay(openings, request, engine, now);
 		if (way === undefined) {
 			return this.#waitOrRefuse(request, engine, servers.length);
 		}
@@ -75,19 +73,19 @@
 	}
 
 	/** Those ahead take their servers first. */
-	#occupyAhead(openings: Opening[], request: PlanRequest, pool: PoolView): void {
+	#occupyAhead(openings: Opening[], request: PlanRequest, engine: EngineFigures, now: number): void {
 		const most = Math.min(openings.length, mostReaders);
-		for (const ahead of this.#line.listAhead(request.requestId, pool.engine, most, pool.now).slice(0, mostAhead)) {
-			const way = this.#findWay(openings, ahead, pool);
+		for (const ahead of this.#line.listAhead(request.requestId, engine, most, now).slice(0, mostAhead)) {
+			const way = this.#findWay(openings, ahead, engine, now);
 			if (way !== undefined) {
 				occupy(openings, way);
 			}
 		}
 	}
 
-	#findWay(openings: Opening[], request: PlanRequest, pool: PoolView): ReadWay | undefined {
+	#findWay(openings: Opening[], request: PlanRequest, engine: EngineFigures, now: number): ReadWay | undefined {
 		return findBestWay(openings, {
-			...pool, request, demand: this.#demand, pressure: this.#line.computePressure(request.requestId, pool.now),
+			request, engine, demand: this.#demand, pressure: this.#line.computePressure(request.requestId, now), now,
 		});
 	}
 
--- a/src/planning/planner.ts
+++ b/src/planning/planner.ts
@@ -18,11 +18,10 @@
 import {computeReadTime} from './engine-model.js';
 import {findLeast} from './find-least.js';
 import type {
-	Decision, Plan, PlanNote, PlanRequest, Trouble,
+	Decision, Plan, PlanNote, PlanRequest,
 } from './plan.js';
 import {describeOverload, LongReads} from './long-reads.js';
 import {ServerBoard} from './server-board.js';
-import {ServerDoubt} from './server-doubt.js';
 import {ServerShares, type ServerGroups} from './server-shares.js';
 import {placeShort} from './short-placement.js';
 
@@ -61,7 +60,6 @@
 	#engine: EngineFigures | undefined;
 	#shortestPause = defaultPause;
 	readonly #shares = new ServerShares();
-	readonly #doubt = new ServerDoubt();
 
 	constructor(parts: PlannerParts) {
 		this.#ids = parts.ids;
@@ -112,7 +110,7 @@
 		}
 
 		const planned = this.#engine === undefined || request.promptTokens === 0
-			? this.#planPlain(request, usable, now)
+			? this.#planPlain(request, usable)
 			: this.#planPrompt(request, usable, this.#engine, now);
 		return planned.map(decision => {
 			if (decision.kind === 'plan') {
@@ -137,8 +135,8 @@
 		if (note.kind === 'failed') {
 			const board = this.#boards.get(note.server);
 			// A server that was given a long read is silent while it reads, and none the worse for it.
-			if (board !== undefined && (note.trouble !== 'silent' || !board.hasReadLately(now))) {
-				this.#noteTrouble(board, note.trouble, now);
+			if (note.trouble !== 'silent' || !board?.hasReadLately(now)) {
+				board?.health.recordTrouble(note.trouble, now);
 			}
 
 			return;
@@ -152,8 +150,6 @@
 		if (note.kind === 'started') {
 			this.#forEachBoard(held.plan, board => {
 				board.start(note.planId, now);
-				board.noteSign(now);
-				this.#doubt.removeLoss(board.server.id);
 			});
 			this.#boards.get(held.plan.server)?.health.recordSuccess();
 			return;
@@ -194,13 +190,6 @@
 		}
 	}
 
-	#noteTrouble(board: ServerBoard, trouble: Trouble, now: number): void {
-		board.health.recordTrouble(trouble, now);
-		if (trouble === 'unreached' || trouble === 'silent') {
-			this.#doubt.addLoss(board.server.id, now);
-		}
-	}
-
 	/** The objective counts from a caller's first try. */
 	#countEarlierTries(request: PlanRequest): PlanRequest {
 		const {route, callerWaits, waited, objective} = request;
@@ -224,9 +213,8 @@
 		return [trusted, rested, boards].find(list => list.length > 0) ?? [];
 	}
 
-	#planPlain(request: PlanRequest, usable: ServerBoard[], now: number): Either<Failure, Decision> {
-		const doubts = this.#doubt.estimate(usable, now);
-		const best = findLeast(usable, board => (board.workCount / board.server.slots) + board.health.spoiled + (doubts.get(board) ?? 0))!;
+	#planPlain(request: PlanRequest, usable: ServerBoard[]): Either<Failure, Decision> {
+		const best = findLeast(usable, board => (board.workCount / board.server.slots) + board.health.spoiled)!;
 		return Right(this.#createPlan(request, best.server.id, {expectedFirst: 0}));
 	}
 
@@ -243,7 +231,7 @@
 	}
 
 	#planShort(request: PlanRequest, groups: ServerGroups, engine: EngineFigures, now: number): Either<Failure, Decision> {
-		const best = placeShort(request, groups, {engine, doubts: this.#doubt.estimate([...groups.forLong, ...groups.forShort], now), now});
+		const best = placeShort(request, groups, engine, now);
 		if (best.finish > request.patience) {
 			return Left(describeOverload(best.finish - request.patience));
 		}
@@ -252,8 +240,7 @@
 	}
 
 	#planLong(request: PlanRequest, servers: ServerBoard[], engine: EngineFigures, now: number): Either<Failure, Decision> {
-		const doubts = this.#doubt.estimate(servers, now);
-		return this.#reads.decide(request, servers, {engine, doubts, now}).map(decision => decision.kind === 'wait'
+		return this.#reads.decide(request, servers, engine, now).map(decision => decision.kind === 'wait'
 			? decision
 			: this.#createPlan(request, decision.server, decision.parts));
 	}
--- a/src/planning/read-ways.ts
+++ b/src/planning/read-ways.ts
@@ -9,7 +9,6 @@
 import {computeWorth, estimateCredit, findStake} from './credit.js';
 import {computePassTime, computeReadTime} from './engine-model.js';
 import type {PlanRequest} from './plan.js';
-import type {PoolView} from './pool-view.js';
 import {mostReaders, type ReadDemand} from './read-demand.js';
 import type {ServerBoard} from './server-board.js';
 
@@ -45,21 +44,16 @@
 };
 
 /** What ways are judged by. */
-export type WayParts = PoolView & {
+export type WayParts = {
 	request: PlanRequest;
+	engine: EngineFigures;
 	demand: ReadDemand;
 	/** Worth that others who wait lose with each millisecond. */
 	pressure: number;
+	now: number;
 };
 
-/** A server that may read: what its writers lose by it, and how likely it is dead. */
-type Candidate = Opening & {harm: number; doubt: number};
-
-/** Time after which a read that depends on a dead server is known to be lost, in milliseconds: servers let it stand still for so long. */
-const lossTime = 1500;
-
-/** Share of what the next try would bring that counts for a read that may be lost: that one may fail too, and costs a retry. */
-const secondTryShare = 0.5;
+type Candidate = Opening & {harm: number};
 
 /** The way that brings most; undefined when none brings anything. */
 export function findBestWay(openings: Opening[], parts: WayParts): ReadWay | undefined {
@@ -90,18 +84,14 @@
 	return writers / (engine.slots * openings.length);
 }
 
-/** The earliest choice of so many servers, and the earliest that hurts nobody and has no doubtful server. */
-function listChoices(byTime: Opening[], count: number, {engine, request, doubts}: WayParts): Candidate[][] {
+/** The earliest choice of so many servers, and the earliest that hurts nobody. */
+function listChoices(byTime: Opening[], count: number, {engine, request}: WayParts): Candidate[][] {
 	const part = computeReadTime(engine, request.promptTokens, count);
-	const candidates = byTime.map(({board, freeIn}) => ({
-		board, freeIn, harm: board.estimateHarm(engine, part + pauseMargin), doubt: doubts.get(board) ?? 0,
-	}));
-	const worth = computeWorth(request.promptTokens);
-	const computeRisk = ({harm, doubt}: Candidate) => harm + (doubt * worth);
-	const harmless = candidates.filter(candidate => computeRisk(candidate) === 0).slice(0, count);
+	const candidates = byTime.map(({board, freeIn}) => ({board, freeIn, harm: board.estimateHarm(engine, part + pauseMargin)}));
+	const harmless = candidates.filter(candidate => candidate.harm === 0).slice(0, count);
 	const latest = candidates[count - 1].freeIn;
 	// Of the servers that are free by then, those where least is lost.
-	const earliest = candidates.filter(candidate => candidate.freeIn <= latest).sort((left, right) => computeRisk(left) - computeRisk(right)).slice(0, count);
+	const earliest = candidates.filter(candidate => candidate.freeIn <= latest).sort((left, right) => left.harm - right.harm).slice(0, count);
 	return harmless.length === count ? [earliest, harmless] : [earliest];
 }
 
@@ -116,10 +106,7 @@
 	const wholeObjective = Math.max(1, request.objective + request.waited);
 	const delay = delayCost * credit * Math.min(1, finish / wholeObjective);
 	const costs = harm + (chosen.length * readTime * timePrice);
-	const soundness = chosen.reduce((product, candidate) => product * (1 - candidate.doubt), 1);
-	const secondTry = secondTryShare * estimateCredit(finish + lossTime, request.objective, request.patience);
-	const expected = (soundness * (credit - delay + stake)) + ((1 - soundness) * secondTry);
 	return {
-		readers: chosen.map(candidate => candidate.board), wait, readTime, finish, harm, value: (computeWorth(request.promptTokens) * expected) - costs,
+		readers: chosen.map(candidate => candidate.board), wait, readTime, finish, harm, value: (computeWorth(request.promptTokens) * (credit - delay + stake)) - costs,
 	};
 }
--- a/src/planning/server-board.ts
+++ b/src/planning/server-board.ts
@@ -55,7 +55,6 @@
 	readonly #works = new Map<PlanId, Work>();
 	#summary: Summary | undefined;
 	#lastLongReadEnd = -Infinity;
-	#lastSign: number | undefined;
 
 	constructor(public server: BackendServer) {}
 
@@ -74,17 +73,6 @@
 		return this.#summarise().heldTokens;
 	}
 
-	/** When the server was last known to live: from its last answer, or from when it was first thought of. */
-	findLastSign(now: number): number {
-		this.#lastSign ??= now;
-		return this.#lastSign;
-	}
-
-	/** Notes that the server has answered. */
-	noteSign(now: number): void {
-		this.#lastSign = now;
-	}
-
 	/** Adds work. */
 	add(work: Work): void {
 		this.#works.set(work.planId, work);
--- a/src/planning/short-placement.ts
+++ b/src/planning/short-placement.ts
@@ -1,9 +1,9 @@
 /** Where a short request runs. Pure. */
+import type {EngineFigures} from '../routing/index.js';
 import {computeWorth, estimateCredit} from './credit.js';
 import {computeReadTime} from './engine-model.js';
 import {findLeast} from './find-least.js';
 import type {PlanRequest} from './plan.js';
-import type {PoolView} from './pool-view.js';
 import {memoryShare} from './prompt-memory.js';
 import type {ServerBoard} from './server-board.js';
 import type {ServerGroups} from './server-shares.js';
@@ -21,8 +21,8 @@
 export type ShortPlace = {board: ServerBoard; cost: number; finish: number};
 
 /** The server where a short request brings most: an early first event, and no pause too long for those who write there. */
-export function placeShort(request: PlanRequest, groups: ServerGroups, pool: PoolView): ShortPlace {
-	const weigh = (board: ServerBoard) => weighPlace(board, request, pool);
+export function placeShort(request: PlanRequest, groups: ServerGroups, engine: EngineFigures, now: number): ShortPlace {
+	const weigh = (board: ServerBoard) => weighPlace(board, request, engine, now);
 	const best = findLeast(groups.forShort.map(board => weigh(board)), place => place.cost)!;
 	if (best.cost < computeWorth(request.promptTokens) * -goodShare) {
 		return best;
@@ -32,7 +32,7 @@
 	return findLeast([best, ...groups.forLong.map(board => weigh(board))], place => place.cost)!;
 }
 
-function weighPlace(board: ServerBoard, request: PlanRequest, {engine, now}: PoolView): ShortPlace {
+function weighPlace(board: ServerBoard, request: PlanRequest, engine: EngineFigures, now: number): ShortPlace {
 	const readTime = computeReadTime(engine, request.promptTokens);
 	const worth = computeWorth(request.promptTokens);
 	const pass = board.computePass(engine, request.promptTokens);
