feat(dispatch): calls are held until a started node knows the fleet; of equal servers one of the node's zone is taken

Answers cross zones in four of five cases. Change: a call waits for the first view, a second at most and no longer once the store is known to be away; a server of another zone must be better by a hundredth of the worth. Tests: three calls at a node whose store answers after 0.9 s are served; a caller that leaves meanwhile reaches no server; a node that the store turns away refuses at once. A stand-in's late answer no longer keeps the test's process.

--- a/src/gateway/call-run.ts
+++ b/src/gateway/call-run.ts
@@ -8,7 +8,7 @@
  */
 import {Buffer} from 'node:buffer';
 import {
-	createFailure, findAnswer, formatErrorBody, type BackendServerId, type Clock, type Failure, type Logger, type Timer,
+	createFailure, findAnswer, formatErrorBody, type AvailabilityZone, type BackendServerId, type Clock, type Failure, type Logger, type Timer,
 } from '../common/index.js';
 import type {Plan, Trouble} from '../planning/index.js';
 import {findRank, type BackendServer} from '../routing/index.js';
@@ -45,8 +45,9 @@
 	reservations: Reservations;
 	/** A server that still takes new work, by this node's own view. */
 	findServer: (id: BackendServerId) => BackendServer | undefined;
-	/** Name of this node. */
+	/** Name and availability zone of this node. */
 	node: Plan['request']['node'];
+	availabilityZone: AvailabilityZone;
 };
 
 /** How a call ended, for its log line. */
@@ -88,9 +89,11 @@
 		this.#sink = sink;
 		this.#lastEventId = call.head.lastEventId;
 		const deadline = call.arrived + Math.min(call.head.timeLeft ?? Infinity, call.route.timeLimit);
-		const {clock, placer, node} = parts;
+		const {
+			clock, placer, node, availabilityZone,
+		} = parts;
 		this.#seeker = new PlaceSeeker({
-			clock, placer, call, node, deadline,
+			clock, placer, call, node, availabilityZone, deadline,
 		});
 	}
 
--- a/src/gateway/call-service.ts
+++ b/src/gateway/call-service.ts
@@ -1,13 +1,14 @@
 /** Takes callers' requests: finds where each goes, runs it, and writes down how it ended. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
-	readErrorMessage, type BoxId, type Clock, type Logger,
+	readErrorMessage, type AvailabilityZone, type BoxId, type Clock, type Logger,
 } from '../common/index.js';
 import type {FleetState} from '../routing/index.js';
 import type {BackendPool} from './backend-pool.js';
 import type {Call} from './call.js';
 import {CallRun, sendFailure, type CallOutcome} from './call-run.js';
 import type {HttpSink} from './call-sink.js';
+import {waitForFirstView} from './first-view.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
 import type {Placer} from './placer.js';
 import type {Reservations} from './reservations.js';
@@ -26,8 +27,9 @@
 	pool: BackendPool;
 	placer: Placer;
 	reservations: Reservations;
-	/** Name of this node. */
+	/** Name and availability zone of this node. */
 	node: BoxId;
+	availabilityZone: AvailabilityZone;
 	/** Uniform random numbers from 0 up to 1. */
 	random: () => number;
 };
@@ -58,6 +60,12 @@
 		const arrived = this.#parts.clock.readMonotonic();
 		const {wire, logger} = this.#parts;
 		const head = wire.readCall(request.method ?? 'GET', request.url ?? '/', request.headers);
+		await waitForFirstView(this.#parts.clock, this.#parts.state);
+		if (response.destroyed) {
+			logger.info({event: 'call_refused', kind: 'caller_gone', status: 0}, 'the caller left before the node knew the fleet');
+			return;
+		}
+
 		const resolved = head.chain(value => this.#resolve(value, body, arrived));
 		if (resolved.isLeft()) {
 			const failure = resolved.extract();
@@ -85,6 +93,7 @@
 			reservations: this.#parts.reservations,
 			findServer: id => this.#parts.state.findServer(id),
 			node: this.#parts.node,
+			availabilityZone: this.#parts.availabilityZone,
 		}, call, sink);
 		this.#runs.add(run);
 		response.once('close', () => {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -137,6 +137,7 @@
 				clock, logger, wire, pool: this.#pool,
 			}),
 			node: parts.settings.box as BoxId,
+			availabilityZone: parts.settings.availability_zone as AvailabilityZone,
 			random: parts.random,
 		});
 		this.state.addListener(() => {
--- a/src/gateway/place-seeker.ts
+++ b/src/gateway/place-seeker.ts
@@ -1,6 +1,6 @@
 /** Finds a place for one call: asks until there is one, and waits until it is time to send. */
 import type {
-	BackendServerId, BoxId, Clock, Failure, Timer,
+	AvailabilityZone, BackendServerId, BoxId, Clock, Failure, Timer,
 } from '../common/index.js';
 import {findMoveSilence} from './backend-attempt.js';
 import type {Call} from './call.js';
@@ -11,8 +11,9 @@
 	clock: Clock;
 	placer: Placer;
 	call: Call;
-	/** Name of this node. */
+	/** Name and availability zone of this node. */
 	node: BoxId;
+	availabilityZone: AvailabilityZone;
 	/** When the call must have ended, by the monotonic clock. */
 	deadline: number;
 };
@@ -68,13 +69,16 @@
 	}
 
 	async #ask(waited: number, hasBegun: boolean): Promise<PlaceAnswer | Failure> {
-		const {clock, placer, call, node} = this.#parts;
+		const {
+			clock, placer, call, node, availabilityZone,
+		} = this.#parts;
 		const {route, service, organisation, head, arrived} = call;
 		const now = clock.readMonotonic();
 		const result = await placer.place({
 			requestId: head.requestId,
 			service: service.name,
 			node,
+			availabilityZone,
 			organisation: organisation?.name,
 			promptTokens: head.promptTokens,
 			outputTokens: head.outputTokens,
--- a/src/planning/plan.ts
+++ b/src/planning/plan.ts
@@ -1,6 +1,6 @@
 /** What is asked of a planner and what it decides. */
 import type {
-	BackendServerId, BoxId, OrganisationId, PlanId, RequestId, ServiceName,
+	AvailabilityZone, BackendServerId, BoxId, OrganisationId, PlanId, RequestId, ServiceName,
 } from '../common/index.js';
 
 /**
@@ -17,6 +17,8 @@
 	service: ServiceName;
 	/** The node that asks; its plans are forgotten when it dies. */
 	node: BoxId;
+	/** Availability zone of that node: an answer from a server of the same one crosses no border. */
+	availabilityZone?: AvailabilityZone;
 	organisation?: OrganisationId;
 	/** Tokens of the prompt; 0 for plain services. */
 	promptTokens: number;
--- a/src/planning/short-placement.ts
+++ b/src/planning/short-placement.ts
@@ -17,6 +17,9 @@
 /** Share of its worth that a short request must bring on the servers for short ones, else it may take others. */
 const goodShare = 0.6;
 
+/** Share of its worth by which a server of another zone must be better: bytes between zones have a price, and two ways through it take a millisecond each. */
+const zoneCost = 0.01;
+
 /** A server that a short request may go to; `finish` is when its first event is due, in milliseconds, `cost` less what it brings, in tokens. */
 export type ShortPlace = {board: ServerBoard; cost: number; finish: number};
 
@@ -43,5 +46,6 @@
 	const harm = board.estimateHarm(engine, pending + readTime);
 	const earned = estimateCredit(finish, request.objective, request.patience) * (1 - board.health.spoiled);
 	const delay = delayCost * finish / Math.max(pass, request.objective);
-	return {board, finish, cost: (worth * (delay - earned)) + harm};
+	const isFar = request.availabilityZone !== undefined && request.availabilityZone !== board.server.availabilityZone;
+	return {board, finish, cost: (worth * (delay - earned + (isFar ? zoneCost : 0))) + harm};
 }
--- a/src/routing/fleet-state.ts
+++ b/src/routing/fleet-state.ts
@@ -92,14 +92,22 @@
 		return this.#table !== undefined && (this.#serversRevision > 0 || this.#servers.size > 0);
 	}
 
+	/** Whether the source did not answer when it was last asked. */
+	get isOutage(): boolean {
+		return this.#isOutage;
+	}
+
 	/** The servers known, as one text: equal for equal views. */
 	describeServers(): string {
 		return [...this.#servers.values()].map(({server}) => `${server.id}${server.isLeaving ? '-' : '+'}`).sort().join(',');
 	}
 
-	/** Calls back after each change. */
-	addListener(listener: () => void): void {
+	/** Calls back after each change, until the function that is returned is called. */
+	addListener(listener: () => void): () => void {
 		this.#listeners.add(listener);
+		return () => {
+			this.#listeners.delete(listener);
+		};
 	}
 
 	/** Puts a configuration in force, unless it is older than the one that is. */
@@ -160,8 +168,12 @@
 
 	/** Notes that the source does not answer: what vanishes from now on may still live. */
 	noteOutage(): void {
+		const isNew = !this.#isOutage;
 		this.#isOutage = true;
 		this.#outageAt = this.#clock.readMonotonic();
+		if (isNew) {
+			this.#notify();
+		}
 	}
 
 	/** Notes that the source answers again. */
--- a/test/gateway-calls.test.ts
+++ b/test/gateway-calls.test.ts
@@ -240,6 +240,34 @@
 	expect([answer.status, fleet.gateways[0].isReady]).toEqual([503, false]);
 });
 
+test('a call that comes before a started node knows the fleet is held and served, not turned away', async () => {
+	await fleet.start({nodes: 0, runners: [{service: 'app', behaviour: answerWhole('yes')}]});
+	fleet.store.trouble = 'slow';
+	await fleet.addGateway();
+	expect(fleet.gateways[0].isReady).toBe(false);
+	const answers = await Promise.all([1, 2, 3].map(async () => fleet.call({path: '/once/'})));
+	expect(answers.map(answer => [answer.status, answer.body])).toEqual([[200, 'yes'], [200, 'yes'], [200, 'yes']]);
+});
+
+test('a caller that leaves while it is held is not sent to a server', async () => {
+	await fleet.start({nodes: 0, runners: [{service: 'app', behaviour: answerWhole('yes')}]});
+	fleet.store.trouble = 'slow';
+	await fleet.addGateway();
+	await fleet.call({path: '/once/', leaveAfter: 30});
+	await waitUntil(() => fleet.gateways[0].isReady);
+	expect(fleet.runners[0].seen).toHaveLength(0);
+});
+
+test('a node whose store turns it away refuses at once and says when to come back', async () => {
+	await fleet.start({nodes: 0, runners: []});
+	fleet.store.trouble = 'busy';
+	await fleet.addGateway();
+	await fleet.call({path: '/once/'});
+	const started = Date.now();
+	const answer = await fleet.call({path: '/once/'});
+	expect([answer.status, Number(answer.headers['retry-after']) > 0, Date.now() - started < 200]).toEqual([503, true, true]);
+});
+
 test('a node that started beside a silent store learns the servers once it answers', async () => {
 	await fleet.store.start();
 	fleet.store.put('config', 'main', createConfig(1));
--- a/test/helpers/platform-standins.ts
+++ b/test/helpers/platform-standins.ts
@@ -153,8 +153,9 @@
 		}
 
 		if (this.trouble === 'slow') {
+			// An answer that nobody waits for any more must not keep the process.
 			await new Promise(resolve => {
-				setTimeout(resolve, slowAnswer);
+				setTimeout(resolve, slowAnswer).unref();
 			});
 		}
 
--- a/test/planning.test.ts
+++ b/test/planning.test.ts
@@ -1,11 +1,11 @@
 import {expect, test} from '@jest/globals';
 import fc from 'fast-check';
 import type {
-	BackendServerId, BoxId, PlanId, RequestId,
+	AvailabilityZone, BackendServerId, BoxId, PlanId, RequestId,
 } from '../src/common/index.js';
 import {computePassTime, computeReadTime, ServerHealth} from '../src/planning/index.js';
 import {
-	ask, createPlanner, engine, planNow, short,
+	ask, createPlanner, createServers, engine, planNow, short,
 } from './helpers/planning.js';
 
 test('a read grows with the square of its prompt and is divided evenly', () => {
@@ -60,6 +60,21 @@
 	expect(failure.kind).toBe('no_backend_server');
 });
 
+test('of servers that are alike one in the zone of the node is taken, and a better one elsewhere all the same', () => {
+	const planner = createPlanner(0);
+	const zones = ['a', 'b', 'c'] as AvailabilityZone[];
+	planner.setServers(createServers(9).map((server, index) => ({...server, availabilityZone: zones[index % zones.length]})), engine);
+	const zoneOf = (server: BackendServerId) => zones[Number(server.slice(2)) % zones.length];
+	for (let index = 0; index < 45; index++) {
+		planNow(planner, ask(1000, short));
+	}
+
+	const taken = zones.map(availabilityZone => zoneOf(planNow(planner, ask(1000, {...short, availabilityZone}), 1000).server));
+	expect(taken).toEqual(zones);
+	const crowd = Array.from({length: 12}, () => zoneOf(planNow(planner, ask(6000, {...short, availabilityZone: zones[0]}), 1000).server));
+	expect(new Set(crowd).size).toBeGreaterThan(1);
+});
+
 test('an excluded server is not chosen', () => {
 	const planner = createPlanner(2);
 	for (let index = 0; index < 5; index++) {
