feat(dispatch): the callers' port is open before the program is loaded

Tests: what comes before the program listens is answered when it does; started by hand with a wrong and a right address, and with settings that are not there.

--- a/scripts/gateway-loader.cjs
+++ b/scripts/gateway-loader.cjs
@@ -9,10 +9,33 @@
 'use strict';
 
 const {existsSync, readFileSync} = require('node:fs');
+const net = require('node:net');
 const {wrap} = require('node:module');
 const path = require('node:path');
+const process = require('node:process');
 const vm = require('node:vm');
 
+/** Opens the callers' port before the program is loaded; the program goes on with it, see `src/gateway/early-listener.ts`. */
+function openEarly(address) {
+	const [host, port] = address.split(':');
+	const connections = [];
+	const server = net.createServer({pauseOnConnect: true, noDelay: true});
+	server.on('connection', connection => {
+		connections.push(connection);
+	});
+	// A port that is taken is reported when the program itself listens there.
+	server.on('error', () => {
+		globalThis[Symbol.for('cresshook.early-listener')] = undefined;
+	});
+	server.listen({host, port: Number(port)});
+	globalThis[Symbol.for('cresshook.early-listener')] = {address, server, connections};
+}
+
+const earlyIndex = process.argv.indexOf('--early-callers');
+if (earlyIndex !== -1 && process.argv[earlyIndex + 1] !== undefined) {
+	openEarly(process.argv[earlyIndex + 1]);
+}
+
 const bundle = path.join(__dirname, 'gateway.cjs');
 const cache = path.join(__dirname, 'gateway.cache');
 
@@ -20,6 +43,11 @@
 	filename: bundle,
 	cachedData: existsSync(cache) ? readFileSync(cache) : undefined,
 });
-script.runInThisContext().call(module.exports, module.exports, require, module, bundle, __dirname);
+/** Runs the program; once, but where its code cache is written. */
+function run() {
+	script.runInThisContext().call(module.exports, module.exports, require, module, bundle, __dirname);
+}
+
+run();
 
-module.exports = {script, cache};
+module.exports = {script, cache, run};
--- a/src/cli/gateway-command.ts
+++ b/src/cli/gateway-command.ts
@@ -5,7 +5,9 @@
 import {
 	createLogger, openLogOutput, randomIdSource, readErrorMessage, systemClock, type Logger,
 } from '../common/index.js';
-import {Gateway, loadGatewaySettings, type GatewaySettings} from '../gateway/index.js';
+import {
+	closeEarlyListener, Gateway, loadGatewaySettings, type GatewaySettings,
+} from '../gateway/index.js';
 import {formatProblem} from '../settings/index.js';
 import {exitCodes} from './exit-codes.js';
 
@@ -14,6 +16,7 @@
 	program.command('gateway')
 		.description('run a node of the routed path on the platform')
 		.requiredOption('--settings <file>', 'settings file, TOML')
+		.option('--early-callers <address>', 'IP:PORT of listen.callers, opened by the loader before the program is loaded')
 		.action(async (options: {settings: string}) => {
 			const loaded = await loadGatewaySettings(options.settings);
 			if (loaded.isLeft()) {
@@ -21,6 +24,7 @@
 					process.stderr.write(`${formatProblem(problem)}\n`);
 				}
 
+				closeEarlyListener();
 				process.exitCode = exitCodes.wrongUse;
 				return;
 			}
@@ -45,10 +49,16 @@
 	} catch (error) {
 		logger.fatal({event: 'start_failed', reason: readErrorMessage(error)}, 'the node could not start; check the addresses of its listeners');
 		process.exitCode = exitCodes.failed;
+		closeEarlyListener();
 		await gateway.close();
 		return;
 	}
 
+	const unused = closeEarlyListener();
+	if (unused !== undefined) {
+		logger.warn({event: 'early_listener_unused', address: unused, callers: settings.listen.callers}, 'the address of --early-callers is not listen.callers of the settings; make them alike');
+	}
+
 	logger.info({
 		event: 'started', box: settings.box, zone: settings.availability_zone, callers: settings.listen.callers, store: settings.store.address,
 	}, 'the node listens');
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -1,3 +1,4 @@
+export {closeEarlyListener} from './early-listener.js';
 export * from './gateway.js';
 export * from './gateway-settings.js';
 export * from './wire.js';
--- a/src/gateway/servers.ts
+++ b/src/gateway/servers.ts
@@ -6,6 +6,7 @@
 import {rpcPath} from '../rpc/node-fetch.js';
 import {HttpSink} from './call-sink.js';
 import {sendFailure} from './call-run.js';
+import {listenOnEarly, takeEarlyListener} from './early-listener.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
 import {peerRouter, type PeerService} from './peer-rpc.js';
 import type {GatewayWire} from './wire.js';
@@ -39,6 +40,13 @@
 }
 
 async function listen(server: OpenServer, address: string): Promise<OpenServer> {
+	const early = takeEarlyListener(address);
+	if (early !== undefined) {
+		await server.ready();
+		await listenOnEarly(server.server, early);
+		return server;
+	}
+
 	const [host, port] = address.split(':');
 	await server.listen({host, port: Number(port)});
 	return server;
--- a/test/gateway-parts.test.ts
+++ b/test/gateway-parts.test.ts
@@ -1,4 +1,6 @@
 import {Buffer} from 'node:buffer';
+import {createServer as createHttpServer} from 'node:http';
+import {createServer, type AddressInfo, type Socket} from 'node:net';
 import {expect, test} from '@jest/globals';
 import fc from 'fast-check';
 import {Right} from 'purify-ts';
@@ -7,10 +9,12 @@
 } from '../src/common/index.js';
 import {listCallerAddresses} from '../src/gateway/addresses.js';
 import type {Call} from '../src/gateway/call.js';
+import {listenOnEarly, takeEarlyListener} from '../src/gateway/early-listener.js';
 import {EventFrames} from '../src/gateway/event-frames.js';
 import {PlaceSeeker} from '../src/gateway/place-seeker.js';
 import {Placer, type PlaceAnswer, type Placed} from '../src/gateway/placer.js';
 import type {Plan, PlanRequest} from '../src/planning/index.js';
+import {send, waitUntil} from './helpers/gateways.js';
 import {createPeer} from './helpers/peers.js';
 
 test('whole events come out unchanged however the bytes are cut', () => {
@@ -77,8 +81,37 @@
 		arrived: 0, head: {}, route: {objective: 300}, service: {name: 'model'},
 	} as unknown as Call;
 	await new PlaceSeeker({
-		clock, placer, call, node: 'edge-1' as BoxId, deadline: 1000,
+		clock, placer, call, node: 'edge-1' as BoxId, availabilityZone: 'a' as AvailabilityZone, deadline: 1000,
 	}).find(false);
 	expect(placer.waits[0]).toBe(0);
 	expect(placer.waits.slice(1).every(waited => waited > 0)).toBe(true);
 });
+
+test('what comes before the program listens is answered when it does, and the port is the program\'s from then on', async () => {
+	const connections: Socket[] = [];
+	const opened = createServer({pauseOnConnect: true}, connection => {
+		connections.push(connection);
+	});
+	await new Promise<void>(resolve => {
+		opened.listen({host: '127.0.0.1', port: 0}, resolve);
+	});
+	const address = `127.0.0.1:${(opened.address() as AddressInfo).port}`;
+	Object.assign(globalThis, {[Symbol.for('cresshook.early-listener')]: {address, server: opened, connections}});
+	const before = send(address, {path: '/before'});
+	await waitUntil(() => connections.length === 1);
+	expect(takeEarlyListener('127.0.0.1:1')).toBeUndefined();
+	const early = takeEarlyListener(address)!;
+	expect(takeEarlyListener(address)).toBeUndefined();
+	const server = createHttpServer((request, response) => {
+		response.end(request.url);
+	});
+	await listenOnEarly(server, early);
+	const answers = [await before, await send(address, {path: '/after'})];
+	expect(answers.map(answer => answer.body)).toEqual(['/before', '/after']);
+	server.closeAllConnections();
+	await new Promise(resolve => {
+		server.close(resolve);
+	});
+	const refused = await send(address, {path: '/closed'});
+	expect(refused.status).toBe(0);
+});
