--- a/scripts/build-gateway.js
+++ b/scripts/build-gateway.js
@@ -44,4 +44,4 @@
 
 // V8 takes a cache only under the flags it was written with: those of the deploy file.
 const {flags} = /run = "node (?<flags>.*?) target/.exec(readFileSync('deploy/system.toml', 'utf8')).groups;
-execFileSync(process.execPath, [...flags.split(' '), 'scripts/write-code-cache.cjs'], {stdio: 'inherit'});
+execFileSync(process.execPath, [...flags.split(' '), 'scripts/write-code-cache.cjs'], {stdio: ['ignore', 'ignore', 'inherit']});
--- a/scripts/write-code-cache.cjs
+++ b/scripts/write-code-cache.cjs
@@ -1,27 +1,36 @@
 /**
  * Writes V8's code cache of the gateway's bundle: `build-gateway.js` runs it with the flags of a node.
  *
- * The program is loaded and asked for settings that are not there, so that what every start
- * runs is compiled, and nothing listens.
+ * The program is run as far as serving calls first. From a cache of what is run at loading alone, a node on a
+ * third of a core took 0.4 to 0.9 s from its start to its first view of the fleet, most of it to compile.
  */
 'use strict';
 
 const {rmSync, writeFileSync} = require('node:fs');
 const path = require('node:path');
 const process = require('node:process');
+const {program, warmStart} = require('./warm-start.cjs');
 
 const target = path.join(__dirname, '../target');
 
-/** Time after which the refusal of the settings is done, in milliseconds. */
-const loadedAfter = 500;
+async function writeCache() {
+	rmSync(path.join(target, 'gateway.cache'), {force: true});
+	let loaded;
+	await warmStart(words => {
+		process.argv = [...program, ...words];
+		if (loaded === undefined) {
+			loaded = require(path.join(target, 'cresshook.cjs'));
+			return;
+		}
 
-rmSync(path.join(target, 'gateway.cache'), {force: true});
-process.argv = [process.argv[0], 'cresshook', 'gateway', '--settings', path.join(target, 'no-such-settings')];
-// The refusal of the settings is no news here.
-process.stderr.write = () => true;
-const {script, cache} = require(path.join(target, 'cresshook.cjs'));
+		loaded.run();
+	});
+	writeFileSync(loaded.cache, loaded.script.createCachedData());
+}
 
-setTimeout(() => {
-	writeFileSync(cache, script.createCachedData());
-	process.exitCode = 0;
-}, loadedAfter);
+writeCache().catch(error => {
+	process.stderr.write(`the code cache could not be written: ${error.message}\n`);
+	process.exitCode = 1;
+}).finally(() => {
+	process.exit(); // eslint-disable-line unicorn/no-process-exit -- it is a program; its nodes would keep it alive
+});
