feat(dispatch): a node that starts again in a running fleet lists once and follows nothing until it knows who does

Change: a node that knows the fleet follows from a second after its start; it looks others up after 1.5 s without any. Tests: a node that joins seven makes two calls, both lists.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -55,7 +55,7 @@
 const lifeLength = 6;
 
 /** Time for which a node waits to be heard by those that it was told of before it looks others up, in milliseconds. */
-const registerAfter = 500;
+const registerAfter = 1500;
 
 /** Pause before registering again after a failure, and between looks at whether this node is to register, in milliseconds. */
 const registerPause = 1000;
--- a/src/gateway/view-exchange.ts
+++ b/src/gateway/view-exchange.ts
@@ -25,6 +25,9 @@
 /** Least time between two such questions meanwhile, in milliseconds: servers come one by one then. */
 const firstSnapshotEvery = 1000;
 
+/** Time after its start for which a node that knows the fleet does not follow the source yet, in milliseconds: by then it has heard who does. Of hundreds that start again together a few go on to ask. */
+const settleTime = 1000;
+
 /** What the exchange needs. */
 export type ViewExchangeParts = {
 	clock: Clock;
@@ -43,11 +46,13 @@
 	#lastSnapshot = -Infinity;
 	#isWatcher: boolean;
 	readonly #patientUntil: number;
+	readonly #settledAt: number;
 	#chosenAt: {revision: number; isReachable: boolean} | undefined;
 
 	constructor(parts: ViewExchangeParts) {
 		this.#parts = parts;
 		this.#isWatcher = !parts.isFirstStart;
+		this.#settledAt = parts.clock.readMonotonic() + settleTime;
 		this.#patientUntil = parts.isFirstStart ? parts.clock.readMonotonic() + firstPatience : -Infinity;
 		parts.state.addListener(() => {
 			this.#view = undefined;
@@ -61,7 +66,11 @@
 
 	/** Whether this node asks the source itself: a watcher does, and any node that knows too little to serve. */
 	get asksSource(): boolean {
-		return this.#isWatcher || !(this.#parts.state.isUsable || this.#isPatient);
+		return this.#parts.state.isUsable ? this.#isWatcher && this.#isSettled : !this.#isPatient;
+	}
+
+	get #isSettled(): boolean {
+		return this.#parts.clock.readMonotonic() >= this.#settledAt;
 	}
 
 	get #isPatient(): boolean {
--- a/test/gateway-nodes.test.ts
+++ b/test/gateway-nodes.test.ts
@@ -110,6 +110,23 @@
 	await waitUntil(() => fleet.gateways.every(gateway => gateway.isReady), 6000);
 }, watchedLimit);
 
+test('a node that joins a running fleet lists once and leaves following and registering to others', async () => {
+	await fleet.start({nodes: 0, runners: [{service: 'app', behaviour: answerWhole('yes')}]});
+	await fleet.startFirst(7);
+	await waitUntil(areWatchersChosen, 8000);
+	const watchers = fleet.settings.filter((_, index) => fleet.gateways[index].isWatcher).map(settings => settings.box);
+	await waitUntil(() => watchers.every(name => fleet.store.listNames('cresshook-nodes').includes(name)), 3000);
+	const before = fleet.store.calls.length;
+	const joined = await fleet.joinFirst();
+	await waitUntil(() => fleet.gateways.every(gateway => gateway.listReadyNodes().length === 8), 3000);
+	await new Promise(resolve => {
+		setTimeout(resolve, 2500);
+	});
+	expect(joined.isWatcher).toBe(false);
+	const asked = fleet.store.calls.slice(before).filter(call => !call.includes('watch='));
+	expect(asked.sort()).toEqual(['GET /v1/objects/config', 'GET /v1/objects/servers']);
+}, watchedLimit);
+
 test('when those that follow the store end, others do', async () => {
 	await fleet.start({nodes: 8, runners: [{service: 'app', behaviour: answerWhole('yes')}]});
 	await waitUntil(areWatchersChosen);
--- a/test/helpers/gateways.ts
+++ b/test/helpers/gateways.ts
@@ -67,6 +67,9 @@
 	leaveAfter?: number;
 };
 
+/** Where a node listens, and what it is told of the others. */
+type NodePlace = {index?: number; ports?: number[]; host?: string; seeds?: string[]; isFirstStart?: boolean};
+
 let callCount = 0;
 
 /** Nodes, a store and runners of one test. */
@@ -75,6 +78,7 @@
 	readonly gateways: Gateway[] = [];
 	readonly settings: GatewaySettings[] = [];
 	readonly runners: StandinRunner[] = [];
+	#ports: number[] = [];
 
 	/** Starts the store with a configuration, runners for the services named, and nodes. */
 	async start(options: {nodes?: number; runners: Array<{service: string; behaviour: RunnerBehaviour}>}): Promise<this> {
@@ -109,15 +113,20 @@
 
 	/** Starts nodes together for the first time, each on a host of its own; all are told of the first one. */
 	async startFirst(count: number): Promise<void> {
-		const ports = await findFreePorts(6);
-		await Promise.all(Array.from({length: count}, async (_, index) => this.addGateway({
-			index, ports, host: `127.0.1.${index + 1}`, seeds: [`127.0.1.1:${ports[3]}`],
-		})));
+		this.#ports = await findFreePorts(6);
+		await Promise.all(Array.from({length: count}, async (_, index) => this.addGateway(this.#describePlace(index))));
+	}
+
+	/** Starts one more node beside those of a first start. */
+	async joinFirst(): Promise<Gateway> {
+		return this.addGateway({...this.#describePlace(this.gateways.length), isFirstStart: false});
 	}
 
 	/** Starts a node; one with seeds is part of a first start. */
-	async addGateway(place: {index?: number; ports?: number[]; host?: string; seeds?: string[]} = {}): Promise<Gateway> {
-		const {index = this.gateways.length, host = '127.0.0.1', seeds = []} = place;
+	async addGateway(place: NodePlace = {}): Promise<Gateway> {
+		const {
+			index = this.gateways.length, host = '127.0.0.1', seeds = [], isFirstStart = seeds.length > 0,
+		} = place;
 		const ports = place.ports ?? await findFreePorts(6);
 		const settings = parseGatewaySettings(`
 box = "edge-${index}"
@@ -126,7 +135,7 @@
 heartbeat_port = ${ports[4]}
 metrics_port = ${ports[5]}
 seeds = ${JSON.stringify(seeds)}
-first_start = ${seeds.length > 0}
+first_start = ${isFirstStart}
 address_lifetime_seconds = 1
 [listen]
 callers = "${host}:${ports[0]}"
@@ -162,6 +171,12 @@
 		await Promise.all(this.gateways.map(async gateway => gateway.close()));
 		await Promise.all([...this.runners, this.store].map(async standin => standin.stop()));
 	}
+
+	#describePlace(index: number): NodePlace {
+		return {
+			index, ports: this.#ports, host: `127.0.1.${index + 1}`, seeds: [`127.0.1.1:${this.#ports[3]}`],
+		};
+	}
 }
 
 /** Sends a request and reads what comes. */
