--- a/scripts/write-code-cache.cjs
+++ b/scripts/write-code-cache.cjs
@@ -16,7 +16,7 @@
 async function writeCache() {
 	rmSync(path.join(target, 'gateway.cache'), {force: true});
 	let loaded;
-	await warmStart(words => {
+	const start = words => {
 		process.argv = [...program, ...words];
 		if (loaded === undefined) {
 			loaded = require(path.join(target, 'cresshook.cjs'));
@@ -24,7 +24,15 @@
 		}
 
 		loaded.run();
-	});
+	};
+
+	try {
+		await warmStart(start);
+	} catch (error) {
+		// A node starts from it all the same, and compiles the rest.
+		process.stderr.write(`the code cache holds a part of what a node runs: ${error.message}\n`);
+	}
+
 	writeFileSync(loaded.cache, loaded.script.createCachedData());
 }
 
