--- a/src/planning/short-placement.ts
+++ b/src/planning/short-placement.ts
@@ -17,8 +17,8 @@
 /** Share of its worth that a short request must bring on the servers for short ones, else it may take others. */
 const goodShare = 0.6;
 
-/** Share of its worth by which a server of another zone must be better: bytes between zones have a price, and two ways through it take a millisecond each. */
-const zoneCost = 0.01;
+/** Share of its worth by which a server of another zone must be better: four milliseconds of a short objective, for bytes between zones have a price and its two ways take a millisecond each. With twenty milliseconds first events came 25 ms later in bursts. */
+const zoneCost = 0.002;
 
 /** A server that a short request may go to; `finish` is when its first event is due, in milliseconds, `cost` less what it brings, in tokens. */
 export type ShortPlace = {board: ServerBoard; cost: number; finish: number};
