test(gateway): a silent server is waited for when no retry is left

Change: with no retry in the budget a silent server is waited for, and the answer comes whole from the one server. The program is unchanged.

--- a/test/gateway-calls.test.ts
+++ b/test/gateway-calls.test.ts
@@ -75,17 +75,18 @@
 	expect(Number(answer.headers['retry-after'])).toBeGreaterThan(0);
 });
 
-test('a server that falls silent is waited for when no other try is left', async () => {
-	const pauseOnce: RunnerBehaviour = async (request, response) => {
-		const from = Number(request.headers['last-event-id'] ?? 0) + 1;
-		response.writeHead(200, {...markAnswer(request), 'content-type': 'text/event-stream'});
-		response.write(formatEvent(from));
-		await new Promise(resolve => {
-			setTimeout(resolve, 1700);
-		});
-		response.end(formatEvent(from + 1));
-	};
+/** Writes an event, keeps silent and ends with the next one. */
+const pauseOnce: RunnerBehaviour = async (request, response) => {
+	const from = Number(request.headers['last-event-id'] ?? 0) + 1;
+	response.writeHead(200, {...markAnswer(request), 'content-type': 'text/event-stream'});
+	response.write(formatEvent(from));
+	await new Promise(resolve => {
+		setTimeout(resolve, 1700);
+	});
+	response.end(formatEvent(from + 1));
+};
 
+test('a server that falls silent is waited for when no other try is left', async () => {
 	await fleet.start({runners: [1, 2, 3, 4].map(() => ({service: 'model', behaviour: pauseOnce}))});
 	const answer = await fleet.call({path: '/stream/', headers: tokens});
 	// Its route allows three servers: two that fell silent were left, the third was not.
@@ -94,6 +95,15 @@
 	expect(fleet.runners.reduce((sum, runner) => sum + runner.seen.length, 0)).toBe(3);
 });
 
+test('a server that falls silent is waited for when no retry is left', async () => {
+	await fleet.start({nodes: 0, runners: [1, 2].map(() => ({service: 'model', behaviour: pauseOnce}))});
+	await fleet.addGateway({retrySlack: 0});
+	await waitUntil(() => fleet.gateways[0].isReady);
+	const answer = await fleet.call({path: '/stream/', headers: tokens});
+	expect([answer.status, answer.isWhole, answer.body]).toEqual([200, true, [1, 2].map(id => formatEvent(id)).join('')]);
+	expect(fleet.runners.reduce((sum, runner) => sum + runner.seen.length, 0)).toBe(1);
+});
+
 test('a helping server at fault is left out of the next try, not the one that tells of it', async () => {
 	await fleet.start({runners: [1, 2, 3, 4].map(() => ({service: 'model', behaviour: decline}))});
 	const faulty = fleet.runners[1].address;
--- a/test/helpers/gateways.ts
+++ b/test/helpers/gateways.ts
@@ -68,7 +68,7 @@
 };
 
 /** Where a node listens, and what it is told of the others. */
-type NodePlace = {index?: number; ports?: number[]; host?: string; seeds?: string[]; isFirstStart?: boolean};
+type NodePlace = {index?: number; ports?: number[]; host?: string; seeds?: string[]; isFirstStart?: boolean; retrySlack?: number};
 
 let callCount = 0;
 
@@ -125,7 +125,7 @@
 	/** Starts a node; one with seeds is part of a first start. */
 	async addGateway(place: NodePlace = {}): Promise<Gateway> {
 		const {
-			index = this.gateways.length, host = '127.0.0.1', seeds = [], isFirstStart = seeds.length > 0,
+			index = this.gateways.length, host = '127.0.0.1', seeds = [], isFirstStart = seeds.length > 0, retrySlack = 100,
 		} = place;
 		const ports = place.ports ?? await findFreePorts(6);
 		const settings = parseGatewaySettings(`
@@ -148,7 +148,7 @@
 grace_seconds = 4
 [retry]
 ratio = 0.2
-slack = 100
+slack = ${retrySlack}
 window_seconds = 10
 `).unsafeCoerce();
 		const logger = createSilentLogger();
