--- a/src/routing/fleet-state.ts
+++ b/src/routing/fleet-state.ts
@@ -155,8 +155,12 @@
 			if (item === undefined) {
 				this.#lose(name as BackendServerId, origin);
 			} else if (changedAt > this.#serversRevision) {
-				// What another node has told of since must not come back.
 				this.#keep(item, origin);
+			} else {
+				// What another node has told of since must not come back.
+				this.#logger.info({
+					event: 'server_passed_over', server: name, changedAt, serversRevision: this.#serversRevision, origin,
+				}, 'an entry is older than what is known already');
 			}
 		}
 
--- a/src/routing/follower.ts
+++ b/src/routing/follower.ts
@@ -39,6 +39,9 @@
 	readonly #logger: Logger;
 	readonly #random: () => number;
 	#isReachable = true;
+	/** When the source answered last, by the monotonic clock, and the calls without an answer since. */
+	#answeredAt: number;
+	#unanswered = 0;
 
 	constructor(items: FollowedItems<Item>, parts: {clock: Clock; logger: Logger; random: () => number}) {
 		super();
@@ -47,6 +50,7 @@
 		this.#clock = parts.clock;
 		this.#logger = parts.logger;
 		this.#random = parts.random;
+		this.#answeredAt = parts.clock.readMonotonic();
 	}
 
 	override async run(signal: AbortSignal): Promise<void> {
@@ -117,16 +121,29 @@
 
 	#noteFailure(failure: SourceFailure): void {
 		this.#items.state.noteOutage();
+		this.#unanswered++;
 		if (this.#isReachable) {
 			this.#isReachable = false;
-			this.#logger.warn({event: 'source_lost', items: this.#items.name, reason: failure.message}, 'the source does not answer; what was read last stays in force');
+			this.#logger.warn({
+				event: 'source_lost', items: this.#items.name, reason: failure.message, sinceAnswer: this.#findSilence(),
+			}, 'the source does not answer; what was read last stays in force');
 		}
 	}
 
 	#noteAnswer(): void {
 		if (!this.#isReachable) {
 			this.#isReachable = true;
-			this.#logger.info({event: 'source_back', items: this.#items.name}, 'the source answers again');
+			this.#logger.info({
+				event: 'source_back', items: this.#items.name, sinceAnswer: this.#findSilence(), unanswered: this.#unanswered,
+			}, 'the source answers again');
 		}
+
+		this.#answeredAt = this.#clock.readMonotonic();
+		this.#unanswered = 0;
+	}
+
+	/** Milliseconds since the source answered last. */
+	#findSilence(): number {
+		return Math.round(this.#clock.readMonotonic() - this.#answeredAt);
 	}
 }
--- /dev/null
+++ b/test/helpers/logs.ts
@@ -0,0 +1,17 @@
+/** Log lines that a test reads. */
+import {Writable} from 'node:stream';
+
+/** Keeps what is written to it. */
+export class LogMemory extends Writable {
+	text = '';
+
+	override _write(chunk: unknown, _encoding: string, done: () => void): void {
+		this.text += String(chunk);
+		done();
+	}
+
+	/** The lines of one event, in order. */
+	listLines(event: string): Array<Record<string, unknown>> {
+		return this.text.split('\n').filter(line => line !== '').map(line => JSON.parse(line) as Record<string, unknown>).filter(line => line.event === event);
+	}
+}
--- /dev/null
+++ b/test/helpers/sources.ts
@@ -0,0 +1,116 @@
+/** A source on a virtual clock, whose answers and connections fall silent as a test asks. */
+import {Left, Right, type Either} from 'purify-ts';
+import type {Clock, VirtualClock} from '../../src/common/index.js';
+import {
+	ItemSource, type Changes, type Listing, type SourceFailure,
+} from '../../src/routing/index.js';
+
+/** Time for an answer beyond what a call itself waits, in milliseconds, as the store's client has it. */
+const answerTimeout = 1200;
+
+/** Time in which a source that is well answers, in milliseconds. */
+const answerTime = 4;
+
+/** One call that has no answer yet. */
+type OpenCall = {wake: () => void; isDead: boolean};
+
+/** Items are their own names; each put raises the revision by one. */
+export class StandinSource extends ItemSource<string> {
+	/** Calls that begin while this is set are never answered, nor are those that are open then. */
+	readonly calls: Array<{at: number; kind: 'list' | 'follow'}> = [];
+	/** Time in which an answer comes, in milliseconds. */
+	answerTime = answerTime;
+	readonly #clock: Clock;
+	readonly #items: Array<{name: string; revision: number}> = [];
+	readonly #open = new Set<OpenCall>();
+	#isSilent = false;
+
+	constructor(clock: Clock) {
+		super();
+		this.#clock = clock;
+	}
+
+	/** Adds an item. */
+	put(name: string): void {
+		this.#items.push({name, revision: this.#items.length + 1});
+		for (const call of this.#open) {
+			call.wake();
+		}
+	}
+
+	/** From now on nothing is answered; what is open now is lost for good. */
+	fallSilent(): void {
+		this.#isSilent = true;
+		this.cutSilently();
+	}
+
+	/** Answers new calls again. */
+	recover(): void {
+		this.#isSilent = false;
+	}
+
+	/** Open calls are never answered; new ones are. */
+	cutSilently(): void {
+		for (const call of this.#open) {
+			call.isDead = true;
+		}
+	}
+
+	override async list(signal: AbortSignal): Promise<Either<SourceFailure, Listing<string>>> {
+		return this.#call('list', 0, signal, () => ({items: this.#items.map(item => item.name), revision: this.#items.length}));
+	}
+
+	override async follow(revision: number, wait: number, signal: AbortSignal): Promise<Either<SourceFailure, Changes<string>>> {
+		return this.#call('follow', this.#items.length > revision ? 0 : wait, signal, () => ({
+			changes: this.#items.filter(item => item.revision > revision).map(({name, revision: changedAt}) => ({name, item: name, revision: changedAt})),
+			revision: this.#items.length,
+		}));
+	}
+
+	async #call<Answer>(kind: 'list' | 'follow', wait: number, signal: AbortSignal, read: () => Answer): Promise<Either<SourceFailure, Answer>> {
+		this.calls.push({at: this.#clock.readMonotonic(), kind});
+		const hasAnswer = await new Promise<boolean>(resolve => {
+			const call = {
+				isDead: this.#isSilent,
+				wake: () => {
+					settleLater.cancel();
+					settleLater = this.#clock.setTimer(this.answerTime, finish);
+				},
+			};
+			const end = (isAnswered: boolean) => {
+				settleLater.cancel();
+				giveUp.cancel();
+				this.#open.delete(call);
+				resolve(isAnswered);
+			};
+
+			const finish = () => {
+				if (!call.isDead) {
+					end(true);
+				}
+			};
+
+			let settleLater = this.#clock.setTimer(wait + this.answerTime, finish);
+			const giveUp = this.#clock.setTimer(wait + answerTimeout, () => {
+				end(false);
+			});
+			signal.addEventListener('abort', () => {
+				end(false);
+			});
+			this.#open.add(call);
+		});
+		return hasAnswer ? Right(read()) : Left({kind: 'unreachable', message: `${kind}: no answer in time`});
+	}
+}
+
+/** Moves time on in small steps, and lets whatever waits for a promise go on after each. */
+export async function passTime(clock: VirtualClock, milliseconds: number): Promise<void> {
+	for (let passed = 0; passed < milliseconds; passed += timeStep) {
+		clock.advance(timeStep);
+		await new Promise(resolve => {
+			setImmediate(resolve);
+		});
+	}
+}
+
+const timeStep = 10;
--- a/test/log-decisions.test.ts
+++ b/test/log-decisions.test.ts
@@ -1,4 +1,3 @@
-import {Writable} from 'node:stream';
 import {
 	afterEach, expect, test,
 } from '@jest/globals';
@@ -6,6 +5,7 @@
 import {standinFleet} from '../src/standin/index.js';
 import {chat, chatBody} from './helpers/calls.js';
 import {TestFleet} from './helpers/fleet.js';
+import {LogMemory} from './helpers/logs.js';
 
 let fleet: TestFleet;
 
@@ -13,20 +13,6 @@
 	await fleet.stop();
 });
 
-/** Keeps what is written to it. */
-class Memory extends Writable {
-	text = '';
-
-	override _write(chunk: unknown, _encoding: string, done: () => void): void {
-		this.text += String(chunk);
-		done();
-	}
-
-	listLines(event: string): Array<Record<string, unknown>> {
-		return this.text.split('\n').filter(line => line !== '').map(line => JSON.parse(line) as Record<string, unknown>).filter(line => line.event === event);
-	}
-}
-
 /** Keeps the names and tags of metrics. */
 class MemoryMetrics extends Metrics {
 	readonly seen = new Map<string, MetricTags[]>();
@@ -52,8 +38,8 @@
 	}
 }
 
-async function startLogged(): Promise<{memory: Memory; metrics: MemoryMetrics}> {
-	const memory = new Memory();
+async function startLogged(): Promise<{memory: LogMemory; metrics: MemoryMetrics}> {
+	const memory = new LogMemory();
 	const metrics = new MemoryMetrics();
 	fleet = await new TestFleet({
 		engines: 2, nodes: 1, logger: createLogger('debug', memory), metrics,
