--- a/src/routing/fleet-source.ts
+++ b/src/routing/fleet-source.ts
@@ -21,13 +21,23 @@
 /** Changes since a revision, oldest first. */
 export type Changes<Item> = {changes: Array<Change<Item>>; revision: number};
 
+/** A call that waits for changes; times in milliseconds. */
+export type FollowCall = {
+	/** Revision after which changes count. */
+	revision: number;
+	/** How long the source waits for a change. */
+	wait: number;
+	/** How much later than that its answer may come. */
+	patience: number;
+};
+
 /** One kind of item that can be listed and followed. */
 export abstract class ItemSource<Item> {
 	/** Reads everything. */
 	abstract list(signal: AbortSignal): Promise<Either<SourceFailure, Listing<Item>>>;
 
-	/** Waits for changes after a revision; comes back empty when there are none within `wait` milliseconds. */
-	abstract follow(revision: number, wait: number, signal: AbortSignal): Promise<Either<SourceFailure, Changes<Item>>>;
+	/** Waits for changes; comes back empty when there are none in time, with a failure when nothing comes back at all. */
+	abstract follow(call: FollowCall, signal: AbortSignal): Promise<Either<SourceFailure, Changes<Item>>>;
 }
 
 /** A node's registration: enough for other nodes to reach it. */
--- a/src/routing/fleet-state.ts
+++ b/src/routing/fleet-state.ts
@@ -180,9 +180,9 @@
 		}
 	}
 
-	/** Notes that the source answers again. */
-	noteReturn(): void {
-		if (this.#isOutage) {
+	/** Notes that the source answers again; what vanished in a long silence may still live, also where no call has failed in it. */
+	noteReturn(wasSilent = false): void {
+		if (this.#isOutage || wasSilent) {
 			this.#isOutage = false;
 			this.#graceUntil = this.#clock.readMonotonic() + returnGrace;
 		}
--- a/src/routing/follower.ts
+++ b/src/routing/follower.ts
@@ -1,22 +1,35 @@
 /** Keeps the fleet state in step with its source: lists once, then follows changes. */
+import type {Either} from 'purify-ts';
 import {
 	Child, waitFor, type Clock, type Logger,
 } from '../common/index.js';
+import {askRepeatedly, isAnswer, readReason} from './ask-repeatedly.js';
 import type {
 	Changes, ItemSource, Listing, SourceFailure,
 } from './fleet-source.js';
 import type {FleetState} from './fleet-state.js';
 
-/** How long one call waits for changes, in milliseconds: a silent source is noticed about this late, and each call has a price. */
-export const followWait = 5000;
+/**
+ * How long one call waits for changes, in milliseconds.
+ *
+ * A connection that falls silent without a reset is noticed this late: with five seconds a change
+ * was known 6.2 s after its connection fell silent, with this 1.9 s at most, of the two seconds in
+ * which it must be in force. Each call has a price; three nodes make four calls a second.
+ */
+export const followWait = 1500;
 
-/** First pause after a failure and the longest, in milliseconds: short against the two seconds in which a change must be in force. */
-const firstPause = 100;
-const longestPause = 800;
+/** Time beyond its wait after which an answer is late, in milliseconds: a source sixty times slower than usual answers in a quarter of a second. */
+const lateAfter = 400;
+
+/** How a source is asked that may be silent: it answers at once, and has the time of a slow one. In milliseconds. */
+const checkCall = {wait: 10, patience: 1200};
 
 /** Time in which changes are gathered before they are followed on, in milliseconds: each answer has a price, and a rollout changes several servers a second. A tenth of the bounds within which a change must hold. */
 const gatherTime = 300;
 
+/** Longest time between two answers of a source that is well, in milliseconds: in a longer one entries may have lapsed because nobody took their heartbeats. */
+const longestCalmSilence = followWait + lateAfter + gatherTime;
+
 /** Pause between looks at whether this node is to follow the source, in milliseconds: one heartbeat. */
 const idlePause = 250;
 
@@ -31,6 +44,9 @@
 	onChanges: (changes: Changes<Item>) => void;
 };
 
+/** What was read, and the revision to go on from. */
+type Reading = {revision: number; hasChanges: boolean};
+
 /** Follows one kind of item until it is stopped. */
 export class Follower<Item> extends Child {
 	override readonly name: string;
@@ -55,82 +71,89 @@
 
 	override async run(signal: AbortSignal): Promise<void> {
 		let revision: number | undefined;
-		let pause = firstPause;
 		while (!signal.aborted) {
 			if (!this.#items.asksSource()) {
 				// Other nodes tell what changes; the revision is too old when it is this node's turn again.
 				revision = undefined;
 				await waitFor(this.#clock, idlePause, signal);
+				this.#answeredAt = this.#clock.readMonotonic();
 				continue;
 			}
 
-			const failure = revision === undefined
+			const reading = revision === undefined
 				? await this.#list(signal)
 				: await this.#follow(revision, signal);
-			if (typeof failure === 'number') {
-				revision = failure;
-				pause = firstPause;
-				this.#noteAnswer();
-				continue;
-			}
-
-			if (signal.aborted) {
-				return;
-			}
-
-			if (failure.kind === 'history_lost') {
-				this.#logger.warn({event: 'history_lost', items: this.#items.name, revision}, 'the source has forgotten this revision; listing again');
-				revision = undefined;
-				continue;
+			revision = reading?.revision;
+			if (reading?.hasChanges) {
+				await waitFor(this.#clock, gatherTime, signal);
 			}
-
-			this.#noteFailure(failure);
-			await waitFor(this.#clock, pause * (0.5 + this.#random()), signal);
-			pause = Math.min(longestPause, pause * 2);
 		}
 	}
 
-	/** Returns the revision listed, or why there is none. */
-	async #list(signal: AbortSignal): Promise<number | SourceFailure> {
-		const listed = await this.#items.source.list(signal);
-		return listed.caseOf<number | SourceFailure>({
-			Left: failure => failure,
+	/** Undefined when this node is no longer to ask. */
+	async #list(signal: AbortSignal): Promise<Reading | undefined> {
+		const listed = await this.#askRepeatedly(async ended => this.#items.source.list(ended), signal);
+		return listed?.caseOf<Reading | undefined>({
+			Left: () => undefined,
 			Right: listing => {
-				this.#items.state.noteReturn();
 				this.#items.onList(listing);
-				return listing.revision;
+				return {revision: listing.revision, hasChanges: false};
 			},
 		});
 	}
 
-	async #follow(revision: number, signal: AbortSignal): Promise<number | SourceFailure> {
-		const followed = await this.#items.source.follow(revision, followWait, signal);
-		if (followed.isLeft()) {
-			return followed.extract();
-		}
+	/** Undefined when the items are to be listed again, or this node is no longer to ask. */
+	async #follow(revision: number, signal: AbortSignal): Promise<Reading | undefined> {
+		const followed = await this.#items.source.follow({revision, wait: followWait, patience: lateAfter}, signal);
+		const answer = isAnswer(followed) ? this.#noteAnswer(followed) : await this.#check(revision, readReason(followed), signal);
+		return answer?.caseOf<Reading | undefined>({
+			Left: () => {
+				this.#logger.warn({event: 'history_lost', items: this.#items.name, revision}, 'the source has forgotten this revision; listing again');
+				return undefined;
+			},
+			Right: changes => {
+				this.#items.onChanges(changes);
+				return {revision: changes.revision, hasChanges: changes.changes.length > 0};
+			},
+		});
+	}
 
-		const changes = followed.extract() as Changes<Item>;
-		this.#items.state.noteReturn();
-		this.#items.onChanges(changes);
-		if (changes.changes.length > 0) {
-			await waitFor(this.#clock, gatherTime, signal);
+	/** A call that waits may be lost though the source is well: its connection was cut, or is silent. */
+	async #check(revision: number, reason: string, signal: AbortSignal): Promise<Either<SourceFailure, Changes<Item>> | undefined> {
+		if (signal.aborted) {
+			return undefined;
 		}
 
-		return changes.revision;
+		this.#logger.info({
+			event: 'source_checked', items: this.#items.name, revision, reason, sinceAnswer: this.#findSilence(),
+		}, 'a call that waited for changes was lost; the source is asked again at once');
+		return this.#askRepeatedly(async ended => this.#items.source.follow({revision, ...checkCall}, ended), signal);
+	}
+
+	async #askRepeatedly<Answer>(call: (signal: AbortSignal) => Promise<Either<SourceFailure, Answer>>, signal: AbortSignal): Promise<Either<SourceFailure, Answer> | undefined> {
+		const answer = await askRepeatedly({clock: this.#clock, random: this.#random}, {
+			call,
+			onUnanswered: reason => {
+				this.#noteUnanswered(reason);
+			},
+			goesOn: () => this.#items.asksSource(),
+		}, signal);
+		return answer === undefined ? undefined : this.#noteAnswer(answer);
 	}
 
-	#noteFailure(failure: SourceFailure): void {
+	#noteUnanswered(reason: string): void {
 		this.#items.state.noteOutage();
 		this.#unanswered++;
 		if (this.#isReachable) {
 			this.#isReachable = false;
 			this.#logger.warn({
-				event: 'source_lost', items: this.#items.name, reason: failure.message, sinceAnswer: this.#findSilence(),
+				event: 'source_lost', items: this.#items.name, reason, sinceAnswer: this.#findSilence(),
 			}, 'the source does not answer; what was read last stays in force');
 		}
 	}
 
-	#noteAnswer(): void {
+	#noteAnswer<Answer>(answer: Answer): Answer {
+		this.#items.state.noteReturn(this.#findSilence() > longestCalmSilence);
 		if (!this.#isReachable) {
 			this.#isReachable = true;
 			this.#logger.info({
@@ -140,6 +163,7 @@
 
 		this.#answeredAt = this.#clock.readMonotonic();
 		this.#unanswered = 0;
+		return answer;
 	}
 
 	/** Milliseconds since the source answered last. */
--- a/test/follow-source.test.ts
+++ b/test/follow-source.test.ts
@@ -1,6 +1,6 @@
 import {expect, test} from '@jest/globals';
 import {
-	createLogger, VirtualClock, type BackendServerId, type ServiceName, type AvailabilityZone,
+	createLogger, createSilentLogger, VirtualClock, type BackendServerId, type ServiceName, type AvailabilityZone,
 } from '../src/common/index.js';
 import {FleetState, Follower, type BackendServer} from '../src/routing/index.js';
 import {LogMemory} from './helpers/logs.js';
@@ -9,6 +9,14 @@
 /** A follower of a source on a virtual clock, and what it has read. */
 type Followed = {clock: VirtualClock; source: StandinSource; state: FleetState; seen: string[]; log: LogMemory; stop: () => Promise<void>};
 
+/** A follower that only reads. */
+function createFollower(source: StandinSource, clock: VirtualClock): Follower<string> {
+	const logger = createSilentLogger();
+	return new Follower({
+		name: 'items', source, state: new FleetState(clock, logger), asksSource: () => true, onList() {/* Nothing. */}, onChanges() {/* Nothing. */},
+	}, {clock, logger, random: () => 0.5});
+}
+
 async function startFollower(): Promise<Followed> {
 	const clock = new VirtualClock();
 	const log = new LogMemory();
@@ -90,3 +98,74 @@
 	expect(await measureUntilSeen(followed, 'second')).toBeLessThan(2000);
 	await followed.stop();
 });
+
+// A watch that went out into a silence of nine seconds was waited for like one of calm times: the source was
+// back for 3.8 s before it was asked again.
+test('a change made when a silent source is back is known a second later, however long the silence', async () => {
+	for (const silence of [100, 1000, 3000, 9000, 31_000]) {
+		const followed = await startFollower();
+		followed.source.fallSilent();
+		await passTime(followed.clock, silence);
+		followed.source.recover();
+		followed.source.put('second');
+		expect(await measureUntilSeen(followed, 'second')).toBeLessThan(silence < 2000 ? 2000 : 1000);
+		await followed.stop();
+	}
+});
+
+test('a source that answers a second late is not given up', async () => {
+	const followed = await startFollower();
+	followed.source.answerTime = 1000;
+	followed.source.put('second');
+	expect(await measureUntilSeen(followed, 'second')).toBeLessThan(3000);
+	followed.source.put('third');
+	expect(await measureUntilSeen(followed, 'third')).toBeLessThan(3000);
+	await followed.stop();
+});
+
+test('a watch that is lost beside a source that is well is no outage', async () => {
+	const {clock, source, state, log, stop} = await startFollower();
+	source.cutSilently();
+	await passTime(clock, 4000);
+	expect([state.isOutage, log.listLines('source_lost').length, log.listLines('source_checked').length]).toEqual([false, 0, 1]);
+	await stop();
+});
+
+test('a silent source is asked less than twice a second, a calm one less than once', async () => {
+	const {clock, source, stop} = await startFollower();
+	const countCalls = async (milliseconds: number) => {
+		const before = source.calls.length;
+		await passTime(clock, milliseconds);
+		return source.calls.length - before;
+	};
+
+	expect(await countCalls(15_000)).toBeLessThan(15);
+	source.fallSilent();
+	expect(await countCalls(15_000)).toBeLessThan(30);
+	await stop();
+});
+
+test('a defect of the source ends the follower, so that its supervisor starts it again', async () => {
+	const {clock, source, stop} = await startFollower();
+	await stop();
+	source.list = async () => {
+		throw new Error('a defect');
+	};
+
+	const follower = createFollower(source, clock);
+	const running = follower.run(new AbortController().signal);
+	await Promise.all([expect(running).rejects.toThrow('a defect'), passTime(clock, 1000)]);
+});
+
+test('entries that vanish in a silence in which no call has failed yet are kept for a while', async () => {
+	const {clock, source, state, log, stop} = await startFollower();
+	state.applyServerList({items: [createServer('i-1')], revision: 3}, 'source');
+	source.fallSilent();
+	await passTime(clock, 2350);
+	source.recover();
+	await passTime(clock, 700);
+	expect(log.listLines('source_lost')).toEqual([]);
+	state.applyServerChanges([{name: 'i-1', item: undefined}], 4, 'source');
+	expect(state.listServers('app' as ServiceName)).toHaveLength(1);
+	await stop();
+});
--- a/test/gateway-nodes.test.ts
+++ b/test/gateway-nodes.test.ts
@@ -116,6 +116,8 @@
 	await waitUntil(areWatchersChosen, 8000);
 	const watchers = fleet.settings.filter((_, index) => fleet.gateways[index].isWatcher).map(settings => settings.box);
 	await waitUntil(() => watchers.every(name => fleet.store.listNames('cresshook-nodes').includes(name)), 3000);
+	// Each node that registers looks up the others once, right after it.
+	await waitUntil(() => fleet.store.calls.filter(call => call === 'GET /v1/objects/cresshook-nodes').length === fleet.store.listNames('cresshook-nodes').length, 1000);
 	const before = fleet.store.calls.length;
 	const joined = await fleet.joinFirst();
 	await waitUntil(() => fleet.gateways.every(gateway => gateway.listReadyNodes().length === 8), 3000);
--- a/test/helpers/sources.ts
+++ b/test/helpers/sources.ts
@@ -2,10 +2,10 @@
 import {Left, Right, type Either} from 'purify-ts';
 import type {Clock, VirtualClock} from '../../src/common/index.js';
 import {
-	ItemSource, type Changes, type Listing, type SourceFailure,
+	ItemSource, type Changes, type FollowCall, type Listing, type SourceFailure,
 } from '../../src/routing/index.js';
 
-/** Time for an answer beyond what a call itself waits, in milliseconds, as the store's client has it. */
+/** Time for an answer to a list, in milliseconds, as the store's client has it. */
 const answerTimeout = 1200;
 
 /** Time in which a source that is well answers, in milliseconds. */
@@ -57,17 +57,17 @@
 	}
 
 	override async list(signal: AbortSignal): Promise<Either<SourceFailure, Listing<string>>> {
-		return this.#call('list', 0, signal, () => ({items: this.#items.map(item => item.name), revision: this.#items.length}));
+		return this.#call({kind: 'list', wait: 0, patience: answerTimeout}, signal, () => ({items: this.#items.map(item => item.name), revision: this.#items.length}));
 	}
 
-	override async follow(revision: number, wait: number, signal: AbortSignal): Promise<Either<SourceFailure, Changes<string>>> {
-		return this.#call('follow', this.#items.length > revision ? 0 : wait, signal, () => ({
+	override async follow({revision, wait, patience}: FollowCall, signal: AbortSignal): Promise<Either<SourceFailure, Changes<string>>> {
+		return this.#call({kind: 'follow', wait: this.#items.length > revision ? 0 : wait, patience}, signal, () => ({
 			changes: this.#items.filter(item => item.revision > revision).map(({name, revision: changedAt}) => ({name, item: name, revision: changedAt})),
 			revision: this.#items.length,
 		}));
 	}
 
-	async #call<Answer>(kind: 'list' | 'follow', wait: number, signal: AbortSignal, read: () => Answer): Promise<Either<SourceFailure, Answer>> {
+	async #call<Answer>({kind, wait, patience}: {kind: 'list' | 'follow'; wait: number; patience: number}, signal: AbortSignal, read: () => Answer): Promise<Either<SourceFailure, Answer>> {
 		this.calls.push({at: this.#clock.readMonotonic(), kind});
 		const hasAnswer = await new Promise<boolean>(resolve => {
 			const call = {
@@ -91,7 +91,7 @@
 			};
 
 			let settleLater = this.#clock.setTimer(wait + this.answerTime, finish);
-			const giveUp = this.#clock.setTimer(wait + answerTimeout, () => {
+			const giveUp = this.#clock.setTimer(wait + patience, () => {
 				end(false);
 			});
 			signal.addEventListener('abort', () => {
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -90,7 +90,7 @@
 
 test('changes after a revision come as they are made, gone ones too', async () => {
 	store.put('servers', 'i-1', serverSpec);
-	const waiting = source.servers.follow(1, 2000, signal);
+	const waiting = source.servers.follow({revision: 1, wait: 2000, patience: 400}, signal);
 	setTimeout(() => {
 		store.remove('servers', 'i-1');
 	}, 50);
@@ -101,7 +101,7 @@
 
 test('a watch without changes comes back empty', async () => {
 	store.put('servers', 'i-1', serverSpec);
-	const followed = await source.servers.follow(1, 60, signal);
+	const followed = await source.servers.follow({revision: 1, wait: 60, patience: 400}, signal);
 	const changes = followed.unsafeCoerce();
 	expect(changes).toEqual({changes: [], revision: 1});
 });
@@ -110,7 +110,7 @@
 	store.put('servers', 'i-1', serverSpec);
 	store.put('servers', 'i-2', serverSpec);
 	store.forgetHistory();
-	const lost = await source.servers.follow(1, 60, signal);
+	const lost = await source.servers.follow({revision: 1, wait: 60, patience: 400}, signal);
 	store.trouble = 'busy';
 	const busy = await source.servers.list(signal);
 	expect([lost, busy].map(result => result.swap().unsafeCoerce().kind)).toEqual(['history_lost', 'unreachable']);
@@ -119,11 +119,20 @@
 test('a silent store is given up in time', async () => {
 	store.trouble = 'silent';
 	const started = Date.now();
-	const followed = await source.servers.follow(1, 100, signal);
+	const followed = await source.servers.follow({revision: 1, wait: 100, patience: 400}, signal);
 	expect(followed.swap().unsafeCoerce().kind).toBe('unreachable');
 	expect(Date.now() - started).toBeLessThan(2500);
 });
 
+test('after a call without an answer the next one does not go out on a connection that may be silent too', async () => {
+	store.put('config', 'main', createConfig(1));
+	await Promise.all([source.configurations.list(signal), source.servers.list(signal)]);
+	store.muteConnections();
+	const lost = await source.servers.follow({revision: 1, wait: 50, patience: 50}, signal);
+	const listed = await source.configurations.list(signal);
+	expect([lost.isLeft(), listed.isRight()]).toEqual([true, true]);
+});
+
 test('a node registers over an entry that an earlier life left', async () => {
 	const registered = [await source.register({name: 'edge-1', peerAddress: '10.0.0.1:1'}, signal), await source.register({name: 'edge-1', peerAddress: '10.0.0.2:1'}, signal)];
 	expect(registered.every(result => result.isRight())).toBe(true);
--- a/test/store-returns.test.ts
+++ b/test/store-returns.test.ts
@@ -1,6 +1,7 @@
 import {
 	afterEach, beforeEach, expect, test,
 } from '@jest/globals';
+import type {ServiceName} from '../src/common/index.js';
 import {createConfig, GatewayFleet, waitUntil} from './helpers/gateways.js';
 import {answerWhole} from './helpers/platform-standins.js';
 
@@ -51,3 +52,11 @@
 	const answer = await fleet.call({path: '/once/'});
 	expect(answer.status).toBe(200);
 }, silenceLimit);
+
+test('a change made when all connections to the store have just fallen silent is in force within three seconds', async () => {
+	fleet.store.muteConnections();
+	fleet.store.put('config', 'main', createConfig(2));
+	fleet.putServer(0, 'app', 'draining');
+	await waitUntil(() => areAllAt(2) && fleet.gateways.every(gateway => gateway.state.listServers('app' as ServiceName).length === 0), 3000);
+	expect(areAllAt(2)).toBe(true);
+}, silenceLimit);
