--- a/src/common/index.ts
+++ b/src/common/index.ts
@@ -5,6 +5,7 @@
 export * from './log.js';
 export * from './metrics.js';
 export * from './rendezvous.js';
+export * from './renewed-agent.js';
 export * from './secrets.js';
 export * from './supervisor.js';
 export * from './virtual-clock.js';
--- a/src/gateway/backend-pool.ts
+++ b/src/gateway/backend-pool.ts
@@ -89,9 +89,21 @@
 		} finally {
 			limit.cancel();
 			this.#giveBack(address, connection);
+			if (limit.signal.aborted) {
+				this.leaveIdle(address);
+			}
 		}
 	}
 
+	/** Closes the connections at rest to a server that was silent: they may be silent too, and each would cost a request that limit anew. */
+	leaveIdle(address: string): void {
+		for (const connection of this.#idle.get(address) ?? []) {
+			this.#end(connection);
+		}
+
+		this.#idle.delete(address);
+	}
+
 	/** Closes the connections that have had no request for long. */
 	prune(): void {
 		const oldest = this.#clock.readMonotonic() - forgetAfter;
@@ -99,8 +111,7 @@
 			const kept = idle.filter(connection => connection.idleSince >= oldest);
 			for (const connection of idle) {
 				if (connection.idleSince < oldest) {
-					this.#all.delete(connection);
-					void connection.client.destroy();
+					this.#end(connection);
 				}
 			}
 
@@ -117,6 +128,11 @@
 		await Promise.all([...this.#all].map(async connection => connection.client.destroy()));
 	}
 
+	#end(connection: BackendConnection): void {
+		this.#all.delete(connection);
+		void connection.client.destroy();
+	}
+
 	/** The connection used last is the least likely to have been closed meanwhile. */
 	#take(address: string): BackendConnection {
 		const idle = this.#idle.get(address)?.pop();
--- a/src/gateway/call-run.ts
+++ b/src/gateway/call-run.ts
@@ -210,6 +210,10 @@
 			}),
 		}, attempt.exchange);
 		const end = await attempt.ended;
+		if (end.kind === 'lost' && end.trouble === 'silent') {
+			this.#parts.pool.leaveIdle(server.address);
+		}
+
 		this.#attempt = undefined;
 		this.#lastEventId = attempt.lastEventId;
 		this.#seeker.lastEventAt = attempt.lastEventAt ?? this.#seeker.lastEventAt;
--- a/src/gateway/peer-rpc.ts
+++ b/src/gateway/peer-rpc.ts
@@ -1,9 +1,10 @@
 /** The calls between gateway nodes, over tRPC: plans and views of the fleet. */
 import {createTRPCClient, httpLink, type TRPCClient} from '@trpc/client';
 import {initTRPC} from '@trpc/server';
-import {Agent} from 'undici';
 import * as z from 'zod';
-import type {Clock, Failure, ServiceName} from '../common/index.js';
+import {
+	RenewedAgent, type Clock, type Failure, type ServiceName,
+} from '../common/index.js';
 import type {
 	Decision, Plan, PlanRequest, RetryHistory, RetryRequest,
 } from '../planning/index.js';
@@ -65,14 +66,13 @@
 /** How long an idle connection to another node is kept, in milliseconds. */
 const idleTimeout = 30_000;
 
+/** How another node is reached. */
+type PeerLine = {client: PeerClient; agent: RenewedAgent};
+
 /** Clients of other nodes, by address. */
 export class PeerClients {
 	readonly #clock: Clock;
-	readonly #agent = new Agent({
-		connect: {timeout: connectTimeout}, keepAliveTimeout: idleTimeout, headersTimeout: 0, bodyTimeout: 0,
-	});
-
-	readonly #clients = new Map<string, PeerClient>();
+	readonly #lines = new Map<string, PeerLine>();
 
 	constructor(clock: Clock) {
 		this.#clock = clock;
@@ -80,26 +80,44 @@
 
 	/** Calls a node and gives up after a time in milliseconds; undefined when there was no answer. */
 	async ask<Answer>(address: string, timeout: number, call: (client: PeerClient, signal: AbortSignal) => Promise<Answer>): Promise<Answer | undefined> {
-		return askWithin(this.#clock, timeout, async signal => call(this.#findClient(address), signal));
+		const {client, agent} = this.#findLine(address);
+		const used = agent.current;
+		return askWithin(this.#clock, timeout, async signal => {
+			try {
+				return await call(client, signal);
+			} finally {
+				if (signal.aborted) {
+					agent.leave(used);
+				}
+			}
+		});
 	}
 
 	/** Closes all connections. */
 	async close(): Promise<void> {
-		await this.#agent.destroy();
+		await Promise.all([...this.#lines.values()].map(async ({agent}) => agent.close()));
 	}
 
-	#findClient(address: string): PeerClient {
-		let client = this.#clients.get(address);
-		if (client === undefined) {
-			client = createTRPCClient<typeof peerRouter>({
-				links: [httpLink({
-					url: `http://${address}${rpcPath}`,
-					fetch: (async (target: string, init: NodeRequest) => sendNodeRequest(this.#agent, target, init)) as unknown as typeof fetch,
-				})],
-			});
-			this.#clients.set(address, client);
+	#findLine(address: string): PeerLine {
+		let line = this.#lines.get(address);
+		if (line === undefined) {
+			line = createLine(address);
+			this.#lines.set(address, line);
 		}
 
-		return client;
+		return line;
 	}
 }
+
+function createLine(address: string): PeerLine {
+	const agent = new RenewedAgent({
+		connect: {timeout: connectTimeout}, keepAliveTimeout: idleTimeout, headersTimeout: 0, bodyTimeout: 0,
+	});
+	const client = createTRPCClient<typeof peerRouter>({
+		links: [httpLink({
+			url: `http://${address}${rpcPath}`,
+			fetch: (async (target: string, init: NodeRequest) => sendNodeRequest(agent.current, target, init)) as unknown as typeof fetch,
+		})],
+	});
+	return {client, agent};
+}
--- /dev/null
+++ b/test/silent-connections.test.ts
@@ -0,0 +1,93 @@
+import type {Socket} from 'node:net';
+import {
+	afterEach, beforeEach, expect, test,
+} from '@jest/globals';
+import {systemClock} from '../src/common/index.js';
+import {BackendPool} from '../src/gateway/backend-pool.js';
+import {PeerClients} from '../src/gateway/peer-rpc.js';
+import {Listening} from './helpers/platform-standins.js';
+
+/** Connections that are kept when they fall silent. */
+const keptConnections = 4;
+
+/** Time of one answer, in milliseconds: long enough that calls made together take a connection each. */
+const answerTime = 30;
+
+/** Answers every request alike, but for those on connections that were made silent. */
+class QuietingServer extends Listening {
+	readonly #quiet = new WeakSet<Socket>();
+
+	constructor() {
+		super(async (request, response) => {
+			await new Promise(resolve => {
+				setTimeout(resolve, answerTime);
+			});
+			if (!this.#quiet.has(request.socket)) {
+				response.writeHead(200, {'content-type': 'application/json'}).end(JSON.stringify({result: {data: true}}));
+			}
+		});
+	}
+
+	/** Makes every open connection silent for good; new ones are answered. */
+	quietAll(): void {
+		for (const socket of this.sockets) {
+			this.#quiet.add(socket);
+		}
+	}
+}
+
+let server: QuietingServer;
+
+/** Makes calls side by side and silences their connections once these are at rest. */
+async function openConnections(ask: (timeout: number) => Promise<unknown>): Promise<void> {
+	await Promise.all(Array.from({length: keptConnections}, async () => ask(1000)));
+	await new Promise(resolve => {
+		setTimeout(resolve, answerTime);
+	});
+	expect(server.sockets.size).toBe(keptConnections);
+	server.quietAll();
+}
+
+beforeEach(async () => {
+	server = await new QuietingServer().start();
+});
+
+afterEach(async () => {
+	await server.stop();
+});
+
+// All kept connections may fall silent at once, without a reset, while new ones are answered. A call that found
+// one of them silent left the others in use, and the next call waited on the next of them.
+test('a node that was silent on one connection is asked on a new one', async () => {
+	const clients = new PeerClients(systemClock);
+	const ask = async (timeout: number) => clients.ask(server.address, timeout, async (client, signal) =>
+		client.adopt.mutate({
+			service: 'app',
+			plans: [],
+			history: {
+				life: 'a', age: 0, known: 1, requests: [], retries: [], meanWorth: 0,
+			},
+		}, {signal}));
+	await openConnections(ask);
+	expect([await ask(200), await ask(1000)]).toEqual([undefined, true]);
+	await clients.close();
+});
+
+test('a backend server that was silent on one connection is asked on a new one', async () => {
+	const pool = new BackendPool(systemClock);
+	const ask = async (timeout: number) => {
+		try {
+			const answer = await pool.ask(server.address, {
+				method: 'GET', path: '/', headers: {}, body: undefined,
+			}, timeout);
+			return answer.status;
+		} catch {
+			return undefined;
+		}
+	};
+
+	await openConnections(ask);
+	expect(await ask(200)).toBeUndefined();
+	expect(await Promise.all([ask(1000), ask(1000), ask(1000)])).toEqual([200, 200, 200]);
+	await pool.close();
+});
