--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -10,7 +10,7 @@
 } from '../common/index.js';
 import type {PlanRequest, RetryRequest} from '../planning/index.js';
 import {
-	FleetState, Follower, type FleetSnapshot, type FleetSource, type KnownView, type RoutingConfig,
+	FleetState, Follower, followWaits, SourceDoubt, type FleetSnapshot, type FleetSource, type KnownView, type RoutingConfig,
 } from '../routing/index.js';
 import {listCallerAddresses} from './addresses.js';
 import {BackendPool} from './backend-pool.js';
@@ -285,8 +285,11 @@
 		const {clock, logger, random, source} = this.#parts;
 		const supervisor = new Supervisor('gateway', clock, logger);
 		const asksSource = () => this.#views.asksSource;
+		const doubt = new SourceDoubt();
 		supervisor.addChild(new Follower({
 			name: 'configuration',
+			wait: followWaits.short,
+			doubt,
 			asksSource,
 			source: source.configurations,
 			state: this.state,
@@ -299,6 +302,8 @@
 		}, {clock, logger, random}));
 		supervisor.addChild(new Follower({
 			name: 'servers',
+			wait: followWaits.long,
+			doubt,
 			asksSource,
 			source: source.servers,
 			state: this.state,
--- a/src/routing/follower.ts
+++ b/src/routing/follower.ts
@@ -1,22 +1,24 @@
 /** Keeps the fleet state in step with its source: lists once, then follows changes. */
 import type {Either} from 'purify-ts';
 import {
-	Child, waitFor, type Clock, type Logger,
+	Child, joinSignals, waitFor, type Clock, type Logger,
 } from '../common/index.js';
 import {askRepeatedly, isAnswer, readReason} from './ask-repeatedly.js';
 import type {
 	Changes, ItemSource, Listing, SourceFailure,
 } from './fleet-source.js';
 import type {FleetState} from './fleet-state.js';
+import type {SourceDoubt} from './source-doubt.js';
 
 /**
- * How long one call waits for changes, in milliseconds.
+ * How long calls wait for changes, in milliseconds.
  *
  * A connection that falls silent without a reset is noticed this late: with five seconds a change
- * was known 6.2 s after its connection fell silent, with this 1.9 s at most, of the two seconds in
- * which it must be in force. Each call has a price; three nodes make four calls a second.
+ * was known 6.2 s after its connection fell silent, with 1.5 s it is after 1.9 s at most, of the two
+ * seconds in which it must be in force. Each call has a price: one follower of a node keeps the
+ * short wait, and the others hear from it when the source may be silent.
  */
-export const followWait = 1500;
+export const followWaits = {short: 1500, long: 5000};
 
 /** Time beyond its wait after which an answer is late, in milliseconds: a source sixty times slower than usual answers in a quarter of a second. */
 const lateAfter = 400;
@@ -27,8 +29,8 @@
 /** Time in which changes are gathered before they are followed on, in milliseconds: each answer has a price, and a rollout changes several servers a second. A tenth of the bounds within which a change must hold. */
 const gatherTime = 300;
 
-/** Longest time between two answers of a source that is well, in milliseconds: in a longer one entries may have lapsed because nobody took their heartbeats. */
-const longestCalmSilence = followWait + lateAfter + gatherTime;
+/** How much longer than a wait the time between two answers of a source that is well may be, in milliseconds: in a longer one entries may have lapsed because nobody took their heartbeats. */
+const calmDelay = lateAfter + gatherTime;
 
 /** Pause between looks at whether this node is to follow the source, in milliseconds: one heartbeat. */
 const idlePause = 250;
@@ -38,6 +40,10 @@
 	name: string;
 	source: ItemSource<Item>;
 	state: FleetState;
+	/** How long a call waits for changes, in milliseconds. */
+	wait: number;
+	/** Shared by all followers of the source. */
+	doubt: SourceDoubt;
 	/** Whether this node asks the source itself; else other nodes tell it what changes. */
 	asksSource: () => boolean;
 	onList: (listing: Listing<Item>) => void;
@@ -104,7 +110,7 @@
 
 	/** Undefined when the items are to be listed again, or this node is no longer to ask. */
 	async #follow(revision: number, signal: AbortSignal): Promise<Reading | undefined> {
-		const followed = await this.#items.source.follow({revision, wait: followWait, patience: lateAfter}, signal);
+		const followed = await this.#waitForChanges(revision, signal);
 		const answer = isAnswer(followed) ? this.#noteAnswer(followed) : await this.#check(revision, readReason(followed), signal);
 		return answer?.caseOf<Reading | undefined>({
 			Left: () => {
@@ -118,6 +124,24 @@
 		});
 	}
 
+	/** Waits no longer when another follower finds that the source may be silent: this connection may be, too. */
+	async #waitForChanges(revision: number, signal: AbortSignal): Promise<Either<SourceFailure, Changes<Item>>> {
+		const {source, wait, doubt} = this.#items;
+		const doubted = new AbortController();
+		const removeListener = doubt.addListener(() => {
+			doubted.abort();
+		});
+		const either = joinSignals([signal, doubted.signal]);
+		const followed = await source.follow({revision, wait, patience: lateAfter}, either.signal);
+		either.release();
+		removeListener();
+		if (!isAnswer(followed) && !either.signal.aborted) {
+			doubt.tell();
+		}
+
+		return followed;
+	}
+
 	/** A call that waits may be lost though the source is well: its connection was cut, or is silent. */
 	async #check(revision: number, reason: string, signal: AbortSignal): Promise<Either<SourceFailure, Changes<Item>> | undefined> {
 		if (signal.aborted) {
@@ -153,7 +177,7 @@
 	}
 
 	#noteAnswer<Answer>(answer: Answer): Answer {
-		this.#items.state.noteReturn(this.#findSilence() > longestCalmSilence);
+		this.#items.state.noteReturn(this.#findSilence() > this.#items.wait + calmDelay);
 		if (!this.#isReachable) {
 			this.#isReachable = true;
 			this.#logger.info({
--- a/test/follow-source.test.ts
+++ b/test/follow-source.test.ts
@@ -2,7 +2,9 @@
 import {
 	createLogger, createSilentLogger, VirtualClock, type BackendServerId, type ServiceName, type AvailabilityZone,
 } from '../src/common/index.js';
-import {FleetState, Follower, type BackendServer} from '../src/routing/index.js';
+import {
+	FleetState, Follower, followWaits, SourceDoubt, type BackendServer,
+} from '../src/routing/index.js';
 import {LogMemory} from './helpers/logs.js';
 import {passTime, StandinSource} from './helpers/sources.js';
 
@@ -13,12 +15,11 @@
 function createFollower(source: StandinSource, clock: VirtualClock): Follower<string> {
 	const logger = createSilentLogger();
 	return new Follower({
-		name: 'items', source, state: new FleetState(clock, logger), asksSource: () => true, onList() {/* Nothing. */}, onChanges() {/* Nothing. */},
+		name: 'items', wait: followWaits.short, doubt: new SourceDoubt(), source, state: new FleetState(clock, logger), asksSource: () => true, onList() {/* Nothing. */}, onChanges() {/* Nothing. */},
 	}, {clock, logger, random: () => 0.5});
 }
 
-async function startFollower(): Promise<Followed> {
-	const clock = new VirtualClock();
+async function startFollower({clock = new VirtualClock(), wait = followWaits.short, doubt = new SourceDoubt()} = {}): Promise<Followed> {
 	const log = new LogMemory();
 	const logger = createLogger('info', log);
 	const state = new FleetState(clock, logger);
@@ -27,6 +28,8 @@
 	const seen: string[] = [];
 	const follower = new Follower({
 		name: 'items',
+		wait,
+		doubt,
 		source,
 		state,
 		asksSource: () => true,
@@ -169,3 +172,18 @@
 	expect(state.listServers('app' as ServiceName)).toHaveLength(1);
 	await stop();
 });
+
+test('a follower with a long wait knows of a change as soon, once another one finds the source silent', async () => {
+	const doubt = new SourceDoubt();
+	const short = await startFollower({doubt});
+	const {clock} = short;
+	const long = await startFollower({clock, doubt, wait: followWaits.long});
+	short.source.cutSilently();
+	long.source.cutSilently();
+	long.source.put('second');
+	expect(await measureUntilSeen(long, 'second')).toBeLessThan(2000);
+	expect(long.log.listLines('source_checked')).toHaveLength(1);
+	await passTime(clock, 4000);
+	expect([short, long].map(({log}) => log.listLines('source_checked').length)).toEqual([1, 1]);
+	await Promise.all([short.stop(), long.stop()]);
+});
