--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -10,7 +10,7 @@
 } from '../common/index.js';
 import type {PlanRequest, RetryRequest} from '../planning/index.js';
 import {
-	FleetState, Follower, followWaits, SourceDoubt, type FleetSnapshot, type FleetSource, type KnownView, type RoutingConfig,
+	FleetState, Follower, followPaces, SourceHealth, type FleetSnapshot, type FleetSource, type KnownView, type RoutingConfig,
 } from '../routing/index.js';
 import {listCallerAddresses} from './addresses.js';
 import {BackendPool} from './backend-pool.js';
@@ -285,11 +285,11 @@
 		const {clock, logger, random, source} = this.#parts;
 		const supervisor = new Supervisor('gateway', clock, logger);
 		const asksSource = () => this.#views.asksSource;
-		const doubt = new SourceDoubt();
+		const health = new SourceHealth();
 		supervisor.addChild(new Follower({
 			name: 'configuration',
-			wait: followWaits.short,
-			doubt,
+			pace: followPaces.quick,
+			health,
 			asksSource,
 			source: source.configurations,
 			state: this.state,
@@ -302,8 +302,8 @@
 		}, {clock, logger, random}));
 		supervisor.addChild(new Follower({
 			name: 'servers',
-			wait: followWaits.long,
-			doubt,
+			pace: followPaces.calm,
+			health,
 			asksSource,
 			source: source.servers,
 			state: this.state,
--- a/src/routing/ask-repeatedly.ts
+++ b/src/routing/ask-repeatedly.ts
@@ -1,12 +1,12 @@
 /** Asks a source that may be silent: again and again, without waiting for what is not answered. */
 import type {Either} from 'purify-ts';
-import {readErrorMessage, waitFor, type Clock} from '../common/index.js';
+import {
+	joinSignals, readErrorMessage, waitFor, type Clock,
+} from '../common/index.js';
 import type {SourceFailure} from './fleet-source.js';
+import type {SourceHealth} from './source-health.js';
 
-/** Time until a source without an answer is asked again, in milliseconds: two or three such pauses fit into the two seconds in which a change must be in force. */
-const askEvery = 600;
-
-/** Part of that pause that is drawn, so that several nodes do not ask in step. */
+/** Part of a pause that is drawn, so that several nodes do not ask in step. */
 const drawnPart = 0.5;
 
 /** One question, and what is done about calls without an answer. */
@@ -17,22 +17,30 @@
 	onUnanswered: (reason: string) => void;
 	/** Whether there is reason to ask on. */
 	goesOn: () => boolean;
+	/** Time until a source without an answer is asked again, in milliseconds. */
+	pause: number;
 };
 
 /** What asking needs. */
-export type AskingParts = {clock: Clock; random: () => number};
+export type AskingParts = {
+	clock: Clock;
+	random: () => number;
+	/** Tells when the source has answered somebody else: then it is asked again at once. */
+	health: SourceHealth;
+};
 
 /**
  * Asks until one call is answered, each beside those that wait still; a lost history is an answer.
  *
  * A call that went out while the source was silent is never answered, on its connection, also
- * when the source is back: the next one finds that out within 0.75 s, where waiting for the first
- * took 1.2 s and a pause of up to as much. One that is only slow is not given up for it.
+ * when the source is back: with a pause of 0.6 s the next one finds that out within 0.75 s, where
+ * waiting for the first took 1.2 s and a pause of up to as much. One that is only slow is not given
+ * up for it.
  *
  * @returns undefined when there is no reason to ask on, or the signal was aborted.
  */
 export async function askRepeatedly<Answer>(parts: AskingParts, question: RepeatedQuestion<Answer>, signal: AbortSignal): Promise<Either<SourceFailure, Answer> | undefined> {
-	const {clock, random} = parts;
+	const {clock, random, health} = parts;
 	const ended = new AbortController();
 	const end = () => {
 		ended.abort();
@@ -59,7 +67,7 @@
 	try {
 		while (!signal.aborted && question.goesOn()) {
 			void askOnce();
-			await waitFor(clock, askEvery * (1 - (drawnPart / 2) + (drawnPart * random())), ended.signal);
+			await waitForTurn(clock, question.pause * (1 - (drawnPart / 2) + (drawnPart * random())), {health, signal: ended.signal});
 			if (defect !== undefined) {
 				throw defect;
 			}
@@ -76,6 +84,20 @@
 	}
 }
 
+/** Waits for a time, or until the source has answered somebody else, or the signal. */
+async function waitForTurn(clock: Clock, time: number, {health, signal}: {health: SourceHealth; signal: AbortSignal}): Promise<void> {
+	const woken = new AbortController();
+	const wake = () => {
+		woken.abort();
+	};
+
+	const removeListener = health.addAnswerListener(wake);
+	const either = joinSignals([signal, woken.signal]);
+	await waitFor(clock, time, either.signal);
+	either.release();
+	removeListener();
+}
+
 /** Whether the source has answered: that it has lost its history is an answer too. */
 export function isAnswer<Answer>(result: Either<SourceFailure, Answer>): boolean {
 	return result.caseOf({Left: failure => failure.kind === 'history_lost', Right: () => true});
--- a/src/routing/follower.ts
+++ b/src/routing/follower.ts
@@ -8,17 +8,28 @@
 	Changes, ItemSource, Listing, SourceFailure,
 } from './fleet-source.js';
 import type {FleetState} from './fleet-state.js';
-import type {SourceDoubt} from './source-doubt.js';
+import type {SourceHealth} from './source-health.js';
+
+/** How often a follower asks. */
+export type FollowPace = {
+	/** How long a call waits for changes, in milliseconds. */
+	wait: number;
+	/** Time until a source without an answer is asked again, in milliseconds. */
+	pause: number;
+};
 
 /**
- * How long calls wait for changes, in milliseconds.
+ * One follower of a node notices what happens to the source, the others hear it from that one.
  *
- * A connection that falls silent without a reset is noticed this late: with five seconds a change
- * was known 6.2 s after its connection fell silent, with 1.5 s it is after 1.9 s at most, of the two
- * seconds in which it must be in force. Each call has a price: one follower of a node keeps the
- * short wait, and the others hear from it when the source may be silent.
+ * A connection that falls silent without a reset is noticed after its wait: with five seconds a
+ * change was known 6.2 s after its connection fell silent, with 1.5 s it is after 1.9 s at most, of
+ * the two seconds in which it must be in force; two or three pauses of 0.6 s fit into these. Each call
+ * has a price: both kinds at the quick pace made 1.2 to 1.7 times as many.
  */
-export const followWaits = {short: 1500, long: 5000};
+export const followPaces = {
+	quick: {wait: 1500, pause: 600},
+	calm: {wait: 5000, pause: 2000},
+} satisfies Record<string, FollowPace>;
 
 /** Time beyond its wait after which an answer is late, in milliseconds: a source sixty times slower than usual answers in a quarter of a second. */
 const lateAfter = 400;
@@ -40,10 +51,9 @@
 	name: string;
 	source: ItemSource<Item>;
 	state: FleetState;
-	/** How long a call waits for changes, in milliseconds. */
-	wait: number;
+	pace: FollowPace;
 	/** Shared by all followers of the source. */
-	doubt: SourceDoubt;
+	health: SourceHealth;
 	/** Whether this node asks the source itself; else other nodes tell it what changes. */
 	asksSource: () => boolean;
 	onList: (listing: Listing<Item>) => void;
@@ -98,7 +108,8 @@
 
 	/** Undefined when this node is no longer to ask. */
 	async #list(signal: AbortSignal): Promise<Reading | undefined> {
-		const listed = await this.#askRepeatedly(async ended => this.#items.source.list(ended), signal);
+		// Without a list this node serves nobody.
+		const listed = await this.#askRepeatedly(async ended => this.#items.source.list(ended), followPaces.quick.pause, signal);
 		return listed?.caseOf<Reading | undefined>({
 			Left: () => undefined,
 			Right: listing => {
@@ -126,17 +137,17 @@
 
 	/** Waits no longer when another follower finds that the source may be silent: this connection may be, too. */
 	async #waitForChanges(revision: number, signal: AbortSignal): Promise<Either<SourceFailure, Changes<Item>>> {
-		const {source, wait, doubt} = this.#items;
+		const {source, pace, health} = this.#items;
 		const doubted = new AbortController();
-		const removeListener = doubt.addListener(() => {
+		const removeListener = health.addDoubtListener(() => {
 			doubted.abort();
 		});
 		const either = joinSignals([signal, doubted.signal]);
-		const followed = await source.follow({revision, wait, patience: lateAfter}, either.signal);
+		const followed = await source.follow({revision, wait: pace.wait, patience: lateAfter}, either.signal);
 		either.release();
 		removeListener();
 		if (!isAnswer(followed) && !either.signal.aborted) {
-			doubt.tell();
+			health.tellDoubt();
 		}
 
 		return followed;
@@ -151,18 +162,25 @@
 		this.#logger.info({
 			event: 'source_checked', items: this.#items.name, revision, reason, sinceAnswer: this.#findSilence(),
 		}, 'a call that waited for changes was lost; the source is asked again at once');
-		return this.#askRepeatedly(async ended => this.#items.source.follow({revision, ...checkCall}, ended), signal);
+		return this.#askRepeatedly(async ended => this.#items.source.follow({revision, ...checkCall}, ended), this.#items.pace.pause, signal);
 	}
 
-	async #askRepeatedly<Answer>(call: (signal: AbortSignal) => Promise<Either<SourceFailure, Answer>>, signal: AbortSignal): Promise<Either<SourceFailure, Answer> | undefined> {
-		const answer = await askRepeatedly({clock: this.#clock, random: this.#random}, {
+	async #askRepeatedly<Answer>(call: (signal: AbortSignal) => Promise<Either<SourceFailure, Answer>>, pause: number, signal: AbortSignal): Promise<Either<SourceFailure, Answer> | undefined> {
+		const {health} = this.#items;
+		const answer = await askRepeatedly({clock: this.#clock, random: this.#random, health}, {
 			call,
+			pause,
 			onUnanswered: reason => {
 				this.#noteUnanswered(reason);
 			},
 			goesOn: () => this.#items.asksSource(),
 		}, signal);
-		return answer === undefined ? undefined : this.#noteAnswer(answer);
+		if (answer === undefined) {
+			return undefined;
+		}
+
+		health.tellAnswer();
+		return this.#noteAnswer(answer);
 	}
 
 	#noteUnanswered(reason: string): void {
@@ -177,7 +195,7 @@
 	}
 
 	#noteAnswer<Answer>(answer: Answer): Answer {
-		this.#items.state.noteReturn(this.#findSilence() > this.#items.wait + calmDelay);
+		this.#items.state.noteReturn(this.#findSilence() > this.#items.pace.wait + calmDelay);
 		if (!this.#isReachable) {
 			this.#isReachable = true;
 			this.#logger.info({
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -3,4 +3,4 @@
 export * from './follower.js';
 export type * from './model.js';
 export * from './route-table.js';
-export * from './source-doubt.js';
+export * from './source-health.js';
--- a/test/follow-source.test.ts
+++ b/test/follow-source.test.ts
@@ -3,7 +3,7 @@
 	createLogger, createSilentLogger, VirtualClock, type BackendServerId, type ServiceName, type AvailabilityZone,
 } from '../src/common/index.js';
 import {
-	FleetState, Follower, followWaits, SourceDoubt, type BackendServer,
+	FleetState, Follower, followPaces, SourceHealth, type BackendServer,
 } from '../src/routing/index.js';
 import {LogMemory} from './helpers/logs.js';
 import {passTime, StandinSource} from './helpers/sources.js';
@@ -15,11 +15,18 @@
 function createFollower(source: StandinSource, clock: VirtualClock): Follower<string> {
 	const logger = createSilentLogger();
 	return new Follower({
-		name: 'items', wait: followWaits.short, doubt: new SourceDoubt(), source, state: new FleetState(clock, logger), asksSource: () => true, onList() {/* Nothing. */}, onChanges() {/* Nothing. */},
+		name: 'items',
+		pace: followPaces.quick,
+		health: new SourceHealth(),
+		source,
+		state: new FleetState(clock, logger),
+		asksSource: () => true,
+		onList() {/* Nothing. */},
+		onChanges() {/* Nothing. */},
 	}, {clock, logger, random: () => 0.5});
 }
 
-async function startFollower({clock = new VirtualClock(), wait = followWaits.short, doubt = new SourceDoubt()} = {}): Promise<Followed> {
+async function startFollower({clock = new VirtualClock(), pace = followPaces.quick, health = new SourceHealth()} = {}): Promise<Followed> {
 	const log = new LogMemory();
 	const logger = createLogger('info', log);
 	const state = new FleetState(clock, logger);
@@ -28,8 +35,8 @@
 	const seen: string[] = [];
 	const follower = new Follower({
 		name: 'items',
-		wait,
-		doubt,
+		pace,
+		health,
 		source,
 		state,
 		asksSource: () => true,
@@ -174,10 +181,10 @@
 });
 
 test('a follower with a long wait knows of a change as soon, once another one finds the source silent', async () => {
-	const doubt = new SourceDoubt();
-	const short = await startFollower({doubt});
+	const health = new SourceHealth();
+	const short = await startFollower({health});
 	const {clock} = short;
-	const long = await startFollower({clock, doubt, wait: followWaits.long});
+	const long = await startFollower({clock, health, pace: followPaces.calm});
 	short.source.cutSilently();
 	long.source.cutSilently();
 	long.source.put('second');
@@ -187,3 +194,19 @@
 	expect([short, long].map(({log}) => log.listLines('source_checked').length)).toEqual([1, 1]);
 	await Promise.all([short.stop(), long.stop()]);
 });
+
+test('of two followers one asks a silent source often, and the other one as soon as that has an answer', async () => {
+	const health = new SourceHealth();
+	const quick = await startFollower({health});
+	const {clock} = quick;
+	const calm = await startFollower({clock, health, pace: followPaces.calm});
+	quick.source.fallSilent();
+	calm.source.fallSilent();
+	await passTime(clock, 15_000);
+	expect(calm.source.calls.length).toBeLessThan(quick.source.calls.length / 2);
+	quick.source.recover();
+	calm.source.recover();
+	calm.source.put('second');
+	expect(await measureUntilSeen(calm, 'second')).toBeLessThan(1000);
+	await Promise.all([quick.stop(), calm.stop()]);
+});
