--- a/src/gateway/call-run.ts
+++ b/src/gateway/call-run.ts
@@ -6,9 +6,8 @@
  * A refusal that says that nothing ran is only given when nothing was sent, or when every
  * server that was sent the request stated that it did not run it.
  */
-import {Buffer} from 'node:buffer';
 import {
-	createFailure, findAnswer, formatErrorBody, type AvailabilityZone, type BackendServerId, type Clock, type Failure, type Logger, type Timer,
+	createFailure, type AvailabilityZone, type BackendServerId, type Clock, type Failure, type Logger, type Timer,
 } from '../common/index.js';
 import type {Plan, Trouble} from '../planning/index.js';
 import {findRank, type BackendServer} from '../routing/index.js';
@@ -16,11 +15,12 @@
 import type {BackendPool} from './backend-pool.js';
 import type {Call} from './call.js';
 import type {CallSink} from './call-sink.js';
+import {sendFailure} from './failure-answer.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
 import {PlaceSeeker} from './place-seeker.js';
 import type {Placed, Placer} from './placer.js';
 import type {Reservations} from './reservations.js';
-import type {CallHead, GatewayWire, HelperAddress} from './wire.js';
+import type {GatewayWire, HelperAddress} from './wire.js';
 
 /** Sends of one call beyond its route's attempts, all of which must have been declined. */
 const mostDeclined = 3;
@@ -373,19 +373,6 @@
 	}
 }
 
-/** Sends a failure as the whole answer; returns its status. */
-export function sendFailure(sink: CallSink, wire: GatewayWire, failure: Failure, requestId: CallHead['requestId'] | undefined): number {
-	const {status} = findAnswer(failure);
-	const body = JSON.stringify(formatErrorBody(failure));
-	sink.sendHead(status, {
-		'content-type': 'application/json',
-		'content-length': String(Buffer.byteLength(body)),
-		...wire.formatFailureHeaders(failure, requestId),
-	}, true);
-	sink.end(body);
-	return status;
-}
-
 function describeUnconfirmed(reason: string): Failure {
 	return createFailure('backend_unconfirmed', `a backend server may have run the request and its answer did not arrive: ${reason}`);
 }
--- a/src/gateway/call-service.ts
+++ b/src/gateway/call-service.ts
@@ -6,7 +6,8 @@
 import type {FleetState} from '../routing/index.js';
 import type {BackendPool} from './backend-pool.js';
 import type {Call} from './call.js';
-import {CallRun, sendFailure, type CallOutcome} from './call-run.js';
+import {CallRun, type CallOutcome} from './call-run.js';
+import {sendFailure} from './failure-answer.js';
 import type {HttpSink} from './call-sink.js';
 import {waitForFirstView} from './first-view.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
--- /dev/null
+++ b/src/gateway/failure-answer.ts
@@ -0,0 +1,18 @@
+/** A failure as a whole answer to a caller. */
+import {Buffer} from 'node:buffer';
+import {findAnswer, formatErrorBody, type Failure} from '../common/index.js';
+import type {CallSink} from './call-sink.js';
+import type {CallHead, GatewayWire} from './wire.js';
+
+/** Sends a failure as the whole answer; returns its status. */
+export function sendFailure(sink: CallSink, wire: GatewayWire, failure: Failure, requestId: CallHead['requestId'] | undefined): number {
+	const {status} = findAnswer(failure);
+	const body = JSON.stringify(formatErrorBody(failure));
+	sink.sendHead(status, {
+		'content-type': 'application/json',
+		'content-length': String(Buffer.byteLength(body)),
+		...wire.formatFailureHeaders(failure, requestId),
+	}, true);
+	sink.end(body);
+	return status;
+}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -24,6 +24,7 @@
 import {computeDigest} from './digest.js';
 import type {Peer} from './peer-beat.js';
 import {Peers} from './peers.js';
+import {register} from './registration.js';
 import {Reservations} from './reservations.js';
 import {
 	defaultBodyLimit, openAddressServer, openCallersServer, openMetricsServer, openPeersServer, openReadyServer, type OpenServer,
@@ -56,12 +57,6 @@
 /** Letters of a life: enough that no two among thousands are alike by chance. */
 const lifeLength = 6;
 
-/** Time for which a node waits to be heard by those that it was told of before it looks others up, in milliseconds. */
-const registerAfter = 1500;
-
-/** Pause before registering again after a failure, and between looks at whether this node is to register, in milliseconds. */
-const registerPause = 1000;
-
 /** One gateway process. */
 export class Gateway extends PeerService {
 	readonly state: FleetState;
@@ -187,7 +182,10 @@
 		);
 		this.#addSeeds(host);
 		this.#running = this.#supervise();
-		void this.#register();
+		const {source, clock, logger} = this.#parts;
+		void register({
+			clock, logger, source, peers: this.#peers, views: this.#views, self: () => this.#describeSelf(),
+		}, this.#supervisorStop.signal);
 	}
 
 	/**
@@ -324,39 +322,6 @@
 		}
 	}
 
-	/**
-	 * Registers until it has worked once; nodes that find no seed look the others up there.
-	 *
-	 * Those that follow the source do, and whoever hears nobody: of a fleet of hundreds a few are enough to be found by.
-	 */
-	async #register(): Promise<void> {
-		const {source, settings, clock, logger} = this.#parts;
-		const {signal} = this.#supervisorStop;
-		const peerAddress = this.#describeSelf().beatAddress;
-		await waitFor(clock, registerAfter, signal);
-		while (!signal.aborted) {
-			if (!this.#views.isWatcher && this.#peers.countLive() > 0) {
-				await waitFor(clock, registerPause, signal);
-				continue;
-			}
-
-			const registered = await source.register({name: settings.box, peerAddress}, signal);
-			const listed = await source.listNodes(signal);
-			listed.ifRight(nodes => {
-				for (const node of nodes) {
-					this.#peers.addCandidate(node.peerAddress);
-				}
-			});
-			if (registered.isRight() && listed.isRight()) {
-				return;
-			}
-
-			const failure = [registered, listed].find(result => result.isLeft())?.extract() as {message: string};
-			logger.warn({event: 'register_failed', reason: failure.message}, 'the node could not be registered; trying again');
-			await waitFor(clock, registerPause, signal);
-		}
-	}
-
 	/** What is done at each heartbeat. */
 	#tick(): void {
 		this.#pool.prune();
--- /dev/null
+++ b/src/gateway/registration.ts
@@ -0,0 +1,58 @@
+/** A node's entry in the source, by which nodes that were told of nobody find each other. */
+import {waitFor, type Clock, type Logger} from '../common/index.js';
+import type {FleetSource} from '../routing/index.js';
+import type {Peer} from './peer-beat.js';
+import type {Peers} from './peers.js';
+import type {ViewExchange} from './view-exchange.js';
+
+/** Time for which a node waits to be heard by those that it was told of before it looks others up, in milliseconds. */
+const registerAfter = 1500;
+
+/** Pause before registering again after a failure, and between looks at whether this node is to register, in milliseconds. */
+const registerPause = 1000;
+
+/** What registering needs. */
+export type RegistrationParts = {
+	clock: Clock;
+	logger: Logger;
+	source: FleetSource;
+	peers: Peers;
+	views: ViewExchange;
+	self: () => Peer;
+};
+
+/**
+ * Registers until it has worked once, and looks the other nodes up.
+ *
+ * Those that follow the source do, and whoever hears nobody: of a fleet of hundreds a few are enough to be found by.
+ */
+export async function register(parts: RegistrationParts, signal: AbortSignal): Promise<void> {
+	const {clock, views, peers} = parts;
+	await waitFor(clock, registerAfter, signal);
+	while (!signal.aborted) {
+		const mayRegister = views.isWatcher || peers.countLive() === 0;
+		if (mayRegister && await registerOnce(parts, signal)) {
+			return;
+		}
+
+		await waitFor(clock, registerPause, signal);
+	}
+}
+
+async function registerOnce({source, self, peers, logger}: RegistrationParts, signal: AbortSignal): Promise<boolean> {
+	const {name, beatAddress} = self();
+	const registered = await source.register({name, peerAddress: beatAddress}, signal);
+	const listed = await source.listNodes(signal);
+	listed.ifRight(nodes => {
+		for (const node of nodes) {
+			peers.addCandidate(node.peerAddress);
+		}
+	});
+	if (registered.isRight() && listed.isRight()) {
+		return true;
+	}
+
+	const failure = [registered, listed].find(result => result.isLeft())?.extract() as {message: string};
+	logger.warn({event: 'register_failed', reason: failure.message}, 'the node could not be registered; trying again');
+	return false;
+}
--- a/src/gateway/servers.ts
+++ b/src/gateway/servers.ts
@@ -5,7 +5,7 @@
 import {createFailure, type AvailabilityZone} from '../common/index.js';
 import {rpcPath} from '../rpc/node-fetch.js';
 import {HttpSink} from './call-sink.js';
-import {sendFailure} from './call-run.js';
+import {sendFailure} from './failure-answer.js';
 import {listenOnEarly, takeEarlyListener} from './early-listener.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
 import {peerRouter, type PeerService} from './peer-rpc.js';
