--- a/src/routing/follower.ts
+++ b/src/routing/follower.ts
@@ -60,8 +60,8 @@
 	onChanges: (changes: Changes<Item>) => void;
 };
 
-/** What was read, and the revision to go on from. */
-type Reading = {revision: number; hasChanges: boolean};
+/** The revision to go on from, and whether to pause before that. */
+type Reading = {revision: number; wantsPause: boolean};
 
 /** Follows one kind of item until it is stopped. */
 export class Follower<Item> extends Child {
@@ -100,7 +100,7 @@
 				? await this.#list(signal)
 				: await this.#follow(revision, signal);
 			revision = reading?.revision;
-			if (reading?.hasChanges) {
+			if (reading?.wantsPause) {
 				await waitFor(this.#clock, gatherTime, signal);
 			}
 		}
@@ -114,7 +114,7 @@
 			Left: () => undefined,
 			Right: listing => {
 				this.#items.onList(listing);
-				return {revision: listing.revision, hasChanges: false};
+				return {revision: listing.revision, wantsPause: false};
 			},
 		});
 	}
@@ -122,7 +122,8 @@
 	/** Undefined when the items are to be listed again, or this node is no longer to ask. */
 	async #follow(revision: number, signal: AbortSignal): Promise<Reading | undefined> {
 		const followed = await this.#waitForChanges(revision, signal);
-		const answer = isAnswer(followed) ? this.#noteAnswer(followed) : await this.#check(revision, readReason(followed), signal);
+		const wasLost = !isAnswer(followed);
+		const answer = wasLost ? await this.#check(revision, readReason(followed), signal) : this.#noteAnswer(followed);
 		return answer?.caseOf<Reading | undefined>({
 			Left: () => {
 				this.#logger.warn({event: 'history_lost', items: this.#items.name, revision}, 'the source has forgotten this revision; listing again');
@@ -130,7 +131,8 @@
 			},
 			Right: changes => {
 				this.#items.onChanges(changes);
-				return {revision: changes.revision, hasChanges: changes.changes.length > 0};
+				// A source that cuts every call that waits would else be asked without a pause, some hundred times a second.
+				return {revision: changes.revision, wantsPause: wasLost || changes.changes.length > 0};
 			},
 		});
 	}
--- a/test/follow-source.test.ts
+++ b/test/follow-source.test.ts
@@ -210,3 +210,15 @@
 	expect(await measureUntilSeen(calm, 'second')).toBeLessThan(1000);
 	await Promise.all([quick.stop(), calm.stop()]);
 });
+
+test('a source that cuts every call that waits is not asked without a pause, and its changes are known', async () => {
+	const followed = await startFollower();
+	followed.source.cutsWaiting = true;
+	await passTime(followed.clock, 2000);
+	const before = followed.source.calls.length;
+	await passTime(followed.clock, 5000);
+	expect(followed.source.calls.length - before).toBeLessThan(40);
+	followed.source.put('second');
+	expect(await measureUntilSeen(followed, 'second')).toBeLessThan(1000);
+	await followed.stop();
+});
--- a/test/helpers/sources.ts
+++ b/test/helpers/sources.ts
@@ -1,6 +1,6 @@
 /** A source on a virtual clock, whose answers and connections fall silent as a test asks. */
 import {Left, Right, type Either} from 'purify-ts';
-import type {Clock, VirtualClock} from '../../src/common/index.js';
+import {waitFor, type Clock, type VirtualClock} from '../../src/common/index.js';
 import {
 	ItemSource, type Changes, type FollowCall, type Listing, type SourceFailure,
 } from '../../src/routing/index.js';
@@ -11,6 +11,9 @@
 /** Time in which a source that is well answers, in milliseconds. */
 const answerTime = 4;
 
+/** Longest wait of a call that is not cut, in milliseconds. */
+const shortWait = 100;
+
 /** One call that has no answer yet. */
 type OpenCall = {wake: () => void; isDead: boolean};
 
@@ -18,6 +21,8 @@
 export class StandinSource extends ItemSource<string> {
 	/** Calls that begin while this is set are never answered, nor are those that are open then. */
 	readonly calls: Array<{at: number; kind: 'list' | 'follow'}> = [];
+	/** Whether calls that wait for changes are cut as soon as they come. */
+	cutsWaiting = false;
 	/** Time in which an answer comes, in milliseconds. */
 	answerTime = answerTime;
 	readonly #clock: Clock;
@@ -61,6 +66,12 @@
 	}
 
 	override async follow({revision, wait, patience}: FollowCall, signal: AbortSignal): Promise<Either<SourceFailure, Changes<string>>> {
+		if (this.cutsWaiting && wait > shortWait) {
+			this.calls.push({at: this.#clock.readMonotonic(), kind: 'follow'});
+			await waitFor(this.#clock, answerTime, signal);
+			return Left({kind: 'unreachable', message: 'the call was cut'});
+		}
+
 		return this.#call({kind: 'follow', wait: this.#items.length > revision ? 0 : wait, patience}, signal, () => ({
 			changes: this.#items.filter(item => item.revision > revision).map(({name, revision: changedAt}) => ({name, item: name, revision: changedAt})),
 			revision: this.#items.length,
