feat(gateway): a server's life is its name and its start, foreign entries name no server, silent streams move only to a granted place

Cause: (1) a server that was drained and came back under its name stayed leaving for good, since its id alone stood for a life and its loss is left out when the same answer brings it back. (2) One odd object failed a whole list or watch of servers; an entry without slots counted as a server of one. The place was sought with the patience of the event before the silent server's last one. Change: (1) BackendServerId is name and start, made in platform/; an entry carries its revision at the source, of two entries of a name the later counts, from the source, a list or a node; a new life drops kept connections, moves calls of the old one that may move, and is sent no renewal of memory. (2) Objects are parsed one by one, each field by its type; what cannot be read takes its server out of new work until its own entry is back, logged once a change, counted in a gauge. (3) A silent server is left only with a place in hand; without one it is asked for again after a quarter of the silence. Tests: red before (on the commit before: a drained server back under its name; a stream whose only server is silent); lives by change, list, view, late entries; property test of 400 orders of starts, drains, lapses, overwrites, outages and hearsay. Changed expectations: a loss carries its revision; the fixture of a ready node has all fields of an entry. Ruled out: comparing clocks for the newer life; keeping the stickiness of leaving by name. One commit for three causes, since they share the view and the call.

--- a/bench/decisions.ts
+++ b/bench/decisions.ts
@@ -9,7 +9,7 @@
 import {performance} from 'node:perf_hooks';
 import {quantile} from 'simple-statistics';
 import type {
-	AvailabilityZone, BackendServerId, BoxId, RequestId, ServiceName,
+	AvailabilityZone, BackendServerId, BackendServerName, BoxId, RequestId, ServiceName,
 } from '../src/common/index.js';
 import {Planner, type PlanRequest} from '../src/planning/index.js';
 import {createCountingIds} from '../src/replay/counting-ids.js';
@@ -25,6 +25,8 @@
 		const planner = new Planner({ids: createCountingIds(), engine});
 		planner.setServers(Array.from({length: count}, (_, index) => ({
 			id: `i-${String(index).padStart(4, '0')}` as BackendServerId,
+			name: `i-${String(index).padStart(4, '0')}` as BackendServerName,
+			entryRevision: 1,
 			service,
 			address: `10.0.0.1:${index}`,
 			availabilityZone: 'a' as AvailabilityZone,
--- a/src/common/ids.ts
+++ b/src/common/ids.ts
@@ -13,7 +13,9 @@
 export type ServiceName = Branded<'ServiceName'>;
 /** One service in one region, written `service@region`. */
 export type PoolId = Branded<'PoolId'>;
-/** Name of a backend server, unique in the system. */
+/** Name under which a backend server registers; it may start again under the same one. */
+export type BackendServerName = Branded<'BackendServerName'>;
+/** One life of a backend server, unique in the system: its name, and where it tells one its start. */
 export type BackendServerId = Branded<'BackendServerId'>;
 /** Name of the box on which a node runs. */
 export type BoxId = Branded<'BoxId'>;
--- a/src/gateway/backend-attempt.ts
+++ b/src/gateway/backend-attempt.ts
@@ -38,8 +38,10 @@
 	plan: Plan;
 	/** The event after which the stream goes on. */
 	lastEventId: number | undefined;
-	/** Takes leave to go on at another server; while there is none, a silent server is waited for. */
+	/** Takes a place at another server to go on there; while there is none, a silent server is waited for. */
 	takeMove: () => Promise<boolean>;
+	/** Gives such a place back: the server has spoken meanwhile. */
+	dropMove: () => void;
 	/** Called once, at the first event or the whole answer. */
 	onFirst: () => void;
 };
@@ -51,6 +53,9 @@
 const firstSilenceFactor = 3;
 const leastFirstSilence = 1000;
 
+/** Share of a silence after which a move that was not granted is asked for again. */
+const askAgainShare = 0.25;
+
 const firstFailureStatus = 500;
 
 /** Silence between two events after which a stream goes on at another server, in milliseconds; undefined when it may not. */
@@ -119,6 +124,14 @@
 		this.#finish({kind: 'stopped', mayHaveRun});
 	}
 
+	/** Leaves a server whose process has ended, when another one could take over; else its connection tells. */
+	leaveEnded(): void {
+		const findFirst = this.#findFirstSilence();
+		if (!this.#isOver && findFirst !== undefined) {
+			this.#armSilence(0, 'the server has started again');
+		}
+	}
+
 	#takeHead(status: number, headers: HeaderFields): void {
 		const head = this.#parts.wire.readAnswer(status, headers);
 		this.#head = head;
@@ -302,21 +315,28 @@
 	/** Only requests that may go elsewhere are taken from a silent server. */
 	#watchSilence(limit: number | undefined): void {
 		this.#silence?.cancel();
-		if (limit === undefined || this.#isOver) {
-			return;
+		if (limit !== undefined && !this.#isOver) {
+			this.#armSilence(limit, `the server was silent for ${Math.round(limit)} ms`);
 		}
+	}
 
+	#armSilence(limit: number, reason: string): void {
+		this.#silence?.cancel();
 		const timer = this.#parts.clock.setTimer(limit, () => {
-			void this.#leaveSilent(timer, limit);
+			void this.#leaveSilent(timer, limit, reason);
 		});
 		this.#silence = timer;
 	}
 
-	/** An event that comes while leave is asked for ends the silence. */
-	async #leaveSilent(timer: Timer, limit: number): Promise<void> {
+	/** An event that comes while a place is asked for ends the silence; without a place one is asked for again. */
+	async #leaveSilent(timer: Timer, limit: number, reason: string): Promise<void> {
 		const mayLeave = await this.#parts.takeMove();
-		if (mayLeave && this.#silence === timer && !this.#isOver) {
-			this.#giveUp('silent', `the server was silent for ${Math.round(limit)} ms`);
+		if (this.#silence !== timer || this.#isOver) {
+			this.#parts.dropMove();
+		} else if (mayLeave) {
+			this.#giveUp('silent', reason);
+		} else {
+			this.#armSilence(Math.max(leastFirstSilence, limit) * askAgainShare, reason);
 		}
 	}
 
--- a/src/gateway/call-run.ts
+++ b/src/gateway/call-run.ts
@@ -80,6 +80,8 @@
 	#firstAfter: number | undefined;
 	#longestPause = 0;
 	#placed: Placed | undefined;
+	/** A place that was granted while a silent server is still waited for. */
+	#nextPlace: Placed | undefined;
 	/** Whether a retry was taken out of the budget before the server that runs the request is left. */
 	#hasRetry = false;
 
@@ -115,6 +117,13 @@
 		this.#stop('gone');
 	}
 
+	/** Notes that a server has started again: what ran in its earlier life will never be answered. */
+	noteRestart(ended: BackendServerId): void {
+		if (this.#placed?.plan.server === ended) {
+			this.#attempt?.leaveEnded();
+		}
+	}
+
 	#stop(end: 'deadline' | 'gone'): void {
 		this.#end ??= end;
 		this.#attempt?.stop();
@@ -124,7 +133,7 @@
 	/** Undefined when an answer has been given whole. */
 	async #tryServers(): Promise<Failure | undefined> {
 		for (;;) {
-			const placed = await this.#seeker.find(this.#sink.hasHead);
+			const placed = await this.#takePlace();
 			if (placed === undefined || this.#end !== undefined) {
 				this.#release(placed);
 				return this.#describeEnd();
@@ -138,11 +147,19 @@
 			const end = this.#blame(await this.#send(placed.plan), placed.plan);
 			const verdict = await this.#judge(end, placed.plan);
 			if (verdict !== 'again') {
+				this.#dropNextPlace();
 				return verdict;
 			}
 		}
 	}
 
+	/** The place that was granted before a silent server was left, else one that is sought now. */
+	async #takePlace(): Promise<Placed | Failure | undefined> {
+		const granted = this.#nextPlace;
+		this.#nextPlace = undefined;
+		return granted === undefined ? this.#seeker.seek(this.#sink.hasHead) : this.#seeker.waitForStart(granted);
+	}
+
 	#release(placed: Placed | Failure | undefined): void {
 		if (placed !== undefined && !('kind' in placed)) {
 			this.#parts.placer.note(placed.plan, {planId: placed.plan.planId, kind: 'ended'});
@@ -187,7 +204,10 @@
 			sink: this.#sink,
 			plan,
 			lastEventId: this.#lastEventId,
-			takeMove: async () => this.#takeMove(),
+			takeMove: async () => this.#takeMove(plan),
+			dropMove: () => {
+				this.#dropNextPlace();
+			},
 			onFirst: () => {
 				this.#firstAfter ??= this.#parts.clock.readMonotonic() - call.arrived;
 				this.#parts.placer.note(plan, {planId: plan.planId, kind: 'started'});
@@ -201,7 +221,7 @@
 			body: call.body,
 			headers: this.#parts.wire.formatSend({
 				call: call.head,
-				server: plan.server,
+				serverName: server.name,
 				organisation: call.organisation?.name,
 				timeLeft: Math.ceil(timeLeft),
 				lastEventId: this.#lastEventId,
@@ -282,14 +302,29 @@
 		}
 	}
 
-	/** Whether the server that runs the request now may be left for another one: its own run counts already, and the retry is taken. */
-	async #takeMove(): Promise<boolean> {
+	/**
+	 * Whether the server that runs the request now may be left for another one: its own run counts already, the retry
+	 * is taken, and a place elsewhere is held. Streams that were left before a place was granted were broken off when
+	 * none came in time, up to 26 of a day on which many servers were silent at once; most of those would have spoken again.
+	 */
+	async #takeMove(plan: Plan): Promise<boolean> {
 		if (!this.#mayRepeat(this.#runs + 1) || this.#seeker.timeLeft < leastUsefulTime) {
 			return false;
 		}
 
 		this.#hasRetry ||= await this.#askRetry();
-		return this.#hasRetry;
+		if (!this.#hasRetry) {
+			return false;
+		}
+
+		this.#seeker.lastEventAt = this.#attempt?.lastEventAt ?? this.#seeker.lastEventAt;
+		this.#nextPlace = await this.#seeker.seekAtOnce(this.#sink.hasHead, plan.server);
+		return this.#nextPlace !== undefined;
+	}
+
+	#dropNextPlace(): void {
+		this.#release(this.#nextPlace);
+		this.#nextPlace = undefined;
 	}
 
 	/** Whether the request may run once more after so many runs. */
--- a/src/gateway/call-service.ts
+++ b/src/gateway/call-service.ts
@@ -1,7 +1,7 @@
 /** Takes callers' requests: finds where each goes, runs it, and writes down how it ended. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
-	readErrorMessage, type AvailabilityZone, type BoxId, type Clock, type Logger,
+	readErrorMessage, type AvailabilityZone, type BackendServerId, type BoxId, type Clock, type Logger,
 } from '../common/index.js';
 import type {FleetState} from '../routing/index.js';
 import type {BackendPool} from './backend-pool.js';
@@ -44,6 +44,13 @@
 		this.#parts = parts;
 	}
 
+	/** Notes that a server has started again: calls that ran in its earlier life go on elsewhere at once. */
+	noteRestart(ended: BackendServerId): void {
+		for (const run of this.#runs) {
+			run.noteRestart(ended);
+		}
+	}
+
 	/** Calls in progress. */
 	get inProgress(): number {
 		return this.#runs.size;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -137,12 +137,16 @@
 			pool: this.#pool,
 			placer: this.#placer,
 			reservations: new Reservations({
-				clock, logger, wire, pool: this.#pool,
+				clock, logger, wire, pool: this.#pool, isLive: id => this.state.hasServer(id),
 			}),
 			node: parts.settings.box as BoxId,
 			availabilityZone: parts.settings.availability_zone as AvailabilityZone,
 			random: parts.random,
 		});
+		this.state.addRestartListener(ended => {
+			this.#pool.leaveIdle(ended.address);
+			this.#calls.noteRestart(ended.id);
+		});
 		this.state.addListener(() => {
 			this.#socket.announce();
 			this.#applyLimits();
@@ -338,6 +342,7 @@
 		this.#views.chooseWatchers(this.#peers);
 		this.metrics.setState('live_nodes', this.#peers.countLive() + 1);
 		this.metrics.setState('config_version', this.state.configVersion);
+		this.metrics.setState('foreign_servers', this.state.foreignCount);
 		this.metrics.setState('calls', this.#calls.inProgress);
 	}
 
--- a/src/gateway/place-seeker.ts
+++ b/src/gateway/place-seeker.ts
@@ -26,6 +26,8 @@
 	lastEventAt: number | undefined;
 	readonly #parts: PlaceSeekerParts;
 	#isStopped = false;
+	/** Since when a place beside a silent server is sought in vain. */
+	#soughtAtOnceSince: number | undefined;
 	#wakeWaiting: (() => void) | undefined;
 
 	constructor(parts: PlaceSeekerParts) {
@@ -38,7 +40,7 @@
 	}
 
 	/** A place, with the time to send come; a failure; or undefined once stopped. `hasBegun` says whether the caller has seen the head of an answer. */
-	async find(hasBegun: boolean): Promise<Placed | Failure | undefined> {
+	async seek(hasBegun: boolean): Promise<Placed | Failure | undefined> {
 		const askedFirst = this.#parts.clock.readMonotonic();
 		// Exactly 0 for the first ask: only that one counts as a request that came.
 		let waited = 0;
@@ -54,12 +56,30 @@
 				continue;
 			}
 
-			if (!('kind' in answer) && answer.plan.startIn > 0) {
-				await this.#wait(answer.plan.startIn);
-			}
+			return 'kind' in answer ? answer : this.waitForStart(answer);
+		}
+	}
+
+	/** A place that is free already, beside a server that still runs the request; undefined when there is none at once. */
+	async seekAtOnce(hasBegun: boolean, running: BackendServerId): Promise<Placed | undefined> {
+		const now = this.#parts.clock.readMonotonic();
+		this.#soughtAtOnceSince ??= now;
+		const answer = await this.#ask(now - this.#soughtAtOnceSince, hasBegun, [...this.excluded, running]);
+		if (!('plan' in answer) || this.#isStopped) {
+			return undefined;
+		}
+
+		this.#soughtAtOnceSince = undefined;
+		return answer;
+	}
 
-			return answer;
+	/** Waits until it is time to send. */
+	async waitForStart(placed: Placed): Promise<Placed> {
+		if (placed.plan.startIn > 0) {
+			await this.#wait(placed.plan.startIn);
 		}
+
+		return placed;
 	}
 
 	/** Ends all waiting. */
@@ -68,7 +88,7 @@
 		this.#wakeWaiting?.();
 	}
 
-	async #ask(waited: number, hasBegun: boolean): Promise<PlaceAnswer | Failure> {
+	async #ask(waited: number, hasBegun: boolean, excluded = this.excluded): Promise<PlaceAnswer | Failure> {
 		const {
 			clock, placer, call, node, availabilityZone,
 		} = this.#parts;
@@ -91,7 +111,7 @@
 			route: route.name,
 			callerWaits: head.timeLeft,
 			hasBegun,
-			excluded: this.excluded,
+			excluded,
 		});
 		return result.caseOf<PlaceAnswer | Failure>({Left: failure => failure, Right: value => value});
 	}
--- a/src/gateway/reservations.ts
+++ b/src/gateway/reservations.ts
@@ -34,13 +34,23 @@
 };
 
 /** A reservation on one server. */
-type Held = {address: string; reservation: string; tokens: number};
+type Held = {server: BackendServerId; address: string; reservation: string; tokens: number};
+
+/** What reservations need. */
+export type ReservationParts = {
+	clock: Clock;
+	logger: Logger;
+	wire: GatewayWire;
+	pool: BackendPool;
+	/** Whether a server's life has not ended by this node's view. */
+	isLive: (id: BackendServerId) => boolean;
+};
 
 /** Takes and frees reservations. */
 export class Reservations {
-	readonly #parts: {clock: Clock; logger: Logger; wire: GatewayWire; pool: BackendPool};
+	readonly #parts: ReservationParts;
 
-	constructor(parts: {clock: Clock; logger: Logger; wire: GatewayWire; pool: BackendPool}) {
+	constructor(parts: ReservationParts) {
 		this.#parts = parts;
 	}
 
@@ -54,7 +64,10 @@
 			};
 		}
 
-		const held = wanted.map(helper => ({address: helper.address, reservation: `${requestId}-${plan.planId.slice(0, 8)}`, tokens: helper.heldTokens}));
+		const reservation = `${requestId}-${plan.planId.slice(0, 8)}`;
+		const held = wanted.map(({server, address, heldTokens}) => ({
+			server, address, reservation, tokens: heldTokens,
+		}));
 		const taken = await Promise.all(held.map(async item => this.#order(item, {
 			kind: 'reserve', reservation: item.reservation, tokens: item.tokens, holdFor,
 		})));
@@ -70,7 +83,8 @@
 		let timer: Timer | undefined;
 		const renew = () => {
 			timer = this.#parts.clock.setTimer(renewEvery, () => {
-				for (const item of held) {
+				// At a server that has started again a renewal would set memory aside that nobody uses.
+				for (const item of held.filter(({server}) => this.#parts.isLive(server))) {
 					void this.#order(item, {
 						kind: 'reserve', reservation: item.reservation, tokens: item.tokens, holdFor,
 					});
--- a/src/gateway/wire.ts
+++ b/src/gateway/wire.ts
@@ -5,7 +5,7 @@
  */
 import type {Either} from 'purify-ts';
 import type {
-	AvailabilityZone, BackendServerId, Failure, OrganisationId, RequestId,
+	AvailabilityZone, BackendServerName, Failure, OrganisationId, RequestId,
 } from '../common/index.js';
 
 /** Header fields as Node.js gives and takes them, names in lower case. */
@@ -35,7 +35,7 @@
 /** What is sent along with a request to a backend server. */
 export type SendHead = {
 	call: CallHead;
-	server: BackendServerId;
+	serverName: BackendServerName;
 	organisation?: OrganisationId;
 	/** Milliseconds after which the answer is no longer wanted. */
 	timeLeft: number;
--- a/src/replay/routed/routed-replay.ts
+++ b/src/replay/routed/routed-replay.ts
@@ -1,7 +1,7 @@
 /** Replays a drawn day: the routed path's real planner over servers that work in passes, on a virtual clock. */
 import TinyQueue from 'tinyqueue';
 import type {
-	AvailabilityZone, BackendServerId, RequestId,
+	AvailabilityZone, BackendServerId, BackendServerName, RequestId,
 } from '../../common/index.js';
 import {Planner} from '../../planning/index.js';
 import type {BackendServer} from '../../routing/index.js';
@@ -120,6 +120,8 @@
 function describeServer(index: number, slots: number): BackendServer {
 	return {
 		id: `i-${String(index).padStart(3, '0')}` as BackendServerId,
+		name: `i-${String(index).padStart(3, '0')}` as BackendServerName,
+		entryRevision: 1,
 		service,
 		address: `10.0.0.${index}:80`,
 		availabilityZone: zone,
--- a/src/routing/fleet-source.ts
+++ b/src/routing/fleet-source.ts
@@ -13,10 +13,22 @@
 };
 
 /** Everything of one kind at one revision. */
-export type Listing<Item> = {items: Item[]; revision: number};
+export type Listing<Item> = {
+	items: Item[];
+	revision: number;
+	/** Names under which somebody else has written: nothing to use stands there. */
+	foreign?: string[];
+};
 
-/** A change of one item; `item` is undefined for one that is gone, `revision` that of the item where the source tells it. */
-export type Change<Item> = {name: string; item: Item | undefined; revision?: number};
+/** A change of one item; `item` is undefined for one that is gone, or where another writer's entry stands now. */
+export type Change<Item> = {
+	name: string;
+	item: Item | undefined;
+	/** Revision of the entry, where the source tells it. */
+	revision?: number;
+	/** Whether an entry of another writer stands there, which names nothing to use. */
+	isForeign?: boolean;
+};
 
 /** Changes since a revision, oldest first. */
 export type Changes<Item> = {changes: Array<Change<Item>>; revision: number};
--- a/src/routing/model.ts
+++ b/src/routing/model.ts
@@ -4,7 +4,7 @@
  * Plain data, decoded by whichever adapter feeds the gateway (`FleetSource`).
  */
 import type {
-	AvailabilityZone, BackendServerId, OrganisationId, ServiceName,
+	AvailabilityZone, BackendServerId, BackendServerName, OrganisationId, ServiceName,
 } from '../common/index.js';
 
 /** What may be done with a request a second time: repeated freely, never, or an event stream. */
@@ -93,7 +93,12 @@
 
 /** One life of one backend server. */
 export type BackendServer = {
+	/** This life: another one under the same name is another server to whoever places requests. */
 	id: BackendServerId;
+	/** What servers and their source call it. */
+	name: BackendServerName;
+	/** Revision of its entry at the source: of two entries of a name the later one counts. */
+	entryRevision: number;
 	service: ServiceName;
 	/** `IP:PORT`. */
 	address: string;
--- a/test/follow-source.test.ts
+++ b/test/follow-source.test.ts
@@ -1,6 +1,6 @@
 import {expect, test} from '@jest/globals';
 import {
-	createLogger, createSilentLogger, VirtualClock, type BackendServerId, type ServiceName, type AvailabilityZone,
+	createLogger, createSilentLogger, VirtualClock, type BackendServerId, type BackendServerName, type ServiceName, type AvailabilityZone,
 } from '../src/common/index.js';
 import {
 	FleetState, Follower, followPaces, SourceHealth, type BackendServer,
@@ -61,7 +61,10 @@
 
 function createServer(id: string): BackendServer {
 	return {
-		id: id as BackendServerId, service: 'app' as ServiceName, address: '10.0.0.1:80', availabilityZone: 'a' as AvailabilityZone, slots: 4, isLeaving: false,
+		id: id as BackendServerId,
+		name: id as BackendServerName,
+		entryRevision: 0,
+		service: 'app' as ServiceName, address: '10.0.0.1:80', availabilityZone: 'a' as AvailabilityZone, slots: 4, isLeaving: false,
 	};
 }
 
--- a/test/gateway-calls.test.ts
+++ b/test/gateway-calls.test.ts
@@ -1,6 +1,7 @@
 import {
 	afterEach, beforeEach, expect, test,
 } from '@jest/globals';
+import type {ServiceName} from '../src/common/index.js';
 import {
 	createConfig, GatewayFleet, waitUntil, type SeenAnswer,
 } from './helpers/gateways.js';
@@ -104,6 +105,71 @@
 	expect(fleet.runners.reduce((sum, runner) => sum + runner.seen.length, 0)).toBe(1);
 });
 
+// On a day with many servers silent at once 20 to 26 streams were left after 1.3 s of silence (`the server was silent
+// for 1300 ms`), refused a place as too late right after, and broken off; the servers would have spoken again.
+test('a server that falls silent is waited for when no other one has a place', async () => {
+	await fleet.start({runners: [{service: 'model', behaviour: pauseOnce}]});
+	const answer = await fleet.call({path: '/stream/', headers: tokens});
+	expect([answer.status, answer.isWhole, answer.body]).toEqual([200, true, [1, 2].map(id => formatEvent(id)).join('')]);
+	expect(fleet.runners[0].seen).toHaveLength(1);
+});
+
+test('a stream goes on elsewhere at once when its server has started again, a request that may run once does not', async () => {
+	const stall: RunnerBehaviour = (request, response) => {
+		response.writeHead(200, {...markAnswer(request), 'content-type': 'text/event-stream'});
+		response.write(formatEvent(1));
+	};
+
+	await fleet.start({runners: [{service: 'model', behaviour: stall}, {service: 'app', behaviour() {}}]}); // eslint-disable-line @typescript-eslint/no-empty-function
+	const answers = [fleet.call({path: '/stream/', headers: tokens}), fleet.call({path: '/once/'})];
+	await waitUntil(() => fleet.runners.every(runner => runner.seen.length === 1));
+	await fleet.addRunner('model', streamEvents(2));
+	await fleet.addRunner('app', answerWhole('twice'));
+	await waitUntil(() => fleet.gateways[0].state.listServers('model' as ServiceName).length === 2 && fleet.gateways[0].state.listServers('app' as ServiceName).length === 2);
+	const started = Date.now();
+	fleet.putServer(0, 'model', 'ready', 1_733_000_000_000);
+	fleet.putServer(1, 'app', 'ready', 1_733_000_000_000);
+	const stream = await answers[0];
+	expect([stream.isWhole, stream.body]).toEqual([true, [1, 2].map(id => formatEvent(id)).join('')]);
+	expect(Date.now() - started).toBeLessThan(1000);
+	const once = await answers[1];
+	expect([once.status, fleet.runners[3].seen.length]).toEqual([504, 0]);
+});
+
+test('a server that was drained and started again under its name gets requests', async () => {
+	await fleet.start({runners: [{service: 'app', behaviour: answerWhole('yes')}]});
+	const born = 1_733_000_000_000;
+	fleet.putServer(0, 'app', 'ready', born);
+	fleet.putServer(0, 'app', 'draining', born);
+	await waitUntil(() => fleet.gateways[0].state.listServers('app' as ServiceName).length === 0);
+	fleet.store.remove('servers', 'i-0');
+	fleet.putServer(0, 'app', 'ready', born + 9000);
+	await waitUntil(() => fleet.gateways[0].state.listServers('app' as ServiceName).length === 1);
+	const answer = await fleet.call({path: '/once/'});
+	expect([answer.status, fleet.runners[0].seen[0].headers['cresshook-target-instance']]).toEqual([200, 'i-0']);
+});
+
+test('a server whose entry somebody else has overwritten gets no new request, and what it runs goes on', async () => {
+	const slow: RunnerBehaviour = (request, response, socket) => {
+		setTimeout(() => {
+			void answerWhole('slow')(request, response, socket);
+		}, 600);
+	};
+
+	await fleet.start({runners: [{service: 'app', behaviour: slow}, {service: 'app', behaviour: answerWhole('fast')}]});
+	fleet.store.put('servers', 'i-1', {state: 'ready'});
+	await waitUntil(() => fleet.gateways[0].state.listServers('app' as ServiceName).length === 1);
+	const running = fleet.call({path: '/once/'});
+	await waitUntil(() => fleet.runners[0].seen.length === 1);
+	fleet.store.put('servers', 'i-0', 'not an entry');
+	await waitUntil(() => fleet.gateways[0].state.listServers('app' as ServiceName).length === 0);
+	fleet.putServer(1, 'app', 'ready');
+	await waitUntil(() => fleet.gateways[0].state.listServers('app' as ServiceName).length === 1);
+	const other = await fleet.call({path: '/once/'});
+	const answer = await running;
+	expect([answer.body, other.body, fleet.gateways[0].state.foreignCount]).toEqual(['slow', 'fast', 1]);
+});
+
 test('a helping server at fault is left out of the next try, not the one that tells of it', async () => {
 	await fleet.start({runners: [1, 2, 3, 4].map(() => ({service: 'model', behaviour: decline}))});
 	const faulty = fleet.runners[1].address;
--- a/test/gateway-nodes.test.ts
+++ b/test/gateway-nodes.test.ts
@@ -66,7 +66,7 @@
 test('the ready answer follows the node\'s life', async () => {
 	await fleet.start({runners: []});
 	fleet.store.put('servers', 'i-9', {
-		service: 'app', address: '127.0.0.1:9', zone: 'north', slots: 1, state: 'ready',
+		service: 'app', address: '127.0.0.1:9', zone: 'north', version: 'v1', slots: 1, state: 'ready', coldRemainingMs: 0, sequence: 1,
 	});
 	const ready = async () => {
 		const answer = await send(fleet.settings[0].listen.ready, {path: '/v1/readyz', method: 'GET'});
--- a/test/gateway-parts.test.ts
+++ b/test/gateway-parts.test.ts
@@ -82,7 +82,7 @@
 	} as unknown as Call;
 	await new PlaceSeeker({
 		clock, placer, call, node: 'edge-1' as BoxId, availabilityZone: 'a' as AvailabilityZone, deadline: 1000,
-	}).find(false);
+	}).seek(false);
 	expect(placer.waits[0]).toBe(0);
 	expect(placer.waits.slice(1).every(waited => waited > 0)).toBe(true);
 });
--- a/test/helpers/gateways.ts
+++ b/test/helpers/gateways.ts
@@ -104,10 +104,10 @@
 		return runner;
 	}
 
-	/** Writes the entry of a runner. */
-	putServer(index: number, service: string, state: 'ready' | 'draining'): void {
+	/** Writes the entry of a runner; `born` when it tells its start. */
+	putServer(index: number, service: string, state: 'ready' | 'draining', born?: number): void {
 		this.store.put('servers', `i-${index}`, {
-			service, address: this.runners[index].address, zone: 'north', version: 'v1', slots: 11, state, coldRemainingMs: 0, sequence: 1,
+			service, address: this.runners[index].address, zone: 'north', version: 'v1', slots: 11, state, coldRemainingMs: 0, sequence: 1, born,
 		});
 	}
 
--- a/test/helpers/planning.ts
+++ b/test/helpers/planning.ts
@@ -1,6 +1,6 @@
 /** A planner and what it is asked, for tests. */
 import type {
-	AvailabilityZone, BackendServerId, BoxId, IdSource, RequestId, ServiceName,
+	AvailabilityZone, BackendServerId, BackendServerName, BoxId, IdSource, RequestId, ServiceName,
 } from '../../src/common/index.js';
 import {
 	Planner, type Decision, type Plan, type PlanRequest,
@@ -29,6 +29,8 @@
 export function createServers(count: number): BackendServer[] {
 	return Array.from({length: count}, (_, index) => ({
 		id: `i-${String(index).padStart(3, '0')}` as BackendServerId,
+		name: `i-${String(index).padStart(3, '0')}` as BackendServerName,
+		entryRevision: 1,
 		service: 'model' as ServiceName,
 		address: `10.0.0.${index}:80`,
 		availabilityZone: 'a' as AvailabilityZone,
--- a/test/helpers/viewing-fleet.ts
+++ b/test/helpers/viewing-fleet.ts
@@ -2,7 +2,7 @@
 import {Buffer} from 'node:buffer';
 import seedrandom from 'seedrandom';
 import {
-	createSilentLogger, VirtualClock, type AvailabilityZone, type BackendServerId, type ServiceName,
+	createSilentLogger, VirtualClock, type AvailabilityZone, type BackendServerId, type BackendServerName, type ServiceName,
 } from '../../src/common/index.js';
 import {decodeBeat, encodeBeat} from '../../src/gateway/peer-beat.js';
 import type {PeerClients} from '../../src/gateway/peer-rpc.js';
@@ -88,7 +88,14 @@
 /** A server of the fleet. */
 export function createModelServer(index: number, isLeaving = false): BackendServer {
 	return {
-		id: `i-${index}` as BackendServerId, service: 'model' as ServiceName, address: `10.3.64.${index}:8664`, availabilityZone: 'zone-0' as AvailabilityZone, slots: 8, isLeaving,
+		id: `i-${index}` as BackendServerId,
+		name: `i-${index}` as BackendServerName,
+		entryRevision: isLeaving ? 2 : 1,
+		service: 'model' as ServiceName,
+		address: `10.3.64.${index}:8664`,
+		availabilityZone: 'zone-0' as AvailabilityZone,
+		slots: 8,
+		isLeaving,
 	};
 }
 
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -3,15 +3,16 @@
 import {
 	afterEach, beforeEach, expect, test,
 } from '@jest/globals';
+import fc from 'fast-check';
 import {CallWire, PlatformSource} from '../platform/index.js';
 import {decodeConfig} from '../platform/decode-config.js';
 import {decodeServer} from '../platform/decode-server.js';
 import {
-	createFailure, createSilentLogger, systemClock, type BackendServerId, type OrganisationId,
+	createFailure, createSilentLogger, systemClock, type BackendServerName, type OrganisationId,
 } from '../src/common/index.js';
 import type {SendHead} from '../src/gateway/index.js';
 import {createConfig} from './helpers/gateways.js';
-import {StandinStore} from './helpers/platform-standins.js';
+import {Listening, StandinStore} from './helpers/platform-standins.js';
 
 let store: StandinStore;
 let source: PlatformSource;
@@ -62,11 +63,12 @@
 });
 
 test('an entry of a server is decoded, one with an unknown state is refused', () => {
-	expect(decodeServer('i-1', serverSpec)).toEqual({
-		id: 'i-1', service: 'model', address: '10.0.0.1:80', availabilityZone: 'north', slots: 11, isLeaving: false,
+	const decode = (spec: unknown) => decodeServer({metadata: {name: 'i-1', revision: 7}, spec});
+	expect(decode(serverSpec)).toEqual({
+		id: 'i-1', name: 'i-1', entryRevision: 7, service: 'model', address: '10.0.0.1:80', availabilityZone: 'north', slots: 11, isLeaving: false,
 	});
-	expect(decodeServer('i-1', {...serverSpec, state: 'draining'}).isLeaving).toBe(true);
-	expect(() => decodeServer('i-1', {...serverSpec, state: 'asleep'})).toThrow('state');
+	expect(decode({...serverSpec, state: 'draining'}).isLeaving).toBe(true);
+	expect(() => decode({...serverSpec, state: 'asleep'})).toThrow('state');
 });
 
 test('all pages of a list are read, also when there are many', async () => {
@@ -86,6 +88,46 @@
 	const listed = await source.servers.list(signal);
 	const listing = listed.unsafeCoerce();
 	expect(listing.items.map(server => server.id)).toEqual(['i-1']);
+	expect(listing.foreign).toEqual(['i-2']);
+});
+
+test('the life of a server is its name and its start; a start that is no whole number is written by somebody else', () => {
+	const decode = (born: unknown) => decodeServer({metadata: {name: 'i-1', revision: 7}, spec: {...serverSpec, born}});
+	expect([undefined, 1_733_000_000_000, 0].map(born => decode(born).id)).toEqual(['i-1', 'i-1@1733000000000', 'i-1@0']);
+	for (const born of ['1733000000000', 1.5, null, Number.NaN]) {
+		expect(() => decode(born)).toThrow('born');
+	}
+});
+
+test('an entry without one of the fields of a server, or with one of another type, is refused by its name', () => {
+	for (const field of Object.keys(serverSpec)) {
+		const spec = {...serverSpec, [field]: field === 'slots' ? '11' : []};
+		expect(() => decodeServer({metadata: {name: 'i-1'}, spec})).toThrow(field);
+		expect(() => decodeServer({metadata: {name: 'i-1'}, spec: {...serverSpec, [field]: undefined}})).toThrow(field);
+	}
+
+	expect(() => decodeServer({metadata: {name: 'i-1'}, spec: {...serverSpec, address: 'somewhere'}})).toThrow('address');
+	expect(() => decodeServer({metadata: {name: 'i-1'}, spec: 'ready'})).toThrow();
+});
+
+test('whatever else stands in a list or comes as a change, the servers in it are taken', async () => {
+	await fc.assert(fc.asyncProperty(fc.array(fc.anything(), {maxLength: 4}), fc.array(fc.anything(), {maxLength: 4}), async (before, after) => {
+		const own = {metadata: {name: 'i-1', revision: 3}, spec: serverSpec};
+		const text = JSON.stringify([...before, own, ...after]);
+		const items = JSON.parse(text) as unknown[];
+		const answering = await new Listening(async (request, response) => {
+			const isWatch = request.url?.includes('watch') === true;
+			const events = items.map(object => ({object}));
+			response.writeHead(200, {'content-type': 'application/json'});
+			response.end(JSON.stringify(isWatch ? {events: [...events, ...items], at: 9} : {items, at: 9}));
+		}).start();
+		const odd = new PlatformSource(answering.address, systemClock, createSilentLogger());
+		const [listed, followed] = await Promise.all([odd.servers.list(signal), odd.servers.follow({revision: 1, wait: 0, patience: 400}, signal)]);
+		await odd.close();
+		await answering.stop();
+		expect(listed.unsafeCoerce().items.map(server => server.id)).toEqual(['i-1']);
+		expect(followed.unsafeCoerce().changes.flatMap(change => change.item?.id ?? [])).toEqual(['i-1']);
+	}), {seed: 77, numRuns: 60});
 });
 
 test('changes after a revision come as they are made, gone ones too', async () => {
@@ -96,7 +138,7 @@
 	}, 50);
 	const followed = await waiting;
 	const changes = followed.unsafeCoerce();
-	expect(changes).toEqual({changes: [{name: 'i-1', item: undefined}], revision: 2});
+	expect(changes).toEqual({changes: [{name: 'i-1', item: undefined, revision: 1}], revision: 2});
 });
 
 test('a watch without changes comes back empty', async () => {
@@ -174,7 +216,7 @@
 test('what is sent to a server names the server, the organisation, the time left and the helpers', () => {
 	const call = wire.readCall('POST', '/a/', callHeaders).unsafeCoerce();
 	const send: SendHead = {
-		call, server: 'i-1' as BackendServerId, organisation: 'guild' as OrganisationId, timeLeft: 900, lastEventId: 14, urgency: 12,
+		call, serverName: 'i-1' as BackendServerName, organisation: 'guild' as OrganisationId, timeLeft: 900, lastEventId: 14, urgency: 12,
 		helpers: [{address: '10.0.0.1:80', reservation: 't1'}, {address: '10.0.0.2:80'}],
 	};
 	expect(wire.formatSend(send)).toMatchObject({
--- a/test/routing.test.ts
+++ b/test/routing.test.ts
@@ -1,6 +1,6 @@
 import {expect, test} from '@jest/globals';
 import {
-	createSilentLogger, VirtualClock, type AvailabilityZone, type BackendServerId, type OrganisationId, type ServiceName,
+	createSilentLogger, VirtualClock, type AvailabilityZone, type BackendServerId, type BackendServerName, type OrganisationId, type ServiceName,
 } from '../src/common/index.js';
 import {
 	chooseService, computeConfigChanges, FleetState, returnGrace, RouteTable, type BackendServer, type Route, type RoutingConfig,
@@ -38,7 +38,14 @@
 
 function createServer(id: string, isLeaving = false): BackendServer {
 	return {
-		id: id as BackendServerId, service: 'app' as ServiceName, address: `10.0.0.1:${id.length}`, availabilityZone: 'a' as AvailabilityZone, slots: 4, isLeaving,
+		id: id as BackendServerId,
+		name: id as BackendServerName,
+		entryRevision: 0,
+		service: 'app' as ServiceName,
+		address: `10.0.0.1:${id.length}`,
+		availabilityZone: 'a' as AvailabilityZone,
+		slots: 4,
+		isLeaving,
 	};
 }
 
--- /dev/null
+++ b/test/server-lives.test.ts
@@ -0,0 +1,268 @@
+import {expect, test} from '@jest/globals';
+import fc from 'fast-check';
+import {
+	createSilentLogger, VirtualClock, type AvailabilityZone, type BackendServerId, type BackendServerName, type ServiceName,
+} from '../src/common/index.js';
+import {
+	FleetState, returnGrace, type BackendServer, type Change,
+} from '../src/routing/index.js';
+
+const app = 'app' as ServiceName;
+
+/** An entry of a server at a revision of the source. */
+function createEntry(name: string, born: number, entryRevision: number, changes: Partial<BackendServer> = {}): BackendServer {
+	return {
+		id: `${name}@${born}` as BackendServerId,
+		name: name as BackendServerName,
+		entryRevision,
+		service: app,
+		address: `10.0.0.1:${born}`,
+		availabilityZone: 'a' as AvailabilityZone,
+		slots: 4,
+		isLeaving: false,
+		...changes,
+	};
+}
+
+function createChange(item: BackendServer): Change<BackendServer> {
+	return {name: item.name, item, revision: item.entryRevision};
+}
+
+function createState(): {state: FleetState; clock: VirtualClock; restarted: string[]} {
+	const clock = new VirtualClock();
+	const state = new FleetState(clock, createSilentLogger());
+	const restarted: string[] = [];
+	state.addRestartListener(ended => restarted.push(ended.id));
+	return {state, clock, restarted};
+}
+
+function listIds(state: FleetState): string[] {
+	return state.listServers(app).map(server => server.id).sort();
+}
+
+/** A node that knows a server that leaves. */
+function createLeaving(): ReturnType<typeof createState> {
+	const created = createState();
+	created.state.applyServerList({items: [createEntry('i-1', 1, 3)], revision: 3}, 'source');
+	created.state.applyServerChanges([createChange(createEntry('i-1', 1, 4, {isLeaving: true}))], 4, 'source');
+	expect(listIds(created.state)).toEqual([]);
+	return created;
+}
+
+const second = createEntry('i-1', 2, 6);
+
+// A server that was drained and started again under its name stayed "leaving" for good: the loss that the same answer
+// brought back was left out, and whoever leaves leaves. A rollout that keeps names would have taken a service away.
+test('a server that leaves and is back in one answer, in two, or without a loss, takes work again', () => {
+	const answers: Array<Array<Array<Change<BackendServer>>>> = [
+		[[{name: 'i-1', item: undefined}, createChange(second)]],
+		[[{name: 'i-1', item: undefined}], [createChange(second)]],
+		[[createChange(second)]],
+	];
+	for (const answer of answers) {
+		const {state, restarted} = createLeaving();
+		for (const [index, changes] of answer.entries()) {
+			state.applyServerChanges(changes, 7 + index - answer.length, 'source');
+		}
+
+		expect([listIds(state), restarted.length]).toEqual([['i-1@2'], answer.length === 2 ? 0 : 1]);
+		expect([state.findServer('i-1@1' as BackendServerId), state.hasServer('i-1@1' as BackendServerId)]).toEqual([undefined, false]);
+	}
+});
+
+test('a list and another node\'s view bring the new life as a change does', () => {
+	const listed = createLeaving();
+	listed.state.applyServerList({items: [second], revision: 7}, 'source');
+	const told = createLeaving();
+	told.state.applyServers(listed.state.takeServers(0)!, 'node');
+	expect([listIds(listed.state), listIds(told.state), told.restarted]).toEqual([['i-1@2'], ['i-1@2'], ['i-1@1']]);
+});
+
+test('an entry of the earlier life that comes late changes nothing, wherever it comes from', () => {
+	const late = createEntry('i-1', 1, 4, {isLeaving: true});
+	const applyLate: Array<(state: FleetState) => void> = [
+		state => {
+			state.applyServerChanges([createChange(late)], 8, 'source');
+		},
+		state => {
+			state.applyServers({revision: 8, items: [late]}, 'node');
+		},
+		state => {
+			state.applyServerList({items: [late], revision: 8}, 'source');
+		},
+		state => {
+			state.applyServerChanges([{name: 'i-1', item: undefined, revision: 4}], 8, 'source');
+		},
+	];
+	for (const apply of applyLate) {
+		const {state, clock} = createState();
+		state.applyServerList({items: [second], revision: 6}, 'source');
+		apply(state);
+		clock.advance(returnGrace + 1);
+		expect(listIds(state)).toEqual(['i-1@2']);
+	}
+});
+
+test('one life that leaves holds to it, and another life of its name may leave, too', () => {
+	const {state} = createLeaving();
+	state.applyServerChanges([createChange(createEntry('i-1', 1, 5))], 5, 'source');
+	expect(listIds(state)).toEqual([]);
+	state.applyServerChanges([createChange(createEntry('i-1', 2, 6, {isLeaving: true}))], 6, 'source');
+	expect([listIds(state), state.hasServer('i-1@2' as BackendServerId)]).toEqual([[], true]);
+});
+
+test('a server whose entry somebody else overwrites takes no new work until its own is back', () => {
+	const {state} = createState();
+	state.applyServerList({items: [createEntry('i-1', 1, 3), createEntry('i-2', 1, 3)], revision: 3}, 'source');
+	state.applyServerChanges([{
+		name: 'i-1', item: undefined, revision: 4, isForeign: true,
+	}], 4, 'source');
+	expect([listIds(state), state.hasServer('i-1@1' as BackendServerId), state.foreignCount]).toEqual([['i-2@1'], true, 1]);
+	const other = createState();
+	other.state.applyServers(state.takeServers(0)!, 'node');
+	expect(listIds(other.state)).toEqual(['i-2@1']);
+	state.applyServerChanges([createChange(createEntry('i-1', 1, 5))], 5, 'source');
+	other.state.applyServers(state.takeServers(4)!, 'node');
+	expect([listIds(state), listIds(other.state), state.foreignCount]).toEqual([['i-1@1', 'i-2@1'], ['i-1@1', 'i-2@1'], 0]);
+});
+
+test('a foreign entry in a list keeps its server from work and does not end it; one that names no known server is nothing', () => {
+	const {state} = createState();
+	state.applyServerList({items: [createEntry('i-1', 1, 3)], revision: 3}, 'source');
+	state.applyServerList({items: [], foreign: ['i-1', 'whoever'], revision: 5}, 'source');
+	expect([listIds(state), state.hasServer('i-1@1' as BackendServerId), state.foreignCount]).toEqual([[], true, 2]);
+	state.applyServerList({items: [], revision: 6}, 'source');
+	expect([state.hasServer('i-1@1' as BackendServerId), state.foreignCount]).toEqual([false, 0]);
+});
+
+test('an entry that gives one life another service is none of its own', () => {
+	const {state} = createState();
+	state.applyServerList({items: [createEntry('i-1', 1, 3)], revision: 3}, 'source');
+	state.applyServerChanges([createChange(createEntry('i-1', 1, 4, {service: 'other' as ServiceName, isLeaving: true}))], 4, 'source');
+	expect([listIds(state), state.listServers('other' as ServiceName)]).toEqual([[], []]);
+	state.applyServerChanges([createChange(createEntry('i-1', 1, 5))], 5, 'source');
+	expect(listIds(state)).toEqual(['i-1@1']);
+});
+
+/** What happens to one entry at the source. */
+type EntryStep = {name: string; kind: 'start' | 'drain' | 'lapse' | 'overwrite' | 'rewrite'};
+
+/** A source with its history, as followers see it. */
+class EntryHistory {
+	readonly changes: Array<Change<BackendServer> & {at: number}> = [];
+	readonly #entries = new Map<string, {own: BackendServer; isForeign: boolean}>();
+	#born = 0;
+
+	get revision(): number {
+		return this.changes.length;
+	}
+
+	apply({name, kind}: EntryStep): void {
+		const revision = this.revision + 1;
+		const known = this.#entries.get(name);
+		if (kind === 'start') {
+			this.#put(createEntry(name, ++this.#born, revision));
+		} else if (known !== undefined && kind === 'lapse') {
+			this.#entries.delete(name);
+			this.changes.push({name, item: undefined, at: revision});
+		} else if (known !== undefined && kind === 'overwrite') {
+			this.#entries.set(name, {own: known.own, isForeign: true});
+			this.changes.push({
+				name, item: undefined, isForeign: true, revision, at: revision,
+			});
+		} else if (known !== undefined) {
+			this.#put({...known.own, entryRevision: revision, isLeaving: known.own.isLeaving || kind === 'drain'});
+		}
+	}
+
+	list(): {items: BackendServer[]; foreign: string[]; revision: number} {
+		const entries = [...this.#entries];
+		return {
+			items: entries.flatMap(([, {own, isForeign}]) => isForeign ? [] : own),
+			foreign: entries.flatMap(([name, {isForeign}]) => isForeign ? name : []),
+			revision: this.revision,
+		};
+	}
+
+	listUsable(): string[] {
+		return this.list().items.filter(server => !server.isLeaving).map(server => server.id).sort();
+	}
+
+	#put(own: BackendServer): void {
+		this.#entries.set(own.name, {own, isForeign: false});
+		this.changes.push({
+			name: own.name, item: own, revision: own.entryRevision, at: own.entryRevision,
+		});
+	}
+}
+
+/** A node that may read the source, and may hear from others. */
+class ReadingNode {
+	readonly clock = new VirtualClock();
+	readonly state = new FleetState(this.clock, createSilentLogger());
+	#readUpTo: number | undefined;
+
+	read(history: EntryHistory, isListed: boolean): void {
+		if (isListed || this.#readUpTo === undefined) {
+			this.state.applyServerList(history.list(), 'source');
+		} else {
+			const from = this.#readUpTo;
+			this.state.applyServerChanges(history.changes.filter(change => change.at > from), history.revision, 'source');
+		}
+
+		this.#readUpTo = history.revision;
+	}
+
+	hear(other: ReadingNode): void {
+		const told = other.state.takeServers(this.state.serversRevision);
+		if (told !== undefined) {
+			this.state.applyServers(told, 'node');
+		}
+	}
+}
+
+test('whatever starts, leaves, lapses and is overwritten, and whoever hears of it how, all nodes use the ready lives in the end', () => {
+	const entryStep = fc.record({name: fc.constantFrom('a', 'b', 'c'), kind: fc.constantFrom<EntryStep['kind']>('start', 'start', 'drain', 'lapse', 'overwrite', 'rewrite')});
+	const nodeStep = fc.record({node: fc.nat(2), how: fc.constantFrom('list', 'read', 'hear', 'outage', 'return'), from: fc.nat(2)});
+	fc.assert(fc.property(fc.array(fc.oneof(entryStep, nodeStep), {maxLength: 80}), steps => {
+		const history = new EntryHistory();
+		const nodes = [1, 2, 3].map(() => new ReadingNode());
+		for (const step of steps) {
+			if ('kind' in step) {
+				history.apply(step);
+			} else {
+				const node = nodes[step.node];
+				const act = {
+					list() {
+						node.read(history, true);
+					},
+					read() {
+						node.read(history, false);
+					},
+					hear() {
+						node.hear(nodes[step.from]);
+					},
+					outage() {
+						node.state.noteOutage();
+					},
+					return() {
+						node.state.noteReturn();
+					},
+				}[step.how];
+				act();
+			}
+		}
+
+		nodes[0].state.noteReturn();
+		nodes[0].read(history, false);
+		nodes[1].state.noteReturn();
+		nodes[1].read(history, true);
+		nodes[2].hear(nodes[0]);
+		for (const node of nodes) {
+			node.clock.advance(returnGrace + 1);
+		}
+
+		expect(nodes.slice(0, 2).map(node => listIds(node.state))).toEqual([history.listUsable(), history.listUsable()]);
+		expect(listIds(nodes[2].state)).toEqual(history.listUsable());
+	}), {seed: 5, numRuns: 400});
+});
