feat(gateway): a route is found by the parts of its path, not by trying every prefix

Cause: reading for the large configuration: each request tried the prefixes of its host one after the other. Change: prefixes end with a slash, so the parts of the path up to its slashes are looked up, longest first. Test: the same route as by trying all, 500 drawn tables.

--- a/src/routing/route-table.ts
+++ b/src/routing/route-table.ts
@@ -6,19 +6,17 @@
 
 /** Indexes of a configuration: routes by host, organisations by key, services by name. */
 export class RouteTable {
-	readonly #routesByHost = new Map<string, Route[]>();
+	readonly #routesByHost = new Map<string, Map<string, Route>>();
 	readonly #organisationsByKey = new Map<string, Organisation>();
 	readonly #services = new Map<ServiceName, ServiceSpec>();
 
 	constructor(readonly config: RoutingConfig) {
 		for (const route of config.routes) {
-			const routes = this.#routesByHost.get(route.host) ?? [];
-			routes.push(route);
+			const routes = this.#routesByHost.get(route.host) ?? new Map<string, Route>();
 			this.#routesByHost.set(route.host, routes);
-		}
-
-		for (const routes of this.#routesByHost.values()) {
-			routes.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length);
+			if (!routes.has(route.pathPrefix)) {
+				routes.set(route.pathPrefix, route);
+			}
 		}
 
 		for (const organisation of config.organisations) {
@@ -32,10 +30,27 @@
 		}
 	}
 
-	/** The route with the longest prefix that begins the path; a query does not count. */
+	/**
+	 * The route with the longest prefix that begins the path; a query does not count.
+	 *
+	 * Prefixes end with a slash, so that only the parts of the path up to its slashes are looked up: as many as it has,
+	 * however many routes there are.
+	 */
 	findRoute(host: string, path: string): Route | undefined {
 		const name = host.split(':', 1)[0].toLowerCase();
-		return this.#routesByHost.get(name)?.find(route => path.startsWith(route.pathPrefix));
+		const routes = this.#routesByHost.get(name);
+		if (routes === undefined) {
+			return undefined;
+		}
+
+		for (let end = path.lastIndexOf('/'); end >= 0; end = path.lastIndexOf('/', end - 1)) {
+			const route = routes.get(path.slice(0, end + 1));
+			if (route !== undefined || end === 0) {
+				return route;
+			}
+		}
+
+		return undefined;
 	}
 
 	/** The organisation that a key stands for. */
--- a/test/routing.test.ts
+++ b/test/routing.test.ts
@@ -1,4 +1,5 @@
 import {expect, test} from '@jest/globals';
+import fc from 'fast-check';
 import {
 	createSilentLogger, VirtualClock, type AvailabilityZone, type BackendServerId, type BackendServerName, type OrganisationId, type ServiceName,
 } from '../src/common/index.js';
@@ -65,6 +66,19 @@
 	expect(table.findRoute('other.example', '/a/b/c')?.name).toBe('other');
 });
 
+test('a route is found as by trying all, the longest first', () => {
+	const part = fc.constantFrom('a', 'b', 'ab', '');
+	const prefix = fc.array(part, {maxLength: 3}).map(parts => ['', ...parts, ''].join('/'));
+	fc.assert(fc.property(fc.array(prefix, {maxLength: 8}), fc.array(part, {maxLength: 5}), (prefixes, parts) => {
+		const path = ['', ...parts].join('/');
+		const table = new RouteTable(createConfig(1, {routes: prefixes.map((pathPrefix, index) => createRoute(pathPrefix, {name: String(index)}))}));
+		const fitting = prefixes.filter(pathPrefix => path.startsWith(pathPrefix));
+		const longest = Math.max(...fitting.map(pathPrefix => pathPrefix.length));
+		const expected = prefixes.findIndex(pathPrefix => path.startsWith(pathPrefix) && pathPrefix.length === longest);
+		expect(table.findRoute('shop.example', path)?.name).toBe(fitting.length === 0 ? undefined : String(expected));
+	}), {seed: 11, numRuns: 500});
+});
+
 test('services are chosen by weight, one with no weight never', () => {
 	const route = createRoute('/a/', {services: [{service: 'x' as ServiceName, weight: 90}, {service: 'y' as ServiceName, weight: 10}, {service: 'z' as ServiceName, weight: 0}]});
 	expect([0, 0.89, 0.9, 0.999].map(draw => chooseService(route, draw))).toEqual(['x', 'x', 'y', 'y']);
