feat(gateway): the soak restarts servers under their names and writes foreign entries; a gauge counts the servers in use

Cause: the soak knew one life a server and only true entries. Change: three faults (planned end or SIGKILL and another life under the same name and address; entries of another writer over a server's and under a name of their own), entries carry the start; at the end every node must use just the ready servers, by its new gauge usable_servers. The check now gives 8 s.

--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -25,9 +25,27 @@
 const storeTimeout = 1500;
 const changePause = 100;
 
+/** Time in which each node must use just the ready servers once all is calm, in milliseconds: a watch of calm times, and the grace of servers that lapsed in an outage. */
+const settleTime = 8000;
+
 /** Services whose turn changes with each version of the configuration. */
 const versionServices = ['turn-0', 'turn-1', 'turn-2'];
 
+/** What another writer may leave in the place of an entry: no object, fields missing or of another type, a state that nobody knows. */
+const foreignSpecs: unknown[] = [
+	'ready',
+	{state: 'ready'},
+	{
+		service: 'app', address: 9, zone: 'north', version: 'v1', slots: 'many', state: 'ready', coldRemainingMs: 0, sequence: 1,
+	},
+	{
+		service: 'app', address: '127.0.0.1:9', zone: 'north', version: 'v1', slots: 4, state: 'resting', coldRemainingMs: 0, sequence: 1,
+	},
+	{
+		service: 'app', address: '127.0.0.1:9', zone: 'north', version: 'v1', slots: 4, state: 'ready', coldRemainingMs: 0, sequence: 1, born: 'today',
+	},
+];
+
 /** Ports of one node; they stay through its lives. */
 type NodePorts = {callers: number; ready: number; addresses: number; peers: number; heartbeat: number; metrics: number};
 
@@ -42,8 +60,8 @@
 	isChanging: boolean;
 };
 
-/** One life of a backend server. */
-export type SoakServer = {id: string; service: string; link: Link; port: number; process: SoakProcess};
+/** One life of a backend server; `id` is its name and its start. */
+export type SoakServer = {id: string; name: string; service: string; link: Link; port: number; process: SoakProcess};
 
 /** Sizes of a fleet. */
 export type FleetSize = {nodes: number; modelServers: number};
@@ -57,6 +75,7 @@
 	readonly #records: RunRecords;
 	readonly #size: FleetSize;
 	readonly #links: Link[] = [];
+	readonly #inBirth = new Set<string>();
 	#store: SoakProcess | undefined;
 	#storeAddress = '';
 	#version = 0;
@@ -148,6 +167,43 @@
 		this.servers = this.servers.map(each => each === server ? next : each);
 	}
 
+	/** Starts another life of a server whose process has ended: same name, same address. */
+	async rebearServer(server: SoakServer): Promise<void> {
+		// Another fault may have ended the same life, and its port takes one process at a time.
+		if (!this.servers.includes(server) || this.#inBirth.has(server.name)) {
+			return;
+		}
+
+		this.#inBirth.add(server.name);
+		const next = await this.#startLife(server);
+		this.servers = this.servers.map(each => each === server ? next : each);
+		this.#inBirth.delete(server.name);
+	}
+
+	/** Writes over the entry of a server, which writes its own again soon, and an entry of nobody. */
+	async writeForeignEntries({name}: SoakServer, draw: number): Promise<void> {
+		const spec = foreignSpecs[draw % foreignSpecs.length];
+		await this.#writeEntry('PUT', `/${name}`, {metadata: {name}, spec});
+		const nobody = `foreign-${draw}`;
+		await this.#writeEntry('POST', '', {metadata: {name: nobody}, spec});
+	}
+
+	/** Asks each node how many servers it uses; noted where that does not become the number of those that are ready. */
+	async listUnusedServers(): Promise<void> {
+		const ready = this.servers.filter(server => !server.process.isEnded).length;
+		await Promise.all(this.nodes.map(async node => {
+			let usable = await readUsableServers(node);
+			for (let waited = 0; usable !== ready && waited < settleTime; waited += changePause) {
+				await pause(changePause);
+				usable = await readUsableServers(node);
+			}
+
+			if (usable !== ready) {
+				this.#records.unusedServers.push({node: node.name, usable, ready});
+			}
+		}));
+	}
+
 	/** Asks each live server which memory it still has set aside. */
 	async listLeftMemory(): Promise<void> {
 		for (const server of this.servers) {
@@ -226,12 +282,28 @@
 		return this.processes.start(name, gatewayProgram, ['gateway', '--settings', file]);
 	}
 
+	/** The store is one of the things that fail here; then nobody has written. */
+	async #writeEntry(method: 'PUT' | 'POST', path: string, object: unknown): Promise<void> {
+		try {
+			const answer = await sendRequest(`http://${this.#storeAddress}/v1/objects/servers${path}`, {method, body: JSON.stringify(object), headersTimeout: storeTimeout});
+			await answer.body.dump();
+		} catch {}
+	}
+
 	async #startServer(service: string): Promise<SoakServer> {
-		const id = `i-${++this.#serverCount}`;
+		const name = `i-${++this.#serverCount}`;
 		const [port] = await findFreePorts(1);
 		const link = await this.#openLink(() => port);
+		return this.#startLife({
+			name, service, link, port,
+		});
+	}
+
+	async #startLife({name, service, link, port}: Pick<SoakServer, 'name' | 'service' | 'link' | 'port'>): Promise<SoakServer> {
+		const born = Date.now();
+		const id = `${name}@${born}`;
 		const started = this.processes.start(id, standinProgram, [
-			'server', '--id', id, '--service', service, '--store', this.#storeAddress, '--advertise', link.address, '--port', String(port),
+			'server', '--id', name, '--born', String(born), '--service', service, '--store', this.#storeAddress, '--advertise', link.address, '--port', String(port),
 		]);
 		started.listen(line => {
 			if (line.event === 'run') {
@@ -244,11 +316,16 @@
 		});
 		await started.waitForLine(({address}) => address !== undefined);
 		return {
-			id, service, link, port, process: started,
+			id, name, service, link, port, process: started,
 		};
 	}
 }
 
+async function readUsableServers(node: SoakNode): Promise<number> {
+	const answer = await sendRequest(`http://127.0.0.1:${node.ports.metrics}/metrics`, {headersTimeout: 2000});
+	return Number(/usable_servers"\} (\d+)/u.exec(await answer.body.text())?.[1]);
+}
+
 async function waitUntilReady(node: SoakNode): Promise<void> {
 	for (let attempt = 0; attempt < 300; attempt++) {
 		try {
--- a/soak/judge.ts
+++ b/soak/judge.ts
@@ -39,6 +39,7 @@
 		...checkLeaving(records),
 		...checkVersions(records),
 		...checkStops(records, graceMs),
+		...records.unusedServers.map(({node, usable, ready}) => ({promise: 'every node uses the ready servers', id: node, detail: `${usable} of ${ready} servers`})),
 		...records.leftMemory.map(left => ({promise: 'memory set aside is freed', id: left.reservation, detail: `still held at ${left.server}`})),
 	];
 }
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -13,6 +13,10 @@
 	| 'all_kill'
 	/** A backend server: SIGKILL or SIGSTOP, or a planned end; another one takes its place. */
 	| 'server_kill' | 'server_pause' | 'server_drain'
+	/** A backend server: a planned end, or SIGKILL, and another life under the same name at the same address. */
+	| 'server_reborn' | 'server_crashed_reborn'
+	/** Somebody else writes among the entries of servers: over one of them, and under a name of its own. */
+	| 'entry_foreign'
 	/** The store: answers nothing, 503, late, or does a write and loses the answer; or forgets its history. */
 	| 'store_silent' | 'store_busy' | 'store_slow' | 'store_lossy' | 'store_forget'
 	/** A link: bytes are late, stand still in one or both directions, or the connections are reset. */
@@ -45,6 +49,9 @@
 	server_kill: 5,
 	server_pause: 2,
 	server_drain: 6,
+	server_reborn: 4,
+	server_crashed_reborn: 3,
+	entry_foreign: 3,
 	store_silent: 1,
 	store_busy: 1,
 	store_slow: 1,
--- a/soak/records.ts
+++ b/soak/records.ts
@@ -35,6 +35,9 @@
 /** Memory that a backend server still had set aside at the end. */
 export type LeftMemory = {server: string; reservation: string};
 
+/** A node that did not use just the servers that were ready at the end. */
+export type UnusedServers = {node: string; usable: number; ready: number};
+
 /** All of a run. */
 export type RunRecords = {
 	calls: CallRecord[];
@@ -43,11 +46,12 @@
 	faults: FaultRecord[];
 	stops: StopRecord[];
 	leftMemory: LeftMemory[];
+	unusedServers: UnusedServers[];
 };
 
 /** An empty set. */
 export function createRecords(): RunRecords {
 	return {
-		calls: [], runs: [], changes: [], faults: [], stops: [], leftMemory: [],
+		calls: [], runs: [], changes: [], faults: [], stops: [], leftMemory: [], unusedServers: [],
 	};
 }
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -56,6 +56,7 @@
 	await loading;
 	await pause(calmEnd);
 	await fleet.listLeftMemory();
+	await fleet.listUnusedServers();
 	return {
 		seed: options.seed,
 		calls: records.calls.length,
@@ -88,7 +89,8 @@
 
 	async play(): Promise<void> {
 		const {kind, target} = this.#fault;
-		const [what, how] = kind.split('_');
+		const [what, ...rest] = kind.split('_');
+		const how = rest.join('_');
 		switch (what) {
 			case 'node': {
 				await this.#disturbNode(this.#fleet.nodes[target % this.#fleet.nodes.length], how);
@@ -102,6 +104,12 @@
 				break;
 			}
 
+			case 'entry': {
+				await this.#record({}, async () => this.#fleet.writeForeignEntries(this.#fleet.findServer(target), target));
+
+				break;
+			}
+
 			case 'store': {
 				await this.#disturbStore(how);
 
@@ -181,6 +189,10 @@
 				server.process.signal('SIGSTOP');
 				await pause(this.#fault.duration);
 				server.process.signal('SIGCONT');
+			} else if (how.endsWith('reborn')) {
+				server.process.signal(how === 'reborn' ? 'SIGTERM' : 'SIGKILL');
+				await server.process.ended;
+				await this.#fleet.rebearServer(server);
 			} else {
 				await server.process.kill();
 				await pause(this.#fault.duration);
--- a/src/routing/fleet-state.ts
+++ b/src/routing/fleet-state.ts
@@ -64,6 +64,11 @@
 		return this.#servers.revision;
 	}
 
+	/** How many servers take new work. */
+	get usableServers(): number {
+		return this.#servers.usableCount;
+	}
+
 	/** How many entries of other writers stand among those of servers. */
 	get foreignCount(): number {
 		return this.#servers.foreignCount;
--- a/src/routing/server-view.ts
+++ b/src/routing/server-view.ts
@@ -66,6 +66,12 @@
 		return this.#servers.size;
 	}
 
+	/** How many servers take new work. */
+	get usableCount(): number {
+		this.#forgetDue();
+		return [...this.#servers.values()].filter(known => takesWork(known)).length;
+	}
+
 	/** How many entries of other writers stand among those of servers. */
 	get foreignCount(): number {
 		return this.#foreign.size;
