fix(gateway): a node that stood still is not cut off for good by a heartbeat that cannot be written

A process that was stopped reads the heartbeats that waited for it, then forgives every node the gap: those just heard were heard in the future, their signs had an age below 0, the heartbeat could not be written, its socket stayed open, and each new one found the port taken. Log lines: child_restarted with 'Received -1', then 'bind EADDRINUSE' every five seconds to the end. Change: nobody was heard later than now; an age is never below 0 on the wire; the socket is closed whatever happens. Tests: two, red before (an age of -250 could not be written; the second start found the port taken), green now. Ruled out: a clash of ports between nodes (the port stands in one settings file alone).

--- a/src/gateway/peer-beat.ts
+++ b/src/gateway/peer-beat.ts
@@ -141,7 +141,7 @@
 
 function formatSign(sign: PeerSign): number {
 	const flags = (sign.isReady ? readyFlag : 0) + (sign.isSourceReachable ? reachableFlag : 0);
-	return (Math.min(oldestAge, Math.round(sign.age / ageUnit)) * flagCount) + flags;
+	return (Math.min(oldestAge, Math.max(0, Math.round(sign.age / ageUnit))) * flagCount) + flags;
 }
 
 function parseSign(life: string, number: number): PeerSign {
--- a/src/gateway/peer-lives.ts
+++ b/src/gateway/peer-lives.ts
@@ -210,11 +210,11 @@
 		}
 	}
 
-	/** After standing still itself, a node must not take all others for dead: it has heard nobody. */
-	forgiveGap(gap: number): void {
+	/** After standing still itself, a node must not take all others for dead: it has heard nobody, but for those whose heartbeats waited for it. */
+	forgiveGap(gap: number, now: number): void {
 		this.#logger.warn({event: 'own_gap', gap: Math.round(gap)}, 'this process stood still');
 		for (const known of this.#known.values()) {
-			known.heardAt += known.isLive ? gap : 0;
+			known.heardAt = known.isLive ? Math.min(now, known.heardAt + gap) : known.heardAt;
 		}
 
 		this.noteRevision();
--- a/src/gateway/peer-socket.ts
+++ b/src/gateway/peer-socket.ts
@@ -68,8 +68,8 @@
 				this.#parts.onBeat();
 				await this.#waitForBeat(signal);
 			}
-		} finally {
 			this.#sendBeat(socket);
+		} finally {
 			this.#socket = undefined;
 			socket.close();
 		}
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -175,7 +175,7 @@
 	beat(hasNews = false): OutgoingBeat[] {
 		const now = this.#parts.clock.readMonotonic();
 		if (now - this.#lastBeat > ownGap) {
-			this.#lives.forgiveGap(now - this.#lastBeat);
+			this.#lives.forgiveGap(now - this.#lastBeat, now);
 		}
 
 		this.#lastBeat = now;
--- a/src/replay/routed/workloads.ts
+++ b/src/replay/routed/workloads.ts
@@ -66,6 +66,11 @@
 	slots: 11, memoryTokens: 315_000, stepTime: 0.85, stepTimePerWriter: 0.006, stepTimePerThousandContext: 0.002_85, readRate: 177, timePerMillionPairs: 0.184, stepsPerPass: 51,
 };
 
+/** Figures of a model beside whose weights little memory is left: half of the largest prompts need that of several servers. */
+const smallMemoryEngine: EngineFigures = {
+	slots: 8, memoryTokens: 197_200, stepTime: 1.02, stepTimePerWriter: 0.002_26, stepTimePerThousandContext: 0.004_31, readRate: 206, timePerMillionPairs: 0.138, stepsPerPass: 48,
+};
+
 /** Figures of nobody: a slow reader with few places and long objectives. */
 const slowEngine: EngineFigures = {
 	slots: 6, memoryTokens: 600_000, stepTime: 4, stepTimePerWriter: 0.05, stepTimePerThousandContext: 0.004, readRate: 60, timePerMillionPairs: 0.2, stepsPerPass: 16,
@@ -118,6 +123,22 @@
 			},
 		],
 	},
+	{
+		name: 'joint', engine: smallMemoryEngine, servers: 60, phases: [[1.2, 1.2, 1.2], [0.8, 0.8, 0.8], [1.2, 1.2, 1.2]], phaseLength: 8000,
+		losses: 0, lostTogether: 0.2, hasRestart: true,
+		flows: [
+			{
+				...chat, perSecond: 52.3, objective: 309, events: {mean: 31, spread: 0.7, most: 77},
+			},
+			{
+				...digest, perSecond: 6.18, objective: 1514, value: 3.3, events: {mean: 18, spread: 0.6, most: 46},
+			},
+			{
+				...review, perSecond: 2.2, objective: 3024, value: 20, events: {mean: 15, spread: 0.5, most: 38},
+				promptTokens: {mean: 190_000, spread: 0.55, most: 600_000},
+			},
+		],
+	},
 	{
 		name: 'slow', engine: slowEngine, servers: 12, phases: [[1, 1, 1], [2, 0.5, 0.2], [0.3, 1.5, 1.8]], phaseLength: 8000, losses: 1, hasRestart: true,
 		flows: [
--- a/test/heartbeats.test.ts
+++ b/test/heartbeats.test.ts
@@ -3,12 +3,14 @@
 import fc from 'fast-check';
 import seedrandom from 'seedrandom';
 import {
-	createSilentLogger, VirtualClock, type AvailabilityZone,
+	createSilentLogger, systemClock, VirtualClock, type AvailabilityZone,
 } from '../src/common/index.js';
 import {
 	decodeBeat, encodeBeat, type Peer, type PeerBeat, type PeerSign, type PeerView,
 } from '../src/gateway/peer-beat.js';
+import {PeerSocket} from '../src/gateway/peer-socket.js';
 import {heartbeatEvery, Peers} from '../src/gateway/peers.js';
+import {findFreePorts} from './helpers/gateways.js';
 import {createPeer} from './helpers/peers.js';
 
 const view: PeerView = {configVersion: 1, serversRevision: 1, serversDigest: 'x'};
@@ -132,6 +134,37 @@
 	expect([lost, peers.listLive().length]).toEqual([[], 1]);
 });
 
+// A process that was stopped for some seconds read the heartbeats that waited for it, and then forgave all nodes the
+// time in which it had heard nobody: nodes it had just heard were heard in the future, their signs had an age below 0,
+// and the heartbeat could not be written (`The value of "value" is out of range … Received -1`). Its socket stayed
+// open, each new one found the port taken (`bind EADDRINUSE`), and the node was cut off from the fleet for good.
+test('a process that stood still and hears others before its next beat tells of nobody in the future', () => {
+	const {peers, clock, hear} = createPeers('a');
+	hear(createBeat(createPeer('b')));
+	hear(createBeat(createPeer('c')));
+	passBeats(peers, clock, 1);
+	clock.advance(4000);
+	hear(createBeat(createPeer('b')));
+	const [outgoing] = peers.beat();
+	expect(outgoing.beat.others.map(sign => [sign.life, sign.age])).toEqual([['b:1', 0], ['c:1', heartbeatEvery]]);
+	expect(readBeat(encodeBeat(outgoing.beat)).others).toHaveLength(2);
+});
+
+test('a heartbeat that cannot be written leaves no socket behind', async () => {
+	const [port] = await findFreePorts(1);
+	const parts = {
+		clock: systemClock, logger: createSilentLogger(), host: '127.0.0.1', port, onBeat() {}, onNews() {}, // eslint-disable-line @typescript-eslint/no-empty-function
+	};
+	const broken = {
+		beat() {
+			throw new RangeError('cannot be written');
+		},
+	} as unknown as Peers;
+	for (const _ of [1, 2]) {
+		await expect(new PeerSocket({...parts, peers: broken}).run(new AbortController().signal)).rejects.toThrow('cannot be written');
+	}
+});
+
 test('a heartbeat that is none is refused', () => {
 	const write = (head: unknown, signs = '') => Buffer.from(`${JSON.stringify(head)}\n${signs}`, 'latin1');
 	const head = {from: ['a', 3], view: [1, 1, 'x']};
