fix(gateway): a node whose turn to follow comes after others doubts what its first list lacks

The store was away, the entries of all 15 servers lapsed; those that had followed it could not reach it, another node's turn came, its first list held none, and it told the fleet that all were gone (watcher_changed, then 15 server_gone within 0.2 s at all nodes). It had not asked while the store was away, and so took the loss for one of calm times. Test: red before (no server left at once), green now; after the grace the server is gone.

--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -75,7 +75,7 @@
 	readonly #records: RunRecords;
 	readonly #size: FleetSize;
 	readonly #links: Link[] = [];
-	readonly #inBirth = new Set<string>();
+	readonly #replaced = new Set<SoakServer>();
 	#store: SoakProcess | undefined;
 	#storeAddress = '';
 	#version = 0;
@@ -163,21 +163,12 @@
 
 	/** Starts another server in the place of one. */
 	async replaceServer(server: SoakServer): Promise<void> {
-		const next = await this.#startServer(server.service);
-		this.servers = this.servers.map(each => each === server ? next : each);
+		await this.#putInPlace(server, async () => this.#startServer(server.service));
 	}
 
 	/** Starts another life of a server whose process has ended: same name, same address. */
 	async rebearServer(server: SoakServer): Promise<void> {
-		// Another fault may have ended the same life, and its port takes one process at a time.
-		if (!this.servers.includes(server) || this.#inBirth.has(server.name)) {
-			return;
-		}
-
-		this.#inBirth.add(server.name);
-		const next = await this.#startLife(server);
-		this.servers = this.servers.map(each => each === server ? next : each);
-		this.#inBirth.delete(server.name);
+		await this.#putInPlace(server, async () => this.#startLife(server));
 	}
 
 	/** Writes over the entry of a server, which writes its own again soon, and an entry of nobody. */
@@ -223,6 +214,17 @@
 		}
 	}
 
+	/** Only once: another fault may have ended the same life, and what it starts would be one server too many. */
+	async #putInPlace(server: SoakServer, start: () => Promise<SoakServer>): Promise<void> {
+		if (!this.servers.includes(server) || this.#replaced.has(server)) {
+			return;
+		}
+
+		this.#replaced.add(server);
+		const next = await start();
+		this.servers = this.servers.map(each => each === server ? next : each);
+	}
+
 	/** Whether the store has acknowledged it; written again, it changes nothing. */
 	async #writeConfig(number: number, body: string): Promise<boolean> {
 		const target = `http://${this.#storeAddress}/v1/objects/config`;
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -196,9 +196,7 @@
 			} else {
 				await server.process.kill();
 				await pause(this.#fault.duration);
-				if (this.#fleet.servers.includes(server)) {
-					await this.#fleet.replaceServer(server);
-				}
+				await this.#fleet.replaceServer(server);
 			}
 		});
 	}
--- a/src/gateway/peer-socket.ts
+++ b/src/gateway/peer-socket.ts
@@ -68,6 +68,7 @@
 				this.#parts.onBeat();
 				await this.#waitForBeat(signal);
 			}
+
 			this.#sendBeat(socket);
 		} finally {
 			this.#socket = undefined;
--- a/src/routing/follower.ts
+++ b/src/routing/follower.ts
@@ -74,6 +74,8 @@
 	/** When the source answered last, by the monotonic clock, and the calls without an answer since. */
 	#answeredAt: number;
 	#unanswered = 0;
+	/** Whether other nodes have followed the source since it answered this one. */
+	#wasIdle = false;
 
 	constructor(items: FollowedItems<Item>, parts: {clock: Clock; logger: Logger; random: () => number}) {
 		super();
@@ -93,6 +95,7 @@
 				revision = undefined;
 				await waitFor(this.#clock, idlePause, signal);
 				this.#answeredAt = this.#clock.readMonotonic();
+				this.#wasIdle = true;
 				continue;
 			}
 
@@ -197,7 +200,9 @@
 	}
 
 	#noteAnswer<Answer>(answer: Answer): Answer {
-		this.#items.state.noteReturn(this.#findSilence() > this.#items.pace.wait + calmDelay);
+		// A node whose turn it is after others cannot know what lapsed while they had no answer.
+		this.#items.state.noteReturn(this.#wasIdle || this.#findSilence() > this.#items.pace.wait + calmDelay);
+		this.#wasIdle = false;
 		if (!this.#isReachable) {
 			this.#isReachable = true;
 			this.#logger.info({
--- a/test/follow-source.test.ts
+++ b/test/follow-source.test.ts
@@ -3,7 +3,7 @@
 	createLogger, createSilentLogger, VirtualClock, type BackendServerId, type BackendServerName, type ServiceName, type AvailabilityZone,
 } from '../src/common/index.js';
 import {
-	FleetState, Follower, followPaces, SourceHealth, type BackendServer,
+	FleetState, Follower, followPaces, returnGrace, SourceHealth, type BackendServer,
 } from '../src/routing/index.js';
 import {LogMemory} from './helpers/logs.js';
 import {passTime, StandinSource} from './helpers/sources.js';
@@ -198,6 +198,40 @@
 	await Promise.all([short.stop(), long.stop()]);
 });
 
+// While the store was away the entries of all fifteen servers lapsed. The nodes that had followed it could not reach it,
+// so another one's turn came; its first list held none of them, and it told all nodes that they were gone
+// (`watcher_changed` and 15 `server_gone` within 0.2 s): no call was served until they had registered again.
+test('a node whose turn to follow comes after others keeps for a while what its first list lacks', async () => {
+	const clock = new VirtualClock();
+	const log = createSilentLogger();
+	const state = new FleetState(clock, log);
+	state.applyServerList({items: [createServer('i-1')], revision: 3}, 'node b');
+	let asksSource = false;
+	const follower = new Follower({
+		name: 'servers',
+		pace: followPaces.calm,
+		health: new SourceHealth(),
+		source: new StandinSource(clock),
+		state,
+		asksSource: () => asksSource,
+		onList() {
+			state.applyServerList({items: [], revision: 9}, 'source');
+		},
+		onChanges() {}, // eslint-disable-line @typescript-eslint/no-empty-function
+	}, {clock, logger: log, random: () => 0.5});
+	const stopping = new AbortController();
+	const running = follower.run(stopping.signal);
+	await passTime(clock, 6000);
+	asksSource = true;
+	await passTime(clock, 600);
+	expect([state.serversRevision, state.listServers('app' as ServiceName).length]).toEqual([9, 1]);
+	await passTime(clock, returnGrace);
+	expect(state.listServers('app' as ServiceName)).toEqual([]);
+	stopping.abort();
+	await passTime(clock, 300);
+	await running;
+});
+
 test('of two followers one asks a silent source often, and the other one as soon as that has an answer', async () => {
 	const health = new SourceHealth();
 	const quick = await startFollower({health});
