refactor(gateway): rooms for calls, peers, deciding and views

Cause: src/gateway was one flat room of 36 files. Change: files moved, each room with its index; no behaviour. The replay's list of workloads in a test has the new one.

--- a/src/gateway/backend-attempt.ts
+++ b/src/gateway/calls/backend-attempt.ts
@@ -7,14 +7,14 @@
 import {Buffer} from 'node:buffer';
 import {
 	readErrorMessage, type BackendServerId, type Clock, type Timer,
-} from '../common/index.js';
-import {moveShare, type Plan, type Trouble} from '../planning/index.js';
-import type {Route} from '../routing/index.js';
+} from '../../common/index.js';
+import {moveShare, type Plan, type Trouble} from '../../planning/index.js';
+import type {Route} from '../../routing/index.js';
+import type {AnswerHead, GatewayWire, HeaderFields} from '../wire.js';
 import {BackendExchange} from './backend-exchange.js';
 import type {Call} from './call.js';
 import type {CallSink} from './call-sink.js';
 import {EventFrames} from './event-frames.js';
-import type {AnswerHead, GatewayWire, HeaderFields} from './wire.js';
 
 /** How an attempt ended. */
 export type AttemptEnd =
--- a/src/gateway/backend-exchange.ts
+++ b/src/gateway/calls/backend-exchange.ts
@@ -5,7 +5,7 @@
  * connection was up before it failed can have reached the server.
  */
 import type {Dispatcher} from 'undici';
-import type {HeaderFields} from './wire.js';
+import type {HeaderFields} from '../wire.js';
 
 /** What is heard of an exchange, in order: a head, data, and an end or an error. */
 export type ExchangeListener = {
--- a/src/gateway/backend-pool.ts
+++ b/src/gateway/calls/backend-pool.ts
@@ -7,7 +7,7 @@
  */
 import type {Socket} from 'node:net';
 import {buildConnector, Client} from 'undici';
-import {createTimeout, type Clock} from '../common/index.js';
+import {createTimeout, type Clock} from '../../common/index.js';
 import type {BackendExchange} from './backend-exchange.js';
 
 /** Time for a new connection, in milliseconds: servers are a few milliseconds away, and one that lost power does not answer at all. */
--- a/src/gateway/call-run.ts
+++ b/src/gateway/calls/call-run.ts
@@ -8,19 +8,19 @@
  */
 import {
 	createFailure, type AvailabilityZone, type BackendServerId, type Clock, type Failure, type Logger, type Timer,
-} from '../common/index.js';
-import type {Plan, Trouble} from '../planning/index.js';
-import {findRank, type BackendServer} from '../routing/index.js';
+} from '../../common/index.js';
+import type {Plan, Trouble} from '../../planning/index.js';
+import {findRank, type BackendServer} from '../../routing/index.js';
+import type {GatewayMetrics} from '../gateway-metrics.js';
+import type {GatewayWire, HelperAddress} from '../wire.js';
 import {BackendAttempt, type AttemptEnd} from './backend-attempt.js';
 import type {BackendPool} from './backend-pool.js';
 import type {Call} from './call.js';
 import type {CallSink} from './call-sink.js';
 import {sendFailure} from './failure-answer.js';
-import type {GatewayMetrics} from './gateway-metrics.js';
 import {PlaceSeeker} from './place-seeker.js';
 import type {Placed, Placer} from './placer.js';
 import type {Reservations} from './reservations.js';
-import type {GatewayWire, HelperAddress} from './wire.js';
 
 /** Sends of one call beyond its route's attempts, all of which must have been declined. */
 const mostDeclined = 3;
--- a/src/gateway/call-service.ts
+++ b/src/gateway/calls/call-service.ts
@@ -2,18 +2,18 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
 	readErrorMessage, type AvailabilityZone, type BackendServerId, type BoxId, type Clock, type Logger,
-} from '../common/index.js';
-import type {FleetState} from '../routing/index.js';
+} from '../../common/index.js';
+import type {FleetState} from '../../routing/index.js';
+import type {GatewayMetrics} from '../gateway-metrics.js';
+import type {CallHead, GatewayWire} from '../wire.js';
 import type {BackendPool} from './backend-pool.js';
 import type {Call} from './call.js';
 import {CallRun, type CallOutcome} from './call-run.js';
 import {sendFailure} from './failure-answer.js';
 import type {HttpSink} from './call-sink.js';
 import {waitForFirstView} from './first-view.js';
-import type {GatewayMetrics} from './gateway-metrics.js';
 import type {Placer} from './placer.js';
 import type {Reservations} from './reservations.js';
-import type {CallHead, GatewayWire} from './wire.js';
 
 /** Prompts up to this many tokens are counted as short in the metrics. */
 const longestShortPrompt = 25_000;
--- a/src/gateway/call-sink.ts
+++ b/src/gateway/calls/call-sink.ts
@@ -1,6 +1,6 @@
 /** Where the answer to one call goes. */
 import type {ServerResponse} from 'node:http';
-import type {HeaderFields} from './wire.js';
+import type {HeaderFields} from '../wire.js';
 
 /** The caller's side of one call. */
 export abstract class CallSink {
--- a/src/gateway/call.ts
+++ b/src/gateway/calls/call.ts
@@ -1,6 +1,6 @@
 /** One call of a caller, as the node that took it knows it. */
-import type {Organisation, Route, ServiceSpec} from '../routing/index.js';
-import type {CallHead} from './wire.js';
+import type {Organisation, Route, ServiceSpec} from '../../routing/index.js';
+import type {CallHead} from '../wire.js';
 
 /** A call, resolved against the configuration. */
 export type Call = {
--- a/src/gateway/failure-answer.ts
+++ b/src/gateway/calls/failure-answer.ts
@@ -1,8 +1,8 @@
 /** A failure as a whole answer to a caller. */
 import {Buffer} from 'node:buffer';
-import {findAnswer, formatErrorBody, type Failure} from '../common/index.js';
+import {findAnswer, formatErrorBody, type Failure} from '../../common/index.js';
+import type {CallHead, GatewayWire} from '../wire.js';
 import type {CallSink} from './call-sink.js';
-import type {CallHead, GatewayWire} from './wire.js';
 
 /** Sends a failure as the whole answer; returns its status. */
 export function sendFailure(sink: CallSink, wire: GatewayWire, failure: Failure, requestId: CallHead['requestId'] | undefined): number {
--- a/src/gateway/first-view.ts
+++ b/src/gateway/calls/first-view.ts
@@ -5,8 +5,8 @@
  * callers, who try twice, call again at once and meet nodes whose view is some tens of milliseconds
  * away. Refused, they have used up their second try.
  */
-import type {Clock} from '../common/index.js';
-import type {FleetState} from '../routing/index.js';
+import type {Clock} from '../../common/index.js';
+import type {FleetState} from '../../routing/index.js';
 
 /** Time for which a call is held at most, in milliseconds: a list is answered within a few tens, and a source that is away is noticed in a second. */
 const longestHold = 1000;
--- /dev/null
+++ b/src/gateway/calls/index.ts
@@ -0,0 +1,13 @@
+export * from './backend-attempt.js';
+export * from './backend-exchange.js';
+export * from './backend-pool.js';
+export type * from './call.js';
+export * from './call-run.js';
+export * from './call-service.js';
+export * from './call-sink.js';
+export * from './event-frames.js';
+export * from './failure-answer.js';
+export * from './first-view.js';
+export * from './place-seeker.js';
+export * from './placer.js';
+export * from './reservations.js';
--- a/src/gateway/place-seeker.ts
+++ b/src/gateway/calls/place-seeker.ts
@@ -1,7 +1,7 @@
 /** Finds a place for one call: asks until there is one, and waits until it is time to send. */
 import type {
 	AvailabilityZone, BackendServerId, BoxId, Clock, Failure, Timer,
-} from '../common/index.js';
+} from '../../common/index.js';
 import {findMoveSilence} from './backend-attempt.js';
 import type {Call} from './call.js';
 import type {PlaceAnswer, Placed, Placer} from './placer.js';
--- a/src/gateway/placer.ts
+++ b/src/gateway/calls/placer.ts
@@ -1,9 +1,9 @@
 /** Where plans come from: a planner that decides for all nodes, or this node's own when that one does not answer. */
 import type {Either} from 'purify-ts';
-import type {Failure} from '../common/index.js';
+import type {Failure} from '../../common/index.js';
 import type {
 	Plan, PlanNote, PlanRequest, RetryRequest,
-} from '../planning/index.js';
+} from '../../planning/index.js';
 
 /** A plan, and who made it. */
 export type Placed = {
--- a/src/gateway/reservations.ts
+++ b/src/gateway/calls/reservations.ts
@@ -6,10 +6,10 @@
  */
 import {
 	readErrorMessage, type BackendServerId, type Clock, type Logger, type RequestId, type Timer,
-} from '../common/index.js';
-import type {Plan} from '../planning/index.js';
+} from '../../common/index.js';
+import type {Plan} from '../../planning/index.js';
+import type {GatewayWire, HelperAddress, ReservationOrder} from '../wire.js';
 import type {BackendPool} from './backend-pool.js';
-import type {GatewayWire, HelperAddress, ReservationOrder} from './wire.js';
 
 /** How long a reservation lasts unless renewed, in milliseconds: under the four seconds after which unused memory counts as lost. */
 const holdFor = 3000;
--- a/src/gateway/decider-choice.ts
+++ b/src/gateway/deciding/decider-choice.ts
@@ -1,8 +1,8 @@
 /** Which node this one asks for the places of a service, kept while nothing changes. */
-import type {Clock, ServiceName} from '../common/index.js';
+import type {Clock, ServiceName} from '../../common/index.js';
+import type {Peer} from '../peers/peer-beat.js';
+import type {Peers} from '../peers/peers.js';
 import {chooseDecider} from './deciders.js';
-import type {Peer} from './peer-beat.js';
-import type {Peers} from './peers.js';
 
 /** How long a choice holds while nothing changes, in milliseconds: silence and slowness end without a sign. */
 const chosenFor = 50;
--- a/src/gateway/deciders.ts
+++ b/src/gateway/deciding/deciders.ts
@@ -1,6 +1,6 @@
 /** Which node decides for a service. Pure. */
-import {findRendezvous, type ServiceName} from '../common/index.js';
-import type {Peer} from './peer-beat.js';
+import {findRendezvous, type ServiceName} from '../../common/index.js';
+import type {Peer} from '../peers/peer-beat.js';
 
 /** A node with at least this share of the cores of the largest one is large enough: every request of the fleet asks the deciding node. */
 const largeShare = 0.75;
--- a/src/gateway/decision-log.ts
+++ b/src/gateway/deciding/decision-log.ts
@@ -1,7 +1,7 @@
 /** Writes down what was decided for a request, and from what. */
 import type {Either} from 'purify-ts';
-import type {Failure, Logger} from '../common/index.js';
-import type {Decision, PlanRequest} from '../planning/index.js';
+import type {Failure, Logger} from '../../common/index.js';
+import type {Decision, PlanRequest} from '../../planning/index.js';
 
 /** What a decision was made from, besides the request. */
 export type DecisionInputs = {
--- a/src/gateway/shared-placer.ts
+++ b/src/gateway/deciding/shared-placer.ts
@@ -11,20 +11,20 @@
 } from 'purify-ts';
 import {
 	type Clock, type Failure, type IdSource, type Logger, type PlanId, type ServiceName, type Timer,
-} from '../common/index.js';
+} from '../../common/index.js';
 import {
 	isFirstAsk, Planner, type Decision, type Plan, type PlanNote, type PlanRequest, type RetryLimits, type RetryRequest,
-} from '../planning/index.js';
-import type {FleetState} from '../routing/index.js';
-import type {GatewayMetrics} from './gateway-metrics.js';
-import type {Adoption, PeerClients} from './peer-rpc.js';
-import type {PeerSocket} from './peer-socket.js';
-import type {PlanNews} from './plan-news.js';
-import type {Peer} from './peer-beat.js';
-import type {Peers} from './peers.js';
+} from '../../planning/index.js';
+import type {FleetState} from '../../routing/index.js';
+import type {GatewayMetrics} from '../gateway-metrics.js';
+import type {Adoption, PeerClients} from '../peers/peer-rpc.js';
+import type {PeerSocket} from '../peers/peer-socket.js';
+import type {PlanNews} from '../peers/plan-news.js';
+import type {Peer} from '../peers/peer-beat.js';
+import type {Peers} from '../peers/peers.js';
+import {Placer, type PlaceAnswer, type Placed} from '../calls/placer.js';
 import {DeciderChoice} from './decider-choice.js';
 import {logDecision} from './decision-log.js';
-import {Placer, type PlaceAnswer, type Placed} from './placer.js';
 import {SharedRetries} from './shared-retries.js';
 
 /** Time in which the deciding node must answer, in milliseconds: a box that has used up its quota stands still for most of a tenth of a second; with 60, 14 asks were given up within two seconds of one played day. */
--- a/src/gateway/shared-retries.ts
+++ b/src/gateway/deciding/shared-retries.ts
@@ -1,12 +1,12 @@
 /** The fleet's budget of retries, as one node takes part in it: asks the deciding node, grants for others, and remembers. */
-import type {Clock, Logger, ServiceName} from '../common/index.js';
+import type {Clock, Logger, ServiceName} from '../../common/index.js';
 import {
 	computeWorth, FleetRetries, type FleetReach, type PlanRequest, type RetryHistory, type RetryLimits, type RetryRequest,
-} from '../planning/index.js';
+} from '../../planning/index.js';
+import type {Peer} from '../peers/peer-beat.js';
+import type {PeerClients} from '../peers/peer-rpc.js';
+import type {Peers} from '../peers/peers.js';
 import type {DeciderChoice} from './decider-choice.js';
-import type {Peer} from './peer-beat.js';
-import type {PeerClients} from './peer-rpc.js';
-import type {Peers} from './peers.js';
 
 /** What a node's part in the budget needs. */
 export type SharedRetriesParts = {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -12,25 +12,20 @@
 import {
 	FleetState, Follower, followPaces, SourceHealth, type FleetSource, type RoutingConfig,
 } from '../routing/index.js';
-import {listCallerAddresses} from './addresses.js';
-import {BackendPool} from './backend-pool.js';
-import {CallService} from './call-service.js';
+import {BackendPool, CallService, Reservations} from './calls/index.js';
+import {SharedPlacer} from './deciding/index.js';
+import {
+	type Adoption, type DecisionAnswer, listCallerAddresses, type Peer, PeerClients, Peers, PeerService, PeerSocket,
+} from './peers/index.js';
+import {
+	type PackedText, register, ViewAnswers, ViewExchange,
+} from './views/index.js';
 import {GatewayMetrics} from './gateway-metrics.js';
 import type {GatewaySettings} from './gateway-settings.js';
-import {
-	PeerClients, PeerService, type Adoption, type DecisionAnswer,
-} from './peer-rpc.js';
-import {PeerSocket} from './peer-socket.js';
 import {computeDigest} from './digest.js';
-import type {Peer} from './peer-beat.js';
-import {Peers} from './peers.js';
-import {register} from './registration.js';
-import {Reservations} from './reservations.js';
 import {
 	defaultBodyLimit, openAddressServer, openCallersServer, openMetricsServer, openPeersServer, openReadyServer, type OpenServer,
 } from './servers.js';
-import {SharedPlacer} from './shared-placer.js';
-import {ViewAnswers, ViewExchange, type PackedText} from './views/index.js';
 import type {GatewayWire} from './wire.js';
 
 /** What a gateway is made from. */
--- a/src/gateway/addresses.ts
+++ b/src/gateway/peers/addresses.ts
@@ -1,5 +1,5 @@
 /** Which addresses callers are told to use. Pure. */
-import type {AvailabilityZone} from '../common/index.js';
+import type {AvailabilityZone} from '../../common/index.js';
 import type {Peer} from './peer-beat.js';
 
 /** Addresses given at least, where there are so many: one may have just died. */
--- a/src/gateway/peer-beat.ts
+++ b/src/gateway/peers/peer-beat.ts
@@ -6,7 +6,7 @@
  */
 import {Buffer} from 'node:buffer';
 import * as z from 'zod';
-import type {AvailabilityZone, BoxId} from '../common/index.js';
+import type {AvailabilityZone, BoxId} from '../../common/index.js';
 
 /** What a node tells of itself once: it holds as long as its process. */
 export type PeerInfo = {
--- a/src/gateway/peer-lives.ts
+++ b/src/gateway/peers/peer-lives.ts
@@ -3,7 +3,7 @@
  *
  * Times are monotonic milliseconds.
  */
-import type {BoxId, Logger} from '../common/index.js';
+import type {BoxId, Logger} from '../../common/index.js';
 import type {
 	Peer, PeerInfo, PeerSign, PeerStatus,
 } from './peer-beat.js';
--- a/src/gateway/peer-rpc.ts
+++ b/src/gateway/peers/peer-rpc.ts
@@ -4,14 +4,14 @@
 import * as z from 'zod';
 import {
 	RenewedAgent, type Clock, type Failure, type ServiceName,
-} from '../common/index.js';
+} from '../../common/index.js';
 import type {
 	Decision, Plan, PlanRequest, RetryHistory, RetryRequest,
-} from '../planning/index.js';
+} from '../../planning/index.js';
 import {
 	askWithin, rpcPath, sendNodeRequest, type NodeRequest,
-} from '../rpc/node-fetch.js';
-import type {PackedText} from './views/index.js';
+} from '../../rpc/node-fetch.js';
+import type {PackedText} from '../views/index.js';
 
 /** A decision, or why there is none. */
 export type DecisionAnswer = {decision?: Decision; failure?: Failure};
--- a/src/gateway/peer-socket.ts
+++ b/src/gateway/peers/peer-socket.ts
@@ -2,7 +2,7 @@
 import {createSocket, type Socket} from 'node:dgram';
 import {
 	Child, readErrorMessage, waitFor, type Clock, type Logger,
-} from '../common/index.js';
+} from '../../common/index.js';
 import {decodeBeat, encodeBeat} from './peer-beat.js';
 import {
 	decodeNews, encodeNews, isNews, type PlanNews,
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers/peers.ts
@@ -8,8 +8,8 @@
  */
 import type {
 	AvailabilityZone, BoxId, Clock, Logger,
-} from '../common/index.js';
-import type {HeardNode} from '../planning/index.js';
+} from '../../common/index.js';
+import type {HeardNode} from '../../planning/index.js';
 import type {
 	Peer, PeerBeat, PeerInfo, PeerView,
 } from './peer-beat.js';
--- a/src/gateway/plan-news.ts
+++ b/src/gateway/peers/plan-news.ts
@@ -7,8 +7,8 @@
  */
 import {Buffer} from 'node:buffer';
 import * as z from 'zod';
-import type {BoxId, PlanId, ServiceName} from '../common/index.js';
-import type {PlanNote} from '../planning/index.js';
+import type {BoxId, PlanId, ServiceName} from '../../common/index.js';
+import type {PlanNote} from '../../planning/index.js';
 
 /** News of one node on one service. */
 export type PlanNews = {
--- a/src/gateway/servers.ts
+++ b/src/gateway/servers.ts
@@ -4,11 +4,10 @@
 import fastify, {type FastifyInstance, type FastifyReply, type FastifyRequest} from 'fastify';
 import {createFailure, type AvailabilityZone} from '../common/index.js';
 import {rpcPath} from '../rpc/node-fetch.js';
-import {HttpSink} from './call-sink.js';
-import {sendFailure} from './failure-answer.js';
+import {HttpSink, sendFailure} from './calls/index.js';
+import {peerRouter, type PeerService} from './peers/index.js';
 import {listenOnEarly, takeEarlyListener} from './early-listener.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
-import {peerRouter, type PeerService} from './peer-rpc.js';
 import type {GatewayWire} from './wire.js';
 
 /** Largest request head, in bytes: above what any configuration allows, which is checked apart. */
--- a/src/gateway/views/index.ts
+++ b/src/gateway/views/index.ts
@@ -1,4 +1,6 @@
 export * from './packed-text.js';
+export * from './registration.js';
 export * from './view-answers.js';
 export * from './view-exchange.js';
+export * from './view-questions.js';
 export * from './watchers.js';
--- a/src/gateway/registration.ts
+++ b/src/gateway/views/registration.ts
@@ -1,9 +1,9 @@
 /** A node's entry in the source, by which nodes that were told of nobody find each other. */
-import {waitFor, type Clock, type Logger} from '../common/index.js';
-import type {FleetSource} from '../routing/index.js';
-import type {Peer} from './peer-beat.js';
-import type {Peers} from './peers.js';
-import type {ViewExchange} from './views/index.js';
+import {waitFor, type Clock, type Logger} from '../../common/index.js';
+import type {FleetSource} from '../../routing/index.js';
+import type {Peer} from '../peers/peer-beat.js';
+import type {Peers} from '../peers/peers.js';
+import type {ViewExchange} from './index.js';
 
 /** Time for which a node waits to be heard by those that it was told of before it looks others up, in milliseconds. */
 const registerAfter = 1500;
--- a/src/gateway/views/view-exchange.ts
+++ b/src/gateway/views/view-exchange.ts
@@ -7,9 +7,9 @@
 } from '../../common/index.js';
 import type {ConfigChanges, FleetState, ServersSnapshot} from '../../routing/index.js';
 import {computeDigest} from '../digest.js';
-import type {Peer, PeerView} from '../peer-beat.js';
-import type {PeerClients} from '../peer-rpc.js';
-import type {Peers} from '../peers.js';
+import type {Peer, PeerView} from '../peers/peer-beat.js';
+import type {PeerClients} from '../peers/peer-rpc.js';
+import type {Peers} from '../peers/peers.js';
 import {parsePacked, type PackedText} from './packed-text.js';
 import {ViewQuestions} from './view-questions.js';
 import {chooseWatchers} from './watchers.js';
--- a/src/gateway/views/watchers.ts
+++ b/src/gateway/views/watchers.ts
@@ -6,7 +6,7 @@
  * whichever node is ahead of them.
  */
 import {orderByRendezvous} from '../../common/index.js';
-import type {Peer} from '../peer-beat.js';
+import type {Peer} from '../peers/peer-beat.js';
 
 /** Nodes that follow the source, in a fleet of any size: three that fail together are rarer than a source that is away. */
 const watcherCount = 3;
--- a/test/deciders.test.ts
+++ b/test/deciders.test.ts
@@ -1,7 +1,7 @@
 import {expect, test} from '@jest/globals';
 import type {AvailabilityZone, BoxId, ServiceName} from '../src/common/index.js';
-import {chooseDecider} from '../src/gateway/deciders.js';
-import type {Peer} from '../src/gateway/peer-beat.js';
+import {chooseDecider} from '../src/gateway/deciding/deciders.js';
+import type {Peer} from '../src/gateway/peers/peer-beat.js';
 
 const service = 'model' as ServiceName;
 
--- a/test/gateway-parts.test.ts
+++ b/test/gateway-parts.test.ts
@@ -7,12 +7,12 @@
 import type {
 	AvailabilityZone, BoxId, Clock,
 } from '../src/common/index.js';
-import {listCallerAddresses} from '../src/gateway/addresses.js';
-import type {Call} from '../src/gateway/call.js';
+import {listCallerAddresses} from '../src/gateway/peers/addresses.js';
+import type {Call} from '../src/gateway/calls/call.js';
 import {closeEarlyListener, listenOnEarly, takeEarlyListener} from '../src/gateway/early-listener.js';
-import {EventFrames} from '../src/gateway/event-frames.js';
-import {PlaceSeeker} from '../src/gateway/place-seeker.js';
-import {Placer, type PlaceAnswer, type Placed} from '../src/gateway/placer.js';
+import {EventFrames} from '../src/gateway/calls/event-frames.js';
+import {PlaceSeeker} from '../src/gateway/calls/place-seeker.js';
+import {Placer, type PlaceAnswer, type Placed} from '../src/gateway/calls/placer.js';
 import type {Plan, PlanRequest} from '../src/planning/index.js';
 import {send, waitUntil} from './helpers/gateways.js';
 import {createPeer} from './helpers/peers.js';
--- a/test/heartbeats.test.ts
+++ b/test/heartbeats.test.ts
@@ -7,9 +7,9 @@
 } from '../src/common/index.js';
 import {
 	decodeBeat, encodeBeat, type Peer, type PeerBeat, type PeerSign, type PeerView,
-} from '../src/gateway/peer-beat.js';
-import {PeerSocket} from '../src/gateway/peer-socket.js';
-import {heartbeatEvery, Peers} from '../src/gateway/peers.js';
+} from '../src/gateway/peers/peer-beat.js';
+import {PeerSocket} from '../src/gateway/peers/peer-socket.js';
+import {heartbeatEvery, Peers} from '../src/gateway/peers/peers.js';
 import {findFreePorts} from './helpers/gateways.js';
 import {createPeer} from './helpers/peers.js';
 
--- a/test/helpers/viewing-fleet.ts
+++ b/test/helpers/viewing-fleet.ts
@@ -4,9 +4,9 @@
 import {
 	createSilentLogger, VirtualClock, type AvailabilityZone, type BackendServerId, type BackendServerName, type ServiceName,
 } from '../../src/common/index.js';
-import {decodeBeat, encodeBeat} from '../../src/gateway/peer-beat.js';
-import type {PeerClients} from '../../src/gateway/peer-rpc.js';
-import {heartbeatEvery, Peers, type OutgoingBeat} from '../../src/gateway/peers.js';
+import {decodeBeat, encodeBeat} from '../../src/gateway/peers/peer-beat.js';
+import type {PeerClients} from '../../src/gateway/peers/peer-rpc.js';
+import {heartbeatEvery, Peers, type OutgoingBeat} from '../../src/gateway/peers/peers.js';
 import {ViewAnswers, ViewExchange} from '../../src/gateway/views/index.js';
 import {
 	FleetState, type BackendServer, type Route, type RoutingConfig,
--- a/test/routed-replay.test.ts
+++ b/test/routed-replay.test.ts
@@ -178,5 +178,5 @@
 	warn.mockRestore();
 	expect(row.name).toBe('slow');
 	expect(Number(row.brought)).toBeGreaterThan(0.5);
-	expect(complaint).toContain('use one of swing, quick, wide, large, slow');
+	expect(complaint).toContain('use one of swing, quick, wide, large, joint, slow');
 });
--- a/test/silent-connections.test.ts
+++ b/test/silent-connections.test.ts
@@ -3,8 +3,8 @@
 	afterEach, beforeEach, expect, test,
 } from '@jest/globals';
 import {systemClock} from '../src/common/index.js';
-import {BackendPool} from '../src/gateway/backend-pool.js';
-import {PeerClients} from '../src/gateway/peer-rpc.js';
+import {BackendPool} from '../src/gateway/calls/backend-pool.js';
+import {PeerClients} from '../src/gateway/peers/peer-rpc.js';
 import {Listening} from './helpers/platform-standins.js';
 
 /** Connections that are kept when they fall silent. */
