--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -323,9 +323,14 @@
 	}
 }
 
+/** Not a number when the node does not answer: it may have found its port taken by another process of the machine. */
 async function readUsableServers(node: SoakNode): Promise<number> {
-	const answer = await sendRequest(`http://127.0.0.1:${node.ports.metrics}/metrics`, {headersTimeout: 2000});
-	return Number(/usable_servers"\} (\d+)/u.exec(await answer.body.text())?.[1]);
+	try {
+		const answer = await sendRequest(`http://127.0.0.1:${node.ports.metrics}/metrics`, {headersTimeout: 2000});
+		return Number(/usable_servers"\} (\d+)/u.exec(await answer.body.text())?.[1]);
+	} catch {
+		return Number.NaN;
+	}
 }
 
 async function waitUntilReady(node: SoakNode): Promise<void> {
