feat(gateway): changes that go on from a version that is not remembered are logged

Cause: reading the diff: the answer that they could not be applied was dropped. Change: a line at error as for any view that cannot be read, and the next node that is ahead is asked.

--- a/src/gateway/views/view-exchange.ts
+++ b/src/gateway/views/view-exchange.ts
@@ -146,7 +146,10 @@
 	async #catchUpConfig(peer: Peer, version: number): Promise<void> {
 		const answer = await this.#parts.clients.ask(peer.peerAddress, configTimeout, async (client, signal) => client.takeConfig.query({version}, {signal}));
 		this.#take(peer.name, answer, {event: 'config_missed', version}, changes => {
-			this.#parts.state.applyConfigChanges(parsePacked<ConfigChanges>(changes), `node ${peer.name}`);
+			const told = parsePacked<ConfigChanges>(changes);
+			if (!this.#parts.state.applyConfigChanges(told, `node ${peer.name}`)) {
+				throw new RangeError(`version ${told.version} goes on from version ${told.from}, which is not remembered here`);
+			}
 		});
 	}
 
