--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -294,11 +294,14 @@
 
 	async #startServer(service: string): Promise<SoakServer> {
 		const name = `i-${++this.#serverCount}`;
-		const [port] = await findFreePorts(1);
+		// It chooses its port itself: one found free beforehand may be taken by the time it listens.
+		let port = 0;
 		const link = await this.#openLink(() => port);
-		return this.#startLife({
+		const server = await this.#startLife({
 			name, service, link, port,
 		});
+		port = server.port;
+		return server;
 	}
 
 	async #startLife({name, service, link, port}: Pick<SoakServer, 'name' | 'service' | 'link' | 'port'>): Promise<SoakServer> {
@@ -316,9 +319,9 @@
 				this.#records.changes.push({at: Number(line.at), sentAt: Number(line.at), leaving: id});
 			}
 		});
-		await started.waitForLine(({address}) => address !== undefined);
+		const line = await started.waitForLine(({address}) => address !== undefined);
 		return {
-			id, name, service, link, port, process: started,
+			id, name, service, link, port: Number(String(line.address).split(':')[1]), process: started,
 		};
 	}
 }
