--- a/src/gateway/calls/backend-attempt.ts
+++ b/src/gateway/calls/backend-attempt.ts
@@ -126,8 +126,8 @@
 
 	/** Leaves a server whose process has ended, when another one could take over; else its connection tells. */
 	leaveEnded(): void {
-		const findFirst = this.#findFirstSilence();
-		if (!this.#isOver && findFirst !== undefined) {
+		const mayMove = this.#findFirstSilence() !== undefined;
+		if (!this.#isOver && mayMove) {
 			this.#armSilence(0, 'the server has started again');
 		}
 	}
