fix(soak): the stand-in store lives on beside an entry without a count

Change: only an entry that was seen before can be unchanged; an entry that is no object has no count.

--- a/soak/standin.ts
+++ b/soak/standin.ts
@@ -60,9 +60,10 @@
 /** Called once a heartbeat: entries that were not written since, three times in a row, go. */
 function expireEntries(store: StandinStore, seen: Map<string, {sequence: unknown; missed: number}>): void {
 	for (const name of store.listNames('servers')) {
-		const {sequence} = (store.get('servers', name) as {sequence: number});
+		// Another writer's entry may have no count, or be no object at all.
+		const {sequence} = Object(store.get('servers', name)) as {sequence?: unknown};
 		const before = seen.get(name);
-		const missed = before?.sequence === sequence ? before.missed + 1 : 0;
+		const missed = before !== undefined && before.sequence === sequence ? before.missed + 1 : 0;
 		seen.set(name, {sequence, missed});
 		if (missed >= missedHeartbeats) {
 			store.remove('servers', name);
