--- a/soak/standin.ts
+++ b/soak/standin.ts
@@ -61,7 +61,8 @@
 function expireEntries(store: StandinStore, seen: Map<string, {sequence: unknown; missed: number}>): void {
 	for (const name of store.listNames('servers')) {
 		// Another writer's entry may have no count, or be no object at all.
-		const {sequence} = Object(store.get('servers', name)) as {sequence?: unknown};
+		const spec = store.get('servers', name);
+		const sequence = typeof spec === 'object' && spec !== null && 'sequence' in spec ? spec.sequence : undefined;
 		const before = seen.get(name);
 		const missed = before !== undefined && before.sequence === sequence ? before.missed + 1 : 0;
 		seen.set(name, {sequence, missed});
