fix(gateway): a place that is granted to a call that was stopped meanwhile is given back

Cause: reading the diff: a caller that leaves while a place beside a silent server is asked for left the plan held until its time was over. Change: the place is told whatever happened meanwhile, and the attempt, which is over by then, gives it back as it does when the server has spoken. Test: red before, green now.

--- a/src/gateway/calls/place-seeker.ts
+++ b/src/gateway/calls/place-seeker.ts
@@ -60,12 +60,12 @@
 		}
 	}
 
-	/** A place that is free already, beside a server that still runs the request; undefined when there is none at once. */
+	/** A place that is free already, beside a server that still runs the request; undefined when there is none at once. Whoever does not use it gives it back, also after a stop. */
 	async seekAtOnce(hasBegun: boolean, running: BackendServerId): Promise<Placed | undefined> {
 		const now = this.#parts.clock.readMonotonic();
 		this.#soughtAtOnceSince ??= now;
 		const answer = await this.#ask(now - this.#soughtAtOnceSince, hasBegun, [...this.excluded, running]);
-		if (!('plan' in answer) || this.#isStopped) {
+		if (!('plan' in answer)) {
 			return undefined;
 		}
 
--- a/test/gateway-parts.test.ts
+++ b/test/gateway-parts.test.ts
@@ -4,8 +4,8 @@
 import {expect, test} from '@jest/globals';
 import fc from 'fast-check';
 import {Right} from 'purify-ts';
-import type {
-	AvailabilityZone, BoxId, Clock,
+import {
+	systemClock, type AvailabilityZone, type BackendServerId, type BoxId, type Clock,
 } from '../src/common/index.js';
 import {listCallerAddresses} from '../src/gateway/peers/addresses.js';
 import type {Call} from '../src/gateway/calls/call.js';
@@ -87,6 +87,21 @@
 	expect(placer.waits.slice(1).every(waited => waited > 0)).toBe(true);
 });
 
+test('a place that is granted at once to a call that was stopped meanwhile is told, so that it can be given back', async () => {
+	const placer = new WaitingPlacer();
+	placer.waits.push(0, 0);
+	const call = {
+		arrived: 0, head: {}, route: {objective: 300}, service: {name: 'model'},
+	} as unknown as Call;
+	const seeker = new PlaceSeeker({
+		clock: systemClock, placer, call, node: 'edge-1' as BoxId, availabilityZone: 'a' as AvailabilityZone, deadline: 1000,
+	});
+	const asked = seeker.seekAtOnce(true, 'i-1' as BackendServerId);
+	seeker.stop();
+	const placed = await asked;
+	expect(placed?.plan.startIn).toBe(0);
+});
+
 /** Opens a port as the loader does. */
 async function openEarly(): Promise<{address: string; connections: Socket[]}> {
 	const connections: Socket[] = [];
