--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -2,11 +2,12 @@
 import {writeFileSync} from 'node:fs';
 import path from 'node:path';
 import {request as sendRequest} from 'undici';
-import {createConfig, findFreePorts} from '../test/helpers/gateways.js';
+import {createConfig} from '../test/helpers/gateways.js';
 import {Link, pause} from './link.js';
 import type {LinkKind} from './plan.js';
 import {Processes, type SoakProcess} from './processes.js';
 import type {RunRecords} from './records.js';
+import {findSteadyPorts} from './steady-ports.js';
 
 /** Where the bundles are; `npm run soak` makes them. */
 const gatewayProgram = 'target/cresshook.cjs';
@@ -247,7 +248,7 @@
 	}
 
 	async #createNode(name: string): Promise<SoakNode> {
-		const [callers, ready, addresses, peers, heartbeat, metrics] = await findFreePorts(6);
+		const [callers, ready, addresses, peers, heartbeat, metrics] = await findSteadyPorts(6);
 		const ports = {
 			callers, ready, addresses, peers, heartbeat, metrics,
 		};
@@ -294,14 +295,11 @@
 
 	async #startServer(service: string): Promise<SoakServer> {
 		const name = `i-${++this.#serverCount}`;
-		// It chooses its port itself: one found free beforehand may be taken by the time it listens.
-		let port = 0;
+		const [port] = await findSteadyPorts(1);
 		const link = await this.#openLink(() => port);
-		const server = await this.#startLife({
+		return this.#startLife({
 			name, service, link, port,
 		});
-		port = server.port;
-		return server;
 	}
 
 	async #startLife({name, service, link, port}: Pick<SoakServer, 'name' | 'service' | 'link' | 'port'>): Promise<SoakServer> {
@@ -319,9 +317,9 @@
 				this.#records.changes.push({at: Number(line.at), sentAt: Number(line.at), leaving: id});
 			}
 		});
-		const line = await started.waitForLine(({address}) => address !== undefined);
+		await started.waitForLine(({address}) => address !== undefined);
 		return {
-			id, name, service, link, port: Number(String(line.address).split(':')[1]), process: started,
+			id, name, service, link, port, process: started,
 		};
 	}
 }
--- /dev/null
+++ b/soak/steady-ports.ts
@@ -0,0 +1,38 @@
+/** Ports that stay free while the process that is to have them is away. */
+import {createServer} from 'node:net';
+
+/**
+ * Ports below those that the system gives to outgoing connections.
+ *
+ * A node keeps its ports over its lives; of the others one is taken now and then by any connection of the machine
+ * while the node is away, and it cannot start again.
+ */
+const lowest = 10_000;
+const highest = 32_000;
+
+/** So many ports of loopback that nobody listens on. */
+export async function findSteadyPorts(count: number): Promise<number[]> {
+	const ports: number[] = [];
+	while (ports.length < count) {
+		const port = lowest + Math.floor(Math.random() * (highest - lowest));
+		if (!ports.includes(port) && await isFree(port)) {
+			ports.push(port);
+		}
+	}
+
+	return ports;
+}
+
+async function isFree(port: number): Promise<boolean> {
+	return new Promise(resolve => {
+		const server = createServer();
+		server.once('error', () => {
+			resolve(false);
+		});
+		server.listen(port, '127.0.0.1', () => {
+			server.close(() => {
+				resolve(true);
+			});
+		});
+	});
+}
