--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -168,7 +168,7 @@
 	}
 
 	/** Starts another life of a server whose process has ended: same name, same address. */
-	async rebearServer(server: SoakServer): Promise<void> {
+	async restartServer(server: SoakServer): Promise<void> {
 		await this.#putInPlace(server, async () => this.#startLife(server));
 	}
 
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -192,7 +192,7 @@
 			} else if (how.endsWith('reborn')) {
 				server.process.signal(how === 'reborn' ? 'SIGTERM' : 'SIGKILL');
 				await server.process.ended;
-				await this.#fleet.rebearServer(server);
+				await this.#fleet.restartServer(server);
 			} else {
 				await server.process.kill();
 				await pause(this.#fault.duration);
--- a/src/routing/config-changes.ts
+++ b/src/routing/config-changes.ts
@@ -31,9 +31,9 @@
 		return after;
 	}
 
-	const known = new Map(before.routes.map(route => [nameRoute(route), route]));
+	const known = new Map(before.routes.map(route => [describeRoute(route), route]));
 	const routes = after.routes.map(route => {
-		const same = known.get(nameRoute(route));
+		const same = known.get(describeRoute(route));
 		return same !== undefined && isDeepStrictEqual(same, route) ? same : route;
 	});
 	return {...after, routes};
@@ -66,7 +66,7 @@
 	};
 }
 
-function nameRoute({name, host, pathPrefix}: Route): string {
+function describeRoute({name, host, pathPrefix}: Route): string {
 	return `${host}${pathPrefix} ${name}`;
 }
 
