test: stand-ins and nodes of a test listen where no other process sends

Cause: "a server that falls silent is waited for when no other try is left" once saw seven requests at its servers where three were sent. Its servers listened on free ports of 127.0.0.1, as the servers of a soak beside it had until then; nodes of a fleet go on sending to an address whose server has ended. Shown in a network namespace of 128 ports with a sender to all of them: the servers of the test saw 39 requests, three with its id and 36 of the sender; the node itself sent three each time (two runs). Change: stand-ins and nodes of a test process listen at a loopback address that only this process has. The test's assertion (exactly three requests, all with one id) is as it was. The soak's servers stay where its links reach them. Ruled out: that the product sends more. A call whose servers fall silent sends once for each of its three runs; only refusals by servers add sends, and these servers refuse none.

--- a/soak/standin.ts
+++ b/soak/standin.ts
@@ -19,6 +19,9 @@
 /** Heartbeats missed after which the store takes an entry away. */
 const missedHeartbeats = 3;
 
+/** Where the links of the soak reach its servers and its store. */
+const linkedHost = '127.0.0.1';
+
 /** How long a leaving server serves on, in milliseconds: well past the time in which nothing new may come, so that it would be seen. */
 const leaveAfter = 5000;
 
@@ -42,7 +45,7 @@
 }
 
 async function runStore(): Promise<void> {
-	const store = await new StandinStore().start();
+	const store = await new StandinStore().start(0, linkedHost);
 	print({address: store.address});
 	const seen = new Map<string, {sequence: unknown; missed: number}>();
 	setInterval(() => {
@@ -99,7 +102,7 @@
 	async start(): Promise<void> {
 		const listening = new Listening(async (request, response) => this.#answer(request, response));
 		listening.server.keepAliveTimeout = keepAliveTime;
-		await listening.start(Number(this.#options.port));
+		await listening.start(Number(this.#options.port), linkedHost);
 		print({address: listening.address});
 		process.once('SIGTERM', () => {
 			void this.#leave();
--- a/test/gateway-nodes.test.ts
+++ b/test/gateway-nodes.test.ts
@@ -171,7 +171,7 @@
 test('figures are served as text', async () => {
 	await startTwo();
 	await fleet.call({path: '/once/'});
-	const answer = await send(`127.0.0.1:${fleet.settings[0].metrics_port}`, {path: '/metrics', method: 'GET'});
+	const answer = await send(`${fleet.settings[0].listen.callers.split(':')[0]}:${fleet.settings[0].metrics_port}`, {path: '/metrics', method: 'GET'});
 	expect(answer.body).toContain('cresshook_calls_total{service="app",outcome="whole"} 1');
 	expect(answer.body).toContain('cresshook_first_seconds_bucket');
 });
--- a/test/heartbeats.test.ts
+++ b/test/heartbeats.test.ts
@@ -11,6 +11,7 @@
 import {PeerSocket} from '../src/gateway/peers/peer-socket.js';
 import {heartbeatEvery, Peers} from '../src/gateway/peers/peers.js';
 import {findFreePorts} from './helpers/gateways.js';
+import {ownHost} from './helpers/own-host.js';
 import {createPeer} from './helpers/peers.js';
 
 const view: PeerView = {configVersion: 1, serversRevision: 1, serversDigest: 'x'};
@@ -153,7 +154,7 @@
 test('a heartbeat that cannot be written leaves no socket behind', async () => {
 	const [port] = await findFreePorts(1);
 	const parts = {
-		clock: systemClock, logger: createSilentLogger(), host: '127.0.0.1', port, onBeat() {}, onNews() {}, // eslint-disable-line @typescript-eslint/no-empty-function
+		clock: systemClock, logger: createSilentLogger(), host: ownHost, port, onBeat() {}, onNews() {}, // eslint-disable-line @typescript-eslint/no-empty-function
 	};
 	const broken = {
 		beat() {
--- a/test/helpers/gateways.ts
+++ b/test/helpers/gateways.ts
@@ -4,6 +4,7 @@
 import {CallWire, PlatformSource} from '../../platform/index.js';
 import {createSilentLogger, randomIdSource, systemClock} from '../../src/common/index.js';
 import {Gateway, parseGatewaySettings, type GatewaySettings} from '../../src/gateway/index.js';
+import {ownHost} from './own-host.js';
 import {StandinRunner, StandinStore, type RunnerBehaviour} from './platform-standins.js';
 
 /** Figures of a model server, as the platform writes them. */
@@ -125,7 +126,7 @@
 	/** Starts a node; one with seeds is part of a first start. */
 	async addGateway(place: NodePlace = {}): Promise<Gateway> {
 		const {
-			index = this.gateways.length, host = '127.0.0.1', seeds = [], isFirstStart = seeds.length > 0, retrySlack = 100,
+			index = this.gateways.length, host = ownHost, seeds = [], isFirstStart = seeds.length > 0, retrySlack = 100,
 		} = place;
 		const ports = place.ports ?? await findFreePorts(6);
 		const settings = parseGatewaySettings(`
@@ -236,12 +237,12 @@
 	}
 }
 
-/** Ports of loopback that nobody listens on. */
+/** Ports that nobody listens on at this process's own address. */
 export async function findFreePorts(count: number): Promise<number[]> {
 	const servers = await Promise.all(Array.from({length: count}, async () => {
 		const server = createServer();
 		await new Promise<void>(resolve => {
-			server.listen(0, '127.0.0.1', resolve);
+			server.listen(0, ownHost, resolve);
 		});
 		return server;
 	}));
--- a/test/helpers/platform-standins.ts
+++ b/test/helpers/platform-standins.ts
@@ -3,6 +3,7 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
+import {ownHost} from './own-host.js';
 
 /** Something that listens on loopback. A caller that leaves before its request is read gets no answer. */
 export class Listening {
@@ -20,13 +21,14 @@
 	}
 
 	get address(): string {
-		return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+		const {address, port} = this.server.address() as AddressInfo;
+		return `${address}:${port}`;
 	}
 
-	/** Starts on a port; a free one by default. */
-	async start(port = 0): Promise<this> {
+	/** Starts on a port; a free one by default, at an address that only this process uses. */
+	async start(port = 0, host = ownHost): Promise<this> {
 		await new Promise<void>(resolve => {
-			this.server.listen(port, '127.0.0.1', resolve);
+			this.server.listen(port, host, resolve);
 		});
 		return this;
 	}
--- /dev/null
+++ b/test/own-host.test.ts
@@ -0,0 +1,28 @@
+import {connect} from 'node:net';
+import {expect, test} from '@jest/globals';
+import {findHostOf} from './helpers/own-host.js';
+import {StandinRunner} from './helpers/platform-standins.js';
+
+// A test saw seven requests at its servers where its node had sent three: its servers had taken ports on which
+// servers of a soak beside it had listened, at the same address, and nodes of that fleet sent there still. In a
+// network of 128 free ports with a sender to all of them, the test's servers saw 39 requests: three with its own
+// id, 36 of the sender.
+test('a stand-in is not reached at the address where other processes\' servers listen', async () => {
+	const runner = await new StandinRunner().start();
+	const port = Number(runner.address.split(':')[1]);
+	const code = await new Promise(resolve => {
+		connect(port, '127.0.0.1', () => {
+			resolve('connected');
+		}).on('error', error => {
+			resolve((error as NodeJS.ErrnoException).code);
+		});
+	});
+	const own = await fetch(`http://${runner.address}/`);
+	await runner.stop();
+	expect([code, own.status, runner.seen.length]).toEqual(['ECONNREFUSED', 200, 1]);
+});
+
+test('processes have different loopback addresses', () => {
+	const hosts = [1, 255, 256, 65_536, (2 ** 22) - 1].map(id => findHostOf(id));
+	expect(hosts).toEqual(['127.64.0.1', '127.64.0.255', '127.64.1.0', '127.65.0.0', '127.127.255.255']);
+});
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -207,7 +207,8 @@
 
 test('the stand-in store lives on when a request is broken off', async () => {
 	const store = await new StandinStore().start();
-	const socket = connect(Number(store.address.split(':')[1]), '127.0.0.1');
+	const [host, port] = store.address.split(':');
+	const socket = connect(Number(port), host);
 	socket.write('POST /v1/objects/servers HTTP/1.1\r\nHost: store\r\nContent-Length: 100\r\n\r\n{"meta');
 	await pause(50);
 	socket.resetAndDestroy();
