fix(soak): what a soak has started ends with it

Cause: three ways left gateways and servers behind. An error in the list of faults was waited for only after the whole time of traffic, so Node.js ended the soak for an unhandled rejection before its processes were ended; SIGINT and SIGTERM ended the soak alone; and what was under way (a restart, a replacement) went on to start processes after all had been ended.

Change: Processes ends what it started whenever its process ends but by SIGKILL, starts nothing after stop, and a fault that cannot be played ends the run at once.

Ruled out: asking by process id whether what was started is gone; an id stayed for over a second with a parent that had ended. The test watches a connection.

Conclusion: a failed soak needs no cleaning up by hand.

--- a/soak/processes.ts
+++ b/soak/processes.ts
@@ -87,17 +87,29 @@
 	}
 }
 
-/** Starts processes that log into one folder, and ends them all. */
+/** Signals by which a soak is told to end; by itself none of them ends what it has started. */
+const endSignals = ['SIGINT', 'SIGTERM', 'SIGHUP'] as const;
+
+/** Starts processes that log into one folder, and ends them all: when told to, and whenever this process ends but by SIGKILL. */
 export class Processes {
 	readonly #folder: string;
 	readonly #all = new Set<SoakProcess>();
+	#isOver = false;
 
 	constructor(folder: string) {
 		this.#folder = folder;
+		process.once('exit', this.#killAll);
+		for (const name of endSignals) {
+			process.once(name, this.#exit);
+		}
 	}
 
-	/** Starts a program; its lines go to a log of that name. */
+	/** Starts a program; its lines go to a log of that name. What was under way when all were ended must start nothing more. */
 	start(name: string, program: string, words: string[]): SoakProcess {
+		if (this.#isOver) {
+			throw new Error(`the run is over, ${name} is not started`);
+		}
+
 		const started = new SoakProcess(program, words, path.join(this.#folder, `${name}.log`), ended => {
 			this.#all.delete(ended);
 		});
@@ -112,8 +124,23 @@
 
 	/** Ends all that were started here. */
 	async stop(): Promise<void> {
+		this.#isOver = true;
 		await Promise.all([...this.#all].map(async started => started.kill()));
+		process.off('exit', this.#killAll);
+		for (const name of endSignals) {
+			process.off(name, this.#exit);
+		}
 	}
+
+	readonly #killAll = () => {
+		for (const started of this.#all) {
+			started.signal('SIGKILL');
+		}
+	};
+
+	readonly #exit = () => {
+		process.exit(1); // eslint-disable-line unicorn/no-process-exit -- only so do the listeners for its end run
+	};
 }
 
 function readJson(line: string): Record<string, unknown> {
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -49,10 +49,13 @@
 	const load = new Load(fleet, records, options.seed);
 	const loading = load.run();
 	const faults = drawFaults(options.seed, options.length, options.kinds);
-	const disturbing = disturb(fleet, records, faults);
-	await pause(options.length);
-	await disturbing;
-	load.stop();
+	try {
+		// Together, so that a fault that cannot be played ends the run when it comes, and not as an error that nobody waits for.
+		await Promise.all([disturb(fleet, records, faults), pause(options.length)]);
+	} finally {
+		load.stop();
+	}
+
 	await loading;
 	await pause(calmEnd);
 	await fleet.listLeftMemory();
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -1,11 +1,19 @@
+import {execFile, execFileSync} from 'node:child_process';
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
 import {
-	createServer, connect, type AddressInfo, type Socket,
+	createServer, connect, type AddressInfo, type Server, type Socket,
 } from 'node:net';
-import {expect, test} from '@jest/globals';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+import {
+	afterAll, beforeAll, expect, test,
+} from '@jest/globals';
 import {countEvents, formatStream} from '../soak/answers.js';
 import {judgeRun} from '../soak/judge.js';
 import {Link, pause} from '../soak/link.js';
 import {drawFaults, faultKinds} from '../soak/plan.js';
+import {Processes} from '../soak/processes.js';
 import {createRecords, type CallRecord, type RunRecords} from '../soak/records.js';
 import {StandinStore} from './helpers/platform-standins.js';
 
@@ -217,3 +225,82 @@
 	expect(answer.status).toBe(200);
 	await store.stop();
 });
+
+let folder: string;
+/** Told of what is started: its connection closes when it has ended, while its id may stay with a parent that is gone. */
+let watching: Server;
+let living = 0;
+let seen = 0;
+
+beforeAll(async () => {
+	folder = mkdtempSync(path.join(tmpdir(), 'cresshook-processes-'));
+	watching = createServer(socket => {
+		seen++;
+		living++;
+		socket.on('error', () => {}); // eslint-disable-line @typescript-eslint/no-empty-function
+		socket.resume().once('close', () => {
+			living--;
+		});
+	});
+	await new Promise<void>(resolve => {
+		watching.listen(0, '127.0.0.1', resolve);
+	});
+	const {port} = watching.address() as AddressInfo;
+	writeFileSync(path.join(folder, 'idle.cjs'), `require('node:net').connect(${port}, '127.0.0.1', () => console.log(JSON.stringify({pid: process.pid})));`);
+});
+
+afterAll(() => {
+	watching.close();
+	rmSync(folder, {recursive: true});
+});
+
+/** Runs a program that starts a process and then does something; the id of what it started. */
+async function runStarter(name: string, act: string): Promise<number> {
+	const [source, bundle] = [path.join(folder, `${name}.ts`), path.join(folder, `${name}.cjs`)];
+	writeFileSync(source, `
+		import {Processes} from ${JSON.stringify(path.resolve('soak/processes.ts'))};
+		const started = new Processes(${JSON.stringify(folder)}).start('idle', ${JSON.stringify(path.join(folder, 'idle.cjs'))}, []);
+		void started.waitForLine(({pid}) => pid !== undefined).then(({pid}) => {
+			console.log(pid);
+			setTimeout(() => { ${act} }, 10);
+		});
+	`);
+	execFileSync(path.resolve('node_modules/.bin/esbuild'), [source, '--bundle', '--platform=node', '--format=cjs', '--log-level=error', `--outfile=${bundle}`]);
+	return new Promise(resolve => {
+		execFile(process.execPath, [bundle], {timeout: 10_000}, (_error, output) => {
+			resolve(Number(output));
+		});
+	});
+}
+
+async function waitUntilNoneLives(pid: number): Promise<boolean> {
+	for (let attempt = 0; attempt < 50; attempt++) {
+		if (living === 0) {
+			return true;
+		}
+
+		await pause(20);
+	}
+
+	process.kill(pid, 'SIGKILL');
+	return false;
+}
+
+// A soak whose stand-in store had ended left its gateways and servers behind: what was under way started more of them
+// after all had been ended, and an error that nobody waited for ended the soak before it could end what it had started.
+test('what a soak has started ends with it, whether it fails or is told to end', async () => {
+	const acts = ['throw new Error("planned");', 'void Promise.reject(new Error("planned"));', 'process.kill(process.pid, "SIGTERM");', 'process.kill(process.pid, "SIGINT");'];
+	for (const [index, act] of acts.entries()) {
+		const pid = await runStarter(`starter-${index}`, act);
+		expect(pid).toBeGreaterThan(0);
+		expect([act, await waitUntilNoneLives(pid), seen]).toEqual([act, true, index + 1]);
+	}
+});
+
+test('nothing is started once all has been ended', async () => {
+	const processes = new Processes(folder);
+	processes.start('before', path.join(folder, 'idle.cjs'), []);
+	await processes.stop();
+	expect(() => processes.start('after', path.join(folder, 'idle.cjs'), [])).toThrow('over');
+	expect(processes.count).toBe(0);
+});
