feat(soak): connections that go silent for good, and entries of others that stay

Between nodes there was no link at all: a node tells the others the very address it listens on. A request that was held for good would have kept the run from ending.

Connections between nodes are led through links by a module loaded before the gateway. An entry of nobody is written until the end, and excuses nothing. Callers give up 3 s past the limit.

--- a/scripts/build-soak.js
+++ b/scripts/build-soak.js
@@ -1,8 +1,8 @@
-/** Bundles the fault soak and its stand-ins into `dist/soak-main.cjs` and `dist/soak-standin.cjs`. */
+/** Bundles the fault soak and its stand-ins into `dist/soak-main.cjs`, `dist/soak-standin.cjs` and `dist/soak-detour.cjs`. */
 import {build} from 'esbuild';
 
 await build({
-	entryPoints: {'soak-main': 'soak/main.ts', 'soak-standin': 'soak/standin.ts'},
+	entryPoints: {'soak-main': 'soak/main.ts', 'soak-standin': 'soak/standin.ts', 'soak-detour': 'soak/detour.ts'},
 	outdir: 'dist',
 	outExtension: {'.js': '.cjs'},
 	bundle: true,
--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -12,6 +12,7 @@
 /** Where the bundles are; `npm run soak` makes them. */
 const gatewayProgram = 'target/cresshook.cjs';
 const standinProgram = 'dist/soak-standin.cjs';
+const detourModule = 'dist/soak-detour.cjs';
 
 /** Grace of a planned stop, in seconds. */
 const graceSeconds = 4;
@@ -26,6 +27,9 @@
 const storeTimeout = 1500;
 const changePause = 100;
 
+/** Time between two writes of an entry of nobody, in milliseconds. */
+const foreignPause = 400;
+
 /** Time in which each node must use just the ready servers once all is calm, in milliseconds: a watch of calm times, and the grace of servers that lapsed in an outage. */
 const settleTime = 8000;
 
@@ -56,11 +60,16 @@
 	ports: NodePorts;
 	callersLink: Link;
 	storeLink: Link;
+	/** From the other nodes. */
+	peersLink: Link;
 	process: SoakProcess;
 	/** Whether it is being stopped or started again. */
 	isChanging: boolean;
 };
 
+/** Where a node lives, whichever life it is in. */
+type NodePlace = Omit<SoakNode, 'process' | 'isChanging'>;
+
 /** One life of a backend server; `id` is its name and its start. */
 export type SoakServer = {id: string; name: string; service: string; link: Link; port: number; process: SoakProcess};
 
@@ -79,8 +88,11 @@
 	readonly #replaced = new Set<SoakServer>();
 	#store: SoakProcess | undefined;
 	#storeAddress = '';
+	/** Ports of links by the ports that they lead to, for connections between nodes. */
+	#detours: Record<string, number> = {};
 	#version = 0;
 	#serverCount = 0;
+	#isOver = false;
 
 	constructor(folder: string, records: RunRecords, size: FleetSize) {
 		this.#folder = folder;
@@ -97,10 +109,14 @@
 		await this.changeConfig();
 		const services = [...Array.from({length: this.#size.modelServers}, () => 'model'), 'app', 'app', ...versionServices];
 		this.servers = await Promise.all(services.map(async service => this.#startServer(service)));
+		const places: NodePlace[] = [];
 		for (let index = 0; index < this.#size.nodes; index++) {
-			this.nodes.push(await this.#createNode(`edge-${index}`));
+			places.push(await this.#findPlace(`edge-${index}`));
 		}
 
+		this.#detours = Object.fromEntries(places.map(({ports, peersLink}) => [ports.peers, peersLink.port]));
+		this.nodes.push(...places.map(place => ({...place, process: this.#startNode(place), isChanging: false})));
+
 		await Promise.all(this.nodes.map(async node => waitUntilReady(node)));
 	}
 
@@ -151,14 +167,25 @@
 		}
 
 		const node = this.nodes[target % this.nodes.length];
-		return {link: kind === 'callers' ? node.callersLink : node.storeLink, node};
+		return {link: {callers: node.callersLink, store: node.storeLink, peers: node.peersLink}[kind], node};
+	}
+
+	/** The link of a kind with a number, or all of the kind. */
+	findLinks(kind: LinkKind, target: number, isEach: boolean): Array<ReturnType<SoakFleet['findLink']>> {
+		if (!isEach) {
+			return [this.findLink(kind, target)];
+		}
+
+		return kind === 'server'
+			? this.servers.map(server => ({link: server.link, server}))
+			: this.nodes.map((_, index) => this.findLink(kind, index));
 	}
 
 	/** Starts a node's next life when the present one has ended. */
 	async restartNode(node: SoakNode): Promise<void> {
 		await node.process.ended;
 		await pause(restartPause);
-		node.process = this.#startNode(node.name, node.ports, node.storeLink);
+		node.process = this.#startNode(node);
 		await waitUntilReady(node);
 	}
 
@@ -172,12 +199,14 @@
 		await this.#putInPlace(server, async () => this.#startLife(server));
 	}
 
-	/** Writes over the entry of a server, which writes its own again soon, and an entry of nobody. */
+	/**
+	 * Writes over the entry of a server, which writes its own again soon, and an entry of nobody, which is written
+	 * again until the end: a node that takes no change because of it must be seen to.
+	 */
 	async writeForeignEntries({name}: SoakServer, draw: number): Promise<void> {
 		const spec = foreignSpecs[draw % foreignSpecs.length];
 		await this.#writeEntry('PUT', `/${name}`, {metadata: {name}, spec});
-		const nobody = `foreign-${draw}`;
-		await this.#writeEntry('POST', '', {metadata: {name: nobody}, spec});
+		void this.#keepForeignEntry(`foreign-${draw}`, spec);
 	}
 
 	/** Asks each node how many servers it uses; noted where that does not become the number of those that are ready. */
@@ -209,12 +238,21 @@
 
 	/** Ends all processes and links. */
 	async stop(): Promise<void> {
+		this.#isOver = true;
 		await this.processes.stop();
 		for (const link of this.#links) {
 			link.close();
 		}
 	}
 
+	/** The store takes it away as often, since it has no count that goes on. */
+	async #keepForeignEntry(name: string, spec: unknown): Promise<void> {
+		while (!this.#isOver) {
+			await this.#writeEntry('POST', '', {metadata: {name}, spec});
+			await pause(foreignPause);
+		}
+	}
+
 	/** Only once: another fault may have ended the same life, and what it starts would be one server too many. */
 	async #putInPlace(server: SoakServer, start: () => Promise<SoakServer>): Promise<void> {
 		if (!this.servers.includes(server) || this.#replaced.has(server)) {
@@ -247,19 +285,20 @@
 		return link;
 	}
 
-	async #createNode(name: string): Promise<SoakNode> {
+	async #findPlace(name: string): Promise<NodePlace> {
 		const [callers, ready, addresses, peers, heartbeat, metrics] = await findSteadyPorts(6);
 		const ports = {
 			callers, ready, addresses, peers, heartbeat, metrics,
 		};
 		const callersLink = await this.#openLink(() => callers);
 		const storeLink = await this.#openLink(() => Number(this.#storeAddress.split(':')[1]));
+		const peersLink = await this.#openLink(() => peers);
 		return {
-			name, ports, callersLink, storeLink, process: this.#startNode(name, ports, storeLink), isChanging: false,
+			name, ports, callersLink, storeLink, peersLink,
 		};
 	}
 
-	#startNode(name: string, ports: NodePorts, storeLink: Link): SoakProcess {
+	#startNode({name, ports, storeLink}: NodePlace): SoakProcess {
 		const file = path.join(this.#folder, `${name}.toml`);
 		writeFileSync(file, `
 box = "${name}"
@@ -282,7 +321,8 @@
 slack = 100
 window_seconds = 10
 `);
-		return this.processes.start(name, gatewayProgram, ['gateway', '--settings', file]);
+		// A node tells the others the very address that it listens on, so their way through the link is put in from outside.
+		return this.processes.start(name, gatewayProgram, ['gateway', '--settings', file], {NODE_OPTIONS: `--require ${path.resolve(detourModule)}`, SOAK_DETOURS: JSON.stringify(this.#detours)});
 	}
 
 	/** The store is one of the things that fail here; then nobody has written. */
--- a/soak/link.ts
+++ b/soak/link.ts
@@ -1,4 +1,4 @@
-/** A TCP link on loopback that can be delayed, silenced in one or both directions, or reset. */
+/** A TCP link on loopback that can be delayed, silenced in one or both directions, reset, or severed: then the connections it has are silent for good. */
 import {
 	connect, createServer, type AddressInfo, type Server, type Socket,
 } from 'node:net';
@@ -15,6 +15,7 @@
 export class Link {
 	readonly #server: Server;
 	readonly #sockets = new Set<Socket>();
+	readonly #severed = new WeakSet<Socket>();
 	#fault = noFault;
 
 	/** `findTarget` gives the port of the target, which may change. */
@@ -53,6 +54,13 @@
 		this.#fault = noFault;
 	}
 
+	/** Makes the connections it has silent for good, and neither end hears when the other one gives up; new ones work. */
+	sever(): void {
+		for (const socket of this.#sockets) {
+			this.#severed.add(socket);
+		}
+	}
+
 	/** Resets all its connections. */
 	reset(): void {
 		for (const socket of this.#sockets) {
@@ -73,11 +81,13 @@
 			this.#sockets.add(socket);
 			void this.#carry(socket, other, isForth);
 			socket.on('error', () => {
-				other.resetAndDestroy();
+				if (!this.#severed.has(socket)) {
+					other.resetAndDestroy();
+				}
 			});
 			socket.on('close', () => {
 				this.#sockets.delete(socket);
-				if (socket.errored === null) {
+				if (socket.errored === null && !this.#severed.has(socket)) {
 					other.end();
 				}
 			});
@@ -88,7 +98,7 @@
 	async #carry(from: Socket, to: Socket, isForth: boolean): Promise<void> {
 		try {
 			for await (const piece of from) {
-				await this.#hold(isForth);
+				await this.#hold(from, isForth);
 				if (!to.write(piece as Uint8Array)) {
 					await new Promise(resolve => {
 						to.once('drain', resolve);
@@ -97,14 +107,14 @@
 				}
 			}
 
-			await this.#hold(isForth);
+			await this.#hold(from, isForth);
 			to.end();
 		} catch {
 			// A broken connection is one of the faults; the error listener resets the other side.
 		}
 	}
 
-	async #hold(isForth: boolean): Promise<void> {
+	async #hold(from: Socket, isForth: boolean): Promise<void> {
 		if (this.#fault.delay > 0) {
 			await pause(this.#fault.delay);
 		}
@@ -112,6 +122,10 @@
 		while (isForth ? this.#fault.isSilentForth : this.#fault.isSilentBack) {
 			await pause(silencePoll);
 		}
+
+		if (this.#severed.has(from)) {
+			await new Promise(() => {}); // eslint-disable-line @typescript-eslint/no-empty-function -- for good
+		}
 	}
 }
 
--- a/soak/load.ts
+++ b/soak/load.ts
@@ -20,6 +20,9 @@
 /** Share of callers that leave before the answer. */
 const leaveShare = 0.03;
 
+/** Time beyond its limit after which a caller gives up, in milliseconds: well past the bound, so that a request held for good is seen and the run ends. */
+const giveUpAfter = 3000;
+
 /** Longest body in bytes. */
 const longestBody = 20_000;
 
@@ -124,12 +127,18 @@
 			id, kind: shape.kind, node: node.name, sentAt: Date.now(), endedAt: 0, status: 0, isComplete: false, limit: shape.limit,
 		};
 		const leave = new AbortController();
+		let hasLeft = false;
 		if (this.#random() < leaveShare) {
 			setTimeout(() => {
+				hasLeft = true;
 				leave.abort();
 			}, this.#random() * 300);
 		}
 
+		const givingUp = setTimeout(() => {
+			leave.abort();
+		}, shape.limit + giveUpAfter);
+
 		try {
 			const answer = await sendRequest(node.callersLink.address.replace(/^/, 'http://') + shape.path, {
 				dispatcher: this.#agent, method: 'POST', body, headers: this.#formatHeaders(record, shape), signal: leave.signal,
@@ -142,8 +151,9 @@
 			// Without a whole answer; what that means is judged from what the servers saw.
 		}
 
+		clearTimeout(givingUp);
 		record.endedAt = Date.now();
-		if (!leave.signal.aborted) {
+		if (!hasLeft) {
 			this.#records.calls.push(record);
 		}
 	}
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -21,6 +21,8 @@
 	| 'store_silent' | 'store_busy' | 'store_slow' | 'store_lossy' | 'store_forget'
 	/** A link: bytes are late, stand still in one or both directions, or the connections are reset. */
 	| 'link_delay' | 'link_one_way' | 'link_silent' | 'link_reset'
+	/** The connections of a link, or of all links of its kind, go silent for good while new ones work; the configuration changes right after. */
+	| 'link_severed'
 	/** The operator changes the configuration. */
 	| 'config_change';
 
@@ -35,13 +37,16 @@
 	link?: LinkKind;
 };
 
-/** Callers to a node, a node to the store, nodes to a backend server. */
-export type LinkKind = 'callers' | 'store' | 'server';
+/** Callers to a node, a node to the store, nodes to a backend server, nodes to another node. */
+export type LinkKind = 'callers' | 'store' | 'server' | 'peers';
 
 const linkKinds: LinkKind[] = ['callers', 'store', 'server'];
 
-/** How often each kind comes, relative to the others. */
-const weights: Record<FaultKind, number> = {
+/** Links that are severed: a caller on a severed connection learns nothing of its node, and the node is not to blame. */
+const severedKinds: LinkKind[] = ['store', 'server', 'peers'];
+
+/** How often each kind comes, relative to the others; those of the second series are not among them. */
+const weights: Record<Exclude<FaultKind, 'link_severed'>, number> = {
 	node_kill: 3,
 	node_pause: 3,
 	node_stop: 4,
@@ -65,7 +70,7 @@
 };
 
 /** Kinds of fault, in the order in which they are drawn. */
-export const faultKinds = Object.keys(weights) as FaultKind[];
+export const faultKinds = [...Object.keys(weights) as Array<keyof typeof weights>, 'link_severed' as const];
 
 /** Mean time between two faults, in milliseconds: with durations of seconds, four or so overlap. */
 const meanGap = 500;
@@ -73,6 +78,12 @@
 /** Faults come for this long, and then none for as long, in milliseconds: promises that allow for a disturbance bind only when one is over. */
 const stretch = 5000;
 
+/** Mean time between two severings, in milliseconds: a series of its own, also in calm times, and drawn apart, so that a seed has the same other faults with it and without it. */
+const severedGap = 3000;
+
+/** Longest time from a severing to the change of the configuration, in milliseconds: within the bound for a change. */
+const longestSevered = 1500;
+
 /** Shortest and longest fault, in milliseconds. */
 const shortest = 200;
 const longest = 3000;
@@ -82,6 +93,32 @@
 
 /** Draws the faults of a run that lasts so many milliseconds. */
 export function drawFaults(seed: number, length: number, kinds: FaultKind[] = faultKinds): Fault[] {
+	const drawn = kinds.filter(kind => kind !== 'link_severed');
+	return [
+		...drawn.length === 0 ? [] : drawSeries(seed, length, drawn),
+		...drawn.length === kinds.length ? [] : drawSeverings(seed, length),
+	];
+}
+
+function drawSeverings(seed: number, length: number): Fault[] {
+	const random = seedrandom(`severed-${seed}`);
+	const faults: Fault[] = [];
+	for (let at = quietStart; ; at += -Math.log(1 - random()) * severedGap) {
+		if (at >= length) {
+			return faults;
+		}
+
+		faults.push({
+			kind: 'link_severed',
+			at: Math.round(at),
+			duration: Math.round(random() * longestSevered),
+			target: Math.floor(random() * 1000),
+			link: severedKinds[Math.floor(random() * severedKinds.length)],
+		});
+	}
+}
+
+function drawSeries(seed: number, length: number, kinds: Array<keyof typeof weights>): Fault[] {
 	const random = seedrandom(`faults-${seed}`);
 	const faults: Fault[] = [];
 	let at = quietStart;
@@ -106,7 +143,7 @@
 	}
 }
 
-function pick(kinds: FaultKind[], draw: number): FaultKind {
+function pick(kinds: Array<keyof typeof weights>, draw: number): FaultKind {
 	const total = kinds.reduce((sum, kind) => sum + weights[kind], 0);
 	let left = draw * total;
 	return kinds.find(kind => {
--- a/soak/processes.ts
+++ b/soak/processes.ts
@@ -8,6 +8,9 @@
 /** Time in which a process must say where it listens, in milliseconds. */
 const startLimit = 15_000;
 
+/** What is run, and what its environment has besides that of the soak. */
+type SoakCommand = {program: string; words: string[]; environment: Record<string, string>};
+
 /** One process. */
 export class SoakProcess {
 	/** Settles when the process has ended. */
@@ -17,8 +20,9 @@
 	#isEnded = false;
 	#onLine: ((line: Record<string, unknown>) => void) | undefined;
 
-	constructor(program: string, words: string[], logFile: string, onEnd: (ended: SoakProcess) => void) {
-		this.#child = spawn(process.execPath, [program, ...words], {stdio: ['pipe', 'pipe', 'pipe']});
+	constructor(command: SoakCommand, logFile: string, onEnd: (ended: SoakProcess) => void) {
+		const {program, words, environment} = command;
+		this.#child = spawn(process.execPath, [program, ...words], {stdio: ['pipe', 'pipe', 'pipe'], env: {...process.env, ...environment}});
 		this.#log = createWriteStream(logFile, {flags: 'a'});
 		this.#child.stderr!.pipe(this.#log, {end: false});
 		// A pipe whose process is gone breaks; what was to be told to it no longer matters.
@@ -105,12 +109,12 @@
 	}
 
 	/** Starts a program; its lines go to a log of that name. What was under way when all were ended must start nothing more. */
-	start(name: string, program: string, words: string[]): SoakProcess {
+	start(name: string, program: string, words: string[], environment: Record<string, string> = {}): SoakProcess {
 		if (this.#isOver) {
 			throw new Error(`the run is over, ${name} is not started`);
 		}
 
-		const started = new SoakProcess(program, words, path.join(this.#folder, `${name}.log`), ended => {
+		const started = new SoakProcess({program, words, environment}, path.join(this.#folder, `${name}.log`), ended => {
 			this.#all.delete(ended);
 		});
 		this.#all.add(started);
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -30,6 +30,9 @@
 /** Calm time at the end, in milliseconds: reservations of dead nodes have run out by then. */
 const calmEnd = 4500;
 
+/** How long connections that were severed may stay in use at nodes that have not met them, in milliseconds. */
+const severedMemory = 2000;
+
 /** How late the store's second answer may be believed to be over, in milliseconds. */
 const recordMargin = 200;
 
@@ -108,7 +111,8 @@
 			}
 
 			case 'entry': {
-				await this.#record({}, async () => this.#fleet.writeForeignEntries(this.#fleet.findServer(target), target));
+				const server = this.#fleet.findServer(target);
+				await this.#record({server: server.id}, async () => this.#fleet.writeForeignEntries(server, target));
 
 				break;
 			}
@@ -120,7 +124,7 @@
 			}
 
 			case 'link': {
-				await this.#disturbLink();
+				await (how === 'severed' ? this.#severLinks() : this.#disturbLink());
 
 				break;
 			}
@@ -212,6 +216,23 @@
 		});
 	}
 
+	/**
+	 * Excuses nothing but what a server was cut off from: every promise to callers holds on silent connections, too,
+	 * and a configuration that changes right after must be in force in time.
+	 */
+	async #severLinks(): Promise<void> {
+		const {link, target, duration} = this.#fault;
+		const severed = this.#fleet.findLinks(link ?? 'store', target, target % 2 === 0);
+		await Promise.all(severed.map(async each => {
+			each.link.sever();
+			if (each.server !== undefined) {
+				await this.#record({server: each.server.id}, async () => pause(severedMemory));
+			}
+		}));
+		await pause(duration);
+		await this.#fleet.changeConfig();
+	}
+
 	async #disturbLink(): Promise<void> {
 		const {kind, link: linkKind, target, duration} = this.#fault;
 		const {link, node, server} = this.#fleet.findLink(linkKind ?? 'callers', target);
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -213,6 +213,31 @@
 	echo.close();
 });
 
+test('connections of a link that is severed are silent for good, and new ones work', async () => {
+	const echo = await openEcho();
+	const link = await new Link(() => echo.port).open();
+	const [first, second] = [connect(link.port, '127.0.0.1'), connect(link.port, '127.0.0.1')];
+	const seen = [first, second].map(socket => listenTo(socket));
+	first.write('before');
+	second.write('before');
+	await pause(50);
+	link.sever();
+	first.write(' after');
+	second.resetAndDestroy();
+	const third = connect(link.port, '127.0.0.1');
+	const other = listenTo(third);
+	third.write('new');
+	await pause(50);
+	expect([...seen, other]).toEqual([{text: 'before', isReset: false}, {text: 'before', isReset: false}, {text: 'new', isReset: false}]);
+	link.heal();
+	await pause(50);
+	expect(seen[0].text).toBe('before');
+	first.destroy();
+	third.destroy();
+	link.close();
+	echo.close();
+});
+
 test('the stand-in store lives on when a request is broken off', async () => {
 	const store = await new StandinStore().start();
 	const [host, port] = store.address.split(':');
