fix(planning): a server that takes new work again still holds what it held

Cause: a server whose entry is overwritten, or whose plans are handed to a node that does not use it at the moment, has no board. When it took new work again it began with an empty one: its memory was planned with twice, its writers were not counted, though what runs there goes on.

Change: a plan keeps its work for each server, and a new board takes up the work that plans in progress have at its server.

Ruled out: keeping the boards of servers that are out; a planner that takes over while one is out has never had its board.

Conclusion: the plans in progress, not the boards, say what runs where.

--- a/src/planning/planner.ts
+++ b/src/planning/planner.ts
@@ -21,7 +21,9 @@
 	Decision, Plan, PlanNote, PlanRequest,
 } from './plan.js';
 import {describeOverload, LongReads} from './long-reads.js';
-import {ServerBoard} from './server-board.js';
+import {
+	isDone, ServerBoard, startWork, type Work,
+} from './server-board.js';
 import {ServerShares, type ServerGroups} from './server-shares.js';
 import {placeShort} from './short-placement.js';
 
@@ -47,8 +49,11 @@
 	engine?: EngineFigures;
 };
 
-/** A plan, when it was made, and whether it counts as a short request: what is short may change meanwhile. */
-type HeldPlan = {plan: Plan; since: number; isShort: boolean};
+/**
+ * A plan, when it was made, and whether it counts as a short request: what is short may change meanwhile. Its work is
+ * kept for each server, also for one that takes no new work at the moment and so has no board.
+ */
+type HeldPlan = {plan: Plan; since: number; isShort: boolean; works: ReadonlyMap<BackendServerId, Work>};
 
 /** Plans for one service. */
 export class Planner {
@@ -89,7 +94,7 @@
 		for (const server of servers) {
 			const board = this.#boards.get(server.id);
 			if (board === undefined) {
-				this.#boards.set(server.id, new ServerBoard(server));
+				this.#addBoard(server);
 			} else {
 				board.server = server;
 			}
@@ -148,9 +153,11 @@
 		}
 
 		if (note.kind === 'started') {
-			this.#forEachBoard(held.plan, board => {
-				board.start(note.planId, now);
-			});
+			for (const [id, work] of held.works) {
+				startWork(work, now);
+				this.#boards.get(id)?.start(note.planId, now);
+			}
+
 			this.#boards.get(held.plan.server)?.health.recordSuccess();
 			return;
 		}
@@ -190,6 +197,18 @@
 		}
 	}
 
+	/** A server that takes new work again runs what it ran: without that its memory was planned with twice. */
+	#addBoard(server: BackendServer): void {
+		const board = new ServerBoard(server);
+		this.#boards.set(server.id, board);
+		for (const {works} of this.#plans.values()) {
+			const work = works.get(server.id);
+			if (work !== undefined && !isDone(work)) {
+				board.add(work);
+			}
+		}
+	}
+
 	/** The objective counts from a caller's first try. */
 	#countEarlierTries(request: PlanRequest): PlanRequest {
 		const {route, callerWaits, waited, objective} = request;
@@ -264,7 +283,7 @@
 		const isPrompt = engine !== undefined && plan.request.promptTokens > 0;
 		const parts = plan.helpers.length + 1;
 		const readTime = isPrompt ? computeReadTime(engine, plan.request.promptTokens, parts) : 0;
-		const findReadEnd = (board: ServerBoard) => now + plan.startIn + readTime + (isLong ? board.computePass(engine, 0) : 0);
+		const findReadEnd = (board?: ServerBoard) => now + plan.startIn + readTime + (isLong ? board?.computePass(engine, 0) ?? 0 : 0);
 		const isLong = isPrompt && computeReadTime(engine, plan.request.promptTokens) > longReadShare * this.#shortestPause;
 		const work = {
 			planId: plan.planId,
@@ -285,17 +304,22 @@
 			});
 		}
 
-		const first = this.#boards.get(plan.server);
-		first?.add({...work, readUntil: findReadEnd(first)});
+		const works = new Map<BackendServerId, Work>([[plan.server, {...work, readUntil: findReadEnd(this.#boards.get(plan.server))}]]);
 		for (const helper of plan.helpers) {
-			const board = this.#boards.get(helper.server);
-			board?.add({
-				...work, readUntil: findReadEnd(board), isHelper: true, heldTokens: helper.heldTokens, contextTokens: 0, promptTokens: 0, longestPause: undefined, longestSilence: undefined,
+			const readUntil = findReadEnd(this.#boards.get(helper.server));
+			works.set(helper.server, {
+				...work, readUntil, isHelper: true, heldTokens: helper.heldTokens, contextTokens: 0, promptTokens: 0, longestPause: undefined, longestSilence: undefined,
 			});
 		}
 
+		for (const [id, part] of works) {
+			this.#boards.get(id)?.add(part);
+		}
+
 		const isShort = isPrompt && !isLong;
-		this.#plans.set(plan.planId, {plan, since: now, isShort});
+		this.#plans.set(plan.planId, {
+			plan, since: now, isShort, works,
+		});
 		if (isShort) {
 			this.#shares.addShort();
 		}
--- a/src/planning/server-board.ts
+++ b/src/planning/server-board.ts
@@ -36,6 +36,17 @@
 	hasLostPause: boolean;
 };
 
+/** Notes that the first event of a request was seen: its reading is done. */
+export function startWork(work: Work, now: number): void {
+	work.hasStarted = true;
+	work.readUntil = Math.min(work.readUntil, now);
+}
+
+/** Whether nothing of it is left at its server: a helper that holds no memory has only read. */
+export function isDone({hasStarted, isHelper, heldTokens}: Work): boolean {
+	return hasStarted && isHelper && heldTokens === 0;
+}
+
 /** Sums over the work of a server, kept until it changes. */
 type Summary = {
 	/** Requests that write here or are about to; helpers don't count. */
@@ -89,9 +100,8 @@
 			return;
 		}
 
-		work.hasStarted = true;
-		work.readUntil = Math.min(work.readUntil, now);
-		if (work.isHelper && work.heldTokens === 0) {
+		startWork(work, now);
+		if (isDone(work)) {
 			this.remove(planId);
 		}
 	}
--- a/test/planning.test.ts
+++ b/test/planning.test.ts
@@ -3,9 +3,11 @@
 import type {
 	AvailabilityZone, BackendServerId, BoxId, PlanId, RequestId,
 } from '../src/common/index.js';
-import {computePassTime, computeReadTime, ServerHealth} from '../src/planning/index.js';
 import {
-	ask, createPlanner, createServers, engine, planNow, short,
+	computePassTime, computeReadTime, Planner, ServerHealth,
+} from '../src/planning/index.js';
+import {
+	ask, createIds, createPlanner, createServers, engine, planNow, short,
 } from './helpers/planning.js';
 
 test('a read grows with the square of its prompt and is divided evenly', () => {
@@ -193,6 +195,30 @@
 	expect(planner.planCount).toBe(0);
 });
 
+// A server whose entry somebody else overwrites takes no new work until its own entry is back, and what it runs goes on.
+// Its planner began with an empty board then: a prompt was planned into memory that another one held, the server
+// refused to set it aside, and writers there were not counted. The same after a takeover while it was out. Found by
+// the model run of the planner, shrunk to five steps.
+test('a server that takes new work again still holds what it held, whoever decides now', () => {
+	const servers = createServers(2);
+	const first = createPlanner(1);
+	const patient = {objective: 30_000, patience: 60_000, longestPause: 30_000};
+	const long = planNow(first, ask(270_000, patient));
+	const wantsRoom = () => ask(200_000, patient);
+	const second = new Planner({ids: createIds(), engine});
+	second.setServers(servers.slice(1), engine);
+	second.adopt([long], 0);
+	first.setServers([], engine);
+	first.note({planId: long.planId, kind: 'started'}, 3000);
+	for (const planner of [first, second]) {
+		planner.setServers(servers.slice(0, 1), engine);
+		const decided = planner.decide(wantsRoom(), 20_000).unsafeCoerce();
+		expect(decided).toMatchObject({kind: 'wait', reason: 'memory'});
+		planner.note({planId: long.planId, kind: 'ended'}, 20_000);
+		expect(planner.decide(wantsRoom(), 20_000).unsafeCoerce().kind).toBe('plan');
+	}
+});
+
 const tokensArbitrary = fc.oneof(fc.integer({min: 100, max: 24_000}), fc.integer({min: 24_000, max: 700_000}));
 
 test('whatever is asked for, the memory that plans hold on a server never passes what it has', () => {
