feat(cli): explain puts lines in order by the clocks of their nodes

A node gathers its lines for up to 200 ms, and a collector's time is that of the hand-over: a decision of another node stood after the retry that it answered. Each node's clock is compared with the collector's by the line that was handed on soonest; a time that differs by more than a second is that of a clock that was set, and the collector's counts. A request whose time passed while it ran is told where it was placed.

--- a/src/logs/find-cause.ts
+++ b/src/logs/find-cause.ts
@@ -43,7 +43,7 @@
 function describeLeft(story: RequestStory, ended: EndedCall): string {
 	const left = `Its caller left after ${formatTime(ended.took)}${describeLimit(ended)}`;
 	return ended.firstAfter === undefined
-		? `${left}, before a first event: ${explainNoFirst(story)}.`
+		? `${left}, before a first event: ${describePlace(story)}.`
 		: `${left}, after a first event at ${formatTime(ended.firstAfter)} and a ${describePause(ended)}.`;
 }
 
@@ -95,7 +95,7 @@
 
 	const left = placed === undefined ? undefined : findNumber(placed, 'objective');
 	if (left !== undefined && left < objective) {
-		return `${formatTime(objective - left)} of its objective had passed when it was placed, by its caller's earlier tries`;
+		return `its caller had tried for ${formatTime(objective - left)} before, which left less time`;
 	}
 
 	return expected === undefined
@@ -124,6 +124,10 @@
 	}
 
 	const {after} = story.lines.findLast(line => line.event === 'retry')?.fields ?? {};
+	if (ended.outcome === 'bound_passed_running') {
+		return `; ${describePlace(story)}`;
+	}
+
 	const what = typeof after === 'string' ? describeServer(after, story) : describeServer(ended.servers.at(-1), story);
 	return what === '' ? '' : `; ${what}`;
 }
@@ -138,7 +142,8 @@
 	return notGranted === undefined ? '' : `; ${notGranted.fields.answer === false ? 'the fleet had no retry left' : `deciding node ${findText(notGranted, 'node')} did not answer for a retry`}`;
 }
 
-function explainNoFirst(story: RequestStory): string {
+/** Where it was placed last, and what befell the server. */
+function describePlace(story: RequestStory): string {
 	const placed = story.lines.findLast(line => line.event === 'placed');
 	if (placed === undefined) {
 		return `it had no place${describeWait(story)}`;
--- a/src/logs/log-line.ts
+++ b/src/logs/log-line.ts
@@ -5,6 +5,8 @@
 	event: string;
 	/** Milliseconds: of wall time, or since the start of the collector that put its own time before the line. */
 	at: number;
+	/** Wall time of the node that wrote it, in milliseconds; undefined when the line tells none. */
+	writtenAt?: number;
 	/** Who wrote it: the name before the line, or the file's. */
 	writer: string;
 	/** All fields of the line. */
@@ -22,9 +24,14 @@
 		return undefined;
 	}
 
-	const at = seconds === undefined ? Date.parse(String(fields.time)) : Number(seconds) * 1000;
+	const time = Date.parse(String(fields.time));
+	const writtenAt = Number.isNaN(time) ? undefined : time;
 	return {
-		event: fields.event, at: Number.isNaN(at) ? 0 : at, writer: named ?? writer, fields,
+		event: fields.event,
+		at: seconds === undefined ? writtenAt ?? 0 : Number(seconds) * 1000,
+		writtenAt,
+		writer: named ?? writer,
+		fields,
 	};
 }
 
--- a/src/logs/request-story.ts
+++ b/src/logs/request-story.ts
@@ -3,6 +3,7 @@
 	findNumber, findText, listTexts, type LogLine,
 } from './log-line.js';
 import {findEndedCall, type EndedCall} from './ended-call.js';
+import {WriterClocks} from './writer-clocks.js';
 
 /** Events that change what a server or a node is: they explain what befell a request there. */
 const fleetEvents = new Set([
@@ -34,6 +35,7 @@
 	readonly #request: string;
 	readonly #lines: LogLine[] = [];
 	readonly #fleet: LogLine[] = [];
+	readonly #clocks = new WriterClocks();
 
 	constructor(request: string) {
 		this.#request = request;
@@ -41,6 +43,7 @@
 
 	/** Takes a line of any node. */
 	add(line: LogLine): void {
+		this.#clocks.add(line);
 		if (findText(line, 'request') === this.#request) {
 			this.#lines.push(line);
 		} else if (fleetEvents.has(line.event) && this.#fleet.length < mostFleetLines) {
@@ -50,7 +53,7 @@
 
 	/** The story so far; undefined when nothing was said of the request. */
 	finish(): RequestStory | undefined {
-		const lines = sortByTime(this.#lines);
+		const lines = this.#sort(this.#lines);
 		if (lines.length === 0) {
 			return undefined;
 		}
@@ -61,6 +64,10 @@
 		};
 	}
 
+	#sort(lines: LogLine[]): LogLine[] {
+		return sortByTime(lines.map(line => ({...line, at: this.#clocks.estimateTime(line)})));
+	}
+
 	#listAround(lines: LogLine[], ended: EndedCall | undefined): LogLine[] {
 		const servers = new Set(lines.flatMap(line => [findText(line, 'server'), findText(line, 'after'), ...listTexts(line, 'servers')]));
 		const nodes = new Set(lines.flatMap(line => [line.writer, findText(line, 'node') ?? line.writer]));
@@ -69,7 +76,7 @@
 		const patience = ended === undefined ? Math.max(...lines.map(line => findNumber(line, 'patience') ?? 0)) : 0;
 		const until = lines.at(-1)!.at + patience + margin;
 		const seen = new Set<string>();
-		return sortByTime(this.#fleet).filter(line => {
+		return this.#sort(this.#fleet).filter(line => {
 			const what = serverEvents.has(line.event)
 				? [findText(line, 'server'), findText(line, 'before')].find(server => server !== undefined && servers.has(server))
 				: findNode(line, nodes);
