feat(gateway): a node says how it stands; the command status prints it

Operators had figures of a node, not what it believes. /status on the metrics listener is JSON: this node and its phase, versions of the configuration and of the servers, calls, live nodes with their lives and the versions they told last, and for each service who decides, plans, prompts that wait, the retry budget left (at the deciding node, which alone counts it) and the work and health of the servers, the busiest first.

The planner, the line of long reads and the window of retries tell counts that they held already; what is granted and placed is computed as before. gateway.ts: the reader is made there, and heartbeats hand it the views of other nodes.

--- /dev/null
+++ b/src/cli/format-status.ts
@@ -0,0 +1,57 @@
+/** How a node stands, as text. Pure. */
+import type {NodeStatus} from '../gateway/index.js';
+
+type ServiceWork = NodeStatus['services'][number];
+type ServerWork = ServiceWork['servers'][number];
+type NodeLine = NodeStatus['node'];
+
+/** Formats a node's status. */
+export function formatStatus(status: NodeStatus): string {
+	const {
+		node, phase, isWatcher, isSourceOut, calls, servers, services, nodes, omitted,
+	} = status;
+	const lines = [
+		`${node.name} (life ${node.life}, ${node.availabilityZone}): ${phase}, ${calls} calls in progress`,
+		`configuration ${node.configVersion}, servers' revision ${node.serversRevision}; ${servers.usable} servers take new work, ${servers.foreign} entries of other writers`,
+		`${isWatcher ? 'follows the store' : 'is told by other nodes'}${isSourceOut ? ', which does not answer' : ''}`,
+		...services.flatMap(service => formatService(service)),
+		...omitted.services > 0 ? [`and ${omitted.services} more services`] : [],
+		`nodes: ${nodes.live} live of ${nodes.known} known`,
+		...nodes.listed.map(other => formatNode(other, node)),
+		...omitted.nodes > 0 ? [`  and ${omitted.nodes} more`] : [],
+	];
+	return `${lines.join('\n')}\n`;
+}
+
+function formatService({
+	service, decider, plans, waiting, retries, usableServers, servers,
+}: ServiceWork): string[] {
+	const whose = decider.isSelf ? `${decider.name}, this node` : `${decider.name} (life ${decider.life}); ask ${decider.host} for all of its work`;
+	const spent = retries === undefined ? '' : `${retries.retries} of ${retries.requests} requests in the window, memory of ${Math.round(retries.memory * 100)}% of the fleet`;
+	return [
+		`service ${service}: decided by ${whose}`,
+		`  ${plans} plans in progress${decider.isSelf ? '' : ' as this node knows'}, ${waiting} prompts wait to be read`,
+		...retries === undefined ? [] : [`  retries: ${retries.left} left; ${spent}`],
+		`  ${usableServers} servers take new work${servers.length < usableServers ? `, ${servers.length} of them below` : ''}`,
+		...servers.map(server => formatServer(server)),
+	];
+}
+
+function formatServer(work: ServerWork): string {
+	const health = [
+		...work.restsFor > 0 ? [`left alone for ${work.restsFor} ms`] : [],
+		...work.isDoubtful ? [`doubtful, ${Math.round(work.spoiled * 100)}% of its answers spoiled`] : [],
+	];
+	const reading = work.readFor > 0 ? `, reads for ${work.readFor} ms` : '';
+	return `    ${work.server}: ${work.work} of ${work.slots} places, ${work.writers} write, ${work.heldTokens} tokens held${reading}; ${health.length === 0 ? 'well' : health.join(', ')}`;
+}
+
+function formatNode(other: NodeLine, self: NodeLine): string {
+	const marks = [
+		...other.isReady ? [] : ['not ready'],
+		...other.isSourceReachable ? [] : ['does not reach the store'],
+		...(other.configVersion ?? 0) < (self.configVersion ?? 0) ? ['behind in the configuration'] : [],
+	];
+	const versions = `configuration ${other.configVersion ?? '?'}, servers' revision ${other.serversRevision ?? '?'}`;
+	return `  ${other.name} (life ${other.life}, ${other.availabilityZone}): ${versions}${marks.length === 0 ? '' : `; ${marks.join(', ')}`}`;
+}
--- a/src/cli/index.ts
+++ b/src/cli/index.ts
@@ -10,6 +10,7 @@
 import {addRehearseCommand} from './rehearse-command.js';
 import {addSettingsCommand} from './settings-command.js';
 import {addStandinCommand} from './standin-command.js';
+import {addStatusCommand} from './status-command.js';
 
 /** Builds the program with all its commands. */
 export function createProgram(): Command {
@@ -27,6 +28,7 @@
 	addRehearseCommand(program);
 	addStandinCommand(program);
 	addExplainCommand(program);
+	addStatusCommand(program);
 	return program;
 }
 
--- a/src/gateway/deciding/shared-placer.ts
+++ b/src/gateway/deciding/shared-placer.ts
@@ -10,10 +10,10 @@
 	Left, Right, type Either,
 } from 'purify-ts';
 import {
-	type Clock, type Failure, type IdSource, type Logger, type PlanId, type ServiceName, type Timer,
+	type BoxId, type Clock, type Failure, type IdSource, type Logger, type PlanId, type ServiceName, type Timer,
 } from '../../common/index.js';
 import {
-	isFirstAsk, Planner, type Decision, type Plan, type PlanNote, type PlanRequest, type RetryLimits, type RetryRequest,
+	isFirstAsk, Planner, type Decision, type Plan, type PlanNote, type PlanRequest, type RetryLimits, type RetryRequest, type ServerWork,
 } from '../../planning/index.js';
 import type {FleetState} from '../../routing/index.js';
 import type {GatewayMetrics} from '../gateway-metrics.js';
@@ -25,7 +25,7 @@
 import {Placer, type PlaceAnswer, type Placed} from '../calls/placer.js';
 import {DeciderChoice} from './decider-choice.js';
 import {logDecision} from './decision-log.js';
-import {SharedRetries} from './shared-retries.js';
+import {SharedRetries, type RetryBudget} from './shared-retries.js';
 
 /** Time in which the deciding node must answer, in milliseconds: a box that has used up its quota stands still for most of a tenth of a second; with 60, 14 asks were given up within two seconds of one played day. */
 const askTimeout = 90;
@@ -77,6 +77,21 @@
 	noteTimer: Timer | undefined;
 };
 
+/** A service as one node knows it. */
+export type ServiceWork = {
+	service: ServiceName;
+	/** The node that decides, as this one chooses. */
+	decider: {name: BoxId; life: string; host: string; isSelf: boolean};
+	/** Plans in progress, and prompts that wait to be read. */
+	plans: number;
+	waiting: number;
+	/** Only where this node decides. */
+	retries?: RetryBudget;
+	usableServers: number;
+	/** The busiest ones; none before the first request. */
+	servers: ServerWork[];
+};
+
 /** Asks the deciding node, and decides when this node is the one, or alone. */
 export class SharedPlacer extends Placer {
 	readonly #parts: SharedPlacerParts;
@@ -205,6 +220,26 @@
 		}
 	}
 
+	/** How a service stands at this node: only the deciding one knows all of its work. */
+	describe(service: ServiceName, mostServers: number): ServiceWork {
+		const self = this.#parts.self();
+		const {name, life, peerAddress} = this.#deciders.choose(service);
+		const isSelf = name === self.name;
+		const planner = this.#services.get(service)?.planner;
+		const servers = planner?.describeServers(this.#parts.clock.readMonotonic(), mostServers) ?? [];
+		return {
+			service,
+			decider: {
+				name, life, host: peerAddress.split(':')[0], isSelf,
+			},
+			plans: planner?.planCount ?? 0,
+			waiting: planner?.waitingCount ?? 0,
+			retries: isSelf ? this.#retries.describe(service) : undefined,
+			usableServers: this.#parts.state.listServers(service).length,
+			servers,
+		};
+	}
+
 	async #decide(request: PlanRequest): Promise<{decidedBy: Placed['decidedBy']; result: Either<Failure, Decision>}> {
 		const plans = this.#findPlans(request.service);
 		const self = this.#parts.self();
--- a/src/gateway/deciding/shared-retries.ts
+++ b/src/gateway/deciding/shared-retries.ts
@@ -24,6 +24,9 @@
 	self: () => Peer;
 };
 
+/** A service's budget of retries: requests and retries of the window, the part of the fleet whose memory of it is known, and what is left. */
+export type RetryBudget = {requests: number; retries: number; memory: number; left: number};
+
 /** Retries of all services. */
 export class SharedRetries {
 	readonly #parts: SharedRetriesParts;
@@ -85,6 +88,19 @@
 		this.#find(service).learn(history, this.#now);
 	}
 
+	/** What is left of a service's budget, as its deciding node counts; undefined where nothing was counted yet. */
+	describe(service: ServiceName): RetryBudget | undefined {
+		const retries = this.#services.get(service);
+		if (retries === undefined) {
+			return undefined;
+		}
+
+		const now = this.#now;
+		const reach = this.#readReach();
+		const {memory, ...counts} = retries.describeBudget(now, reach);
+		return {...counts, memory: Math.round(memory * 100) / 100, left: retries.countLeft(now, reach)};
+	}
+
 	get #now(): number {
 		return this.#parts.clock.readMonotonic();
 	}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -22,6 +22,7 @@
 } from './views/index.js';
 import {GatewayMetrics} from './gateway-metrics.js';
 import type {GatewaySettings} from './gateway-settings.js';
+import {StatusReader} from './node-status.js';
 import {computeDigest} from './digest.js';
 import {
 	defaultBodyLimit, openAddressServer, openCallersServer, openMetricsServer, openPeersServer, openReadyServer, type OpenServer,
@@ -70,6 +71,7 @@
 	readonly #socket: PeerSocket;
 	readonly #views: ViewExchange;
 	readonly #viewAnswers: ViewAnswers;
+	readonly #status: StatusReader;
 	#isStopping = false;
 	#running: Promise<void> | undefined;
 
@@ -108,6 +110,7 @@
 		});
 		this.#peers.addViewListener((peer, view) => {
 			this.#views.compareView(peer, view);
+			this.#status.noteView(peer, view);
 		});
 		const {ratio, slack, window_seconds: seconds} = parts.settings.retry;
 		this.#placer = new SharedPlacer({
@@ -138,6 +141,16 @@
 			availabilityZone: parts.settings.availability_zone as AvailabilityZone,
 			random: parts.random,
 		});
+		this.#status = new StatusReader({
+			clock,
+			state: this.state,
+			peers: this.#peers,
+			placer: this.#placer,
+			self,
+			isStopping: () => this.#isStopping,
+			isWatcher: () => this.isWatcher,
+			countCalls: () => this.#calls.inProgress,
+		});
 		this.state.addRestartListener(ended => {
 			this.#pool.leaveIdle(ended.address);
 			this.#calls.noteRestart(ended.id);
@@ -176,7 +189,7 @@
 			await openPeersServer(settings.listen.peers, this),
 			await openReadyServer(settings.listen.ready, wire, () => this.isReady),
 			await openAddressServer(settings.listen.addresses, wire, zone => this.#listAddresses(zone)),
-			await openMetricsServer(`${host}:${settings.metrics_port}`, this.metrics),
+			await openMetricsServer(`${host}:${settings.metrics_port}`, this.metrics, () => this.#status.formatText()),
 			await openCallersServer(settings.listen.callers, {
 				wire,
 				isStopping: () => this.#isStopping,
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -1,4 +1,5 @@
 export {closeEarlyListener} from './early-listener.js';
 export * from './gateway.js';
 export * from './gateway-settings.js';
+export {statusPath, type NodeStatus} from './node-status.js';
 export * from './wire.js';
--- a/src/gateway/servers.ts
+++ b/src/gateway/servers.ts
@@ -7,6 +7,7 @@
 import {HttpSink, sendFailure} from './calls/index.js';
 import {peerRouter, type PeerService} from './peers/index.js';
 import {listenOnEarly, takeEarlyListener} from './early-listener.js';
+import {statusPath} from './node-status.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
 import type {GatewayWire} from './wire.js';
 
@@ -124,9 +125,10 @@
 	return listen(server, address);
 }
 
-/** Opens the listener for metrics. */
-export async function openMetricsServer(address: string, metrics: GatewayMetrics): Promise<OpenServer> {
+/** Opens the listener for metrics, and beside them how the node stands. */
+export async function openMetricsServer(address: string, metrics: GatewayMetrics, formatStatus: () => string): Promise<OpenServer> {
 	const server = createServer(mostHeaderBytes);
 	server.get('/metrics', async (_request, reply) => reply.type(metrics.contentType).send(await metrics.formatText()));
+	server.get(statusPath, async (_request, reply) => reply.type('application/json').send(formatStatus()));
 	return listen(server, address);
 }
--- a/src/planning/fleet-retries.ts
+++ b/src/planning/fleet-retries.ts
@@ -113,8 +113,12 @@
 
 	/** Grants a retry out of the fleet's budget, as its decider. */
 	grant(now: number, worth: number, reach: FleetReach): boolean {
-		const {ratio, slack} = deciderShare;
-		return this.#fleet.takeRetry(now, {ratio, slack: slack * this.#measureMemory(now, reach)}, worth, this.#told.count(now));
+		return this.#fleet.takeRetry(now, this.#findShare(now, reach), worth, this.#told.count(now));
+	}
+
+	/** Retries that the decider has left to grant. */
+	countLeft(now: number, reach: FleetReach): number {
+		return this.#fleet.countLeft(now, this.#findShare(now, reach), this.#told.count(now));
 	}
 
 	/** Takes a retry out of this node's own small part, when no decider answers. */
@@ -129,6 +133,12 @@
 		return {requests: own.requests + told.requests, retries: own.retries + told.retries, memory: this.#measureMemory(now, reach)};
 	}
 
+	/** What the decider may grant out of the bounds. */
+	#findShare(now: number, reach: FleetReach): RetryShare {
+		const {ratio, slack} = deciderShare;
+		return {ratio, slack: slack * this.#measureMemory(now, reach)};
+	}
+
 	#beginDeciding(now: number): void {
 		this.#decidesSince = now;
 		this.#told.forgetBefore(now - longestGap);
--- a/src/planning/long-reads.ts
+++ b/src/planning/long-reads.ts
@@ -47,6 +47,11 @@
 	readonly #line = new ReadLine();
 	readonly #demand = new ReadDemand();
 
+	/** Prompts that wait to be read, also those that have left and were not missed yet. */
+	get waitingCount(): number {
+		return this.#line.length;
+	}
+
 	/** Decides for one request; it keeps its place in line by asking again. */
 	decide(request: PlanRequest, servers: ServerBoard[], engine: EngineFigures, now: number): Either<Failure, ReadDecision> {
 		this.#demand.add(request, engine, now);
--- a/src/planning/planner.ts
+++ b/src/planning/planner.ts
@@ -11,7 +11,7 @@
  */
 import {Left, Right, type Either} from 'purify-ts';
 import {
-	createFailure, type BackendServerId, type BoxId, type Failure, type IdSource, type PlanId,
+	createFailure, type AvailabilityZone, type BackendServerId, type BoxId, type Failure, type IdSource, type PlanId,
 } from '../common/index.js';
 import type {BackendServer, EngineFigures} from '../routing/index.js';
 import {CallerWaits} from './caller-waits.js';
@@ -49,6 +49,25 @@
 	engine?: EngineFigures;
 };
 
+/** What a planner has put on a server, and how far it trusts it. */
+export type ServerWork = {
+	server: BackendServerId;
+	availabilityZone: AvailabilityZone;
+	/** Requests, those among them that write or are about to, and how many it takes at once. */
+	work: number;
+	writers: number;
+	slots: number;
+	/** Memory in use, in tokens. */
+	heldTokens: number;
+	/** Reading still to be done, in milliseconds. */
+	readFor: number;
+	/** How long it is left alone, in milliseconds; 0 when it is not. */
+	restsFor: number;
+	/** Smoothed share of answers that were spoiled, and whether others come first for it. */
+	spoiled: number;
+	isDoubtful: boolean;
+};
+
 /**
  * A plan, when it was made, and whether it counts as a short request: what is short may change meanwhile. Its work is
  * kept for each server, also for one that takes no new work at the moment and so has no board.
@@ -81,6 +100,30 @@
 		return this.#shares.shortCount;
 	}
 
+	/** Prompts that wait to be read. */
+	get waitingCount(): number {
+		return this.#reads.waitingCount;
+	}
+
+	/** What is planned on each server, and how far it is trusted: the busiest first, so many at most. */
+	describeServers(now: number, most: number): ServerWork[] {
+		return [...this.#boards.values()]
+			.sort((left, right) => right.workCount - left.workCount)
+			.slice(0, most)
+			.map(board => ({
+				server: board.server.id,
+				availabilityZone: board.server.availabilityZone,
+				work: board.workCount,
+				writers: board.writers,
+				slots: board.server.slots,
+				heldTokens: Math.round(board.heldTokens),
+				readFor: Math.round(board.findPendingRead(now)),
+				restsFor: Math.round(board.health.findRest(now)),
+				spoiled: Math.round(board.health.spoiled * 100) / 100,
+				isDoubtful: board.health.isDoubtful,
+			}));
+	}
+
 	/** Replaces the figures and the servers that take new work. */
 	setServers(servers: BackendServer[], engine: EngineFigures | undefined): void {
 		this.#engine = engine;
--- a/src/planning/read-line.ts
+++ b/src/planning/read-line.ts
@@ -25,6 +25,11 @@
 export class ReadLine {
 	readonly #waiting = new Map<RequestId, Waiting>();
 
+	/** How many wait. */
+	get length(): number {
+		return this.#waiting.size;
+	}
+
 	/** Joins the line, or stays in it. */
 	join(request: PlanRequest, now: number): void {
 		this.#waiting.set(request.requestId, {request, askedAt: now, due: now + request.objective});
--- a/src/planning/retry-window.ts
+++ b/src/planning/retry-window.ts
@@ -46,7 +46,7 @@
 	takeRetry(now: number, share: RetryShare, worth: number, elsewhere: WindowCounts = nothing): boolean {
 		this.#forget(now);
 		const requests = this.#requests.length + elsewhere.requests;
-		const allowed = (share.ratio * this.#limits.ratio * requests) + (share.slack * this.#limits.slack);
+		const allowed = this.#computeAllowed(share, requests);
 		// Without requests to compare with, every one counts as bringing more.
 		const bringsMore = worth * requests >= this.#worth + elsewhere.worth;
 		const open = allowed * (bringsMore ? 1 : 1 - keptForMore);
@@ -58,12 +58,23 @@
 		return true;
 	}
 
+	/** Retries that are left for requests that bring more than the mean. */
+	countLeft(now: number, share: RetryShare, elsewhere: WindowCounts = nothing): number {
+		this.#forget(now);
+		const allowed = this.#computeAllowed(share, this.#requests.length + elsewhere.requests);
+		return Math.max(0, Math.floor(allowed - this.#retries.length - elsewhere.retries));
+	}
+
 	/** What was counted of the window that ends now. */
 	count(now: number): WindowCounts {
 		this.#forget(now);
 		return {requests: this.#requests.length, retries: this.#retries.length, worth: this.#worth};
 	}
 
+	#computeAllowed(share: RetryShare, requests: number): number {
+		return (share.ratio * this.#limits.ratio * requests) + (share.slack * this.#limits.slack);
+	}
+
 	#forget(now: number): void {
 		const oldest = now - this.#limits.window;
 		while (this.#requests.length > 0 && this.#requests[0].at < oldest) {
--- a/src/planning/server-health.ts
+++ b/src/planning/server-health.ts
@@ -30,6 +30,11 @@
 		return now < this.#restingUntil;
 	}
 
+	/** For how long the server is left alone from now on, in milliseconds. */
+	findRest(now: number): number {
+		return Math.max(0, this.#restingUntil - now);
+	}
+
 	/** Smoothed share of answers that were spoiled, from 0 to 1. */
 	get spoiled(): number {
 		return this.#spoiled;
