refactor(gateway): views import peers, and peers no views

Cause: the calls between nodes took the form of long messages from views, and views took the clients of these calls from peers, so that each folder led back to the other. Change: the form of long messages, which knows nothing of views, stands with what calls between nodes have in common. Ruled out: a folder of its own for the calls, which would import views for the form and be imported by them. No behaviour changed.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -12,14 +12,13 @@
 import {
 	FleetState, Follower, followPaces, SourceHealth, type FleetSource, type RoutingConfig,
 } from '../routing/index.js';
+import type {PackedText} from '../rpc/packed-text.js';
 import {BackendPool, CallService, Reservations} from './calls/index.js';
 import {SharedPlacer} from './deciding/index.js';
 import {
 	type Adoption, type DecisionAnswer, listCallerAddresses, type Peer, PeerClients, Peers, PeerService, PeerSocket,
 } from './peers/index.js';
-import {
-	type PackedText, register, ViewAnswers, ViewExchange,
-} from './views/index.js';
+import {register, ViewAnswers, ViewExchange} from './views/index.js';
 import {GatewayMetrics} from './gateway-metrics.js';
 import type {GatewaySettings} from './gateway-settings.js';
 import {StatusReader} from './node-status.js';
--- a/src/gateway/peers/peer-rpc.ts
+++ b/src/gateway/peers/peer-rpc.ts
@@ -11,7 +11,7 @@
 import {
 	askWithin, rpcPath, sendNodeRequest, type NodeRequest,
 } from '../../rpc/node-fetch.js';
-import type {PackedText} from '../views/index.js';
+import type {PackedText} from '../../rpc/packed-text.js';
 
 /** A decision, or why there is none. */
 export type DecisionAnswer = {decision?: Decision; failure?: Failure};
--- a/src/gateway/views/index.ts
+++ b/src/gateway/views/index.ts
@@ -1,4 +1,3 @@
-export * from './packed-text.js';
 export * from './registration.js';
 export * from './view-answers.js';
 export * from './view-exchange.js';
--- a/src/gateway/views/view-answers.ts
+++ b/src/gateway/views/view-answers.ts
@@ -5,7 +5,7 @@
  * must not wait behind thousands of routes.
  */
 import type {FleetState} from '../../routing/index.js';
-import {formatPacked, type PackedText} from './packed-text.js';
+import {formatPacked, type PackedText} from '../../rpc/packed-text.js';
 
 /** Answers to nodes that are behind. */
 export class ViewAnswers {
--- a/src/gateway/views/view-exchange.ts
+++ b/src/gateway/views/view-exchange.ts
@@ -6,11 +6,11 @@
 	readErrorMessage, type BoxId, type Clock, type Logger,
 } from '../../common/index.js';
 import type {ConfigChanges, FleetState, ServersSnapshot} from '../../routing/index.js';
+import {parsePacked, type PackedText} from '../../rpc/packed-text.js';
 import {computeDigest} from '../digest.js';
 import type {Peer, PeerView} from '../peers/peer-beat.js';
 import type {PeerClients} from '../peers/peer-rpc.js';
 import type {Peers} from '../peers/peers.js';
-import {parsePacked, type PackedText} from './packed-text.js';
 import {ViewQuestions} from './view-questions.js';
 import {chooseWatchers} from './watchers.js';
 
--- a/test/config-changes.test.ts
+++ b/test/config-changes.test.ts
@@ -1,7 +1,7 @@
 import {expect, test} from '@jest/globals';
 import fc from 'fast-check';
 import {createSilentLogger, VirtualClock, type OrganisationId} from '../src/common/index.js';
-import {formatPacked, parsePacked} from '../src/gateway/views/index.js';
+import {formatPacked, parsePacked} from '../src/rpc/packed-text.js';
 import {
 	applyConfigChanges, computeConfigChanges, FleetState, shareRoutes, type ConfigChanges, type RoutingConfig,
 } from '../src/routing/index.js';
