fix(gateway): a silent server whose life has ended is not waited for

Cause: with both attempts going on, a call whose second server declined or broke off went back to the first one also where that had gone for good, and held its caller to the end. Change: before another server is asked and after it has failed, attempts at servers whose life has ended by this node's view are stopped; the call is then judged by the newest attempt as before.

--- a/src/gateway/calls/call-attempts.ts
+++ b/src/gateway/calls/call-attempts.ts
@@ -66,6 +66,7 @@
 
 	/** Begins one more; a stream goes on after its last event. */
 	begin(plan: Plan, lastEventId: number | undefined): void {
+		this.#stopDead();
 		this.#live.push(new LiveAttempt({
 			...this.#parts, plan, lastEventId, listener: this.#listener,
 		}));
@@ -84,6 +85,7 @@
 				return end;
 			}
 
+			this.#stopDead();
 			this.#live.at(-1)?.seekAgain();
 		}
 	}
@@ -110,6 +112,15 @@
 		}
 	}
 
+	/** A silent server whose life has ended will not speak again. */
+	#stopDead(): void {
+		for (const attempt of this.#live) {
+			if (!this.#parts.isLive(attempt.plan.server)) {
+				attempt.stop();
+			}
+		}
+	}
+
 	#createListener(): LiveAttemptListener {
 		const {listener} = this.#parts;
 		return {
--- a/src/gateway/calls/call-service.ts
+++ b/src/gateway/calls/call-service.ts
@@ -100,6 +100,7 @@
 			placer: this.#parts.placer,
 			reservations: this.#parts.reservations,
 			findServer: id => this.#parts.state.findServer(id),
+			isLive: id => this.#parts.state.hasServer(id),
 			node: this.#parts.node,
 			availabilityZone: this.#parts.availabilityZone,
 		}, call, sink);
--- a/src/gateway/calls/live-attempt.ts
+++ b/src/gateway/calls/live-attempt.ts
@@ -25,6 +25,8 @@
 	reservations: Reservations;
 	/** A server that still takes new work, by this node's own view. */
 	findServer: (id: BackendServerId) => BackendServer | undefined;
+	/** Whether a server's life has not ended, by this node's own view. */
+	isLive: (id: BackendServerId) => boolean;
 };
 
 /** What an attempt tells its call. */
--- a/test/gateway-calls.test.ts
+++ b/test/gateway-calls.test.ts
@@ -136,6 +136,30 @@
 	expect(answers.map(answer => [answer.status, answer.isWhole, answer.body])).toEqual([1, 2, 3].map(() => [200, true, whole]));
 });
 
+test('a silent server whose entry is gone is not waited for when the one that was asked beside it declines', async () => {
+	const stall: RunnerBehaviour = async (request, response) => {
+		response.writeHead(200, {...markAnswer(request), 'content-type': 'text/event-stream'});
+		// Until what the node has just lost does not come back.
+		for (let id = 1; id <= 6; id++) {
+			response.write(formatEvent(id));
+			await new Promise(resolve => {
+				setTimeout(resolve, 400);
+			});
+		}
+	};
+
+	const inTurn = answerInTurn(stall, decline);
+	await fleet.start({runners: [1, 2].map(() => ({service: 'model', behaviour: inTurn}))});
+	const started = Date.now();
+	const called = fleet.call({path: '/stream/', headers: tokens});
+	await waitUntil(() => fleet.runners.some(runner => runner.seen.length === 1));
+	fleet.store.remove('servers', `i-${fleet.runners.findIndex(runner => runner.seen.length === 1)}`);
+	const answer = await called;
+	expect([answer.isWhole, answer.body]).toEqual([false, [1, 2, 3, 4, 5, 6].map(id => formatEvent(id)).join('')]);
+	// The time of the route is 5 s.
+	expect(Date.now() - started).toBeLessThan(4500);
+}, 10_000);
+
 /** Calls for a stream whose first server is silent for 1.7 s, beside another one. */
 async function callBesideSilence(behaviour: RunnerBehaviour): Promise<SeenAnswer> {
 	const inTurn = answerInTurn(pauseOnce, behaviour);
