fix(gateway): requests that found a server silent together cost it one rest, not its trust

Cause: each request that waited in vain on one of a server's connections counted as a spoiled answer, also while the server rested for the first of them. When all connections fall silent at once, most servers have three such requests. Change: a silence that is found while the server rests already is the same one and adds nothing. Servers that are silent anew after each rest are doubted as before (third silence), rests grow as before. Not changed: a server that is doubted for real spoiled answers still gets nothing while others are trusted.

--- a/src/planning/server-health.ts
+++ b/src/planning/server-health.ts
@@ -58,6 +58,12 @@
 			return false;
 		}
 
+		// Requests that were sent before the rest began found the same silence. With connections that had fallen silent
+		// together, three of them counted one by one took a server out for as long as another one was trusted.
+		if (trouble === 'silent' && this.isResting(now)) {
+			return false;
+		}
+
 		this.#spoiled = (this.#spoiled * (1 - smoothing)) + smoothing;
 		if (trouble === 'spoiled' || this.isResting(now)) {
 			return false;
--- a/test/planning.test.ts
+++ b/test/planning.test.ts
@@ -290,3 +290,23 @@
 		});
 	}), {seed: 7, numRuns: 100});
 });
+
+// When all connections to a server had fallen silent, each request that waited on one of them counted as trouble of its
+// own: three made the server doubtful, and it was sent nothing more while another one was trusted.
+test('requests that found a server silent together cost it one rest, not its trust', () => {
+	const health = new ServerHealth();
+	for (let index = 0; index < 8; index++) {
+		health.recordTrouble('silent', index);
+	}
+
+	expect([health.isResting(500), health.isResting(1500), health.isDoubtful]).toEqual([true, false, false]);
+});
+
+test('a server that is silent after each of its rests is doubted', () => {
+	const health = new ServerHealth();
+	for (const now of [0, 1500, 4000]) {
+		health.recordTrouble('silent', now);
+	}
+
+	expect(health.isDoubtful).toBe(true);
+});
