fix(gateway): a request waits for one silent connection at most, and one that may run once for none

Cause: connections at rest may have fallen silent, all of them together. A request that had waited in vain at one server (a second at least) went to the next one over a connection at rest, which was silent too, until its tries or its time were over; one that may run once was lost on the first, though no server had seen it. Change: after a silence a request goes on over a fresh connection; one that may run once always takes one. The fresh one takes the place of one at rest, since servers bound how many connections they accept. Weighed for requests that may run once: an early check of the connection costs a round trip and a place at a server whose queue is long, and says nothing of the next moment; a short idle time leaves those that are sent within it; a fresh connection costs a round trip and, at a server that is gone, turns a lost request into one that was not sent and may go elsewhere. Also: stand-ins of tests share one way to make connections silent.

--- a/src/gateway/calls/backend-pool.ts
+++ b/src/gateway/calls/backend-pool.ts
@@ -27,6 +27,14 @@
 	body: Uint8Array | string | undefined;
 };
 
+/**
+ * Which connection a request takes.
+ *
+ * A kept one may have fallen silent while it was at rest, and tells only by an answer that does not come: `fresh`
+ * is for what has no second try, or has spent one on such a connection.
+ */
+export type ConnectionUse = 'kept' | 'fresh';
+
 /** One connection, opened again by its client when the server has closed it. */
 class BackendConnection {
 	readonly client: Client;
@@ -66,8 +74,8 @@
 	}
 
 	/** Sends a request to an address, `IP:PORT`; everything else is told to the exchange. */
-	dispatch(address: string, request: BackendRequest, exchange: BackendExchange): void {
-		const connection = this.#take(address);
+	dispatch(address: string, request: BackendRequest, exchange: BackendExchange, use: ConnectionUse = 'kept'): void {
+		const connection = this.#take(address, use);
 		exchange.attach({
 			wasReset: () => connection.wasReset,
 			onOver: () => {
@@ -78,8 +86,8 @@
 	}
 
 	/** Sends a request and reads its whole answer; rejects when there is none in time. */
-	async ask(address: string, request: BackendRequest, timeout: number): Promise<{status: number; text: string}> {
-		const connection = this.#take(address);
+	async ask(address: string, request: BackendRequest, timeout: number, use: ConnectionUse = 'kept'): Promise<{status: number; text: string}> {
+		const connection = this.#take(address, use);
 		const limit = createTimeout(this.#clock, timeout);
 		try {
 			const answer = await connection.client.request({
@@ -133,13 +141,17 @@
 		void connection.client.destroy();
 	}
 
-	/** The connection used last is the least likely to have been closed meanwhile. */
-	#take(address: string): BackendConnection {
+	/** The connection used last is the least likely to have been closed meanwhile; a fresh one takes its place, for servers bound how many they accept. */
+	#take(address: string, use: ConnectionUse): BackendConnection {
 		const idle = this.#idle.get(address)?.pop();
-		if (idle !== undefined) {
+		if (idle !== undefined && use === 'kept') {
 			return idle;
 		}
 
+		if (idle !== undefined) {
+			this.#end(idle);
+		}
+
 		const connection = new BackendConnection(address);
 		this.#all.add(connection);
 		return connection;
--- a/src/gateway/calls/call-attempts.ts
+++ b/src/gateway/calls/call-attempts.ts
@@ -11,6 +11,7 @@
 import type {BackendServerId} from '../../common/index.js';
 import type {Plan} from '../../planning/index.js';
 import type {AttemptEnd} from './backend-attempt.js';
+import type {ConnectionUse} from './backend-pool.js';
 import {
 	LiveAttempt, type AttemptSilence, type LiveAttemptListener, type LiveAttemptParts,
 } from './live-attempt.js';
@@ -24,7 +25,7 @@
 };
 
 /** What attempts need. */
-export type CallAttemptsParts = Omit<LiveAttemptParts, 'plan' | 'lastEventId' | 'listener'> & {listener: CallAttemptsListener};
+export type CallAttemptsParts = Omit<LiveAttemptParts, 'plan' | 'lastEventId' | 'connection' | 'listener'> & {listener: CallAttemptsListener};
 
 /** Attempts of one call. */
 export class CallAttempts {
@@ -36,6 +37,8 @@
 	#live: LiveAttempt[] = [];
 	#lastEnd: AttemptEnd = {kind: 'stopped', mayHaveRun: false};
 	#isStopped = false;
+	/** Whether a server was silent: its connection may have been, not the server. */
+	#hasMetSilence = false;
 	#runs = 0;
 	#longestPause = 0;
 
@@ -68,7 +71,7 @@
 	begin(plan: Plan, lastEventId: number | undefined): void {
 		this.#stopDead();
 		this.#live.push(new LiveAttempt({
-			...this.#parts, plan, lastEventId, listener: this.#listener,
+			...this.#parts, plan, lastEventId, connection: this.#chooseConnection(), listener: this.#listener,
 		}));
 	}
 
@@ -82,6 +85,7 @@
 
 			const end = await newest.follow();
 			if (end.kind === 'silent') {
+				this.#hasMetSilence = true;
 				return end;
 			}
 
@@ -112,6 +116,11 @@
 		}
 	}
 
+	/** Connections to all servers may have fallen silent together: a request waits for one of them at most, and one that may run once for none. */
+	#chooseConnection(): ConnectionUse {
+		return this.#parts.call.route.kind === 'once' || this.#hasMetSilence ? 'fresh' : 'kept';
+	}
+
 	/** A silent server whose life has ended will not speak again. */
 	#stopDead(): void {
 		for (const attempt of this.#live) {
--- a/src/gateway/calls/live-attempt.ts
+++ b/src/gateway/calls/live-attempt.ts
@@ -11,7 +11,7 @@
 import {findRank, type BackendServer} from '../../routing/index.js';
 import type {GatewayWire, HelperAddress} from '../wire.js';
 import {BackendAttempt, type AttemptEnd, type AttemptParts} from './backend-attempt.js';
-import type {BackendPool} from './backend-pool.js';
+import type {BackendPool, ConnectionUse} from './backend-pool.js';
 import type {LocatedHelper, Reservations} from './reservations.js';
 
 /** Ranks by which a request gives way to others at its server once it can only be late: an answer in time is worth several late ones. */
@@ -47,6 +47,7 @@
 export type LiveAttemptParts = SendParts & Pick<AttemptParts, 'call' | 'sink' | 'plan' | 'lastEventId'> & {
 	/** Time left to the call, in milliseconds. */
 	readTimeLeft: () => number;
+	connection: ConnectionUse;
 	listener: LiveAttemptListener;
 };
 
@@ -216,7 +217,7 @@
 				helpers,
 				urgency: findRank(call.route, call.organisation) + (plan.request.objective > 0 ? 0 : lateRanks),
 			}),
-		}, attempt.exchange);
+		}, attempt.exchange, this.#parts.connection);
 		return attempt.ended;
 	}
 
--- a/test/helpers/platform-standins.ts
+++ b/test/helpers/platform-standins.ts
@@ -9,6 +9,8 @@
 export class Listening {
 	readonly server: Server;
 	readonly sockets = new Set<Socket>();
+	/** Connections that say nothing any more, though they stay open. */
+	readonly #mute = new WeakSet<Socket>();
 
 	constructor(handle: (request: IncomingMessage, response: ServerResponse) => Promise<void>) {
 		this.server = createServer((request, response) => {
@@ -33,6 +35,23 @@
 		return this;
 	}
 
+	/** Makes every open connection silent for good; new ones are answered. */
+	loseConnections(): void {
+		for (const socket of this.sockets) {
+			this.loseConnection(socket);
+		}
+	}
+
+	/** Makes one connection silent for good. */
+	loseConnection(socket: Socket): void {
+		this.#mute.add(socket);
+	}
+
+	/** Whether a connection was made silent. */
+	isMute(socket: Socket): boolean {
+		return this.#mute.has(socket);
+	}
+
 	async stop(): Promise<void> {
 		for (const socket of this.sockets) {
 			socket.destroy();
@@ -78,20 +97,11 @@
 	#revision = 0;
 	#oldestKnown = 0;
 	readonly #waiting = new Set<() => void>();
-	/** Connections that say nothing any more, though they stay open. */
-	readonly #mute = new WeakSet<Socket>();
 
 	constructor() {
 		super(async (request, response) => this.#answer(request, response));
 	}
 
-	/** Makes every open connection silent for good; new ones are answered. */
-	loseConnections(): void {
-		for (const socket of this.sockets) {
-			this.#mute.add(socket);
-		}
-	}
-
 	/** Writes an object as operators and runners do. */
 	put(kind: string, name: string, spec: unknown): void {
 		const object = {metadata: {name, revision: ++this.#revision}, spec};
@@ -159,7 +169,7 @@
 	async #answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		const url = new URL(request.url ?? '/', 'http://store');
 		this.calls.push(`${request.method} ${request.url}`);
-		if (this.#isMute(request)) {
+		if (this.#isLost(request)) {
 			return;
 		}
 
@@ -226,12 +236,12 @@
 	}
 
 	/** A connection on which an answer was lost stays silent when the store is well again. */
-	#isMute({socket}: IncomingMessage): boolean {
+	#isLost({socket}: IncomingMessage): boolean {
 		if (this.trouble === 'silent') {
-			this.#mute.add(socket);
+			this.loseConnection(socket);
 		}
 
-		return this.#mute.has(socket);
+		return this.isMute(socket);
 	}
 
 	async #watch(url: URL, request: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -247,7 +257,7 @@
 			await this.#waitForEvent(wait);
 		}
 
-		if (this.#isMute(request)) {
+		if (this.#isLost(request)) {
 			return;
 		}
 
@@ -300,6 +310,10 @@
 		const seen = {
 			method: request.method ?? '', url: request.url ?? '', headers: request.headers as Record<string, string | undefined>, body: await readText(request),
 		};
+		if (this.isMute(request.socket)) {
+			return;
+		}
+
 		this.seen.push(seen);
 		response.once('close', () => {
 			this.abandoned += response.writableEnded ? 0 : 1;
--- a/test/silent-connections.test.ts
+++ b/test/silent-connections.test.ts
@@ -1,4 +1,3 @@
-import type {Socket} from 'node:net';
 import {
 	afterEach, beforeEach, expect, test,
 } from '@jest/globals';
@@ -15,25 +14,16 @@
 
 /** Answers every request alike, but for those on connections that were made silent. */
 class QuietingServer extends Listening {
-	readonly #quiet = new WeakSet<Socket>();
-
 	constructor() {
 		super(async (request, response) => {
 			await new Promise(resolve => {
 				setTimeout(resolve, answerTime);
 			});
-			if (!this.#quiet.has(request.socket)) {
+			if (!this.isMute(request.socket)) {
 				response.writeHead(200, {'content-type': 'application/json'}).end(JSON.stringify({result: {data: true}}));
 			}
 		});
 	}
-
-	/** Makes every open connection silent for good; new ones are answered. */
-	loseConnections(): void {
-		for (const socket of this.sockets) {
-			this.#quiet.add(socket);
-		}
-	}
 }
 
 let server: QuietingServer;
