fix(soak): changes of the configuration come in order, and two late answers are no way back

Two changes were under way at a store that failed now and then: version 5 was written over version 6 (a node that started then applied 5 1.6 s after the others had 6). And of an answer that was too late for every version, which a fault had excused, the judge said that it came from a version after all others, so that the next late one counted as a way back.

Change: a change is written after those before it; an answer counts as a way back only from a version that an earlier answer can have come from.

Ruled out: the gateways going back; the logs show no node that applied an earlier version.

Shown by: the new test of the judge, red before. Lateness itself is judged as before.

--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -92,6 +92,7 @@
 	#detours: Record<string, number> = {};
 	#version = 0;
 	#serverCount = 0;
+	#changing: Promise<void> | undefined;
 	#isOver = false;
 
 	constructor(folder: string, records: RunRecords, size: FleetSize) {
@@ -126,26 +127,11 @@
 		throw new Error('the stand-in store ended by itself; its log says why');
 	}
 
-	/** Writes the next version of the configuration as the operator does; it is recorded when the store has taken it. */
+	/** Writes the next version of the configuration as the operator does, after those before it: written over a later one, an earlier one would stand there. */
 	async changeConfig(): Promise<void> {
-		const number = ++this.#version;
-		const service = versionServices[number % versionServices.length];
-		const spec = createConfig(number);
-		const route = {
-			host: 'shop.example', priority: 1, allowAnonymous: false, targetLatencyMs: 300, name: 'turn', pathPrefix: '/turn/', kind: 'idempotent', timeoutMs: 1500, maxAttempts: 2, service,
-		};
-		const config = {
-			...spec,
-			routes: [...spec.routes as unknown[], route],
-			services: [...spec.services as unknown[], ...versionServices.map(name => ({name, maxConnections: 99}))],
-		};
-		const body = JSON.stringify({metadata: {name: 'main'}, spec: config});
-		const sentAt = Date.now();
-		while (!await this.#writeConfig(number, body)) {
-			await pause(changePause);
-		}
-
-		this.#records.changes.push({at: Date.now(), sentAt, version: {number, service}});
+		const earlier = this.#changing;
+		this.#changing = this.#changeAfter(earlier);
+		await this.#changing;
 	}
 
 	/** Gives the store a trouble, or takes it off. */
@@ -245,6 +231,29 @@
 		}
 	}
 
+	/** It is recorded when the store has taken it. */
+	async #changeAfter(earlier: Promise<void> | undefined): Promise<void> {
+		await earlier;
+		const number = ++this.#version;
+		const service = versionServices[number % versionServices.length];
+		const spec = createConfig(number);
+		const route = {
+			host: 'shop.example', priority: 1, allowAnonymous: false, targetLatencyMs: 300, name: 'turn', pathPrefix: '/turn/', kind: 'idempotent', timeoutMs: 1500, maxAttempts: 2, service,
+		};
+		const config = {
+			...spec,
+			routes: [...spec.routes as unknown[], route],
+			services: [...spec.services as unknown[], ...versionServices.map(name => ({name, maxConnections: 99}))],
+		};
+		const body = JSON.stringify({metadata: {name: 'main'}, spec: config});
+		const sentAt = Date.now();
+		while (!await this.#writeConfig(number, body)) {
+			await pause(changePause);
+		}
+
+		this.#records.changes.push({at: Date.now(), sentAt, version: {number, service}});
+	}
+
 	/** The store takes it away as often, since it has no count that goes on. */
 	async #keepForeignEntry(name: string, spec: unknown): Promise<void> {
 		while (!this.#isOver) {
--- a/soak/judge.ts
+++ b/soak/judge.ts
@@ -103,9 +103,11 @@
 			return [{promise: 'a change is in force in time', id: call.id, detail: `${call.service} answered at ${call.node} ${after} ms after version ${versions[due].number}`}];
 		}
 
+		// A late answer is no way back: what counts is the newest version that its service may stand for at all.
+		const newestSent = versions.findLastIndex(version => version.service === call.service && version.sentAt <= call.endedAt);
 		const later = shown.slice(0, index).findLast(earlier => earlier.node === call.node
 			&& earlier.endedAt + rollbackSlack < call.sentAt
-			&& Math.min(...findPossible(versions, earlier)) > newest);
+			&& findOldest(versions, earlier) > newestSent);
 		if (later !== undefined && !isDisturbed(faults, call, later.sentAt, call.endedAt)) {
 			return [{promise: 'a node never goes back to an older configuration', id: call.id, detail: `${call.service} answered at ${call.node} after ${later.service} had`}];
 		}
@@ -114,6 +116,11 @@
 	});
 }
 
+/** The oldest version that an answer may have come from; of one that is too late for all of them nothing is known. */
+function findOldest(versions: Parameters<typeof findPossible>[0], call: CallRecord): number {
+	return findPossible(versions, call)[0] ?? -1;
+}
+
 /** Indexes of the versions that an answer may have come from: sent by then, and not replaced for longer than the bound. */
 function findPossible(versions: Array<{at: number; sentAt: number; service: string}>, call: CallRecord): number[] {
 	return versions.flatMap((version, index) => {
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -117,6 +117,27 @@
 	})).toEqual(['a node never goes back to an older configuration']);
 });
 
+// Two late answers of one service, each excused by a fault, were counted as a way back: the first one was taken for an
+// answer by a version after all others. Seed 11 with severed connections gave 82 of them.
+test('late answers that a fault excuses are no way back, one by an earlier version is', () => {
+	const judge = (services: [string, string]) => listBroken(records => {
+		for (const [index, at] of [1000, 5000, 9000, 10_000].entries()) {
+			records.changes.push({at, sentAt: at - 10, version: {number: index, service: `turn-${index % 3}`}});
+		}
+
+		records.faults.push({kind: 'store_silent', from: 10_000, to: 10_100});
+		for (const [index, service] of services.entries()) {
+			const sentAt = 13_200 + (index * 500);
+			records.calls.push(createCall({
+				id: service, kind: 'version', service, sentAt, endedAt: sentAt + 50,
+			}));
+		}
+	});
+
+	expect(judge(['turn-2', 'turn-2'])).toEqual([]);
+	expect(judge(['turn-0', 'turn-1'])).toEqual(['a node never goes back to an older configuration']);
+});
+
 test('what a planned stop cuts off is found, unless it took up the whole grace', () => {
 	const cut = createCall({isComplete: false, status: 0});
 	expect(listBroken(records => {
