fix(platform): token counts and event ids that can be none count as not stated

Cause: the fields were read as any finite number. A count below 0 gave the planner memory back that a server did not have; one of hundreds of digits made a read and the price of all others' reads endless for the ten seconds in which it counts as demand, by one call of one caller.

Change: counts are whole numbers in digits, of at most ten million tokens; an event id is a whole number. What is none counts as not stated, as a missing field does.

Ruled out: refusing the call; a field that a caller may leave out is no reason.

That reads were refused for it is read from the code, not played.

Conclusion: also each send has just what it says, and changes the call for no other.

--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -208,6 +208,80 @@
 	]);
 });
 
+// A count below 0 gave back memory that a server did not have, and one of three hundred digits made the price of
+// reading endless: every long prompt was refused for the ten seconds in which it counted as demand.
+test('token counts and event ids that can be none count as not stated', () => {
+	const read = (counts: string, lastEventId: string) => {
+		const head = wire.readCall('POST', '/a/', {...callHeaders, 'cresshook-token-usage': counts, 'last-event-id': lastEventId}).unsafeCoerce();
+		return [head.promptTokens, head.outputTokens, head.lastEventId];
+	};
+
+	expect(read('1460,80', '12')).toEqual([1460, 80, 12]);
+	expect(read('-300000,-1', '-1')).toEqual([0, 0, undefined]);
+	expect(read('1e308,1e9', '1e308')).toEqual([0, 0, undefined]);
+	expect(read('0.5,Infinity', '1.5')).toEqual([0, 0, undefined]);
+	expect(read(' 7 , 8 ,9', ' 3 ')).toEqual([7, 8, 3]);
+	expect(read(',', 'last')).toEqual([0, 0, undefined]);
+});
+
+const headerText = fc.oneof(
+	fc.string({maxLength: 20}),
+	fc.oneof(fc.double(), fc.integer(), fc.bigInt()).map(String),
+	fc.tuple(fc.double(), fc.double()).map(String),
+	fc.constantFrom('', ' ', ',', '0x10', '1e400', 'Bearer ', 'Bearer k', 'keep-alive, x-own', 'close,,host', 'Cresshook-Attempt-Id'),
+);
+
+/** Fields that the gateway writes itself, and those of one connection: neither is passed on. */
+const writtenFields = new Set(['cresshook-deadline-ms', 'cresshook-tenant', 'cresshook-target-instance', 'helpers', 'priority', 'authorization', 'last-event-id']);
+const connectionFields = new Set(['connection', 'keep-alive', 'te', 'upgrade', 'content-length', 'expect', 'trailer', 'transfer-encoding']);
+
+/** Heads as callers may send them: each field once, several times, or not at all. */
+const anyHead = fc.dictionary(
+	fc.oneof({weight: 4, arbitrary: fc.constantFrom(...Object.keys(callHeaders), ...writtenFields, ...connectionFields)}, fc.stringMatching(/^x-[a-z]{1,4}$/)),
+	fc.oneof({weight: 4, arbitrary: headerText}, fc.array(headerText, {maxLength: 3}), fc.constant(undefined)),
+);
+
+const anySend = fc.record({
+	serverName: fc.constantFrom('i-1', 'i-2') as fc.Arbitrary<BackendServerName>,
+	organisation: fc.option(fc.constant('guild' as OrganisationId), {nil: undefined}),
+	timeLeft: fc.integer({min: 0, max: 60_000}),
+	lastEventId: fc.option(fc.nat(), {nil: undefined}),
+	urgency: fc.option(fc.integer({min: -3, max: 30}), {nil: undefined}),
+	helpers: fc.array(fc.record({address: fc.constant('10.0.0.1:80'), reservation: fc.option(fc.constant('t1'), {nil: undefined})}), {maxLength: 2}),
+});
+
+test('whatever a caller sends, its head is read or refused, and each of its sends has just what that one says', () => {
+	fc.assert(fc.property(anyHead, fc.array(anySend, {maxLength: 5}), (fields, sends) => {
+		const read = wire.readCall('POST', '/a/', fields);
+		if (read.isLeft()) {
+			const firsts = [fields['cresshook-attempt-id'], fields.host].flatMap(value => (Array.isArray(value) ? value[0] : value) ?? '');
+			expect(firsts).toContain('');
+			return;
+		}
+
+		const call = read.unsafeCoerce();
+		const before = structuredClone(call);
+		expect([call.promptTokens, call.outputTokens, call.lastEventId ?? 0].every(count => Number.isSafeInteger(count) && count >= 0)).toBe(true);
+		expect(call.timeLeft === undefined || Number.isFinite(call.timeLeft)).toBe(true);
+		expect(Object.keys(call.headers).filter(name => writtenFields.has(name) || connectionFields.has(name))).toEqual([]);
+		for (const send of sends) {
+			const sent = wire.formatSend({call, ...send});
+			const said = {
+				...call.headers,
+				'cresshook-deadline-ms': String(send.timeLeft),
+				'cresshook-target-instance': send.serverName,
+				'cresshook-tenant': send.organisation,
+				'last-event-id': send.lastEventId?.toString(),
+				priority: send.urgency === undefined ? undefined : String(Math.min(9, Math.max(0, send.urgency))),
+				helpers: send.helpers.length === 0 ? undefined : send.helpers.map(({address, reservation}) => reservation === undefined ? address : `${address}/${reservation}`).join(','),
+			};
+			expect(sent).toEqual(Object.fromEntries(Object.entries(said).filter(([, value]) => value !== undefined)));
+		}
+
+		expect(call).toEqual(before);
+	}), {seed: 20_261_203, numRuns: 2000});
+});
+
 test('a head without an id or a host is refused', () => {
 	expect(wire.readCall('GET', '/', {host: 'x'}).isLeft()).toBe(true);
 	expect(wire.readCall('GET', '/', {'cresshook-attempt-id': 'x'}).isLeft()).toBe(true);
