--- a/src/cli/index.ts
+++ b/src/cli/index.ts
@@ -8,6 +8,7 @@
 import {addReplayCommands} from './replay-command.js';
 import {addNodeCommand} from './node-command.js';
 import {addRehearseCommand} from './rehearse-command.js';
+import {addReportCommand} from './report-command.js';
 import {addSettingsCommand} from './settings-command.js';
 import {addStandinCommand} from './standin-command.js';
 import {addStatusCommand} from './status-command.js';
@@ -29,6 +30,7 @@
 	addStandinCommand(program);
 	addExplainCommand(program);
 	addStatusCommand(program);
+	addReportCommand(program);
 	return program;
 }
 
--- /dev/null
+++ b/src/cli/report-command.ts
@@ -0,0 +1,44 @@
+/** `cresshook report`: a day of logs as one page. */
+import {writeFile} from 'node:fs/promises';
+import process from 'node:process';
+import type {Command} from 'commander';
+import {readErrorMessage} from '../common/index.js';
+import {DayGatherer, formatReport, readLogs} from '../logs/index.js';
+import {exitCodes} from './exit-codes.js';
+
+/** Adds the command. */
+export function addReportCommand(program: Command): void {
+	program.command('report <logs...>')
+		.description('write one HTML page on the logs of all nodes: first events, pauses, waits, refusals, who decided, worth lost by reason')
+		.option('--out <file>', 'where to write the page', 'report.html')
+		.action(writeReport);
+}
+
+async function writeReport(logs: string[], options: {out: string}): Promise<void> {
+	const gatherer = new DayGatherer();
+	const read = await readLogs(logs, line => {
+		gatherer.add(line);
+	});
+	if (read.isLeft()) {
+		process.stderr.write(`${read.extract()}\n`);
+		process.exitCode = exitCodes.wrongUse;
+		return;
+	}
+
+	const day = gatherer.finish();
+	if (day === undefined) {
+		process.stderr.write(`no call ended in the ${logs.length === 1 ? 'file' : `${logs.length} files`}; give the logs of gateways, with log.level "info" or "debug"\n`);
+		process.exitCode = exitCodes.failed;
+		return;
+	}
+
+	try {
+		await writeFile(options.out, formatReport(day, logs));
+	} catch (error) {
+		process.stderr.write(`--out ${options.out}: give a path that can be written: ${readErrorMessage(error)}\n`);
+		process.exitCode = exitCodes.wrongUse;
+		return;
+	}
+
+	process.stdout.write(`${options.out}: ${day.calls.length} calls, ${(day.brought * 100).toFixed(1)}% of their worth brought\n`);
+}
--- a/src/logs/ended-call.ts
+++ b/src/logs/ended-call.ts
@@ -5,10 +5,10 @@
 } from './log-line.js';
 
 /** How an ended call is judged. */
-export type Verdict = 'in aim' | 'late first' | 'long pause' | 'late and long pause' | 'refused' | 'broken off' | 'left by caller' | 'failed';
+export type Verdict = 'in aim' | 'late first' | 'long pause' | 'late and long pause' | 'refused' | 'broken off' | 'left by caller' | 'failed' | 'rejected';
 
-/** All verdicts, the good one first. */
-export const verdicts: Verdict[] = ['in aim', 'late first', 'long pause', 'late and long pause', 'refused', 'broken off', 'left by caller', 'failed'];
+/** All verdicts, the good one first; `rejected` is what no answer was owed to. */
+export const verdicts: Verdict[] = ['in aim', 'late first', 'long pause', 'late and long pause', 'refused', 'broken off', 'left by caller', 'failed', 'rejected'];
 
 /** The end of a call. */
 export type EndedCall = {
@@ -67,7 +67,7 @@
 		took: findNumber(line, 'took') ?? 0,
 	};
 	const verdict = judgeCall(facts);
-	const worth = computeWorth(facts.promptTokens);
+	const worth = verdict === 'rejected' ? 0 : computeWorth(facts.promptTokens);
 	return {
 		...facts, verdict, worth, lost: worth * findLostShare(verdict),
 	};
@@ -93,12 +93,17 @@
 		return 'broken off';
 	}
 
+	// What is wrong with a request itself costs nobody an answer that was owed.
+	if (call.sends === 0 && call.status !== undefined && call.status >= 400 && call.status < 500) {
+		return 'rejected';
+	}
+
 	return call.sends === 0 || call.status === 503 ? 'refused' : 'failed';
 }
 
 /** Share of its worth that an answer loses: a late one keeps a part. */
 function findLostShare(verdict: Verdict): number {
-	if (verdict === 'in aim') {
+	if (verdict === 'in aim' || verdict === 'rejected') {
 		return 0;
 	}
 
--- a/src/logs/explain-request.ts
+++ b/src/logs/explain-request.ts
@@ -62,6 +62,11 @@
 	return [`${request}: ${cause}`, '', `Since ${startedAt}; · marks what befell its servers and nodes:`, ...rows, ''].join('\n');
 }
 
+/** The facts of a line as one text. */
+export function listFacts(line: LogLine): string {
+	return formatFacts(pickFacts(line));
+}
+
 function pickFacts(line: LogLine): Record<string, unknown> {
 	const told = Object.entries(line.fields).filter(([name, value]) => !leftOut.has(name) && value !== undefined && value !== null);
 	if (findText(line, 'reason') === undefined && line.event === 'call_refused') {
--- a/src/logs/find-cause.ts
+++ b/src/logs/find-cause.ts
@@ -19,12 +19,33 @@
 	return describers[story.ended.verdict](story, story.ended);
 }
 
+/** Finds the group of causes that a call lost its worth by, for sums over a day. */
+export function findLossGroup(story: RequestStory, ended: EndedCall): string {
+	const spent = story.lines.some(line => line.event === 'retry_refused' || line.event === 'retry_not_granted') ? ', no retry left' : '';
+	if (ended.verdict === 'late first' || ended.verdict === 'late and long pause') {
+		return `late: ${findLateCause(story, ended).group}`;
+	}
+
+	if (ended.verdict === 'long pause') {
+		return story.lines.some(line => line.event === 'retry') ? 'long pause: stream went on elsewhere' : 'long pause: at one server';
+	}
+
+	if (ended.verdict === 'left by caller') {
+		const isPlaced = story.lines.some(line => line.event === 'placed');
+		const before = isPlaced ? 'before its first event' : 'before it had a place';
+		return `left by caller: ${ended.firstAfter === undefined ? before : 'after its first event'}`;
+	}
+
+	return `${ended.verdict}: ${ended.outcome}${spent}`;
+}
+
 const describers: Record<Verdict, (story: RequestStory, ended: EndedCall) => string> = {
 	'in aim': (_story, ended) => `It was served as aimed at: ${describeFirst(ended)}${ended.longestPause === undefined || ended.pauseAim === undefined ? '' : `, ${describePause(ended)}`}.`,
 	'late first': (story, ended) => `It was served late, ${describeFirst(ended)}: ${explainLate(story, ended)}.`,
 	'long pause': (story, ended) => `It was served with a ${describePause(ended)}: ${explainPause(story)}.`,
 	'late and long pause': (story, ended) => `It was served late, ${describeFirst(ended)}, with a ${describePause(ended)}: ${explainLate(story, ended)}; ${explainPause(story)}.`,
 	refused: describeRefused,
+	rejected: describeRefused,
 	'broken off': describeBroken,
 	'left by caller': describeLeft,
 	failed: (story, ended) => `It failed with ${ended.status} (${ended.outcome}) after ${countTries(ended.sends)}: ${findReason(story, ended)}${explainNoRetry(story, ended)}.`,
@@ -71,36 +92,50 @@
 }
 
 function explainLate(story: RequestStory, ended: EndedCall): string {
+	return findLateCause(story, ended).text;
+}
+
+/** Why a first event came late: one of a few groups, and the sentence. */
+function findLateCause(story: RequestStory, ended: EndedCall): {group: string; text: string} {
 	const retries = story.lines.filter(line => line.event === 'retry');
 	if (retries.length > 0) {
-		return `it was tried again ${retries.length === 1 ? 'once' : `${retries.length} times`}, first since ${describeRetry(retries[0], story)}`;
+		return {
+			group: 'tried again at another server',
+			text: `it was tried again ${retries.length === 1 ? 'once' : `${retries.length} times`}, first since ${describeRetry(retries[0], story)}`,
+		};
 	}
 
 	const passedOver = story.lines.find(line => line.event === 'decider_passed_over');
 	if (passedOver !== undefined) {
-		return `deciding node ${findText(passedOver, 'node')} was passed over (${findText(passedOver, 'reason')})`;
+		return {group: 'decider passed over', text: `deciding node ${findText(passedOver, 'node')} was passed over (${findText(passedOver, 'reason')})`};
 	}
 
 	const objective = ended.objective ?? 0;
 	const placed = story.lines.findLast(line => line.event === 'placed');
 	const waited = placed === undefined ? 0 : findNumber(placed, 'waited') ?? 0;
 	if (waited > objective * namedShare) {
-		return `it waited ${formatTime(waited)} for its place${describeWait(story)}`;
+		return {group: 'waited for its place', text: `it waited ${formatTime(waited)} for its place${describeWait(story)}`};
 	}
 
 	const expected = ended.expectedFirst;
 	if (expected !== undefined && waited + expected > objective) {
-		return `it was placed though its first event was expected after ${formatTime(waited + expected)}: no better place was free`;
+		return {group: 'no better place was free', text: `it was placed though its first event was expected after ${formatTime(waited + expected)}: no better place was free`};
 	}
 
 	const left = placed === undefined ? undefined : findNumber(placed, 'objective');
 	if (left !== undefined && left < objective) {
-		return `its caller had tried for ${formatTime(objective - left)} before, which left less time`;
+		return {group: 'caller had tried before', text: `its caller had tried for ${formatTime(objective - left)} before, which left less time`};
+	}
+
+	if (expected === undefined) {
+		return {group: 'no line tells', text: 'no line tells what was expected'};
 	}
 
-	return expected === undefined
-		? 'no line tells what was expected'
-		: `server ${ended.servers.at(-1) ?? '?'} answered ${formatTime((ended.firstAfter ?? ended.took) - waited - expected)} later than expected (${formatTime(expected)} from its place)`;
+	const excess = (ended.firstAfter ?? ended.took) - waited - expected;
+	return {
+		group: 'server slower than predicted',
+		text: `server ${ended.servers.at(-1) ?? '?'} answered ${formatTime(excess)} later than expected (${formatTime(expected)} from its place)`,
+	};
 }
 
 function explainPause(story: RequestStory): string {
@@ -112,9 +147,15 @@
 
 function explainRefusal(story: RequestStory): string {
 	const wait = describeWait(story);
+	const left = story.lines.findLast(line => line.event === 'retry');
 	const refused = story.lines.findLast(line => line.event === 'refused');
 	const inProgress = refused === undefined ? undefined : findNumber(refused, 'inProgress');
-	return `${wait === '' ? '' : `; it had waited${wait}`}${inProgress === undefined ? '' : `; ${inProgress} plans of the service were in progress`}${explainBudget(story)}`;
+	return [
+		...wait === '' ? [] : [`; it had waited${wait}`],
+		...inProgress === undefined ? [] : [`; ${inProgress} plans of the service were in progress`],
+		...left === undefined ? [] : [`; before, it was sent away from a server since ${describeRetry(left, story)}`],
+		explainBudget(story),
+	].join('');
 }
 
 function explainNoRetry(story: RequestStory, ended: EndedCall): string {
--- a/src/logs/index.ts
+++ b/src/logs/index.ts
@@ -1,7 +1,9 @@
 /** What the logs of gateways tell: one request explained, a day summed up. */
+export * from './day-summary.js';
 export * from './ended-call.js';
 export * from './explain-request.js';
 export * from './find-cause.js';
 export * from './log-line.js';
 export * from './read-logs.js';
 export * from './request-story.js';
+export {formatReport} from './page/report-page.js';
--- /dev/null
+++ b/src/logs/page/chart.ts
@@ -0,0 +1,89 @@
+/** Charts as SVG, written plainly: the page works in one file, without a network. Pure. */
+import {escapeHtml, formatCount} from './html.js';
+import type {Scale} from './scale.js';
+
+/** Size of a chart, and the room for its marks, in pixels. */
+const size = {
+	width: 960, height: 300, left: 64, right: 12, top: 12, bottom: 40,
+};
+
+/** A kind of thing in a chart. */
+export type Series = {name: string; color: string};
+
+/** A point; `title` is shown when the pointer rests on it. */
+export type ChartPoint = {x: number; y: number; series: number; title: string};
+
+/** A line across, such as an objective. */
+export type ChartLine = {y: number; name: string};
+
+/** What every chart has. */
+export type ChartFrame = {
+	title: string; xName: string; yName: string; x: Scale; y: Scale; series: Series[];
+};
+
+/** Draws points. */
+export function drawPoints(frame: ChartFrame, points: ChartPoint[], lines: ChartLine[] = []): string {
+	const marks = points.map(point => {
+		const [x, y] = [placeX(frame, point.x), placeY(frame, point.y)];
+		return `<circle cx="${x}" cy="${y}" r="2.5" fill="${frame.series[point.series].color}"><title>${escapeHtml(point.title)}</title></circle>`;
+	});
+	return drawFrame(frame, [...lines.map(line => drawLine(frame, line)), ...marks]);
+}
+
+/** Draws bars on each other: `heights` by series for each bar. */
+export function drawBars(frame: ChartFrame, barWidth: number, bars: Array<{x: number; heights: number[]}>): string {
+	const marks = bars.flatMap(({x, heights}) => {
+		let base = 0;
+		return heights.map((height, series) => {
+			const [bottom, top] = [placeY(frame, base), placeY(frame, base + height)];
+			const [left, right] = [placeX(frame, x), placeX(frame, x + barWidth)];
+			base += height;
+			const {name, color} = frame.series[series];
+			const area = `x="${left}" y="${top}" width="${round(Math.max(1, right - left - 1))}" height="${round(bottom - top)}"`;
+			return height === 0 ? '' : `<rect ${area} fill="${color}"><title>${escapeHtml(`${formatCount(x)}: ${name}, ${formatCount(height)}`)}</title></rect>`;
+		});
+	});
+	return drawFrame(frame, marks);
+}
+
+function drawFrame(frame: ChartFrame, marks: string[]): string {
+	const {
+		width, height, left, right, top, bottom,
+	} = size;
+	const xTicks = frame.x.ticks.map(tick => `<text x="${placeX(frame, tick)}" y="${height - bottom + 16}" text-anchor="middle">${formatTick(tick)}</text>`);
+	const yTicks = frame.y.ticks.map(tick => {
+		const at = placeY(frame, tick);
+		return `<line class="grid" x1="${left}" x2="${width - right}" y1="${at}" y2="${at}"/><text x="${left - 6}" y="${round(at + 4)}" text-anchor="end">${formatTick(tick)}</text>`;
+	});
+	const legend = frame.series.map(series => `<span><i style="background:${series.color}"></i>${escapeHtml(series.name)}</span>`).join('');
+	return `<figure><figcaption>${escapeHtml(frame.title)}</figcaption>
+<svg viewBox="0 0 ${width} ${height}" role="img" aria-label="${escapeHtml(frame.title)}">
+${[...yTicks, ...xTicks].join('\n')}
+<text x="${(width + left) / 2}" y="${height - 6}" text-anchor="middle">${escapeHtml(frame.xName)}</text>
+<text transform="translate(14 ${(height - bottom + top) / 2}) rotate(-90)" text-anchor="middle">${escapeHtml(frame.yName)}</text>
+${marks.filter(mark => mark !== '').join('\n')}
+</svg><div class="legend">${legend}</div></figure>`;
+}
+
+function drawLine(frame: ChartFrame, {y, name}: ChartLine): string {
+	const at = placeY(frame, y);
+	const end = size.width - size.right;
+	return `<line class="aim" x1="${size.left}" x2="${end}" y1="${at}" y2="${at}"/><text class="aim" x="${end}" y="${round(at - 3)}" text-anchor="end">${escapeHtml(name)}</text>`;
+}
+
+function placeX({x}: ChartFrame, value: number): number {
+	return round(size.left + (x.place(value) * (size.width - size.left - size.right)));
+}
+
+function placeY({y}: ChartFrame, value: number): number {
+	const base = size.height - size.bottom;
+	return round(base - (y.place(value) * (base - size.top)));
+}
+
+function round(value: number): number {
+	return Math.round(value * 10) / 10;
+}
+
+function formatTick(tick: number): string {
+	return formatCount(tick, Math.abs(tick) < 1 && tick !== 0 ? 2 : 0);
+}
--- /dev/null
+++ b/src/logs/page/day-charts.ts
@@ -0,0 +1,181 @@
+/** The charts of a day. Pure. */
+import {verdicts, type Verdict} from '../ended-call.js';
+import type {DayDecision, DaySummary} from '../day-summary.js';
+import {
+	drawBars, drawPoints, type ChartLine, type ChartPoint, type Series,
+} from './chart.js';
+import {divideByTens, divideEvenly, findStep} from './scale.js';
+
+type DayCall = DaySummary['calls'][number];
+
+/** Points of a chart at most: the bad ones all come first, of the good ones as many as fit are drawn, evenly. */
+const mostPoints = 4000;
+
+/** Bars of a chart at most. */
+const mostBars = 120;
+
+/** Deciding nodes that are told apart. */
+const mostNodes = 8;
+
+/** Objectives that are drawn as lines. */
+const mostLines = 6;
+
+const colors: Record<Verdict, string> = {
+	'in aim': '#5b9bd5',
+	'late first': '#e0a100',
+	'long pause': '#8e6bbf',
+	'late and long pause': '#b3541e',
+	refused: '#d1495b',
+	'broken off': '#7a1f2b',
+	'left by caller': '#777777',
+	failed: '#222222',
+	rejected: '#bbbbbb',
+};
+
+const nodeColors = ['#5b9bd5', '#e0a100', '#8e6bbf', '#3a7d44', '#d1495b', '#b3541e', '#2a9d8f', '#6d597a', '#aaaaaa'];
+
+const verdictSeries: Series[] = verdicts.map(name => ({name, color: colors[name]}));
+
+const seconds = 1000;
+
+/** First event against length of prompt, with objectives. */
+export function drawFirstEvents({calls}: DaySummary): string {
+	const shown = calls.filter(call => call.promptTokens > 0 && call.firstAfter !== undefined);
+	const frame = {
+		title: 'First event against length of prompt; lines are objectives',
+		xName: 'tokens of the prompt',
+		yName: 'first event, ms',
+		x: divideByTens(Math.max(1, findLeast(shown.map(call => call.promptTokens))), findMost(shown.map(call => call.promptTokens))),
+		y: divideByTens(Math.max(1, findLeast(shown.map(call => call.firstAfter!))), findMost([...shown.map(call => call.firstAfter!), ...shown.map(call => call.objective ?? 0)])),
+		series: verdictSeries,
+	};
+	return drawPoints(frame, thinOut(shown).map(call => toPoint(call, call.promptTokens, call.firstAfter!)), listLines(shown, call => call.objective));
+}
+
+/** Longest pauses over time, with aims. */
+export function drawPauses({calls}: DaySummary): string {
+	const shown = calls.filter(call => call.pauseAim !== undefined && call.longestPause !== undefined && call.firstAfter !== undefined);
+	const frame = {
+		title: 'Longest pause of each stream; lines are aims',
+		xName: 'came, s',
+		yName: 'pause, ms',
+		x: divideTime(calls),
+		y: divideByTens(Math.max(1, findLeast(shown.map(call => call.longestPause!))), findMost(shown.map(call => Math.max(call.longestPause!, call.pauseAim!)))),
+		series: verdictSeries,
+	};
+	return drawPoints(frame, thinOut(shown).map(call => toPoint(call, call.came / seconds, call.longestPause!)), listLines(shown, call => call.pauseAim));
+}
+
+/** How long requests had waited when they got a place or were refused. */
+export function drawWaits({calls, decisions}: DaySummary): string {
+	const series = [{name: 'placed', color: colors['in aim']}, {name: 'refused', color: colors.refused}];
+	const shown = decisions.filter(({event, waited}) => (event === 'placed' || event === 'refused') && waited > 0);
+	const frame = {
+		title: 'Waits: how long requests had waited when they got a place or were refused (those that did not wait are left out)',
+		xName: 'decided, s',
+		yName: 'waited, ms',
+		x: divideTime(calls),
+		y: divideEvenly(0, findMost(shown.map(decision => decision.waited))),
+		series,
+	};
+	return drawPoints(frame, shown.slice(0, mostPoints).map(({at, waited, event, node}) => ({
+		x: at / seconds, y: waited, series: event === 'placed' ? 0 : 1, title: `${event} by ${node} after ${Math.round(waited)} ms`,
+	})));
+}
+
+/** How calls ended, by when they came. */
+export function drawEnds({calls}: DaySummary, shownVerdicts: Verdict[], title: string): string {
+	const shown = calls.filter(call => shownVerdicts.includes(call.verdict));
+	return drawCounts(calls, title, shownVerdicts.map(name => ({name, color: colors[name]})), shown.map(call => ({at: call.came, series: shownVerdicts.indexOf(call.verdict)})));
+}
+
+/** Decisions by the node that made them, over time. */
+export function drawDeciders({calls, decisions}: DaySummary): string {
+	const counts = countNodes(decisions);
+	const named = [...counts.entries()].sort((left, right) => right[1] - left[1]).slice(0, mostNodes).map(([node]) => node);
+	const series = [...named, ...counts.size > mostNodes ? ['others'] : []].map((name, index) => ({name, color: nodeColors[index]}));
+	const shown = decisions.filter(({event}) => event !== 'decider_passed_over').map(({at, node}) => ({at, series: named.includes(node) ? named.indexOf(node) : mostNodes}));
+	return drawCounts(calls, 'Who decided: places, waits and refusals by the node that wrote them', series, shown);
+}
+
+function countNodes(decisions: DayDecision[]): Map<string, number> {
+	const counts = new Map<string, number>();
+	for (const {node, event} of decisions) {
+		if (event !== 'decider_passed_over') {
+			counts.set(node, (counts.get(node) ?? 0) + 1);
+		}
+	}
+
+	return counts;
+}
+
+function drawCounts(calls: DayCall[], title: string, series: Series[], counted: Array<{at: number; series: number}>): string {
+	const [from, until] = findSpan(calls);
+	const width = findStep(Math.max(1, (until - from) / mostBars));
+	const bars = new Map<number, number[]>();
+	for (const item of counted) {
+		const x = Math.floor(item.at / seconds / width) * width;
+		const heights = bars.get(x) ?? series.map(() => 0);
+		heights[item.series]++;
+		bars.set(x, heights);
+	}
+
+	const sums = [...bars.values()].map(heights => heights.reduce((sum, height) => sum + height, 0));
+	const frame = {
+		title, xName: `s, in steps of ${width} s`, yName: 'count', x: divideTime(calls), y: divideEvenly(0, findMost(sums)), series,
+	};
+	return drawBars(frame, width, [...bars.entries()].sort(([left], [right]) => left - right).map(([x, heights]) => ({x, heights})));
+}
+
+function toPoint(call: DayCall, x: number, y: number): ChartPoint {
+	return {
+		x, y, series: verdicts.indexOf(call.verdict), title: `${call.request}: ${call.promptTokens} tokens, ${call.verdict}, first event ${call.firstAfter} of ${call.objective} ms, at ${call.node}`,
+	};
+}
+
+/** All bad calls, and as many good ones as there is room for, evenly; the bad ones lie on top. */
+function thinOut(calls: DayCall[]): DayCall[] {
+	const bad = calls.filter(call => call.verdict !== 'in aim').slice(0, mostPoints);
+	const good = calls.filter(call => call.verdict === 'in aim');
+	const every = Math.max(1, Math.ceil(good.length / Math.max(1, mostPoints - bad.length)));
+	return [...good.filter((_, index) => index % every === 0), ...bad];
+}
+
+function listLines(calls: DayCall[], read: (call: DayCall) => number | undefined): ChartLine[] {
+	const counts = new Map<number, number>();
+	for (const call of calls) {
+		const aim = read(call);
+		if (aim !== undefined) {
+			counts.set(aim, (counts.get(aim) ?? 0) + 1);
+		}
+	}
+
+	return [...counts.entries()].sort((left, right) => right[1] - left[1]).slice(0, mostLines).map(([y]) => ({y, name: `${y} ms`}));
+}
+
+function divideTime(calls: DayCall[]) {
+	return divideEvenly(...findSpan(calls));
+}
+
+function findSpan(calls: DayCall[]): [number, number] {
+	return [Math.floor(findLeast(calls.map(call => call.came)) / seconds), Math.ceil(findMost(calls.map(call => call.came + call.took)) / seconds)];
+}
+
+/** Lists are too long to be spread into arguments. */
+function findLeast(values: number[]): number {
+	let least = values[0] ?? 1;
+	for (const value of values) {
+		least = Math.min(least, value);
+	}
+
+	return least;
+}
+
+function findMost(values: number[]): number {
+	let most = 1;
+	for (const value of values) {
+		most = Math.max(most, value);
+	}
+
+	return most;
+}
--- /dev/null
+++ b/src/logs/page/report-page.ts
@@ -0,0 +1,99 @@
+/** A day as one page that works offline. Pure. */
+import {verdicts, type Verdict} from '../ended-call.js';
+import {listFacts} from '../explain-request.js';
+import type {DaySummary, WorstCall} from '../day-summary.js';
+import {
+	drawDeciders, drawEnds, drawFirstEvents, drawPauses, drawWaits,
+} from './day-charts.js';
+import {escapeHtml, formatCount, formatTable} from './html.js';
+
+const style = `
+body{font:15px/1.45 system-ui,sans-serif;margin:2em auto;max-width:62em;padding:0 1em;color:#1b1b1b;background:#fff}
+h1{font-size:1.5em}h2{font-size:1.15em;margin-top:2em}
+table{border-collapse:collapse;margin:.6em 0}th,td{border-bottom:1px solid #ddd;padding:.2em .7em;text-align:right}
+th:first-child,td:first-child{text-align:left}
+figure{margin:1em 0}figcaption{font-weight:600}svg{width:100%;height:auto}
+svg text{font-size:11px;fill:#555}svg .grid{stroke:#eee}svg line.aim{stroke:#333;stroke-dasharray:5 4}svg text.aim{fill:#333}
+.legend span{margin-right:1.2em;font-size:.85em}.legend i{display:inline-block;width:.8em;height:.8em;margin-right:.35em;vertical-align:-.05em}
+.bar{display:inline-block;height:.8em;background:#d1495b;vertical-align:-.05em}
+details{margin:.35em 0}code,pre{font:12px/1.4 ui-monospace,monospace}pre{overflow-x:auto;background:#f6f6f6;padding:.6em}
+`;
+
+/** Widest bar of a table, in pixels. */
+const widestBar = 320;
+
+/** Verdicts that are no answer in aim and no answer at all, in the order of the charts. */
+const lateVerdicts: Verdict[] = ['late first', 'long pause', 'late and long pause'];
+const lostVerdicts: Verdict[] = ['refused', 'broken off', 'failed', 'left by caller'];
+
+/** Formats a day as HTML. */
+export function formatReport(day: DaySummary, files: string[]): string {
+	const sections = [
+		formatHead(day, files),
+		'<h2>Worth lost, by reason</h2>',
+		formatLosses(day),
+		'<h2>Worth lost, by length of prompt</h2>',
+		formatLengths(day),
+		'<h2>First events and pauses</h2>',
+		drawFirstEvents(day),
+		drawPauses(day),
+		'<h2>Waits, refusals and late answers over time</h2>',
+		drawWaits(day),
+		drawEnds(day, lostVerdicts, 'Calls without a whole answer, by when they came'),
+		drawEnds(day, [...lateVerdicts, 'in aim'], 'Calls answered whole, by when they came'),
+		'<h2>Who decided</h2>',
+		drawDeciders(day),
+		formatDeciders(day),
+		'<h2>Calls that lost most</h2>',
+		...day.worst.map(worst => formatWorst(worst)),
+	];
+	return `<!doctype html>
+<html lang="en"><head><meta charset="utf-8"><meta name="viewport" content="width=device-width, initial-scale=1"><title>cresshook report</title><style>${style}</style></head>
+<body>
+${sections.join('\n')}
+</body></html>
+`;
+}
+
+function formatHead({calls, brought, origin}: DaySummary, files: string[]): string {
+	const rejected = calls.filter(call => call.verdict === 'rejected').length;
+	return `<h1>cresshook report</h1>
+<p>${escapeHtml(files.join(', '))}. Times count ${origin === undefined ? 'as the collector of the logs does' : `from ${origin}`}.</p>
+<p>${formatCount(calls.length - rejected)} calls were owed an answer, and ${formatCount(brought * 100, 1)}% of their worth was brought.
+${formatCount(rejected)} more had no route or key. Worth is counted as the planner does: the prompt's tokens and a base; an answer that is late or pauses too long keeps a part.
+These are the nodes' logs: connections that never reached a node, and callers who try again under a new id, are not told apart.</p>`;
+}
+
+function formatLosses({losses}: DaySummary): string {
+	const most = losses[0]?.share ?? 1;
+	return formatTable(['reason', 'calls', 'share of all worth', ''], losses.map(({reason, calls, share}) => [
+		escapeHtml(reason), formatCount(calls), `${formatCount(share * 100, 2)}%`, `<span class="bar" style="width:${Math.round(share / most * widestBar)}px"></span>`,
+	]));
+}
+
+function formatLengths({lengths}: DaySummary): string {
+	const shown = verdicts.filter(verdict => verdict !== 'rejected');
+	return formatTable(['prompts', 'calls', ...shown, 'worth', 'lost of all', 'later than predicted, p50 / p90 ms'], lengths.map(row => [
+		row.length,
+		formatCount(row.calls),
+		...shown.map(verdict => formatCount(row.byVerdict[verdict] ?? 0)),
+		formatCount(row.brought, 3),
+		formatCount(row.lost, 3),
+		row.error === undefined ? '' : `${formatCount(row.error.p50)} / ${formatCount(row.error.p90)} (${formatCount(row.error.count)})`,
+	]));
+}
+
+function formatDeciders({decisions, calls, deciders}: DaySummary): string {
+	const count = (by: string) => calls.filter(call => call.decidedBy === by).length;
+	const passed = decisions.filter(({event}) => event === 'decider_passed_over').length;
+	const rows = deciders.map(({at, service, to, tellers}) => [escapeHtml(service), formatCount(at / 1000, 1), escapeHtml(to), formatCount(tellers)]);
+	return `<p>Last place of each call: ${formatCount(count('planner'))} by the deciding node, ${formatCount(count('self'))} by the node that took the call and decides itself,
+${formatCount(count('fallback'))} by a node's own view; the deciding node was passed over ${formatCount(passed)} times.</p>
+${formatTable(['service', 's', 'decides from then on', 'nodes that say so'], rows)}`;
+}
+
+function formatWorst({call, cause, steps}: WorstCall): string {
+	const rows = steps.map(step => `${formatCount((step.at - steps[0].at), 0).padStart(8)} ms  ${step.writer}  ${step.event}  ${listFacts(step)}`);
+	const head = `<code>${escapeHtml(call.request)}</code>, ${formatCount(call.promptTokens)} tokens: ${escapeHtml(cause)}`;
+	return `<details><summary>${head}</summary><pre>${escapeHtml(rows.join('\n'))}</pre></details>`;
+}
--- a/src/logs/request-story.ts
+++ b/src/logs/request-story.ts
@@ -46,50 +46,56 @@
 		this.#clocks.add(line);
 		if (findText(line, 'request') === this.#request) {
 			this.#lines.push(line);
-		} else if (fleetEvents.has(line.event) && this.#fleet.length < mostFleetLines) {
+		} else if (isAboutFleet(line) && this.#fleet.length < mostFleetLines) {
 			this.#fleet.push(line);
 		}
 	}
 
 	/** The story so far; undefined when nothing was said of the request. */
 	finish(): RequestStory | undefined {
-		const lines = this.#sort(this.#lines);
-		if (lines.length === 0) {
-			return undefined;
-		}
-
-		const ended = lines.map(line => findEndedCall(line)).findLast(end => end !== undefined);
-		return {
-			request: this.#request, lines, ended, around: this.#listAround(lines, ended),
-		};
+		return this.#lines.length === 0 ? undefined : buildStory(this.#request, this.#sort(this.#lines), this.#sort(this.#fleet));
 	}
 
 	#sort(lines: LogLine[]): LogLine[] {
 		return sortByTime(lines.map(line => ({...line, at: this.#clocks.estimateTime(line)})));
 	}
+}
 
-	#listAround(lines: LogLine[], ended: EndedCall | undefined): LogLine[] {
-		const servers = new Set(lines.flatMap(line => [findText(line, 'server'), findText(line, 'after'), ...listTexts(line, 'servers')]));
-		const nodes = new Set(lines.flatMap(line => [line.writer, findText(line, 'node') ?? line.writer]));
-		const from = Math.min(lines[0].at, ...ended === undefined ? [] : [ended.at - ended.took]) - margin;
-		// A request without an end may have gone on for as long as its caller waits.
-		const patience = ended === undefined ? Math.max(...lines.map(line => findNumber(line, 'patience') ?? 0)) : 0;
-		const until = lines.at(-1)!.at + patience + margin;
-		const seen = new Set<string>();
-		return this.#sort(this.#fleet).filter(line => {
-			const what = serverEvents.has(line.event)
-				? [findText(line, 'server'), findText(line, 'before')].find(server => server !== undefined && servers.has(server))
-				: findNode(line, nodes);
-			const key = `${line.event} ${what}`;
-			if (what === undefined || line.at < from || line.at > until || seen.has(key)) {
-				return false;
-			}
-
-			// Every node that hears of it writes it down; the first one is enough.
-			seen.add(key);
-			return true;
-		});
-	}
+/** Whether a line tells what a server or a node has become. */
+export function isAboutFleet({event}: LogLine): boolean {
+	return fleetEvents.has(event);
+}
+
+/** Puts together what is known of a request from its lines and those about the fleet, both in order. */
+export function buildStory(request: string, lines: LogLine[], fleet: LogLine[]): RequestStory {
+	const ended = lines.map(line => findEndedCall(line)).findLast(end => end !== undefined);
+	return {
+		request, lines, ended, around: listAround(lines, fleet, ended),
+	};
+}
+
+function listAround(lines: LogLine[], fleet: LogLine[], ended: EndedCall | undefined): LogLine[] {
+	const servers = new Set(lines.flatMap(line => [findText(line, 'server'), findText(line, 'after'), ...listTexts(line, 'servers')]));
+	const nodes = new Set(lines.flatMap(line => [line.writer, findText(line, 'node') ?? line.writer]));
+	const services = new Set(lines.map(line => findText(line, 'service')));
+	const from = Math.min(lines[0].at, ...ended === undefined ? [] : [ended.at - ended.took]) - margin;
+	// A request without an end may have gone on for as long as its caller waits.
+	const patience = ended === undefined ? Math.max(...lines.map(line => findNumber(line, 'patience') ?? 0)) : 0;
+	const until = lines.at(-1)!.at + patience + margin;
+	const seen = new Set<string>();
+	return fleet.filter(line => {
+		const what = serverEvents.has(line.event)
+			? [findText(line, 'server'), findText(line, 'before')].find(server => server !== undefined && servers.has(server))
+			: findNode(line, nodes, services);
+		const key = `${line.event} ${what}`;
+		if (what === undefined || line.at < from || line.at > until || seen.has(key)) {
+			return false;
+		}
+
+		// Every node that hears of it writes it down; the first one is enough.
+		seen.add(key);
+		return true;
+	});
 }
 
 /** Sorts lines by their time; those of one time stay as they were written. */
@@ -97,11 +103,12 @@
 	return [...lines].sort((left, right) => left.at - right.at);
 }
 
-function findNode(line: LogLine, nodes: ReadonlySet<string>): string | undefined {
+function findNode(line: LogLine, nodes: ReadonlySet<string>, services: ReadonlySet<string | undefined>): string | undefined {
 	if (line.event === 'node_lost') {
 		const lost = findText(line, 'node');
 		return lost !== undefined && nodes.has(lost) ? lost : undefined;
 	}
 
-	return nodes.has(line.writer) ? line.writer : undefined;
+	const service = findText(line, 'service');
+	return nodes.has(line.writer) && (service === undefined || services.has(service)) ? line.writer : undefined;
 }
--- a/test/explain.test.ts
+++ b/test/explain.test.ts
@@ -85,7 +85,8 @@
 	expect(await call('/once/', 'declined')).toBe(503);
 	const {cause, verdict} = await explain('declined', await writeLogs(1));
 	expect(verdict).toBe('refused');
-	expect(cause).toMatch(/^It was refused with 503 \(\w+\) after one try: .*server/);
+	expect(cause).toBe('It was refused with 503 (no_backend_server) after one try: no backend server of app takes new work; 0 plans of the service were in progress; '
+		+ 'before, it was sent away from a server since status 503 (i-0).');
 });
 
 test('a request without a route is explained by the message of its line', async () => {
