feat(gateway): a running node takes over what it can of changed settings

SIGHUP checked the settings file and said that every change waits for the next start. Now a node takes over address_lifetime_seconds, log.level, retry.ratio, retry.slack, seeds and stop.grace_seconds, on SIGHUP and when the file has changed (looked at every two seconds; two looks in a row must find the same, since a file may be written in parts). \`reloaded\` names what was taken over and what waits; \`reload_refused\` names key, value and mend, and changes nothing.

What cannot change: who and where the node is, its listeners and ports, the store, first_start, cpu (others were told the node's size with its life), and retry.window_seconds, since what lies further back than the old window is forgotten and a longer one would allow too much.

A shorter lifetime of addresses does not shorten a stop before the answers that went out with the longer one have run out. The budget counts seeds by the settings in force. A change told by a signal is not told again by the file; a level that hides the line is taken over after it.

--- a/src/cli/gateway-command.ts
+++ b/src/cli/gateway-command.ts
@@ -6,7 +6,7 @@
 	createLogger, openLogOutput, randomIdSource, readErrorMessage, systemClock, type Logger,
 } from '../common/index.js';
 import {
-	closeEarlyListener, Gateway, loadGatewaySettings, type GatewaySettings,
+	closeEarlyListener, Gateway, loadGatewaySettings, SettingsReloader, type GatewaySettings,
 } from '../gateway/index.js';
 import {formatProblem} from '../settings/index.js';
 import {exitCodes} from './exit-codes.js';
@@ -68,10 +68,22 @@
 	process.once('SIGINT', () => {
 		void stopGateway(gateway);
 	});
+	const watching = new AbortController();
+	const reloader = new SettingsReloader({
+		path,
+		clock: systemClock,
+		logger,
+		compare: changed => gateway.compareSettings(changed),
+		change(changed) {
+			gateway.changeSettings(changed);
+		},
+	});
 	process.on('SIGHUP', () => {
-		void reloadSettings(settings, path, logger);
+		void reloader.reload('signal');
 	});
+	void reloader.watch(watching.signal);
 	await waitForEnd(gateway, logger);
+	watching.abort();
 }
 
 async function stopGateway(gateway: Gateway): Promise<void> {
@@ -79,20 +91,6 @@
 	process.exit(exitCodes.done); // eslint-disable-line unicorn/no-process-exit -- a slow reader of the logs must not hold up the end
 }
 
-/** Everything in the settings is read once at start; a change is checked and said to wait for the next start. */
-async function reloadSettings(settings: GatewaySettings, path: string, logger: Logger): Promise<void> {
-	const loaded = await loadGatewaySettings(path);
-	loaded.caseOf({
-		Left(problems) {
-			logger.error({event: 'reload_refused', problems: problems.map(problem => formatProblem(problem))}, 'the changed settings file is wrong; the old settings stay in force');
-		},
-		Right(changed) {
-			const keys = Object.keys(changed).filter(key => JSON.stringify(changed[key as keyof GatewaySettings]) !== JSON.stringify(settings[key as keyof GatewaySettings]));
-			logger.info({event: 'reloaded', changed: keys}, keys.length === 0 ? 'the settings file says what is in force' : 'changed settings take effect at the next start');
-		},
-	});
-}
-
 async function waitForEnd(gateway: Gateway, logger: Logger): Promise<void> {
 	try {
 		await gateway.running;
--- a/src/gateway/deciding/shared-placer.ts
+++ b/src/gateway/deciding/shared-placer.ts
@@ -13,7 +13,7 @@
 	type BoxId, type Clock, type Failure, type IdSource, type Logger, type PlanId, type ServiceName, type Timer,
 } from '../../common/index.js';
 import {
-	isFirstAsk, Planner, type Decision, type Plan, type PlanNote, type PlanRequest, type RetryLimits, type RetryRequest, type ServerWork,
+	isFirstAsk, Planner, type Decision, type Plan, type PlanNote, type PlanRequest, type RetryAllowance, type RetryLimits, type RetryRequest, type ServerWork,
 } from '../../planning/index.js';
 import type {FleetState} from '../../routing/index.js';
 import type {GatewayMetrics} from '../gateway-metrics.js';
@@ -56,7 +56,7 @@
 	clients: PeerClients;
 	socket: PeerSocket;
 	/** Nodes that the settings tell of, this one among them: those that a node knows which has just started and hears nobody. */
-	toldOf: number;
+	countTold: () => number;
 	/** The fleet's budget of retries for each service. */
 	retries: RetryLimits;
 	self: () => Peer;
@@ -105,10 +105,10 @@
 		this.#parts = parts;
 		this.#deciders = new DeciderChoice(parts.clock, parts.peers, parts.self);
 		const {
-			clock, logger, peers, clients, toldOf, self,
+			clock, logger, peers, clients, countTold, self,
 		} = parts;
 		this.#retries = new SharedRetries({
-			clock, logger, peers, clients, deciders: this.#deciders, limits: parts.retries, toldOf, askTimeout, self,
+			clock, logger, peers, clients, deciders: this.#deciders, limits: parts.retries, countTold, askTimeout, self,
 		});
 		parts.state.addListener(() => {
 			this.#refreshServers();
@@ -176,6 +176,11 @@
 		return this.#retries.grant(request);
 	}
 
+	/** Changes how many retries are allowed. */
+	setAllowedRetries(allowed: RetryAllowance): void {
+		this.#retries.setAllowed(allowed);
+	}
+
 	/** Takes the news of a node that carries plans out; it does not carry out what it does not list. */
 	takeNews({service, node, notes, active}: PlanNews): void {
 		const {planner} = this.#findPlans(service);
--- a/src/gateway/deciding/shared-retries.ts
+++ b/src/gateway/deciding/shared-retries.ts
@@ -1,7 +1,7 @@
 /** The fleet's budget of retries, as one node takes part in it: asks the deciding node, grants for others, and remembers. */
 import type {Clock, Logger, ServiceName} from '../../common/index.js';
 import {
-	computeWorth, FleetRetries, type FleetReach, type PlanRequest, type RetryHistory, type RetryLimits, type RetryRequest,
+	computeWorth, FleetRetries, type FleetReach, type PlanRequest, type RetryAllowance, type RetryHistory, type RetryLimits, type RetryRequest,
 } from '../../planning/index.js';
 import type {Peer} from '../peers/peer-beat.js';
 import type {PeerClients} from '../peers/peer-rpc.js';
@@ -18,7 +18,7 @@
 	/** The fleet's budget of retries for each service. */
 	limits: RetryLimits;
 	/** Nodes that the settings tell of, this one among them: those that a node knows which has just started and hears nobody. */
-	toldOf: number;
+	countTold: () => number;
 	/** Time for an answer of the deciding node, in milliseconds. */
 	askTimeout: number;
 	self: () => Peer;
@@ -32,12 +32,22 @@
 	readonly #parts: SharedRetriesParts;
 	readonly #services = new Map<ServiceName, FleetRetries>();
 	readonly #startedAt: number;
+	#limits: RetryLimits;
 
 	constructor(parts: SharedRetriesParts) {
 		this.#parts = parts;
+		this.#limits = parts.limits;
 		this.#startedAt = parts.clock.readMonotonic();
 	}
 
+	/** Changes how much is allowed, for all services. */
+	setAllowed(allowed: RetryAllowance): void {
+		this.#limits = {...this.#limits, ...allowed};
+		for (const retries of this.#services.values()) {
+			retries.setAllowed(allowed);
+		}
+	}
+
 	/** Notes a request of this node, whoever decides it. */
 	addOwn({service, promptTokens}: PlanRequest): void {
 		this.#find(service).addOwn(this.#now, computeWorth(promptTokens), this.#parts.deciders.choose(service).life);
@@ -119,7 +129,7 @@
 	#find(service: ServiceName): FleetRetries {
 		let retries = this.#services.get(service);
 		if (retries === undefined) {
-			retries = new FleetRetries(this.#parts.limits);
+			retries = new FleetRetries(this.#limits);
 			this.#services.set(service, retries);
 		}
 
@@ -133,7 +143,7 @@
 
 	/** Nodes of the fleet as far as this one knows, itself among them. */
 	#countKnown(): number {
-		return Math.max(this.#parts.toldOf, this.#parts.peers.countKnown() + 1);
+		return Math.max(this.#parts.countTold(), this.#parts.peers.countKnown() + 1);
 	}
 
 	/** Milliseconds since this node's process started. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -22,6 +22,8 @@
 import {GatewayMetrics} from './gateway-metrics.js';
 import type {GatewaySettings} from './gateway-settings.js';
 import {StatusReader} from './node-status.js';
+import {AddressLifetime} from './address-lifetime.js';
+import {compareSettings, type SettingsChange} from './settings-change.js';
 import {computeDigest} from './digest.js';
 import {
 	defaultBodyLimit, openAddressServer, openCallersServer, openMetricsServer, openPeersServer, openReadyServer, type OpenServer,
@@ -67,6 +69,7 @@
 	readonly #servers: OpenServer[] = [];
 	readonly #supervisorStop = new AbortController();
 	readonly #life: string;
+	readonly #lifetime: AddressLifetime;
 	readonly #socket: PeerSocket;
 	readonly #views: ViewExchange;
 	readonly #viewAnswers: ViewAnswers;
@@ -77,7 +80,8 @@
 	constructor(parts: GatewayParts) {
 		super();
 		const {clock, logger, wire} = parts;
-		this.#parts = parts;
+		this.#parts = {...parts};
+		this.#lifetime = new AddressLifetime(clock, parts.settings.address_lifetime_seconds);
 		this.#life = computeDigest(parts.ids.createUuid(), lifeLength);
 		this.state = new FleetState(clock, logger);
 		this.#pool = new BackendPool(clock);
@@ -122,7 +126,7 @@
 			clients: this.#clients,
 			socket: this.#socket,
 			retries: {ratio, slack, window: seconds * 1000},
-			toldOf: countToldOf(parts.settings),
+			countTold: () => countToldOf(this.#parts.settings),
 			self,
 		});
 		this.#calls = new CallService({
@@ -204,6 +208,23 @@
 		}, this.#supervisorStop.signal);
 	}
 
+	/** What of changed settings this node would take over. */
+	compareSettings(changed: GatewaySettings): SettingsChange {
+		return compareSettings(this.#parts.settings, changed);
+	}
+
+	/** Takes over what a running node can of changed settings. */
+	changeSettings(changed: GatewaySettings): void {
+		const {inForce, taken} = this.compareSettings(changed);
+		this.#parts.settings = inForce;
+		this.#lifetime.change(inForce.address_lifetime_seconds);
+		this.#placer.setAllowedRetries(inForce.retry);
+		this.#addSeeds(findHost(inForce));
+		if (taken.includes('log.level')) {
+			this.#parts.logger.level = inForce.log.level;
+		}
+	}
+
 	/**
 	 * Stops as planned.
 	 *
@@ -217,7 +238,7 @@
 		const stopAt = clock.readMonotonic();
 		const grace = settings.stop.grace_seconds * 1000;
 		logger.info({event: 'stopping', calls: this.#calls.inProgress}, 'the node leaves; calls in progress are served on');
-		await waitFor(clock, Math.min(settings.address_lifetime_seconds * 1000, grace * openShare));
+		await waitFor(clock, Math.min(this.#lifetime.findLongest(), grace * openShare));
 		this.#closeDoor();
 		while (this.#calls.inProgress > 0 && clock.readMonotonic() < stopAt + (grace * stopShare)) {
 			await waitFor(clock, stopPoll);
@@ -271,7 +292,7 @@
 		// A node that hears nobody and cannot reach its source is more likely cut off itself than alone.
 		const isCutOff = this.#peers.listLive().length === 0 && !this.state.isSourceReachable;
 		const known = [...this.#peers.listReady(), ...(isCutOff ? this.#peers.listKnown().filter(peer => peer.isReady) : [])];
-		return {addresses: listCallerAddresses(known, zone), lifetime: this.#parts.settings.address_lifetime_seconds};
+		return {addresses: listCallerAddresses(known, zone), lifetime: this.#lifetime.seconds};
 	}
 
 	#describeSelf(): Peer {
--- a/src/planning/fleet-retries.ts
+++ b/src/planning/fleet-retries.ts
@@ -12,7 +12,9 @@
  *
  * Times are monotonic milliseconds.
  */
-import {RetryWindow, type RetryLimits, type RetryShare} from './retry-window.js';
+import {
+	RetryWindow, type RetryAllowance, type RetryLimits, type RetryShare,
+} from './retry-window.js';
 import {ToldRetries, type RetryHistory, type Teller} from './told-retries.js';
 
 /**
@@ -67,6 +69,12 @@
 		this.#told = new ToldRetries(limits.window);
 	}
 
+	/** Changes how much is allowed. */
+	setAllowed(allowed: RetryAllowance): void {
+		this.#fleet.setAllowed(allowed);
+		this.#own.setAllowed(allowed);
+	}
+
 	/** Notes a request of any node that this one decides; worth in tokens. */
 	addDecided(now: number, worth: number): void {
 		if (now - this.#decidedAt > longestGap) {
--- a/src/planning/retry-window.ts
+++ b/src/planning/retry-window.ts
@@ -21,12 +21,15 @@
 	window: number;
 };
 
+/** What may change of the bounds while they are counted. */
+export type RetryAllowance = Pick<RetryLimits, 'ratio' | 'slack'>;
+
 /** What part of the bounds may be spent by whoever counts: shares of each, from 0 to 1. */
 export type RetryShare = {ratio: number; slack: number};
 
 /** Retries of one service as one node counts them. */
 export class RetryWindow {
-	readonly #limits: RetryLimits;
+	#limits: RetryLimits;
 	readonly #requests: Array<{at: number; worth: number}> = [];
 	readonly #retries: number[] = [];
 	#worth = 0;
@@ -35,6 +38,11 @@
 		this.#limits = limits;
 	}
 
+	/** Changes how much is allowed; what was counted stays, and the window's length with it. */
+	setAllowed({ratio, slack}: RetryAllowance): void {
+		this.#limits = {ratio, slack, window: this.#limits.window};
+	}
+
 	/** Notes a request and what its answer is worth, in tokens. */
 	addRequest(now: number, worth: number): void {
 		this.#requests.push({at: now, worth});
