--- a/src/logs/explain-request.ts
+++ b/src/logs/explain-request.ts
@@ -41,7 +41,7 @@
 		request: story.request,
 		cause: findCause(story),
 		verdict: story.ended?.verdict ?? 'no end known',
-		startedAt: first.at >= leastWallTime ? new Date(first.at).toISOString() : first.at,
+		startedAt: first.at >= leastWallTime ? new Date(first.at).toISOString() : Math.round(first.at),
 		steps: sortByTime([...story.lines, ...story.around]).map(line => ({
 			after: Math.round(line.at - first.at),
 			node: line.writer,
@@ -59,7 +59,8 @@
 	const nodeWidth = Math.max(...steps.map(step => step.node.length));
 	const eventWidth = Math.max(...steps.map(step => step.event.length));
 	const rows = steps.map(step => `${String(step.after).padStart(7)} ms  ${step.node.padEnd(nodeWidth)}  ${step.isAround ? '·' : ' '} ${step.event.padEnd(eventWidth)}  ${formatFacts(step.facts)}`);
-	return [`${request}: ${cause}`, '', `Since ${startedAt}; · marks what befell its servers and nodes:`, ...rows, ''].join('\n');
+	const since = typeof startedAt === 'string' ? startedAt : `${startedAt} ms of the collector's time`;
+	return [`${request}: ${cause}`, '', `Since ${since}; · marks what befell its servers and nodes:`, ...rows, ''].join('\n');
 }
 
 /** The facts of a line as one text. */
--- a/src/logs/find-cause.ts
+++ b/src/logs/find-cause.ts
@@ -65,7 +65,7 @@
 	const left = `Its caller left after ${formatTime(ended.took)}${describeLimit(ended)}`;
 	return ended.firstAfter === undefined
 		? `${left}, before a first event: ${describePlace(story)}.`
-		: `${left}, after a first event at ${formatTime(ended.firstAfter)} and a ${describePause(ended)}.`;
+		: `${left}, after a first event at ${formatTime(ended.firstAfter)} and a ${describePause(ended)}; the silence in which it left is no pause.`;
 }
 
 /** No line tells the end: the node that took it has gone, or its log is not among the files. */
@@ -158,19 +158,23 @@
 	].join('');
 }
 
+/** Why a request that had been sent was not tried again, or what had become of its servers. */
 function explainNoRetry(story: RequestStory, ended: EndedCall): string {
-	const budget = explainBudget(story);
-	if (budget !== '') {
-		return budget;
-	}
-
-	const {after} = story.lines.findLast(line => line.event === 'retry')?.fields ?? {};
 	if (ended.outcome === 'bound_passed_running') {
 		return `; ${describePlace(story)}`;
 	}
 
-	const what = typeof after === 'string' ? describeServer(after, story) : describeServer(ended.servers.at(-1), story);
-	return what === '' ? '' : `; ${what}`;
+	const left = story.lines.findLast(line => line.event === 'retry');
+	if (left !== undefined) {
+		return `; it had left ${findText(left, 'after')} since ${findText(left, 'reason')}${prefixFate(findText(left, 'after'), story)}${explainBudget(story)}`;
+	}
+
+	return `${prefixFate(ended.servers.at(-1), story)}${explainBudget(story)}`;
+}
+
+function prefixFate(server: string | undefined, story: RequestStory): string {
+	const fate = describeServer(server, story);
+	return fate === '' ? '' : `; ${fate}`;
 }
 
 function explainBudget({lines}: RequestStory): string {
--- /dev/null
+++ b/test/operations-page.test.ts
@@ -0,0 +1,18 @@
+import {readFile} from 'node:fs/promises';
+import {expect, test} from '@jest/globals';
+import {describeRequest, parseLogLine, StoryGatherer} from '../src/logs/index.js';
+
+test('what the operators\' page quotes of explain is what it says of the lines that stand there', async () => {
+	const page = await readFile('docs/OPERATIONS.md', 'utf8');
+	const quoted = [...page.matchAll(/```json\n(?<lines>[^`]*)```\n\n`explain`: (?<cause>.*)\n/g)];
+	expect(quoted).toHaveLength(3);
+	for (const {groups} of quoted) {
+		const lines = groups!.lines.trim().split('\n').map(text => parseLogLine(text, 'edge')!);
+		const gatherer = new StoryGatherer(String(lines[0].fields.request));
+		for (const line of lines) {
+			gatherer.add(line);
+		}
+
+		expect(describeRequest(gatherer.finish()!).cause).toBe(groups!.cause);
+	}
+});
