--- a/src/cli/explain-command.ts
+++ b/src/cli/explain-command.ts
@@ -12,10 +12,10 @@
 		.description('print what was decided for one request, in order across nodes, and its cause')
 		.requiredOption('--logs <files...>', 'logs of all nodes: JSON lines, or such lines after a time in seconds and a node\'s name')
 		.option('--json', 'print JSON')
-		.action(explainRequest);
+		.action(printExplanation);
 }
 
-async function explainRequest(request: string, options: {logs: string[]; json?: boolean}): Promise<void> {
+async function printExplanation(request: string, options: {logs: string[]; json?: boolean}): Promise<void> {
 	const gatherer = new StoryGatherer(request);
 	const read = await readLogs(options.logs, line => {
 		gatherer.add(line);
--- a/src/logs/find-cause.ts
+++ b/src/logs/find-cause.ts
@@ -41,24 +41,24 @@
 
 const describers: Record<Verdict, (story: RequestStory, ended: EndedCall) => string> = {
 	'in aim': (_story, ended) => `It was served as aimed at: ${describeFirst(ended)}${ended.longestPause === undefined || ended.pauseAim === undefined ? '' : `, ${describePause(ended)}`}.`,
-	'late first': (story, ended) => `It was served late, ${describeFirst(ended)}: ${explainLate(story, ended)}.`,
-	'long pause': (story, ended) => `It was served with a ${describePause(ended)}: ${explainPause(story)}.`,
-	'late and long pause': (story, ended) => `It was served late, ${describeFirst(ended)}, with a ${describePause(ended)}: ${explainLate(story, ended)}; ${explainPause(story)}.`,
+	'late first': (story, ended) => `It was served late, ${describeFirst(ended)}: ${describeLate(story, ended)}.`,
+	'long pause': (story, ended) => `It was served with a ${describePause(ended)}: ${describePauseCause(story)}.`,
+	'late and long pause': (story, ended) => `It was served late, ${describeFirst(ended)}, with a ${describePause(ended)}: ${describeLate(story, ended)}; ${describePauseCause(story)}.`,
 	refused: describeRefused,
 	rejected: describeRefused,
 	'broken off': describeBroken,
 	'left by caller': describeLeft,
-	failed: (story, ended) => `It failed with ${ended.status} (${ended.outcome}) after ${countTries(ended.sends)}: ${findReason(story, ended)}${explainNoRetry(story, ended)}.`,
+	failed: (story, ended) => `It failed with ${ended.status} (${ended.outcome}) after ${countTries(ended.sends)}: ${findReason(story, ended)}${describeNoRetry(story, ended)}.`,
 };
 
 function describeRefused(story: RequestStory, ended: EndedCall): string {
 	const tries = ended.sends === 0 ? ', and ran nowhere' : ` after ${countTries(ended.sends)}`;
-	return `It was refused with ${ended.status} (${ended.outcome})${tries}: ${findReason(story, ended)}${explainRefusal(story)}.`;
+	return `It was refused with ${ended.status} (${ended.outcome})${tries}: ${findReason(story, ended)}${describeRefusal(story)}.`;
 }
 
 function describeBroken(story: RequestStory, ended: EndedCall): string {
 	const gone = ended.firstAfter === undefined ? 'before an event had gone out' : 'after events had gone out';
-	return `Its answer was broken off ${gone} (${ended.outcome}): ${findReason(story, ended)}${explainNoRetry(story, ended)}.`;
+	return `Its answer was broken off ${gone} (${ended.outcome}): ${findReason(story, ended)}${describeNoRetry(story, ended)}.`;
 }
 
 function describeLeft(story: RequestStory, ended: EndedCall): string {
@@ -91,7 +91,7 @@
 	return `longest pause of ${formatTime(longestPause)}${pauseAim === undefined ? '' : ` where ${formatTime(pauseAim)} is aimed at`}`;
 }
 
-function explainLate(story: RequestStory, ended: EndedCall): string {
+function describeLate(story: RequestStory, ended: EndedCall): string {
 	return findLateCause(story, ended).text;
 }
 
@@ -138,14 +138,14 @@
 	};
 }
 
-function explainPause(story: RequestStory): string {
+function describePauseCause(story: RequestStory): string {
 	const retry = story.lines.find(line => line.event === 'retry' && findNumber(line, 'lastEventId') !== undefined);
 	return retry === undefined
 		? 'no line tells why; look for long reads placed at the same server at that time'
 		: `the stream went on elsewhere, since ${describeRetry(retry, story)}`;
 }
 
-function explainRefusal(story: RequestStory): string {
+function describeRefusal(story: RequestStory): string {
 	const wait = describeWait(story);
 	const left = story.lines.findLast(line => line.event === 'retry');
 	const refused = story.lines.findLast(line => line.event === 'refused');
@@ -154,30 +154,30 @@
 		...wait === '' ? [] : [`; it had waited${wait}`],
 		...inProgress === undefined ? [] : [`; ${inProgress} plans of the service were in progress`],
 		...left === undefined ? [] : [`; before, it was sent away from a server since ${describeRetry(left, story)}`],
-		explainBudget(story),
+		describeBudget(story),
 	].join('');
 }
 
 /** Why a request that had been sent was not tried again, or what had become of its servers. */
-function explainNoRetry(story: RequestStory, ended: EndedCall): string {
+function describeNoRetry(story: RequestStory, ended: EndedCall): string {
 	if (ended.outcome === 'bound_passed_running') {
 		return `; ${describePlace(story)}`;
 	}
 
 	const left = story.lines.findLast(line => line.event === 'retry');
 	if (left !== undefined) {
-		return `; it had left ${findText(left, 'after')} since ${findText(left, 'reason')}${prefixFate(findText(left, 'after'), story)}${explainBudget(story)}`;
+		return `; it had left ${findText(left, 'after')} since ${findText(left, 'reason')}${describeFate(findText(left, 'after'), story)}${describeBudget(story)}`;
 	}
 
-	return `${prefixFate(ended.servers.at(-1), story)}${explainBudget(story)}`;
+	return `${describeFate(ended.servers.at(-1), story)}${describeBudget(story)}`;
 }
 
-function prefixFate(server: string | undefined, story: RequestStory): string {
+function describeFate(server: string | undefined, story: RequestStory): string {
 	const fate = describeServer(server, story);
 	return fate === '' ? '' : `; ${fate}`;
 }
 
-function explainBudget({lines}: RequestStory): string {
+function describeBudget({lines}: RequestStory): string {
 	const refused = lines.find(line => line.event === 'retry_refused');
 	if (refused !== undefined) {
 		return `; the fleet's retry budget was spent (${findNumber(refused, 'spent')} retries of ${findNumber(refused, 'requests')} requests)`;
--- a/src/logs/page/chart.ts
+++ b/src/logs/page/chart.ts
@@ -1,5 +1,5 @@
 /** Charts as SVG, written plainly: the page works in one file, without a network. Pure. */
-import {escapeHtml, formatCount} from './html.js';
+import {encodeHtml, formatCount} from './html.js';
 import type {Scale} from './scale.js';
 
 /** Size of a chart, and the room for its marks, in pixels. */
@@ -25,7 +25,7 @@
 export function drawPoints(frame: ChartFrame, points: ChartPoint[], lines: ChartLine[] = []): string {
 	const marks = points.map(point => {
 		const [x, y] = [placeX(frame, point.x), placeY(frame, point.y)];
-		return `<circle cx="${x}" cy="${y}" r="2.5" fill="${frame.series[point.series].color}"><title>${escapeHtml(point.title)}</title></circle>`;
+		return `<circle cx="${x}" cy="${y}" r="2.5" fill="${frame.series[point.series].color}"><title>${encodeHtml(point.title)}</title></circle>`;
 	});
 	return drawFrame(frame, [...lines.map(line => drawLine(frame, line)), ...marks]);
 }
@@ -39,8 +39,8 @@
 			const [left, right] = [placeX(frame, x), placeX(frame, x + barWidth)];
 			base += height;
 			const {name, color} = frame.series[series];
-			const area = `x="${left}" y="${top}" width="${round(Math.max(1, right - left - 1))}" height="${round(bottom - top)}"`;
-			return height === 0 ? '' : `<rect ${area} fill="${color}"><title>${escapeHtml(`${formatCount(x)}: ${name}, ${formatCount(height)}`)}</title></rect>`;
+			const area = `x="${left}" y="${top}" width="${trimDigits(Math.max(1, right - left - 1))}" height="${trimDigits(bottom - top)}"`;
+			return height === 0 ? '' : `<rect ${area} fill="${color}"><title>${encodeHtml(`${formatCount(x)}: ${name}, ${formatCount(height)}`)}</title></rect>`;
 		});
 	});
 	return drawFrame(frame, marks);
@@ -53,14 +53,14 @@
 	const xTicks = frame.x.ticks.map(tick => `<text x="${placeX(frame, tick)}" y="${height - bottom + 16}" text-anchor="middle">${formatTick(tick)}</text>`);
 	const yTicks = frame.y.ticks.map(tick => {
 		const at = placeY(frame, tick);
-		return `<line class="grid" x1="${left}" x2="${width - right}" y1="${at}" y2="${at}"/><text x="${left - 6}" y="${round(at + 4)}" text-anchor="end">${formatTick(tick)}</text>`;
+		return `<line class="grid" x1="${left}" x2="${width - right}" y1="${at}" y2="${at}"/><text x="${left - 6}" y="${trimDigits(at + 4)}" text-anchor="end">${formatTick(tick)}</text>`;
 	});
-	const legend = frame.series.map(series => `<span><i style="background:${series.color}"></i>${escapeHtml(series.name)}</span>`).join('');
-	return `<figure><figcaption>${escapeHtml(frame.title)}</figcaption>
-<svg viewBox="0 0 ${width} ${height}" role="img" aria-label="${escapeHtml(frame.title)}">
+	const legend = frame.series.map(series => `<span><i style="background:${series.color}"></i>${encodeHtml(series.name)}</span>`).join('');
+	return `<figure><figcaption>${encodeHtml(frame.title)}</figcaption>
+<svg viewBox="0 0 ${width} ${height}" role="img" aria-label="${encodeHtml(frame.title)}">
 ${[...yTicks, ...xTicks].join('\n')}
-<text x="${(width + left) / 2}" y="${height - 6}" text-anchor="middle">${escapeHtml(frame.xName)}</text>
-<text transform="translate(14 ${(height - bottom + top) / 2}) rotate(-90)" text-anchor="middle">${escapeHtml(frame.yName)}</text>
+<text x="${(width + left) / 2}" y="${height - 6}" text-anchor="middle">${encodeHtml(frame.xName)}</text>
+<text transform="translate(14 ${(height - bottom + top) / 2}) rotate(-90)" text-anchor="middle">${encodeHtml(frame.yName)}</text>
 ${marks.filter(mark => mark !== '').join('\n')}
 </svg><div class="legend">${legend}</div></figure>`;
 }
@@ -68,19 +68,19 @@
 function drawLine(frame: ChartFrame, {y, name}: ChartLine): string {
 	const at = placeY(frame, y);
 	const end = size.width - size.right;
-	return `<line class="aim" x1="${size.left}" x2="${end}" y1="${at}" y2="${at}"/><text class="aim" x="${end}" y="${round(at - 3)}" text-anchor="end">${escapeHtml(name)}</text>`;
+	return `<line class="aim" x1="${size.left}" x2="${end}" y1="${at}" y2="${at}"/><text class="aim" x="${end}" y="${trimDigits(at - 3)}" text-anchor="end">${encodeHtml(name)}</text>`;
 }
 
 function placeX({x}: ChartFrame, value: number): number {
-	return round(size.left + (x.place(value) * (size.width - size.left - size.right)));
+	return trimDigits(size.left + (x.place(value) * (size.width - size.left - size.right)));
 }
 
 function placeY({y}: ChartFrame, value: number): number {
 	const base = size.height - size.bottom;
-	return round(base - (y.place(value) * (base - size.top)));
+	return trimDigits(base - (y.place(value) * (base - size.top)));
 }
 
-function round(value: number): number {
+function trimDigits(value: number): number {
 	return Math.round(value * 10) / 10;
 }
 
--- a/src/logs/page/day-charts.ts
+++ b/src/logs/page/day-charts.ts
@@ -49,7 +49,7 @@
 		y: divideByTens(Math.max(1, findLeast(shown.map(call => call.firstAfter!))), findMost([...shown.map(call => call.firstAfter!), ...shown.map(call => call.objective ?? 0)])),
 		series: verdictSeries,
 	};
-	return drawPoints(frame, thinOut(shown).map(call => toPoint(call, call.promptTokens, call.firstAfter!)), listLines(shown, call => call.objective));
+	return drawPoints(frame, pickPoints(shown).map(call => buildPoint(call, call.promptTokens, call.firstAfter!)), listLines(shown, call => call.objective));
 }
 
 /** Longest pauses over time, with aims. */
@@ -63,7 +63,7 @@
 		y: divideByTens(Math.max(1, findLeast(shown.map(call => call.longestPause!))), findMost(shown.map(call => Math.max(call.longestPause!, call.pauseAim!)))),
 		series: verdictSeries,
 	};
-	return drawPoints(frame, thinOut(shown).map(call => toPoint(call, call.came / seconds, call.longestPause!)), listLines(shown, call => call.pauseAim));
+	return drawPoints(frame, pickPoints(shown).map(call => buildPoint(call, call.came / seconds, call.longestPause!)), listLines(shown, call => call.pauseAim));
 }
 
 /** How long requests had waited when they got a place or were refused. */
@@ -127,14 +127,14 @@
 	return drawBars(frame, width, [...bars.entries()].sort(([left], [right]) => left - right).map(([x, heights]) => ({x, heights})));
 }
 
-function toPoint(call: DayCall, x: number, y: number): ChartPoint {
+function buildPoint(call: DayCall, x: number, y: number): ChartPoint {
 	return {
 		x, y, series: verdicts.indexOf(call.verdict), title: `${call.request}: ${call.promptTokens} tokens, ${call.verdict}, first event ${call.firstAfter} of ${call.objective} ms, at ${call.node}`,
 	};
 }
 
 /** All bad calls, and as many good ones as there is room for, evenly; the bad ones lie on top. */
-function thinOut(calls: DayCall[]): DayCall[] {
+function pickPoints(calls: DayCall[]): DayCall[] {
 	const bad = calls.filter(call => call.verdict !== 'in aim').slice(0, mostPoints);
 	const good = calls.filter(call => call.verdict === 'in aim');
 	const every = Math.max(1, Math.ceil(good.length / Math.max(1, mostPoints - bad.length)));
--- a/src/logs/page/html.ts
+++ b/src/logs/page/html.ts
@@ -5,7 +5,7 @@
 };
 
 /** Escapes a text: what callers and servers are called is theirs to choose. */
-export function escapeHtml(text: string): string {
+export function encodeHtml(text: string): string {
 	return text.replaceAll(/[&<>"]/g, found => escapes[found]);
 }
 
--- a/src/logs/page/report-page.ts
+++ b/src/logs/page/report-page.ts
@@ -5,7 +5,7 @@
 import {
 	drawDeciders, drawEnds, drawFirstEvents, drawPauses, drawWaits,
 } from './day-charts.js';
-import {escapeHtml, formatCount, formatTable} from './html.js';
+import {encodeHtml, formatCount, formatTable} from './html.js';
 
 const style = `
 body{font:15px/1.45 system-ui,sans-serif;margin:2em auto;max-width:62em;padding:0 1em;color:#1b1b1b;background:#fff}
@@ -58,7 +58,7 @@
 function formatHead({calls, brought, origin}: DaySummary, files: string[]): string {
 	const rejected = calls.filter(call => call.verdict === 'rejected').length;
 	return `<h1>cresshook report</h1>
-<p>${escapeHtml(files.join(', '))}. Times count ${origin === undefined ? 'as the collector of the logs does' : `from ${origin}`}.</p>
+<p>${encodeHtml(files.join(', '))}. Times count ${origin === undefined ? 'as the collector of the logs does' : `from ${origin}`}.</p>
 <p>${formatCount(calls.length - rejected)} calls were owed an answer, and ${formatCount(brought * 100, 1)}% of their worth was brought.
 ${formatCount(rejected)} more had no route or key. Worth is counted as the planner does: the prompt's tokens and a base; an answer that is late or pauses too long keeps a part.
 These are the nodes' logs: connections that never reached a node, and callers who try again under a new id, are not told apart.</p>`;
@@ -67,7 +67,7 @@
 function formatLosses({losses}: DaySummary): string {
 	const most = losses[0]?.share ?? 1;
 	return formatTable(['reason', 'calls', 'share of all worth', ''], losses.map(({reason, calls, share}) => [
-		escapeHtml(reason), formatCount(calls), `${formatCount(share * 100, 2)}%`, `<span class="bar" style="width:${Math.round(share / most * widestBar)}px"></span>`,
+		encodeHtml(reason), formatCount(calls), `${formatCount(share * 100, 2)}%`, `<span class="bar" style="width:${Math.round(share / most * widestBar)}px"></span>`,
 	]));
 }
 
@@ -86,7 +86,7 @@
 function formatDeciders({decisions, calls, deciders}: DaySummary): string {
 	const count = (by: string) => calls.filter(call => call.decidedBy === by).length;
 	const passed = decisions.filter(({event}) => event === 'decider_passed_over').length;
-	const rows = deciders.map(({at, service, to, tellers}) => [escapeHtml(service), formatCount(at / 1000, 1), escapeHtml(to), formatCount(tellers)]);
+	const rows = deciders.map(({at, service, to, tellers}) => [encodeHtml(service), formatCount(at / 1000, 1), encodeHtml(to), formatCount(tellers)]);
 	return `<p>Last place of each call: ${formatCount(count('planner'))} by the deciding node, ${formatCount(count('self'))} by the node that took the call and decides itself,
 ${formatCount(count('fallback'))} by a node's own view; the deciding node was passed over ${formatCount(passed)} times.</p>
 ${formatTable(['service', 's', 'decides from then on', 'nodes that say so'], rows)}`;
@@ -94,6 +94,6 @@
 
 function formatWorst({call, cause, steps}: WorstCall): string {
 	const rows = steps.map(step => `${formatCount((step.at - steps[0].at), 0).padStart(8)} ms  ${step.writer}  ${step.event}  ${listFacts(step)}`);
-	const head = `<code>${escapeHtml(call.request)}</code>, ${formatCount(call.promptTokens)} tokens: ${escapeHtml(cause)}`;
-	return `<details><summary>${head}</summary><pre>${escapeHtml(rows.join('\n'))}</pre></details>`;
+	const head = `<code>${encodeHtml(call.request)}</code>, ${formatCount(call.promptTokens)} tokens: ${encodeHtml(cause)}`;
+	return `<details><summary>${head}</summary><pre>${encodeHtml(rows.join('\n'))}</pre></details>`;
 }
