fix(gateway): a deciding node is not passed over for servers that a request has left

Cause: a node that asks for a place and is refused with no_backend_server takes that for a decider which has just started and knows fewer servers, when it knows any itself. A retry that had left the only server of a service is refused so, truly. The asking node then passed the decider over for 600 ms for every service (two decider_changed, adoptions, decisions by its own view) and logged \`decider_passed_over\`, "it knows no server".

Change: only servers that the request has not left count as what the decider lacks.

The test fails without the change (three refusals for two requests).

--- a/src/gateway/deciding/shared-placer.ts
+++ b/src/gateway/deciding/shared-placer.ts
@@ -263,8 +263,8 @@
 			return {decidedBy: 'planner', result: Right(answer.decision)};
 		}
 
-		// A node that has just started may know fewer servers than this one.
-		const knowsNone = answer?.failure?.kind === 'no_backend_server' && this.#parts.state.listServers(request.service).length > 0;
+		// A node that has just started may know fewer servers than this one; those that the request has left are none that it lacks.
+		const knowsNone = answer?.failure?.kind === 'no_backend_server' && this.#parts.state.listServers(request.service).some(server => !request.excluded.includes(server.id));
 		if (answer?.failure !== undefined && !knowsNone) {
 			return {decidedBy: 'planner', result: Left(answer.failure)};
 		}
--- a/test/gateway-nodes.test.ts
+++ b/test/gateway-nodes.test.ts
@@ -1,12 +1,13 @@
 import {
 	afterEach, beforeEach, expect, test,
 } from '@jest/globals';
-import type {ServiceName} from '../src/common/index.js';
+import {createLogger, type ServiceName} from '../src/common/index.js';
 import {
 	createConfig, GatewayFleet, send, waitUntil,
 } from './helpers/gateways.js';
 import {sendRaw as sendBytes} from './helpers/calls.js';
-import {answerWhole, streamEvents} from './helpers/platform-standins.js';
+import {LogMemory} from './helpers/logs.js';
+import {answerWhole, decline, streamEvents} from './helpers/platform-standins.js';
 
 /** For tests in which a node ends its last watch of five seconds, in milliseconds. */
 const watchedLimit = 15_000;
@@ -200,3 +201,19 @@
 	expect(answer.status).toBe(413);
 	expect(fleet.runners[0].seen).toHaveLength(0);
 });
+
+/**
+ * A retry that had left the only server of a service was refused by the deciding node, truly, and the asking node took
+ * that for a node which knows no server: it passed it over for 600 ms for all services and decided by its own view.
+ * `decider_passed_over` with "it knows no server" beside `refused` with that server among `excluded` settled it.
+ */
+test('a deciding node that knows only servers which the request has left is not passed over', async () => {
+	const logs = [new LogMemory(), new LogMemory()];
+	fleet.loggers.push(...logs.map(log => createLogger('info', log)));
+	await fleet.start({nodes: 2, runners: [{service: 'app', behaviour: decline}]});
+	await waitUntil(() => fleet.gateways.every(gateway => gateway.listReadyNodes().length === 2));
+	const answers = await Promise.all([0, 1].map(async node => fleet.call({path: '/again/'}, node)));
+	expect(answers.map(answer => answer.status)).toEqual([503, 503]);
+	expect(logs.flatMap(log => log.listLines('refused')).map(({excluded}) => excluded)).toEqual([['i-0'], ['i-0']]);
+	expect(logs.flatMap(log => log.listLines('decider_passed_over'))).toEqual([]);
+});
