fix(cli): axes of counts have whole marks, and the last mark of an axis is not cut off

The page of report was looked at in a headless browser: counts up to three had marks 3, 3, 2, 2, 1, 1, 0.50, and the mark 1,000,000 lost its last digits. Marks of counts are at least one apart, the margin on the right is 36 px.

--- a/src/logs/page/chart.ts
+++ b/src/logs/page/chart.ts
@@ -4,7 +4,7 @@
 
 /** Size of a chart, and the room for its marks, in pixels. */
 const size = {
-	width: 960, height: 300, left: 64, right: 12, top: 12, bottom: 40,
+	width: 960, height: 300, left: 64, right: 36, top: 12, bottom: 40,
 };
 
 /** A kind of thing in a chart. */
--- a/src/logs/page/day-charts.ts
+++ b/src/logs/page/day-charts.ts
@@ -122,7 +122,7 @@
 
 	const sums = [...bars.values()].map(heights => heights.reduce((sum, height) => sum + height, 0));
 	const frame = {
-		title, xName: `s, in steps of ${width} s`, yName: 'count', x: divideTime(calls), y: divideEvenly(0, findMost(sums)), series,
+		title, xName: `s, in steps of ${width} s`, yName: 'count', x: divideTime(calls), y: divideEvenly(0, findMost(sums), 1), series,
 	};
 	return drawBars(frame, width, [...bars.entries()].sort(([left], [right]) => left - right).map(([x, heights]) => ({x, heights})));
 }
--- a/src/logs/page/scale.ts
+++ b/src/logs/page/scale.ts
@@ -6,10 +6,10 @@
 /** Marks that an axis has at most, about. */
 const mostTicks = 8;
 
-/** An even axis from `least` to `most`. */
-export function divideEvenly(least: number, most: number): Scale {
+/** An even axis from `least` to `most`, with marks at least `leastStep` apart: 1 for counts, which have nothing between. */
+export function divideEvenly(least: number, most: number, leastStep = 0): Scale {
 	const span = Math.max(most - least, Number.EPSILON);
-	const step = findStep(span / mostTicks);
+	const step = Math.max(leastStep, findStep(span / mostTicks));
 	const ticks = [];
 	for (let tick = Math.ceil(least / step) * step; tick <= most + (step / 1000); tick += step) {
 		ticks.push(tick);
--- a/test/report.test.ts
+++ b/test/report.test.ts
@@ -8,6 +8,7 @@
 } from '@jest/globals';
 import {createLogger} from '../src/common/index.js';
 import {DayGatherer, parseLogLine, type DaySummary} from '../src/logs/index.js';
+import {divideEvenly} from '../src/logs/page/scale.js';
 import {runCommand} from './helpers/commands.js';
 import {GatewayFleet, waitUntil} from './helpers/gateways.js';
 import {LogMemory} from './helpers/logs.js';
@@ -221,3 +222,9 @@
 	const html = await readFile(page, 'utf8');
 	expect(html).not.toMatch(/NaN|Infinity|undefined/);
 });
+
+test('an axis of counts has whole marks, however few there are', () => {
+	expect(divideEvenly(0, 3, 1).ticks).toEqual([0, 1, 2, 3]);
+	expect(divideEvenly(0, 3).ticks).toEqual([0, 0.5, 1, 1.5, 2, 2.5, 3]);
+	expect(divideEvenly(0, 120, 1).ticks).toEqual([0, 20, 40, 60, 80, 100, 120]);
+});
