feat(gateway): the end of a call tells the silence in which its caller left, a retry the status

Change: call_ended has sinceLastEvent for an answer that is not whole, explain tells it; the line retry names the status of a server that answered with a failure (it said 'failed').

--- a/src/gateway/calls/backend-attempt.ts
+++ b/src/gateway/calls/backend-attempt.ts
@@ -21,7 +21,7 @@
 	/** The whole answer has been passed on. */
 	| {kind: 'done'}
 	/** The server ran it and answered with a failure; `deliver` passes that answer on. */
-	| {kind: 'failed'; server: BackendServerId; deliver: () => void}
+	| {kind: 'failed'; server: BackendServerId; status: number; deliver: () => void}
 	/** It did not run; `faultyAddress` when the server names another one that it depended on. */
 	| {kind: 'declined'; trouble: Trouble; server: BackendServerId; reason: string; faultyAddress?: string}
 	/** It may have run, and there is no whole answer. */
@@ -265,6 +265,7 @@
 			this.#finish({
 				kind: 'failed',
 				server,
+				status: head.status,
 				deliver: () => {
 					this.#deliver(head, body);
 				},
--- a/src/gateway/calls/call-run.ts
+++ b/src/gateway/calls/call-run.ts
@@ -47,6 +47,8 @@
 	firstAfter?: number;
 	/** Longest pause between two events of one server's stream, in milliseconds. */
 	longestPause: number;
+	/** Milliseconds from the last event to the end of an answer that is not whole. */
+	sinceLastEvent?: number;
 	sends: number;
 	servers: BackendServerId[];
 	expectedFirst?: number;
@@ -210,7 +212,7 @@
 			}
 
 			case 'failed': {
-				if (this.#mayRepeat() && await this.#takeTry(end.server, 'failed')) {
+				if (this.#mayRepeat() && await this.#takeTry(end.server, `the server answered ${end.status}`)) {
 					return 'again';
 				}
 
@@ -349,7 +351,9 @@
 
 		if (this.#sink.hasHead || this.#end === 'gone') {
 			this.#sink.cut();
-			return {...outcome, status: 0};
+			const {lastEventAt} = this.#seeker;
+			const sinceLastEvent = lastEventAt === undefined ? undefined : this.#parts.clock.readMonotonic() - lastEventAt;
+			return {...outcome, sinceLastEvent, status: 0};
 		}
 
 		return {...outcome, status: sendFailure(this.#sink, this.#parts.wire, failure, this.#call.head.requestId)};
--- a/src/gateway/calls/call-service.ts
+++ b/src/gateway/calls/call-service.ts
@@ -152,6 +152,7 @@
 			expectedFirst: outcome.expectedFirst === undefined ? undefined : Math.round(outcome.expectedFirst),
 			firstAfter: outcome.firstAfter === undefined ? undefined : Math.round(outcome.firstAfter),
 			longestPause: Math.round(outcome.longestPause),
+			sinceLastEvent: outcome.sinceLastEvent === undefined ? undefined : Math.round(outcome.sinceLastEvent),
 			pauseAim: call.route.longestPause,
 			callerWaits: call.head.timeLeft,
 			objective: call.route.objective,
--- a/src/logs/ended-call.ts
+++ b/src/logs/ended-call.ts
@@ -30,6 +30,8 @@
 	objective: number | undefined;
 	longestPause: number | undefined;
 	pauseAim: number | undefined;
+	/** From the last event to the end, when the answer was not whole. */
+	sinceLastEvent: number | undefined;
 	callerWaits: number | undefined;
 	took: number;
 	verdict: Verdict;
@@ -63,6 +65,7 @@
 		objective: findNumber(line, 'objective'),
 		longestPause: findNumber(line, 'longestPause'),
 		pauseAim: findNumber(line, 'pauseAim'),
+		sinceLastEvent: findNumber(line, 'sinceLastEvent'),
 		callerWaits: findNumber(line, 'callerWaits'),
 		took: findNumber(line, 'took') ?? 0,
 	};
--- a/src/logs/find-cause.ts
+++ b/src/logs/find-cause.ts
@@ -63,9 +63,13 @@
 
 function describeLeft(story: RequestStory, ended: EndedCall): string {
 	const left = `Its caller left after ${formatTime(ended.took)}${describeLimit(ended)}`;
-	return ended.firstAfter === undefined
-		? `${left}, before a first event: ${describePlace(story)}.`
-		: `${left}, after a first event at ${formatTime(ended.firstAfter)} and a ${describePause(ended)}; the silence in which it left is no pause.`;
+	if (ended.firstAfter === undefined) {
+		return `${left}, before a first event: ${describePlace(story)}.`;
+	}
+
+	return ended.sinceLastEvent === undefined
+		? `${left}, after a first event at ${formatTime(ended.firstAfter)} and a ${describePause(ended)}; the silence in which it left is no pause.`
+		: `${left}, after a first event at ${formatTime(ended.firstAfter)}, in a silence of ${formatTime(ended.sinceLastEvent)}.`;
 }
 
 /** No line tells the end: the node that took it has gone, or its log is not among the files. */
--- a/test/explain.test.ts
+++ b/test/explain.test.ts
@@ -9,7 +9,9 @@
 import {runCommand} from './helpers/commands.js';
 import {GatewayFleet, waitUntil} from './helpers/gateways.js';
 import {LogMemory} from './helpers/logs.js';
-import {answerWhole, decline, streamEvents} from './helpers/platform-standins.js';
+import {
+	answerWhole, decline, formatEvent, markAnswer, streamEvents, type RunnerBehaviour,
+} from './helpers/platform-standins.js';
 
 let fleet: GatewayFleet;
 let folder: string;
@@ -96,6 +98,22 @@
 	expect(cause).toBe('It was refused with 404 (unknown_path), and ran nowhere: no route for host shop.example begins this path.');
 });
 
+// A caller that had left after two seconds of silence was told of with the longest pause between two events, 77 ms.
+test('a request whose caller left in a silence is told how long that was', async () => {
+	const behaviour: RunnerBehaviour = (request, response) => {
+		response.writeHead(200, {...markAnswer(request), 'content-type': 'text/event-stream'});
+		response.write(formatEvent(1));
+	};
+
+	await fleet.start({runners: [{service: 'model', behaviour}]});
+	await fleet.call({path: '/stream/', headers: {'cresshook-attempt-id': 'waiting', 'cresshook-token-usage': '5000,80'}, leaveAfter: 600});
+	const {verdict, cause} = await explain('waiting', await writeLogs(1));
+	expect(verdict).toBe('left by caller');
+	const silence = /^Its caller left after \d+ ms, after a first event at \d+ ms, in a silence of (?<silence>\d+) ms\.$/.exec(cause)?.groups?.silence;
+	expect(Number(silence)).toBeGreaterThan(400);
+	expect(Number(silence)).toBeLessThan(700);
+});
+
 test('a request whose caller left before its first event is told where it was placed', async () => {
 	await fleet.start({
 		runners: [{
