feat(gateway): a node tells for how long its configuration is behind, and the way from a late change to its cause

A gauge, cresshook_config_behind_seconds, counts from the moment at which a node first heard of a version newer than its own; over a second a line config_behind names the version, the newest one and whom the node asks, once for each version. Before, a late node showed only when its question ended, four seconds later. Tests: what is counted, the line, once; the gauge in the text of the figures.

--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -36,6 +36,10 @@
 		name: 'cresshook_connections_left_total', help: 'connections left because they were silent, by what they were for', labelNames: ['kind'], registers: [this.#registry],
 	});
 
+	readonly #configLag = new Gauge({
+		name: 'cresshook_config_behind_seconds', help: 'for how long the node has known of a newer configuration than its own', registers: [this.#registry],
+	});
+
 	readonly #gauges = new Gauge({
 		name: 'cresshook_state', help: 'what the node believes: configuration version, live nodes, servers, calls in progress', labelNames: ['what'], registers: [this.#registry],
 	});
@@ -70,6 +74,11 @@
 		this.#left.inc({kind});
 	}
 
+	/** Sets for how long a newer configuration than the node's own has been known of, in milliseconds. */
+	setConfigLag(lag: number): void {
+		this.#configLag.set(lag / 1000);
+	}
+
 	/** Sets what the node believes. */
 	setState(what: string, value: number): void {
 		this.#gauges.set({what}, value);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -377,6 +377,7 @@
 		this.#views.chooseWatchers(this.#peers);
 		this.metrics.setState('live_nodes', this.#peers.countLive() + 1);
 		this.metrics.setState('config_version', this.state.configVersion);
+		this.metrics.setConfigLag(this.#views.reportLag());
 		this.metrics.setState('usable_servers', this.state.usableServers);
 		this.metrics.setState('foreign_servers', this.state.foreignCount);
 		this.metrics.setState('calls', this.#calls.inProgress);
--- a/src/gateway/views/index.ts
+++ b/src/gateway/views/index.ts
@@ -1,3 +1,4 @@
+export * from './config-lag.js';
 export * from './registration.js';
 export * from './view-answers.js';
 export * from './view-exchange.js';
--- a/src/gateway/views/view-exchange.ts
+++ b/src/gateway/views/view-exchange.ts
@@ -12,6 +12,7 @@
 import type {Peer, PeerView} from '../peers/peer-beat.js';
 import type {PeerClients} from '../peers/peer-rpc.js';
 import type {Peers} from '../peers/peers.js';
+import {ConfigLag} from './config-lag.js';
 import {ViewQuestions, type ViewQuestion, type ViewQuestionParts} from './view-questions.js';
 import {chooseWatchers} from './watchers.js';
 
@@ -27,6 +28,9 @@
 /** Time after its start for which a node that knows the fleet does not follow the source yet, in milliseconds: by then it has heard who does. Of hundreds that start again together a few go on to ask. */
 const settleTime = 1000;
 
+/** Time for which a newer configuration is known of before a line says so, in milliseconds: the bound for a change. */
+const reportedLag = 1000;
+
 /** What the exchange needs. */
 export type ViewExchangeParts = {
 	clock: Clock;
@@ -45,7 +49,9 @@
 	readonly #parts: ViewExchangeParts;
 	readonly #servers: ViewQuestions;
 	readonly #config: ViewQuestions;
+	readonly #lag = new ConfigLag();
 	#view: PeerView | undefined;
+	#reportedVersion = 0;
 	#isWatcher: boolean;
 	readonly #patientUntil: number;
 	readonly #settledAt: number;
@@ -123,10 +129,25 @@
 	/** Takes what another node knows and this one does not: servers and configuration each by questions of their own. */
 	compareView(peer: Peer, view: PeerView): void {
 		const pause = this.#isPatient ? firstPause : undefined;
+		this.#lag.hear(view.configVersion, this.#parts.clock.readMonotonic());
 		this.#servers.hear(peer, view, pause);
 		this.#config.hear(peer, view, pause);
 	}
 
+	/** For how long this node has known of a newer configuration than its own, in milliseconds; logged when it is long. */
+	reportLag(): number {
+		const {clock, state, logger} = this.#parts;
+		const lag = this.#lag.measure(state.configVersion, clock.readMonotonic());
+		if (lag > reportedLag && this.#reportedVersion !== this.#lag.newest) {
+			this.#reportedVersion = this.#lag.newest;
+			logger.warn({
+				event: 'config_behind', version: state.configVersion, newest: this.#lag.newest, behind: Math.round(lag), asked: this.#config.asked,
+			}, 'this node has heard of a newer configuration and does not have it yet');
+		}
+
+		return lag;
+	}
+
 	/** Whether a node with this view knows servers that this one does not. */
 	#hasServers(view: PeerView): boolean {
 		const own = this.describeView();
--- a/src/gateway/views/view-questions.ts
+++ b/src/gateway/views/view-questions.ts
@@ -64,6 +64,11 @@
 		this.#parts = parts;
 	}
 
+	/** Nodes that are asked at the moment. */
+	get asked(): BoxId[] {
+		return [...this.#open].map(question => question.node);
+	}
+
 	/** Takes a heartbeat: when its node is ahead, this one catches up; `pause` is the least time between two questions, in milliseconds. */
 	hear(peer: Peer, view: PeerView, pause = defaultPause): void {
 		this.#ahead.delete(peer.name);
--- /dev/null
+++ b/test/config-lag.test.ts
@@ -0,0 +1,78 @@
+import {expect, test} from '@jest/globals';
+import {createLogger, VirtualClock} from '../src/common/index.js';
+import type {PeerClients} from '../src/gateway/peers/peer-rpc.js';
+import {ConfigLag, ViewExchange} from '../src/gateway/views/index.js';
+import {FleetState} from '../src/routing/index.js';
+import {LogMemory} from './helpers/logs.js';
+import {createPeer} from './helpers/peers.js';
+import {passTime} from './helpers/sources.js';
+import {createRoutedConfig, createRoutes} from './helpers/viewing-fleet.js';
+
+test('a node is behind since it first heard of a version newer than its own', () => {
+	const lag = new ConfigLag();
+	expect(lag.measure(1, 0)).toBe(0);
+	lag.hear(1, 100);
+	lag.hear(3, 200);
+	lag.hear(3, 250);
+	lag.hear(5, 400);
+	lag.hear(2, 450);
+	expect([lag.measure(1, 500), lag.newest]).toEqual([300, 5]);
+	expect(lag.measure(3, 600)).toBe(200);
+	expect(lag.measure(5, 700)).toBe(0);
+	lag.hear(5, 800);
+	expect(lag.measure(5, 900)).toBe(0);
+});
+
+/** A node that is behind others, none of which answers. */
+function startBehind() {
+	const clock = new VirtualClock();
+	const memory = new LogMemory();
+	const logger = createLogger('info', memory);
+	const state = new FleetState(clock, logger);
+	const silent: string[] = [];
+	const askAfresh = async () => new Promise(() => {}); // eslint-disable-line @typescript-eslint/no-empty-function
+	const exchange = new ViewExchange({
+		clock,
+		logger,
+		state,
+		clients: {askAfresh} as unknown as PeerClients,
+		self: () => createPeer('n0'),
+		isFirstStart: false,
+		onSilent(part) {
+			silent.push(part);
+		},
+	});
+	state.applyConfig(createRoutedConfig(1, createRoutes(3)), 'source');
+	exchange.compareView(createPeer('n1'), {configVersion: 2, serversRevision: 0, serversDigest: ''});
+	return {
+		clock, memory, state, exchange, silent,
+	};
+}
+
+test('a node that is over a second behind says so once for each version, and whom it asks', async () => {
+	const {clock, memory, exchange} = startBehind();
+	const listBehind = () => memory.listLines('config_behind').map(({version, newest, behind, asked}) => ({
+		version, newest, behind, asked,
+	}));
+	await passTime(clock, 990);
+	expect([exchange.reportLag(), listBehind()]).toEqual([990, []]);
+	await passTime(clock, 110);
+	expect([exchange.reportLag(), exchange.reportLag()]).toEqual([1100, 1100]);
+	expect(listBehind()).toEqual([{
+		version: 1, newest: 2, behind: 1100, asked: ['n1', 'n1', 'n1', 'n1'],
+	}]);
+	exchange.compareView(createPeer('n2'), {configVersion: 3, serversRevision: 0, serversDigest: ''});
+	expect(exchange.reportLag()).toBe(1100);
+	expect(listBehind()).toHaveLength(2);
+});
+
+test('each question that is silent is counted and logged once, and asked beside; all end when the node has caught up', async () => {
+	const {clock, memory, state, exchange, silent} = startBehind();
+	await passTime(clock, 350);
+	expect(silent).toEqual(['config', 'config']);
+	expect(memory.listLines('config_missed').map(line => [line.node, line.silentFor])).toEqual([['n1', 100], ['n1', 200]]);
+	state.applyConfig(createRoutedConfig(2, createRoutes(3)), 'source');
+	await passTime(clock, 2000);
+	expect(silent).toHaveLength(3);
+	expect(exchange.reportLag()).toBe(0);
+});
--- a/test/gateway-nodes.test.ts
+++ b/test/gateway-nodes.test.ts
@@ -175,6 +175,7 @@
 	const answer = await send(`${fleet.settings[0].listen.callers.split(':')[0]}:${fleet.settings[0].metrics_port}`, {path: '/metrics', method: 'GET'});
 	expect(answer.body).toContain('cresshook_calls_total{service="app",outcome="whole"} 1');
 	expect(answer.body).toContain('cresshook_first_seconds_bucket');
+	expect(answer.body).toContain('cresshook_config_behind_seconds 0\n');
 });
 
 test('bad heads are refused and never reach a server', async () => {
