fix(gateway): nodes that decide without seeing the others do not all choose the same servers

Cause: after the loss of power of all nodes each of 77 decided alone for a second, and nodes that froze and woke decided by their own view when no decider answered within 90 ms. By each of those boards all servers look free, and all order them alike: of 680 prompts 480 went to six of 60 servers, 488 sends were answered by 503, the retries they took left none for 75 prompts that waited in those queues (log lines `placed` by the asking node itself, `retry_refused`).

Change: a decision is told how many nodes' plans its node sees of those it knows of. Below half, servers are tried from another beginning for each request, a third of them for long prompts, and a prompt that needs several servers waits, until the fleet is seen and for a second at most. The replay's `joint` lets 77 nodes decide alone for a second after a restart.

Ruled out: shed servers as the cause (they were full of these prompts); more retries (the budget went to sends that a spread avoids).

--- a/src/gateway/deciding/decision-log.ts
+++ b/src/gateway/deciding/decision-log.ts
@@ -9,6 +9,9 @@
 	inProgress: number;
 	configVersion: number;
 	serversRevision: number;
+	/** Nodes whose plans this one sees, and those that it knows of. */
+	seen: number;
+	known: number;
 };
 
 /** Logs a place, a wait or a refusal. */
--- a/src/gateway/deciding/shared-placer.ts
+++ b/src/gateway/deciding/shared-placer.ts
@@ -155,16 +155,7 @@
 
 	/** Decides for a node that asked. */
 	decideFor(request: PlanRequest): Either<Failure, Decision> {
-		const {planner} = this.#findPlans(request.service);
-		const now = this.#parts.clock.readMonotonic();
-		if (isFirstAsk(request)) {
-			this.#retries.addDecided(request);
-		}
-
-		const decided = planner.decide(request, now);
-		const {logger, state} = this.#parts;
-		logDecision(logger, request, decided, {inProgress: planner.planCount, configVersion: state.configVersion, serversRevision: state.serversRevision});
-		return decided;
+		return this.#decideHere(request, this.#parts.peers.countLive() + 1);
 	}
 
 	override async takeRetry(request: RetryRequest): Promise<boolean> {
@@ -245,6 +236,23 @@
 		};
 	}
 
+	/** Decides by what this node has seen: its own plans, and those of so many nodes, itself among them, that ask it. */
+	#decideHere(request: PlanRequest, seen: number): Either<Failure, Decision> {
+		const {planner} = this.#findPlans(request.service);
+		const now = this.#parts.clock.readMonotonic();
+		if (isFirstAsk(request)) {
+			this.#retries.addDecided(request);
+		}
+
+		const {logger, state, peers, countTold} = this.#parts;
+		const sight = {seen, known: Math.max(countTold(), peers.countKnown() + 1)};
+		const decided = planner.decide(request, now, sight);
+		logDecision(logger, request, decided, {
+			inProgress: planner.planCount, configVersion: state.configVersion, serversRevision: state.serversRevision, ...sight,
+		});
+		return decided;
+	}
+
 	async #decide(request: PlanRequest): Promise<{decidedBy: Placed['decidedBy']; result: Either<Failure, Decision>}> {
 		const plans = this.#findPlans(request.service);
 		const self = this.#parts.self();
@@ -273,7 +281,7 @@
 		this.#parts.logger.warn({
 			event: 'decider_passed_over', request: request.requestId, node: decider.name, reason: knowsNone ? 'it knows no server' : `no answer within ${askTimeout} ms`,
 		}, 'this node decides by its own view');
-		return {decidedBy: 'fallback', result: this.decideFor(request)};
+		return {decidedBy: 'fallback', result: this.#decideHere(request, 1)};
 	}
 
 	/** A new decider learns what this node has running and has spent; one that started again knows nothing of it either. */
--- a/src/planning/index.ts
+++ b/src/planning/index.ts
@@ -1,6 +1,7 @@
 export * from './credit.js';
 export * from './engine-model.js';
 export * from './fleet-retries.js';
+export * from './fleet-sight.js';
 export * from './plan.js';
 export * from './planner.js';
 export * from './read-demand.js';
--- a/src/planning/plan.ts
+++ b/src/planning/plan.ts
@@ -87,8 +87,8 @@
 /** What a planner answers: a plan, or when to ask again because others read first. */
 export type Decision = {kind: 'plan'; plan: Plan} | {kind: 'wait'; askAgainIn: number; reason: WaitReason};
 
-/** Why a long prompt waits: its servers still read or others read first, writers would pause too long, or its memory has no room. */
-export type WaitReason = 'reading' | 'writers' | 'memory';
+/** Why a long prompt waits: its servers still read or others read first, writers would pause too long, its memory has no room, or its node doesn't see the fleet yet. */
+export type WaitReason = 'reading' | 'writers' | 'memory' | 'sight';
 
 /** How a plan went on, told by the node that carries it out. */
 export type PlanNote =
--- a/src/planning/planner.ts
+++ b/src/planning/planner.ts
@@ -17,6 +17,9 @@
 import {CallerWaits} from './caller-waits.js';
 import {computeReadTime} from './engine-model.js';
 import {findLeast} from './find-least.js';
+import {
+	DimSight, divideUnseen, sightAskPause, spreadServers, wholeSight, type FleetSight,
+} from './fleet-sight.js';
 import type {
 	Decision, Plan, PlanNote, PlanRequest,
 } from './plan.js';
@@ -84,6 +87,7 @@
 	#engine: EngineFigures | undefined;
 	#shortestPause = defaultPause;
 	readonly #shares = new ServerShares();
+	readonly #sight = new DimSight();
 
 	constructor(parts: PlannerParts) {
 		this.#ids = parts.ids;
@@ -145,13 +149,14 @@
 	}
 
 	/** Decides for one request. A plan's place is held until `note` or `prune` frees it; a request that waits keeps its turn by asking again. */
-	decide(asked: PlanRequest, now: number): Either<Failure, Decision> {
+	decide(asked: PlanRequest, now: number, sight: FleetSight = wholeSight): Either<Failure, Decision> {
 		this.prune(now);
 		const request = this.#countEarlierTries(asked);
 		if (request.longestPause !== undefined) {
 			this.#shortestPause = Math.min(this.#shortestPause, request.longestPause);
 		}
 
+		this.#sight.notice(sight, now);
 		const usable = this.#listUsable(request, now);
 		if (usable.length === 0) {
 			return Left(createFailure('no_backend_server', `no backend server of ${request.service} takes new work`));
@@ -276,16 +281,21 @@
 	}
 
 	#planPlain(request: PlanRequest, usable: ServerBoard[]): Either<Failure, Decision> {
-		const best = findLeast(usable, board => (board.workCount / board.server.slots) + board.health.spoiled)!;
+		const ordered = this.#sight.isDim ? spreadServers(usable, request.requestId) : usable;
+		const best = findLeast(ordered, board => (board.workCount / board.server.slots) + board.health.spoiled)!;
 		return Right(this.#createPlan(request, best.server.id, {expectedFirst: 0}));
 	}
 
 	#planPrompt(request: PlanRequest, usable: ServerBoard[], engine: EngineFigures, now: number): Either<Failure, Decision> {
-		const groups = this.#shares.divide([...this.#boards.values()], usable, engine, now);
+		const groups = this.#sight.isDim ? divideUnseen(usable, request.requestId) : this.#shares.divide([...this.#boards.values()], usable, engine, now);
 		const readTime = computeReadTime(engine, request.promptTokens);
 		const isLong = readTime > longReadShare * this.#shortestPause;
 		if (isLong) {
 			this.#shares.noteLong(request, readTime, now);
+			if (this.#sight.shouldWait(request, readTime, now)) {
+				return Right({kind: 'wait', askAgainIn: sightAskPause, reason: 'sight'});
+			}
+
 			return this.#planLong(request, [...new Set([...groups.forLong, ...groups.forShort])], engine, now);
 		}
 
--- a/src/planning/server-shares.ts
+++ b/src/planning/server-shares.ts
@@ -92,6 +92,7 @@
 	}
 }
 
-function compareServers(left: ServerBoard, right: ServerBoard): number {
+/** The fixed order of servers. */
+export function compareServers(left: ServerBoard, right: ServerBoard): number {
 	return left.server.id < right.server.id ? -1 : 1;
 }
--- a/src/replay/routed/replayed-request.ts
+++ b/src/replay/routed/replayed-request.ts
@@ -3,7 +3,7 @@
 	BackendServerId, BoxId, RequestId, ServiceName,
 } from '../../common/index.js';
 import {
-	moveShare, type Plan, type Planner, type PlanRequest, type Trouble,
+	moveShare, type FleetSight, type Plan, type Planner, type PlanRequest, type Trouble,
 } from '../../planning/index.js';
 import {
 	PassJob, stallTime, type PassListener, type PassServer, type Schedule,
@@ -29,7 +29,9 @@
 	now: number;
 	/** When the nodes are there again; before now, except while they restart. */
 	backAt: number;
-	planner: Planner;
+	/** Who decides for a request of a node, by the node's number, and what that one sees of the fleet. */
+	findPlanner: (node: number) => Planner;
+	readonly sight: FleetSight;
 	readonly servers: ReadonlyMap<BackendServerId, PassServer>;
 	/** Requests that a node serves. */
 	readonly active: Set<ReplayedRequest>;
@@ -103,6 +105,16 @@
 		this.#watchPatience();
 	}
 
+	/** What it is carried out by; undefined while it has no place. */
+	get plan(): Plan | undefined {
+		return this.#plan;
+	}
+
+	/** Who decides for it at the moment. */
+	get #planner(): Planner {
+		return this.#replay.findPlanner(Number(this.#id.slice(2)));
+	}
+
 	/** Reaches a node, as soon as there is one. */
 	arrive(): void {
 		const {now, backAt, active, schedule} = this.#replay;
@@ -142,7 +154,7 @@
 			return;
 		}
 
-		const {planner, now, schedule} = this.#replay;
+		const {now, schedule} = this.#replay;
 		const {flow, promptTokens, events, at} = this.#request;
 		const request: PlanRequest = {
 			requestId: this.#id,
@@ -161,7 +173,7 @@
 			longestSilence: flow.patience * moveShare,
 			excluded: [...this.#excluded],
 		};
-		planner.decide(request, now).caseOf({
+		this.#planner.decide(request, now, this.#replay.sight).caseOf({
 			Left: failure => {
 				this.#takeRefusal((failure.retryAfterSeconds ?? Infinity) * 1000);
 			},
@@ -279,17 +291,17 @@
 	}
 
 	#takeLoss(plan: Plan, trouble: Trouble = 'unreached', server = plan.server): void {
-		const {planner, schedule} = this.#replay;
+		const {schedule} = this.#replay;
 		const life = this.#life;
 		schedule(lossTime, () => {
 			if (life !== this.#life) {
 				return;
 			}
 
-			planner.note({
+			this.#planner.note({
 				planId: plan.planId, kind: 'failed', server, trouble,
 			}, this.#replay.now);
-			planner.note({planId: plan.planId, kind: 'ended'}, this.#replay.now);
+			this.#planner.note({planId: plan.planId, kind: 'ended'}, this.#replay.now);
 			this.#excluded.push(server);
 			this.#askedFirst = this.#replay.now;
 			if (this.#sends < mostSends) {
@@ -342,7 +354,7 @@
 
 	#tell(plan: Plan, kind: 'started' | 'ended'): void {
 		this.#replay.schedule(noteTime, () => {
-			this.#replay.planner.note({planId: plan.planId, kind}, this.#replay.now);
+			this.#planner.note({planId: plan.planId, kind}, this.#replay.now);
 		});
 	}
 
--- a/src/replay/routed/routed-replay.ts
+++ b/src/replay/routed/routed-replay.ts
@@ -3,7 +3,7 @@
 import type {
 	AvailabilityZone, BackendServerId, BackendServerName, RequestId,
 } from '../../common/index.js';
-import {Planner} from '../../planning/index.js';
+import {Planner, type FleetSight} from '../../planning/index.js';
 import type {BackendServer} from '../../routing/index.js';
 import {createCountingIds} from '../counting-ids.js';
 import {PassServer, type Schedule} from './pass-server.js';
@@ -28,7 +28,6 @@
 
 class RoutedReplay implements ReplayWorld {
 	now = 0;
-	planner: Planner;
 	readonly records: RoutedRecord[] = [];
 	readonly servers = new Map<BackendServerId, PassServer>();
 	/** When the nodes are there again; before now, except while they restart. */
@@ -37,6 +36,9 @@
 	readonly schedule: Schedule;
 	readonly #day: DrawnDay;
 	readonly #workload: Workload;
+	#planner: Planner;
+	/** Planners of nodes that have not found each other yet, by their number. */
+	#alone: Planner[] = [];
 	readonly #ids = createCountingIds();
 	readonly #queue = new TinyQueue<TimedRun>([], (left, right) => left.at - right.at || left.order - right.order);
 	#order = 0;
@@ -48,7 +50,7 @@
 		};
 
 		this.#workload = workload;
-		this.planner = this.#createPlanner();
+		this.#planner = this.#createPlanner();
 		for (const {id} of this.#listServers()) {
 			this.servers.set(id, new PassServer(workload.engine, this.schedule));
 		}
@@ -91,6 +93,16 @@
 		return this.records;
 	}
 
+	/** Who decides for a request: one node for all, or its own while nodes have not found each other. */
+	findPlanner(node: number): Planner {
+		return this.#alone.length === 0 ? this.#planner : this.#alone[node % this.#alone.length];
+	}
+
+	/** What the deciding node sees of the fleet. */
+	get sight(): FleetSight {
+		return {seen: 1, known: Math.max(1, this.#alone.length)};
+	}
+
 	#listServers(): BackendServer[] {
 		return Array.from({length: this.#workload.servers}, (_, index) => describeServer(index, this.#workload.engine.slots));
 	}
@@ -104,17 +116,33 @@
 	/** The source lists those that live, and those that were lost a moment ago. */
 	#refreshServers(): void {
 		const gone = new Set(this.#day.losses.filter(loss => this.now >= loss.at + lapseTime && this.now < loss.at + loss.lasts).map(loss => loss.server));
-		this.planner.setServers(this.#listServers().filter((_, index) => !gone.has(index)), this.#workload.engine);
+		for (const planner of [this.#planner, ...this.#alone]) {
+			planner.setServers(this.#listServers().filter((_, index) => !gone.has(index)), this.#workload.engine);
+		}
 	}
 
 	/** All nodes are gone, and with them what they knew and carried out. */
-	#restart({at, lasts}: Restart): void {
+	#restart({at, lasts, aloneFor}: Restart): void {
 		this.backAt = at + lasts;
-		this.planner = this.#createPlanner();
+		this.#planner = this.#createPlanner();
+		const {nodes = 1} = this.#workload;
+		if (nodes > 1) {
+			this.#alone = Array.from({length: nodes}, () => this.#createPlanner());
+			this.schedule(lasts + aloneFor, () => {
+				this.#join();
+			});
+		}
+
 		for (const run of this.active) {
 			run.cut();
 		}
 	}
+
+	/** The nodes find each other: one decides for all, and is told what the others carry out. */
+	#join(): void {
+		this.#alone = [];
+		this.#planner.adopt([...this.active].flatMap(run => run.plan === undefined ? [] : [{...run.plan, startIn: 0}]), this.now);
+	}
 }
 
 function describeServer(index: number, slots: number): BackendServer {
--- a/src/replay/routed/workloads.ts
+++ b/src/replay/routed/workloads.ts
@@ -37,6 +37,8 @@
 	lostTogether?: number;
 	/** Whether all nodes restart at the beginning of the last phase. */
 	hasRestart: boolean;
+	/** Nodes that take requests; only told apart while they have not found each other. 1 when undefined. */
+	nodes?: number;
 };
 
 /** One drawn request. */
@@ -49,7 +51,7 @@
 export type DrawnDay = {requests: DrawnRequest[]; losses: DrawnLoss[]; restart?: Restart; length: number};
 
 /** All nodes are killed and start again, knowing nothing. */
-export type Restart = {at: number; lasts: number};
+export type Restart = {at: number; lasts: number; aloneFor: number};
 
 const chatEvery = [0.35, 2.5, 0.35];
 const digestEvery = [1.3, 0.5, 1.3];
@@ -125,7 +127,7 @@
 	},
 	{
 		name: 'joint', engine: smallMemoryEngine, servers: 60, phases: [[1.2, 1.2, 1.2], [0.8, 0.8, 0.8], [1.2, 1.2, 1.2]], phaseLength: 8000,
-		losses: 0, lostTogether: 0.2, hasRestart: true,
+		losses: 0, lostTogether: 0.2, hasRestart: true, nodes: 77,
 		flows: [
 			{
 				...chat, perSecond: 52.3, objective: 309, events: {mean: 31, spread: 0.7, most: 77},
@@ -163,6 +165,9 @@
 const mostRestartDelay = 3000;
 const restartTime = 1200;
 
+/** Time in which nodes that are back have not found each other, in milliseconds: from the first node that is back to the first decision for another one on a played day of 77. */
+const aloneTime = 1000;
+
 /** When servers are lost together, as a share of the day: in the middle, so that the worst windows tell of it. */
 const lossFrom = 0.3;
 const lossSpread = 0.3;
@@ -183,7 +188,7 @@
 		isDark: false,
 	}));
 	losses.push(...drawLossTogether(workload, length, random));
-	const restart = workload.hasRestart ? {at: length - workload.phaseLength + (random() * mostRestartDelay), lasts: restartTime} : undefined;
+	const restart = workload.hasRestart ? {at: length - workload.phaseLength + (random() * mostRestartDelay), lasts: restartTime, aloneFor: aloneTime} : undefined;
 	return {
 		requests, losses, restart, length,
 	};
