--- a/src/gateway/deciding/shared-placer.ts
+++ b/src/gateway/deciding/shared-placer.ts
@@ -244,8 +244,8 @@
 			this.#retries.addDecided(request);
 		}
 
-		const {logger, state, peers, countTold} = this.#parts;
-		const sight = {seen, known: Math.max(countTold(), peers.countKnown() + 1)};
+		const {logger, state} = this.#parts;
+		const sight = {seen, known: this.#retries.countKnown()};
 		const decided = planner.decide(request, now, sight);
 		logDecision(logger, request, decided, {
 			inProgress: planner.planCount, configVersion: state.configVersion, serversRevision: state.serversRevision, ...sight,
--- a/src/gateway/deciding/shared-retries.ts
+++ b/src/gateway/deciding/shared-retries.ts
@@ -89,7 +89,7 @@
 
 	/** What this node is to tell a node that decides for it from now on. */
 	describeOwn(service: ServiceName, decider: Peer): RetryHistory {
-		const teller = {life: this.#parts.self().life, age: this.#readAge(), known: this.#countKnown()};
+		const teller = {life: this.#parts.self().life, age: this.#readAge(), known: this.countKnown()};
 		return this.#find(service).describeOwn(this.#now, teller, decider.life);
 	}
 
@@ -115,6 +115,11 @@
 		return this.#parts.clock.readMonotonic();
 	}
 
+	/** Nodes of the fleet as far as this one knows, itself among them. */
+	countKnown(): number {
+		return Math.max(this.#parts.countTold(), this.#parts.peers.countKnown() + 1);
+	}
+
 	async #ask(decider: Peer, request: RetryRequest): Promise<boolean> {
 		const answer = await this.#parts.clients.ask(decider.peerAddress, this.#parts.askTimeout, async (client, signal) => client.grantRetry.mutate(request, {signal}));
 		if (answer !== true) {
@@ -138,12 +143,7 @@
 
 	#readReach(): FleetReach {
 		const age = this.#readAge();
-		return {live: [{life: this.#parts.self().life, heardFor: age}, ...this.#parts.peers.listHeard()], known: this.#countKnown(), age};
-	}
-
-	/** Nodes of the fleet as far as this one knows, itself among them. */
-	#countKnown(): number {
-		return Math.max(this.#parts.countTold(), this.#parts.peers.countKnown() + 1);
+		return {live: [{life: this.#parts.self().life, heardFor: age}, ...this.#parts.peers.listHeard()], known: this.countKnown(), age};
 	}
 
 	/** Milliseconds since this node's process started. */
