fix(gateway): the head of an answer goes to the caller with the first event

Cause: a stream's head was passed on as it came, and the server that sent it took the answer: the one that was silent and ran the request was stopped, though a head is a promise as a place is. Where the new server then said nothing more, the stream was lost beside one that spoke. In the other order the head of the silent server stood over the events of the other one, which had begun anew: the mark of one run on the answer of another. Change: the head is held until the server's first event, or its end; with it the server takes the answer. Ruled out: a later first event for callers (their silence counts events, and the head carries none); heads of streams that go on elsewhere after an event (the first server's stands for the whole answer, as before).

--- a/src/gateway/calls/backend-attempt.ts
+++ b/src/gateway/calls/backend-attempt.ts
@@ -157,16 +157,19 @@
 		}
 
 		this.#isStream = isSuccess && this.#parts.call.route.kind === 'stream';
-		if (this.#isStream) {
-			this.#sendStreamHead(head);
-		}
 	}
 
-	/** The first server's head stands for the whole answer, whoever goes on with it. */
-	#sendStreamHead(head: AnswerHead): void {
-		if (!this.#parts.sink.hasHead) {
-			this.#parts.claimAnswer();
-			this.#parts.sink.sendHead(head.status, head.headers, head.isFramed);
+	/**
+	 * From here on this server alone answers the caller; the first one's head stands for the whole answer, whoever goes on with it.
+	 *
+	 * The head goes out with the first event: a server that has sent one and nothing else has promised, not answered. At
+	 * a head the server that ran the request was stopped beside one that then kept silent.
+	 */
+	#claimStream(): void {
+		const {claimAnswer, sink} = this.#parts;
+		claimAnswer();
+		if (this.#head !== undefined && !sink.hasHead) {
+			sink.sendHead(this.#head.status, this.#head.headers, this.#head.isFramed);
 		}
 	}
 
@@ -191,7 +194,7 @@
 	}
 
 	#passOn({id, bytes}: EventFrame): boolean {
-		this.#parts.claimAnswer();
+		this.#claimStream();
 		this.#noteFirst();
 		const now = this.#parts.clock.readMonotonic();
 		this.#longestPause = Math.max(this.#longestPause, now - (this.#lastEventAt ?? now));
@@ -238,7 +241,7 @@
 			return;
 		}
 
-		this.#parts.claimAnswer();
+		this.#claimStream();
 		this.#noteFirst();
 		if (this.#parts.sink.isFramed && this.#head?.isFramed === false) {
 			// The caller's head promises an end that says whether the answer is whole; this server's does not.
--- /dev/null
+++ b/test/gateway-attempts.test.ts
@@ -0,0 +1,92 @@
+import {expect, test} from '@jest/globals';
+import type {Route} from '../src/routing/index.js';
+import {
+	ScriptedCall, streamLength, streamRoute, type ScriptedCallOptions,
+} from './helpers/scripted-call.js';
+
+const wholeStream = Array.from({length: streamLength}, (_, index) => index + 1);
+
+/** Silence before the first event after which another server is asked too, in milliseconds. */
+const firstSilence = 1025;
+
+/** The same between two events. */
+const laterSilence = 1325;
+
+const repeatableRoute: Route = {
+	...streamRoute, kind: 'repeatable', longestSilence: undefined, canResume: false, attempts: 2,
+};
+
+async function startCall(options: ScriptedCallOptions = {}): Promise<ScriptedCall> {
+	const call = new ScriptedCall(options);
+	await call.settle();
+	return call;
+}
+
+/** Lets one server give all that is left. */
+async function speakToEnd(call: ScriptedCall, back = 0): Promise<void> {
+	const send = call.findOpen(back);
+	for (let count = 0; count <= streamLength; count++) {
+		send?.speak();
+		await call.settle();
+	}
+}
+
+// A server may send its head long before its first event: that is a promise like a place. The one that ran the request
+// was stopped at the head of the one that was asked beside it, which then said nothing more.
+test('a silent server is not left for the head of another one', async () => {
+	const call = await startCall({servers: 2});
+	await call.pass(firstSilence);
+	call.findOpen()?.sendHead();
+	await call.pass(100);
+	await speakToEnd(call, 1);
+	expect([call.sink.ending, call.sink.events, call.sink.headBy, call.sends.map(send => send.wasAborted)]).toEqual(['whole', wholeStream, 'i-0', [false, true]]);
+});
+
+// The head of the silent server had been passed on, and the events of the other one went under it: the mark of one run
+// on the answer of another.
+test('a caller gets the head of the server whose first event it gets', async () => {
+	const call = await startCall({servers: 2});
+	call.findOpen()?.sendHead();
+	await call.pass(firstSilence);
+	await speakToEnd(call);
+	expect([call.sink.ending, call.sink.events, call.sink.headBy, call.sink.speakers]).toEqual(['whole', wholeStream, 'i-1', ['i-1']]);
+});
+
+test('a stream whose server breaks off between its head and its first event gets an answer, not a cut', async () => {
+	const call = await startCall({servers: 1});
+	call.findOpen()?.sendHead();
+	call.findOpen()?.breakOff();
+	await call.settle();
+	expect([call.sink.status, call.sink.ending]).toEqual([502, 'whole']);
+});
+
+test('a silent server that has started again is not waited for', async () => {
+	const call = await startCall({servers: 2});
+	call.findOpen()?.speak();
+	await call.pass(laterSilence - 100);
+	call.restart('i-0');
+	await call.pass(100);
+	call.findOpen()?.decline();
+	await call.pass(100);
+	expect([call.sink.ending, call.outcome?.failure?.kind]).toEqual(['cut', 'backend_unconfirmed']);
+});
+
+test('a server that speaks again is the only one that answers, and the place beside it is given back', async () => {
+	const call = await startCall({servers: 2, startIn: 200});
+	await call.pass(200);
+	call.findOpen()?.speak();
+	await call.pass(laterSilence);
+	await speakToEnd(call);
+	await call.pass(1000);
+	expect([call.sink.ending, call.sink.events, call.sends.length, call.placer.held.size, call.clock.pending.size]).toEqual(['whole', wholeStream, 1, 0, 0]);
+});
+
+test('a refusal after a silence is no promise', async () => {
+	const call = await startCall({route: repeatableRoute, servers: 2});
+	await call.pass(firstSilence);
+	call.findOpen()?.decline();
+	await call.pass(100);
+	call.findOpen()?.breakOff();
+	await call.pass(100);
+	expect([call.sink.status, call.sink.ending]).toEqual([502, 'whole']);
+});
--- /dev/null
+++ b/test/helpers/scripted-call.ts
@@ -0,0 +1,478 @@
+/** One call over servers that do as they are told, on a virtual clock: every send, place, lease, retry and timer is counted. */
+import {Buffer} from 'node:buffer';
+import {setImmediate as waitForTurn} from 'node:timers/promises';
+import {Left, Right, type Either} from 'purify-ts';
+import type {Dispatcher} from 'undici';
+import {CallWire} from '../../platform/index.js';
+import {
+	createFailure, createSilentLogger, VirtualClock, type AvailabilityZone, type BackendServerId, type BackendServerName,
+	type BoxId, type Clock, type Failure, type PlanId, type RequestId, type ServiceName, type Timer,
+} from '../../src/common/index.js';
+import {
+	CallRun, CallSink, Placer, type BackendExchange, type BackendPool, type BackendRequest, type CallOutcome, type Lease,
+	type PlaceAnswer, type Reservations,
+} from '../../src/gateway/calls/index.js';
+import {GatewayMetrics} from '../../src/gateway/gateway-metrics.js';
+import type {HeaderFields} from '../../src/gateway/wire.js';
+import type {Plan, PlanNote, PlanRequest} from '../../src/planning/index.js';
+import type {BackendServer, Route, ServiceSpec} from '../../src/routing/index.js';
+
+/** Events of a whole stream. */
+export const streamLength = 4;
+
+/** Length of a helper's turn, in milliseconds: silences are told to within it. */
+const turn = 25;
+
+const requestId = 'request-1' as RequestId;
+
+const modelService: ServiceSpec = {name: 'model' as ServiceName, connectionLimit: 99};
+
+/** A stream that may go on at another server; callers leave after two seconds of silence. */
+export const streamRoute: Route = {
+	name: 'stream', host: 'shop.example', pathPrefix: '/', kind: 'stream', timeLimit: 8000, objective: 300, longestPause: 250, longestSilence: 2000,
+	attempts: 3, priority: 1, isAnonymous: true, canResume: true, services: [],
+};
+
+/** A clock that knows which of its timers are set. */
+class CountingClock implements Clock {
+	readonly pending = new Set<symbol>();
+	readonly #clock = new VirtualClock();
+
+	now(): Date {
+		return this.#clock.now();
+	}
+
+	readMonotonic(): number {
+		return this.#clock.readMonotonic();
+	}
+
+	setTimer(delay: number, callback: () => void): Timer {
+		const mark = Symbol('timer');
+		this.pending.add(mark);
+		const timer = this.#clock.setTimer(delay, () => {
+			this.pending.delete(mark);
+			callback();
+		});
+		return {
+			cancel: () => {
+				this.pending.delete(mark);
+				timer.cancel();
+			},
+		};
+	}
+
+	advance(milliseconds: number): void {
+		this.#clock.advance(milliseconds);
+	}
+}
+
+/** The caller's side: what it was sent, and what came after the end. */
+export class RecordingSink extends CallSink {
+	status = 0;
+	headBy: string | undefined;
+	body = '';
+	ending: 'open' | 'whole' | 'cut' = 'open';
+	/** Whatever was written after the end, or as a second head. */
+	readonly misuse: string[] = [];
+	#isFramed = true;
+
+	override get hasHead(): boolean {
+		return this.status !== 0;
+	}
+
+	override get isFramed(): boolean {
+		return this.#isFramed;
+	}
+
+	/** Ids of the events that were written, in order. */
+	get events(): number[] {
+		return [...this.body.matchAll(/^id: (?<id>\d+)$/gmu)].map(match => Number(match.groups?.id));
+	}
+
+	/** Servers whose events were written, in order, each once for a run of events. */
+	get speakers(): string[] {
+		const names = [...this.body.matchAll(/^data: (?<name>.*)$/gmu)].map(match => match.groups?.name ?? '');
+		return names.filter((name, index) => name !== names[index - 1]);
+	}
+
+	override sendHead(status: number, headers: HeaderFields, isFramed: boolean): void {
+		this.#note('head');
+		if (this.hasHead) {
+			this.misuse.push('a second head');
+		}
+
+		this.status = status;
+		this.#isFramed = isFramed;
+		this.headBy = headers['cresshook-response-seal'] as string | undefined;
+	}
+
+	override write(piece: Uint8Array): boolean {
+		this.#note('write');
+		this.body += Buffer.from(piece).toString();
+		return true;
+	}
+
+	override onDrain(resume: () => void): void {
+		resume();
+	}
+
+	override end(piece?: Uint8Array | string): void {
+		this.#note('end');
+		this.body += piece === undefined ? '' : Buffer.from(piece).toString();
+		this.ending = 'whole';
+	}
+
+	override cut(): void {
+		this.ending = 'cut';
+	}
+
+	#note(what: string): void {
+		if (this.ending !== 'open') {
+			this.misuse.push(`${what} after the end`);
+		}
+	}
+}
+
+/** One send of the request, as its server sees it. */
+export class ScriptedSend {
+	readonly lastEventId: number;
+	/** Whether the request has reached the server, and whether the server has said that it did not run it. */
+	hasArrived = false;
+	hasDeclined = false;
+	/** Whether it has given an event, or the whole answer. */
+	hasSpoken = false;
+	hasHead = false;
+	isOver = false;
+	/** Whether this side ended it. */
+	wasAborted = false;
+	readonly #exchange: BackendExchange;
+	readonly #isStream: boolean;
+	readonly #onAbort: (send: ScriptedSend) => void;
+	#nextEvent: number;
+
+	constructor(readonly server: string, request: BackendRequest, exchange: BackendExchange, options: {isStream: boolean; onAbort: (send: ScriptedSend) => void}) {
+		this.lastEventId = Number(request.headers['last-event-id'] ?? 0);
+		this.#nextEvent = this.lastEventId + 1;
+		this.#exchange = exchange;
+		this.#isStream = options.isStream;
+		this.#onAbort = options.onAbort;
+	}
+
+	/** The request arrives. */
+	arrive(): void {
+		if (!this.hasArrived && !this.isOver) {
+			this.hasArrived = true;
+			this.#exchange.onRequestStart(this.#createController());
+		}
+	}
+
+	/** No connection comes up. */
+	refuse(): void {
+		if (!this.hasArrived && !this.isOver) {
+			this.isOver = true;
+			this.#exchange.onResponseError(this.#createController(), new Error('refused'));
+		}
+	}
+
+	sendHead(): void {
+		if (this.#mayAnswer && !this.hasHead) {
+			this.#startAnswer(200, {'cresshook-response-seal': this.server, 'transfer-encoding': 'chunked'});
+		}
+	}
+
+	/** The next event; of an answer that is no stream the whole of it. */
+	speak(): void {
+		if (!this.#mayAnswer) {
+			return;
+		}
+
+		this.sendHead();
+		if (this.isOver) {
+			return;
+		}
+
+		this.hasSpoken = true;
+		if (!this.#isStream) {
+			this.#write(`data: ${this.server}\n`);
+			this.#finish();
+		} else if (this.#nextEvent > streamLength) {
+			this.#finish();
+		} else {
+			this.#write(`id: ${this.#nextEvent++}\ndata: ${this.server}\n\n`);
+		}
+	}
+
+	/** States that the request did not run. */
+	decline(): void {
+		if (this.#mayAnswer && !this.hasHead) {
+			this.hasDeclined = true;
+			this.#startAnswer(503, {'cresshook-not-executed': '1', 'content-length': '0'});
+			this.#finish();
+		}
+	}
+
+	/** Ran it, and failed. */
+	fail(): void {
+		if (this.#mayAnswer && !this.hasHead) {
+			this.#startAnswer(500, {'cresshook-response-seal': this.server, 'content-length': '0'});
+			this.#finish();
+		}
+	}
+
+	breakOff(): void {
+		if (this.#mayAnswer) {
+			this.isOver = true;
+			this.#exchange.onResponseError(this.#createController(), new Error('reset'));
+		}
+	}
+
+	get #mayAnswer(): boolean {
+		return this.hasArrived && !this.isOver;
+	}
+
+	#startAnswer(status: number, headers: Record<string, string>): void {
+		this.hasHead = true;
+		this.#exchange.onResponseStart(this.#createController(), status, {'cresshook-attempt-id': requestId, ...headers});
+	}
+
+	#write(text: string): void {
+		this.#exchange.onResponseData(this.#createController(), Buffer.from(text));
+	}
+
+	#finish(): void {
+		if (!this.isOver) {
+			this.isOver = true;
+			this.#exchange.onResponseEnd();
+		}
+	}
+
+	#createController() {
+		const controller: Partial<Dispatcher.DispatchController> = {
+			abort: (reason: Error) => {
+				if (!this.isOver) {
+					this.isOver = true;
+					this.wasAborted = true;
+					this.#onAbort(this);
+					queueMicrotask(() => {
+						this.#exchange.onResponseError(this.#createController(), reason);
+					});
+				}
+			},
+			pause() {}, // eslint-disable-line @typescript-eslint/no-empty-function -- nothing is on its way
+			resume() {}, // eslint-disable-line @typescript-eslint/no-empty-function -- nothing is on its way
+		};
+		return controller as Dispatcher.DispatchController;
+	}
+}
+
+/** What a scripted call starts from. */
+export type ScriptedCallOptions = {
+	route?: Route;
+	servers?: number;
+	/** Delay of each place and each retry that is asked for, in milliseconds; 0 answers at once. */
+	askDelay?: number;
+	/** Retries in the budget. */
+	retries?: number;
+	/** How long after its place a request is sent, in milliseconds. */
+	startIn?: number;
+	/** Whether prompts need memory at another server. */
+	needsMemory?: boolean;
+};
+
+/** A placer that gives each request the first server that it may have. */
+class ScriptedPlacer extends Placer {
+	readonly held = new Set<PlanId>();
+	granted = 0;
+	#count = 0;
+
+	constructor(readonly call: ScriptedCall, readonly options: ScriptedCallOptions) {
+		super();
+	}
+
+	override async place(request: PlanRequest): Promise<Either<Failure, PlaceAnswer>> {
+		await this.#wait();
+		const server = this.call.servers.find(({id}) => !request.excluded.includes(id) && this.call.takesWork(id));
+		if (server === undefined) {
+			return Left(createFailure('no_backend_server', 'none is left'));
+		}
+
+		const planId = `plan-${++this.#count}` as PlanId;
+		this.held.add(planId);
+		const plan: Plan = {
+			planId, request, server: server.id, helpers: [], startIn: this.options.startIn ?? 0, expectedFirst: 100, ownTokens: 0,
+		};
+		return Right({plan, decidedBy: 'self'});
+	}
+
+	override async takeRetry(): Promise<boolean> {
+		await this.#wait();
+		if (this.granted >= (this.options.retries ?? Infinity)) {
+			return false;
+		}
+
+		this.granted++;
+		return true;
+	}
+
+	override note(plan: Plan, note: PlanNote): void {
+		if (note.kind === 'ended') {
+			this.held.delete(plan.planId);
+		}
+	}
+
+	async #wait(): Promise<void> {
+		const {askDelay = 0} = this.options;
+		if (askDelay > 0) {
+			await new Promise<void>(resolve => {
+				this.call.clock.setTimer(askDelay, resolve);
+			});
+		}
+	}
+}
+
+/** One call, begun when it is made. */
+export class ScriptedCall {
+	readonly clock = new CountingClock();
+	readonly sink = new RecordingSink();
+	readonly sends: ScriptedSend[] = [];
+	readonly servers: BackendServer[];
+	readonly placer: ScriptedPlacer;
+	/** Sends that this side has ended, and why that may be. */
+	readonly aborted: Array<{send: ScriptedSend; at: number; hasOtherSpoken: boolean; isEnded: boolean}> = [];
+	outcome: CallOutcome | undefined;
+	error: unknown;
+	hasLeft = false;
+	/** Leases of memory that are held. */
+	leases = 0;
+	readonly #gone = new Set<string>();
+	readonly #restarted = new Set<string>();
+	readonly #run: CallRun;
+
+	constructor(readonly options: ScriptedCallOptions = {}) {
+		const route = options.route ?? streamRoute;
+		this.servers = Array.from({length: options.servers ?? 3}, (_, index) => ({
+			id: `i-${index}` as BackendServerId, name: `i-${index}` as BackendServerName, entryRevision: 1, service: modelService.name,
+			address: `10.0.0.${index}:80`, availabilityZone: 'a' as AvailabilityZone, slots: 11, isLeaving: false,
+		}));
+		this.placer = new ScriptedPlacer(this, options);
+		this.#run = new CallRun({
+			clock: this.clock,
+			logger: createSilentLogger(),
+			metrics: new GatewayMetrics(),
+			wire: new CallWire(),
+			pool: this.#createPool(route),
+			placer: this.placer,
+			reservations: this.#createReservations(),
+			findServer: id => this.takesWork(id) ? this.servers.find(server => server.id === id) : undefined,
+			isLive: id => !this.#gone.has(id) && !this.#restarted.has(id),
+			node: 'edge-1' as BoxId,
+			availabilityZone: 'a' as AvailabilityZone,
+		}, {
+			head: {
+				requestId, method: 'POST', target: '/', host: 'shop.example', promptTokens: 1000, outputTokens: 80, headers: {},
+			},
+			body: undefined,
+			route,
+			service: modelService,
+			arrived: 0,
+			configVersion: 1,
+		}, this.sink);
+		void this.#follow();
+	}
+
+	takesWork(id: string): boolean {
+		return !this.#gone.has(id) && !this.#restarted.has(id);
+	}
+
+	/** The newest send that goes on; `back` counts from there to older ones. */
+	findOpen(back = 0): ScriptedSend | undefined {
+		return this.sends.filter(send => !send.isOver).at(-1 - back);
+	}
+
+	/** Lets time pass; what is sent arrives. */
+	async pass(milliseconds: number): Promise<void> {
+		await this.settle();
+		for (let passed = 0; passed < milliseconds; passed += turn) {
+			this.clock.advance(Math.min(turn, milliseconds - passed));
+			await this.settle();
+		}
+	}
+
+	/** Lets everything that is due happen, without time. */
+	async settle(): Promise<void> {
+		for (let round = 0; round < 3; round++) {
+			await waitForTurn();
+			for (const send of this.sends) {
+				send.arrive();
+			}
+		}
+	}
+
+	leave(): void {
+		this.hasLeft = true;
+		this.#run.leave();
+	}
+
+	/** The entry of a server goes; it may run on. */
+	removeEntry(server: string): void {
+		this.#gone.add(server);
+	}
+
+	/** Another life of a server has come: what ran in the earlier one is lost. */
+	restart(server: string): void {
+		this.#restarted.add(server);
+		this.#run.noteRestart(server as BackendServerId);
+	}
+
+	async #follow(): Promise<void> {
+		try {
+			this.outcome = await this.#run.run();
+		} catch (error) {
+			this.error = error;
+		}
+	}
+
+	#createPool(route: Route): BackendPool {
+		const dispatch = (address: string, request: BackendRequest, exchange: BackendExchange) => {
+			exchange.attach({wasReset: () => false, onOver() {}}); // eslint-disable-line @typescript-eslint/no-empty-function -- there is no connection
+			const server = this.servers.find(each => each.address === address)!.name;
+			this.sends.push(new ScriptedSend(server, request, exchange, {
+				isStream: route.kind === 'stream',
+				onAbort: send => {
+					this.aborted.push({
+						send,
+						at: this.clock.readMonotonic(),
+						hasOtherSpoken: this.sends.some(other => other !== send && other.hasSpoken && other.lastEventId >= send.lastEventId),
+						isEnded: this.#gone.has(send.server) || this.#restarted.has(send.server),
+					});
+				},
+			}));
+		};
+
+		const pool: Partial<BackendPool> = {dispatch, leaveIdle() {}}; // eslint-disable-line @typescript-eslint/no-empty-function -- there is no connection
+		return pool as BackendPool;
+	}
+
+	#createReservations(): Reservations {
+		const reserve = async (): Promise<Lease | undefined> => {
+			if (this.options.needsMemory) {
+				await new Promise<void>(resolve => {
+					this.clock.setTimer(turn, resolve);
+				});
+			}
+
+			this.leases++;
+			let isReleased = false;
+			return {
+				helpers: [],
+				release: () => {
+					this.leases -= isReleased ? 0 : 1;
+					isReleased = true;
+				},
+			};
+		};
+
+		const reservations: Partial<Reservations> = {reserve};
+		return reservations as Reservations;
+	}
+}
