fix(gateway): a silent server whose entry is gone is waited for as long as its caller waits

Cause: an attempt at a silent server was stopped as soon as another one began or had failed when the server's entry was not in this node's view. A view proves nothing about what runs: servers that leave without a word lose their entry and serve on, and entries lapse while the source is down. What ran was given up for a change of view, beside a place that is a promise. Change: out of view it is given up once it was silent for as long as its callers bear, at once only when it has started again. An answer that is no stream is given up as before, since it is asked for anew in whole. Ruled out: waiting to the route's end for a server that is dark (the test of such a server is unchanged and passes). Shown: the new test red before (cut after event 1 of 4), green after; a server that has started again is not waited for (green before and after). gateway-attempts and gateway-calls: 40 passed.

--- a/src/gateway/calls/backend-attempt.ts
+++ b/src/gateway/calls/backend-attempt.ts
@@ -120,6 +120,11 @@
 		return this.#longestPause;
 	}
 
+	/** How long nothing has been heard of the server, in milliseconds. */
+	get silentFor(): number {
+		return this.#parts.clock.readMonotonic() - this.#heardAt;
+	}
+
 	/** Stops the server's work: the answer is no longer wanted. */
 	stop(): void {
 		const mayHaveRun = this.exchange.wasSent;
@@ -353,7 +358,7 @@
 	}
 
 	#describeSilence(): string {
-		return `the server was silent for ${Math.round(this.#parts.clock.readMonotonic() - this.#heardAt)} ms`;
+		return `the server was silent for ${Math.round(this.silentFor)} ms`;
 	}
 
 	/** An event that comes while a place is asked for ends the silence; without a place one is asked for again. */
--- a/src/gateway/calls/call-attempts.ts
+++ b/src/gateway/calls/call-attempts.ts
@@ -121,20 +121,34 @@
 		return this.#parts.call.route.kind === 'once' || this.#hasMetSilence ? 'fresh' : 'kept';
 	}
 
-	/** A silent server whose life has ended will not speak again. */
+	/** A silent server that has started again, or is out of view for longer than its caller waits, will not speak again. */
 	#stopDead(): void {
 		for (const attempt of this.#live) {
-			if (!this.#parts.isLive(attempt.plan.server)) {
+			if (attempt.isDead) {
 				attempt.stop();
 			}
 		}
 	}
 
+	/** A place beside the newest attempt; without one, a server that its caller has outwaited is left alone, too. */
+	async #takeMove(attempt: LiveAttempt): Promise<boolean> {
+		if (attempt !== this.#live.at(-1)) {
+			return false;
+		}
+
+		const hasPlace = await this.#parts.listener.takeMove(attempt.plan);
+		if (!hasPlace && this.#parts.call.route.longestSilence !== undefined && attempt.hasOutlastedCaller) {
+			attempt.stop();
+		}
+
+		return hasPlace;
+	}
+
 	#createListener(): LiveAttemptListener {
 		const {listener} = this.#parts;
 		return {
 			...listener,
-			takeMove: async attempt => attempt === this.#live.at(-1) ? listener.takeMove(attempt.plan) : false,
+			takeMove: async attempt => this.#takeMove(attempt),
 			claimAnswer: speaker => {
 				for (const attempt of this.#live) {
 					if (attempt !== speaker) {
--- a/src/gateway/calls/live-attempt.ts
+++ b/src/gateway/calls/live-attempt.ts
@@ -62,6 +62,7 @@
 	#attempt: BackendAttempt | undefined;
 	#isStopped = false;
 	#isOver = false;
+	#hasEnded = false;
 	#resolve!: (end: AttemptEnd) => void;
 	#reject!: (error: unknown) => void;
 	#wakeWaiting: (() => void) | undefined;
@@ -85,6 +86,22 @@
 		return this.#attempt?.longestPause ?? 0;
 	}
 
+	/** Whether nothing is to be expected of its server: it has started again, or its caller would have left by now. */
+	get isDead(): boolean {
+		return this.#hasEnded || this.hasOutlastedCaller;
+	}
+
+	/**
+	 * Whether its server is out of view and was silent for as long as callers bear.
+	 *
+	 * That its entry is gone proves nothing alone: servers that leave without a word serve on, and entries lapse while
+	 * the source is down. An answer that is no stream is not waited for: whoever asks anew gets all of it.
+	 */
+	get hasOutlastedCaller(): boolean {
+		const {call, plan, isLive} = this.#parts;
+		return !isLive(plan.server) && (this.#attempt?.silentFor ?? Infinity) >= (call.route.longestSilence ?? 0);
+	}
+
 	/** Settles with its end, or with the next silence for which a place was taken. */
 	async follow(): Promise<AttemptEnd | AttemptSilence> {
 		const silent = new Promise<AttemptSilence>(resolve => {
@@ -106,6 +123,7 @@
 
 	/** Asks another server at once: this one's process has ended. */
 	leaveEnded(): void {
+		this.#hasEnded = true;
 		this.#attempt?.leaveEnded();
 	}
 
--- a/test/gateway-attempts.test.ts
+++ b/test/gateway-attempts.test.ts
@@ -60,6 +60,20 @@
 	expect([call.sink.status, call.sink.ending]).toEqual([502, 'whole']);
 });
 
+// An entry goes when its server stops writing it, also of one that leaves without a word and serves on, and while the
+// source is down: the view then says nothing about what runs there.
+test('a silent server whose entry is gone is still waited for while its caller waits', async () => {
+	const call = await startCall({servers: 2});
+	call.findOpen()?.speak();
+	await call.pass(laterSilence - 100);
+	call.removeEntry('i-0');
+	await call.pass(100);
+	call.findOpen()?.decline();
+	await call.pass(300);
+	await speakToEnd(call);
+	expect([call.sink.ending, call.sink.events]).toEqual(['whole', wholeStream]);
+});
+
 test('a silent server that has started again is not waited for', async () => {
 	const call = await startCall({servers: 2});
 	call.findOpen()?.speak();
