fix(gateway): a call takes one retry at a time out of the fleet's budget and keeps what it did not use

Cause: while a retry was asked for beside a silent server, that server could decline, fail or break off, and the call asked for a second one: both were granted and one was lost. And a retry whose send never left this node (no connection came up, or the place was at a server that had gone meanwhile) was counted as used, though no server saw it: the next server cost another one. Change: one ask at a time; a retry comes back with every attempt that did not reach its server, however it ended.

--- a/src/gateway/calls/call-attempts.ts
+++ b/src/gateway/calls/call-attempts.ts
@@ -20,8 +20,8 @@
 export type CallAttemptsListener = Pick<LiveAttemptListener, 'dropMove' | 'onEvent' | 'onFirst'> & {
 	/** Takes a place beside the server of a plan. */
 	takeMove: (plan: Plan) => Promise<boolean>;
-	/** Called once for each attempt. */
-	onEnded: (plan: Plan, end: AttemptEnd) => void;
+	/** Called once for each attempt; `wasSent` says whether the request may have reached its server. */
+	onEnded: (plan: Plan, end: AttemptEnd, wasSent: boolean) => void;
 };
 
 /** What attempts need. */
@@ -171,7 +171,7 @@
 		this.#runs += mayHaveRun(end) ? 1 : 0;
 		// Of one that was stopped for another one that has spoken, it is that one's end that counts.
 		this.#lastEnd = end.kind === 'stopped' && !this.#isStopped ? this.#lastEnd : end;
-		this.#parts.listener.onEnded(attempt.plan, end);
+		this.#parts.listener.onEnded(attempt.plan, end, attempt.wasSent);
 	}
 }
 
--- a/src/gateway/calls/call-run.ts
+++ b/src/gateway/calls/call-run.ts
@@ -71,6 +71,8 @@
 	#nextPlace: Placed | undefined;
 	/** Whether a retry was taken out of the budget and not used yet. */
 	#hasRetry = false;
+	/** The ask for one that is under way. */
+	#retryAsk: Promise<void> | undefined;
 
 	constructor(parts: CallRunParts, call: Call, sink: CallSink) {
 		this.#parts = parts;
@@ -171,13 +173,13 @@
 				this.#firstAfter ??= this.#parts.clock.readMonotonic() - this.#call.arrived;
 				this.#parts.placer.note(plan, {planId: plan.planId, kind: 'started'});
 			},
-			onEnded: (plan, end) => {
-				this.#noteEnd(plan, end);
+			onEnded: (plan, end, wasSent) => {
+				this.#noteEnd(plan, end, wasSent);
 			},
 		};
 	}
 
-	#noteEnd(plan: Plan, end: AttemptEnd): void {
+	#noteEnd(plan: Plan, end: AttemptEnd, wasSent: boolean): void {
 		if (end.kind === 'declined' || end.kind === 'lost') {
 			this.#noteTrouble(plan, end.trouble, end.server);
 		}
@@ -187,7 +189,7 @@
 		}
 
 		// What never left this node is no arrival anywhere and costs nothing of the budget.
-		this.#hasRetry ||= end.kind === 'stopped' && !end.mayHaveRun && this.#attempts.sends > 0;
+		this.#hasRetry ||= !wasSent && this.#attempts.sends > 0;
 		this.#parts.placer.note(plan, {planId: plan.planId, kind: 'ended'});
 	}
 
@@ -247,8 +249,7 @@
 		}
 
 		// Taken before there was a place, retries were spent by calls that had nowhere to go, and others' were not granted.
-		this.#hasRetry ||= await this.#askRetry();
-		if (!this.#hasRetry) {
+		if (!await this.#holdRetry()) {
 			this.#release(placed);
 			return false;
 		}
@@ -280,7 +281,7 @@
 		}
 
 		// What never left this node is no arrival anywhere and costs nothing of the budget.
-		const isGranted = this.#attempts.sends === 0 || this.#hasRetry || await this.#askRetry();
+		const isGranted = this.#attempts.sends === 0 || await this.#holdRetry();
 		this.#hasRetry = false;
 		if (!isGranted) {
 			this.#parts.metrics.countRetry(this.#call.service.name, 'budget_spent');
@@ -305,11 +306,23 @@
 		}, 'the request goes to another server');
 	}
 
-	async #askRetry(): Promise<boolean> {
+	/** One retry at a time: a server that fails while one is asked for beside it needs no second one of the fleet's budget. */
+	async #holdRetry(): Promise<boolean> {
+		if (!this.#hasRetry) {
+			this.#retryAsk ??= this.#askRetry();
+			await this.#retryAsk;
+		}
+
+		return this.#hasRetry;
+	}
+
+	async #askRetry(): Promise<void> {
 		const {requestId, promptTokens} = this.#call.head;
-		return this.#parts.placer.takeRetry({
+		const isGranted = await this.#parts.placer.takeRetry({
 			requestId, service: this.#call.service.name, node: this.#parts.node, promptTokens,
 		});
+		this.#hasRetry ||= isGranted;
+		this.#retryAsk = undefined;
 	}
 
 	#noteTrouble(plan: Plan, trouble: Trouble, server: BackendServerId): void {
--- a/src/gateway/calls/live-attempt.ts
+++ b/src/gateway/calls/live-attempt.ts
@@ -86,6 +86,11 @@
 		return this.#attempt?.longestPause ?? 0;
 	}
 
+	/** Whether the request may have reached its server. */
+	get wasSent(): boolean {
+		return this.#attempt?.exchange.wasSent ?? false;
+	}
+
 	/** Whether nothing is to be expected of its server: it has started again, or its caller would have left by now. */
 	get isDead(): boolean {
 		return this.#hasEnded || this.hasOutlastedCaller;
--- a/test/gateway-attempts.test.ts
+++ b/test/gateway-attempts.test.ts
@@ -104,3 +104,19 @@
 	await call.pass(100);
 	expect([call.sink.status, call.sink.ending]).toEqual([502, 'whole']);
 });
+
+// The budget is the fleet's: what one call takes and does not use is missing elsewhere.
+test('a server that fails while a retry is asked for takes no second one', async () => {
+	const call = await startCall({servers: 2, askDelay: 300, route: {...streamRoute, attempts: 2}});
+	await call.pass(300 + firstSilence);
+	call.findOpen()?.breakOff();
+	await call.pass(1500);
+	expect([call.sends.length, call.placer.granted]).toEqual([2, 1]);
+});
+
+test('a retry whose send never left this node is used for the next one', async () => {
+	const call = await startCall({servers: 3, refusing: [1]});
+	call.findOpen()?.decline();
+	await call.pass(100);
+	expect([call.sends.map(send => send.hasArrived), call.placer.granted]).toEqual([[true, false, true], 1]);
+});
--- a/test/helpers/scripted-call.ts
+++ b/test/helpers/scripted-call.ts
@@ -23,6 +23,9 @@
 /** Length of a helper's turn, in milliseconds: silences are told to within it. */
 const turn = 25;
 
+/** Time for a connection to come up at a slow server, in milliseconds. */
+const slowConnection = 300;
+
 const requestId = 'request-1' as RequestId;
 
 const modelService: ServiceSpec = {name: 'model' as ServiceName, connectionLimit: 99};
@@ -74,6 +77,9 @@
 	ending: 'open' | 'whole' | 'cut' = 'open';
 	/** Whatever was written after the end, or as a second head. */
 	readonly misuse: string[] = [];
+	/** Whether the caller reads more slowly than it is sent. */
+	isSlow = false;
+	#waiting: Array<() => void> = [];
 	#isFramed = true;
 
 	override get hasHead(): boolean {
@@ -109,11 +115,21 @@
 	override write(piece: Uint8Array): boolean {
 		this.#note('write');
 		this.body += Buffer.from(piece).toString();
-		return true;
+		return !this.isSlow;
 	}
 
 	override onDrain(resume: () => void): void {
-		resume();
+		this.#waiting.push(resume);
+	}
+
+	/** The caller has caught up. */
+	drain(): void {
+		this.isSlow = false;
+		const waiting = this.#waiting;
+		this.#waiting = [];
+		for (const resume of waiting) {
+			resume();
+		}
 	}
 
 	override end(piece?: Uint8Array | string): void {
@@ -145,12 +161,20 @@
 	isOver = false;
 	/** Whether this side ended it. */
 	wasAborted = false;
+	/** When it was asked, or gave the last event, by the monotonic clock. */
+	heardAt: number;
+	readonly sentAt: number;
+	#isPaused = false;
+	readonly #clock: Clock;
 	readonly #exchange: BackendExchange;
 	readonly #isStream: boolean;
 	readonly #onAbort: (send: ScriptedSend) => void;
 	#nextEvent: number;
 
-	constructor(readonly server: string, request: BackendRequest, exchange: BackendExchange, options: {isStream: boolean; onAbort: (send: ScriptedSend) => void}) {
+	constructor(readonly server: string, request: BackendRequest, exchange: BackendExchange, options: {clock: Clock; isStream: boolean; onAbort: (send: ScriptedSend) => void}) {
+		this.#clock = options.clock;
+		this.sentAt = options.clock.readMonotonic();
+		this.heardAt = this.sentAt;
 		this.lastEventId = Number(request.headers['last-event-id'] ?? 0);
 		this.#nextEvent = this.lastEventId + 1;
 		this.#exchange = exchange;
@@ -161,8 +185,9 @@
 	/** The request arrives. */
 	arrive(): void {
 		if (!this.hasArrived && !this.isOver) {
-			this.hasArrived = true;
 			this.#exchange.onRequestStart(this.#createController());
+			// What is ended at its connection is not written to it.
+			this.hasArrived = !this.wasAborted;
 		}
 	}
 
@@ -192,6 +217,7 @@
 		}
 
 		this.hasSpoken = true;
+		this.heardAt = this.#clock.readMonotonic();
 		if (!this.#isStream) {
 			this.#write(`data: ${this.server}\n`);
 			this.#finish();
@@ -227,7 +253,7 @@
 	}
 
 	get #mayAnswer(): boolean {
-		return this.hasArrived && !this.isOver;
+		return this.hasArrived && !this.isOver && !this.#isPaused;
 	}
 
 	#startAnswer(status: number, headers: Record<string, string>): void {
@@ -258,8 +284,12 @@
 					});
 				}
 			},
-			pause() {}, // eslint-disable-line @typescript-eslint/no-empty-function -- nothing is on its way
-			resume() {}, // eslint-disable-line @typescript-eslint/no-empty-function -- nothing is on its way
+			pause: () => {
+				this.#isPaused = true;
+			},
+			resume: () => {
+				this.#isPaused = false;
+			},
 		};
 		return controller as Dispatcher.DispatchController;
 	}
@@ -277,6 +307,12 @@
 	startIn?: number;
 	/** Whether prompts need memory at another server. */
 	needsMemory?: boolean;
+	/** Server at which this node itself fails. */
+	defectAt?: number;
+	/** Servers to which no connection comes up, after how many milliseconds that shows, and those where it comes up late. */
+	refusing?: readonly number[];
+	refuseAfter?: number;
+	slow?: readonly number[];
 };
 
 /** A placer that gives each request the first server that it may have. */
@@ -338,7 +374,7 @@
 	readonly servers: BackendServer[];
 	readonly placer: ScriptedPlacer;
 	/** Sends that this side has ended, and why that may be. */
-	readonly aborted: Array<{send: ScriptedSend; at: number; hasOtherSpoken: boolean; isEnded: boolean}> = [];
+	readonly aborted: Array<{send: ScriptedSend; hasOtherSpoken: boolean; isEnded: boolean; hasLeft: boolean; isLate: boolean}> = [];
 	outcome: CallOutcome | undefined;
 	error: unknown;
 	hasLeft = false;
@@ -363,7 +399,7 @@
 			pool: this.#createPool(route),
 			placer: this.placer,
 			reservations: this.#createReservations(),
-			findServer: id => this.takesWork(id) ? this.servers.find(server => server.id === id) : undefined,
+			findServer: id => this.#findServer(id),
 			isLive: id => !this.#gone.has(id) && !this.#restarted.has(id),
 			node: 'edge-1' as BoxId,
 			availabilityZone: 'a' as AvailabilityZone,
@@ -403,7 +439,7 @@
 		for (let round = 0; round < 3; round++) {
 			await waitForTurn();
 			for (const send of this.sends) {
-				send.arrive();
+				this.#connect(send);
 			}
 		}
 	}
@@ -424,6 +460,37 @@
 		this.#run.noteRestart(server as BackendServerId);
 	}
 
+	#findServer(id: BackendServerId): BackendServer | undefined {
+		const index = this.servers.findIndex(server => server.id === id);
+		if (index === this.options.defectAt) {
+			throw new Error('a defect');
+		}
+
+		return this.takesWork(id) ? this.servers[index] : undefined;
+	}
+
+	#connect(send: ScriptedSend): void {
+		const index = this.servers.findIndex(({name}) => name === send.server);
+		const {refusing, refuseAfter = 0, slow} = this.options;
+		const isRefused = refusing?.includes(index) ?? false;
+		const delay = isRefused ? refuseAfter : (slow?.includes(index) ? slowConnection : 0);
+		if (this.clock.readMonotonic() - send.sentAt < delay) {
+			return;
+		}
+
+		if (isRefused) {
+			send.refuse();
+		} else {
+			send.arrive();
+		}
+	}
+
+	/** Whether nothing more can come of a send: its server has started again, or is out of view for longer than callers wait. */
+	#hasEnded(send: ScriptedSend, route: Route): boolean {
+		const isOutwaited = this.clock.readMonotonic() - send.heardAt >= (route.longestSilence ?? 0);
+		return this.#restarted.has(send.server) || (this.#gone.has(send.server) && isOutwaited);
+	}
+
 	async #follow(): Promise<void> {
 		try {
 			this.outcome = await this.#run.run();
@@ -437,13 +504,15 @@
 			exchange.attach({wasReset: () => false, onOver() {}}); // eslint-disable-line @typescript-eslint/no-empty-function -- there is no connection
 			const server = this.servers.find(each => each.address === address)!.name;
 			this.sends.push(new ScriptedSend(server, request, exchange, {
+				clock: this.clock,
 				isStream: route.kind === 'stream',
 				onAbort: send => {
 					this.aborted.push({
 						send,
-						at: this.clock.readMonotonic(),
-						hasOtherSpoken: this.sends.some(other => other !== send && other.hasSpoken && other.lastEventId >= send.lastEventId),
-						isEnded: this.#gone.has(send.server) || this.#restarted.has(send.server),
+						hasOtherSpoken: this.sends.some(other => other !== send && other.hasSpoken && other.heardAt >= send.sentAt),
+						isEnded: this.#hasEnded(send, route),
+						hasLeft: this.hasLeft,
+						isLate: this.clock.readMonotonic() >= route.timeLimit,
 					});
 				},
 			}));
