fix(gateway): of two places that are granted beside each other none stays taken

Cause: two asks for a place beside a silent server can be under way at once (a slow decider, a server that ends meanwhile); the second answer took the first one's place in the call, which was then never told to have ended. The node lists it as carried out for as long as it lives, so neither the decider's reconciliation nor a new decider forgets it. Change: a place that is held is given back before another one is kept.

--- a/src/gateway/calls/call-run.ts
+++ b/src/gateway/calls/call-run.ts
@@ -254,6 +254,8 @@
 			return false;
 		}
 
+		// A server that has ended meanwhile may have asked as well: one place is held, and none forgotten.
+		this.#dropNextPlace();
 		this.#nextPlace = placed;
 		return true;
 	}
--- a/test/gateway-attempts.test.ts
+++ b/test/gateway-attempts.test.ts
@@ -120,3 +120,11 @@
 	await call.pass(100);
 	expect([call.sends.map(send => send.hasArrived), call.placer.granted]).toEqual([[true, false, true], 1]);
 });
+
+test('of two places that are granted beside each other none stays taken', async () => {
+	const call = await startCall({askDelay: 300});
+	await call.pass(3150);
+	call.findOpen()?.fail();
+	await call.pass(streamRoute.timeLimit);
+	expect([call.outcome?.status, call.placer.held.size]).toEqual([504, 0]);
+});
