fix(gateway): a defect at one attempt stops the others of its call

Cause: when an attempt fails by a defect of this node the call is cut and forgotten, but an attempt beside it went on: its server worked for nobody, and it wrote to an answer that had been cut. Change: whatever still runs is stopped with its call; a failure that comes while something runs is no promise (no way to it was found, the guard is one word). Shown: the test is red before (the other send not aborted), green after.

--- a/src/gateway/calls/call-run.ts
+++ b/src/gateway/calls/call-run.ts
@@ -100,6 +100,8 @@
 			const failure = await this.#tryServers();
 			return this.#finish(failure);
 		} finally {
+			// Nothing is left to stop but after a defect, when another attempt would write on under an answer that was cut.
+			this.#attempts.stop();
 			this.#deadlineTimer.cancel();
 		}
 	}
@@ -132,7 +134,7 @@
 			}
 
 			if ('kind' in placed) {
-				return this.#attempts.runs > 0 ? describeUnconfirmed(placed.message) : placed;
+				return this.#attempts.runs + this.#attempts.running > 0 ? describeUnconfirmed(placed.message) : placed;
 			}
 
 			this.#placed = placed;
--- a/test/gateway-attempts.test.ts
+++ b/test/gateway-attempts.test.ts
@@ -128,3 +128,10 @@
 	await call.pass(streamRoute.timeLimit);
 	expect([call.outcome?.status, call.placer.held.size]).toEqual([504, 0]);
 });
+
+test('a defect at one attempt stops the others', async () => {
+	const call = await startCall({servers: 2, defectAt: 1});
+	call.findOpen()?.speak();
+	await call.pass(laterSilence);
+	expect([call.error === undefined, call.sends.map(send => send.wasAborted)]).toEqual([false, [true]]);
+});
