fix(gateway): a call that ended on a refusal still counts what may have run

Cause: of several attempts the one that ended by its own end is judged. When that one had declined and another one, which may have run, was given up, the call went on as if nothing had run: a stream on a route of one server reached a second one. Change: after a refusal another server is asked only while what may have run leaves room for it.

--- a/src/gateway/calls/call-run.ts
+++ b/src/gateway/calls/call-run.ts
@@ -225,7 +225,8 @@
 			}
 
 			case 'declined': {
-				return this.#maySend && await this.#takeTry(end.server, end.reason) ? 'again' : this.#describeDeclined(end.reason);
+				const mayGoOn = this.#maySend && (this.#attempts.runs === 0 || this.#mayRepeat());
+				return mayGoOn && await this.#takeTry(end.server, end.reason) ? 'again' : this.#describeDeclined(end.reason);
 			}
 
 			case 'lost': {
--- a/test/gateway-attempts.test.ts
+++ b/test/gateway-attempts.test.ts
@@ -105,6 +105,17 @@
 	expect([call.sink.status, call.sink.ending]).toEqual([502, 'whole']);
 });
 
+// The first place was at a server that had gone, which says that nothing ran; the second server ran the request and was
+// given up. Judged by the first one the request went to a third, though its route allows one.
+test('a server that ran the request counts when it is given up after another one has declined', async () => {
+	const call = await startCall({startIn: 150, route: {...streamRoute, attempts: 1}});
+	call.restart('i-0');
+	await call.pass(1350);
+	call.restart('i-1');
+	await call.pass(streamRoute.timeLimit);
+	expect([call.sends.length, call.sink.status, call.sink.ending]).toEqual([1, 502, 'whole']);
+});
+
 // The budget is the fleet's: what one call takes and does not use is missing elsewhere.
 test('a server that fails while a retry is asked for takes no second one', async () => {
 	const call = await startCall({servers: 2, askDelay: 300, route: {...streamRoute, attempts: 2}});
@@ -121,6 +132,8 @@
 	expect([call.sends.map(send => send.hasArrived), call.placer.granted]).toEqual([[true, false, true], 1]);
 });
 
+// Two asks for a place were under way when the server that had fallen silent failed: the second place took the first
+// one's, which stayed taken for as long as its node lived.
 test('of two places that are granted beside each other none stays taken', async () => {
 	const call = await startCall({askDelay: 300});
 	await call.pass(3150);
@@ -129,6 +142,7 @@
 	expect([call.outcome?.status, call.placer.held.size]).toEqual([504, 0]);
 });
 
+// A call that ends by a defect is cut; an attempt beside it wrote on, and its server worked for nobody.
 test('a defect at one attempt stops the others', async () => {
 	const call = await startCall({servers: 2, defectAt: 1});
 	call.findOpen()?.speak();
--- a/test/helpers/scripted-call.ts
+++ b/test/helpers/scripted-call.ts
@@ -171,12 +171,12 @@
 	readonly #onAbort: (send: ScriptedSend) => void;
 	#nextEvent: number;
 
-	constructor(readonly server: string, request: BackendRequest, exchange: BackendExchange, options: {clock: Clock; isStream: boolean; onAbort: (send: ScriptedSend) => void}) {
+	constructor(readonly server: string, request: BackendRequest, exchange: BackendExchange, options: {clock: Clock; isStream: boolean; startsOver: boolean; onAbort: (send: ScriptedSend) => void}) {
 		this.#clock = options.clock;
 		this.sentAt = options.clock.readMonotonic();
 		this.heardAt = this.sentAt;
 		this.lastEventId = Number(request.headers['last-event-id'] ?? 0);
-		this.#nextEvent = this.lastEventId + 1;
+		this.#nextEvent = options.startsOver ? 1 : this.lastEventId + 1;
 		this.#exchange = exchange;
 		this.#isStream = options.isStream;
 		this.#onAbort = options.onAbort;
@@ -307,6 +307,8 @@
 	startIn?: number;
 	/** Whether prompts need memory at another server. */
 	needsMemory?: boolean;
+	/** Whether servers begin a stream anew, whatever event the caller has seen. */
+	startsOver?: boolean;
 	/** Server at which this node itself fails. */
 	defectAt?: number;
 	/** Servers to which no connection comes up, after how many milliseconds that shows, and those where it comes up late. */
@@ -505,6 +507,7 @@
 			const server = this.servers.find(each => each.address === address)!.name;
 			this.sends.push(new ScriptedSend(server, request, exchange, {
 				clock: this.clock,
+				startsOver: this.options.startsOver ?? false,
 				isStream: route.kind === 'stream',
 				onAbort: send => {
 					this.aborted.push({
