--- a/test/gateway-attempts.test.ts
+++ b/test/gateway-attempts.test.ts
@@ -1,4 +1,6 @@
+import process from 'node:process';
 import {expect, test} from '@jest/globals';
+import fc from 'fast-check';
 import type {Route} from '../src/routing/index.js';
 import {
 	ScriptedCall, streamLength, streamRoute, type ScriptedCallOptions,
@@ -149,3 +151,130 @@
 	await call.pass(laterSilence);
 	expect([call.error === undefined, call.sends.map(send => send.wasAborted)]).toEqual([false, [true]]);
 });
+
+/** Seed of the runs in CI; others by `ATTEMPT_SEED` and `ATTEMPT_RUNS`. */
+const seed = Number(process.env.ATTEMPT_SEED ?? 20_261_203);
+const runs = Number(process.env.ATTEMPT_RUNS ?? 400);
+
+/** Time for everything that a call has begun to end, in milliseconds: an ask that is under way is the longest. */
+const restTime = 1000;
+
+const serverCount = 4;
+
+const arbitraryRoute = fc.constantFrom<Partial<Route>>(
+	{},
+	{canResume: false},
+	{kind: 'repeatable', longestSilence: undefined, canResume: false},
+	{kind: 'once', longestSilence: undefined, canResume: false},
+).chain(change => fc.integer({min: 1, max: 3}).map(attempts => ({...streamRoute, ...change, attempts})));
+
+/** None of the servers, more often than some. */
+const arbitraryServers = fc.oneof({weight: 3, arbitrary: fc.constant([])}, {weight: 1, arbitrary: fc.subarray([0, 1, 2])});
+
+const arbitraryOptions = fc.record({
+	route: arbitraryRoute,
+	servers: fc.integer({min: 1, max: serverCount}),
+	askDelay: fc.constantFrom(0, 0, 40, 300),
+	retries: fc.constantFrom(Infinity, Infinity, 2, 0),
+	startIn: fc.constantFrom(0, 0, 150),
+	needsMemory: fc.boolean(),
+	refusing: arbitraryServers,
+	startsOver: fc.boolean(),
+	refuseAfter: fc.constantFrom(0, 400),
+	slow: arbitraryServers,
+});
+
+const sendActions = ['sendHead', 'speak', 'speak', 'speak', 'decline', 'fail', 'breakOff'] as const;
+
+type Step =
+	| {kind: 'send'; action: typeof sendActions[number]; back: number}
+	| {kind: 'pass'; milliseconds: number}
+	| {kind: 'restart' | 'removeEntry'; server: number}
+	| {kind: 'leave' | 'stall' | 'drain'};
+
+const arbitraryStep: fc.Arbitrary<Step> = fc.oneof(
+	{weight: 8, arbitrary: fc.record({kind: fc.constant('send' as const), action: fc.constantFrom(...sendActions), back: fc.integer({min: 0, max: 2})})},
+	{weight: 8, arbitrary: fc.record({kind: fc.constant('pass' as const), milliseconds: fc.constantFrom(0, 25, 100, 350, 1050, 1350, 2100)})},
+	{weight: 1, arbitrary: fc.record({kind: fc.constantFrom('restart' as const, 'removeEntry' as const), server: fc.integer({min: 0, max: serverCount - 1})})},
+	{weight: 1, arbitrary: fc.record({kind: fc.constantFrom('leave' as const, 'stall' as const, 'drain' as const)})},
+);
+
+async function takeStep(call: ScriptedCall, step: Step): Promise<void> {
+	switch (step.kind) {
+		case 'send': {
+			call.findOpen(step.back)?.[step.action]();
+			break;
+		}
+
+		case 'pass': {
+			await call.pass(step.milliseconds);
+			break;
+		}
+
+		case 'leave': {
+			call.leave();
+			break;
+		}
+
+		case 'stall': {
+			call.sink.isSlow = true;
+			break;
+		}
+
+		case 'drain': {
+			call.sink.drain();
+			break;
+		}
+
+		case 'restart':
+		case 'removeEntry': {
+			call[step.kind](`i-${step.server}`);
+			break;
+		}
+	}
+
+	await call.settle();
+}
+
+/** What a call has broken of its promises, with what it promised. */
+function listBroken(call: ScriptedCall): string[] {
+	const {
+		sink, sends, outcome, placer,
+	} = call;
+	const route = call.options.route ?? streamRoute;
+	const ran = sends.filter(send => send.hasArrived && !send.hasDeclined);
+	const isResumable = route.kind === 'stream' && route.canResume;
+	const mostRuns = route.kind === 'repeatable' || isResumable ? Math.max(1, route.attempts) : 1;
+	const promises: Array<[string, boolean]> = [
+		['ends', outcome !== undefined && call.error === undefined],
+		['writes nothing after its end', sink.misuse.length === 0],
+		['events in order', sink.events.every((id, index) => id === index + 1)],
+		['a whole stream has all events', route.kind !== 'stream' || sink.status !== 200 || sink.ending !== 'whole' || sink.events.length === streamLength],
+		['one whole answer', route.kind === 'stream' || sink.status !== 200 || sink.speakers.length === 1],
+		['the head of whoever speaks first', sink.speakers.length === 0 || sink.headBy === sink.speakers[0]],
+		['one run goes to the caller unless it may go on', isResumable || sink.speakers.length < 2],
+		['no promise after a run', ![408, 421, 429, 503].includes(sink.status) || ran.length === 0],
+		['no run beyond what its kind allows', ran.length <= mostRuns],
+		['a retry for each arrival but the first', sends.filter(send => send.hasArrived).length <= placer.granted + 1],
+		['no more than one retry unused', placer.granted <= Math.max(0, sends.length - 1) + 1],
+		['all sends ended', sends.every(send => send.isOver)],
+		['all places given back', placer.held.size === 0],
+		['all memory freed', call.leases === 0],
+		['no timer left', call.clock.pending.size === 0],
+		['what runs is given up for an answer, the caller or the time only', call.aborted.every(({hasOtherSpoken, isEnded, hasLeft, isLate}) => hasOtherSpoken || isEnded || hasLeft || isLate)],
+	];
+	return promises.filter(([, isKept]) => !isKept).map(([promise]) => promise);
+}
+
+test('a call keeps its promises whatever its servers, its caller and the view do', async () => {
+	await fc.assert(fc.asyncProperty(arbitraryOptions, fc.array(arbitraryStep, {maxLength: 24, size: 'max'}), async (options, steps) => {
+		const call = await startCall(options);
+		for (const step of steps) {
+			await takeStep(call, step);
+		}
+
+		call.sink.drain();
+		await call.pass(options.route.timeLimit + restTime);
+		expect(listBroken(call)).toEqual([]);
+	}), {seed, numRuns: runs});
+}, 60_000);
