fix(gateway): after a silence connections at rest to all servers are left, but for those that have answered since

Cause: connections to all servers may fall silent together; each server's were found out one by one, each by a request that waited a second or more for its first event. Change: when a request or an order had no answer, the connections at rest to every server that have carried no answer since it was sent are closed with those of the silent server. Those that have are known to be well and stay. Cost: after a server has hung, connections that have been at rest for longer than its silence are opened anew. Shown: a test of three servers, two of them silent, asked after each other: before, the second one's silent connection was used (no answer), after it is asked on a new one, and the third one's connection stays.

--- a/src/gateway/calls/backend-pool.ts
+++ b/src/gateway/calls/backend-pool.ts
@@ -88,6 +88,7 @@
 	/** Sends a request and reads its whole answer; rejects when there is none in time. */
 	async ask(address: string, request: BackendRequest, timeout: number, use: ConnectionUse = 'kept'): Promise<{status: number; text: string}> {
 		const connection = this.#take(address, use);
+		const askedAt = this.#clock.readMonotonic();
 		const limit = createTimeout(this.#clock, timeout);
 		try {
 			const answer = await connection.client.request({
@@ -98,12 +99,23 @@
 			limit.cancel();
 			this.#giveBack(address, connection);
 			if (limit.signal.aborted) {
-				this.leaveIdle(address);
+				this.leaveSilent(address, askedAt);
 			}
 		}
 	}
 
-	/** Closes the connections at rest to a server that was silent: they may be silent too, and each would cost a request that limit anew. */
+	/**
+	 * Leaves the connections at rest that may be silent as well, after a server was: each would cost a request that wait anew.
+	 *
+	 * Those are all to that server, and those to others that have carried no answer since the request was sent: connections
+	 * to all servers may fall silent together.
+	 */
+	leaveSilent(address: string, sentAt: number): void {
+		this.leaveIdle(address);
+		this.#leaveOlder(sentAt);
+	}
+
+	/** Closes the connections at rest to a server. */
 	leaveIdle(address: string): void {
 		for (const connection of this.#idle.get(address) ?? []) {
 			this.#end(connection);
@@ -114,7 +126,15 @@
 
 	/** Closes the connections that have had no request for long. */
 	prune(): void {
-		const oldest = this.#clock.readMonotonic() - forgetAfter;
+		this.#leaveOlder(this.#clock.readMonotonic() - forgetAfter);
+	}
+
+	/** Closes all connections at once. */
+	async close(): Promise<void> {
+		await Promise.all([...this.#all].map(async connection => connection.client.destroy()));
+	}
+
+	#leaveOlder(oldest: number): void {
 		for (const [address, idle] of this.#idle) {
 			const kept = idle.filter(connection => connection.idleSince >= oldest);
 			for (const connection of idle) {
@@ -131,11 +151,6 @@
 		}
 	}
 
-	/** Closes all connections at once. */
-	async close(): Promise<void> {
-		await Promise.all([...this.#all].map(async connection => connection.client.destroy()));
-	}
-
 	#end(connection: BackendConnection): void {
 		this.#all.delete(connection);
 		void connection.client.destroy();
--- a/src/gateway/calls/live-attempt.ts
+++ b/src/gateway/calls/live-attempt.ts
@@ -201,6 +201,7 @@
 			clock, wire, call, sink, plan, lastEventId, pool, listener,
 		} = this.#parts;
 		listener.onSend(plan);
+		const sentAt = clock.readMonotonic();
 		const attempt = new BackendAttempt({
 			clock,
 			wire,
@@ -213,7 +214,7 @@
 				listener.dropMove();
 			},
 			onSilent: reason => {
-				pool.leaveIdle(server.address);
+				pool.leaveSilent(server.address, sentAt);
 				this.#tellSilence?.({kind: 'silent', plan, reason});
 			},
 			claimAnswer: () => {
--- a/test/silent-connections.test.ts
+++ b/test/silent-connections.test.ts
@@ -28,6 +28,9 @@
 
 let server: QuietingServer;
 
+/** More servers that a test starts. */
+let others: QuietingServer[];
+
 /** Makes calls side by side and silences their connections once these are at rest. */
 async function openConnections(ask: (timeout: number) => Promise<unknown>): Promise<void> {
 	await Promise.all(Array.from({length: keptConnections}, async () => ask(1000)));
@@ -40,10 +43,11 @@
 
 beforeEach(async () => {
 	server = await new QuietingServer().start();
+	others = [];
 });
 
 afterEach(async () => {
-	await server.stop();
+	await Promise.all([server, ...others].map(async standin => standin.stop()));
 });
 
 // All kept connections may fall silent at once, without a reset, while new ones are answered. A call that found
@@ -63,21 +67,41 @@
 	await clients.close();
 });
 
+/** Asks a backend server: the status of its answer, or undefined when there is none in time. */
+async function askServer(pool: BackendPool, address: string, timeout: number): Promise<number | undefined> {
+	try {
+		const answer = await pool.ask(address, {
+			method: 'GET', path: '/', headers: {}, body: undefined,
+		}, timeout);
+		return answer.status;
+	} catch {
+		return undefined;
+	}
+}
+
 test('a backend server that was silent on one connection is asked on a new one', async () => {
 	const pool = new BackendPool(systemClock);
-	const ask = async (timeout: number) => {
-		try {
-			const answer = await pool.ask(server.address, {
-				method: 'GET', path: '/', headers: {}, body: undefined,
-			}, timeout);
-			return answer.status;
-		} catch {
-			return undefined;
-		}
-	};
-
+	const ask = async (timeout: number) => askServer(pool, server.address, timeout);
 	await openConnections(ask);
 	expect(await ask(200)).toBeUndefined();
 	expect(await Promise.all([ask(1000), ask(1000), ask(1000)])).toEqual([200, 200, 200]);
 	await pool.close();
 });
+
+// The connections to all servers fell silent together. Each server's were found out one by one, by a request that
+// waited a second or more, and a day with two such silences had bad answers for five seconds after each.
+test('a silent server makes others be asked on new connections, but for those that have answered since', async () => {
+	const pool = new BackendPool(systemClock);
+	others = [await new QuietingServer().start(), await new QuietingServer().start()];
+	await Promise.all([server, ...others].map(async ({address}) => askServer(pool, address, 1000)));
+	const [silent, heard] = others;
+	const keptSockets = [...heard.sockets];
+	server.loseConnections();
+	silent.loseConnections();
+	const waiting = askServer(pool, server.address, 300);
+	await askServer(pool, heard.address, 1000);
+	expect(await waiting).toBeUndefined();
+	expect(await askServer(pool, silent.address, 300)).toBe(200);
+	expect([...heard.sockets]).toEqual(keptSockets);
+	await pool.close();
+});
