fix(gateway): a prompt that several servers read is not sent over a connection that may be silent

Cause: such a request was sent over a connection at rest that had fallen silent. Change: like one that may run once, it takes a fresh connection: one round trip for a read of seconds.

--- a/src/gateway/calls/call-attempts.ts
+++ b/src/gateway/calls/call-attempts.ts
@@ -71,7 +71,7 @@
 	begin(plan: Plan, lastEventId: number | undefined): void {
 		this.#stopDead();
 		this.#live.push(new LiveAttempt({
-			...this.#parts, plan, lastEventId, connection: this.#chooseConnection(), listener: this.#listener,
+			...this.#parts, plan, lastEventId, connection: this.#chooseConnection(plan), listener: this.#listener,
 		}));
 	}
 
@@ -116,9 +116,12 @@
 		}
 	}
 
-	/** Connections to all servers may have fallen silent together: a request waits for one of them at most, and one that may run once for none. */
-	#chooseConnection(): ConnectionUse {
-		return this.#parts.call.route.kind === 'once' || this.#hasMetSilence ? 'fresh' : 'kept';
+	/**
+	 * Connections to all servers may have fallen silent together: a request waits for one of them at most. One that may run
+	 * once or occupies several servers waits for none: the first would be lost, the second would keep their memory meanwhile.
+	 */
+	#chooseConnection(plan: Plan): ConnectionUse {
+		return this.#parts.call.route.kind === 'once' || plan.helpers.length > 0 || this.#hasMetSilence ? 'fresh' : 'kept';
 	}
 
 	/** A silent server that has started again, or is out of view for longer than its caller waits, will not speak again. */
--- a/test/silent-servers.test.ts
+++ b/test/silent-servers.test.ts
@@ -24,14 +24,17 @@
 /** Calls that are made at once after the silence. */
 const callsAtOnce = 4;
 
+/** Tokens of a prompt that is read by several servers. */
+const longPrompt = 120_000;
+
 /** Time within which a request that may run again must be answered, in milliseconds: one silence and a try elsewhere. */
 const oneSilence = 1400;
 
 let promptCount = 0;
 
 /** Describes a prompt that shares nothing with others: prompts with a common beginning go to one server. */
-function describePrompt(): Record<string, string> {
-	return {'cresshook-model': 'm', 'cresshook-token-usage': '1460,80', 'cresshook-prompt-prefix': `${(++promptCount).toString(16).padStart(4, '0')}:1460`};
+function describePrompt(length = 1460): Record<string, string> {
+	return {'cresshook-model': 'm', 'cresshook-token-usage': `${length},80`, 'cresshook-prompt-prefix': `${(++promptCount).toString(16).padStart(4, '0')}:${length}`};
 }
 
 let fleet: GatewayFleet;
@@ -107,3 +110,21 @@
 	expect(whole).toEqual([callsAtOnce, callsAtOnce]);
 	expect(longest).toBeLessThan(oneSilence / 2);
 }, silencesLimit);
+
+// Requests that hold memory on several servers are waited for longest: one that was sent over a silent connection kept
+// 142,217 tokens set aside for 12 s, and no server had ever seen it.
+test('a prompt that several servers read is not sent over a connection that may be silent', async () => {
+	for (const runner of fleet.runners) {
+		const {behaviour} = runner;
+		runner.behaviour = async (request, response, socket) => request.url === '/v1/order' ? answerWhole('{}')(request, response, socket) : behaviour(request, response, socket);
+	}
+
+	for (const _ of [1, 2]) {
+		await loseAll('/stream/', 'model');
+		const started = Date.now();
+		const answer = await fleet.call({path: '/stream/', headers: describePrompt(longPrompt)});
+		expect([answer.status, answer.isWhole, Date.now() - started < oneSilence / 2]).toEqual([200, true, true]);
+	}
+
+	expect(fleet.runners.some(runner => runner.seen.some(request => request.headers.helpers !== undefined))).toBe(true);
+}, silencesLimit);
