test: silences of all connections at once and twice in a row, for asks, orders, watches and registration

Asks between nodes (90 ms each, then answered), renewals and releases of memory, watches of the store (each change in force within three seconds) and registration.

--- a/test/silent-connections.test.ts
+++ b/test/silent-connections.test.ts
@@ -31,12 +31,17 @@
 /** More servers that a test starts. */
 let others: QuietingServer[];
 
-/** Makes calls side by side and silences their connections once these are at rest. */
-async function openConnections(ask: (timeout: number) => Promise<unknown>): Promise<void> {
-	await Promise.all(Array.from({length: keptConnections}, async () => ask(1000)));
+/** Waits until connections that have just answered are at rest. */
+async function waitForRest(): Promise<void> {
 	await new Promise(resolve => {
 		setTimeout(resolve, answerTime);
 	});
+}
+
+/** Makes calls side by side and silences their connections once these are at rest. */
+async function openConnections(ask: (timeout: number) => Promise<unknown>): Promise<void> {
+	await Promise.all(Array.from({length: keptConnections}, async () => ask(1000)));
+	await waitForRest();
 	expect(server.sockets.size).toBe(keptConnections);
 	server.loseConnections();
 }
@@ -67,6 +72,23 @@
 	await clients.close();
 });
 
+test('asks of a node cost one short limit when all its connections fall silent, also twice in a row', async () => {
+	const clients = new PeerClients(systemClock);
+	const ask = async (timeout: number) => clients.ask(server.address, timeout, async (client, signal) =>
+		client.grantRetry.mutate({
+			requestId: 'id-1', service: 'app', node: 'a', promptTokens: 1,
+		}, {signal}));
+	const askTogether = async (timeout: number) => Promise.all(Array.from({length: keptConnections}, async () => ask(timeout)));
+	for (const _ of [1, 2]) {
+		await openConnections(ask);
+		expect(await askTogether(90)).toEqual(Array.from({length: keptConnections}, () => undefined));
+		expect(await askTogether(1000)).toEqual(Array.from({length: keptConnections}, () => true));
+		await waitForRest();
+	}
+
+	await clients.close();
+});
+
 /** Asks a backend server: the status of its answer, or undefined when there is none in time. */
 async function askServer(pool: BackendPool, address: string, timeout: number): Promise<number | undefined> {
 	try {
--- a/test/store-returns.test.ts
+++ b/test/store-returns.test.ts
@@ -60,3 +60,22 @@
 	await waitUntil(() => areAllAt(2) && fleet.gateways.every(gateway => gateway.state.listServers('app' as ServiceName).length === 0), 3000);
 	expect(areAllAt(2)).toBe(true);
 }, silenceLimit);
+
+test('changes are in force within three seconds each when all connections to the store fall silent twice in a row', async () => {
+	for (const version of [2, 3]) {
+		fleet.store.loseConnections();
+		fleet.store.put('config', 'main', createConfig(version));
+		await waitUntil(() => areAllAt(version), 3000);
+	}
+
+	expect(areAllAt(3)).toBe(true);
+}, silenceLimit);
+
+test('nodes register though all connections to the store fall silent before they do', async () => {
+	const late = new GatewayFleet();
+	await late.start({runners: [{service: 'app', behaviour: answerWhole('yes')}]});
+	late.store.loseConnections();
+	await waitUntil(() => late.store.listNames('cresshook-nodes').includes('edge-0'), 6000);
+	expect(late.store.listNames('cresshook-nodes')).toEqual(['edge-0']);
+	await late.stop();
+}, silenceLimit);
--- a/test/unused-memory.test.ts
+++ b/test/unused-memory.test.ts
@@ -15,6 +15,9 @@
 /** Time in which memory that nobody uses must be free, in milliseconds: more counts as lost. */
 const freeWithin = 3500;
 
+/** How long memory is set aside by one order, in milliseconds. */
+const holdFor = 3000;
+
 /** Two renewals and some time, in milliseconds. */
 const twoRenewals = 2200;
 
@@ -93,3 +96,13 @@
 	await waitUntil(() => orders.length > 2);
 	expect(reports).toBe(0);
 });
+
+test('memory is renewed and freed over new connections when those to its server fall silent, twice in a row', async () => {
+	await takeMemory(() => ({hasBegun: false, quietFor: 0}));
+	runner.loseConnections();
+	await waitUntil(() => orders.length === 2, holdFor);
+	runner.loseConnections();
+	lease?.release();
+	await waitUntil(() => orders.includes('release'), freeWithin);
+	expect(orders).toEqual(['reserve', 'reserve', 'release']);
+}, 10_000);
