fix(gateway): a caller that falls silent within its body is let go

Cause: only the head of a request had a time limit. A caller whose connection fell silent while its body was on the way kept the connection and what had come of the body until the process ended: a test waited 12 s in vain. Change: until the body is whole, the connection may be silent for as long as the configuration lets one at rest be; a slow caller is not silent, and what is served has the limits of its route as before. Shown: the test is red before (12 s), green after (1.1 s with a limit of 1 s); a caller that sends a part every 0.6 s is served. Two more tests show what held already: a caller that stops reading costs its server no more than the route's time, and a connection at rest is closed after the time that is configured.

--- a/src/gateway/servers.ts
+++ b/src/gateway/servers.ts
@@ -63,6 +63,18 @@
 /** Largest body while no configuration states a limit, in bytes. */
 export const defaultBodyLimit = 4 * 1024 * 1024;
 
+/** Lets a caller go that falls silent within its body: its connection and what has come of the body would be kept for good. A slow caller is not silent. */
+function watchBodySilence(server: OpenServer): void {
+	server.addHook('onRequest', (request, _reply, done) => {
+		request.raw.setTimeout(server.server.keepAliveTimeout);
+		done();
+	});
+	server.addHook('preValidation', (request, _reply, done) => {
+		request.raw.setTimeout(0);
+		done();
+	});
+}
+
 /** Opens the callers' listener. Bodies are taken whole, whatever their type. */
 export async function openCallersServer(address: string, context: CallersContext): Promise<OpenServer> {
 	const server = createServer(defaultBodyLimit * 4);
@@ -75,6 +87,7 @@
 		const kind = error.statusCode === 413 ? 'body_too_large' : 'invalid_request';
 		sendFailure(new HttpSink(reply.raw, () => true), context.wire, createFailure(kind, error.message), undefined);
 	});
+	watchBodySilence(server);
 	const serve = async (request: FastifyRequest, reply: FastifyReply) => {
 		void reply.hijack();
 		const sink = new HttpSink(reply.raw, context.isStopping);
