--- a/test/silent-servers.test.ts
+++ b/test/silent-servers.test.ts
@@ -111,6 +111,13 @@
 	expect(longest).toBeLessThan(oneSilence / 2);
 }, silencesLimit);
 
+test('a request that may run once goes elsewhere when its server is silent and takes no connection', async () => {
+	await loseAll('/once/', 'app');
+	fleet.runners[0].server.close();
+	const answers = await callTogether('/once/', callsAtOnce);
+	expect(answers.map(answer => answer.status)).toEqual(answers.map(() => 200));
+}, silencesLimit);
+
 // Requests that hold memory on several servers are waited for longest: one that was sent over a silent connection kept
 // 142,217 tokens set aside for 12 s, and no server had ever seen it.
 test('a prompt that several servers read is not sent over a connection that may be silent', async () => {
