fix(platform): entries whose port or revision can be none are foreign, and a list that can't be read on is none

Cause: (1) any five digits were a port: an entry at port 99999 was a server that nobody can connect to. (2) An object with a name and a revision that is no number was left out as if it had no name: a server whose entry was overwritten so vanished from a list instead of keeping what it runs. (3) A page without readable names, with more to come, ended the list: servers of later pages vanished, and the node took the list for whole.

Ruled out: other faults of pages, events and specs: whatever others write in the place of specs (fields missing or of any type, endless and huge numbers, broken UTF-8;, 300 stores of up to nine objects on pages of one to four) own servers are taken from lists and watches, everything else is named as foreign or could be a server; and 200 bodies that are no page or events are told as a source that doesn't answer.

--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import {readdir, readFile} from 'node:fs/promises';
 import {join} from 'node:path';
 import {
@@ -11,6 +12,7 @@
 	createFailure, createSilentLogger, systemClock, type BackendServerName, type OrganisationId,
 } from '../src/common/index.js';
 import type {SendHead} from '../src/gateway/index.js';
+import type {BackendServer} from '../src/routing/index.js';
 import {createConfig} from './helpers/gateways.js';
 import {Listening, StandinStore} from './helpers/platform-standins.js';
 
@@ -20,15 +22,33 @@
 const {signal} = new AbortController();
 
 beforeEach(async () => {
+	opened = [];
 	store = await new StandinStore().start();
 	source = new PlatformSource(store.address, systemClock, createSilentLogger());
 });
 
+/** What a test has opened besides; closed also when it fails. */
+let opened: Array<{close: () => Promise<void>}>;
+
 afterEach(async () => {
+	await Promise.all(opened.map(async each => each.close()));
 	await source.close();
 	await store.stop();
 });
 
+/** A source that reads from another store. */
+async function openSource(answering: Listening): Promise<PlatformSource> {
+	await answering.start();
+	const odd = new PlatformSource(answering.address, systemClock, createSilentLogger());
+	opened.push({
+		async close() {
+			await odd.close();
+			await answering.stop();
+		},
+	});
+	return odd;
+}
+
 const serverSpec = {
 	service: 'model', address: '10.0.0.1:80', zone: 'north', version: 'v1', slots: 11, state: 'ready', coldRemainingMs: 0, sequence: 4,
 };
@@ -130,6 +150,126 @@
 	}), {seed: 77, numRuns: 60});
 });
 
+test('an address whose port can be none is written by somebody else', () => {
+	for (const address of ['10.0.0.1:0', '10.0.0.1:65536', '10.0.0.1:99999']) {
+		expect(() => decodeServer({metadata: {name: 'i-1'}, spec: {...serverSpec, address}})).toThrow('address');
+	}
+
+	expect(decodeServer({metadata: {name: 'i-1'}, spec: {...serverSpec, address: 'runner:65535'}}).address).toBe('runner:65535');
+});
+
+/** A store whose answers are whatever bytes a test gives it, as pages of so many objects in the order of their names. */
+class RawStore extends Listening {
+	objects: Array<{name: string; bytes: Uint8Array}> = [];
+	pageSize = 2;
+
+	constructor() {
+		super(async (request, response) => {
+			const {searchParams} = new URL(request.url ?? '', 'http://store');
+			const isWatch = searchParams.has('watch');
+			const left = this.objects.filter(({name}) => name > (searchParams.get('sinceRevision') ?? ''));
+			const page = isWatch ? this.objects : left.slice(0, this.pageSize);
+			const items = page.map(({bytes}) => isWatch ? Buffer.concat([Buffer.from('{"object":'), bytes, Buffer.from('}')]) : bytes);
+			const parts = items.flatMap((item, index) => index === 0 ? [item] : [Buffer.from(','), item]);
+			response.writeHead(200, {'content-type': 'application/json'});
+			response.end(Buffer.concat([
+				Buffer.from(isWatch ? '{"events":[' : '{"items":['), ...parts, Buffer.from(`],"more":${left.length > this.pageSize},"at":9}`),
+			]));
+		});
+	}
+}
+
+// A page of objects without readable names, with more to come, was taken for the end of the list: all servers on later
+// pages vanished from the view, while the node took the list for whole.
+test('a list whose next page cannot be asked for is no list', async () => {
+	const raw = new RawStore();
+	const odd = await openSource(raw);
+	raw.objects = ['a', 'b', 'c'].map(name => ({name, bytes: Buffer.from(name === 'c' ? JSON.stringify({metadata: {name, revision: 3}, spec: serverSpec}) : '{"metadata":{"name":7}}')}));
+	const listed = await odd.servers.list(signal);
+	expect(listed.swap().unsafeCoerce().kind).toBe('unreachable');
+});
+
+test('an object with a name and an odd revision is written by somebody else, in a list and as a change', async () => {
+	const raw = new RawStore();
+	const odd = await openSource(raw);
+	for (const revision of ['7', null, 1.5, -1, {}]) {
+		raw.objects = [{name: 'i-1', bytes: Buffer.from(JSON.stringify({metadata: {name: 'i-1', revision}, spec: serverSpec}))}];
+		const [listed, followed] = [await odd.servers.list(signal), await odd.servers.follow({revision: 1, wait: 0, patience: 400}, signal)];
+		expect(listed.unsafeCoerce()).toMatchObject({items: [], foreign: ['i-1']});
+		expect(followed.unsafeCoerce().changes).toMatchObject([{name: 'i-1', item: undefined, isForeign: true}]);
+	}
+});
+
+/** Whatever may stand where a field does. */
+const anyField = fc.oneof(
+	fc.constantFrom(undefined, null, '', 'ready', '10.0.0.9:80', '10.0.0.9:99999', -1, 0, 1.5, 1e300, 2 ** 53, true),
+	fc.anything({maxDepth: 1}),
+);
+
+/** What somebody else may write in the place of an entry: up to three fields missing or whatever, or no object at all. */
+const oddSpec = fc.oneof(
+	fc.dictionary(fc.constantFrom(...Object.keys(serverSpec), 'born'), anyField, {minKeys: 1, maxKeys: 3}).map(changes => ({...serverSpec, ...changes})),
+	fc.anything({maxDepth: 2}),
+);
+
+/** As JSON, where endless numbers and big ones come as a store would write them. */
+function formatWire(value: unknown): string {
+	const text = JSON.stringify(value, (_key, field: unknown) => {
+		if (typeof field === 'bigint') {
+			return `#${field}#`;
+		}
+
+		return field === Infinity ? '#1e999#' : field;
+	}) as string | undefined;
+	return (text ?? 'null').replaceAll(/"#(?<number>[-\de]+)#"/gu, '$<number>');
+}
+
+const brokenText = fc.uint8Array({minLength: 1, maxLength: 4}).map(bytes =>
+	Buffer.concat([Buffer.from('{"service":"'), Buffer.from(bytes.map(byte => (byte % 128) + 128)), Buffer.from('","state":"ready"}')]));
+
+/** What a server that may be used must be, by the page; written apart from the decoder. */
+function isUsable(server: BackendServer): boolean {
+	const [host, port, ...rest] = server.address.split(':');
+	return server.service.length > 0 && Number.isSafeInteger(server.slots) && server.slots > 0 && rest.length === 0
+		&& host !== '' && Number(port) > 0 && Number(port) <= 65_535 && server.entryRevision === 3;
+}
+
+test('whatever others write beside them, on whichever page, and however its bytes are broken, own servers are taken, and the rest is named as foreign or could be a server', async () => {
+	const raw = new RawStore();
+	const odd = await openSource(raw);
+	const specs = fc.array(fc.oneof({weight: 4, arbitrary: oddSpec.map(spec => Buffer.from(formatWire(spec)))}, brokenText), {maxLength: 8});
+	await fc.assert(fc.asyncProperty(specs, fc.nat(8), fc.integer({min: 1, max: 4}), async (others, ownPlace, pageSize) => {
+		const written = [...others.slice(0, ownPlace), Buffer.from(formatWire(serverSpec)), ...others.slice(ownPlace)];
+		raw.pageSize = pageSize;
+		raw.objects = written.map((spec, index) => ({
+			name: `i-${index}`, bytes: Buffer.concat([Buffer.from(`{"metadata":{"name":"i-${index}","revision":3,"made":{}},"spec":`), spec, Buffer.from('}')]),
+		}));
+		const own = `i-${Math.min(ownPlace, others.length)}`;
+		const [listed, followed] = await Promise.all([odd.servers.list(signal), odd.servers.follow({revision: 1, wait: 0, patience: 400}, signal)]);
+		const {items, foreign} = listed.unsafeCoerce();
+		const {changes} = followed.unsafeCoerce();
+		expect([...items.map(server => server.name), ...foreign ?? []].sort()).toEqual(raw.objects.map(({name}) => name));
+		expect(items.filter(server => !isUsable(server))).toEqual([]);
+		expect(items.map(server => server.name)).toContain(own);
+		expect(changes.filter(change => change.isForeign).map(change => change.name)).toEqual(foreign);
+		expect(changes.flatMap(change => change.item ?? [])).toEqual(items);
+	}), {seed: 20_261_203, numRuns: 300});
+});
+
+test('whatever comes instead of a page or of events is told as a source that does not answer', async () => {
+	let text: Uint8Array = Buffer.from('');
+	const odd = await openSource(new Listening(async (_request, response) => {
+		response.writeHead(200, {'content-type': 'application/json'});
+		response.end(text);
+	}));
+	const body = fc.oneof(fc.uint8Array({maxLength: 30}), fc.anything({maxDepth: 2}).map(value => Buffer.from(formatWire(value))), fc.constantFrom('{"items":[],"at":"9"}', '{"items":{},"at":9}', '{"items":[]}', '{"events":[],"at":1e999}', '{"items":[],"at":1e999}', '{"items":[],"at":9').map(value => Buffer.from(value)));
+	await fc.assert(fc.asyncProperty(body, async bytes => {
+		text = bytes;
+		const [listed, followed] = await Promise.all([odd.servers.list(signal), odd.servers.follow({revision: 1, wait: 0, patience: 400}, signal)]);
+		expect([listed, followed].map(result => result.isLeft() && result.extract().kind)).toEqual(['unreachable', 'unreachable']);
+	}), {seed: 20_261_203, numRuns: 200});
+});
+
 test('changes after a revision come as they are made, gone ones too', async () => {
 	store.put('servers', 'i-1', serverSpec);
 	const waiting = source.servers.follow({revision: 1, wait: 2000, patience: 400}, signal);
