test: entries and views that come late end with the ready lives, too

The property of a server's lives read the source and heard other nodes at once; a late entry was tested by single cases only. Answers of the source (one at a time, from the revision read last) and of other nodes now also come any number of steps after they were given, and time passes in between.

--- a/test/server-lives.test.ts
+++ b/test/server-lives.test.ts
@@ -201,29 +201,58 @@
 	readonly clock = new VirtualClock();
 	readonly state = new FleetState(this.clock, createSilentLogger());
 	#readUpTo: number | undefined;
+	/** Answers of the source and of other nodes that are still on their way; of each kind the latest asked for comes last. */
+	readonly #answers: Array<() => void> = [];
 
 	read(history: EntryHistory, isListed: boolean): void {
-		if (isListed || this.#readUpTo === undefined) {
-			this.state.applyServerList(history.list(), 'source');
-		} else {
-			const from = this.#readUpTo;
-			this.state.applyServerChanges(history.changes.filter(change => change.at > from), history.revision, 'source');
-		}
-
-		this.#readUpTo = history.revision;
+		this.ask(history, isListed);
+		this.receive();
 	}
 
 	hear(other: ReadingNode): void {
+		this.askNode(other);
+		this.receive();
+	}
+
+	/** A source gives one answer at a time: what is asked anew is asked for by what was read last. */
+	ask(history: EntryHistory, isListed: boolean): void {
+		const from = isListed ? undefined : this.#readUpTo;
+		const {revision} = history;
+		const listing = history.list();
+		const changes = history.changes.filter(change => from !== undefined && change.at > from);
+		this.#answers.push(() => {
+			if (from === undefined) {
+				this.state.applyServerList(listing, 'source');
+			} else if (from === this.#readUpTo) {
+				this.state.applyServerChanges(changes, revision, 'source');
+			} else {
+				return;
+			}
+
+			this.#readUpTo = revision;
+		});
+	}
+
+	askNode(other: ReadingNode): void {
 		const told = other.state.takeServers(this.state.serversRevision);
 		if (told !== undefined) {
-			this.state.applyServers(told, 'node');
+			this.#answers.push(() => {
+				this.state.applyServers(told, 'node');
+			});
+		}
+	}
+
+	/** All that is on its way comes, however late. */
+	receive(): void {
+		for (const take of this.#answers.splice(0)) {
+			take();
 		}
 	}
 }
 
-test('whatever starts, leaves, lapses and is overwritten, and whoever hears of it how, all nodes use the ready lives in the end', () => {
+test('whatever starts, leaves, lapses and is overwritten, and whoever hears of it how and how late, all nodes use the ready lives in the end', () => {
 	const entryStep = fc.record({name: fc.constantFrom('a', 'b', 'c'), kind: fc.constantFrom<EntryStep['kind']>('start', 'start', 'drain', 'lapse', 'overwrite', 'rewrite')});
-	const nodeStep = fc.record({node: fc.nat(2), how: fc.constantFrom('list', 'read', 'hear', 'outage', 'return'), from: fc.nat(2)});
+	const nodeStep = fc.record({node: fc.nat(2), how: fc.constantFrom('list', 'read', 'hear', 'outage', 'return', 'askList', 'askChanges', 'askNode', 'receive', 'wait'), from: fc.nat(2)});
 	fc.assert(fc.property(fc.array(fc.oneof(entryStep, nodeStep), {maxLength: 80}), steps => {
 		const history = new EntryHistory();
 		const nodes = [1, 2, 3].map(() => new ReadingNode());
@@ -248,11 +277,32 @@
 					return() {
 						node.state.noteReturn();
 					},
+					askList() {
+						node.ask(history, true);
+					},
+					askChanges() {
+						node.ask(history, false);
+					},
+					askNode() {
+						node.askNode(nodes[step.from]);
+					},
+					receive() {
+						node.receive();
+					},
+					wait() {
+						for (const each of nodes) {
+							each.clock.advance(returnGrace / 2);
+						}
+					},
 				}[step.how];
 				act();
 			}
 		}
 
+		for (const node of nodes) {
+			node.receive();
+		}
+
 		nodes[0].state.noteReturn();
 		nodes[0].read(history, false);
 		nodes[1].state.noteReturn();
@@ -264,5 +314,5 @@
 
 		expect(nodes.slice(0, 2).map(node => listIds(node.state))).toEqual([history.listUsable(), history.listUsable()]);
 		expect(listIds(nodes[2].state)).toEqual(history.listUsable());
-	}), {seed: 5, numRuns: 400});
+	}), {seed: 5, numRuns: 1500});
 });
