--- a/test/gateway-parts.test.ts
+++ b/test/gateway-parts.test.ts
@@ -4,18 +4,22 @@
 import {expect, test} from '@jest/globals';
 import fc from 'fast-check';
 import {Right} from 'purify-ts';
+import {CallWire} from '../platform/index.js';
 import {
-	systemClock, type AvailabilityZone, type BackendServerId, type BoxId, type Clock,
+	createSilentLogger, systemClock, VirtualClock, type AvailabilityZone, type BackendServerId, type BoxId, type Clock, type RequestId,
 } from '../src/common/index.js';
 import {listCallerAddresses} from '../src/gateway/peers/addresses.js';
 import type {Call} from '../src/gateway/calls/call.js';
 import {closeEarlyListener, listenOnEarly, takeEarlyListener} from '../src/gateway/early-listener.js';
 import {EventFrames} from '../src/gateway/calls/event-frames.js';
+import {BackendPool} from '../src/gateway/calls/backend-pool.js';
 import {PlaceSeeker} from '../src/gateway/calls/place-seeker.js';
 import {Placer, type PlaceAnswer, type Placed} from '../src/gateway/calls/placer.js';
+import {Reservations} from '../src/gateway/calls/reservations.js';
 import type {Plan, PlanRequest} from '../src/planning/index.js';
 import {send, waitUntil} from './helpers/gateways.js';
 import {createPeer} from './helpers/peers.js';
+import {Listening} from './helpers/platform-standins.js';
 
 test('whole events come out unchanged however the bytes are cut', () => {
 	const events = ['id: 1\ndata: a\n\n', 'data: no id\n\n', 'id:2\r\ndata: b\r\n\r\n', 'id: 30\ndata: two\ndata: lines\n\n'];
@@ -102,6 +106,51 @@
 	expect(placed?.plan.startIn).toBe(0);
 });
 
+test('memory at helpers is set aside again only in lives that go on, and freed at the end', async () => {
+	const clock = new VirtualClock();
+	const orders: string[] = [];
+	const helpers = await Promise.all(['i-0@1', 'i-1@1'].map(async server => {
+		const listening = await new Listening(async (request, response) => {
+			const pieces: Uint8Array[] = [];
+			for await (const piece of request) {
+				pieces.push(piece as Uint8Array);
+			}
+
+			const {op} = JSON.parse(Buffer.concat(pieces).toString()) as {op: string};
+			orders.push(`${op} ${server}`);
+			response.end('{}');
+		}).start();
+		return {
+			server: server as BackendServerId, address: listening.address, heldTokens: 5, listening,
+		};
+	}));
+	const lives = new Set(helpers.map(({server}) => server));
+	const pool = new BackendPool(systemClock);
+	const reservations = new Reservations({
+		clock, logger: createSilentLogger(), wire: new CallWire(), pool, isLive: id => lives.has(id),
+	});
+	const takeOrders = async (count: number) => {
+		await waitUntil(() => orders.length >= count);
+		return orders.splice(0).sort();
+	};
+
+	const lease = await reservations.reserve({planId: 'p-1'} as unknown as Plan, helpers, 'r-1' as RequestId);
+	expect(await takeOrders(2)).toEqual(['reserve i-0@1', 'reserve i-1@1']);
+	clock.advance(900);
+	expect(await takeOrders(2)).toEqual(['reserve i-0@1', 'reserve i-1@1']);
+	lives.delete('i-1@1' as BackendServerId);
+	clock.advance(900);
+	expect(await takeOrders(1)).toEqual(['reserve i-0@1']);
+	clock.advance(900);
+	expect(await takeOrders(1)).toEqual(['reserve i-0@1']);
+	lease!.release();
+	expect(await takeOrders(2)).toEqual(['release i-0@1', 'release i-1@1']);
+	clock.advance(9000);
+	await pool.close();
+	await Promise.all(helpers.map(async ({listening}) => listening.stop()));
+	expect(orders).toEqual([]);
+});
+
 /** Opens a port as the loader does. */
 async function openEarly(): Promise<{address: string; connections: Socket[]}> {
 	const connections: Socket[] = [];
--- a/test/planning.test.ts
+++ b/test/planning.test.ts
@@ -195,6 +195,31 @@
 	expect(planner.planCount).toBe(0);
 });
 
+test('a new life of a server begins with no plans and no memory held, and what is told of the old one does not touch it', () => {
+	const planner = createPlanner(1);
+	const [old, other] = createServers(2);
+	const excluded = [other.id];
+	const patient = {
+		objective: 30_000, patience: 60_000, longestPause: 30_000, excluded,
+	};
+	const waiting = ask(270_000, patient);
+	const long = planNow(planner, ask(270_000, patient));
+	expect(planner.decide(waiting, 20_000).unsafeCoerce()).toMatchObject({kind: 'wait', reason: 'memory'});
+	planner.note({
+		planId: long.planId, kind: 'failed', server: old.id, trouble: 'unreached',
+	}, 20_000);
+	const born = {...old, id: `${old.name}@2` as BackendServerId, entryRevision: 2};
+	planner.setServers([born, other], engine);
+	const next = planNow(planner, {...waiting, waited: 1}, 20_001);
+	expect([next.server, next.startIn]).toEqual([born.id, 0]);
+	planner.note({
+		planId: long.planId, kind: 'failed', server: old.id, trouble: 'silent',
+	}, 20_002);
+	planner.note({planId: long.planId, kind: 'ended'}, 20_002);
+	expect(planner.planCount).toBe(1);
+	expect(planner.decide(ask(270_000, patient), 40_000).unsafeCoerce()).toMatchObject({kind: 'wait', reason: 'memory'});
+});
+
 // A server whose entry somebody else overwrites takes no new work until its own entry is back, and what it runs goes on.
 // Its planner began with an empty board then: a prompt was planned into memory that another one held, the server
 // refused to set it aside, and writers there were not counted. The same after a takeover while it was out. Found by
