fix(soak): a node that does not start ends the run by its name

Cause: of two runs beside four other soaks one node each found its port taken (EADDRINUSE) and never started; the run went on and said in the end that the node used NaN of 11 servers.

Change: a node that is not ready in time ends the run with an error; the processes end with it.

The error itself was not played.

Conclusion: run few soaks at once; their ports are drawn by chance.

--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -397,4 +397,7 @@
 
 		await pause(50);
 	}
+
+	// Judged further, the run would blame the fleet for a port that another process of the machine took.
+	throw new Error(`${node.name} was not ready in time; its log says why`);
 }
