test: datagrams of anybody, and what a node tells after them

Bytes, heads whose fields hold whatever, and signs of lives that are empty, too long or not of one byte a letter: a node refuses or reads them, and every heartbeat and answer that it writes next can be read.

--- a/test/heartbeat-runs.test.ts
+++ b/test/heartbeat-runs.test.ts
@@ -1,4 +1,5 @@
 /** Model runs of heartbeats: nodes that start, die, stand still and come back, over a network that loses, repeats, delays and cuts. */
+import {Buffer} from 'node:buffer';
 import {expect, test} from '@jest/globals';
 import fc from 'fast-check';
 import seedrandom from 'seedrandom';
@@ -257,3 +258,55 @@
 		settle(model, real);
 	}), {seed, numRuns: 250});
 });
+
+/** Whatever JSON may hold. */
+const anyValue = fc.jsonValue({maxDepth: 1});
+
+/** Heads as another program, or another version of this one, may write them; most can be read. */
+const anyHead = fc.record({
+	from: fc.oneof({weight: 8, arbitrary: fc.tuple(fc.constantFrom('n1', '0.1', '', 'too long a life', 'é€😀'), fc.oneof(fc.nat(70_000), fc.maxSafeNat()))}, anyValue),
+	view: fc.oneof({weight: 8, arbitrary: fc.constant([1, 1, 'x'])}, anyValue),
+	described: fc.array(fc.oneof({weight: 12, arbitrary: fc.constantFrom('n1', 'n2', 'a:1', '').map(life => createPeer('n1', {life}))}, anyValue), {maxLength: 2}),
+	wanted: fc.oneof({weight: 8, arbitrary: fc.array(fc.constantFrom('0.1', 'n1', '', 'never heard of'), {maxLength: 3})}, anyValue),
+});
+
+const anySigns = fc.oneof(
+	fc.uint8Array({maxLength: 24}),
+	{
+		weight: 5,
+		arbitrary: fc.array(fc.tuple(fc.constantFrom('n1    ', 'n2    ', '      ', '0.1   '), fc.nat(255)), {maxLength: 3})
+			.map(signs => Buffer.concat(signs.map(([life, age]) => Buffer.from(`${life}\0${String.fromCodePoint(age)}`, 'latin1')))),
+	},
+);
+
+const anyDatagram = fc.oneof(
+	fc.uint8Array({maxLength: 60}),
+	{weight: 8, arbitrary: fc.tuple(anyHead, anySigns).map(([head, signs]) => Buffer.concat([Buffer.from(`${JSON.stringify(head)}\n`), signs]))},
+);
+
+test('whatever datagrams come, a node refuses them or reads them, and what it tells others can be written', () => {
+	let read = 0;
+	fc.assert(fc.property(fc.array(anyDatagram, {maxLength: 12}), datagrams => {
+		const fleet = new BeatingFleet();
+		fleet.start(0, 1);
+		const {peers} = fleet.nodes.get('n0:3')!;
+		for (const datagram of datagrams) {
+			const beat = readIfBeat(datagram);
+			read += beat === undefined ? 0 : 1;
+			const answers = beat === undefined ? [] : peers.accept(beat, 'n1:3');
+			fleet.clock.advance(heartbeatEvery);
+			for (const outgoing of [...answers, ...peers.beat()]) {
+				expect(decodeBeat(encodeBeat(outgoing.beat)).from).toEqual(outgoing.beat.from);
+			}
+		}
+	}), {seed, numRuns: 500});
+	expect(read).toBeGreaterThan(500);
+});
+
+function readIfBeat(datagram: Uint8Array): PeerBeat | undefined {
+	try {
+		return decodeBeat(datagram);
+	} catch {
+		return undefined;
+	}
+}
