fix(gateway): a node that is silent on two connections leaves room for others to be asked

Cause, found by reading the change before: when only one node was known to be ahead, all four questions went to it, and a node that was heard later had to wait until the first was given up after 2 s; and the silence that is borne doubled with each question of a row of changes, answered ones too. Change: two questions under way to one node at most, a node that is heard wakes the one that waits, and the silence counts with the questions under way. Test: red before (asked n1 four times), green now.

--- a/src/gateway/views/view-questions.ts
+++ b/src/gateway/views/view-questions.ts
@@ -14,7 +14,7 @@
 /**
  * Silence of a question after which another one is put, in milliseconds.
  *
- * It doubles with each one that is put: on a link on which answers queue, questions that are put again make the queue
+ * It doubles with each one that is under way: on a link on which answers queue, questions that are put again make the queue
  * longer. Two nodes that are asked in vain one after the other cost 300 ms.
  */
 const firstSilence = 100;
@@ -29,6 +29,9 @@
 /** Questions under way at most: more would share a narrow link among themselves. */
 const mostUnderWay = 4;
 
+/** Questions under way to one node at most: its connection may be silent, and the next one too seldom; else the node is. */
+const mostForNode = 2;
+
 /** How one part of the view is asked for. */
 export type ViewQuestionParts = {
 	clock: Clock;
@@ -78,64 +81,75 @@
 
 		this.#ahead.set(peer.name, {peer, view, isAsked: false});
 		this.#pause = pause;
-		if (!this.#isCatchingUp) {
+		if (this.#isCatchingUp) {
+			this.#turn.abort();
+		} else {
 			void this.#catchUp();
 		}
 	}
 
 	async #catchUp(): Promise<void> {
 		const caughtUp = new AbortController();
-		let silence = firstSilence;
 		this.#isCatchingUp = true;
-		for (let next = this.#chooseNext(); next !== undefined; next = this.#chooseNext()) {
+		while (this.#isBehind()) {
+			const next = this.#chooseNext();
 			const delay = this.#findDelay();
-			if (delay > 0) {
-				await this.#waitForTurn(delay);
+			if (next !== undefined && delay <= 0) {
+				void this.#ask(next, caughtUp.signal);
+			} else if (next === undefined && this.#open.size === 0) {
+				break;
+			} else {
+				await this.#waitForTurn(delay > 0 ? delay : longestSilence);
 				this.#noticeSilence();
-				continue;
 			}
-
-			void this.#ask(next, silence, caughtUp.signal);
-			silence *= silenceGrowth;
 		}
 
 		this.#isCatchingUp = false;
 		caughtUp.abort();
 	}
 
-	/** Whom to ask next: whoever was heard last, or once more who is silent; undefined when this node has caught up, or all were asked and none of them tells. */
-	#chooseNext(): AheadNode | undefined {
+	/** Whether a node is ahead; forgets those that are not any more. */
+	#isBehind(): boolean {
 		for (const [name, {view}] of this.#ahead) {
 			if (!this.#parts.isAhead(view)) {
 				this.#ahead.delete(name);
 			}
 		}
 
-		const known = [...this.#ahead.values()];
-		return known.findLast(node => !node.isAsked) ?? (this.#open.size === 0 ? undefined : known[0]);
+		return this.#ahead.size > 0;
 	}
 
-	/** Time until the next question, in milliseconds. */
-	#findDelay(): number {
+	/** Whom to ask next: whoever was heard last and was not asked since, or once more who is silent; undefined when it is enough. */
+	#chooseNext(): AheadNode | undefined {
 		if (this.#open.size >= mostUnderWay) {
-			return Infinity;
+			return undefined;
 		}
 
+		const known = [...this.#ahead.values()].filter(node => this.#countOpen(node) < mostForNode);
+		return known.findLast(node => !node.isAsked) ?? (this.#open.size === 0 ? undefined : known[0]);
+	}
+
+	#countOpen({peer}: AheadNode): number {
+		return [...this.#open].filter(question => question.node === peer.name).length;
+	}
+
+	/** Time until the next question, or until those under way are silent, in milliseconds. */
+	#findDelay(): number {
 		const silentAt = [...this.#open].map(question => question.silentAt);
 		return Math.max(...silentAt, this.#askedAt + this.#pause) - this.#now();
 	}
 
-	/** Waits, until a question ends at the latest. */
+	/** Waits, until a question ends or a node that is ahead is heard at the latest. */
 	async #waitForTurn(delay: number): Promise<void> {
 		this.#turn = new AbortController();
-		await waitFor(this.#parts.clock, Math.min(delay, longestSilence), this.#turn.signal);
+		await waitFor(this.#parts.clock, delay, this.#turn.signal);
 	}
 
-	async #ask(node: AheadNode, silence: number, caughtUp: AbortSignal): Promise<void> {
+	async #ask(node: AheadNode, caughtUp: AbortSignal): Promise<void> {
 		const {peer} = node;
 		const now = this.#now();
 		const question = {
-			node: peer.name, heardAt: now, silentAt: now + silence, wasSilent: false,
+			node: peer.name, heardAt: now, silentAt: now + (firstSilence * (silenceGrowth ** this.#open.size)), wasSilent: false,
 		};
 		node.isAsked = true;
 		this.#ahead.delete(peer.name);
