test(gateway): the many servers of the status test have ports that there are

Every ninth of its 1,500 servers had port 0, which names no server since entries are checked for a port from 1 to 65,535; the test waited for 1,501 usable ones. Its counts and bounds are as they were.

--- a/test/status.test.ts
+++ b/test/status.test.ts
@@ -128,7 +128,7 @@
 	await fleet.start({runners: [{service: 'app', behaviour: answerWhole('yes')}]});
 	for (let index = 1; index <= 1500; index++) {
 		fleet.store.put('servers', `i-x${index}`, {
-			service: 'app', address: `127.0.0.1:${index % 9}`, zone: 'north', version: 'v1', slots: 11, state: 'ready', coldRemainingMs: 0, sequence: 1,
+			service: 'app', address: `127.0.0.1:${1 + (index % 9)}`, zone: 'north', version: 'v1', slots: 11, state: 'ready', coldRemainingMs: 0, sequence: 1,
 		});
 	}
 
