test(gateway): a node that hears nobody spreads plain calls over all servers

The whole node, told of two others that are away, before three runners: 24 calls one after the other.

--- a/test/gateway-nodes.test.ts
+++ b/test/gateway-nodes.test.ts
@@ -46,6 +46,18 @@
 	expect(answers.map(answer => [answer.status, answer.isWhole])).toEqual([[200, true], [200, true], [200, true], [200, true]]);
 });
 
+test('a node that hears none of those it was told of does not send all calls to the first server', async () => {
+	await fleet.start({nodes: 0, runners: ['app', 'app', 'app'].map(service => ({service, behaviour: answerWhole('yes')}))});
+	await fleet.addGateway({seeds: ['127.0.1.8:9', '127.0.1.9:9'], isFirstStart: false});
+	await waitUntil(() => fleet.gateways[0].isReady);
+	for (let count = 0; count < 24; count++) {
+		const answer = await fleet.call({path: '/once/'});
+		expect(answer.status).toBe(200);
+	}
+
+	expect(fleet.runners.map(runner => runner.seen.length).filter(seen => seen > 0)).toHaveLength(3);
+});
+
 test('when a node ends without a word, the other serves on at once and alone is named soon', async () => {
 	await startTwo();
 	await fleet.gateways[0].close();
