fix(gateway): the line on unused memory says for how long the request was quiet

Cause: before its first event a request counted as quiet for ever, and the line memory_unused had no figure. Change: it is quiet since it was sent; its server is asked after 500 ms without a sign, which is over at the first renewal as before. Shown: 31 tests of memory, attempts and parts.

--- a/src/gateway/calls/held-memory.ts
+++ b/src/gateway/calls/held-memory.ts
@@ -11,6 +11,9 @@
 /** Time between renewals, in milliseconds: two may fail before a reservation runs out. */
 export const renewEvery = 900;
 
+/** Time without a sign of the request after which its server is asked about the memory, in milliseconds: several pauses between two events, and over at the first renewal. */
+const quietAfter = 500;
+
 /** Time for an order or a report to be answered, in milliseconds. */
 const orderTimeout = 500;
 
@@ -94,7 +97,7 @@
 	async #renewOrFree(sign: RunSign): Promise<void> {
 		if (await this.#isOver(sign)) {
 			this.#parts.logger.info({
-				event: 'memory_unused', reservation: this.reservation.reservation, address: this.reservation.address, quietFor: sign.quietFor,
+				event: 'memory_unused', reservation: this.reservation.reservation, address: this.reservation.address, quietFor: Math.round(sign.quietFor),
 			}, 'a request that is not heard of uses its memory no longer; it is freed');
 			await this.release();
 			return;
@@ -119,7 +122,7 @@
 	 */
 	async #isOver(sign: RunSign): Promise<boolean> {
 		this.#wasUsed ||= sign.hasBegun;
-		if (sign.quietFor < renewEvery) {
+		if (sign.quietFor < quietAfter) {
 			return false;
 		}
 
--- a/src/gateway/calls/live-attempt.ts
+++ b/src/gateway/calls/live-attempt.ts
@@ -253,7 +253,7 @@
 		}
 
 		const {hasData, silentFor} = this.#attempt;
-		return {hasBegun: hasData, quietFor: hasData ? silentFor : Infinity};
+		return {hasBegun: hasData, quietFor: silentFor};
 	}
 
 	#findHelpers(): LocatedHelper[] | undefined {
