--- a/src/gateway/calls/live-attempt.ts
+++ b/src/gateway/calls/live-attempt.ts
@@ -63,7 +63,8 @@
 	#attempt: BackendAttempt | undefined;
 	#isStopped = false;
 	#isOver = false;
-	#hasEnded = false;
+	/** Whether the process that ran it is known to be gone. */
+	#hasServerEnded = false;
 	#resolve!: (end: AttemptEnd) => void;
 	#reject!: (error: unknown) => void;
 	#wakeWaiting: (() => void) | undefined;
@@ -94,7 +95,7 @@
 
 	/** Whether nothing is to be expected of its server: it has started again, or its caller would have left by now. */
 	get isDead(): boolean {
-		return this.#hasEnded || this.hasOutlastedCaller;
+		return this.#hasServerEnded || this.hasOutlastedCaller;
 	}
 
 	/**
@@ -129,7 +130,7 @@
 
 	/** Asks another server at once: this one's process has ended. */
 	leaveEnded(): void {
-		this.#hasEnded = true;
+		this.#hasServerEnded = true;
 		this.#attempt?.leaveEnded();
 	}
 
