--- a/src/standin/faulty-network.ts
+++ b/src/standin/faulty-network.ts
@@ -6,6 +6,8 @@
 export class FaultyNetwork {
 	readonly #boxes = new Map<string, string>();
 	readonly #cut = new Set<string>();
+	/** Boxes whose calls to another box fail, with those other boxes. */
+	readonly #cutPaths = new Map<string, Set<string>>();
 	readonly #paused = new Map<string, Array<() => void>>();
 
 	/** Notes which box answers at an address. */
@@ -18,14 +20,21 @@
 		this.#cut.add(box);
 	}
 
+	/** Cuts the way from a box to another one: calls of the first to the second fail at once, and the second may still call the first. */
+	cutPath(from: string, to: string): void {
+		const targets = this.#cutPaths.get(from) ?? new Set();
+		this.#cutPaths.set(from, targets.add(to));
+	}
+
 	/** Holds messages to a box as a paused process does: their senders hear nothing, and they arrive when it wakes. */
 	pause(box: string): void {
 		this.#paused.set(box, []);
 	}
 
-	/** Ends a cut or a pause. */
+	/** Ends a cut, a pause, or the cut ways from a box. */
 	restore(box: string): void {
 		this.#cut.delete(box);
+		this.#cutPaths.delete(box);
 		const held = this.#paused.get(box) ?? [];
 		this.#paused.delete(box);
 		for (const release of held) {
@@ -40,7 +49,8 @@
 
 	/** Whether messages between a box and an address are cut. */
 	isCut(from: string, target: string): boolean {
-		return this.#cut.has(from) || this.#cut.has(this.#findBox(target));
+		const to = this.#findBox(target);
+		return this.#cut.has(from) || this.#cut.has(to) || this.#cutPaths.get(from)?.has(to) === true;
 	}
 
 	/** Resolves when a message may arrive; undefined when nothing holds it. */
