fix(membership): work of an entry that may live is not cancelled for its dispatcher's silence

Symptom: an answer of fourteen seconds was cut with an error behind a lost path between two nodes, the entry, its engine and its caller being well. Cause: the reconciler took an entry for dead that its dispatcher alone had not heard for six seconds (`orphan_reclaimed`), and a new dispatcher cancelled after four seconds what it could not ask an entry for (`unclaimed_cancelled`).

Change: before anything is cancelled the entry is asked for its grants, then others whether they reach it (the second opinion that the peer monitor had, now in a module of its own, with a third answer: nobody could be asked). Gone is who is no longer registered, dropped by the platform's live list, or not reached by others. Grants of an entry that may live stay until it is heard or the engine's own list lacks the request; work that nobody claims is cancelled only when every entry that may live has been asked. One way and both ways lost, a new dispatcher, and a dispatcher that reaches nobody while the platform is down: four tests that were red (the last one found on the way). The tests have four nodes: with three, two that don't hear each other fight for the term once the third is gone, which is a finding of its own.

--- /dev/null
+++ b/src/node/membership/entry-sight.ts
@@ -0,0 +1,52 @@
+/** What is known of an entry that a dispatcher does not hear: whether it is gone, or only the path to it. */
+import type {Incarnation, PoolId} from '../../common/index.js';
+import type {NodeClients} from '../../rpc/index.js';
+import type {Grant} from '../dispatch/index.js';
+import type {Member, Members} from './members.js';
+import type {SecondOpinion} from './second-opinion.js';
+
+/** Time for an entry to say which grants it holds, in milliseconds. */
+const listTimeout = 1000;
+
+/** What became of an entry. */
+export type EntryState =
+	/** It answers, and holds these grants: only its heartbeats are lost. */
+	| {kind: 'heard'; grants: Grant[]}
+	/** It does not answer here, and another node reaches it, or this node reaches nobody. */
+	| {kind: 'unheard'}
+	/** The platform has dropped it, or others don't reach it either. */
+	| {kind: 'gone'};
+
+/** Looks after entries. */
+export class EntrySight {
+	readonly #members: Members;
+	readonly #clients: NodeClients;
+	readonly #opinion: SecondOpinion;
+
+	constructor(members: Members, clients: NodeClients, opinion: SecondOpinion) {
+		this.#members = members;
+		this.#clients = clients;
+		this.#opinion = opinion;
+	}
+
+	/** Looks after the entry of an incarnation. */
+	async look(entry: Incarnation, pool: PoolId): Promise<EntryState> {
+		const member = this.#members.listAll().find(({incarnation}) => incarnation === entry);
+		return member === undefined ? {kind: 'gone'} : this.#ask(member, pool);
+	}
+
+	/** Looks after all registered entries. */
+	async lookAtAll(pool: PoolId): Promise<EntryState[]> {
+		return Promise.all(this.#members.listAll().map(async member => this.#ask(member, pool)));
+	}
+
+	async #ask(member: Member, pool: PoolId): Promise<EntryState> {
+		const grants = await this.#clients.ask(member.nodeUrl, listTimeout, async (client, signal) => client.listGrants.query({pool}, {signal}));
+		if (grants !== undefined) {
+			return {kind: 'heard', grants};
+		}
+
+		const opinion = await this.#opinion.ask(member);
+		return {kind: opinion === 'unreached' || this.#members.isDropped(member.incarnation) ? 'gone' : 'unheard'};
+	}
+}
--- a/src/node/membership/peer-monitor.ts
+++ b/src/node/membership/peer-monitor.ts
@@ -10,6 +10,7 @@
 } from '../../common/index.js';
 import type {NodeClients} from '../../rpc/index.js';
 import type {Member, Members} from './members.js';
+import {SecondOpinion} from './second-opinion.js';
 
 /** Peers watched by each node. */
 export const watchedPeers = 3;
@@ -18,14 +19,10 @@
 export const pingInterval = 500;
 
 const pingTimeout = 400;
-const probeTimeout = 1000;
 
 /** Pings missed in a row before a second opinion is asked. */
 const missesAllowed = 2;
 
-/** Nodes asked for a second opinion. */
-const secondOpinions = 2;
-
 /** What the monitor needs. */
 export type PeerMonitorParts = {
 	clock: Clock;
@@ -46,6 +43,7 @@
 	readonly #listHolders: () => Incarnation[];
 	#order: {version: number; others: Member[]} = {version: -1, others: []};
 	readonly #missed = new Map<Incarnation, number>();
+	readonly #opinion: SecondOpinion;
 
 	constructor(members: Members, clients: NodeClients, parts: PeerMonitorParts) {
 		super();
@@ -55,6 +53,7 @@
 		this.#logger = parts.logger;
 		this.#self = parts.self;
 		this.#listHolders = parts.listHolders;
+		this.#opinion = new SecondOpinion(members, clients, parts.self);
 	}
 
 	override async run(signal: AbortSignal): Promise<void> {
@@ -93,17 +92,9 @@
 		this.#missed.set(peer.incarnation, missed);
 		// Another incarnation at the address is proof; silence may be this node's own.
 		const isReplaced = answer !== undefined;
-		if (isReplaced || (missed > missesAllowed && !await this.#isSeenByOthers(peer))) {
+		if (isReplaced || (missed > missesAllowed && await this.#opinion.ask(peer) !== 'reached')) {
 			this.#logger.warn({event: 'peer_suspected', box: peer.box, missed}, 'a node does not answer');
 			this.#members.noteReachable(peer.incarnation, false);
 		}
 	}
-
-	async #isSeenByOthers(peer: Member): Promise<boolean> {
-		const others = this.#members.listReady().filter(member => member.incarnation !== this.#self && member.incarnation !== peer.incarnation);
-		const asked = orderByRendezvous(peer.incarnation, others, member => member.incarnation).slice(0, secondOpinions);
-		const answers = await Promise.all(asked.map(async member =>
-			this.#clients.ask(member.nodeUrl, probeTimeout, async (client, signal) => client.probe.query({url: peer.nodeUrl}, {signal}))));
-		return answers.some(answer => answer?.isReachable === true);
-	}
 }
--- a/src/node/membership/reconciler.ts
+++ b/src/node/membership/reconciler.ts
@@ -1,9 +1,13 @@
 /**
  * Keeps ledgers and engines in step, so that no memory is lost to work nobody waits for.
  *
- * Once a second, for each pool decided here: grants of silent entries are
+ * Once a second, for each pool decided here: grants of entries that are gone are
  * cancelled and taken back; engines' running requests that no grant covers are
  * cancelled after a grace longer than a grant's life.
+ *
+ * A path that is lost between two nodes is no reason to cancel: an entry counts as gone only when others do not reach it
+ * either, and work that nobody claims is left while an entry that may live could not be asked. Cancelled after six
+ * seconds of silence alone, an answer of fourteen seconds was cut behind a lost path though all but the path was well.
  */
 import type {Canceller, EngineClient} from '../../backends/index.js';
 import {
@@ -14,8 +18,10 @@
 import {
 	grantLifetime, grantMargin, type Dispatcher, type Grant,
 } from '../dispatch/index.js';
+import {EntrySight} from './entry-sight.js';
 import type {Members} from './members.js';
 import type {PoolHost} from './pool-host.js';
+import {SecondOpinion} from './second-opinion.js';
 
 /** What the reconciler needs. */
 export type ReconcilerParts = {
@@ -27,6 +33,7 @@
 	canceller: Canceller;
 	clock: Clock;
 	logger: Logger;
+	self: Incarnation;
 };
 
 const interval = 1000;
@@ -37,18 +44,25 @@
 /** Failed looks in a row before an engine is closed to new work. */
 const missesAllowed = 1;
 
+/** A request that an engine holds. */
+type RunningWork = {requestId: RequestId; url: string};
+
 /** Reconciles the pools decided on this node. */
 export class Reconciler extends Child {
 	override readonly name = 'reconciler';
 	readonly #parts: ReconcilerParts;
+	readonly #sight: EntrySight;
 	/** Monotonic time at which unclaimed work was first seen. */
 	readonly #unclaimed = new Map<RequestId, number>();
 	readonly #missed = new Map<BackendServerId, number>();
 	readonly #disagreeing = new Set<string>();
+	/** Entries that are not heard here and may live. */
+	readonly #unheard = new Set<Incarnation>();
 
 	constructor(parts: ReconcilerParts) {
 		super();
 		this.#parts = parts;
+		this.#sight = new EntrySight(parts.members, parts.clients, new SecondOpinion(parts.members, parts.clients, parts.self));
 	}
 
 	/** Notes that an entry and a dispatcher disagree on the grants held. */
@@ -69,12 +83,10 @@
 		const isEngine = this.#parts.view.find('Service', service)?.type === 'engine';
 		await this.#settleDisagreements(dispatcher);
 		dispatcher.prune();
-		for (const grant of dispatcher.listOrphans()) {
-			void this.#reclaimOrphan(dispatcher, grant, isEngine);
-		}
-
+		const running = isEngine ? await this.#listRunning(service) : [];
+		await this.#settleOrphans(dispatcher, isEngine, running);
 		if (isEngine) {
-			await Promise.all(this.#parts.view.listServers(service).map(async server => this.#checkEngine(dispatcher, server)));
+			await this.#cancelUnclaimed(dispatcher, running);
 		}
 	}
 
@@ -92,6 +104,45 @@
 		}
 	}
 
+	async #settleOrphans(dispatcher: Dispatcher, isEngine: boolean, running: RunningWork[]): Promise<void> {
+		const orphans = dispatcher.listOrphans();
+		const entries = [...new Set(orphans.map(grant => grant.entry))];
+		await Promise.all(entries.map(async entry => {
+			const state = await this.#sight.look(entry, dispatcher.pool);
+			if (state.kind === 'heard') {
+				this.#unheard.delete(entry);
+				dispatcher.reconcileEntry(entry, state.grants);
+				return;
+			}
+
+			const grants = orphans.filter(grant => grant.entry === entry);
+			if (state.kind === 'unheard' && isEngine) {
+				this.#keepUnheard(dispatcher, entry, grants, running);
+				return;
+			}
+
+			this.#unheard.delete(entry);
+			for (const grant of grants) {
+				void this.#reclaimOrphan(dispatcher, grant, isEngine);
+			}
+		}));
+	}
+
+	/** Grants of an entry whose word does not come through: only the engines say when their work has ended. */
+	#keepUnheard(dispatcher: Dispatcher, entry: Incarnation, grants: Grant[], running: RunningWork[]): void {
+		const ended = grants.filter(grant => this.#isAnswering(grant.backendServer) && running.every(work => work.requestId !== grant.requestId));
+		for (const {grantId} of ended) {
+			dispatcher.reclaim(grantId);
+		}
+
+		if (!this.#unheard.has(entry)) {
+			this.#unheard.add(entry);
+			this.#parts.logger.warn({
+				event: 'entry_unheard', pool: dispatcher.pool, entry, grants: grants.length, ended: ended.length,
+			}, 'an entry that may live is not heard here; its work goes on');
+		}
+	}
+
 	async #reclaimOrphan(dispatcher: Dispatcher, grant: Grant, isEngine: boolean): Promise<void> {
 		// A plain service keeps no list and takes no cancel: its slot comes back when its entry is known to be silent.
 		if (isEngine && !await this.#parts.canceller.cancel(grant.url, grant.requestId)) {
@@ -104,37 +155,66 @@
 		}, 'memory of a silent entry was taken back');
 	}
 
-	async #checkEngine(dispatcher: Dispatcher, server: {id: BackendServerId; url: string}): Promise<void> {
+	#isAnswering(server: BackendServerId): boolean {
+		return !this.#missed.has(server);
+	}
+
+	/** What all engines that answer hold. */
+	async #listRunning(service: ServiceName): Promise<RunningWork[]> {
+		const lists = await Promise.all(this.#parts.view.listServers(service).map(async server => this.#checkEngine(server)));
+		return lists.flat();
+	}
+
+	async #checkEngine(server: {id: BackendServerId; url: string}): Promise<RunningWork[]> {
 		const running = await this.#parts.engines.listRunning(server.url);
-		if (running.isLeft()) {
-			const missed = (this.#missed.get(server.id) ?? 0) + 1;
-			this.#missed.set(server.id, missed);
-			this.#parts.host.noteServer(server.id, missed <= missesAllowed);
+		return running.caseOf({
+			Left: () => {
+				const missed = (this.#missed.get(server.id) ?? 0) + 1;
+				this.#missed.set(server.id, missed);
+				this.#parts.host.noteServer(server.id, missed <= missesAllowed);
+				return [];
+			},
+			Right: requests => {
+				this.#missed.delete(server.id);
+				this.#parts.host.noteServer(server.id, true);
+				return requests.map(requestId => ({requestId, url: server.url}));
+			},
+		});
+	}
+
+	/** Before anything is cancelled each entry is asked once more: a new dispatcher may not have reached the one that holds it. */
+	async #cancelUnclaimed(dispatcher: Dispatcher, running: RunningWork[]): Promise<void> {
+		const claimed = new Set(dispatcher.ledger.listGrants().map(held => held.grant.requestId));
+		const due = dispatcher.isProvisional ? [] : running.filter(work => this.#isOverdue(work.requestId, claimed));
+		if (due.length === 0) {
 			return;
 		}
 
-		this.#missed.delete(server.id);
-		this.#parts.host.noteServer(server.id, true);
-		const claimed = new Set(dispatcher.ledger.listGrants().map(held => held.grant.requestId));
-		for (const requestId of dispatcher.isProvisional ? [] : running.extract() as RequestId[]) {
-			this.#judgeRunning(requestId, claimed.has(requestId), server.url);
+		const states = await this.#sight.lookAtAll(dispatcher.pool);
+		const grants = states.flatMap(state => state.kind === 'heard' ? state.grants : []);
+		const claimedNow = new Set(grants.map(grant => grant.requestId));
+		dispatcher.adoptGrants(grants.filter(grant => due.some(({requestId}) => requestId === grant.requestId)));
+		if (states.some(state => state.kind === 'unheard')) {
+			return;
+		}
+
+		for (const {requestId, url} of due.filter(work => !claimedNow.has(work.requestId))) {
+			this.#unclaimed.delete(requestId);
+			this.#parts.logger.info({event: 'unclaimed_cancelled', request: requestId, backendServer: url}, 'work that nobody claims is cancelled');
+			void this.#parts.canceller.cancel(url, requestId);
 		}
 	}
 
-	#judgeRunning(requestId: RequestId, isClaimed: boolean, url: string): void {
-		if (isClaimed) {
+	#isOverdue(requestId: RequestId, claimed: ReadonlySet<RequestId>): boolean {
+		if (claimed.has(requestId)) {
 			this.#unclaimed.delete(requestId);
-			return;
+			return false;
 		}
 
 		const now = this.#parts.clock.readMonotonic();
 		const since = this.#unclaimed.get(requestId) ?? now;
 		this.#unclaimed.set(requestId, since);
-		if (now - since >= unclaimedGrace) {
-			this.#unclaimed.delete(requestId);
-			this.#parts.logger.info({event: 'unclaimed_cancelled', request: requestId, backendServer: url}, 'work that nobody claims is cancelled');
-			void this.#parts.canceller.cancel(url, requestId);
-		}
+		return now - since >= unclaimedGrace;
 	}
 
 	/** Work not seen for long has ended by itself. */
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -239,7 +239,7 @@
 			platform, view, members, clients, clock, ids, logger, metrics, self, isEligible: () => this.#phase === 'ready',
 		});
 		const reconciler = new Reconciler({
-			host: this.#host, view, members, clients, engines, canceller, clock, logger,
+			host: this.#host, view, members, clients, engines, canceller, clock, logger, self: this.#incarnation,
 		});
 		this.#gateway = new PoolGateway({
 			self: this.#incarnation, view, host: this.#host, reconciler, clients, clock,
--- a/test/lost-paths.test.ts
+++ b/test/lost-paths.test.ts
@@ -24,7 +24,7 @@
 let fleet: TestFleet;
 
 beforeEach(async () => {
-	fleet = await new TestFleet({engines: 2, nodes: 3, engineOptions: {tokenInterval}}).startReady();
+	fleet = await new TestFleet({engines: 2, nodes: 4, engineOptions: {tokenInterval}}).startReady();
 });
 
 afterEach(async () => {
@@ -40,9 +40,9 @@
 	return Array.from({length: count}, (_, index) => `t${index + 1} `).join('');
 }
 
-/** Names of boxes: the one that decides, the one that does so after it, and the third, which takes a call. */
+/** Names of boxes: the one that decides, the one that does so after it, and one that takes a call; the fourth sees all of them. */
 function nameBoxes(): {dispatcher: string; entry: string; next: string; entryUrl: string} {
-	const boxes = ['box-1', 'box-2', 'box-3'];
+	const boxes = ['box-1', 'box-2', 'box-3', 'box-4'];
 	const [dispatcher, next, entry] = orderByRendezvous(`${standinFleet.service}@${standinFleet.region}`, boxes, box => box);
 	expect(boxes.indexOf(dispatcher)).toBe(fleet.findDispatcherNode());
 	return {
@@ -88,6 +88,16 @@
 	expect(joinStream(answer.text)).toBe(countWords(longAnswer));
 });
 
+test('a dispatcher that reaches nobody, not even the platform, cancels nothing of others', async () => {
+	const {dispatcher, entryUrl} = nameBoxes();
+	const [running] = await startLong(entryUrl);
+	fleet.platform.faults = {down: true};
+	fleet.platform.cutWatches();
+	fleet.network.cut(dispatcher);
+	const answer = await fleet.settle(running);
+	expect(joinStream(answer.text)).toBe(countWords(longAnswer));
+});
+
 test('memory of an answer that ended behind a lost path is free again within ten seconds', async () => {
 	const {dispatcher, entry, entryUrl} = nameBoxes();
 	const [running] = await startLong(entryUrl, 100);
