fix(planning): callers that say they wait for ever do not make others of their route come back

Change: the longest of the waits that most say, give or take 60 ms, is taken. A bound by the route's time limit was ruled out: a configuration that lowers the limit would make the next forty callers look as if they came back.

Test first (red before).

--- a/src/planning/caller-waits.ts
+++ b/src/planning/caller-waits.ts
@@ -2,8 +2,9 @@
  * How long callers have tried already, from how long they still wait. Pure.
  *
  * Callers of one route wait alike from their first try on, and say with each try how long
- * they still do: who says less than the others has tried before, and what its answer is
- * worth counts from then. Over 120 replayed days with a restart of all nodes it brings
+ * they still do: who says less than most of the others has tried before, and what its answer is
+ * worth counts from then. The wait that most say is taken, not a long one: what a caller says is
+ * not bounded, and a few that say 1e9 ms would make all others come back. Over 120 replayed days with a restart of all nodes it brings
  * 0.748 of the worth for 0.743: those that can still be in time go first.
  */
 
@@ -11,9 +12,6 @@
 const mostRemembered = 40;
 const leastRemembered = 4;
 
-/** Quantile of the waits that is taken for a first try: above it lie the few callers that wait longer than others. */
-const firstTryQuantile = 0.9;
-
 /** What a call may lose on its way without having been tried before, in milliseconds. */
 const wayTime = 60;
 
@@ -38,9 +36,28 @@
 			return 0;
 		}
 
-		const sorted = [...waits].sort((left, right) => left - right);
-		const first = sorted[Math.floor(firstTryQuantile * (sorted.length - 1))];
-		const tried = first - wait;
+		const tried = findCommonWait(waits) - wait;
 		return tried > wayTime ? tried : 0;
 	}
 }
+
+/** The longest of the waits that most callers say, give or take the time on the way. */
+function findCommonWait(waits: number[]): number {
+	const sorted = [...waits].sort((left, right) => left - right);
+	let common = sorted[0];
+	let most = 0;
+	let from = 0;
+	for (const [index, wait] of sorted.entries()) {
+		while (wait - sorted[from] > wayTime) {
+			from++;
+		}
+
+		const alike = index - from + 1;
+		if (alike >= most) {
+			most = alike;
+			common = wait;
+		}
+	}
+
+	return common;
+}
--- a/test/planning.test.ts
+++ b/test/planning.test.ts
@@ -133,6 +133,20 @@
 	}
 });
 
+/*
+A third of the callers that said they wait for 1e9 ms made all others of their route count as having tried for that long: their
+objectives had passed, and they gave way to others at their servers. The wait taken for a first try was a quantile of all.
+*/
+test('callers that say they wait for ever change nothing for others of their route', () => {
+	const planner = createPlanner();
+	const objectives = Array.from({length: 120}, (_, index) => {
+		const callerWaits = index % 3 === 0 ? 1e9 + index : 10_000 - (index % 20);
+		return planNow(planner, ask(2000, {...short, route: 'chat', callerWaits}), index * 100).request.objective;
+	});
+	expect(new Set(objectives.slice(10))).toEqual(new Set([300]));
+	expect(planNow(planner, ask(2000, {...short, route: 'chat', callerWaits: 8500}), 12_100).request.objective).toBe(300 - 1500);
+});
+
 test('a server that failed is not preferred for a request whose objective has passed', () => {
 	const planner = createPlanner(4);
 	const plan = planNow(planner, ask(5000, short));
