fix(planning): doubt in a server fades, and it is tried with one request at a time

Cause: a server whose answers were really spoiled got no work while another one was trusted, so that nothing could show that it was well again; its share of spoiled answers changed with its answers only.

Change: doubt halves in 5 s while nothing is heard; a server that was doubted takes one request at a time until it gives a whole answer; with each request that fails after doubt had faded the half-life doubles, to 40 s. Tests first, red before: a server that is well after four seconds has work within half a minute (never before); one that fails everything is given at most six requests in 90 s.

--- a/src/planning/planner.ts
+++ b/src/planning/planner.ts
@@ -123,8 +123,8 @@
 				heldTokens: Math.round(board.heldTokens),
 				readFor: Math.round(board.findPendingRead(now)),
 				restsFor: Math.round(board.health.findRest(now)),
-				spoiled: Math.round(board.health.spoiled * 100) / 100,
-				isDoubtful: board.health.isDoubtful,
+				spoiled: Math.round(board.health.findSpoiled(now) * 100) / 100,
+				isDoubtful: board.health.isDoubtful(now),
 			}));
 	}
 
@@ -163,7 +163,7 @@
 		}
 
 		const planned = this.#engine === undefined || request.promptTokens === 0
-			? this.#planPlain(request, usable)
+			? this.#planPlain(request, usable, now)
 			: this.#planPrompt(request, usable, this.#engine, now);
 		return planned.map(decision => {
 			if (decision.kind === 'plan') {
@@ -206,7 +206,7 @@
 				this.#boards.get(id)?.start(note.planId, now);
 			}
 
-			this.#boards.get(held.plan.server)?.health.recordSuccess();
+			this.#boards.get(held.plan.server)?.health.recordSuccess(now);
 			return this.#noteRead(held, now);
 		}
 
@@ -292,14 +292,14 @@
 	#listUsable(request: PlanRequest, now: number): ServerBoard[] {
 		const boards = [...this.#boards.values()].filter(board => !request.excluded.includes(board.server.id));
 		const rested = boards.filter(board => !board.health.isResting(now));
-		const trusted = rested.filter(board => !board.health.isDoubtful);
+		const trusted = rested.filter(board => board.health.mayTake(board.workCount, now));
 		// Any server is better than none: suspicion may be wrong for all of them at once.
 		return [trusted, rested, boards].find(list => list.length > 0) ?? [];
 	}
 
-	#planPlain(request: PlanRequest, usable: ServerBoard[]): Either<Failure, Decision> {
+	#planPlain(request: PlanRequest, usable: ServerBoard[], now: number): Either<Failure, Decision> {
 		const ordered = this.#sight.isDim ? spreadServers(usable, request.requestId) : usable;
-		const best = findLeast(ordered, board => (board.workCount / board.server.slots) + board.health.spoiled)!;
+		const best = findLeast(ordered, board => (board.workCount / board.server.slots) + board.health.findSpoiled(now))!;
 		return Right(this.#createPlan(request, best.server.id, {expectedFirst: 0}));
 	}
 
--- a/src/planning/server-health.ts
+++ b/src/planning/server-health.ts
@@ -19,11 +19,23 @@
 /** Share of spoiled answers from which a server is passed over while others are better. */
 const spoiledShare = 0.35;
 
+/**
+ * Time in which doubt halves while nothing is heard of a server, first and at most, in milliseconds. It doubles with each request that fails
+ * after doubt had faded: a server that fails them all is tried about four times a minute at most, and one that is well has work again in half a minute.
+ */
+const firstHalfLife = 5000;
+const longestHalfLife = 40_000;
+
 /** Trust in one server. */
 export class ServerHealth {
 	#restingUntil = 0;
 	#rest = firstRest;
 	#spoiled = 0;
+	/** When its share of spoiled answers was worked out last. */
+	#spoiledAt = 0;
+	#halfLife = firstHalfLife;
+	/** Whether it was doubted and has given no whole answer since. */
+	#isOnProbation = false;
 
 	/** Whether the server is left alone at the moment. */
 	isResting(now: number): boolean {
@@ -35,20 +47,31 @@
 		return Math.max(0, this.#restingUntil - now);
 	}
 
-	/** Smoothed share of answers that were spoiled, from 0 to 1. */
-	get spoiled(): number {
-		return this.#spoiled;
+	/** Smoothed share of answers that were spoiled, from 0 to 1. Doubt fades: a doubted server gets no work that could show that it is well. */
+	findSpoiled(now: number): number {
+		return this.#spoiled > spoiledShare
+			? this.#spoiled * (0.5 ** (Math.max(0, now - this.#spoiledAt) / this.#halfLife))
+			: this.#spoiled;
 	}
 
 	/** Whether so many answers are spoiled that others come first. */
-	get isDoubtful(): boolean {
-		return this.#spoiled > spoiledShare;
+	isDoubtful(now: number): boolean {
+		return this.findSpoiled(now) > spoiledShare;
+	}
+
+	/** Whether it is trusted with one more request beside so many. One that was doubted is tried with one at a time. */
+	mayTake(work: number, now: number): boolean {
+		return !this.isDoubtful(now) && (!this.#isOnProbation || work === 0);
 	}
 
 	/** Notes a whole answer. */
-	recordSuccess(): void {
+	recordSuccess(now: number): void {
 		this.#rest = firstRest;
-		this.#spoiled *= 1 - smoothing;
+		this.#setSpoiled(this.findSpoiled(now) * (1 - smoothing), now);
+		if (!this.isDoubtful(now)) {
+			this.#isOnProbation = false;
+			this.#halfLife = firstHalfLife;
+		}
 	}
 
 	/** Notes trouble; returns whether the server is now left alone. */
@@ -64,7 +87,7 @@
 			return false;
 		}
 
-		this.#spoiled = (this.#spoiled * (1 - smoothing)) + smoothing;
+		this.#noteSpoiled(now);
 		if (trouble === 'spoiled' || this.isResting(now)) {
 			return false;
 		}
@@ -73,4 +96,19 @@
 		this.#rest = Math.min(longestRest, this.#rest * 2);
 		return true;
 	}
+
+	#noteSpoiled(now: number): void {
+		const hadFaded = this.#isOnProbation && !this.isDoubtful(now);
+		this.#setSpoiled((this.findSpoiled(now) * (1 - smoothing)) + smoothing, now);
+		if (hadFaded) {
+			this.#halfLife = Math.min(longestHalfLife, this.#halfLife * 2);
+		}
+
+		this.#isOnProbation ||= this.isDoubtful(now);
+	}
+
+	#setSpoiled(share: number, now: number): void {
+		this.#spoiled = share;
+		this.#spoiledAt = now;
+	}
 }
--- a/src/planning/short-placement.ts
+++ b/src/planning/short-placement.ts
@@ -44,7 +44,7 @@
 	const lacksRoom = board.heldTokens + request.promptTokens + request.outputTokens > engine.memoryTokens * memoryShare;
 	const finish = pending + (overfull * pass * overfullPasses) + (lacksRoom ? request.patience : 0) + pass + readTime;
 	const harm = board.estimateHarm(engine, pending + readTime);
-	const earned = estimateCredit(finish, request.objective, request.patience) * (1 - board.health.spoiled);
+	const earned = estimateCredit(finish, request.objective, request.patience) * (1 - board.health.findSpoiled(now));
 	const delay = delayCost * finish / Math.max(pass, request.objective);
 	const isFar = request.availabilityZone !== undefined && request.availabilityZone !== board.server.availabilityZone;
 	return {board, finish, cost: (worth * (delay - earned + (isFar ? zoneCost : 0))) + harm};
--- a/test/planning.test.ts
+++ b/test/planning.test.ts
@@ -4,7 +4,7 @@
 	AvailabilityZone, BackendServerId, BoxId, PlanId, RequestId,
 } from '../src/common/index.js';
 import {
-	computePassTime, computeReadTime, Planner, ServerHealth,
+	computePassTime, computeReadTime, Planner, ServerHealth, type Plan,
 } from '../src/planning/index.js';
 import {
 	ask, createIds, createPlanner, createServers, engine, planNow, short,
@@ -162,17 +162,17 @@
 test('one failed answer takes nobody out, many do while others are better', () => {
 	const health = new ServerHealth();
 	expect(health.recordTrouble('spoiled', 0)).toBe(false);
-	expect([health.isResting(1), health.isDoubtful]).toEqual([false, false]);
+	expect([health.isResting(1), health.isDoubtful(1)]).toEqual([false, false]);
 	for (let index = 0; index < 4; index++) {
 		health.recordTrouble('spoiled', index);
 	}
 
-	expect(health.isDoubtful).toBe(true);
+	expect(health.isDoubtful(4)).toBe(true);
 	for (let index = 0; index < 5; index++) {
-		health.recordSuccess();
+		health.recordSuccess(4);
 	}
 
-	expect(health.isDoubtful).toBe(false);
+	expect(health.isDoubtful(4)).toBe(false);
 });
 
 test('a server that stays silent is left alone longer each time, to a bound', () => {
@@ -338,7 +338,7 @@
 		health.recordTrouble('silent', index);
 	}
 
-	expect([health.isResting(500), health.isResting(1500), health.isDoubtful]).toEqual([true, false, false]);
+	expect([health.isResting(500), health.isResting(1500), health.isDoubtful(1500)]).toEqual([true, false, false]);
 });
 
 test('a server that is silent after each of its rests is doubted', () => {
@@ -347,5 +347,58 @@
 		health.recordTrouble('silent', now);
 	}
 
-	expect(health.isDoubtful).toBe(true);
+	expect(health.isDoubtful(4000)).toBe(true);
+});
+
+/** How long a request runs on the played servers, in milliseconds: some thirty run at once, on places for thirty-three. */
+const runsFor = 1500;
+
+/** Three servers, of which one fails every request until `wellFrom`, under load for so many milliseconds; when it was given requests. */
+function playFailing(wellFrom: number, length: number): number[] {
+	const planner = createPlanner(3);
+	const [bad] = createServers(1);
+	const tried: number[] = [];
+	const running: Array<{plan: Plan; endsAt: number}> = [];
+	for (let now = 0; now < length; now += 50) {
+		for (const {plan} of running.splice(0, running.findIndex(({endsAt}) => endsAt > now))) {
+			planner.note({planId: plan.planId, kind: 'ended'}, now);
+		}
+
+		const plan = planNow(planner, ask(2000, short), now);
+		const isFailed = plan.server === bad.id && now < wellFrom;
+		if (plan.server === bad.id) {
+			tried.push(now);
+		}
+
+		if (isFailed) {
+			planner.note({
+				planId: plan.planId, kind: 'failed', server: plan.server, trouble: 'spoiled',
+			}, now + 30);
+			planner.note({planId: plan.planId, kind: 'ended'}, now + 30);
+		} else {
+			planner.note({planId: plan.planId, kind: 'started'}, now + 30);
+			running.push({plan, endsAt: now + runsFor});
+		}
+	}
+
+	return tried;
+}
+
+/*
+A server whose answers were really spoiled for a second got no work again while another one was trusted, however long it
+had been well: its share of spoiled answers changed with its answers only, and it was given none (`isDoubtful` in the
+status, `spoiled: 0.83` a minute later).
+*/
+test('a server that failed requests and is well again gets work within half a minute', () => {
+	const tried = playFailing(4000, 60_000);
+	expect(tried.find(at => at >= 4000)).toBeLessThan(34_000);
+	expect(tried.filter(at => at > 45_000).length).toBeGreaterThan(20);
+});
+
+test('a server that fails every request is tried with few, fewer as it goes on failing', () => {
+	const tried = playFailing(Infinity, 120_000);
+	const count = (from: number, to: number) => tried.filter(at => at >= from && at < to).length;
+	expect(count(0, 30_000)).toBeLessThan(20);
+	expect(count(30_000, 120_000)).toBeGreaterThan(0);
+	expect(count(30_000, 120_000)).toBeLessThanOrEqual(6);
 });
