feat(dispatch): a place tells which silence its reading makes, and explain names the read behind a pause

`placed` lists the servers that read together, the silence planned there and the shortest after which a stream would be moved (`readers`, `plannedPause`, `bearablePause`); `explain` names the request that was read where a stream paused or its caller left. Before, it said "no line tells why; look for long reads placed at the same server". Test: a long pause, and a caller that left, beside a read of four servers, with another read elsewhere that is not named.

--- a/src/gateway/deciding/decision-log.ts
+++ b/src/gateway/deciding/decision-log.ts
@@ -49,8 +49,11 @@
 				objective: Math.round(plan.request.objective),
 				server: plan.server,
 				helpers: plan.helpers.length,
+				readers: plan.helpers.length === 0 ? undefined : [plan.server, ...plan.helpers.map(helper => helper.server)],
 				startIn: Math.round(plan.startIn),
 				expectedFirst: Math.round(plan.expectedFirst),
+				plannedPause: plan.pause === undefined ? undefined : Math.round(plan.pause.length),
+				bearablePause: plan.pause === undefined ? undefined : Math.round(plan.pause.bearable),
 			}, 'a request has its place');
 		},
 	});
--- a/src/logs/find-cause.ts
+++ b/src/logs/find-cause.ts
@@ -1,6 +1,8 @@
 /** Says in one sentence why a request ended as it did. Pure. */
 import {formatTime} from './format-time.js';
-import {findNumber, findText, type LogLine} from './log-line.js';
+import {
+	findNumber, findText, listTexts, type LogLine,
+} from './log-line.js';
 import type {EndedCall, Verdict} from './ended-call.js';
 import type {RequestStory} from './request-story.js';
 
@@ -69,7 +71,7 @@
 
 	return ended.sinceLastEvent === undefined
 		? `${left}, after a first event at ${formatTime(ended.firstAfter)} and a ${describePause(ended)}; the silence in which it left is no pause.`
-		: `${left}, after a first event at ${formatTime(ended.firstAfter)}, in a silence of ${formatTime(ended.sinceLastEvent)}.`;
+		: `${left}, after a first event at ${formatTime(ended.firstAfter)}, in a silence of ${formatTime(ended.sinceLastEvent)}${prefixText('; ', findPlannedPause(story))}.`;
 }
 
 /** No line tells the end: the node that took it has gone, or its log is not among the files. */
@@ -145,10 +147,25 @@
 function describePauseCause(story: RequestStory): string {
 	const retry = story.lines.find(line => line.event === 'retry' && findNumber(line, 'lastEventId') !== undefined);
 	return retry === undefined
-		? 'no line tells why; look for long reads placed at the same server at that time'
+		? findPlannedPause(story) ?? 'no line tells why; look for long reads placed at the same server at that time'
 		: `the stream went on elsewhere, since ${describeRetry(retry, story)}`;
 }
 
+/** Which long read beside it explains a silence: the longest of those planned at its servers while it ran; undefined when there was none. */
+function findPlannedPause({lines, around}: RequestStory): string | undefined {
+	const servers = new Set(lines.flatMap(line => [findText(line, 'server'), ...listTexts(line, 'servers')]));
+	const [from, until] = [lines[0].at, lines.at(-1)!.at];
+	const reads = around.filter(line => findNumber(line, 'plannedPause') !== undefined && line.at <= until && line.at + (findNumber(line, 'expectedFirst') ?? 0) >= from);
+	const [read] = reads.sort((left, right) => findNumber(right, 'plannedPause')! - findNumber(left, 'plannedPause')!);
+	if (read === undefined) {
+		return undefined;
+	}
+
+	const readers = listTexts(read, 'readers');
+	const server = readers.find(reader => servers.has(reader));
+	return `the pause was planned for request ${findText(read, 'request')}, of ${findNumber(read, 'promptTokens')} tokens, which server ${server} read with ${readers.length - 1} others`;
+}
+
 function describeRefusal(story: RequestStory): string {
 	const wait = describeWait(story);
 	const left = story.lines.findLast(line => line.event === 'retry');
@@ -246,3 +263,7 @@
 function describeLimit({callerWaits, took}: EndedCall): string {
 	return callerWaits !== undefined && took >= callerWaits * ownLimitShare ? `, its own limit of ${formatTime(callerWaits)}` : '';
 }
+
+function prefixText(prefix: string, text: string | undefined): string {
+	return text === undefined ? '' : prefix + text;
+}
--- a/src/logs/request-story.ts
+++ b/src/logs/request-story.ts
@@ -13,6 +13,11 @@
 /** Events that tell of the end of a server's life, or of its work. */
 const serverEvents = new Set(['server_gone', 'server_doubtful', 'server_leaving', 'server_overwritten', 'server_restarted']);
 
+/** Whether a line tells of a prompt that several servers read together. */
+function isJointRead(line: LogLine): boolean {
+	return line.event === 'placed' && listTexts(line, 'readers').length > 0;
+}
+
 /** Time around a request in which what befell its servers belongs to it, in milliseconds: a death is noticed by silence, and entries lapse after about two seconds. */
 const margin = 2000;
 
@@ -61,9 +66,9 @@
 	}
 }
 
-/** Whether a line tells what a server or a node has become. */
-export function isAboutFleet({event}: LogLine): boolean {
-	return fleetEvents.has(event);
+/** Whether a line tells what a server or a node has become, or what several servers read. */
+export function isAboutFleet(line: LogLine): boolean {
+	return fleetEvents.has(line.event) || isJointRead(line);
 }
 
 /** Puts together what is known of a request from its lines and those about the fleet, both in order. */
@@ -84,9 +89,7 @@
 	const until = lines.at(-1)!.at + patience + margin;
 	const seen = new Set<string>();
 	return fleet.filter(line => {
-		const what = serverEvents.has(line.event)
-			? [findText(line, 'server'), findText(line, 'before')].find(server => server !== undefined && servers.has(server))
-			: findNode(line, nodes, services);
+		const what = findMet(line, {servers, nodes, services});
 		const key = `${line.event} ${what}`;
 		if (what === undefined || line.at < from || line.at > until || seen.has(key)) {
 			return false;
@@ -103,6 +106,20 @@
 	return [...lines].sort((left, right) => left.at - right.at);
 }
 
+/** What a request met. */
+type Met = {servers: ReadonlySet<string | undefined>; nodes: ReadonlySet<string>; services: ReadonlySet<string | undefined>};
+
+/** What of the request's a line is about; undefined when it is about none of it. */
+function findMet(line: LogLine, {servers, nodes, services}: Met): string | undefined {
+	if (isJointRead(line)) {
+		return listTexts(line, 'readers').some(server => servers.has(server)) ? findText(line, 'request') : undefined;
+	}
+
+	return serverEvents.has(line.event)
+		? [findText(line, 'server'), findText(line, 'before')].find(server => server !== undefined && servers.has(server))
+		: findNode(line, nodes, services);
+}
+
 function findNode(line: LogLine, nodes: ReadonlySet<string>, services: ReadonlySet<string | undefined>): string | undefined {
 	if (line.event === 'node_lost') {
 		const lost = findText(line, 'node');
--- a/src/planning/long-reads.ts
+++ b/src/planning/long-reads.ts
@@ -52,7 +52,7 @@
 
 /** What is decided of a long prompt: which server takes it and what else its plan holds, or when to ask again. */
 export type ReadDecision =
-	| {kind: 'read'; server: BackendServerId; parts: Pick<Plan, 'helpers' | 'startIn' | 'expectedFirst' | 'ownTokens'>}
+	| {kind: 'read'; server: BackendServerId; parts: Pick<Plan, 'helpers' | 'startIn' | 'expectedFirst' | 'ownTokens' | 'pause'>}
 	| {kind: 'wait'; askAgainIn: number; reason: WaitReason};
 
 /** Long prompts of one service. */
@@ -168,7 +168,7 @@
 		kind: 'read',
 		server: memory.first.server.id,
 		parts: {
-			helpers: memory.helpers, startIn: way.wait, expectedFirst: way.finish, ownTokens: memory.ownTokens,
+			helpers: memory.helpers, startIn: way.wait, expectedFirst: way.finish, ownTokens: memory.ownTokens, pause: way.pause,
 		},
 	};
 }
--- a/src/planning/plan.ts
+++ b/src/planning/plan.ts
@@ -82,8 +82,13 @@
 	expectedFirst: number;
 	/** Tokens the first server holds. */
 	ownTokens: number;
+	/** The silence that its reading makes for those who write at its servers; undefined when nobody does. */
+	pause?: PlannedPause;
 };
 
+/** A silence that a read makes, and the shortest after which a stream there is moved elsewhere, in milliseconds. */
+export type PlannedPause = {length: number; bearable: number};
+
 /** What a planner answers: a plan, or when to ask again because others read first. */
 export type Decision = {kind: 'plan'; plan: Plan} | {kind: 'wait'; askAgainIn: number; reason: WaitReason};
 
--- a/src/planning/read-ways.ts
+++ b/src/planning/read-ways.ts
@@ -8,7 +8,8 @@
 import type {EngineFigures} from '../routing/index.js';
 import {computeWorth, estimateCredit, findStake} from './credit.js';
 import {computePassTime, computeReadTime} from './engine-model.js';
-import type {PlanRequest} from './plan.js';
+import {findLeast} from './find-least.js';
+import type {PlannedPause, PlanRequest} from './plan.js';
 import {mostReaders, type ReadDemand} from './read-demand.js';
 import type {ServerBoard} from './server-board.js';
 
@@ -39,6 +40,8 @@
 	finish: number;
 	/** What those who write at the readers lose. */
 	harm: number;
+	/** The silence there that comes nearest to what is borne; undefined when nobody writes there. */
+	pause?: PlannedPause;
 	/** What it brings, all in all. */
 	value: number;
 };
@@ -115,6 +118,12 @@
 	const delay = delayCost * credit * Math.min(1, finish / wholeObjective);
 	const costs = harm + (chosen.length * readTime * timePrice);
 	return {
-		readers: chosen.map(candidate => candidate.board), wait, readTime, finish, harm, value: (computeWorth(request.promptTokens) * (credit - delay + stake)) - costs,
+		readers: chosen.map(candidate => candidate.board), wait, readTime, finish, harm, pause: findWorstPause(chosen, engine, part),
+		value: (computeWorth(request.promptTokens) * (credit - delay + stake)) - costs,
 	};
 }
+
+function findWorstPause(chosen: Candidate[], engine: EngineFigures, part: number): PlannedPause | undefined {
+	const pauses = chosen.map(({board}) => board.findPause(engine, part)).filter(pause => pause !== undefined);
+	return findLeast(pauses, ({length, bearable}) => bearable / length);
+}
--- a/src/planning/server-board.ts
+++ b/src/planning/server-board.ts
@@ -7,6 +7,7 @@
 import type {BackendServer, EngineFigures} from '../routing/index.js';
 import {computeWorth, lateShare} from './credit.js';
 import {computePassTime} from './engine-model.js';
+import type {PlannedPause} from './plan.js';
 import {ServerHealth} from './server-health.js';
 
 /** One request's work on a server. */
@@ -170,7 +171,14 @@
 	 * 0.748 of the worth for 0.760, with 2,955 moves for 956 and 1,465 callers that leave for 778.
 	 */
 	bearsRead(engine: EngineFigures, readTime: number, overrun: number): boolean {
-		return (this.computePass(engine, 0) + readTime) * (1 + overrun) <= this.#summarise().longestSilence;
+		const pause = this.findPause(engine, readTime);
+		return pause === undefined || pause.length * (1 + overrun) <= pause.bearable;
+	}
+
+	/** The silence that a pass makes which reads for so long besides; undefined when nobody writes here whose callers leave for it. */
+	findPause(engine: EngineFigures, readTime: number): PlannedPause | undefined {
+		const {longestSilence} = this.#summarise();
+		return longestSilence === Infinity ? undefined : {length: this.computePass(engine, 0) + readTime, bearable: longestSilence};
 	}
 
 	/** Notes that a pass reads for so long: whose pause that is too long for has no more to lose. Without it 0.832 for 0.840. */
--- a/test/explain.test.ts
+++ b/test/explain.test.ts
@@ -188,6 +188,21 @@
 	expect(explained.cause).toBe(`It was served late, the first event after 400 ms of 300 ms: ${cause}.`);
 });
 
+test.each([
+	['a long pause', {...ended, firstAfter: 200, longestPause: 900}, 'It was served with a longest pause of 900 ms where 250 ms is aimed at: the pause was planned for request r2, of 300000 tokens, which server i-1 read with 3 others.'],
+	['a caller that left', {
+		...ended, outcome: 'caller_gone', status: 0, firstAfter: 200, longestPause: 40, sinceLastEvent: 850,
+	}, 'Its caller left after 900 ms, after a first event at 200 ms, in a silence of 850 ms; the pause was planned for request r2, of 300000 tokens, which server i-1 read with 3 others.'],
+] satisfies Array<[string, Record<string, unknown>, string]>)('%s beside a planned read names the request that was read', async (_name, end, cause) => {
+	const read = {
+		...placed, request: 'r2', server: 'i-4', promptTokens: 300_000, readers: ['i-4', 'i-1', 'i-2', 'i-3'], startIn: 0, expectedFirst: 1000, plannedPause: 880,
+	};
+	const elsewhere = {...read, request: 'r3', readers: ['i-7', 'i-8']};
+	const files = await collect([1, 'b', placed], [1.2, 'b', elsewhere], [1.3, 'b', read], [2, 'a', end]);
+	const explained = await explain('r1', files);
+	expect(explained.cause).toBe(cause);
+});
+
 test('a spent budget of retries is named', async () => {
 	const files = await collect(
 		[1, 'b', placed],
