--- a/src/gateway/views/registration.ts
+++ b/src/gateway/views/registration.ts
@@ -3,7 +3,7 @@
 import type {FleetSource} from '../../routing/index.js';
 import type {Peer} from '../peers/peer-beat.js';
 import type {Peers} from '../peers/peers.js';
-import type {ViewExchange} from './index.js';
+import type {ViewExchange} from './view-exchange.js';
 
 /** Time for which a node waits to be heard by those that it was told of before it looks others up, in milliseconds. */
 const registerAfter = 1500;
