--- a/src/planning/server-shares.ts
+++ b/src/planning/server-shares.ts
@@ -14,9 +14,9 @@
 
 /**
  * The same while long prompts are asked for and leave room: a server on which nobody writes can take a read of any length. Filled to 0.5 and with a
- * server more, 80 replayed days bring 0.725 of the worth for 0.730, and 0.749 of what the long prompts are worth for 0.757.
+ * server more, 160 replayed days bring 0.724 of the worth for 0.730, and 0.742 of what the long prompts are worth for 0.748; filled to 0.7 0.728.
  */
-const closePacking = 0.7;
+const closePacking = 0.6;
 
 /** The same while long prompts need the servers: a step grows by a few hundredths with each writer, and a burst still finds a place. */
 const tightPacking = 0.95;
