--- a/test/helpers/calls.ts
+++ b/test/helpers/calls.ts
@@ -96,3 +96,8 @@
 		socket.write(text);
 	});
 }
+
+/** The text of an answer of this many tokens. */
+export function countWords(count: number): string {
+	return Array.from({length: count}, (_, index) => `t${index + 1} `).join('');
+}
--- a/test/helpers/fleet.ts
+++ b/test/helpers/fleet.ts
@@ -76,6 +76,11 @@
 		await this.until(() => this.clock.readMonotonic() >= end, stepMilliseconds);
 	}
 
+	/** Tokens of memory that all engines hold. */
+	countHeld(): number {
+		return this.engines.reduce((sum, engine) => sum + engine.heldTokens, 0);
+	}
+
 	/** The node that decides for the engine service's pool. */
 	findDispatcherNode(): number {
 		return this.nodes.findIndex(node => node.phase !== 'stopped' && node.readStatus().pools.some(pool => pool.pool.startsWith(standinFleet.service)));
--- a/test/lost-paths.test.ts
+++ b/test/lost-paths.test.ts
@@ -9,7 +9,9 @@
 } from '@jest/globals';
 import {orderByRendezvous} from '../src/common/index.js';
 import {standinFleet} from '../src/standin/index.js';
-import {chat, joinStream, type CallAnswer} from './helpers/calls.js';
+import {
+	chat, countWords, joinStream, type CallAnswer,
+} from './helpers/calls.js';
 import {TestFleet} from './helpers/fleet.js';
 
 /** Tokens of a long answer: it is written for longer than any silence is borne. */
@@ -31,15 +33,6 @@
 	await fleet.stop();
 });
 
-function countHeld(): number {
-	return fleet.engines.reduce((sum, engine) => sum + engine.heldTokens, 0);
-}
-
-/** The text of an answer of this many tokens. */
-function countWords(count: number): string {
-	return Array.from({length: count}, (_, index) => `t${index + 1} `).join('');
-}
-
 /** Names of boxes: the one that decides, the one that does so after it, and one that takes a call; the fourth sees all of them. */
 function nameBoxes(): {dispatcher: string; entry: string; next: string; entryUrl: string} {
 	const boxes = ['box-1', 'box-2', 'box-3', 'box-4'];
@@ -58,7 +51,7 @@
 /** Starts a long answer, and waits until it runs. */
 async function startLong(entryUrl: string, tokens = longAnswer): Promise<Array<Promise<CallAnswer>>> {
 	const running = chat(entryUrl, {stream: true, max_tokens: tokens});
-	await fleet.until(() => countHeld() > 0);
+	await fleet.until(() => fleet.countHeld() > 0);
 	await fleet.pass(300);
 	return [running];
 }
--- a/test/stop-and-crash.test.ts
+++ b/test/stop-and-crash.test.ts
@@ -4,7 +4,7 @@
 import {request} from 'undici';
 import {standinFleet} from '../src/standin/index.js';
 import {
-	call, chat, chatBody, joinStream, listStream, readError,
+	call, chat, chatBody, countWords, joinStream, listStream, readError,
 } from './helpers/calls.js';
 import {TestFleet} from './helpers/fleet.js';
 
@@ -18,18 +18,9 @@
 	await fleet.stop();
 });
 
-function countHeld(): number {
-	return fleet.engines.reduce((sum, engine) => sum + engine.heldTokens, 0);
-}
-
-/** The text of an answer of this many tokens. */
-function countWords(count: number): string {
-	return Array.from({length: count}, (_, index) => `t${index + 1} `).join('');
-}
-
 test('a planned stop under load cuts off nothing, at any node', async () => {
 	const running = Array.from({length: 12}, async (_, index) => chat(fleet.nodes[index % 3].callerUrl, {stream: true, max_tokens: 100 + (index * 10)}));
-	await fleet.until(() => countHeld() > 0);
+	await fleet.until(() => fleet.countHeld() > 0);
 	const stopping = fleet.nodes[fleet.findDispatcherNode()].stop();
 	const answers = await fleet.settle(Promise.all(running));
 	expect(answers.map(answer => joinStream(answer.text))).toEqual(answers.map((_, index) => countWords(100 + (index * 10))));
@@ -95,7 +86,7 @@
 
 test('a second signal ends answers at once with an error event', async () => {
 	const running = chat(fleet.nodes[0].callerUrl, {stream: true, max_tokens: 5000});
-	await fleet.until(() => countHeld() > 0);
+	await fleet.until(() => fleet.countHeld() > 0);
 	await fleet.pass(200);
 	void fleet.nodes[0].stop();
 	await fleet.settle(fleet.nodes[0].stopNow());
@@ -107,26 +98,26 @@
 	const dispatcher = fleet.findDispatcherNode();
 	const entry = fleet.nodes[(dispatcher + 1) % 3];
 	const running = chat(entry.callerUrl, {stream: true, max_tokens: 100_000});
-	await fleet.until(() => countHeld() > 0);
+	await fleet.until(() => fleet.countHeld() > 0);
 	await fleet.pass(300);
 	fleet.network.cut(`box-${fleet.nodes.indexOf(entry) + 1}`);
 	const start = fleet.clock.readMonotonic();
 	await fleet.killNode(entry);
 	const answer = await fleet.settle(running);
 	expect(answer.wasCut || listStream(answer.text).at(-1)?.error !== undefined).toBe(true);
-	expect(countHeld()).toBeGreaterThan(0);
-	await fleet.until(() => countHeld() === 0);
+	expect(fleet.countHeld()).toBeGreaterThan(0);
+	await fleet.until(() => fleet.countHeld() === 0);
 	expect(fleet.clock.readMonotonic() - start).toBeLessThan(10_000);
 });
 
 test('when dispatcher and entry are one and are killed, the next dispatcher takes the memory back', async () => {
 	const node = fleet.nodes[fleet.findDispatcherNode()];
 	const running = chat(node.callerUrl, {stream: true, max_tokens: 100_000});
-	await fleet.until(() => countHeld() > 0);
+	await fleet.until(() => fleet.countHeld() > 0);
 	const start = fleet.clock.readMonotonic();
 	await fleet.killNode(node);
 	await fleet.settle(running);
-	await fleet.until(() => countHeld() === 0);
+	await fleet.until(() => fleet.countHeld() === 0);
 	expect(fleet.clock.readMonotonic() - start).toBeLessThan(10_000);
 });
 
@@ -134,7 +125,7 @@
 	const dispatcher = fleet.findDispatcherNode();
 	const other = fleet.nodes[(dispatcher + 1) % 3];
 	const running = chat(other.callerUrl, {stream: true, max_tokens: 400});
-	await fleet.until(() => countHeld() > 0);
+	await fleet.until(() => fleet.countHeld() > 0);
 	const start = fleet.clock.readMonotonic();
 	await fleet.killNode(fleet.nodes[dispatcher]);
 	const next = await fleet.settle(chat(other.callerUrl, {max_tokens: 1}));
@@ -187,7 +178,7 @@
 
 test('a backend server that leaves gets no new work while its work in flight ends', async () => {
 	const running = chat(fleet.nodes[0].callerUrl, {stream: true, max_tokens: 300});
-	await fleet.until(() => countHeld() > 0);
+	await fleet.until(() => fleet.countHeld() > 0);
 	const leaving = fleet.engines.findIndex(engine => engine.heldTokens > 0);
 	const object = fleet.platform.findObject('BackendServer', `engine-${leaving + 1}`);
 	fleet.platform.putObject({...object, spec: {...object?.spec, state: 'leaving'}} as Parameters<typeof fleet.platform.putObject>[0]);
@@ -202,7 +193,7 @@
 	const dispatcher = fleet.findDispatcherNode();
 	const others = fleet.nodes.filter((_, index) => index !== dispatcher);
 	const running = chat(others[0].callerUrl, {stream: true, max_tokens: 600});
-	await fleet.until(() => countHeld() > 0);
+	await fleet.until(() => fleet.countHeld() > 0);
 	fleet.platform.faults = {down: true};
 	fleet.platform.cutWatches();
 	await fleet.pass(1000);
@@ -220,7 +211,7 @@
 	expect(later.map(answer => answer.status)).toEqual([200, 200]);
 	const whole = await fleet.settle(running);
 	expect(joinStream(whole.text)).toBe(countWords(600));
-	await fleet.until(() => countHeld() === 0 && others.every(node => node.readStatus().pools.every(pool => pool.grants === 0)));
+	await fleet.until(() => fleet.countHeld() === 0 && others.every(node => node.readStatus().pools.every(pool => pool.grants === 0)));
 }, 30_000);
 
 test('requests that were asking a paused dispatcher are served by the next one', async () => {
@@ -233,6 +224,6 @@
 	expect(answers.map(answer => answer.status)).toEqual(asking.map(() => 200));
 	fleet.network.restore(box);
 	await fleet.pass(8000);
-	expect(countHeld()).toBe(0);
+	expect(fleet.countHeld()).toBe(0);
 	expect(fleet.nodes.flatMap(node => node.readStatus().pools).reduce((sum, pool) => sum + pool.grants, 0)).toBe(0);
 }, 30_000);
