test(gateway): the clock of the test of renewed memory moves once renewals are answered

Cause: a renewal is left out while the one before it has no answer. Ruled out: the product; a renewal every 900 ms with one in flight at a time is what it is to do. Change: the test counts its pool's unanswered questions and moves the clock at none; answers stay 40 ms late, so that the wait is needed in every run. All assertions are unchanged.

--- a/test/gateway-parts.test.ts
+++ b/test/gateway-parts.test.ts
@@ -1,6 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {createServer as createHttpServer} from 'node:http';
 import {createServer, type AddressInfo, type Socket} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {expect, test} from '@jest/globals';
 import fc from 'fast-check';
 import {Right} from 'purify-ts';
@@ -12,7 +13,7 @@
 import type {Call} from '../src/gateway/calls/call.js';
 import {closeEarlyListener, listenOnEarly, takeEarlyListener} from '../src/gateway/early-listener.js';
 import {EventFrames} from '../src/gateway/calls/event-frames.js';
-import {BackendPool} from '../src/gateway/calls/backend-pool.js';
+import {BackendPool, type BackendRequest, type ConnectionUse} from '../src/gateway/calls/backend-pool.js';
 import {PlaceSeeker} from '../src/gateway/calls/place-seeker.js';
 import {Placer, type PlaceAnswer, type Placed} from '../src/gateway/calls/placer.js';
 import {Reservations} from '../src/gateway/calls/reservations.js';
@@ -106,6 +107,26 @@
 	expect(placed?.plan.startIn).toBe(0);
 });
 
+/** Time after which a helper answers an order, in milliseconds: longer than the test takes to see it there. */
+const answerDelay = 40;
+
+/** Knows how many of its questions have no answer yet. */
+class CountingPool extends BackendPool {
+	unanswered = 0;
+
+	override async ask(address: string, request: BackendRequest, timeout: number, use?: ConnectionUse) {
+		this.unanswered++;
+		try {
+			return await super.ask(address, request, timeout, use);
+		} finally {
+			this.unanswered--;
+		}
+	}
+}
+
+// A renewal is left out while the one before it has no answer. The test moved its clock once a helper had the order, and
+// not once the node had its answer: with answers 40 ms late the next renewal never came, and the test passed its 5 s; so
+// it did once in a whole run, where the answer took longer than the 10 ms after which the test looks again.
 test('memory at helpers is set aside again only in lives that go on, and freed at the end', async () => {
 	const clock = new VirtualClock();
 	const orders: string[] = [];
@@ -118,6 +139,7 @@
 
 			const {op} = JSON.parse(Buffer.concat(pieces).toString()) as {op: string};
 			orders.push(`${op} ${server}`);
+			await sleep(answerDelay);
 			response.end('{}');
 		}).start();
 		return {
@@ -126,12 +148,12 @@
 	}));
 	const reader = 'i-9@1' as BackendServerId;
 	const lives = new Set([reader, ...helpers.map(({server}) => server)]);
-	const pool = new BackendPool(systemClock);
+	const pool = new CountingPool(systemClock);
 	const reservations = new Reservations({
 		clock, logger: createSilentLogger(), wire: new CallWire(), pool, isLive: id => lives.has(id),
 	});
 	const takeOrders = async (count: number) => {
-		await waitUntil(() => orders.length >= count);
+		await waitUntil(() => orders.length >= count && pool.unanswered === 0);
 		return orders.splice(0).sort();
 	};
 
