--- a/bench/processes.ts
+++ b/bench/processes.ts
@@ -51,7 +51,12 @@
 
 	/** Starts the program with words. */
 	start(words: string[]): StartedProcess {
-		const child = spawn(process.execPath, [program, ...words], {stdio: ['ignore', 'pipe', 'inherit']});
+		return this.startProgram([program, ...words]);
+	}
+
+	/** Starts a program of Node.js: its flags, its file and its words. */
+	startProgram(words: string[]): StartedProcess {
+		const child = spawn(process.execPath, words, {stdio: ['ignore', 'pipe', 'inherit']});
 		this.#started.push(child);
 		return {child, pid: child.pid!};
 	}
