perf(planning): a decision looks neither through all plans nor through work that has been read

Symptom: twenty moves at once took 77 to 86 ms of the deciding node's processor time before 150 servers, of the 90 ms in which it must answer. Cause, by a profile of that node (2,700 ms in 2,600 decisions): each one looked through all plans for those whose time is over (620 ms), and at each server through all of its work for what is still read (873 ms). Change: plans are looked through when one's time may be over, and a server forgets work that it has once seen read. Decisions are the same. Ruled out: other decisions.

--- a/src/planning/planner.ts
+++ b/src/planning/planner.ts
@@ -77,11 +77,18 @@
  */
 type HeldPlan = {plan: Plan; since: number; isShort: boolean; isDecidedHere: boolean; works: ReadonlyMap<BackendServerId, Work>};
 
+/** When a plan is forgotten unasked. */
+function findPlanEnd({plan, since}: HeldPlan): number {
+	return since + plan.request.timeLeft + planMargin;
+}
+
 /** Plans for one service. */
 export class Planner {
 	readonly #ids: IdSource;
 	readonly #boards = new Map<BackendServerId, ServerBoard>();
 	readonly #plans = new Map<PlanId, HeldPlan>();
+	/** No plan's time is over before this. */
+	#pruneFrom = Infinity;
 	readonly #reads = new LongReads();
 	readonly #callerWaits = new CallerWaits();
 	#engine: EngineFigures | undefined;
@@ -239,9 +246,18 @@
 	/** Forgets plans whose time is over. */
 	prune(now: number): void {
 		this.#reads.prune(now);
-		for (const {plan, since} of this.#plans.values()) {
-			if (since + plan.request.timeLeft + planMargin < now) {
-				this.#release(plan);
+		// Nearly all end long before: looked through at each decision, 900 plans cost 0.24 ms.
+		if (this.#pruneFrom >= now) {
+			return;
+		}
+
+		this.#pruneFrom = Infinity;
+		for (const held of this.#plans.values()) {
+			const end = findPlanEnd(held);
+			if (end < now) {
+				this.#release(held.plan);
+			} else {
+				this.#pruneFrom = Math.min(this.#pruneFrom, end);
 			}
 		}
 	}
@@ -387,9 +403,11 @@
 		}
 
 		const isShort = isPrompt && !isLong;
-		this.#plans.set(plan.planId, {
+		const held = {
 			plan, since: now, isShort, isDecidedHere, works,
-		});
+		};
+		this.#plans.set(plan.planId, held);
+		this.#pruneFrom = Math.min(this.#pruneFrom, findPlanEnd(held));
 		if (isShort) {
 			this.#shares.addShort();
 		}
--- a/src/planning/server-board.ts
+++ b/src/planning/server-board.ts
@@ -48,6 +48,11 @@
 	return hasStarted && isHelper && heldTokens === 0;
 }
 
+/** Whether its prompt is still read, as far as is known. */
+function isReading({hasStarted, readUntil}: Work, now: number): boolean {
+	return !hasStarted && readUntil > now;
+}
+
 /** Sums over the work of a server, kept until it changes. */
 type Summary = {
 	/** Requests that write here or are about to; helpers don't count. */
@@ -67,6 +72,8 @@
 export class ServerBoard {
 	readonly health = new ServerHealth();
 	readonly #works = new Map<PlanId, Work>();
+	/** Work whose reading may not be done yet, in the order in which it came. */
+	#reading: Work[] = [];
 	#summary: Summary | undefined;
 	#lastLongReadEnd = -Infinity;
 
@@ -90,6 +97,7 @@
 	/** Adds work. */
 	add(work: Work): void {
 		this.#works.set(work.planId, work);
+		this.#reading.push(work);
 		this.#summary = undefined;
 		if (work.isLong) {
 			this.#lastLongReadEnd = Math.max(this.#lastLongReadEnd, work.readUntil);
@@ -112,16 +120,15 @@
 	/** Takes work out. */
 	remove(planId: PlanId): void {
 		this.#works.delete(planId);
+		this.#reading = this.#reading.filter(work => work.planId !== planId);
 		this.#summary = undefined;
 	}
 
 	/** Time of reading still to be done from now on, short and long. */
 	findPendingRead(now: number): number {
 		let sum = 0;
-		for (const work of this.#works.values()) {
-			if (!work.hasStarted && work.readUntil > now) {
-				sum += Math.min(work.readTime, work.readUntil - now);
-			}
+		for (const {readTime, readUntil} of this.#listReading(now)) {
+			sum += Math.min(readTime, readUntil - now);
 		}
 
 		return sum;
@@ -130,9 +137,9 @@
 	/** When the last long read here is expected to be done; now, when there is none. */
 	findLongReadEnd(now: number): number {
 		let end = now;
-		for (const work of this.#works.values()) {
-			if (work.isLong && !work.hasStarted) {
-				end = Math.max(end, work.readUntil);
+		for (const {isLong, readUntil} of this.#listReading(now)) {
+			if (isLong) {
+				end = Math.max(end, readUntil);
 			}
 		}
 
@@ -197,6 +204,15 @@
 		return computePassTime(engine, writers + (moreContext > 0 ? 1 : 0), contextTokens + moreContext);
 	}
 
+	/** Work that is still read: what has been read once is not looked at again, while an answer is written for many seconds and each decision asks all servers. */
+	#listReading(now: number): Work[] {
+		if (this.#reading.some(work => !isReading(work, now))) {
+			this.#reading = this.#reading.filter(work => isReading(work, now));
+		}
+
+		return this.#reading;
+	}
+
 	#summarise(): Summary {
 		this.#summary ??= summariseWorks([...this.#works.values()]);
 		return this.#summary;
