test(gateway): the failure that a server answered reaches its caller, tests that fail

What was seen: a request that may be repeated, answered 500 by the only server left of its service, reached its caller as the node's own 502 without the server's mark. Two tests fail on the code as it is: the only server fails; and the next server declines, is lost or stays silent. Both get 502 for the 500 that was ready.

--- a/test/gateway-calls.test.ts
+++ b/test/gateway-calls.test.ts
@@ -282,6 +282,40 @@
 	expect([answer.status, answer.body, answer.headers['cresshook-response-seal']]).toEqual([500, 'broken', 'seal']);
 });
 
+// Servers of a plain service left at short notice until one was there. It answered 500; the node gave the answer up, took a
+// retry and found no other server (`no_backend_server`), and its caller got the node's own 502 (`call_ended`,
+// `backend_unconfirmed`, "no backend server takes new work", `sends: 1`): 26 calls in two plays of such a day.
+test('a failure of the only server is tried again there, and passed on with its mark', async () => {
+	await fleet.start({runners: [{service: 'app', behaviour: answerWhole('broken', 500)}]});
+	const failed = await fleet.call({path: '/again/', method: 'GET'});
+	expect([failed.status, failed.body, failed.headers['cresshook-response-seal']]).toEqual([500, 'broken', 'seal']);
+	expect(fleet.runners[0].seen).toHaveLength(2);
+
+	let count = 0;
+	fleet.runners[0].behaviour = (request, response, socket) => {
+		void answerWhole(count === 0 ? 'broken' : 'fine', count++ === 0 ? 500 : 200)(request, response, socket);
+	};
+
+	const repeated = await fleet.call({path: '/again/', method: 'GET'});
+	expect([repeated.status, repeated.body]).toEqual([200, 'fine']);
+});
+
+test('a failure that a server answered is passed on when the next one declines, is lost or stays silent', async () => {
+	const others: RunnerBehaviour[] = [decline, dropConnection, () => {}]; // eslint-disable-line @typescript-eslint/no-empty-function
+	await fleet.start({runners: [1, 2].map(() => ({service: 'app', behaviour: decline}))});
+	for (const other of others) {
+		const behaviours = [answerWhole('broken', 500), other];
+		for (const runner of fleet.runners) {
+			runner.behaviour = (request, response, socket) => {
+				void behaviours.shift()!(request, response, socket);
+			};
+		}
+
+		const answer = await fleet.call({path: '/again/', method: 'GET'});
+		expect([answer.status, answer.body, answer.headers['cresshook-response-seal'], answer.isWhole]).toEqual([500, 'broken', 'seal', true]);
+	}
+});
+
 test('an answer of another request, without the mark or encoded is not passed on', async () => {
 	const behaviours: RunnerBehaviour[] = [
 		answerWith(request => ({...markAnswer(request), 'cresshook-attempt-id': 'other'})),
