fix(gateway): a failure that a server answered is passed on when no other server does better

Cause: after the 500 a retry was taken and the answer dropped; the search for another server found none (`no_backend_server`), and since a server had run the request its caller was told that its answer did not arrive. Change: the last failure that a server answered is kept until the call ends and is passed on unless another answer is; a server that answered with a failure is asked again when there is no other one. The line of such a call has the status that its caller saw (200 before).

--- a/src/gateway/calls/call-run.ts
+++ b/src/gateway/calls/call-run.ts
@@ -55,6 +55,8 @@
 	decidedBy?: Placed['decidedBy'];
 };
 
+type FailedAnswer = Extract<AttemptEnd, {kind: 'failed'}>;
+
 /** Runs one call. */
 export class CallRun {
 	readonly #parts: CallRunParts;
@@ -67,6 +69,8 @@
 	#lastEventId: number | undefined;
 	#firstAfter: number | undefined;
 	#placed: Placed | undefined;
+	/** The last failure that a server answered: passed on when no other server does better. */
+	#failedAnswer: FailedAnswer | undefined;
 	/** A place that was granted beside a silent server. */
 	#nextPlace: Placed | undefined;
 	/** Whether a retry was taken out of the budget and not used yet. */
@@ -190,6 +194,10 @@
 			this.#seeker.excluded.push(end.server);
 		}
 
+		if (end.kind === 'failed') {
+			this.#seeker.failedAt.push(end.server);
+		}
+
 		// What never left this node is no arrival anywhere and costs nothing of the budget.
 		this.#hasRetry ||= !wasSent && this.#attempts.sends > 0;
 		this.#parts.placer.note(plan, {planId: plan.planId, kind: 'ended'});
@@ -216,12 +224,9 @@
 			}
 
 			case 'failed': {
-				if (this.#mayRepeat() && await this.#takeTry(end.server, `the server answered ${end.status}`)) {
-					return 'again';
-				}
-
-				end.deliver();
-				return undefined;
+				this.#failedAnswer = end;
+				const reason = `the server answered ${end.status}`;
+				return this.#mayRepeat() && await this.#takeTry(end.server, reason) ? 'again' : describeUnconfirmed(reason);
 			}
 
 			case 'declined': {
@@ -367,6 +372,12 @@
 			return {...outcome, status: 200};
 		}
 
+		// Thrown away for the node's own 502 when no other server was there, the answers of 26 calls were lost in two plays with servers that left at short notice.
+		if (this.#failedAnswer !== undefined && !this.#sink.hasHead && this.#end !== 'gone') {
+			this.#failedAnswer.deliver();
+			return {...outcome, failure: undefined, status: this.#failedAnswer.status};
+		}
+
 		if (this.#sink.hasHead || this.#end === 'gone') {
 			this.#sink.cut();
 			const {lastEventAt} = this.#seeker;
--- a/src/gateway/calls/place-seeker.ts
+++ b/src/gateway/calls/place-seeker.ts
@@ -22,6 +22,8 @@
 export class PlaceSeeker {
 	/** Servers that must not be chosen again. */
 	readonly excluded: BackendServerId[] = [];
+	/** Those among them that answered with a failure. */
+	readonly failedAt: BackendServerId[] = [];
 	/** When the caller saw the last event; undefined before the first. */
 	lastEventAt: number | undefined;
 	readonly #parts: PlaceSeekerParts;
@@ -103,6 +105,7 @@
 			callerWaits: head.timeLeft,
 			hasBegun,
 			excluded,
+			failedAt: this.failedAt,
 		});
 		return result.caseOf<PlaceAnswer | Failure>({Left: failure => failure, Right: value => value});
 	}
--- a/src/planning/plan.ts
+++ b/src/planning/plan.ts
@@ -46,6 +46,8 @@
 	hasTried?: boolean;
 	/** Servers that must not be chosen. */
 	excluded: BackendServerId[];
+	/** Those among them that answered it with a failure: they may be asked again when there is no other. */
+	failedAt?: BackendServerId[];
 };
 
 /** A request for one more try of a request that was sent before. */
--- a/src/planning/planner.ts
+++ b/src/planning/planner.ts
@@ -306,7 +306,11 @@
 	}
 
 	#listUsable(request: PlanRequest, now: number): ServerBoard[] {
-		const boards = [...this.#boards.values()].filter(board => !request.excluded.includes(board.server.id));
+		const {excluded, failedAt = []} = request;
+		const all = [...this.#boards.values()];
+		const others = all.filter(board => !excluded.includes(board.server.id));
+		// The next answer of a server that failed a request may be whole, and without another one the request fails for certain.
+		const boards = others.length > 0 ? others : all.filter(board => failedAt.includes(board.server.id));
 		const rested = boards.filter(board => !board.health.isResting(now));
 		const trusted = rested.filter(board => board.health.mayTake(board.workCount, now));
 		// Any server is better than none: suspicion may be wrong for all of them at once.
