test(settings): the program that is sent SIGHUP listens at the address of its test's process

Cause: its six ports were found free at the address of the test's process and then used at 127.0.0.1, where any process may have them. Shown: with 14,000 ports taken at 127.0.0.1 the test fails at the same line in the same way; that a port was taken in that run is inferred, its logs were not kept. Change: the program listens at the address at which its ports were found. Measured: three of three passed with those ports still taken, the whole file 32 of 32. Assertions and limits are unchanged.

--- a/test/reload-settings.test.ts
+++ b/test/reload-settings.test.ts
@@ -16,6 +16,7 @@
 	findFreePorts, GatewayFleet, send, waitUntil,
 } from './helpers/gateways.js';
 import {LogMemory} from './helpers/logs.js';
+import {ownHost} from './helpers/own-host.js';
 import {answerWhole, decline} from './helpers/platform-standins.js';
 
 /** For tests that bundle the program and run it as a process, in milliseconds. */
@@ -300,7 +301,7 @@
 test('SIGHUP makes a process of the program take its file over and go on', async () => {
 	await fleet.store.start();
 	const [callers, ready, addresses, peers, heartbeat, metrics] = await findFreePorts(6);
-	let settings = text.replace('7007', fleet.store.address.split(':')[1]);
+	let settings = text.replace('7007', fleet.store.address.split(':')[1]).replaceAll('127.0.0.1', ownHost);
 	for (const [before, after] of [['7001', heartbeat], ['7002', metrics], ['7003', callers], ['7004', ready], ['7005', addresses], ['7006', peers]]) {
 		settings = settings.replace(String(before), String(after));
 	}
@@ -317,7 +318,7 @@
 	program.kill('SIGHUP');
 	await waitUntil(() => log.listLines('reloaded').length === 1);
 	expect(log.listLines('reloaded')[0]).toMatchObject({cause: 'signal', taken: ['retry.slack'], waiting: ['availability_zone']});
-	const status = await send(`127.0.0.1:${metrics}`, {path: '/status', method: 'GET'});
+	const status = await send(`${ownHost}:${metrics}`, {path: '/status', method: 'GET'});
 	expect(status.status).toBe(200);
 	expect(program.exitCode).toBeNull();
 }, processLimit);
