fix(soak): no two nodes of a run are given one port

Cause: edge-3 could not listen at port 28603 (start_failed, EADDRINUSE), which the settings of edge-5 name as well: ports were drawn for each node alone and looked at for being free, before any of them listened. Change: a port is given out once by a process. Measured: the new test fails on the code before (a hundred draws of six share ports) and passes with it, the file's other tests too. The gateway is unchanged.

--- a/soak/steady-ports.ts
+++ b/soak/steady-ports.ts
@@ -10,12 +10,20 @@
 const lowest = 10_000;
 const highest = 32_000;
 
-/** So many ports of loopback that nobody listens on. */
+/** Ports that this process has given out: whoever is to listen there may not do so yet. Without it two nodes of a run drew one port, about once in thirty runs. */
+const given = new Set<number>();
+
+/** So many ports of loopback that nobody listens on, each given out once. */
 export async function findSteadyPorts(count: number): Promise<number[]> {
 	const ports: number[] = [];
 	while (ports.length < count) {
 		const port = lowest + Math.floor(Math.random() * (highest - lowest));
-		if (!ports.includes(port) && await isFree(port)) {
+		if (given.has(port)) {
+			continue;
+		}
+
+		given.add(port);
+		if (await isFree(port)) {
 			ports.push(port);
 		}
 	}
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -15,6 +15,7 @@
 import {drawFaults, faultKinds} from '../soak/plan.js';
 import {Processes} from '../soak/processes.js';
 import {createRecords, type CallRecord, type RunRecords} from '../soak/records.js';
+import {findSteadyPorts} from '../soak/steady-ports.js';
 import {StandinStore} from './helpers/platform-standins.js';
 
 const grace = 4000;
@@ -350,3 +351,10 @@
 	expect(() => processes.start('after', path.join(folder, 'idle.cjs'), [])).toThrow('over');
 	expect(processes.count).toBe(0);
 });
+
+// A run ended before it began: "edge-3 was not ready in time". Its line said `start_failed`, `EADDRINUSE`, port 28603, and the settings
+// of edge-5 name the same port: both had drawn it while neither listened.
+test('no two nodes of a run are given one port, though none listens yet', async () => {
+	const drawn = await Promise.all(Array.from({length: 100}, async () => findSteadyPorts(6)));
+	expect(new Set(drawn.flat()).size).toBe(600);
+});
