feat(routing): every node tells for how long the store has not been heard

A node that does not follow the store could not say whether anybody had heard it: 70 of 76 nodes had no line while a configuration was late for six seconds. Each heartbeat now carries the ages of the newest answers that any node has had, for the configuration and for servers. They stand in status, in a gauge, in a line after four seconds, and in the line of each refused call, from which explain takes them.

No decision uses the ages. Heartbeats of programs before and after read each other: the ages are a field of their own.

--- a/src/cli/format-status.ts
+++ b/src/cli/format-status.ts
@@ -8,12 +8,13 @@
 /** Formats a node's status. */
 export function formatStatus(status: NodeStatus): string {
 	const {
-		node, phase, isWatcher, isSourceOut, calls, servers, services, nodes, omitted,
+		node, phase, isWatcher, isSourceOut, sources, calls, servers, services, nodes, omitted,
 	} = status;
 	const lines = [
 		`${node.name} (life ${node.life}, ${node.availabilityZone}): ${phase}, ${calls} calls in progress`,
 		`configuration ${node.configVersion}, servers' revision ${node.serversRevision}; ${servers.usable} servers take new work, ${servers.foreign} entries of other writers`,
 		`${isWatcher ? 'follows the store' : 'is told by other nodes'}${isSourceOut ? ', which does not answer' : ''}`,
+		...sources.map(source => formatSource(source)),
 		...services.flatMap(service => formatService(service)),
 		...omitted.services > 0 ? [`and ${omitted.services} more services`] : [],
 		`nodes: ${nodes.live} live of ${nodes.known} known`,
@@ -23,6 +24,11 @@
 	return `${lines.join('\n')}\n`;
 }
 
+function formatSource({items, heardHere, heardByAny}: NodeStatus['sources'][number]): string {
+	const here = heardHere === undefined ? '' : `, ${heardHere} ms ago here`;
+	return `  ${items}: store heard ${heardByAny === undefined ? 'by no node yet' : `${heardByAny} ms ago by any node`}${here}`;
+}
+
 function formatService({
 	service, decider, plans, waiting, retries, usableServers, servers,
 }: ServiceWork): string[] {
--- a/src/gateway/calls/call-service.ts
+++ b/src/gateway/calls/call-service.ts
@@ -81,7 +81,12 @@
 			const status = sendFailure(sink, wire, failure, requestId);
 			this.#parts.metrics.countCall('none', failure.kind);
 			logger.info({
-				event: 'call_refused', request: requestId, kind: failure.kind, status, configVersion: this.#parts.state.configVersion,
+				event: 'call_refused',
+				request: requestId,
+				kind: failure.kind,
+				status,
+				configVersion: this.#parts.state.configVersion,
+				configAge: this.#parts.state.sourceHeard.measureFleet('configuration'),
 			}, failure.message);
 			return;
 		}
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -40,6 +40,10 @@
 		name: 'cresshook_config_behind_seconds', help: 'for how long the node has known of a newer configuration than its own', registers: [this.#registry],
 	});
 
+	readonly #sourceAge = new Gauge({
+		name: 'cresshook_source_age_seconds', help: 'time since the store was heard, by this node where it follows it, and by any node', labelNames: ['items', 'by'], registers: [this.#registry],
+	});
+
 	readonly #gauges = new Gauge({
 		name: 'cresshook_state', help: 'what the node believes: configuration version, live nodes, servers, calls in progress', labelNames: ['what'], registers: [this.#registry],
 	});
@@ -79,6 +83,15 @@
 		this.#configLag.set(lag / 1000);
 	}
 
+	/** Sets how long ago the source was heard, in milliseconds; undefined when it was not. */
+	setSourceAge(items: string, by: 'node' | 'fleet', age: number | undefined): void {
+		if (age === undefined) {
+			this.#sourceAge.remove({items, by});
+		} else {
+			this.#sourceAge.set({items, by}, age / 1000);
+		}
+	}
+
 	/** Sets what the node believes. */
 	setState(what: string, value: number): void {
 		this.#gauges.set({what}, value);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -18,7 +18,9 @@
 import {
 	type Adoption, type DecisionAnswer, listCallerAddresses, type Peer, PeerClients, Peers, PeerService, PeerSocket,
 } from './peers/index.js';
-import {register, ViewAnswers, ViewExchange} from './views/index.js';
+import {
+	register, SourceReport, ViewAnswers, ViewExchange,
+} from './views/index.js';
 import {GatewayMetrics} from './gateway-metrics.js';
 import type {GatewaySettings} from './gateway-settings.js';
 import {StatusReader} from './node-status.js';
@@ -71,6 +73,7 @@
 	readonly #socket: PeerSocket;
 	readonly #views: ViewExchange;
 	readonly #viewAnswers: ViewAnswers;
+	readonly #sourceReport: SourceReport;
 	readonly #status: StatusReader;
 	#isStopping = false;
 	#running: Promise<void> | undefined;
@@ -99,6 +102,9 @@
 				this.metrics.countLeft(part);
 			},
 		});
+		this.#sourceReport = new SourceReport({
+			logger, metrics: this.metrics, state: this.state, isWatcher: () => this.isWatcher,
+		});
 		this.#peers = new Peers({
 			clock, logger, self, view: () => this.#views.describeView(), random: parts.random,
 		});
@@ -378,6 +384,7 @@
 		this.metrics.setState('live_nodes', this.#peers.countLive() + 1);
 		this.metrics.setState('config_version', this.state.configVersion);
 		this.metrics.setConfigLag(this.#views.reportLag());
+		this.#sourceReport.tick();
 		this.metrics.setState('usable_servers', this.state.usableServers);
 		this.metrics.setState('foreign_servers', this.state.foreignCount);
 		this.metrics.setState('calls', this.#calls.inProgress);
--- a/src/gateway/node-status.ts
+++ b/src/gateway/node-status.ts
@@ -5,7 +5,7 @@
  * times a second at most: who asks for it in a loop must not hold up those who are served.
  */
 import type {AvailabilityZone, BoxId, Clock} from '../common/index.js';
-import type {FleetState} from '../routing/index.js';
+import {followedKinds, type FleetState, type FollowedKind} from '../routing/index.js';
 import type {ServiceWork, SharedPlacer} from './deciding/index.js';
 import type {Peer, Peers, PeerView} from './peers/index.js';
 
@@ -38,6 +38,8 @@
 	phase: 'starting' | 'ready' | 'stopping';
 	isWatcher: boolean;
 	isSourceOut: boolean;
+	/** Milliseconds since the source was heard: by this node where it follows it, and by any node it knows of. */
+	sources: Array<{items: FollowedKind; heardHere?: number; heardByAny?: number}>;
 	/** Calls in progress at this node. */
 	calls: number;
 	servers: {usable: number; foreign: number};
@@ -98,6 +100,9 @@
 			phase: isStopping() ? 'stopping' : (state.isUsable ? 'ready' : 'starting'),
 			isWatcher: isWatcher(),
 			isSourceOut: state.isOutage,
+			sources: followedKinds.map(items => ({
+				items, heardHere: isWatcher() ? state.sourceHeard.measureOwn(items) : undefined, heardByAny: state.sourceHeard.measureFleet(items),
+			})),
 			calls: countCalls(),
 			servers: {usable: state.usableServers, foreign: state.foreignCount},
 			services: this.#describeServices(services.slice(0, mostServices).map(service => service.name)),
--- a/src/gateway/peers/peer-beat.ts
+++ b/src/gateway/peers/peer-beat.ts
@@ -7,6 +7,7 @@
 import {Buffer} from 'node:buffer';
 import * as z from 'zod';
 import type {AvailabilityZone, BoxId} from '../../common/index.js';
+import type {SourceAges} from '../../routing/index.js';
 
 /** What a node tells of itself once: it holds as long as its process. */
 export type PeerInfo = {
@@ -39,6 +40,8 @@
 	serversRevision: number;
 	/** Sums up the servers it knows; equal views have equal digests. */
 	serversDigest: string;
+	/** When any node that it knows of has heard the source. */
+	sourceAges: SourceAges;
 };
 
 /** A node as others know it. */
@@ -90,6 +93,8 @@
 const headSchema = z.object({
 	from: z.tuple([z.string().min(1).max(lifeBytes), z.int().min(0)]),
 	view: z.tuple([z.number(), z.number(), z.string()]),
+	// Configuration, then servers.
+	ages: z.tuple([z.number().nullable(), z.number().nullable()]).default([null, null]),
 	described: z.array(infoSchema).default([]),
 	wanted: z.array(z.string()).default([]),
 });
@@ -100,6 +105,7 @@
 	const head = Buffer.from(`${JSON.stringify({
 		from: [beat.from.life, formatSign(beat.from)],
 		view: [view.configVersion, view.serversRevision, view.serversDigest],
+		ages: [view.sourceAges.configuration ?? null, view.sourceAges.servers ?? null],
 		described: beat.described.length === 0 ? undefined : beat.described,
 		wanted: beat.wanted.length === 0 ? undefined : beat.wanted,
 	})}\n`);
@@ -125,6 +131,7 @@
 
 	const head = headSchema.parse(JSON.parse(bytes.toString('utf8', 0, headLength)));
 	const [configVersion, serversRevision, serversDigest] = head.view;
+	const [configuration, servers] = head.ages.map(age => age ?? undefined);
 	const others: PeerSign[] = [];
 	for (let start = headLength + 1; start < bytes.length; start += signBytes) {
 		others.push(parseSign(bytes.toString('latin1', start, start + lifeBytes).trimEnd(), bytes.readUInt16BE(start + lifeBytes)));
@@ -132,7 +139,9 @@
 
 	return {
 		from: parseSign(...head.from),
-		view: {configVersion, serversRevision, serversDigest},
+		view: {
+			configVersion, serversRevision, serversDigest, sourceAges: {configuration, servers},
+		},
 		others,
 		described: head.described as PeerInfo[],
 		wanted: head.wanted,
--- a/src/gateway/views/view-exchange.ts
+++ b/src/gateway/views/view-exchange.ts
@@ -50,7 +50,7 @@
 	readonly #servers: ViewQuestions;
 	readonly #config: ViewQuestions;
 	readonly #lag = new ConfigLag();
-	#view: PeerView | undefined;
+	#view: Omit<PeerView, 'sourceAges'> | undefined;
 	#reportedVersion = 0;
 	#isWatcher: boolean;
 	readonly #patientUntil: number;
@@ -101,7 +101,7 @@
 			serversRevision: state.serversRevision,
 			serversDigest: computeDigest(state.describeServers(), digestLength),
 		};
-		return this.#view;
+		return {...this.#view, sourceAges: state.sourceHeard.describe()};
 	}
 
 	/** Works out anew who follows the source, when something has changed. */
@@ -130,6 +130,7 @@
 	compareView(peer: Peer, view: PeerView): void {
 		const pause = this.#isPatient ? firstPause : undefined;
 		this.#lag.hear(view.configVersion, this.#parts.clock.readMonotonic());
+		this.#parts.state.sourceHeard.hear(view.sourceAges);
 		this.#servers.hear(peer, view, pause);
 		this.#config.hear(peer, view, pause);
 	}
--- a/src/logs/ended-call.ts
+++ b/src/logs/ended-call.ts
@@ -34,6 +34,9 @@
 	sinceLastEvent: number | undefined;
 	callerWaits: number | undefined;
 	took: number;
+	/** Version of the configuration by which it was judged, and for how long no node had heard the store by then, in milliseconds. */
+	configVersion: number | undefined;
+	configAge: number | undefined;
 	verdict: Verdict;
 	/** What an answer in aim is worth, and what was lost of it, in tokens. */
 	worth: number;
@@ -68,6 +71,8 @@
 		sinceLastEvent: findNumber(line, 'sinceLastEvent'),
 		callerWaits: findNumber(line, 'callerWaits'),
 		took: findNumber(line, 'took') ?? 0,
+		configVersion: findNumber(line, 'configVersion'),
+		configAge: findNumber(line, 'configAge'),
 	};
 	const verdict = judgeCall(facts);
 	const worth = verdict === 'rejected' ? 0 : computeWorth(facts.promptTokens);
--- a/src/logs/find-cause.ts
+++ b/src/logs/find-cause.ts
@@ -55,7 +55,14 @@
 
 function describeRefused(story: RequestStory, ended: EndedCall): string {
 	const tries = ended.sends === 0 ? ', and ran nowhere' : ` after ${countTries(ended.sends)}`;
-	return `It was refused with ${ended.status} (${ended.outcome})${tries}: ${findReason(story, ended)}${describeRefusal(story)}.`;
+	return `It was refused with ${ended.status} (${ended.outcome})${tries}: ${findReason(story, ended)}${describeView(ended)}${describeRefusal(story)}.`;
+}
+
+/** How old the view was by which a route or key was not known. */
+function describeView({verdict, configVersion, configAge}: EndedCall): string {
+	return verdict === 'rejected' && configVersion !== undefined && configAge !== undefined
+		? `; the node had version ${configVersion} of the configuration, and the store was last heard by a node ${formatTime(configAge)} before`
+		: '';
 }
 
 function describeBroken(story: RequestStory, ended: EndedCall): string {
--- a/src/routing/fleet-state.ts
+++ b/src/routing/fleet-state.ts
@@ -15,6 +15,7 @@
 } from './model.js';
 import {chooseService, RouteTable} from './route-table.js';
 import {ServerView, type ServersSnapshot} from './server-view.js';
+import {SourceHeard} from './source-ages.js';
 
 /** Where a call goes, by one version of the configuration. */
 export type ResolvedCall = {
@@ -26,6 +27,8 @@
 
 /** The fleet as this node sees it. */
 export class FleetState {
+	/** When the source was heard last, here and by the fleet. */
+	readonly sourceHeard: SourceHeard;
 	readonly #logger: Logger;
 	readonly #servers: ServerView;
 	readonly #listeners = new Set<() => void>();
@@ -34,6 +37,7 @@
 	#table: RouteTable | undefined;
 
 	constructor(clock: Clock, logger: Logger) {
+		this.sourceHeard = new SourceHeard(clock);
 		this.#logger = logger;
 		this.#servers = new ServerView({
 			clock,
--- a/src/routing/follower.ts
+++ b/src/routing/follower.ts
@@ -8,6 +8,7 @@
 	Changes, ItemSource, Listing, SourceFailure,
 } from './fleet-source.js';
 import type {FleetState} from './fleet-state.js';
+import type {FollowedKind} from './source-ages.js';
 import type {SourceHealth} from './source-health.js';
 
 /** How often a follower asks. */
@@ -46,7 +47,7 @@
 
 /** What a follower does with what it reads. */
 export type FollowedItems<Item> = {
-	name: string;
+	name: FollowedKind;
 	source: ItemSource<Item>;
 	state: FleetState;
 	pace: FollowPace;
@@ -210,6 +211,7 @@
 
 		this.#answeredAt = this.#clock.readMonotonic();
 		this.#unanswered = 0;
+		this.#items.state.sourceHeard.noteAnswer(this.#items.name);
 		return answer;
 	}
 
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -5,4 +5,5 @@
 export type * from './model.js';
 export * from './route-table.js';
 export * from './server-view.js';
+export * from './source-ages.js';
 export * from './source-health.js';
--- a/test/config-lag.test.ts
+++ b/test/config-lag.test.ts
@@ -43,7 +43,9 @@
 		},
 	});
 	state.applyConfig(createRoutedConfig(1, createRoutes(3)), 'source');
-	exchange.compareView(createPeer('n1'), {configVersion: 2, serversRevision: 0, serversDigest: ''});
+	exchange.compareView(createPeer('n1'), {
+		configVersion: 2, serversRevision: 0, serversDigest: '', sourceAges: {configuration: undefined, servers: undefined},
+	});
 	return {
 		clock, memory, state, exchange, silent,
 	};
@@ -61,7 +63,9 @@
 	expect(listBehind()).toEqual([{
 		version: 1, newest: 2, behind: 1100, asked: ['n1', 'n1'],
 	}]);
-	exchange.compareView(createPeer('n2'), {configVersion: 3, serversRevision: 0, serversDigest: ''});
+	exchange.compareView(createPeer('n2'), {
+		configVersion: 3, serversRevision: 0, serversDigest: '', sourceAges: {configuration: undefined, servers: undefined},
+	});
 	expect(exchange.reportLag()).toBe(1100);
 	expect(listBehind()).toHaveLength(2);
 });
@@ -69,7 +73,9 @@
 test('a node that is heard while another one is silent on two connections is asked at once', async () => {
 	const {clock, exchange, memory} = startBehind();
 	await passTime(clock, 1000);
-	exchange.compareView(createPeer('n2'), {configVersion: 2, serversRevision: 0, serversDigest: ''});
+	exchange.compareView(createPeer('n2'), {
+		configVersion: 2, serversRevision: 0, serversDigest: '', sourceAges: {configuration: undefined, servers: undefined},
+	});
 	await passTime(clock, 200);
 	exchange.reportLag();
 	expect(memory.listLines('config_behind')[0].asked).toEqual(['n1', 'n1', 'n2']);
--- a/test/explain.test.ts
+++ b/test/explain.test.ts
@@ -95,7 +95,7 @@
 	await fleet.start({runners: [{service: 'app', behaviour: answerWhole('yes')}]});
 	await call('/nowhere/', 'lost-way');
 	const {cause} = await explain('lost-way', await writeLogs(1));
-	expect(cause).toBe('It was refused with 404 (unknown_path), and ran nowhere: no route for host shop.example begins this path.');
+	expect(cause).toMatch(/^It was refused with 404 \(unknown_path\), and ran nowhere: no route for host shop\.example begins this path; the node had version 1 of the configuration, and the store was last heard by a node \d+ ms before\.$/);
 });
 
 // A caller that had left after two seconds of silence was told of with the longest pause between two events, 77 ms.
--- a/test/follow-source.test.ts
+++ b/test/follow-source.test.ts
@@ -18,7 +18,7 @@
 function createFollower(source: StandinSource, clock: VirtualClock): Follower<string> {
 	const logger = createSilentLogger();
 	return new Follower({
-		name: 'items',
+		name: 'configuration',
 		pace: followPace,
 		health: new SourceHealth(),
 		source,
@@ -37,7 +37,7 @@
 	source.put('first');
 	const seen: string[] = [];
 	const follower = new Follower({
-		name: 'items',
+		name: 'configuration',
 		pace,
 		health,
 		source,
--- a/test/heartbeat-runs.test.ts
+++ b/test/heartbeat-runs.test.ts
@@ -17,7 +17,9 @@
 /** Beats after which all that is lasting must be known: two seconds and a second for a candidate's turn. */
 const calmBeats = 14;
 
-const view: PeerView = {configVersion: 1, serversRevision: 1, serversDigest: 'x'};
+const view: PeerView = {
+	configVersion: 1, serversRevision: 1, serversDigest: 'x', sourceAges: {configuration: 250, servers: undefined},
+};
 
 /** One life of a node. */
 type Life = {self: Peer; peers: Peers; isPaused: boolean; queue: Array<{message: Uint8Array; from: string}>};
--- a/test/heartbeats.test.ts
+++ b/test/heartbeats.test.ts
@@ -14,7 +14,9 @@
 import {ownHost} from './helpers/own-host.js';
 import {createPeer} from './helpers/peers.js';
 
-const view: PeerView = {configVersion: 1, serversRevision: 1, serversDigest: 'x'};
+const view: PeerView = {
+	configVersion: 1, serversRevision: 1, serversDigest: 'x', sourceAges: {configuration: 250, servers: undefined},
+};
 
 function signOf(peer: Peer, age = 0): PeerSign {
 	return {
