test(routing): a store that is silent to its followers, or slow, keeps every change from the whole fleet; tests that fail

Callers were refused with 404 and 401 on new routes and keys for seconds after the store had acknowledged them. A store on a virtual clock is silent to the followers and a share of the other nodes, answers one kind only, or takes 1.3 to 5 s for each answer.

--- /dev/null
+++ b/test/helpers/store-fleet.ts
@@ -0,0 +1,299 @@
+/**
+ * Nodes that follow one store, on a virtual clock: it is silent to some of them, slow, or answers one kind and not the other.
+ *
+ * Calls of a node share kept connections. One that is silent stays so for good; a call that asks for a connection of its
+ * own, or comes after one was given up, opens a new one.
+ */
+import {Left, Right, type Either} from 'purify-ts';
+import seedrandom from 'seedrandom';
+import {createSilentLogger, waitFor, type Clock} from '../../src/common/index.js';
+import {
+	Follower, followPace, ItemSource, SourceHealth, type BackendServer, type Changes, type FollowCall, type FollowedKind, type Listing, type RoutingConfig, type SourceFailure,
+} from '../../src/routing/index.js';
+import {
+	createModelServer, createRoutedConfig, createRoutes, ViewingFleet, type ViewingNode, type ViewingOptions,
+} from './viewing-fleet.js';
+
+/** Time of an answer of a store that is well, in milliseconds. */
+const quickAnswer = 4;
+
+/** Time that the store's client gives a list, in milliseconds. */
+const listTimeout = 1200;
+
+/** An object of the store. */
+type StoredItem = {kind: FollowedKind; revision: number; item: RoutingConfig | BackendServer};
+
+/** A store that tells nodes apart. */
+export class SimulatedStore {
+	/** Time of each answer, in milliseconds. */
+	answerTime = quickAnswer;
+	/** Calls of all nodes. */
+	calls = 0;
+	/** Nodes that get no answer over connections that are open when the silence begins, and over new ones; all kinds, or one. */
+	readonly silences: Array<{nodes: ReadonlySet<number>; kind?: FollowedKind; keepsNew?: boolean}> = [];
+	readonly #clock: Clock;
+	readonly #items: StoredItem[] = [];
+	readonly #wakers = new Set<() => void>();
+
+	constructor(clock: Clock) {
+		this.#clock = clock;
+	}
+
+	/** The revision of the last change. */
+	get revision(): number {
+		return this.#items.length;
+	}
+
+	/** Writes a configuration. */
+	putConfig(item: RoutingConfig): void {
+		this.#put({kind: 'configuration', revision: this.revision + 1, item});
+	}
+
+	/** Writes the entry of a server. */
+	putServer(item: BackendServer): void {
+		this.#put({kind: 'servers', revision: this.revision + 1, item: {...item, entryRevision: this.revision + 1}});
+	}
+
+	/** The newest objects of a kind, each once. */
+	read(kind: FollowedKind, since = 0): StoredItem[] {
+		const newest = new Map(this.#items.filter(item => item.kind === kind && item.revision > since).map(item => [kind === 'servers' ? (item.item as BackendServer).name : kind, item]));
+		return [...newest.values()];
+	}
+
+	/** Whether a node hears nothing on a kind; `isNew` for a connection that was opened in the silence. */
+	isSilent(node: number, kind: FollowedKind, isNew: boolean): boolean {
+		return this.silences.some(silence => silence.nodes.has(node) && (silence.kind ?? kind) === kind && !(isNew && silence.keepsNew === true));
+	}
+
+	/** Waits for a change of a kind. */
+	async waitForChange(kind: FollowedKind, since: number, wait: number, signal: AbortSignal): Promise<void> {
+		const until = this.#clock.readMonotonic() + wait;
+		while (!signal.aborted && this.read(kind, since).length === 0 && this.#clock.readMonotonic() < until) {
+			const woken = new AbortController();
+			const wake = () => {
+				woken.abort();
+			};
+
+			this.#wakers.add(wake);
+			signal.addEventListener('abort', wake);
+			await waitFor(this.#clock, until - this.#clock.readMonotonic(), woken.signal);
+			signal.removeEventListener('abort', wake);
+			this.#wakers.delete(wake);
+		}
+	}
+
+	#put(item: StoredItem): void {
+		this.#items.push(item);
+		for (const wake of this.#wakers) {
+			wake();
+		}
+	}
+}
+
+/** One kind at the store, as one node asks for it. */
+class SimulatedSource<Item> extends ItemSource<Item> {
+	readonly #store: SimulatedStore;
+	readonly #node: number;
+	readonly #kind: FollowedKind;
+	readonly #clock: Clock;
+	/** Connections opened so far, and the last one that went silent. */
+	#opened = 1;
+	#lost = 0;
+
+	constructor(store: SimulatedStore, node: number, kind: FollowedKind, clock: Clock) {
+		super();
+		this.#store = store;
+		this.#node = node;
+		this.#kind = kind;
+		this.#clock = clock;
+	}
+
+	/** Notes that a silence begins: what is open now never speaks again. */
+	loseConnections(): void {
+		this.#lost = this.#opened;
+	}
+
+	override async list(signal: AbortSignal): Promise<Either<SourceFailure, Listing<Item>>> {
+		return this.#call(listTimeout, signal, async () => this.#read());
+	}
+
+	override async follow({revision, wait, patience}: FollowCall, signal: AbortSignal): Promise<Either<SourceFailure, Changes<Item>>> {
+		return this.#call(wait + patience, signal, async ended => {
+			await this.#store.waitForChange(this.#kind, revision, wait, ended);
+			const changed = this.#store.read(this.#kind, revision);
+			return {
+				changes: changed.map(({item, revision: changedAt}) => ({name: (item as BackendServer).name ?? 'main', item: item as Item, revision: changedAt})),
+				revision: this.#store.revision,
+			};
+		});
+	}
+
+	#read(): Listing<Item> {
+		return {items: this.#store.read(this.#kind).map(({item}) => item as Item), revision: this.#store.revision};
+	}
+
+	async #call<Answer>(limit: number, signal: AbortSignal, read: (ended: AbortSignal) => Promise<Answer>): Promise<Either<SourceFailure, Answer>> {
+		this.#store.calls++;
+		const connection = this.#opened;
+		const ended = new AbortController();
+		const end = () => {
+			ended.abort();
+		};
+
+		signal.addEventListener('abort', end);
+		const timer = this.#clock.setTimer(limit, () => {
+			// Whoever gives a call up takes a new connection for the next one.
+			this.#opened = connection + 1;
+			end();
+		});
+		const answer = await this.#answer(connection, ended.signal, read);
+		timer.cancel();
+		signal.removeEventListener('abort', end);
+		return answer === undefined ? Left({kind: 'unreachable', message: 'no answer in time'}) : Right(answer);
+	}
+
+	async #answer<Answer>(connection: number, signal: AbortSignal, read: (ended: AbortSignal) => Promise<Answer>): Promise<Answer | undefined> {
+		const isSilent = () => connection <= this.#lost || this.#store.isSilent(this.#node, this.#kind, true);
+		if (isSilent()) {
+			this.#lost = Math.max(this.#lost, connection);
+		}
+
+		const answer = await read(signal);
+		await waitFor(this.#clock, this.#store.answerTime, signal);
+		if (!signal.aborted && isSilent()) {
+			await new Promise<void>(resolve => {
+				signal.addEventListener('abort', () => {
+					resolve();
+				});
+			});
+		}
+
+		return signal.aborted ? undefined : answer;
+	}
+}
+
+/** A node and its connections to the store. */
+type Following = {node: ViewingNode; sources: Array<SimulatedSource<unknown>>};
+
+/** A fleet whose nodes choose among themselves who follows the store. */
+export class StoreFleet extends ViewingFleet {
+	readonly store: SimulatedStore;
+	readonly #following: Following[] = [];
+	readonly #stop = new AbortController();
+	#version = 1;
+
+	constructor(options: ViewingOptions & {seed?: string}) {
+		super(options);
+		this.store = new SimulatedStore(this.clock);
+		for (const node of this.nodes) {
+			this.#follow(node, seedrandom(`${options.seed ?? 'store'} ${node.index}`));
+		}
+	}
+
+	/** Nodes that follow the store at the moment. */
+	get followers(): number[] {
+		return this.nodes.filter(node => node.exchange.isWatcher).map(node => node.index);
+	}
+
+	/** Lets all nodes find each other and the store, and settle on who follows it. */
+	async begin(): Promise<this> {
+		this.store.putConfig(this.#createConfig());
+		for (let index = 0; index < 5; index++) {
+			this.store.putServer(createModelServer(index));
+		}
+
+		await this.pass(6000);
+		return this;
+	}
+
+	/** The store writes a configuration with one route more. */
+	changeConfig(): number {
+		this.#version++;
+		this.store.putConfig(this.#createConfig());
+		return this.#version;
+	}
+
+	/** Time until the newest configuration is in force at every node, in milliseconds. */
+	async measureChange(limit: number): Promise<number> {
+		const version = this.#version;
+		return this.measure(state => state.configVersion >= version, limit);
+	}
+
+	/** The store leaves these nodes without answers until the function that is returned is called; what is open stays silent. */
+	silence(nodes: Iterable<number>, options: {kind?: FollowedKind; keepsNew?: boolean} = {}): () => void {
+		const silence = {nodes: new Set(nodes), ...options};
+		this.store.silences.push(silence);
+		for (const {node, sources} of this.#following) {
+			for (const [index, source] of sources.entries()) {
+				if (this.store.isSilent(node.index, index === 0 ? 'configuration' : 'servers', false)) {
+					source.loseConnections();
+				}
+			}
+		}
+
+		return () => {
+			this.store.silences.splice(this.store.silences.indexOf(silence), 1);
+		};
+	}
+
+	/** Lets everything end. */
+	async end(): Promise<void> {
+		this.#stop.abort();
+		await this.pass(50);
+	}
+
+	protected override beat(node: ViewingNode, hasNews: boolean): void {
+		super.beat(node, hasNews);
+		node.exchange.chooseWatchers(node.peers);
+	}
+
+	#createConfig() {
+		return createRoutedConfig(this.#version, createRoutes(this.#version));
+	}
+
+	#follow(node: ViewingNode, random: () => number): void {
+		const {clock} = this;
+		const {state, exchange} = node;
+		const logger = createSilentLogger();
+		const configurations = new SimulatedSource<RoutingConfig>(this.store, node.index, 'configuration', clock);
+		const servers = new SimulatedSource<BackendServer>(this.store, node.index, 'servers', clock);
+		const common = {
+			pace: followPace, health: new SourceHealth(), asksSource: () => exchange.asksSource, state,
+		};
+		const followers = [
+			new Follower<RoutingConfig>({
+				...common,
+				name: 'configuration',
+				source: configurations,
+				onList({items}) {
+					for (const item of items) {
+						state.applyConfig(item, 'source');
+					}
+				},
+				onChanges({changes}) {
+					for (const {item} of changes) {
+						if (item !== undefined) {
+							state.applyConfig(item, 'source');
+						}
+					}
+				},
+			}, {clock, logger, random}),
+			new Follower<BackendServer>({
+				...common,
+				name: 'servers',
+				source: servers,
+				onList(listing) {
+					state.applyServerList(listing, 'source');
+				},
+				onChanges({changes, revision}) {
+					state.applyServerChanges(changes, revision, 'source');
+				},
+			}, {clock, logger, random}),
+		];
+		for (const follower of followers) {
+			void follower.run(this.#stop.signal);
+		}
+
+		this.#following.push({node, sources: [configurations as SimulatedSource<unknown>, servers as SimulatedSource<unknown>]});
+	}
+}
--- a/test/helpers/viewing-fleet.ts
+++ b/test/helpers/viewing-fleet.ts
@@ -162,16 +162,23 @@
 		this.#lostUntil = ++this.#asked;
 	}
 
+	/** What a node does when it beats. */
+	protected beat(node: ViewingNode, hasNews: boolean): void {
+		for (const outgoing of node.peers.beat(hasNews)) {
+			this.#deliver(node, outgoing);
+		}
+	}
+
 	#addNode(index: number): void {
 		const {clock} = this;
-		const self = createPeer(`n${index}`, {availabilityZone: `zone-${index % 3}` as AvailabilityZone});
 		const logger = createSilentLogger();
 		const state = new FleetState(clock, logger);
+		const self = () => createPeer(`n${index}`, {availabilityZone: `zone-${index % 3}` as AvailabilityZone, isSourceReachable: state.isSourceReachable});
 		const exchange = new ViewExchange({
-			clock, logger, state, clients: this.#createClients(index), self: () => self, isFirstStart: false, onSilent() {}, // eslint-disable-line @typescript-eslint/no-empty-function
+			clock, logger, state, clients: this.#createClients(index), self, isFirstStart: false, onSilent() {}, // eslint-disable-line @typescript-eslint/no-empty-function
 		});
 		const peers = new Peers({
-			clock, logger, self: () => self, view: () => exchange.describeView(), random: this.#random,
+			clock, logger, self, view: () => exchange.describeView(), random: this.#random,
 		});
 		peers.addCandidate('n0:3');
 		const node = {
@@ -180,9 +187,12 @@
 		peers.addViewListener((peer, view) => {
 			exchange.compareView(peer, view);
 		});
-		state.addListener(() => {
-			node.wantsBeat = true;
-		});
+		for (const addListener of [state.addListener.bind(state), peers.addChangeListener.bind(peers)]) {
+			addListener(() => {
+				node.wantsBeat = true;
+			});
+		}
+
 		this.nodes.push(node);
 	}
 
@@ -195,9 +205,7 @@
 		node.lastBeatAt = this.clock.readMonotonic();
 		const hasNews = node.wantsBeat;
 		node.wantsBeat = false;
-		for (const outgoing of node.peers.beat(hasNews)) {
-			this.#deliver(node, outgoing);
-		}
+		this.beat(node, hasNews);
 	}
 
 	#deliver(sender: ViewingNode, {beat, addresses}: OutgoingBeat): void {
--- /dev/null
+++ b/test/source-silence.test.ts
@@ -0,0 +1,122 @@
+// A store left 46 of 76 nodes without answers for seven seconds, the three that follow it among them. Their watches were
+// given up after 1.9 s, the question after that after 1.2 s more (`source_checked` at 9.60 s, `source_lost` at 10.80 s, of a
+// silence that began at 8 s); of the three nodes that took over each round some were silent too, and knew it 1.2 s later.
+// Version 13 stayed in force at every node from 7.7 to 12.4 s while later ones were acknowledged, and new routes were refused.
+import {expect, test} from '@jest/globals';
+import seedrandom from 'seedrandom';
+import {StoreFleet} from './helpers/store-fleet.js';
+
+/** Time for a test that plays dozens of nodes, in milliseconds. */
+const playLimit = 120_000;
+
+/** Time within which a change must be in force at every node while the store serves any of them, in milliseconds. */
+const changeBound = 2000;
+
+/** Time that is looked at, in milliseconds. */
+const longest = 12_000;
+
+/** The followers and so many of the others, drawn. */
+function drawSilent(fleet: StoreFleet, share: number, seed: string): Set<number> {
+	const random = seedrandom(seed);
+	const {followers} = fleet;
+	const count = Math.round(fleet.nodes.length * share);
+	const others = fleet.nodes.map(node => ({index: node.index, at: random()})).filter(({index}) => !followers.includes(index)).sort((left, right) => left.at - right.at);
+	return new Set([...followers, ...others.slice(0, Math.max(0, count - followers.length)).map(({index}) => index)]);
+}
+
+/** Worst time from a change to the last node, with a change right as the store falls silent and each half second after that. */
+async function measureWorst(fleet: StoreFleet, changes: number): Promise<number> {
+	let worst = 0;
+	for (let change = 0; change < changes; change++) {
+		fleet.changeConfig();
+		const time = await fleet.measureChange(longest);
+		worst = Math.max(worst, time);
+		await fleet.pass(Math.max(0, 500 - time));
+	}
+
+	return worst;
+}
+
+test.each([
+	[6, 0.6, 'a'], [12, 0.6, 'b'], [76, 0.35, 'c'], [76, 0.6, 'd'], [76, 0.6, 'e'], [76, 0.9, 'f'], [76, 0.9, 'g'],
+])('of %d nodes a share of %d is left without answers, all followers among them: a change is in force at all within two seconds (%s)', async (nodes, share, seed) => {
+	const fleet = await new StoreFleet({nodes, seed}).begin();
+	const restore = fleet.silence(drawSilent(fleet, share, seed));
+	expect(await measureWorst(fleet, 6)).toBeLessThanOrEqual(changeBound);
+	restore();
+	expect(await measureWorst(fleet, 4)).toBeLessThanOrEqual(changeBound);
+	await fleet.end();
+}, playLimit);
+
+test('those who take over are left without answers, too, a second later', async () => {
+	const fleet = await new StoreFleet({nodes: 24}).begin();
+	const first = fleet.followers;
+	fleet.silence(first);
+	fleet.changeConfig();
+	expect(await fleet.measureChange(longest)).toBeLessThanOrEqual(changeBound);
+	await fleet.pass(1000);
+	const next = fleet.followers.filter(index => !first.includes(index));
+	fleet.silence(next);
+	fleet.changeConfig();
+	expect(await fleet.measureChange(longest)).toBeLessThanOrEqual(changeBound);
+	await fleet.end();
+}, playLimit);
+
+test('a store that answers the servers\' watch and not the configuration\'s has its followers replaced', async () => {
+	const fleet = await new StoreFleet({nodes: 12}).begin();
+	fleet.silence(fleet.followers, {kind: 'configuration'});
+	expect(await measureWorst(fleet, 4)).toBeLessThanOrEqual(changeBound);
+	await fleet.end();
+}, playLimit);
+
+test('open connections of all nodes fall silent, and new ones are answered', async () => {
+	const fleet = await new StoreFleet({nodes: 12}).begin();
+	fleet.silence(fleet.nodes.keys(), {keepsNew: true});
+	expect(await measureWorst(fleet, 3)).toBeLessThanOrEqual(changeBound);
+	await fleet.end();
+}, playLimit);
+
+test.each([300, 1300, 2400, 5000])('a store takes %d ms for each answer: a change is in force at all nodes half a second after one such time', async answerTime => {
+	const fleet = await new StoreFleet({nodes: 6}).begin();
+	fleet.store.answerTime = answerTime;
+	// A store is known to be slow once it has answered.
+	await fleet.pass(2 * answerTime);
+	for (let change = 0; change < 4; change++) {
+		fleet.changeConfig();
+		expect(await fleet.measureChange(longest)).toBeLessThanOrEqual(answerTime + 500);
+		await fleet.pass(700);
+	}
+
+	await fleet.end();
+}, playLimit);
+
+test('a store that is slow from one moment on is heard after one answer\'s time', async () => {
+	const fleet = await new StoreFleet({nodes: 6}).begin();
+	fleet.store.answerTime = 2400;
+	fleet.changeConfig();
+	expect(await fleet.measureChange(longest)).toBeLessThanOrEqual(2400 + 1500 + 500);
+	await fleet.end();
+}, playLimit);
+
+test('a calm store is asked no more than twice in 1.5 s by each of three followers, a silent one by hardly more nodes than are needed', async () => {
+	const fleet = await new StoreFleet({nodes: 76}).begin();
+	const countCalls = async (time: number) => {
+		const before = fleet.store.calls;
+		await fleet.pass(time);
+		return fleet.store.calls - before;
+	};
+
+	expect(fleet.followers).toHaveLength(3);
+	expect(await countCalls(15_000)).toBeLessThanOrEqual(3 * 2 * 10 * 1.05);
+	const restore = fleet.silence(fleet.nodes.keys());
+	// The wave that looks for a node that is served asks once at each; from then on few go on.
+	await countCalls(3000);
+	expect(await countCalls(10_000)).toBeLessThanOrEqual(10 * 30);
+	restore();
+	fleet.changeConfig();
+	expect(await fleet.measureChange(longest)).toBeLessThanOrEqual(changeBound);
+	await fleet.pass(3000);
+	expect(fleet.followers).toHaveLength(3);
+	expect(await countCalls(15_000)).toBeLessThanOrEqual(3 * 2 * 10 * 1.05);
+	await fleet.end();
+}, playLimit);
