fix(routing): a store that answers late is heard after one such answer

Callers were judged by an old configuration for as long as the store was slow, and not for one slow answer: each call was given up after 1.2 s (a watch after its wait and 0.4 s) and asked anew, so that answers of 2.4 s were never taken. Over 12 s of such answers each change was late by up to 12.9 s.

Cause: a limit on the whole of an answer took slowness for silence. Change: a call has no limit of its own. Another one goes out beside it after a time, on a new connection, up to twelve; whichever is answered ends those before it, and those after it stay under way, so that a slow store is heard every 0.6 s. Registration doubles its limit with each try. A part of an answer holds back the next call.

Why it holds: a silent connection costs the time until the next call, as before, and a slow store the time of its answer, whatever that is. Ruled out by reasoning: a longer limit, which makes each silent connection cost as much.

--- a/src/cli/gateway-command.ts
+++ b/src/cli/gateway-command.ts
@@ -37,7 +37,7 @@
 	const logger = createLogger(settings.log.level, openLogOutput());
 	const gateway = new Gateway({
 		settings,
-		source: new PlatformSource(settings.store.address, systemClock, logger),
+		source: new PlatformSource(settings.store.address, logger),
 		wire: new CallWire(),
 		clock: systemClock,
 		ids: randomIdSource,
--- a/src/gateway/views/registration.ts
+++ b/src/gateway/views/registration.ts
@@ -1,6 +1,8 @@
 /** A node's entry in the source, by which nodes that were told of nobody find each other. */
-import {waitFor, type Clock, type Logger} from '../../common/index.js';
-import type {FleetSource} from '../../routing/index.js';
+import {
+	createTimeout, waitFor, type Clock, type Logger,
+} from '../../common/index.js';
+import type {FleetSource, SourceCall} from '../../routing/index.js';
 import type {Peer} from '../peers/peer-beat.js';
 import type {Peers} from '../peers/peers.js';
 import type {ViewExchange} from './view-exchange.js';
@@ -11,6 +13,10 @@
 /** Pause before registering again after a failure, and between looks at whether this node is to register, in milliseconds. */
 const registerPause = 1000;
 
+/** Time for the answers of a try, in milliseconds: doubled with each one that fails, up to a longest, since a source may be slow. */
+const firstTimeout = 1200;
+const longestTimeout = 9600;
+
 /** What registering needs. */
 export type RegistrationParts = {
 	clock: Clock;
@@ -28,21 +34,35 @@
  */
 export async function register(parts: RegistrationParts, signal: AbortSignal): Promise<void> {
 	const {clock, views, peers} = parts;
+	let timeout = firstTimeout;
 	await waitFor(clock, registerAfter, signal);
 	while (!signal.aborted) {
 		const mayRegister = views.isWatcher || peers.countLive() === 0;
-		if (mayRegister && await registerOnce(parts, signal)) {
-			return;
+		if (mayRegister) {
+			if (await registerWithin(parts, timeout, signal)) {
+				return;
+			}
+
+			timeout = Math.min(longestTimeout, timeout * 2);
 		}
 
 		await waitFor(clock, registerPause, signal);
 	}
 }
 
-async function registerOnce({source, self, peers, logger}: RegistrationParts, signal: AbortSignal): Promise<boolean> {
+async function registerWithin(parts: RegistrationParts, timeout: number, signal: AbortSignal): Promise<boolean> {
+	const limit = createTimeout(parts.clock, timeout, signal);
+	// A try that follows one without an answer takes another connection.
+	const call = {signal: limit.signal, isRepeated: timeout > firstTimeout, onHeard() {}}; // eslint-disable-line @typescript-eslint/no-empty-function
+	const isDone = await registerOnce(parts, call);
+	limit.cancel();
+	return isDone;
+}
+
+async function registerOnce({source, self, peers, logger}: RegistrationParts, call: SourceCall): Promise<boolean> {
 	const {name, beatAddress} = self();
-	const registered = await source.register({name, peerAddress: beatAddress}, signal);
-	const listed = await source.listNodes(signal);
+	const registered = await source.register({name, peerAddress: beatAddress}, call);
+	const listed = await source.listNodes(call);
 	listed.ifRight(nodes => {
 		for (const node of nodes) {
 			peers.addCandidate(node.peerAddress);
--- a/src/routing/fleet-source.ts
+++ b/src/routing/fleet-source.ts
@@ -39,17 +39,25 @@
 	revision: number;
 	/** How long the source waits for a change. */
 	wait: number;
-	/** How much later than that its answer may come. */
-	patience: number;
+};
+
+/** How a call is made. It has no time limit of its own: whoever calls waits for a slow answer, and knows when nobody wants it any more. */
+export type SourceCall = {
+	/** Fires when nobody wants the answer. */
+	signal: AbortSignal;
+	/** Whether calls before it have no answer: their connections may be silent, so that it takes another one. */
+	isRepeated: boolean;
+	/** Called with each part of the answer. */
+	onHeard: () => void;
 };
 
 /** One kind of item that can be listed and followed. */
 export abstract class ItemSource<Item> {
 	/** Reads everything. */
-	abstract list(signal: AbortSignal): Promise<Either<SourceFailure, Listing<Item>>>;
+	abstract list(call: SourceCall): Promise<Either<SourceFailure, Listing<Item>>>;
 
-	/** Waits for changes; comes back empty when there are none in time, with a failure when nothing comes back at all. */
-	abstract follow(call: FollowCall, signal: AbortSignal): Promise<Either<SourceFailure, Changes<Item>>>;
+	/** Waits for changes; comes back empty when there are none in time, with a failure when it was broken off or refused. */
+	abstract follow(follow: FollowCall, call: SourceCall): Promise<Either<SourceFailure, Changes<Item>>>;
 }
 
 /** A node's registration: enough for other nodes to reach it. */
@@ -61,10 +69,10 @@
 	abstract readonly servers: ItemSource<BackendServer>;
 
 	/** Registers a node, replacing what stands under its name. */
-	abstract register(node: NodeRegistration, signal: AbortSignal): Promise<Either<SourceFailure, void>>;
+	abstract register(node: NodeRegistration, call: SourceCall): Promise<Either<SourceFailure, void>>;
 
 	/** Lists the registered nodes; some may be gone. */
-	abstract listNodes(signal: AbortSignal): Promise<Either<SourceFailure, NodeRegistration[]>>;
+	abstract listNodes(call: SourceCall): Promise<Either<SourceFailure, NodeRegistration[]>>;
 
 	/** Closes all connections. */
 	abstract close(): Promise<void>;
--- a/src/routing/follower.ts
+++ b/src/routing/follower.ts
@@ -1,14 +1,11 @@
 /** Keeps the fleet state in step with its source: lists once, then follows changes. */
-import type {Either} from 'purify-ts';
 import {
-	Child, joinSignals, waitFor, type Clock, type Logger,
+	Child, waitFor, type Clock, type Logger,
 } from '../common/index.js';
-import {askRepeatedly, isAnswer, readReason} from './ask-repeatedly.js';
-import type {
-	Changes, ItemSource, Listing, SourceFailure,
-} from './fleet-source.js';
+import type {Changes, ItemSource, Listing} from './fleet-source.js';
 import type {FleetState} from './fleet-state.js';
 import type {FollowedKind} from './source-ages.js';
+import {SourceCalls} from './source-calls.js';
 import type {SourceHealth} from './source-health.js';
 
 /** How often a follower asks. */
@@ -33,8 +30,11 @@
 /** Time beyond its wait after which an answer is late, in milliseconds: a source sixty times slower than usual answers in a quarter of a second. */
 const lateAfter = 400;
 
-/** How a source is asked that may be silent: it answers at once, and has the time of a slow one. In milliseconds. */
-const checkCall = {wait: 10, patience: 1200};
+/** How long a call waits for changes that shows whether the source answers, in milliseconds. */
+const checkWait = 10;
+
+/** Share of the pause between two calls for which those after that wait: a change is seen as it happens, and each is over before the next one when the source is well. */
+const repeatedShare = 0.5;
 
 /** Time in which changes are gathered before they are followed on, in milliseconds: each answer has a price, and a rollout changes several servers a second. A tenth of the bounds within which a change must hold. */
 const gatherTime = 300;
@@ -68,7 +68,8 @@
 	readonly #items: FollowedItems<Item>;
 	readonly #clock: Clock;
 	readonly #logger: Logger;
-	readonly #random: () => number;
+	readonly #lists: SourceCalls<Listing<Item>>;
+	readonly #changes: SourceCalls<Changes<Item>>;
 	#isReachable = true;
 	/** When the source answered last, by the monotonic clock, and the calls without an answer since. */
 	#answeredAt: number;
@@ -82,7 +83,9 @@
 		this.#items = items;
 		this.#clock = parts.clock;
 		this.#logger = parts.logger;
-		this.#random = parts.random;
+		const {clock, random} = parts;
+		this.#lists = new SourceCalls({clock, random, health: items.health});
+		this.#changes = new SourceCalls({clock, random, health: items.health});
 		this.#answeredAt = parts.clock.readMonotonic();
 	}
 
@@ -92,6 +95,7 @@
 			if (!this.#items.asksSource()) {
 				// Other nodes tell what changes; the revision is too old when it is this node's turn again.
 				revision = undefined;
+				this.#changes.end();
 				await waitFor(this.#clock, idlePause, signal);
 				this.#answeredAt = this.#clock.readMonotonic();
 				this.#wasIdle = true;
@@ -111,80 +115,71 @@
 	/** Undefined when this node is no longer to ask. */
 	async #list(signal: AbortSignal): Promise<Reading | undefined> {
 		// Without a list this node serves nobody.
-		const listed = await this.#askRepeatedly(async ended => this.#items.source.list(ended), followPace.pause, signal);
-		return listed?.caseOf<Reading | undefined>({
-			Left: () => undefined,
-			Right: listing => {
-				this.#items.onList(listing);
-				return {revision: listing.revision, wantsPause: false};
-			},
-		});
+		const listed = await this.#lists.next({
+			...this.#createQuestion(),
+			call: async (_attempt, call) => this.#items.source.list(call),
+			findWait: () => 0,
+			firstPause: this.#items.pace.pause,
+		}, signal);
+		this.#lists.end();
+		return listed === undefined
+			? undefined
+			: this.#noteAnswer(listed.result).caseOf<Reading | undefined>({
+				Left: () => undefined,
+				Right: listing => {
+					this.#items.onList(listing);
+					return {revision: listing.revision, wantsPause: false};
+				},
+			});
 	}
 
 	/** Undefined when the items are to be listed again, or this node is no longer to ask. */
 	async #follow(revision: number, signal: AbortSignal): Promise<Reading | undefined> {
-		const followed = await this.#waitForChanges(revision, signal);
-		const wasLost = !isAnswer(followed);
-		const answer = wasLost ? await this.#check(revision, readReason(followed), signal) : this.#noteAnswer(followed);
-		return answer?.caseOf<Reading | undefined>({
-			Left: () => {
-				this.#logger.warn({event: 'history_lost', items: this.#items.name, revision}, 'the source has forgotten this revision; listing again');
-				return undefined;
-			},
-			Right: changes => {
-				this.#items.onChanges(changes);
-				// A source that cuts every call that waits would else be asked without a pause, some hundred times a second.
-				return {revision: changes.revision, wantsPause: wasLost || changes.changes.length > 0};
-			},
-		});
-	}
-
-	/** Waits no longer when another follower finds that the source may be silent: this connection may be, too. */
-	async #waitForChanges(revision: number, signal: AbortSignal): Promise<Either<SourceFailure, Changes<Item>>> {
-		const {source, pace, health} = this.#items;
-		const doubted = new AbortController();
-		const removeListener = health.addDoubtListener(() => {
-			doubted.abort();
-		});
-		const either = joinSignals([signal, doubted.signal]);
-		const followed = await source.follow({revision, wait: pace.wait, patience: lateAfter}, either.signal);
-		either.release();
-		removeListener();
-		if (!isAnswer(followed) && !either.signal.aborted) {
-			health.tellDoubt();
-		}
-
-		return followed;
+		const {source, pace} = this.#items;
+		const findWait = (attempt: number) => attempt === 0 ? pace.wait : (attempt === 1 ? checkWait : pace.pause * repeatedShare);
+		const followed = await this.#changes.next({
+			...this.#createQuestion(revision),
+			call: async (attempt, call) => source.follow({revision, wait: findWait(attempt)}, call),
+			findWait,
+			firstPause: pace.wait + lateAfter,
+		}, signal);
+		return followed === undefined
+			? undefined
+			: this.#noteAnswer(followed.result).caseOf<Reading | undefined>({
+				Left: () => {
+					this.#changes.end();
+					this.#logger.warn({event: 'history_lost', items: this.#items.name, revision}, 'the source has forgotten this revision; listing again');
+					return undefined;
+				},
+				Right: changes => this.#takeChanges(changes, {revision, wasRepeated: followed.attempt > 0}),
+			});
 	}
 
-	/** A call that waits may be lost though the source is well: its connection was cut, or is silent. */
-	async #check(revision: number, reason: string, signal: AbortSignal): Promise<Either<SourceFailure, Changes<Item>> | undefined> {
-		if (signal.aborted) {
-			return undefined;
+	/** A call that went out earlier and is answered later holds changes that are known: they are left out. */
+	#takeChanges(changes: Changes<Item>, {revision, wasRepeated}: {revision: number; wasRepeated: boolean}): Reading {
+		const unknown = changes.changes.filter(change => change.revision === undefined || change.revision > revision);
+		if (changes.revision >= revision) {
+			this.#items.onChanges({changes: unknown, revision: changes.revision});
 		}
 
-		this.#logger.info({
-			event: 'source_checked', items: this.#items.name, revision, reason, sinceAnswer: this.#findSilence(),
-		}, 'a call that waited for changes was lost; the source is asked again at once');
-		return this.#askRepeatedly(async ended => this.#items.source.follow({revision, ...checkCall}, ended), this.#items.pace.pause, signal);
+		// A source that cuts every call that waits would else be asked without a pause, some hundred times a second.
+		const wantsPause = !this.#changes.isAsking && (wasRepeated || unknown.length > 0);
+		return {revision: Math.max(revision, changes.revision), wantsPause};
 	}
 
-	async #askRepeatedly<Answer>(call: (signal: AbortSignal) => Promise<Either<SourceFailure, Answer>>, pause: number, signal: AbortSignal): Promise<Either<SourceFailure, Answer> | undefined> {
-		const {health} = this.#items;
-		const answer = await askRepeatedly({clock: this.#clock, random: this.#random, health}, {
-			call,
-			pause,
-			onUnanswered: reason => {
+	#createQuestion(revision?: number) {
+		return {
+			pause: this.#items.pace.pause,
+			onDoubt: (reason: string) => {
+				this.#logger.info({
+					event: 'source_checked', items: this.#items.name, revision, reason, sinceAnswer: this.#findSilence(),
+				}, 'a call was lost or is late; the source is asked again beside it');
+			},
+			onUnanswered: (reason: string) => {
 				this.#noteUnanswered(reason);
 			},
 			goesOn: () => this.#items.asksSource(),
-		}, signal);
-		if (answer === undefined) {
-			return undefined;
-		}
-
-		health.tellAnswer();
-		return this.#noteAnswer(answer);
+		};
 	}
 
 	#noteUnanswered(reason: string): void {
--- /dev/null
+++ b/src/routing/source-calls.ts
@@ -0,0 +1,286 @@
+/**
+ * Calls to a source that may be silent, or slow: another one goes out beside those without an answer, and whichever is answered counts.
+ *
+ * A silent connection never answers and a slow source does later, and nothing tells them apart but time. So no call is
+ * given up for its age: those after it find out about the connection, and it is left once a later one was answered.
+ */
+import type {Either} from 'purify-ts';
+import {readErrorMessage, waitFor, type Clock} from '../common/index.js';
+import type {SourceCall, SourceFailure} from './fleet-source.js';
+import type {SourceHealth} from './source-health.js';
+
+/** Part of a pause that is drawn, so that several nodes do not ask in step. */
+const drawnPart = 0.5;
+
+/** Calls under way at most, each on a connection of its own: the oldest one and the newest ones. Asked every 0.6 s, a source that takes six seconds answers each of them. */
+const mostOpen = 12;
+
+/** Silence of a call after which it counts as unanswered, in milliseconds, unless the source is known to be slower. */
+const silentAfter = 1200;
+
+/** How many times the time that the source took of late a call may take before it counts as unanswered. */
+const slowFactor = 1.5;
+
+/** What is asked until it is answered. */
+export type Question<Answer> = {
+	/** Asks once; `attempt` counts from 0 since the last answer. */
+	call: (attempt: number, call: SourceCall) => Promise<Either<SourceFailure, Answer>>;
+	/** How long the source may wait before it answers, in milliseconds, by the attempt. */
+	findWait: (attempt: number) => number;
+	/** Time until a second call goes out beside the first, in milliseconds. */
+	firstPause: number;
+	/** Time between two calls after that, in milliseconds. */
+	pause: number;
+	/** Called when the first call was lost or is late, and others go out. */
+	onDoubt: (reason: string) => void;
+	/** Called for each call that failed or counts as unanswered. */
+	onUnanswered: (reason: string) => void;
+	/** Whether there is reason to ask on. */
+	goesOn: () => boolean;
+};
+
+/** What calls need. */
+export type SourceCallsParts = {
+	clock: Clock;
+	/** Uniform random numbers from 0 up to 1. */
+	random: () => number;
+	/** What the other followers of the source find. */
+	health: SourceHealth;
+};
+
+/** One call without an answer. */
+type OpenCall = {attempt: number; startedAt: number; heardAt: number; wait: number; isSilent: boolean; stop: AbortController};
+
+/** An answer, and whether it came to the first call. */
+export type SourceAnswer<Answer> = {result: Either<SourceFailure, Answer>; attempt: number};
+
+/** The calls of one follower. */
+export class SourceCalls<Answer> {
+	readonly #parts: SourceCallsParts;
+	/** Oldest first. */
+	#open: OpenCall[] = [];
+	readonly #answers: Array<SourceAnswer<Answer>> = [];
+	#attempt = 0;
+	/** When the next call is due, by the monotonic clock. */
+	#dueAt = -Infinity;
+	/** Whether a call was lost or is late since the last answer. */
+	#isDoubted = false;
+	#defect: Error | undefined;
+	#turn = new AbortController();
+
+	constructor(parts: SourceCallsParts) {
+		this.#parts = parts;
+	}
+
+	/** Whether calls are under way. */
+	get isAsking(): boolean {
+		return this.#open.length > 0;
+	}
+
+	/**
+	 * Asks until a call is answered; a lost history is an answer. Calls that went out after the answered one stay under way.
+	 *
+	 * @returns undefined when there is no reason to ask on, or the signal was aborted.
+	 */
+	async next(question: Question<Answer>, signal: AbortSignal): Promise<SourceAnswer<Answer> | undefined> {
+		const {health} = this.#parts;
+		if (this.#open.length === 0) {
+			this.#attempt = 0;
+			this.#isDoubted = false;
+			this.#dueAt = -Infinity;
+		}
+
+		const wake = () => {
+			this.#turn.abort();
+		};
+
+		const removeListeners = [
+			health.addDoubtListener(() => {
+				this.#hasten(question, false);
+			}),
+			health.addAnswerListener(() => {
+				this.#hasten(question, true);
+			}),
+		];
+		signal.addEventListener('abort', wake);
+		try {
+			while (!signal.aborted && question.goesOn()) {
+				if (this.#defect !== undefined) {
+					throw this.#defect;
+				}
+
+				const answer = this.#answers.shift();
+				if (answer !== undefined) {
+					return answer;
+				}
+
+				this.#noticeSilence(question);
+				if (this.#now() >= this.#dueAt) {
+					this.#launch(question);
+				}
+
+				await this.#waitForTurn(question);
+			}
+
+			this.end();
+			return undefined;
+		} finally {
+			signal.removeEventListener('abort', wake);
+			for (const remove of removeListeners) {
+				remove();
+			}
+		}
+	}
+
+	/** Ends all calls: nobody wants their answers any more. */
+	end(): void {
+		for (const call of this.#open) {
+			call.stop.abort();
+		}
+
+		this.#open = [];
+		this.#answers.length = 0;
+	}
+
+	/** The next call goes out at once, beside one that was not doubted yet, or that was. */
+	#hasten({onDoubt}: Question<Answer>, wasDoubted: boolean): void {
+		if (this.#open.length === 0 || this.#isDoubted !== wasDoubted) {
+			return;
+		}
+
+		if (!wasDoubted) {
+			this.#isDoubted = true;
+			onDoubt('another call to the source was lost or is late');
+		}
+
+		this.#dueAt = -Infinity;
+		this.#turn.abort();
+	}
+
+	#launch(question: Question<Answer>): void {
+		const attempt = this.#attempt++;
+		const now = this.#now();
+		if (attempt > 0 && !this.#isDoubted) {
+			this.#doubt(question, `no answer within ${question.firstPause} ms`);
+		}
+
+		const call = {
+			attempt, startedAt: now, heardAt: now, wait: question.findWait(attempt), isSilent: false, stop: new AbortController(),
+		};
+		this.#open.push(call);
+		if (this.#open.length > mostOpen) {
+			// The oldest one is answered first if the source is only slow.
+			this.#open.splice(1, 1)[0].stop.abort();
+		}
+
+		this.#dueAt = now + (attempt === 0 ? question.firstPause : this.#drawPause(question));
+		void this.#follow(call, question);
+	}
+
+	#doubt({onDoubt}: Question<Answer>, reason: string): void {
+		this.#isDoubted = true;
+		onDoubt(reason);
+		this.#parts.health.tellDoubt();
+	}
+
+	async #follow(call: OpenCall, question: Question<Answer>): Promise<void> {
+		try {
+			const result = await question.call(call.attempt, {
+				signal: call.stop.signal,
+				isRepeated: call.attempt > 0,
+				onHeard: () => {
+					call.heardAt = this.#now();
+					this.#dueAt = Math.max(this.#dueAt, call.heardAt + question.pause);
+				},
+			});
+			if (!call.stop.signal.aborted) {
+				this.#take(call, result, question);
+			}
+		} catch (error) {
+			this.#defect ??= error instanceof Error ? error : new Error(readErrorMessage(error));
+		}
+
+		this.#turn.abort();
+	}
+
+	#take(call: OpenCall, result: Either<SourceFailure, Answer>, question: Question<Answer>): void {
+		const {health} = this.#parts;
+		if (isAnswer(result)) {
+			this.#noteAnswerTime(call);
+			for (const earlier of this.#open.splice(0, this.#open.indexOf(call) + 1)) {
+				earlier.stop.abort();
+			}
+
+			this.#answers.push({result, attempt: call.attempt});
+			if (call.attempt > 0) {
+				health.tellAnswer();
+			}
+
+			return;
+		}
+
+		this.#open = this.#open.filter(other => other !== call);
+		if (call.attempt === 0 && call.wait > 0) {
+			// A call that waits may be cut though the source is well.
+			this.#dueAt = -Infinity;
+			this.#doubt(question, readReason(result));
+		} else {
+			question.onUnanswered(readReason(result));
+		}
+	}
+
+	/** A call that was answered before its wait was over tells nothing of how slow the source is. */
+	#noteAnswerTime({startedAt, wait}: OpenCall): void {
+		const time = this.#now() - startedAt - wait;
+		if (time >= 0) {
+			this.#parts.health.noteAnswerTime(time);
+		}
+	}
+
+	/** Calls that are silent for long count as unanswered; they stay under way. */
+	#noticeSilence(question: Question<Answer>): void {
+		const now = this.#now();
+		for (const call of this.#open) {
+			if (!call.isSilent && now >= this.#findSilentAt(call)) {
+				call.isSilent = true;
+				question.onUnanswered(`no answer within ${Math.round(now - call.startedAt)} ms`);
+			}
+		}
+	}
+
+	/** The first call may wait long for a change: those after it show whether the source is silent. */
+	#findSilentAt(call: OpenCall): number {
+		return call.attempt === 0 && call.wait > 0
+			? Infinity
+			: call.heardAt + call.wait + Math.max(silentAfter, this.#parts.health.answerTime * slowFactor);
+	}
+
+	#drawPause({pause}: Question<Answer>): number {
+		return pause * (1 - (drawnPart / 2) + (drawnPart * this.#parts.random()));
+	}
+
+	/** Waits until the next call is due or one counts as silent, or until something was heard. */
+	async #waitForTurn(question: Question<Answer>): Promise<void> {
+		if (this.#answers.length > 0 || this.#defect !== undefined || !question.goesOn()) {
+			return;
+		}
+
+		const silentAt = this.#open.filter(call => !call.isSilent).map(call => this.#findSilentAt(call));
+		this.#turn = new AbortController();
+		await waitFor(this.#parts.clock, Math.max(0, Math.min(this.#dueAt, ...silentAt) - this.#now()), this.#turn.signal);
+	}
+
+	#now(): number {
+		return this.#parts.clock.readMonotonic();
+	}
+}
+
+/** Whether the source has answered: that it has lost its history is an answer too. */
+export function isAnswer<Answer>(result: Either<SourceFailure, Answer>): boolean {
+	return result.caseOf({Left: failure => failure.kind === 'history_lost', Right: () => true});
+}
+
+/** Why a source did not answer; empty when it did. */
+export function readReason<Answer>(result: Either<SourceFailure, Answer>): string {
+	return result.caseOf({Left: failure => failure.message, Right: () => ''});
+}
--- a/src/routing/source-health.ts
+++ b/src/routing/source-health.ts
@@ -1,5 +1,6 @@
 /** What the followers of one source tell each other of it: that it may be silent, and that it answers. */
 export class SourceHealth {
+	#answerTime = 0;
 	readonly #doubtListeners = new Set<() => void>();
 	readonly #answerListeners = new Set<() => void>();
 
@@ -13,6 +14,16 @@
 		return addTo(this.#answerListeners, listener);
 	}
 
+	/** Time that the source takes for an answer of late, in milliseconds; after a slow one it falls by half with each that is quicker. */
+	get answerTime(): number {
+		return this.#answerTime;
+	}
+
+	/** Notes the time that an answer took. */
+	noteAnswerTime(time: number): void {
+		this.#answerTime = Math.max(time, this.#answerTime / 2);
+	}
+
 	/** Tells that a call was lost. */
 	tellDoubt(): void {
 		notifyAll(this.#doubtListeners);
