test(gateway): a request that ends every server that runs it, tests that fail

Callers beside a request that ends its servers lost their answers: it is sent again under new ids, at any node, and each try ends one more server.

--- /dev/null
+++ b/test/deadly-requests.test.ts
@@ -0,0 +1,152 @@
+// A few requests ended every server that ran them. Their callers sent them again under new ids, at any node, and each try ended one
+// server more, with all others that ran there: 46 servers in 25 s by fifteen such requests, and one of fourteen good requests
+// beside them failed. Each call counted its own tries, and nothing was known of a request once its call was over.
+import {
+	afterEach, beforeEach, expect, test,
+} from '@jest/globals';
+import {GatewayFleet, waitUntil, type SeenAnswer} from './helpers/gateways.js';
+import {formatEvent, markAnswer, type RunnerBehaviour} from './helpers/platform-standins.js';
+
+/** Time for a test with dozens of callers, in milliseconds. */
+const playLimit = 60_000;
+
+/** Servers that one request may end in the whole fleet. */
+const mostEnds = 3;
+
+/** Servers that are there at the start, and nodes. */
+const servers = 6;
+const nodes = 3;
+
+/** Time after which a server that ended is replaced, in milliseconds. */
+const replaceAfter = 500;
+
+let fleet: GatewayFleet;
+/** Names of the deadly requests under which servers have ended, one for each end. */
+let ends: string[];
+let isOver: boolean;
+
+beforeEach(() => {
+	fleet = new GatewayFleet();
+	ends = [];
+	isOver = false;
+});
+
+afterEach(async () => {
+	isOver = true;
+	await fleet.stop();
+});
+
+async function pause(time: number): Promise<void> {
+	await new Promise(resolve => {
+		setTimeout(resolve, time);
+	});
+}
+
+/** Streams six events in 300 ms; a deadly request ends the server, and with it all that it runs, after the second one. */
+function createMortal(): RunnerBehaviour {
+	return async (request, response) => {
+		const {body} = request;
+		response.writeHead(200, {...markAnswer(request), 'content-type': 'text/event-stream'});
+		for (let id = Number(request.headers['last-event-id'] ?? 0) + 1; id <= 6 && !response.destroyed; id++) {
+			if (body.startsWith('deadly') && id > 2) {
+				endServer(request.headers['cresshook-target-instance'] ?? '', body);
+				return;
+			}
+
+			response.write(formatEvent(id));
+			await pause(50);
+		}
+
+		response.end();
+	};
+}
+
+function endServer(name: string, body: string): void {
+	const index = Number(name.slice(2));
+	ends.push(body);
+	fleet.store.remove('servers', name);
+	void fleet.runners[index].stop();
+	setTimeout(() => {
+		if (!isOver) {
+			void fleet.addRunner('model', createMortal());
+		}
+	}, replaceAfter);
+}
+
+async function startMortals(): Promise<void> {
+	await fleet.start({nodes, runners: Array.from({length: servers}, () => ({service: 'model', behaviour: createMortal()}))});
+	await waitUntil(() => fleet.gateways.every(gateway => gateway.listReadyNodes().length === nodes));
+}
+
+/** Sends a body until a time is over, each try at the next node under a new id; returns the statuses, 0 for an answer that was broken off. */
+async function callUntil(body: string, end: number, gap: number): Promise<number[]> {
+	const statuses: number[] = [];
+	for (let tried = 0; Date.now() < end; tried++) {
+		const {status, isWhole} = await fleet.call({path: '/stream/', body, headers: {'cresshook-token-usage': '500,80'}}, tried % fleet.settings.length);
+		statuses.push(isWhole ? status : 0);
+		await pause(gap);
+	}
+
+	return statuses;
+}
+
+/** Good callers, each with a body of its own. */
+async function callGood(count: number, end: number): Promise<number[]> {
+	const all = await Promise.all(Array.from({length: count}, async (_, index) => callUntil(`good ${index}`, end, 100)));
+	return all.flat();
+}
+
+/** Sends so many good bodies once each, the same ones each time. */
+async function callOnce(count: number): Promise<SeenAnswer[]> {
+	return Promise.all(Array.from({length: count}, async (_, index) => fleet.call({path: '/stream/', body: `once ${index}`, headers: {'cresshook-token-usage': '500,80'}}, index % nodes)));
+}
+
+test('a request that ends every server that runs it ends three in the whole fleet, and costs no other request its answer', async () => {
+	await startMortals();
+	const end = Date.now() + 8000;
+	const [bad, good] = await Promise.all([callUntil('deadly 1', end, 150), callGood(20, end)]);
+	expect(ends.length).toBeLessThanOrEqual(mostEnds);
+	expect(good.filter(status => status !== 200)).toEqual([]);
+	expect(bad.at(-1)).toBe(503);
+}, playLimit);
+
+test('two such requests at once end three servers each', async () => {
+	await startMortals();
+	const end = Date.now() + 8000;
+	await Promise.all([callUntil('deadly 1', end, 150), callUntil('deadly 2', end, 150), callGood(20, end)]);
+	for (const body of ['deadly 1', 'deadly 2']) {
+		expect(ends.filter(other => other === body).length).toBeLessThanOrEqual(mostEnds);
+	}
+}, playLimit);
+
+test('what is known of such a request outlives the node that decides', async () => {
+	await startMortals();
+	const first = Date.now() + 4000;
+	await Promise.all([callUntil('deadly 1', first, 150), callGood(10, first)]);
+	const [ended] = fleet.gateways.splice(0, 1);
+	fleet.settings.splice(0, 1);
+	await ended.close();
+	await pause(2000);
+	const second = Date.now() + 3000;
+	await Promise.all([callUntil('deadly 1', second, 150), callGood(10, second)]);
+	expect(ends.length).toBeLessThanOrEqual(mostEnds);
+}, playLimit);
+
+test('a request that stood at three servers that ended together with others is served', async () => {
+	await startMortals();
+	for (let round = 0; round < 3; round++) {
+		const calls = callOnce(12);
+		await pause(120);
+		for (const index of fleet.runners.keys()) {
+			if (fleet.store.get('servers', `i-${index}`) !== undefined && index % 2 === round % 2) {
+				endServer(`i-${index}`, 'power');
+			}
+		}
+
+		await calls;
+		await pause(1200);
+	}
+
+	const answers = await callOnce(12);
+	expect(answers.map(({status, isWhole}) => [status, isWhole])).toEqual(answers.map(() => [200, true]));
+}, playLimit);
