feat(planning): a request that ends its servers runs alone after two ends and is refused after three

Callers beside a request that ends every server that runs it lost their answers, and servers went on ending: the request was sent again under new ids, at any node, and only the tries of one call were counted.

Change: a node whose request was cut opens a connection to the server; one that is refused shows that the server has ended. It tells the node that decides, and the one that would decide next, under which content (a digest of target, prompt and body). After two such ends the request runs at a server that is emptied for it, one try at a time; after three it is refused with a kind of its own and without an invitation to come back for ten minutes.

Why it holds: whoever was at a server when it ended by chance is not there the next time, and one try alone tells the rest.

Ruled out by a failing run: to count all that the planner had placed at a server when the first cut came, since retries that were placed there after its end came under suspicion, and good requests were refused.

--- a/src/common/errors.ts
+++ b/src/common/errors.ts
@@ -66,6 +66,9 @@
 	backend_busy: {
 		status: 503, type: 'server_error', ran: 'no', retryAfterSeconds: 1,
 	},
+	ends_servers: {
+		status: 503, type: 'server_error', ran: 'no', retryAfterSeconds: 600,
+	},
 	backend_unconfirmed: {status: 502, type: 'server_error', ran: 'maybe'},
 	backend_lost: {status: 502, type: 'server_error', ran: 'partly'},
 	answer_crossed: {status: 502, type: 'server_error', ran: 'partly'},
--- a/src/gateway/calls/call-run.ts
+++ b/src/gateway/calls/call-run.ts
@@ -34,6 +34,8 @@
 	logger: Logger;
 	metrics: GatewayMetrics;
 	placer: Placer;
+	/** Whether a server that has cut a request has ended. */
+	hasEnded: (server: BackendServerId) => Promise<boolean>;
 	/** Name and availability zone of this node. */
 	node: Plan['request']['node'];
 	availabilityZone: AvailabilityZone;
@@ -235,11 +237,29 @@
 			}
 
 			case 'lost': {
+				await this.#noteServerEnd(end);
 				return this.#mayRepeat() && await this.#takeTry(end.server, end.reason) ? 'again' : describeUnconfirmed(end.reason);
 			}
 		}
 	}
 
+	/** Who ran at a server that has ended is told apart from those that lost a connection: only the first come under suspicion. */
+	async #noteServerEnd({server, trouble}: Extract<AttemptEnd, {kind: 'lost'}>): Promise<void> {
+		const {head, content, service} = this.#call;
+		const plan = this.#placed?.plan;
+		if (plan === undefined || trouble === 'silent' || !await this.#parts.hasEnded(server)) {
+			return;
+		}
+
+		this.#parts.metrics.countServerEnd(service.name);
+		this.#parts.logger.info({
+			event: 'server_ended', request: head.requestId, service: service.name, server, content,
+		}, 'a backend server ended while it ran the request');
+		this.#parts.placer.note(plan, {
+			planId: plan.planId, kind: 'server_ended', server, content,
+		});
+	}
+
 	/**
 	 * Whether another server may be asked beside a silent one: what runs counts, a place is held, and the retry is taken.
 	 *
--- a/src/gateway/calls/call-service.ts
+++ b/src/gateway/calls/call-service.ts
@@ -9,11 +9,13 @@
 import type {BackendPool} from './backend-pool.js';
 import type {Call} from './call.js';
 import {CallRun, type CallOutcome} from './call-run.js';
+import {computeContent} from './content-digest.js';
 import {sendFailure} from './failure-answer.js';
 import type {HttpSink} from './call-sink.js';
 import {waitForFirstView} from './first-view.js';
 import type {Placer} from './placer.js';
 import type {Reservations} from './reservations.js';
+import {ServerProbe} from './server-probe.js';
 
 /** Prompts up to this many tokens are counted as short in the metrics. */
 const longestShortPrompt = 25_000;
@@ -39,9 +41,12 @@
 export class CallService {
 	readonly #parts: CallServiceParts;
 	readonly #runs = new Set<CallRun>();
+	readonly #probe: ServerProbe;
 
 	constructor(parts: CallServiceParts) {
 		this.#parts = parts;
+		const {clock, state} = parts;
+		this.#probe = new ServerProbe({clock, findServer: id => state.findServer(id), isLive: id => state.hasServer(id)});
 	}
 
 	/** Notes that a server has started again: calls that ran in its earlier life go on elsewhere at once. */
@@ -106,6 +111,7 @@
 			reservations: this.#parts.reservations,
 			findServer: id => this.#parts.state.findServer(id),
 			isLive: id => this.#parts.state.hasServer(id),
+			hasEnded: async id => this.#probe.hasEnded(id),
 			node: this.#parts.node,
 			availabilityZone: this.#parts.availabilityZone,
 		}, call, sink);
@@ -128,7 +134,7 @@
 	/** Finds the route, the organisation and the service of a call. */
 	#resolve(head: CallHead, body: Uint8Array | undefined, arrived: number) {
 		return this.#parts.state.resolveCall(head.host, head.target, head.key, this.#parts.random()).map(resolved => ({
-			head, body, arrived, ...resolved,
+			head, body, content: computeContent(head, body), arrived, ...resolved,
 		}));
 	}
 
--- a/src/gateway/calls/call.ts
+++ b/src/gateway/calls/call.ts
@@ -1,4 +1,5 @@
 /** One call of a caller, as the node that took it knows it. */
+import type {ContentDigest} from '../../common/index.js';
 import type {Organisation, Route, ServiceSpec} from '../../routing/index.js';
 import type {CallHead} from '../wire.js';
 
@@ -6,6 +7,8 @@
 export type Call = {
 	head: CallHead;
 	body: Uint8Array | undefined;
+	/** What it asks; alike for all tries of its caller. */
+	content: ContentDigest;
 	route: Route;
 	service: ServiceSpec;
 	organisation?: Organisation;
--- a/src/gateway/calls/place-seeker.ts
+++ b/src/gateway/calls/place-seeker.ts
@@ -104,6 +104,7 @@
 			route: route.name,
 			callerWaits: head.timeLeft,
 			hasBegun,
+			content: call.content,
 			excluded,
 			failedAt: this.failedAt,
 		});
--- a/src/gateway/deciding/decider-choice.ts
+++ b/src/gateway/deciding/decider-choice.ts
@@ -22,6 +22,12 @@
 		this.#self = self;
 	}
 
+	/** The node that decides once the present one is gone; undefined when there is no other. */
+	findNext(service: ServiceName): Peer | undefined {
+		const present = this.choose(service).name;
+		return chooseDecider(service, this.#peers.listReady().filter(peer => peer.name !== present));
+	}
+
 	/** Every node finds the same one among the live nodes, unless one was slow to it lately. */
 	choose(service: ServiceName): Peer {
 		const {revision} = this.#peers;
--- a/src/gateway/deciding/shared-placer.ts
+++ b/src/gateway/deciding/shared-placer.ts
@@ -126,13 +126,14 @@
 			this.#retries.addOwn(request);
 		}
 
-		const {decidedBy, result} = await this.#decide(request);
+		const {decidedBy, result} = await this.#decide(this.#addEnds(request));
 		this.#parts.metrics.recordPlace(decidedBy, this.#parts.clock.readMonotonic() - started);
 		return result.map(decision => {
 			if (decision.kind === 'wait') {
 				return {askAgainIn: decision.askAgainIn};
 			}
 
+			this.#learnEnds(decision.plan);
 			this.#findPlans(request.service).own.set(decision.plan.planId, decision.plan);
 			return {plan: decision.plan, decidedBy};
 		});
@@ -145,6 +146,10 @@
 			plans.own.delete(plan.planId);
 		}
 
+		if (note.kind === 'server_ended') {
+			this.#tellNext(plan.request.service, note);
+		}
+
 		if (plans.decider !== undefined && plans.decider.name !== this.#parts.self().name) {
 			plans.notes.push(note);
 			plans.noteTimer ??= this.#parts.clock.setTimer(noteDelay, () => {
@@ -189,9 +194,14 @@
 	}
 
 	/** Takes over a node that another one decided for until now: what it carries out, and what it has spent. */
-	adopt({service, plans, history}: Adoption): void {
+	adopt({service, plans, suspects, history}: Adoption): void {
 		this.#retries.learn(service, history);
-		this.#findPlans(service).planner.adopt(plans, this.#parts.clock.readMonotonic());
+		const {planner} = this.#findPlans(service);
+		const now = this.#parts.clock.readMonotonic();
+		planner.adopt(plans, now);
+		for (const [content, ends] of suspects) {
+			planner.suspects.learn(content, ends, now);
+		}
 	}
 
 	/** Tells the deciding nodes once in a while what this node carries out; notes may have been lost. */
@@ -236,6 +246,19 @@
 		};
 	}
 
+	/** Each node remembers what it has been told of the requests that came to it: the next one that decides learns it from all of them. */
+	#addEnds(request: PlanRequest): PlanRequest {
+		const {content, service} = request;
+		const ends = content === undefined ? [] : this.#findPlans(service).planner.suspects.describe(content, this.#parts.clock.readMonotonic());
+		return ends.length === 0 ? request : {...request, ends};
+	}
+
+	#learnEnds({request: {content, ends = [], service}}: Plan): void {
+		if (content !== undefined && ends.length > 0) {
+			this.#findPlans(service).planner.suspects.learn(content, ends, this.#parts.clock.readMonotonic());
+		}
+	}
+
 	#takeNote(planner: Planner, note: PlanNote): void {
 		const longer = planner.note(note, this.#parts.clock.readMonotonic());
 		if (longer !== undefined) {
@@ -312,6 +335,7 @@
 		const adoption = {
 			service,
 			plans: [...plans.own.values()].map(plan => ({...plan, startIn: 0})),
+			suspects: plans.planner.suspects.describeAll(this.#parts.clock.readMonotonic()),
 			history: this.#retries.describeOwn(service, decider),
 		};
 		if (decider.name === this.#parts.self().name) {
@@ -337,6 +361,15 @@
 		}
 	}
 
+	/** Under which requests servers have ended must outlive the node that decides, which may be this one. */
+	#tellNext(service: ServiceName, note: PlanNote): void {
+		const next = this.#deciders.findNext(service);
+		const self = this.#parts.self().name;
+		if (next !== undefined && next.name !== self) {
+			this.#parts.socket.tell(next.beatAddress, {service, node: self, notes: [note]});
+		}
+	}
+
 	#findPlans(service: ServiceName): ServicePlans {
 		let plans = this.#services.get(service);
 		if (plans === undefined) {
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -32,6 +32,10 @@
 		name: 'cresshook_backend_troubles_total', help: 'troubles seen with backend servers', labelNames: ['service', 'trouble'], registers: [this.#registry],
 	});
 
+	readonly #ends = new Counter({
+		name: 'cresshook_requests_at_server_end_total', help: 'requests that a backend server ran when it ended', labelNames: ['service'], registers: [this.#registry],
+	});
+
 	readonly #left = new Counter({
 		name: 'cresshook_connections_left_total', help: 'connections left because they were silent, by what they were for', labelNames: ['kind'], registers: [this.#registry],
 	});
@@ -73,6 +77,11 @@
 		this.#troubles.inc({service, trouble});
 	}
 
+	/** Counts a request that a server ran when it ended. */
+	countServerEnd(service: string): void {
+		this.#ends.inc({service});
+	}
+
 	/** Counts connections that were left because one was silent. */
 	countLeft(kind: string): void {
 		this.#left.inc({kind});
--- a/src/gateway/peers/peer-rpc.ts
+++ b/src/gateway/peers/peer-rpc.ts
@@ -5,10 +5,10 @@
 import {Agent} from 'undici';
 import * as z from 'zod';
 import {
-	readErrorMessage, RenewedAgent, type Clock, type Failure, type ServiceName,
+	readErrorMessage, RenewedAgent, type Clock, type ContentDigest, type Failure, type ServiceName,
 } from '../../common/index.js';
 import type {
-	Decision, Plan, PlanRequest, RetryHistory, RetryRequest,
+	Decision, Plan, PlanRequest, RetryHistory, RetryRequest, ServerEnd,
 } from '../../planning/index.js';
 import {
 	askWithin, rpcPath, sendNodeRequest, type NodeRequest,
@@ -24,6 +24,8 @@
 	service: ServiceName;
 	/** Plans that it carries out. */
 	plans: Plan[];
+	/** Requests under which servers have ended. */
+	suspects: Array<[ContentDigest, ServerEnd[]]>;
 	history: RetryHistory;
 };
 
@@ -48,6 +50,7 @@
 const retryRequestSchema = defineShape<RetryRequest>(['requestId', 'service', 'node', 'promptTokens']);
 const planSchema = defineShape<Plan>(['planId', 'request', 'server', 'helpers']);
 const historySchema = defineShape<RetryHistory>(['life', 'age', 'known', 'requests', 'retries', 'meanWorth']);
+const suspectSchema = z.custom<[ContentDigest, ServerEnd[]]>(value => Array.isArray(value) && value.length === 2 && Array.isArray(value[1]));
 const serviceSchema = z.string() as unknown as z.ZodType<ServiceName>;
 
 const trpc = initTRPC.context<{service: PeerService}>().create();
@@ -56,7 +59,9 @@
 export const peerRouter = trpc.router({
 	decide: trpc.procedure.input(planRequestSchema).mutation(({ctx, input}) => ctx.service.decide(input)),
 	grantRetry: trpc.procedure.input(retryRequestSchema).mutation(({ctx, input}) => ctx.service.grantRetry(input)),
-	adopt: trpc.procedure.input(z.object({service: serviceSchema, plans: z.array(planSchema), history: historySchema})).mutation(({ctx, input}) => {
+	adopt: trpc.procedure.input(z.object({
+		service: serviceSchema, plans: z.array(planSchema), suspects: z.array(suspectSchema), history: historySchema,
+	})).mutation(({ctx, input}) => {
 		ctx.service.adopt(input);
 		return true;
 	}),
--- a/src/planning/plan.ts
+++ b/src/planning/plan.ts
@@ -1,7 +1,8 @@
 /** What is asked of a planner and what it decides. */
 import type {
-	AvailabilityZone, BackendServerId, BoxId, OrganisationId, PlanId, RequestId, ServiceName,
+	AvailabilityZone, BackendServerId, BoxId, ContentDigest, OrganisationId, PlanId, RequestId, ServiceName,
 } from '../common/index.js';
+import type {ServerEnd} from './suspects.js';
 
 /**
  * Share of the silence that a caller bears after which its stream is moved to another server.
@@ -44,6 +45,10 @@
 	hasBegun?: boolean;
 	/** Whether its caller has tried before and been turned away or cut off; found out by the planner. */
 	hasTried?: boolean;
+	/** What it asks: its caller may send it again under another id. */
+	content?: ContentDigest;
+	/** Servers that have ended while they ran it, as far as the asking node knows, and in a plan as the planner does. */
+	ends?: ServerEnd[];
 	/** Servers that must not be chosen. */
 	excluded: BackendServerId[];
 	/** Those among them that answered it with a failure: they may be asked again when there is no other. */
@@ -94,13 +99,15 @@
 /** What a planner answers: a plan, or when to ask again because others read first. */
 export type Decision = {kind: 'plan'; plan: Plan} | {kind: 'wait'; askAgainIn: number; reason: WaitReason};
 
-/** Why a long prompt waits: its servers still read or others read first, writers would pause too long, its memory has no room, or its node doesn't see the fleet yet. */
-export type WaitReason = 'reading' | 'writers' | 'memory' | 'sight';
+/** Why a long prompt waits: its servers still read or others read first, writers would pause too long, its memory has no room, its node doesn't see the fleet yet, or a server is emptied that it is to have for itself. */
+export type WaitReason = 'reading' | 'writers' | 'memory' | 'sight' | 'trial';
 
 /** How a plan went on, told by the node that carries it out. */
 export type PlanNote =
 	| {planId: PlanId; kind: 'started' | 'ended'}
-	| {planId: PlanId; kind: 'failed'; server: BackendServerId; trouble: Trouble};
+	| {planId: PlanId; kind: 'failed'; server: BackendServerId; trouble: Trouble}
+	/** The server has ended while it ran the plan. */
+	| {planId: PlanId; kind: 'server_ended'; server: BackendServerId; content: ContentDigest};
 
 /** A read that took longer than was planned with, times in milliseconds; `overrun` is the share by which it was allowed to. */
 export type LongerRead = {plan: Plan; predicted: number; took: number; overrun: number};
--- a/src/planning/planner.ts
+++ b/src/planning/planner.ts
@@ -11,7 +11,7 @@
  */
 import {Left, Right, type Either} from 'purify-ts';
 import {
-	createFailure, type AvailabilityZone, type BackendServerId, type BoxId, type Failure, type IdSource, type PlanId,
+	createFailure, type AvailabilityZone, type BackendServerId, type BoxId, type ContentDigest, type Failure, type IdSource, type PlanId,
 } from '../common/index.js';
 import type {BackendServer, EngineFigures} from '../routing/index.js';
 import {CallerWaits} from './caller-waits.js';
@@ -29,6 +29,8 @@
 } from './server-board.js';
 import {ServerShares, type ServerGroups} from './server-shares.js';
 import {placeShort} from './short-placement.js';
+import {aloneWeight, Suspects, type Trust} from './suspects.js';
+import {trialAskPause, Trials} from './trials.js';
 
 /** A prompt whose read takes more than this share of the shortest pause is long. */
 const longReadShare = 0.75;
@@ -82,8 +84,14 @@
 	return since + plan.request.timeLeft + planMargin;
 }
 
+function describeRefusal({ends, refusedFor}: Extract<Trust, {kind: 'refused'}>): Failure {
+	return createFailure('ends_servers', `${ends} backend servers have ended while they ran this request; it is not sent to another one`, {retryAfterSeconds: Math.ceil(refusedFor / 1000)});
+}
+
 /** Plans for one service. */
 export class Planner {
+	/** Requests under which servers have ended. */
+	readonly suspects = new Suspects();
 	readonly #ids: IdSource;
 	readonly #boards = new Map<BackendServerId, ServerBoard>();
 	readonly #plans = new Map<PlanId, HeldPlan>();
@@ -95,6 +103,7 @@
 	#shortestPause = defaultPause;
 	readonly #shares = new ServerShares();
 	readonly #sight = new DimSight();
+	readonly #trials = new Trials();
 
 	constructor(parts: PlannerParts) {
 		this.#ids = parts.ids;
@@ -164,17 +173,27 @@
 		}
 
 		this.#sight.notice(sight, now);
-		const usable = this.#listUsable(request, now);
+		if (request.content !== undefined && request.ends !== undefined) {
+			this.suspects.learn(request.content, request.ends, now);
+		}
+
+		const trust = this.suspects.judge(request.content, now);
+		if (trust.kind === 'refused') {
+			return Left(describeRefusal(trust));
+		}
+
+		const usable = this.#listUsable(request, trust, now);
 		if (usable.length === 0) {
 			return Left(createFailure('no_backend_server', `no backend server of ${request.service} takes new work`));
 		}
 
-		const planned = this.#engine === undefined || request.promptTokens === 0
-			? this.#planPlain(request, usable, now)
-			: this.#planPrompt(request, usable, this.#engine, now);
+		const planned = trust.kind === 'alone' && this.#boards.size > 1
+			? this.#planAlone(request, usable, now)
+			: this.#planBeside(request, usable, now);
 		return planned.map(decision => {
 			if (decision.kind === 'plan') {
 				this.#hold(decision.plan, now, true);
+				return trust.ends === 0 ? decision : {kind: 'plan', plan: {...decision.plan, request: {...decision.plan.request, ends: this.suspects.describe(request.content!, now)}}};
 			}
 
 			return decision;
@@ -192,6 +211,11 @@
 
 	/** Takes a note on how a plan went on; says so when a long read took longer than was planned with. */
 	note(note: PlanNote, now: number): LongerRead | undefined {
+		if (note.kind === 'server_ended') {
+			this.suspects.noteEnd(note.server, note.content, this.#weighEnd(note.server, note.content), now);
+			return undefined;
+		}
+
 		if (note.kind === 'failed') {
 			const board = this.#boards.get(note.server);
 			// A server that was given a long read is silent while it reads, and none the worse for it.
@@ -305,7 +329,7 @@
 		return {...request, objective: objective - tried, hasTried: tried > 0};
 	}
 
-	#listUsable(request: PlanRequest, now: number): ServerBoard[] {
+	#listUsable(request: PlanRequest, trust: Trust, now: number): ServerBoard[] {
 		const {excluded, failedAt = []} = request;
 		const all = [...this.#boards.values()];
 		const others = all.filter(board => !excluded.includes(board.server.id));
@@ -313,8 +337,52 @@
 		const boards = others.length > 0 ? others : all.filter(board => failedAt.includes(board.server.id));
 		const rested = boards.filter(board => !board.health.isResting(now));
 		const trusted = rested.filter(board => board.health.mayTake(board.workCount, now));
+		const isFor = (board: ServerBoard) => trust.kind === 'alone' || !this.#trials.isKept(board.server.id);
 		// Any server is better than none: suspicion may be wrong for all of them at once.
-		return [trusted, rested, boards].find(list => list.length > 0) ?? [];
+		return [trusted.filter(board => isFor(board)), rested.filter(board => isFor(board)), trusted, rested, boards].find(list => list.length > 0) ?? [];
+	}
+
+	#planBeside(request: PlanRequest, usable: ServerBoard[], now: number): Either<Failure, Decision> {
+		return this.#engine === undefined || request.promptTokens === 0
+			? this.#planPlain(request, usable, now)
+			: this.#planPrompt(request, usable, this.#engine, now);
+	}
+
+	/** A request under which servers have ended runs where it can cut nobody else. */
+	#planAlone(request: PlanRequest, usable: ServerBoard[], now: number): Either<Failure, Decision> {
+		if (request.patience <= trialAskPause) {
+			return Left(createFailure('overloaded', 'servers ended while they ran this request, and none is free to run it by itself'));
+		}
+
+		const board = this.#trials.find(request.content!, usable, this.#boards.size, now);
+		if (board === undefined) {
+			return Right({kind: 'wait', askAgainIn: trialAskPause, reason: 'trial'});
+		}
+
+		const isPrompt = this.#engine !== undefined && request.promptTokens > 0;
+		const expectedFirst = isPrompt ? computeReadTime(this.#engine!, request.promptTokens) : 0;
+		const decision = this.#createPlan(request, board.server.id, {expectedFirst, ownTokens: isPrompt ? request.promptTokens + request.outputTokens : 0});
+		this.#trials.begin(board.server.id, decision.plan.planId);
+		return Right(decision);
+	}
+
+	/** What the end of a server counts for a request that it ran: nothing for one that runs at all servers. */
+	#weighEnd(server: BackendServerId, content: ContentDigest): number {
+		if (this.#trials.isKept(server)) {
+			return aloneWeight;
+		}
+
+		const places = new Set<BackendServerId>();
+		for (const {plan, works} of this.#plans.values()) {
+			if (plan.request.content === content) {
+				for (const id of works.keys()) {
+					places.add(id);
+				}
+			}
+		}
+
+		places.delete(server);
+		return 1 - (places.size / Math.max(1, this.#boards.size));
 	}
 
 	#planPlain(request: PlanRequest, usable: ServerBoard[], now: number): Either<Failure, Decision> {
@@ -354,7 +422,7 @@
 			: this.#createPlan(request, decision.server, decision.parts));
 	}
 
-	#createPlan(request: PlanRequest, server: BackendServerId, more: Partial<Plan>): Decision {
+	#createPlan(request: PlanRequest, server: BackendServerId, more: Partial<Plan>): Extract<Decision, {kind: 'plan'}> {
 		const plan = {
 			planId: this.#ids.createUuid().slice(-planIdLength) as PlanId,
 			request,
@@ -424,6 +492,7 @@
 		}
 
 		this.#plans.delete(plan.planId);
+		this.#trials.end(plan.planId);
 		this.#forEachBoard(plan, board => {
 			board.remove(plan.planId);
 		});
--- /dev/null
+++ b/src/planning/trials.ts
@@ -0,0 +1,79 @@
+/** Servers that are kept free for requests that may end them, one request at a server. Pure. */
+import type {BackendServerId, ContentDigest, PlanId} from '../common/index.js';
+import {findLeast} from './find-least.js';
+import type {ServerBoard} from './server-board.js';
+
+/** One in so many servers is kept free at most, and never the only one. */
+const serversForTrial = 6;
+const leastServers = 2;
+
+/** Time after the last ask for which a server is kept free for a request, in milliseconds: a few asks. */
+const keptFor = 300;
+
+/** Time after which a request that waits for its server asks again, in milliseconds. */
+export const trialAskPause = 40;
+
+/** A server that is kept free for a request, or runs it. */
+type Trial = {content: ContentDigest; askedAt: number; planId?: PlanId};
+
+/** Trials of one service. */
+export class Trials {
+	readonly #trials = new Map<BackendServerId, Trial>();
+
+	/** Whether a server is kept for a trial: nothing else goes there. */
+	isKept(server: BackendServerId): boolean {
+		return this.#trials.has(server);
+	}
+
+	/** The server that a request may have for itself; undefined while there is none. `all` counts the servers of the service. */
+	find(content: ContentDigest, usable: ServerBoard[], all: number, now: number): ServerBoard | undefined {
+		this.#prune(now);
+		const kept = this.#findKept(content);
+		if (kept !== undefined) {
+			const [server, trial] = kept;
+			trial.askedAt = now;
+			const board = usable.find(candidate => candidate.server.id === server);
+			// One try of a request at a time, and none beside others.
+			return trial.planId === undefined && board?.workCount === 0 ? board : undefined;
+		}
+
+		const free = usable.filter(board => !this.#trials.has(board.server.id));
+		if (all < leastServers || free.length === 0 || this.#trials.size >= Math.max(1, Math.floor(all / serversForTrial))) {
+			return undefined;
+		}
+
+		const board = findLeast(free, candidate => candidate.workCount)!;
+		this.#trials.set(board.server.id, {content, askedAt: now});
+		return board.workCount === 0 ? board : undefined;
+	}
+
+	/** Notes the plan that runs at the server kept for it. */
+	begin(server: BackendServerId, planId: PlanId): void {
+		const trial = this.#trials.get(server);
+		if (trial !== undefined) {
+			trial.planId = planId;
+		}
+	}
+
+	/** Frees the server of a plan that has ended. */
+	end(planId: PlanId): void {
+		for (const [server, trial] of this.#trials) {
+			if (trial.planId === planId) {
+				this.#trials.delete(server);
+			}
+		}
+	}
+
+	#findKept(content: ContentDigest): [BackendServerId, Trial] | undefined {
+		return [...this.#trials].find(([, trial]) => trial.content === content);
+	}
+
+	/** A request that is not asked for any more needs no server. */
+	#prune(now: number): void {
+		for (const [server, {askedAt, planId}] of this.#trials) {
+			if (planId === undefined && now - askedAt > keptFor) {
+				this.#trials.delete(server);
+			}
+		}
+	}
+}
