test(soak): a store that serves one node, new routes and keys, thousands of routes; a slow store excuses its answers only

The soak looked at answers of 200 only, so that a route or key which was there and refused broke nothing, and every trouble of the store excused every node. Each version now adds a route with a key of its own and drops the one of six versions before; requests for them are judged both ways.

--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -6,7 +6,7 @@
 import {Link, pause} from './link.js';
 import type {LinkKind} from './plan.js';
 import {Processes, type SoakProcess} from './processes.js';
-import type {RunRecords} from './records.js';
+import {keptVersions, type RunRecords} from './records.js';
 import {findSteadyPorts} from './steady-ports.js';
 
 /** Where the bundles are; `npm run soak` makes them. */
@@ -51,6 +51,16 @@
 	},
 ];
 
+/** Path of the route that a version adds. */
+export function formatAddedPath(version: number): string {
+	return `/added/${version}/`;
+}
+
+/** The key that a version adds. */
+export function formatAddedKey(version: number): string {
+	return `key-${version}`;
+}
+
 /** Ports of one node; they stay through its lives. */
 type NodePorts = {callers: number; ready: number; addresses: number; peers: number; heartbeat: number; metrics: number};
 
@@ -74,7 +84,7 @@
 export type SoakServer = {id: string; name: string; service: string; link: Link; port: number; process: SoakProcess};
 
 /** Sizes of a fleet. */
-export type FleetSize = {nodes: number; modelServers: number};
+export type FleetSize = {nodes: number; modelServers: number; fillerRoutes: number};
 
 /** Everything that runs. */
 export class SoakFleet {
@@ -236,13 +246,21 @@
 		await earlier;
 		const number = ++this.#version;
 		const service = versionServices[number % versionServices.length];
-		const spec = createConfig(number);
+		const added = Array.from({length: Math.min(keptVersions, number)}, (_, index) => number - index);
+		const spec = createConfig(number, {tenants: [{name: 'guild', apiKeys: ['secret-key']}, {name: 'newcomers', apiKeys: added.map(version => formatAddedKey(version))}]});
 		const route = {
 			host: 'shop.example', priority: 1, allowAnonymous: false, targetLatencyMs: 300, name: 'turn', pathPrefix: '/turn/', kind: 'idempotent', timeoutMs: 1500, maxAttempts: 2, service,
 		};
 		const config = {
 			...spec,
-			routes: [...spec.routes as unknown[], route],
+			routes: [
+				...spec.routes as unknown[],
+				route,
+				...added.map(version => ({
+					...route, name: `added-${version}`, pathPrefix: formatAddedPath(version), service: 'app',
+				})),
+				...Array.from({length: this.#size.fillerRoutes}, (_, index) => ({...route, name: `filler-${index}`, pathPrefix: `/filler/${index}/`})),
+			],
 			services: [...spec.services as unknown[], ...versionServices.map(name => ({name, maxConnections: 99}))],
 		};
 		const body = JSON.stringify({metadata: {name: 'main'}, spec: config});
--- a/soak/judge.ts
+++ b/soak/judge.ts
@@ -1,6 +1,6 @@
 /** Checks the promises of the pages against what was seen from outside. Pure. */
-import type {
-	CallRecord, FaultRecord, RunRecord, RunRecords,
+import {
+	keptVersions, type CallRecord, type FaultRecord, type RunRecord, type RunRecords,
 } from './records.js';
 
 /** A promise that was broken. */
@@ -24,9 +24,15 @@
 /** Time after a fault in which its effects still show, in milliseconds: silences are noticed and views caught up. */
 const aftermath = 3000;
 
+/** Time after a planned stop in which its node starts again, in milliseconds. */
+const restartTime = 2000;
+
 /** Time after a fault of a node, or of a server that worked on it, in which a request may still break, in milliseconds. */
 const breakSlack = 500;
 
+/** What a store that takes 900 ms for each answer may add to the time of a change, in milliseconds: an answer that had left before it, and one more. */
+const slowSlack = 1800;
+
 /** Last part of the grace in which a stopping node may end what has not ended, as a share. */
 const cutShare = 5 / 6;
 
@@ -38,6 +44,7 @@
 		...checkBounds(records),
 		...checkLeaving(records),
 		...checkVersions(records),
+		...checkAdded(records),
 		...checkStops(records, graceMs),
 		...records.unusedServers.map(({node, usable, ready}) => ({promise: 'every node uses the ready servers', id: node, detail: `${usable} of ${ready} servers`})),
 		...records.leftMemory.map(left => ({promise: 'memory set aside is freed', id: left.reservation, detail: `still held at ${left.server}`})),
@@ -74,31 +81,33 @@
 }
 
 /** Every request ends within its bound, unless its node or the way to it was disturbed. */
-function checkBounds({calls, faults}: RunRecords): Violation[] {
-	return calls
+function checkBounds(records: RunRecords): Violation[] {
+	return records.calls
 		.filter(call => call.endedAt - call.sentAt > call.limit + endSlack)
-		.filter(call => !isDisturbed(faults, call, call.sentAt, call.endedAt))
+		.filter(call => !isDisturbed(records, call, call.sentAt, call.endedAt))
 		.map(call => ({promise: 'every request ends within its bound', id: call.id, detail: `${call.endedAt - call.sentAt} ms of ${call.limit}, node ${call.node}`}));
 }
 
 /** A leaving server gets nothing new from a node that nothing kept from hearing of it. */
-function checkLeaving({runs, changes, faults}: RunRecords): Violation[] {
+function checkLeaving(records: RunRecords): Violation[] {
+	const {runs, changes} = records;
 	const leaving = new Map(changes.filter(change => change.leaving !== undefined).map(change => [change.leaving!, change.at]));
 	return runs
-		.filter(run => run.at - (leaving.get(run.server) ?? Infinity) > drainLimit)
-		.filter(run => !isDisturbed(faults, run, leaving.get(run.server)!, run.at))
+		.filter(run => run.at - (leaving.get(run.server) ?? Infinity) > drainLimit + findSlack(records, leaving.get(run.server) ?? Infinity, run.at))
+		.filter(run => !isDisturbed(records, run, leaving.get(run.server)!, run.at))
 		.map(run => ({promise: 'a leaving server gets nothing new', id: run.id, detail: `server ${run.server} got it ${run.at - leaving.get(run.server)!} ms after it left, from ${run.node}`}));
 }
 
 /** A change is in force in time, and no node goes back. */
-function checkVersions({calls, changes, faults}: RunRecords): Violation[] {
+function checkVersions(records: RunRecords): Violation[] {
+	const {calls, changes} = records;
 	const versions = changes.flatMap(({at, sentAt, version}) => version === undefined ? [] : [{at, sentAt, ...version}]);
 	const shown = calls.filter(call => call.kind === 'version' && call.isComplete && call.status === 200).sort((left, right) => left.sentAt - right.sentAt);
 	return shown.flatMap((call, index) => {
-		const due = versions.findLastIndex(version => version.at + changeLimit < call.sentAt);
+		const due = versions.findLastIndex(version => version.at + changeLimit + findSlack(records, version.at, call.endedAt) < call.sentAt);
 		const possible = findPossible(versions, call);
 		const newest = Math.max(-1, ...possible);
-		if (newest < due && !isDisturbed(faults, call, versions[due].at, call.endedAt)) {
+		if (newest < due && !isDisturbed(records, call, versions[due].at, call.endedAt)) {
 			const after = call.sentAt - versions[due].at;
 			return [{promise: 'a change is in force in time', id: call.id, detail: `${call.service} answered at ${call.node} ${after} ms after version ${versions[due].number}`}];
 		}
@@ -108,7 +117,7 @@
 		const later = shown.slice(0, index).findLast(earlier => earlier.node === call.node
 			&& earlier.endedAt + rollbackSlack < call.sentAt
 			&& findOldest(versions, earlier) > newestSent);
-		if (later !== undefined && !isDisturbed(faults, call, later.sentAt, call.endedAt)) {
+		if (later !== undefined && !isDisturbed(records, call, later.sentAt, call.endedAt)) {
 			return [{promise: 'a node never goes back to an older configuration', id: call.id, detail: `${call.service} answered at ${call.node} after ${later.service} had`}];
 		}
 
@@ -116,6 +125,31 @@
 	});
 }
 
+/** A route and a key are known to every node in time, and unknown in time after they were dropped. */
+function checkAdded(records: RunRecords): Violation[] {
+	const versions = records.changes.flatMap(({at, sentAt, version}) => version === undefined ? [] : [{at, sentAt, number: version.number}]);
+	return records.calls.filter(call => call.kind === 'added' && call.isComplete).flatMap(call => {
+		const added = versions.find(version => version.number === call.addedBy);
+		const dropped = versions.find(version => version.number === call.addedBy! + keptVersions);
+		const isKnownToAll = added !== undefined && added.at + changeLimit + findSlack(records, added.at, call.endedAt) < call.sentAt && (dropped === undefined || dropped.sentAt > call.endedAt);
+		if (isKnownToAll && (call.status === 401 || call.status === 404) && !isDisturbed(records, call, added.at, call.endedAt)) {
+			return [{promise: 'a new route or key is served in time', id: call.id, detail: `status ${call.status} at ${call.node} ${call.sentAt - added.at} ms after version ${added.number}`}];
+		}
+
+		const isUnknownToAll = dropped !== undefined && dropped.at + changeLimit + findSlack(records, dropped.at, call.endedAt) < call.sentAt;
+		if (isUnknownToAll && call.status === 200 && !isDisturbed(records, call, dropped.at, call.endedAt)) {
+			return [{promise: 'a dropped route or key is served no more', id: call.id, detail: `served at ${call.node} ${call.sentAt - dropped.at} ms after version ${dropped.number}`}];
+		}
+
+		return [];
+	});
+}
+
+/** A store that answers late makes changes late by as much. */
+function findSlack({faults}: RunRecords, from: number, to: number): number {
+	return faults.some(fault => fault.kind === 'store_slow' && fault.from <= to && fault.to + aftermath >= from) ? slowSlack : 0;
+}
+
 /** The oldest version that an answer may have come from; of one that is too late for all of them nothing is known. */
 function findOldest(versions: Parameters<typeof findPossible>[0], call: CallRecord): number {
 	return findPossible(versions, call)[0] ?? -1;
@@ -152,8 +186,18 @@
  *
  * Faults of other nodes and of servers don't excuse it.
  */
-function isDisturbed(faults: FaultRecord[], who: Pick<CallRecord, 'node'>, from: number, to: number): boolean {
-	return faults
-		.filter(fault => fault.from <= to && fault.to + aftermath >= from)
-		.some(fault => fault.node === who.node || (fault.node === undefined && fault.server === undefined));
+function isDisturbed({faults, stops}: RunRecords, who: Pick<CallRecord, 'node'>, from: number, to: number): boolean {
+	const isNear = (span: {from: number; to: number}) => span.from <= to && span.to + aftermath >= from;
+	const isUnwell = (node: string) => faults.some(fault => fault.node === node && isNear(fault))
+		|| stops.some(stop => stop.node === node && isNear({from: stop.at, to: stop.endedAt + restartTime}));
+	return faults.filter(fault => isNear(fault)).some(fault => fault.node === who.node || isForAll(fault, isUnwell));
+}
+
+/** Whether a fault keeps every node from hearing of changes. */
+function isForAll({kind, node, server, served}: FaultRecord, isUnwell: (node: string) => boolean): boolean {
+	if (kind === 'store_slow') {
+		return false;
+	}
+
+	return served === undefined ? node === undefined && server === undefined : served.every(name => isUnwell(name));
 }
--- a/soak/load.ts
+++ b/soak/load.ts
@@ -4,9 +4,11 @@
 import seedrandom from 'seedrandom';
 import {Agent, request as sendRequest, type Dispatcher} from 'undici';
 import {formatStream, formatText} from './answers.js';
-import type {SoakFleet, SoakNode} from './fleet.js';
+import {
+	formatAddedKey, formatAddedPath, type SoakFleet, type SoakNode,
+} from './fleet.js';
 import {pause} from './link.js';
-import type {CallRecord, RunRecords} from './records.js';
+import {keptVersions, type CallRecord, type RunRecords} from './records.js';
 
 /** Time between two requests, in milliseconds. */
 const meanGap = 9;
@@ -31,16 +33,19 @@
 
 const shapes: CallShape[] = [
 	{
-		kind: 'stream', path: '/stream/a', share: 0.5, limit: 5000,
+		kind: 'stream', path: '/stream/', share: 0.5, limit: 5000,
 	},
 	{
-		kind: 'once', path: '/once/a', share: 0.2, limit: 1500,
+		kind: 'once', path: '/once/', share: 0.2, limit: 1500,
 	},
 	{
-		kind: 'again', path: '/again/a', share: 0.15, limit: 1500,
+		kind: 'again', path: '/again/', share: 0.1, limit: 1500,
 	},
 	{
-		kind: 'version', path: '/turn/a', share: 0.15, limit: 1500,
+		kind: 'version', path: '/turn/', share: 0.1, limit: 1500,
+	},
+	{
+		kind: 'added', path: '', share: 0.1, limit: 1500,
 	},
 ];
 
@@ -120,11 +125,17 @@
 		})?.tokens ?? promptSizes[0].tokens;
 	}
 
+	/** Mostly the newest versions that the store has taken, at times one whose route was dropped. */
+	#pickVersion(): number {
+		const newest = this.#records.changes.findLast(({version}) => version !== undefined)?.version?.number ?? 1;
+		return Math.max(1, newest - Math.floor((this.#random() ** 4) * (keptVersions + 3)));
+	}
+
 	async #call(node: SoakNode, shape: CallShape): Promise<void> {
 		const id = randomUUID();
 		const body = Buffer.alloc(Math.floor(this.#random() * longestBody), id);
 		const record: CallRecord = {
-			id, kind: shape.kind, node: node.name, sentAt: Date.now(), endedAt: 0, status: 0, isComplete: false, limit: shape.limit,
+			id, kind: shape.kind, node: node.name, sentAt: Date.now(), endedAt: 0, status: 0, isComplete: false, limit: shape.limit, addedBy: shape.kind === 'added' ? this.#pickVersion() : undefined,
 		};
 		const leave = new AbortController();
 		let hasLeft = false;
@@ -140,7 +151,7 @@
 		}, shape.limit + giveUpAfter);
 
 		try {
-			const answer = await sendRequest(node.callersLink.address.replace(/^/, 'http://') + shape.path, {
+			const answer = await sendRequest(`http://${node.callersLink.address}${record.addedBy === undefined ? shape.path : formatAddedPath(record.addedBy)}a`, {
 				dispatcher: this.#agent, method: 'POST', body, headers: this.#formatHeaders(record, shape), signal: leave.signal,
 			});
 			record.status = answer.statusCode;
@@ -161,7 +172,7 @@
 	#formatHeaders(record: CallRecord, shape: CallShape): Record<string, string> {
 		return {
 			host: 'shop.example',
-			authorization: 'Bearer secret-key',
+			authorization: `Bearer ${record.addedBy === undefined ? 'secret-key' : formatAddedKey(record.addedBy)}`,
 			'cresshook-attempt-id': record.id,
 			'cresshook-deadline-ms': String(shape.limit),
 			'x-soak-node': record.node,
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -23,6 +23,7 @@
 	seconds: number;
 	nodes: number;
 	servers: number;
+	routes: number;
 	kinds?: FaultKind[];
 	logs?: string;
 	regressions?: boolean;
@@ -44,7 +45,7 @@
 	const folder = options.logs === undefined ? mkdtempSync(path.join(tmpdir(), 'cresshook-soak-')) : path.join(options.logs, String(seed));
 	mkdirSync(folder, {recursive: true});
 	const result = await runOnce({
-		seed, length: seconds * 1000, size: {nodes: options.nodes, modelServers: options.servers}, folder, kinds: options.kinds,
+		seed, length: seconds * 1000, size: {nodes: options.nodes, modelServers: options.servers, fillerRoutes: options.routes}, folder, kinds: options.kinds,
 	});
 	process.stdout.write(`${JSON.stringify({...result, violations: result.violations.slice(0, mostPrinted), broken: result.violations.length})}\n`);
 	if (options.logs === undefined) {
@@ -73,6 +74,7 @@
 		.option('--seconds <seconds>', 'traffic of each run', Number, 25)
 		.option('--nodes <count>', 'nodes', Number, 6)
 		.option('--servers <count>', 'model servers', Number, 6)
+		.option('--routes <count>', 'routes that nobody asks for', Number, 0)
 		.option('--logs <folder>', 'keep the logs of all processes there')
 		.option('--regressions', `the seeds of ${regressionsFile} instead`)
 		.addOption(new Option('--kinds <kinds...>', 'only these kinds of fault').choices(faultKinds))
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -23,6 +23,8 @@
 	| 'link_delay' | 'link_one_way' | 'link_silent' | 'link_reset'
 	/** The connections of a link, or of all links of its kind, go silent for good while new ones work; the configuration changes right after. */
 	| 'link_severed'
+	/** The store is silent to all nodes but one, old and new connections alike, and the configuration changes meanwhile. */
+	| 'store_partial'
 	/** The operator changes the configuration. */
 	| 'config_change';
 
@@ -46,7 +48,7 @@
 const severedKinds: LinkKind[] = ['store', 'server', 'peers'];
 
 /** How often each kind comes, relative to the others; those of the second series are not among them. */
-const weights: Record<Exclude<FaultKind, 'link_severed'>, number> = {
+const weights: Record<Exclude<FaultKind, 'link_severed' | 'store_partial'>, number> = {
 	node_kill: 3,
 	node_pause: 3,
 	node_stop: 4,
@@ -70,7 +72,7 @@
 };
 
 /** Kinds of fault, in the order in which they are drawn. */
-export const faultKinds = [...Object.keys(weights) as Array<keyof typeof weights>, 'link_severed' as const];
+export const faultKinds = [...Object.keys(weights) as Array<keyof typeof weights>, 'link_severed' as const, 'store_partial' as const];
 
 /** Mean time between two faults, in milliseconds: with durations of seconds, four or so overlap. */
 const meanGap = 500;
@@ -81,6 +83,10 @@
 /** Mean time between two severings, in milliseconds: a series of its own, also in calm times, and drawn apart, so that a seed has the same other faults with it and without it. */
 const severedGap = 3000;
 
+/** Longest silence of the store to most nodes, and what the time to the next one may be more, in milliseconds. */
+const longestPartial = 4000;
+const partialGap = 4000;
+
 /** Longest time from a severing to the change of the configuration, in milliseconds: within the bound for a change. */
 const longestSevered = 1500;
 
@@ -93,10 +99,11 @@
 
 /** Draws the faults of a run that lasts so many milliseconds. */
 export function drawFaults(seed: number, length: number, kinds: FaultKind[] = faultKinds): Fault[] {
-	const drawn = kinds.filter(kind => kind !== 'link_severed');
+	const drawn = kinds.filter(kind => kind !== 'link_severed' && kind !== 'store_partial');
 	return [
 		...drawn.length === 0 ? [] : drawSeries(seed, length, drawn),
-		...drawn.length === kinds.length ? [] : drawSeverings(seed, length),
+		...kinds.includes('link_severed') ? drawSeverings(seed, length) : [],
+		...kinds.includes('store_partial') ? drawPartialSilences(seed, length) : [],
 	];
 }
 
@@ -118,6 +125,22 @@
 	}
 }
 
+/** One after the other, drawn apart like severings. */
+function drawPartialSilences(seed: number, length: number): Fault[] {
+	const random = seedrandom(`partial-${seed}`);
+	const faults: Fault[] = [];
+	for (let at = quietStart; ; at += longestPartial + Math.round(random() * partialGap)) {
+		if (at >= length) {
+			return faults;
+		}
+
+		const duration = Math.round(longestPartial * (0.5 + (random() / 2)));
+		faults.push({
+			kind: 'store_partial', at, duration, target: Math.floor(random() * 1000),
+		});
+	}
+}
+
 function drawSeries(seed: number, length: number, kinds: Array<keyof typeof weights>): Fault[] {
 	const random = seedrandom(`faults-${seed}`);
 	const faults: Fault[] = [];
--- a/soak/records.ts
+++ b/soak/records.ts
@@ -4,7 +4,7 @@
 export type CallRecord = {
 	id: string;
 	/** What may be done with it a second time: nothing, or anything. */
-	kind: 'once' | 'again' | 'stream' | 'version';
+	kind: 'once' | 'again' | 'stream' | 'version' | 'added';
 	node: string;
 	sentAt: number;
 	endedAt: number;
@@ -16,6 +16,8 @@
 	wrong?: string;
 	/** The service that answered a request for the version in force. */
 	service?: string;
+	/** Version that brought the route and the key of a request. */
+	addedBy?: number;
 	/** Longest time that the request may take. */
 	limit: number;
 };
@@ -26,8 +28,19 @@
 /** The store took a change: `sentAt` is when it was first sent, `at` when it was acknowledged. */
 export type ChangeRecord = {at: number; sentAt: number; version?: {number: number; service: string}; leaving?: string};
 
+/** Versions for which a route and a key that a version adds stay. */
+export const keptVersions = 6;
+
 /** Something was disturbed; `node` or `server` when it was only that one. */
-export type FaultRecord = {kind: string; from: number; to: number; node?: string; server?: string};
+export type FaultRecord = {
+	kind: string;
+	from: number;
+	to: number;
+	node?: string;
+	server?: string;
+	/** Nodes that a store served which was silent to all others: it disturbs nobody while one of these is well. */
+	served?: string[];
+};
 
 /** A planned stop of a node. */
 export type StopRecord = {node: string; at: number; endedAt: number};
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -33,6 +33,9 @@
 /** How long connections that were severed may stay in use at nodes that have not met them, in milliseconds. */
 const severedMemory = 2000;
 
+/** Time between two changes while the store is silent to most nodes, in milliseconds. */
+const partialChangeGap = 500;
+
 /** How late the store's second answer may be believed to be over, in milliseconds. */
 const recordMargin = 200;
 
@@ -118,7 +121,7 @@
 			}
 
 			case 'store': {
-				await this.#disturbStore(how);
+				await (how === 'partial' ? this.#silencePartly() : this.#disturbStore(how));
 
 				break;
 			}
@@ -135,7 +138,7 @@
 	}
 
 	/** Records the fault from now until `end` has happened. */
-	async #record(who: Pick<FaultRecord, 'node' | 'server'>, during: () => Promise<void>): Promise<void> {
+	async #record(who: Pick<FaultRecord, 'node' | 'server' | 'served'>, during: () => Promise<void>): Promise<void> {
 		const record: FaultRecord = {
 			kind: this.#fault.kind, from: Date.now() - recordMargin, to: Number.POSITIVE_INFINITY, ...who,
 		};
@@ -216,6 +219,29 @@
 		});
 	}
 
+	/** One node is served: what changes meanwhile must be in force at all in time. */
+	async #silencePartly(): Promise<void> {
+		const {nodes} = this.#fleet;
+		const {target, duration} = this.#fault;
+		const served = nodes[target % nodes.length];
+		const silent = nodes.filter(node => node !== served);
+		await this.#record({served: [served.name]}, async () => {
+			const until = Date.now() + duration;
+			for (const node of silent) {
+				node.storeLink.setFault({isSilentForth: true, isSilentBack: true});
+			}
+
+			while (Date.now() < until) {
+				await this.#fleet.changeConfig();
+				await pause(partialChangeGap);
+			}
+
+			for (const node of silent) {
+				node.storeLink.heal();
+			}
+		});
+	}
+
 	/**
 	 * Excuses nothing but what a server was cut off from: every promise to callers holds on silent connections, too,
 	 * and a configuration that changes right after must be in force in time.
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -14,7 +14,9 @@
 import {Link, pause} from '../soak/link.js';
 import {drawFaults, faultKinds} from '../soak/plan.js';
 import {Processes} from '../soak/processes.js';
-import {createRecords, type CallRecord, type RunRecords} from '../soak/records.js';
+import {
+	createRecords, keptVersions, type CallRecord, type RunRecords,
+} from '../soak/records.js';
 import {findSteadyPorts} from '../soak/steady-ports.js';
 import {StandinStore} from './helpers/platform-standins.js';
 
@@ -358,3 +360,61 @@
 	const drawn = await Promise.all(Array.from({length: 100}, async () => findSteadyPorts(6)));
 	expect(new Set(drawn.flat()).size).toBe(600);
 });
+
+/** A version that the store took at 10 s, and the one that drops its route at 40 s. */
+function addVersions(records: RunRecords): void {
+	records.changes.push(
+		{at: 10_000, sentAt: 9990, version: {number: 3, service: 'turn-0'}},
+		{at: 40_000, sentAt: 39_990, version: {number: 3 + keptVersions, service: 'turn-0'}},
+	);
+}
+
+test('a new route that is refused late, and one that is served after it was dropped, are found', () => {
+	const judge = (call: Partial<CallRecord>) => listBroken(records => {
+		addVersions(records);
+		records.calls.push(createCall({kind: 'added', addedBy: 3, ...call}));
+	});
+	expect(judge({status: 404, sentAt: 12_400, endedAt: 12_410})).toEqual(['a new route or key is served in time']);
+	expect(judge({status: 401, sentAt: 12_400, endedAt: 12_410})).toEqual(['a new route or key is served in time']);
+	expect(judge({status: 404, sentAt: 12_200, endedAt: 12_210})).toEqual([]);
+	expect(judge({status: 404, sentAt: 40_100, endedAt: 40_110})).toEqual([]);
+	expect(judge({status: 503, sentAt: 12_400, endedAt: 12_410})).toEqual([]);
+	expect(judge({status: 200, sentAt: 42_400, endedAt: 42_410})).toEqual(['a dropped route or key is served no more']);
+	expect(judge({status: 200, sentAt: 42_200, endedAt: 42_210})).toEqual([]);
+});
+
+test('a store that is silent to most nodes excuses nothing while one that it serves is well', () => {
+	const judge = (fill: (records: RunRecords) => void) => listBroken(records => {
+		addVersions(records);
+		records.calls.push(createCall({
+			kind: 'added', addedBy: 3, status: 404, sentAt: 12_500, endedAt: 12_510,
+		}));
+		records.faults.push({
+			kind: 'store_partial', from: 9000, to: 14_000, served: ['edge-2'],
+		});
+		fill(records);
+	});
+	expect(judge(() => {})).toEqual(['a new route or key is served in time']); // eslint-disable-line @typescript-eslint/no-empty-function
+	expect(judge(records => {
+		records.faults.push({
+			kind: 'node_kill', from: 11_000, to: 11_500, node: 'edge-2',
+		});
+	})).toEqual([]);
+	expect(judge(records => {
+		records.stops.push({node: 'edge-2', at: 9500, endedAt: 11_000});
+	})).toEqual([]);
+	expect(judge(records => {
+		records.stops.push({node: 'edge-1', at: 9500, endedAt: 11_000});
+	})).toEqual(['a new route or key is served in time']);
+});
+
+test('a slow store makes a change late by its answers, and excuses no more', () => {
+	const judge = (sentAt: number) => listBroken(records => {
+		addVersions(records);
+		records.calls.push(createCall({
+			kind: 'added', addedBy: 3, status: 404, sentAt, endedAt: sentAt + 10,
+		}));
+		records.faults.push({kind: 'store_slow', from: 9000, to: 14_000});
+	});
+	expect([judge(13_000), judge(14_200)]).toEqual([[], ['a new route or key is served in time']]);
+});
