fix(planning): a request that a server has answered is under no suspicion any more

Short questions of many callers are alike to the letter, and some of them run at any server that ends: after three ends within ten minutes all of them were refused, 503 for each in the fourth round of a test that ends one busy server after the other. An answer to the end, of whatever status, shows that its server lives; the node that passes it on says so to the node that decides and to the next one, where ends are known of the request. One that ends its servers is never answered.

--- a/src/gateway/calls/call-run.ts
+++ b/src/gateway/calls/call-run.ts
@@ -202,7 +202,7 @@
 
 		// What never left this node is no arrival anywhere and costs nothing of the budget.
 		this.#hasRetry ||= !wasSent && this.#attempts.sends > 0;
-		this.#parts.placer.note(plan, {planId: plan.planId, kind: 'ended'});
+		this.#parts.placer.note(plan, {planId: plan.planId, kind: 'ended', wasAnswered: end.kind === 'done' || end.kind === 'failed'});
 	}
 
 	/** Another server is asked too: the retry that was taken for it is used. */
--- a/src/gateway/deciding/shared-placer.ts
+++ b/src/gateway/deciding/shared-placer.ts
@@ -140,21 +140,21 @@
 	}
 
 	override note(plan: Plan, note: PlanNote): void {
-		const plans = this.#findPlans(plan.request.service);
+		const {service, content} = plan.request;
+		const plans = this.#findPlans(service);
 		this.#takeNote(plans.planner, note);
 		if (note.kind === 'ended') {
 			plans.own.delete(plan.planId);
 		}
 
+		this.#queueNote(service, plans, note);
 		if (note.kind === 'server_ended') {
-			this.#tellNext(plan.request.service, note);
-		}
-
-		if (plans.decider !== undefined && plans.decider.name !== this.#parts.self().name) {
-			plans.notes.push(note);
-			plans.noteTimer ??= this.#parts.clock.setTimer(noteDelay, () => {
-				this.#sendNotes(plan.request.service, plans);
-			});
+			this.#tellNext(service, note);
+		} else if (note.kind === 'ended' && note.wasAnswered === true && content !== undefined && plans.planner.suspects.has(content)) {
+			const survived: PlanNote = {planId: plan.planId, kind: 'survived', content};
+			this.#takeNote(plans.planner, survived);
+			this.#queueNote(service, plans, survived);
+			this.#tellNext(service, survived);
 		}
 	}
 
@@ -347,6 +347,15 @@
 		plans.isUntold ||= answer !== true && plans.decider?.life === decider.life;
 	}
 
+	#queueNote(service: ServiceName, plans: ServicePlans, note: PlanNote): void {
+		if (plans.decider !== undefined && plans.decider.name !== this.#parts.self().name) {
+			plans.notes.push(note);
+			plans.noteTimer ??= this.#parts.clock.setTimer(noteDelay, () => {
+				this.#sendNotes(service, plans);
+			});
+		}
+	}
+
 	#sendNotes(service: ServiceName, plans: ServicePlans): void {
 		const {notes} = plans;
 		plans.notes = [];
--- a/src/gateway/peers/plan-news.ts
+++ b/src/gateway/peers/plan-news.ts
@@ -25,7 +25,7 @@
 const newsSchema = z.object({
 	service: z.string(),
 	node: z.string(),
-	notes: z.array(z.looseObject({planId: z.string(), kind: z.enum(['started', 'ended', 'failed', 'server_ended'])})),
+	notes: z.array(z.looseObject({planId: z.string(), kind: z.enum(['started', 'ended', 'failed', 'server_ended', 'survived'])})),
 	active: z.array(z.string()).optional(),
 });
 
--- a/src/planning/plan.ts
+++ b/src/planning/plan.ts
@@ -104,10 +104,14 @@
 
 /** How a plan went on, told by the node that carries it out. */
 export type PlanNote =
-	| {planId: PlanId; kind: 'started' | 'ended'}
+	| {planId: PlanId; kind: 'started'}
+	/** `wasAnswered` when its server gave an answer to the end, and lives. */
+	| {planId: PlanId; kind: 'ended'; wasAnswered?: boolean}
 	| {planId: PlanId; kind: 'failed'; server: BackendServerId; trouble: Trouble}
 	/** The server has ended while it ran the plan. */
-	| {planId: PlanId; kind: 'server_ended'; server: BackendServerId; content: ContentDigest};
+	| {planId: PlanId; kind: 'server_ended'; server: BackendServerId; content: ContentDigest}
+	/** A server has answered what is under suspicion. */
+	| {planId: PlanId; kind: 'survived'; content: ContentDigest};
 
 /** A read that took longer than was planned with, times in milliseconds; `overrun` is the share by which it was allowed to. */
 export type LongerRead = {plan: Plan; predicted: number; took: number; overrun: number};
--- a/src/planning/planner.ts
+++ b/src/planning/planner.ts
@@ -216,6 +216,11 @@
 			return undefined;
 		}
 
+		if (note.kind === 'survived') {
+			this.suspects.clear(note.content);
+			return undefined;
+		}
+
 		if (note.kind === 'failed') {
 			const board = this.#boards.get(note.server);
 			// A server that was given a long read is silent while it reads, and none the worse for it.
--- a/src/planning/suspects.ts
+++ b/src/planning/suspects.ts
@@ -58,6 +58,16 @@
 		this.#prune(now);
 	}
 
+	/** Notes that a server has answered a request: it was there by chance when others ended. Requests that are alike, as a short question of many callers is, would else be refused for all. */
+	clear(content: ContentDigest): void {
+		this.#contents.delete(content);
+	}
+
+	/** Whether ends are known of a request. */
+	has(content: ContentDigest): boolean {
+		return this.#contents.has(content);
+	}
+
 	/** Takes what another node knows of a request. */
 	learn(content: ContentDigest, ends: ServerEnd[], now: number): void {
 		for (const {server, age, weight} of ends) {
--- a/test/deadly-requests.test.ts
+++ b/test/deadly-requests.test.ts
@@ -132,6 +132,30 @@
 	expect(ends.length).toBeLessThanOrEqual(mostEnds);
 }, playLimit);
 
+async function callAlike(node: number): Promise<number> {
+	const {status} = await fleet.call({path: '/stream/', body: 'alike', headers: {'cresshook-token-usage': '500,80'}}, node);
+	return status;
+}
+
+function endBusyServer(): void {
+	const busy = fleet.runners.findIndex((runner, index) => runner.seen.length > 0 && fleet.store.get('servers', `i-${index}`) !== undefined);
+	endServer(`i-${busy}`, 'power');
+}
+
+// Short questions of many callers are alike to the letter. Each server that ended had run some of them, and after three all of
+// them were refused for ten minutes.
+test('requests that are alike are served though servers end under them again and again', async () => {
+	await startMortals();
+	for (let round = 0; round < 5; round++) {
+		const calls = [0, 1, 2, 0].map(async node => callAlike(node));
+		await pause(120);
+		endBusyServer();
+		await Promise.all(calls);
+		expect(await callAlike(round % nodes)).toBe(200);
+		await pause(400);
+	}
+}, playLimit);
+
 test('a request that stood at two servers that ended together with others is served', async () => {
 	await startMortals();
 	for (let round = 0; round < 2; round++) {
--- a/test/suspects.test.ts
+++ b/test/suspects.test.ts
@@ -67,6 +67,15 @@
 	expect(suspects.judge(a, 5000).kind).toBe('watched');
 });
 
+test('a request that a server has answered is under no suspicion any more', () => {
+	const suspects = new Suspects();
+	const now = endServers(suspects, a, 3);
+	suspects.clear(a);
+	expect(suspects.judge(a, now)).toEqual({kind: 'free', ends: 0});
+	const later = endServers(suspects, a, 2, 10);
+	expect(suspects.judge(a, later).kind).toBe('alone');
+});
+
 test('what one node knows another takes over, and both forget it after ten minutes', () => {
 	const suspects = new Suspects();
 	const now = endServers(suspects, a, 3);
