fix(routing): whoever was tried in one silence of the store is tried again in the next, and one follower's loss is all followers'

Causes: a node that had asked in vain counted as cut off for ten seconds, also after others had heard the store; its next first call went over the connection of that silence, and its turn was over before a second; the wave of nodes that try began only when the last follower's own watch was late.

Change: a node that was cut off may be tried a second after, once another one has heard the store, else after a time that grows with the fleet, ten seconds at most. A list takes a new connection. A follower that loses the store makes the others look. Turns are 0.3 s, and a list is not repeated for another's doubt.

--- a/soak/load.ts
+++ b/soak/load.ts
@@ -28,9 +28,20 @@
 /** Longest body in bytes. */
 const longestBody = 20_000;
 
+/** Time after a change at which each node is asked for what it added, in milliseconds: right after it must be there. */
+const askAddedAfter = 2350;
+
+/** Pause between looks for changes, in milliseconds. */
+const changePoll = 25;
+
 /** A kind of request: its path, its share of the traffic, and how long it may take in milliseconds. */
 type CallShape = {kind: CallRecord['kind']; path: string; share: number; limit: number};
 
+/** For a route that a version has added; its path has the version's number. */
+const addedShape: CallShape = {
+	kind: 'added', path: '', share: 0.1, limit: 1500,
+};
+
 const shapes: CallShape[] = [
 	{
 		kind: 'stream', path: '/stream/', share: 0.5, limit: 5000,
@@ -44,9 +55,7 @@
 	{
 		kind: 'version', path: '/turn/', share: 0.1, limit: 1500,
 	},
-	{
-		kind: 'added', path: '', share: 0.1, limit: 1500,
-	},
+	addedShape,
 ];
 
 /** All callers of a run. */
@@ -67,7 +76,7 @@
 
 	/** Sends requests until `stop`; resolves when the last one has ended. */
 	async run(): Promise<void> {
-		const asking = this.#askAddresses();
+		const asking = [this.#askAddresses(), this.#askEachForChanges()];
 		while (!this.#isOver) {
 			await pause(-Math.log(1 - this.#random()) * meanGap);
 			const node = this.#pickNode();
@@ -76,7 +85,7 @@
 			}
 		}
 
-		await Promise.all([asking, ...this.#inProgress]);
+		await Promise.all([...asking, ...this.#inProgress]);
 		await this.#agent.destroy();
 	}
 
@@ -104,6 +113,26 @@
 		}
 	}
 
+	/** Few of the others meet the short time in which a node may be late. */
+	async #askEachForChanges(): Promise<void> {
+		let asked = 0;
+		while (!this.#isOver) {
+			for (const number of this.#listDueVersions(asked)) {
+				asked = number;
+				for (const node of this.#fleet.nodes) {
+					this.#inProgress.add(this.#call(node, addedShape, number));
+				}
+			}
+
+			await pause(changePoll);
+		}
+	}
+
+	#listDueVersions(asked: number): number[] {
+		const due = Date.now() - askAddedAfter;
+		return this.#records.changes.flatMap(({at, version}) => version !== undefined && version.number > asked && at <= due ? [version.number] : []);
+	}
+
 	#pickNode(): SoakNode | undefined {
 		const address = this.#addresses[Math.floor(this.#random() * this.#addresses.length)];
 		return this.#fleet.nodes.find(node => address?.endsWith(`:${node.ports.callers}`));
@@ -131,11 +160,11 @@
 		return Math.max(1, newest - Math.floor((this.#random() ** 4) * (keptVersions + 3)));
 	}
 
-	async #call(node: SoakNode, shape: CallShape): Promise<void> {
+	async #call(node: SoakNode, shape: CallShape, addedBy = shape.kind === 'added' ? this.#pickVersion() : undefined): Promise<void> {
 		const id = randomUUID();
 		const body = Buffer.alloc(Math.floor(this.#random() * longestBody), id);
 		const record: CallRecord = {
-			id, kind: shape.kind, node: node.name, sentAt: Date.now(), endedAt: 0, status: 0, isComplete: false, limit: shape.limit, addedBy: shape.kind === 'added' ? this.#pickVersion() : undefined,
+			id, kind: shape.kind, node: node.name, sentAt: Date.now(), endedAt: 0, status: 0, isComplete: false, limit: shape.limit, addedBy,
 		};
 		const leave = new AbortController();
 		let hasLeft = false;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -99,9 +99,7 @@
 			clients: this.#clients,
 			self,
 			isFirstStart: parts.settings.first_start && !isSeed(parts.settings),
-			onTurn: () => {
-				this.#health.tellTurn();
-			},
+			health: this.#health,
 			onSilent: part => {
 				this.metrics.countLeft(part);
 			},
--- a/src/gateway/views/view-exchange.ts
+++ b/src/gateway/views/view-exchange.ts
@@ -7,7 +7,7 @@
 	readErrorMessage, type BoxId, type Clock, type Logger,
 } from '../../common/index.js';
 import {
-	followedKinds, type ConfigChanges, type FleetState, type ServersSnapshot,
+	followedKinds, type ConfigChanges, type FleetState, type ServersSnapshot, type SourceHealth,
 } from '../../routing/index.js';
 import {parsePacked, type PackedText} from '../../rpc/packed-text.js';
 import {computeDigest} from '../digest.js';
@@ -31,7 +31,7 @@
 const settleTime = 1000;
 
 /** Time for which a node that is to follow the source goes on without an answer, in milliseconds: others try meanwhile, and it may be slow. */
-const leastTurn = 500;
+const leastTurn = 300;
 
 /** Age of the last answers up to which a node says that it hears the source, in milliseconds: the wait of a call, and what may come on top. */
 const hearingAge = 2500;
@@ -48,8 +48,8 @@
 	self: () => Peer;
 	/** Whether other nodes will read the source first: the whole fleet starts, and this node is none of those that the others were told of. */
 	isFirstStart: boolean;
-	/** Called when this node is to follow the source from now on. */
-	onTurn: () => void;
+	/** What the followers of this node are told. */
+	health: SourceHealth;
 	/** Called when a question was silent for so long that another node was asked. */
 	onSilent: (part: ViewPart) => void;
 };
@@ -67,6 +67,8 @@
 	readonly #settledAt: number;
 	/** Until when this node goes on to ask though it had no answer yet. */
 	#turnEndsAt = -Infinity;
+	/** Nodes that heard the source. */
+	#hearing = new Set<BoxId>();
 	#chosenAt: {revision: number; isReachable: boolean; isInTurn: boolean} | undefined;
 
 	constructor(parts: ViewExchangeParts) {
@@ -125,6 +127,7 @@
 
 	/** Works out anew who follows the source, when something has changed. */
 	chooseWatchers(peers: Peers): void {
+		this.#parts.state.setFleetSize(peers.countLive() + 1);
 		const self = this.#parts.self();
 		if (this.#isPatient) {
 			return;
@@ -139,13 +142,15 @@
 		}
 
 		this.#chosenAt = {revision, isReachable, isInTurn};
-		const watchers = chooseWatchers([self, ...peers.listLive()]);
+		const live = peers.listLive();
+		this.#noticeLoss(live);
+		const watchers = chooseWatchers([self, ...live]);
 		const isWatcher = watchers.some(node => node.name === self.name) || (this.#isWatcher && isInTurn && !isReachable);
 		if (isWatcher !== this.#isWatcher) {
 			this.#isWatcher = isWatcher;
 			if (isWatcher) {
 				this.#turnEndsAt = now + leastTurn;
-				this.#parts.onTurn();
+				this.#parts.health.tellTurn();
 			}
 
 			this.#parts.logger.info({event: 'watcher_changed', isWatcher, watchers: watchers.length}, isWatcher ? 'this node follows the source' : 'other nodes follow the source and tell this one');
@@ -175,6 +180,15 @@
 		return lag;
 	}
 
+	/** The source may have fallen silent to several followers at once, and the calls of some wait for long: one that has noticed is a reason to look for all. */
+	#noticeLoss(live: Peer[]): void {
+		const hasLost = live.some(peer => !peer.isSourceReachable && this.#hearing.has(peer.name));
+		this.#hearing = new Set(live.filter(peer => peer.hearsSource).map(peer => peer.name));
+		if (hasLost) {
+			this.#parts.health.tellDoubt();
+		}
+	}
+
 	/** Whether a node with this view knows servers that this one does not. */
 	#hasServers(view: PeerView): boolean {
 		const own = this.describeView();
--- a/src/routing/fleet-state.ts
+++ b/src/routing/fleet-state.ts
@@ -15,10 +15,15 @@
 } from './model.js';
 import {chooseService, RouteTable} from './route-table.js';
 import {ServerView, type ServersSnapshot} from './server-view.js';
-import {SourceHeard, type FollowedKind} from './source-ages.js';
+import {followedKinds, SourceHeard, type FollowedKind} from './source-ages.js';
 
-/** How long a node that no longer asks the source counts as cut off from it, in milliseconds: then it may be tried again. */
-const outageMemory = 10_000;
+/**
+ * How long a node that has asked the source in vain counts as cut off from it, in milliseconds: then it may be tried again.
+ *
+ * While nobody hears the source, for so long for each node of the fleet, so that as many are tried a second in any fleet; a
+ * short time once another node has heard it.
+ */
+const outageMemory = {ofNode: 130, shortest: 1000, longest: 10_000};
 
 /** Where a call goes, by one version of the configuration. */
 export type ResolvedCall = {
@@ -41,6 +46,7 @@
 	/** Kinds without an answer when they were last asked for, and when that was, by the monotonic clock. */
 	readonly #outages = new Map<FollowedKind, number>();
 	#table: RouteTable | undefined;
+	#fleetSize = Infinity;
 
 	constructor(clock: Clock, logger: Logger) {
 		this.sourceHeard = new SourceHeard(clock);
@@ -88,10 +94,18 @@
 	/** Whether the source answered when it was last asked, unless that is long ago, and servers are known at all. */
 	get isSourceReachable(): boolean {
 		const now = this.#clock.readMonotonic();
-		const isCutOff = [...this.#outages.values()].some(at => now - at < outageMemory);
+		const memory = Math.min(outageMemory.longest, Math.max(outageMemory.shortest, this.#fleetSize * outageMemory.ofNode));
+		const last = Math.max(-Infinity, ...this.#outages.values());
+		const wasHeardSince = followedKinds.every(kind => now - (this.sourceHeard.measureFleet(kind) ?? Infinity) > last);
+		const isCutOff = now - last < (wasHeardSince ? outageMemory.shortest : memory);
 		return !isCutOff && this.#servers.revision > 0;
 	}
 
+	/** Sets how many nodes the fleet has. */
+	setFleetSize(size: number): void {
+		this.#fleetSize = size;
+	}
+
 	/** Whether calls can be served: a configuration and servers are known, from whomever. */
 	get isUsable(): boolean {
 		return this.#table !== undefined && (this.#servers.revision > 0 || this.#servers.size > 0);
--- a/src/routing/follower.ts
+++ b/src/routing/follower.ts
@@ -140,7 +140,8 @@
 		// Without a list this node serves nobody.
 		const listed = await this.#lists.next({
 			...this.#createQuestion(),
-			call: async (_attempt, call) => this.#items.source.list(call),
+			// Connections that have been at rest since an earlier turn may have fallen silent meanwhile.
+			call: async (_attempt, call) => this.#items.source.list({...call, isRepeated: true}),
 			findWait: () => 0,
 			firstPause: this.#items.pace.pause,
 		}, signal);
--- a/src/routing/source-calls.ts
+++ b/src/routing/source-calls.ts
@@ -151,6 +151,11 @@
 		}
 
 		if (!wasDoubted) {
+			if (this.#open[0].wait === 0) {
+				// It was asked a moment ago, and is answered soon or not at all.
+				return;
+			}
+
 			this.#isDoubted = true;
 			onDoubt('another call to the source was lost or is late');
 		}
--- a/test/config-lag.test.ts
+++ b/test/config-lag.test.ts
@@ -2,7 +2,7 @@
 import {createLogger, VirtualClock} from '../src/common/index.js';
 import type {PeerClients} from '../src/gateway/peers/peer-rpc.js';
 import {ConfigLag, ViewExchange} from '../src/gateway/views/index.js';
-import {FleetState} from '../src/routing/index.js';
+import {FleetState, SourceHealth} from '../src/routing/index.js';
 import {LogMemory} from './helpers/logs.js';
 import {createPeer} from './helpers/peers.js';
 import {passTime} from './helpers/sources.js';
@@ -38,8 +38,7 @@
 		clients: {askAfresh} as unknown as PeerClients,
 		self: () => createPeer('n0'),
 		isFirstStart: false,
-		onTurn() {}, // eslint-disable-line @typescript-eslint/no-empty-function
-
+		health: new SourceHealth(),
 		onSilent(part) {
 			silent.push(part);
 		},
--- a/test/helpers/linked-nodes.ts
+++ b/test/helpers/linked-nodes.ts
@@ -7,7 +7,7 @@
 import {openPeersServer, type OpenServer} from '../../src/gateway/servers.js';
 import {ViewAnswers, ViewExchange} from '../../src/gateway/views/index.js';
 import {
-	FleetState, type BackendServer, type RoutingConfig,
+	FleetState, SourceHealth, type BackendServer, type RoutingConfig,
 } from '../../src/routing/index.js';
 import {findFreePorts, waitUntil} from './gateways.js';
 import {LinkProxy} from './link-proxy.js';
@@ -76,7 +76,7 @@
 			life: this.name, availabilityZone: `zone-${index % 3}` as AvailabilityZone, peerAddress: this.link.address, beatAddress: `${host}:${ports[1]}`,
 		});
 		this.exchange = new ViewExchange({
-			clock: systemClock, logger, state: this.state, clients: this.#clients, self, isFirstStart: false, onTurn() {}, onSilent() {}, // eslint-disable-line @typescript-eslint/no-empty-function
+			clock: systemClock, logger, state: this.state, clients: this.#clients, self, isFirstStart: false, health: new SourceHealth(), onSilent() {}, // eslint-disable-line @typescript-eslint/no-empty-function
 		});
 		this.peers = new Peers({
 			clock: systemClock, logger, self, view: () => this.exchange.describeView(), random: Math.random,
--- a/test/helpers/store-fleet.ts
+++ b/test/helpers/store-fleet.ts
@@ -8,7 +8,7 @@
 import seedrandom from 'seedrandom';
 import {createSilentLogger, waitFor, type Clock} from '../../src/common/index.js';
 import {
-	Follower, followPace, ItemSource, SourceHealth, type BackendServer, type Changes, type FollowCall, type FollowedKind, type Listing, type RoutingConfig, type SourceCall, type SourceFailure,
+	Follower, followPace, ItemSource, type BackendServer, type Changes, type FollowCall, type FollowedKind, type Listing, type RoutingConfig, type SourceCall, type SourceFailure,
 } from '../../src/routing/index.js';
 import {
 	createModelServer, createRoutedConfig, createRoutes, ViewingFleet, type ViewingNode, type ViewingOptions,
@@ -188,7 +188,7 @@
 }
 
 /** A node and its connections to the store. */
-type Following = {node: ViewingNode; health: SourceHealth; sources: Array<SimulatedSource<unknown>>};
+type Following = {node: ViewingNode; sources: Array<SimulatedSource<unknown>>};
 
 /** A fleet whose nodes choose among themselves who follows the store. */
 export class StoreFleet extends ViewingFleet {
@@ -259,10 +259,6 @@
 		await this.pass(50);
 	}
 
-	protected override takeTurn(index: number): void {
-		this.#following[index]?.health.tellTurn();
-	}
-
 	protected override beat(node: ViewingNode, hasNews: boolean): void {
 		super.beat(node, hasNews);
 		node.exchange.chooseWatchers(node.peers);
@@ -274,11 +270,10 @@
 
 	#follow(node: ViewingNode, random: () => number): void {
 		const {clock} = this;
-		const {state, exchange} = node;
+		const {state, exchange, health} = node;
 		const logger = createSilentLogger();
 		const configurations = new SimulatedSource<RoutingConfig>(this.store, node.index, 'configuration', clock);
 		const servers = new SimulatedSource<BackendServer>(this.store, node.index, 'servers', clock);
-		const health = new SourceHealth();
 		const common = {
 			pace: followPace, health, asksSource: () => exchange.asksSource, state,
 		};
@@ -316,6 +311,6 @@
 			void follower.run(this.#stop.signal);
 		}
 
-		this.#following.push({node, health, sources: [configurations as SimulatedSource<unknown>, servers as SimulatedSource<unknown>]});
+		this.#following.push({node, sources: [configurations as SimulatedSource<unknown>, servers as SimulatedSource<unknown>]});
 	}
 }
--- a/test/helpers/viewing-fleet.ts
+++ b/test/helpers/viewing-fleet.ts
@@ -10,7 +10,7 @@
 import {heartbeatEvery, Peers, type OutgoingBeat} from '../../src/gateway/peers/peers.js';
 import {ViewAnswers, ViewExchange} from '../../src/gateway/views/index.js';
 import {
-	FleetState, type BackendServer, type Route, type RoutingConfig,
+	FleetState, SourceHealth, type BackendServer, type Route, type RoutingConfig,
 } from '../../src/routing/index.js';
 import {createPeer} from './peers.js';
 import {passTime} from './sources.js';
@@ -43,6 +43,7 @@
 export type ViewingNode = {
 	index: number;
 	state: FleetState;
+	health: SourceHealth;
 	peers: Peers;
 	exchange: ViewExchange;
 	answers: ViewAnswers;
@@ -162,9 +163,6 @@
 		this.#lostUntil = ++this.#asked;
 	}
 
-	/** What a node does when it is to follow the source. */
-	protected takeTurn(_index: number): void {} // eslint-disable-line @typescript-eslint/no-empty-function
-
 	/** What a node does when it beats. */
 	protected beat(node: ViewingNode, hasNews: boolean): void {
 		for (const outgoing of node.peers.beat(hasNews)) {
@@ -176,18 +174,21 @@
 		const {clock} = this;
 		const logger = createSilentLogger();
 		const state = new FleetState(clock, logger);
-		const self = () => createPeer(`n${index}`, {availabilityZone: `zone-${index % 3}` as AvailabilityZone, isSourceReachable: state.isSourceReachable, hearsSource: this.nodes[index]?.exchange.hearsSource ?? false});
+		const health = new SourceHealth();
+		const self = () => createPeer(`n${index}`, {
+			availabilityZone: `zone-${index % 3}` as AvailabilityZone,
+			isSourceReachable: state.isSourceReachable,
+			hearsSource: this.nodes[index]?.exchange.hearsSource ?? false,
+		});
 		const exchange = new ViewExchange({
-			clock, logger, state, clients: this.#createClients(index), self, isFirstStart: false, onTurn: () => {
-				this.takeTurn(index);
-			}, onSilent() {}, // eslint-disable-line @typescript-eslint/no-empty-function
+			clock, logger, state, clients: this.#createClients(index), self, isFirstStart: false, health, onSilent() {}, // eslint-disable-line @typescript-eslint/no-empty-function
 		});
 		const peers = new Peers({
 			clock, logger, self, view: () => exchange.describeView(), random: this.#random,
 		});
 		peers.addCandidate('n0:3');
 		const node = {
-			index, state, peers, exchange, answers: new ViewAnswers(state), isDead: false, sentUntil: 0, takenUntil: 0, wantsBeat: false, lastBeatAt: -heartbeatEvery * this.#random(),
+			index, state, health, peers, exchange, answers: new ViewAnswers(state), isDead: false, sentUntil: 0, takenUntil: 0, wantsBeat: false, lastBeatAt: -heartbeatEvery * this.#random(),
 		};
 		peers.addViewListener((peer, view) => {
 			exchange.compareView(peer, view);
--- a/test/source-silence.test.ts
+++ b/test/source-silence.test.ts
@@ -133,3 +133,20 @@
 	expect(await measureWorst(fleet, 6)).toBeLessThanOrEqual(changeBound);
 	await fleet.end();
 }, playLimit);
+
+// All nodes but one were left without answers, twice within seconds, another one each time. Those who had tried in vain in the first
+// silence counted as cut off for ten seconds, the one that was served in the second among them: no node tried the store but the three
+// that could not reach it (no `watcher_changed` for 1.04 s, until the silence was over), and a route was refused 2,355 ms after its version.
+test.each([[6, 1], [6, 2], [12, 3]])('of %d nodes one is served, in each of three silences another one (%d)', async (nodes, seed) => {
+	const fleet = await new StoreFleet({nodes, seed: `one ${seed}`}).begin();
+	const {followers} = fleet;
+	const others = fleet.nodes.map(({index}) => index).filter(index => !followers.includes(index));
+	for (const served of others.slice(0, 3)) {
+		const restore = fleet.silence(fleet.nodes.map(({index}) => index).filter(index => index !== served));
+		expect(await measureWorst(fleet, 6)).toBeLessThanOrEqual(changeBound);
+		restore();
+		await fleet.pass(400);
+	}
+
+	await fleet.end();
+}, playLimit);
