fix(routing): a follower that is started again after a defect reads on

A defect of one call to the store was kept and thrown again by the next one, so that a follower which its supervisor started again would have ended at once, and the node with it. It is thrown once now, and the calls end with it; the test failed before. Times in the line of a late call are whole milliseconds.

--- a/src/routing/source-calls.ts
+++ b/src/routing/source-calls.ts
@@ -107,9 +107,7 @@
 		signal.addEventListener('abort', wake);
 		try {
 			while (!signal.aborted && question.goesOn()) {
-				if (this.#defect !== undefined) {
-					throw this.#defect;
-				}
+				this.#throwDefect();
 
 				const answer = this.#answers.shift();
 				if (answer !== undefined) {
@@ -144,6 +142,16 @@
 		this.#answers.length = 0;
 	}
 
+	/** Once: whoever restarts its follower begins anew. */
+	#throwDefect(): void {
+		const defect = this.#defect;
+		if (defect !== undefined) {
+			this.#defect = undefined;
+			this.end();
+			throw defect;
+		}
+	}
+
 	/** The next call goes out at once, beside one that was not doubted yet, or that was. */
 	#hasten({onDoubt}: Question<Answer>, wasDoubted: boolean): void {
 		if (this.#open.length === 0 || this.#isDoubted !== wasDoubted || this.#hasToldAnswer) {
@@ -168,7 +176,7 @@
 		const attempt = this.#attempt++;
 		const now = this.#now();
 		if (attempt > 0 && !this.#isDoubted) {
-			this.#doubt(question, `no answer within ${question.firstPause} ms`);
+			this.#doubt(question, `no answer within ${Math.round(question.firstPause)} ms`);
 		}
 
 		const call = {
--- a/test/follow-source.test.ts
+++ b/test/follow-source.test.ts
@@ -173,6 +173,32 @@
 	await Promise.all([expect(running).rejects.toThrow('a defect'), passTime(clock, 1000)]);
 });
 
+// A defect of one call was thrown again by each later one, so that a follower which was started again ended at once.
+test('a follower that is started again after a defect of its source reads on', async () => {
+	const clock = new VirtualClock();
+	const source = new StandinSource(clock);
+	const list = source.list.bind(source);
+	let listed = 0;
+	source.list = async call => {
+		listed++;
+		if (listed === 1) {
+			throw new Error('a defect');
+		}
+
+		return list(call);
+	};
+
+	const follower = createFollower(source, clock);
+	const stopping = new AbortController();
+	await Promise.all([expect(follower.run(stopping.signal)).rejects.toThrow('a defect'), passTime(clock, 1000)]);
+	const again = follower.run(stopping.signal);
+	await passTime(clock, 1000);
+	expect(source.calls.map(({kind}) => kind)).toContain('follow');
+	stopping.abort();
+	await passTime(clock, 20);
+	await again;
+});
+
 test('entries that vanish in a silence that is shorter than an outage that anybody reports are kept for a while', async () => {
 	const {clock, source, state, stop} = await startFollower();
 	state.applyServerList({items: [createServer('i-1')], revision: 3}, 'source');
