fix(gateway): a node that is refused a request which ends servers knows it when it decides alone

The node that decided and carried the request was closed; the next one, which had been told, did not answer within 90 ms (decider_passed_over), and a third one decided by its own view. It had been refused the same request before and had learned nothing by it.

A refusal carries the ends that it rests on, as a place does. What is left: a node that decides alone and has never asked for the request, nor been told.

--- a/src/gateway/deciding/shared-placer.ts
+++ b/src/gateway/deciding/shared-placer.ts
@@ -13,11 +13,11 @@
 	type BoxId, type Clock, type Failure, type IdSource, type Logger, type PlanId, type ServiceName, type Timer,
 } from '../../common/index.js';
 import {
-	isFirstAsk, Planner, type Decision, type Plan, type PlanNote, type PlanRequest, type RetryAllowance, type RetryLimits, type RetryRequest, type ServerWork,
+	isFirstAsk, Planner, type Decision, type Plan, type PlanNote, type PlanRequest, type RetryAllowance, type RetryLimits, type RetryRequest, type ServerEnd, type ServerWork,
 } from '../../planning/index.js';
 import type {FleetState} from '../../routing/index.js';
 import type {GatewayMetrics} from '../gateway-metrics.js';
-import type {Adoption, PeerClients} from '../peers/peer-rpc.js';
+import type {Adoption, DecisionAnswer, PeerClients} from '../peers/peer-rpc.js';
 import type {PeerSocket} from '../peers/peer-socket.js';
 import type {PlanNews} from '../peers/plan-news.js';
 import type {Peer} from '../peers/peer-beat.js';
@@ -133,7 +133,7 @@
 				return {askAgainIn: decision.askAgainIn};
 			}
 
-			this.#learnEnds(decision.plan);
+			this.#learnEnds(decision.plan.request);
 			this.#findPlans(request.service).own.set(decision.plan.planId, decision.plan);
 			return {plan: decision.plan, decidedBy};
 		});
@@ -158,9 +158,12 @@
 		}
 	}
 
-	/** Decides for a node that asked. */
-	decideFor(request: PlanRequest): Either<Failure, Decision> {
-		return this.#decideHere(request, this.#parts.peers.countLive() + 1);
+	/** Decides for a node that asked. One that is refused a request which ends servers learns of the ends: it may have to decide alone. */
+	decideFor(request: PlanRequest): DecisionAnswer {
+		return this.#decideForAll(request).caseOf<DecisionAnswer>({
+			Left: failure => failure.kind === 'ends_servers' ? {failure, ends: this.#describeEnds(request)} : {failure},
+			Right: decision => ({decision}),
+		});
 	}
 
 	override async takeRetry(request: RetryRequest): Promise<boolean> {
@@ -248,12 +251,15 @@
 
 	/** Each node remembers what it has been told of the requests that came to it: the next one that decides learns it from all of them. */
 	#addEnds(request: PlanRequest): PlanRequest {
-		const {content, service} = request;
-		const ends = content === undefined ? [] : this.#findPlans(service).planner.suspects.describe(content, this.#parts.clock.readMonotonic());
+		const ends = this.#describeEnds(request);
 		return ends.length === 0 ? request : {...request, ends};
 	}
 
-	#learnEnds({request: {content, ends = [], service}}: Plan): void {
+	#describeEnds({content, service}: PlanRequest): ServerEnd[] {
+		return content === undefined ? [] : this.#findPlans(service).planner.suspects.describe(content, this.#parts.clock.readMonotonic());
+	}
+
+	#learnEnds({content, ends = [], service}: PlanRequest): void {
 		if (content !== undefined && ends.length > 0) {
 			this.#findPlans(service).planner.suspects.learn(content, ends, this.#parts.clock.readMonotonic());
 		}
@@ -266,6 +272,10 @@
 		}
 	}
 
+	#decideForAll(request: PlanRequest): Either<Failure, Decision> {
+		return this.#decideHere(request, this.#parts.peers.countLive() + 1);
+	}
+
 	/** Decides by what this node has seen: its own plans, and those of so many nodes, itself among them, that ask it. */
 	#decideHere(request: PlanRequest, seen: number): Either<Failure, Decision> {
 		const {planner} = this.#findPlans(request.service);
@@ -289,7 +299,7 @@
 		const decider = this.#deciders.choose(request.service);
 		this.#changeDecider(request.service, plans, decider);
 		if (decider.name === self.name) {
-			return {decidedBy: 'self', result: this.decideFor(request)};
+			return {decidedBy: 'self', result: this.#decideForAll(request)};
 		}
 
 		const answer = await this.#parts.clients.ask(decider.peerAddress, askTimeout, async (client, signal) => client.decide.mutate(request, {signal}));
@@ -297,6 +307,7 @@
 			plans.planner.adopt([answer.decision.plan], this.#parts.clock.readMonotonic());
 		}
 
+		this.#learnEnds({...request, ends: answer?.ends});
 		if (answer?.decision !== undefined) {
 			return {decidedBy: 'planner', result: Right(answer.decision)};
 		}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -277,7 +277,7 @@
 	}
 
 	override decide(request: PlanRequest): DecisionAnswer {
-		return this.#placer.decideFor(request).caseOf<DecisionAnswer>({Left: failure => ({failure}), Right: decision => ({decision})});
+		return this.#placer.decideFor(request);
 	}
 
 	override grantRetry(request: RetryRequest): boolean {
--- a/src/gateway/peers/peer-rpc.ts
+++ b/src/gateway/peers/peer-rpc.ts
@@ -17,7 +17,12 @@
 import {createSilenceLimit} from '../../rpc/silence-limit.js';
 
 /** A decision, or why there is none. */
-export type DecisionAnswer = {decision?: Decision; failure?: Failure};
+export type DecisionAnswer = {
+	decision?: Decision;
+	failure?: Failure;
+	/** Servers that have ended while they ran the request, when it is refused for that. */
+	ends?: ServerEnd[];
+};
 
 /** What a node tells the one that decides for it from now on. */
 export type Adoption = {
--- a/test/deadly-requests.test.ts
+++ b/test/deadly-requests.test.ts
@@ -132,6 +132,24 @@
 	expect(ends.length).toBeLessThanOrEqual(mostEnds);
 }, playLimit);
 
+// The node that decided and had carried the request was gone, and the next one, which had been told, did not answer within 90 ms beside
+// other load. A third node decided alone (`decider_passed_over`); it had been refused the same request six times and had learned
+// nothing by it: three more servers ended (`server_ended` there for i-6, i-7 and i-1).
+test('a node that was told that a request ends servers holds to it when it is left alone', async () => {
+	await startMortals();
+	const first = Date.now() + 3000;
+	await Promise.all([callUntil('deadly 1', first, 150), callGood(6, first)]);
+	const before = ends.length;
+	await Promise.all([0, 2].map(async index => fleet.gateways[index].close()));
+	fleet.gateways.splice(0, 3, fleet.gateways[1]);
+	fleet.settings.splice(0, 3, fleet.settings[1]);
+	await pause(2000);
+	const second = Date.now() + 1500;
+	const [bad] = await Promise.all([callUntil('deadly 1', second, 150), callGood(6, second)]);
+	expect([before, ends.length]).toEqual([mostEnds, mostEnds]);
+	expect(new Set(bad)).toEqual(new Set([503]));
+}, playLimit);
+
 async function callAlike(node: number): Promise<number> {
 	const {status} = await fleet.call({path: '/stream/', body: 'alike', headers: {'cresshook-token-usage': '500,80'}}, node);
 	return status;
