refactor: one way to read a body and one to make a digest; nothing unused

The store's client and the calls between nodes read a body with a sign for each part by two pieces of code, and the digest of a call's content was made beside the one that there was. One of each serves both; digests and answers are the same.

--- a/soak/judge.ts
+++ b/soak/judge.ts
@@ -30,7 +30,7 @@
 /** Time after a fault of a node, or of a server that worked on it, in which a request may still break, in milliseconds. */
 const breakSlack = 500;
 
-/** What a store that takes 900 ms for each answer may add to the time of a change, in milliseconds: an answer that had left before it, and one more. */
+/** What a slow store may add to the time of a change, in milliseconds: the answer that had left before it, and one more. */
 const slowSlack = 1800;
 
 /** Last part of the grace in which a stopping node may end what has not ended, as a share. */
--- a/src/common/index.ts
+++ b/src/common/index.ts
@@ -4,6 +4,7 @@
 export * from './incarnation.js';
 export * from './log.js';
 export * from './metrics.js';
+export * from './read-text.js';
 export * from './rendezvous.js';
 export * from './renewed-agent.js';
 export * from './secrets.js';
--- a/src/gateway/calls/content-digest.ts
+++ b/src/gateway/calls/content-digest.ts
@@ -1,6 +1,6 @@
 /** What a call asks, as a digest: its caller may send it again under another id, at another node. Pure. */
-import {createHash} from 'node:crypto';
 import type {ContentDigest} from '../../common/index.js';
+import {computeDigest} from '../digest.js';
 import type {CallHead} from '../wire.js';
 
 /** Letters of a digest: enough that no two of the millions of a day are alike by chance. */
@@ -11,12 +11,7 @@
 
 /** Computes the digest of a call's method, target, prompt and body. */
 export function computeContent({method, host, target, prompt}: CallHead, body: Uint8Array | undefined): ContentDigest {
-	const hash = createHash('sha1').update(JSON.stringify([method, host, target, prompt, body?.length ?? 0]));
-	if (body !== undefined && body.length <= countedBytes * 2) {
-		hash.update(body);
-	} else if (body !== undefined) {
-		hash.update(body.subarray(0, countedBytes)).update(body.subarray(-countedBytes));
-	}
-
-	return hash.digest('base64url').slice(0, digestLength) as ContentDigest;
+	const head = JSON.stringify([method, host, target, prompt, body?.length ?? 0]);
+	const ends = body === undefined || body.length <= countedBytes * 2 ? [body ?? ''] : [body.subarray(0, countedBytes), body.subarray(-countedBytes)];
+	return computeDigest([head, ...ends], digestLength) as ContentDigest;
 }
--- a/src/gateway/digest.ts
+++ b/src/gateway/digest.ts
@@ -1,7 +1,12 @@
 /** Short digests: names for things that are only compared. Pure. */
 import {createHash} from 'node:crypto';
 
-/** So many letters, of six bits each, that depend on all of a text. */
-export function computeDigest(text: string, length: number): string {
-	return createHash('sha1').update(text).digest('base64url').slice(0, length);
+/** So many letters, of six bits each, that depend on all of a text, or of several pieces one after the other. */
+export function computeDigest(content: string | Array<string | Uint8Array>, length: number): string {
+	const hash = createHash('sha1');
+	for (const piece of typeof content === 'string' ? [content] : content) {
+		hash.update(piece);
+	}
+
+	return hash.digest('base64url').slice(0, length);
 }
--- a/src/gateway/views/source-report.ts
+++ b/src/gateway/views/source-report.ts
@@ -3,7 +3,7 @@
 import {followedKinds, type FleetState, type FollowedKind} from '../../routing/index.js';
 import type {GatewayMetrics} from '../gateway-metrics.js';
 
-/** Time for which no node has heard the source before a line says so, in milliseconds: ages reach a node of a large fleet up to two seconds late, and a watch waits 1.5 s. */
+/** Time for which no node has heard the source before a line says so, in milliseconds: longer than a call that waits, and than ages take to reach every node. */
 const reportedAge = 4000;
 
 /** What the report needs. */
--- a/src/routing/server-view.ts
+++ b/src/routing/server-view.ts
@@ -73,11 +73,6 @@
 		return this.#foreign.size;
 	}
 
-	/** Whether the source did not answer when it was last asked. */
-	get isOutage(): boolean {
-		return this.#isOutage;
-	}
-
 	/** The servers known, as one text: equal for equal views. */
 	describe(): string {
 		return [...this.#servers.values()].map(known => `${known.server.id}${markState(known)}`).sort().join(',');
--- a/src/routing/source-calls.ts
+++ b/src/routing/source-calls.ts
@@ -290,11 +290,11 @@
 }
 
 /** Whether the source has answered: that it has lost its history is an answer too. */
-export function isAnswer<Answer>(result: Either<SourceFailure, Answer>): boolean {
+function isAnswer<Answer>(result: Either<SourceFailure, Answer>): boolean {
 	return result.caseOf({Left: failure => failure.kind === 'history_lost', Right: () => true});
 }
 
 /** Why a source did not answer; empty when it did. */
-export function readReason<Answer>(result: Either<SourceFailure, Answer>): string {
+function readReason<Answer>(result: Either<SourceFailure, Answer>): string {
 	return result.caseOf({Left: failure => failure.message, Right: () => ''});
 }
--- a/src/rpc/node-fetch.ts
+++ b/src/rpc/node-fetch.ts
@@ -1,7 +1,6 @@
 /** What calls between nodes have in common: tRPC's messages over a pool of undici, each with a time limit. */
-import {Buffer} from 'node:buffer';
-import type {Agent, Dispatcher} from 'undici';
-import {createTimeout, type Clock} from '../common/index.js';
+import type {Agent} from 'undici';
+import {createTimeout, readText, type Clock} from '../common/index.js';
 
 /** Path under which a node's router is served. */
 export const rpcPath = '/rpc';
@@ -42,20 +41,10 @@
 		ok: response.statusCode < 300,
 		status: response.statusCode,
 		body: response.body,
-		json: async () => hear === undefined ? response.body.json() : readJson(response.body, hear),
+		json: async () => hear === undefined ? response.body.json() : JSON.parse(await readText(response.body, hear)) as unknown,
 	};
 }
 
-async function readJson(body: Dispatcher.ResponseData['body'], hear: () => void): Promise<unknown> {
-	const parts: Uint8Array[] = [];
-	for await (const part of body) {
-		hear();
-		parts.push(part as Uint8Array);
-	}
-
-	return JSON.parse(Buffer.concat(parts).toString());
-}
-
 /** Calls a node and gives up after a time in milliseconds; undefined when there was no answer, and whoever asks logs what it does without. */
 export async function askWithin<Answer>(clock: Clock, timeout: number, call: (signal: AbortSignal) => Promise<Answer>): Promise<Answer | undefined> {
 	const limit = createTimeout(clock, timeout);
