--- a/test/helpers/gateways.ts
+++ b/test/helpers/gateways.ts
@@ -71,7 +71,16 @@
 };
 
 /** Where a node listens, and what it is told of the others. */
-type NodePlace = {index?: number; ports?: number[]; host?: string; seeds?: string[]; isFirstStart?: boolean; retrySlack?: number};
+type NodePlace = {
+	index?: number;
+	ports?: number[];
+	host?: string;
+	seeds?: string[];
+	isFirstStart?: boolean;
+	retrySlack?: number;
+	/** Where it reaches the store, when there is a link before it. */
+	storeAddress?: string;
+};
 
 let callCount = 0;
 
@@ -130,7 +139,7 @@
 	/** Starts a node; one with seeds is part of a first start. */
 	async addGateway(place: NodePlace = {}): Promise<Gateway> {
 		const {
-			index = this.gateways.length, host = ownHost, seeds = [], isFirstStart = seeds.length > 0, retrySlack = 100,
+			index = this.gateways.length, host = ownHost, seeds = [], isFirstStart = seeds.length > 0, retrySlack = 100, storeAddress = this.store.address,
 		} = place;
 		const ports = place.ports ?? await findFreePorts(6);
 		const settings = parseGatewaySettings(`
@@ -148,7 +157,7 @@
 addresses = "${host}:${ports[2]}"
 peers = "${host}:${ports[3]}"
 [store]
-address = "${this.store.address}"
+address = "${storeAddress}"
 [stop]
 grace_seconds = 4
 [retry]
