fix(gateway): ends of servers under one request are told to every node from the second on

Their logs tell why: nodes were passed over for 90 ms without an answer again and again (decider_passed_over), so that each of three decided alone in turn, and each knew only of the ends that it had carried.

From the second end on what is known of a request goes to every node that takes calls, in a datagram each; an answer that clears it does, too. Bystanders of one end are told of to the deciding node and the next one, as before.

--- a/src/gateway/deciding/shared-placer.ts
+++ b/src/gateway/deciding/shared-placer.ts
@@ -10,7 +10,7 @@
 	Left, Right, type Either,
 } from 'purify-ts';
 import {
-	type BoxId, type Clock, type Failure, type IdSource, type Logger, type PlanId, type ServiceName, type Timer,
+	type BoxId, type Clock, type ContentDigest, type Failure, type IdSource, type Logger, type PlanId, type ServiceName, type Timer,
 } from '../../common/index.js';
 import {
 	isFirstAsk, Planner, type Decision, type Plan, type PlanNote, type PlanRequest, type RetryAllowance, type RetryLimits, type RetryRequest, type ServerEnd, type ServerWork,
@@ -149,12 +149,13 @@
 
 		this.#queueNote(service, plans, note);
 		if (note.kind === 'server_ended') {
-			this.#tellNext(service, note);
+			this.#tellEnds(service, note.content);
 		} else if (note.kind === 'ended' && note.wasAnswered === true && content !== undefined && plans.planner.suspects.has(content)) {
 			const survived: PlanNote = {planId: plan.planId, kind: 'survived', content};
+			const isSuspect = this.#isSuspect(service, content);
 			this.#takeNote(plans.planner, survived);
 			this.#queueNote(service, plans, survived);
-			this.#tellNext(service, survived);
+			this.#tellOthers(service, isSuspect, {notes: [survived]});
 		}
 	}
 
@@ -181,11 +182,19 @@
 	}
 
 	/** Takes the news of a node that carries plans out; it does not carry out what it does not list. */
-	takeNews({service, node, notes, active}: PlanNews): void {
+	takeNews({service, node, notes, active, suspects = []}: PlanNews): void {
 		const {planner} = this.#findPlans(service);
 		const now = this.#parts.clock.readMonotonic();
+		for (const [content, ends] of suspects) {
+			planner.suspects.learn(content, ends, now);
+		}
+
 		for (const note of notes) {
 			this.#takeNote(planner, note);
+			if (note.kind === 'server_ended' && this.#isSuspect(service, note.content)) {
+				// The node that carried it may know of this end alone.
+				this.#tellEnds(service, note.content);
+			}
 		}
 
 		const forgotten = active === undefined ? 0 : planner.reconcile(node, new Set(active), now);
@@ -255,7 +264,7 @@
 		return ends.length === 0 ? request : {...request, ends};
 	}
 
-	#describeEnds({content, service}: PlanRequest): ServerEnd[] {
+	#describeEnds({content, service}: Pick<PlanRequest, 'content' | 'service'>): ServerEnd[] {
 		return content === undefined ? [] : this.#findPlans(service).planner.suspects.describe(content, this.#parts.clock.readMonotonic());
 	}
 
@@ -381,12 +390,23 @@
 		}
 	}
 
-	/** Under which requests servers have ended must outlive the node that decides, which may be this one. */
-	#tellNext(service: ServiceName, note: PlanNote): void {
+	/** Whether a request is more than a bystander of one end. */
+	#isSuspect(service: ServiceName, content: ContentDigest): boolean {
+		return this.#describeEnds({service, content}).length > 1;
+	}
+
+	#tellEnds(service: ServiceName, content: ContentDigest): void {
+		this.#tellOthers(service, this.#isSuspect(service, content), {notes: [], suspects: [[content, this.#describeEnds({service, content})]]});
+	}
+
+	/** Under which requests servers have ended must outlive the node that decides, which may be this one; of suspects all are told, since any of them may have to decide alone. */
+	#tellOthers(service: ServiceName, isForAll: boolean, news: Pick<PlanNews, 'notes' | 'suspects'>): void {
 		const next = this.#deciders.findNext(service);
 		const self = this.#parts.self().name;
-		if (next !== undefined && next.name !== self) {
-			this.#parts.socket.tell(next.beatAddress, {service, node: self, notes: [note]});
+		for (const peer of isForAll ? this.#parts.peers.listReady() : (next === undefined ? [] : [next])) {
+			if (peer.name !== self) {
+				this.#parts.socket.tell(peer.beatAddress, {service, node: self, ...news});
+			}
 		}
 	}
 
--- a/src/gateway/peers/plan-news.ts
+++ b/src/gateway/peers/plan-news.ts
@@ -7,8 +7,10 @@
  */
 import {Buffer} from 'node:buffer';
 import * as z from 'zod';
-import type {BoxId, PlanId, ServiceName} from '../../common/index.js';
-import type {PlanNote} from '../../planning/index.js';
+import type {
+	BoxId, ContentDigest, PlanId, ServiceName,
+} from '../../common/index.js';
+import type {PlanNote, ServerEnd} from '../../planning/index.js';
 
 /** News of one node on one service. */
 export type PlanNews = {
@@ -17,6 +19,8 @@
 	notes: PlanNote[];
 	/** All plans that the node carries out; undefined when it only has notes. */
 	active?: PlanId[];
+	/** Requests under which servers have ended. */
+	suspects?: Array<[ContentDigest, ServerEnd[]]>;
 };
 
 /** First byte of news; heartbeats begin with another one. */
@@ -27,6 +31,7 @@
 	node: z.string(),
 	notes: z.array(z.looseObject({planId: z.string(), kind: z.enum(['started', 'ended', 'failed', 'server_ended', 'survived'])})),
 	active: z.array(z.string()).optional(),
+	suspects: z.array(z.tuple([z.string(), z.array(z.object({server: z.string(), age: z.number(), weight: z.number()}))])).optional(),
 });
 
 /** Writes news. */
--- a/test/deadly-requests.test.ts
+++ b/test/deadly-requests.test.ts
@@ -150,6 +150,26 @@
 	expect(new Set(bad)).toEqual(new Set([503]));
 }, playLimit);
 
+// Beside load a node was passed over for 90 ms without an answer again and again, and each of three nodes decided alone in turn
+// (`decider_passed_over`, twelve `decider_changed` in three seconds). Each knew of the ends that it had carried, and five and six servers
+// ended by one request.
+test('a node that has never seen a request that ends servers refuses it when it is left alone', async () => {
+	await startMortals();
+	for (let tried = 0; tried < 4; tried++) {
+		await fleet.call({path: '/stream/', body: 'deadly 1', headers: {'cresshook-token-usage': '500,80'}}, 0);
+		await pause(150);
+	}
+
+	const before = ends.length;
+	await Promise.all([0, 2].map(async index => fleet.gateways[index].close()));
+	fleet.gateways.splice(0, 3, fleet.gateways[1]);
+	fleet.settings.splice(0, 3, fleet.settings[1]);
+	await pause(2000);
+	const bad = await callUntil('deadly 1', Date.now() + 1000, 150);
+	expect([before, ends.length]).toEqual([mostEnds, mostEnds]);
+	expect(new Set(bad)).toEqual(new Set([503]));
+}, playLimit);
+
 async function callAlike(node: number): Promise<number> {
 	const {status} = await fleet.call({path: '/stream/', body: 'alike', headers: {'cresshook-token-usage': '500,80'}}, node);
 	return status;
