--- /dev/null
+++ b/test/crashing-requests.test.ts
@@ -0,0 +1,136 @@
+// Requests that crash each backend server that runs them, sent again by clients that leave early or switch nodes.
+import {
+	afterEach, beforeEach, expect, test,
+} from '@jest/globals';
+import {GatewayFleet, waitUntil} from './helpers/gateways.js';
+import {
+	formatEvent, markAnswer, type RunnerBehaviour, type SeenRequest,
+} from './helpers/platform-standins.js';
+
+/** Limit for tests with dozens of callers, in milliseconds. */
+const playLimit = 60_000;
+
+/** Time for a node to learn of a crash, in milliseconds, and how often the request may reach servers later than that. */
+const contactTime = 3000;
+const mostLateArrivals = 3;
+
+/** Delay between the arrival of a crashing request and the crash, in milliseconds. */
+const crashDelay = 150;
+
+const nodes = 3;
+const poison = 'poison';
+
+let fleet: GatewayFleet;
+/** When the request has crashed a server, and when it has reached one. */
+let crashes: number[];
+let arrivals: number[];
+let isOver: boolean;
+
+beforeEach(() => {
+	fleet = new GatewayFleet();
+	crashes = [];
+	arrivals = [];
+	isOver = false;
+});
+
+afterEach(async () => {
+	isOver = true;
+	await fleet.stop();
+});
+
+async function pause(time: number): Promise<void> {
+	await new Promise(resolve => {
+		setTimeout(resolve, time);
+	});
+}
+
+/** Streams six events in 300 ms; a crashing request takes the server down, whether its client is still there or not. */
+function createCrashing(): RunnerBehaviour {
+	return async (request, response) => {
+		if (request.body === poison) {
+			arrivals.push(Date.now());
+			await pause(crashDelay);
+			crashServer(request);
+			return;
+		}
+
+		response.writeHead(200, {...markAnswer(request), 'content-type': 'text/event-stream'});
+		for (let id = Number(request.headers['last-event-id'] ?? 0) + 1; id <= 6 && !response.destroyed; id++) {
+			response.write(formatEvent(id));
+			await pause(50);
+		}
+
+		response.end();
+	};
+}
+
+/** The entry of a crashed server lapses later, as on the platform. */
+function crashServer({headers}: SeenRequest): void {
+	const name = headers['cresshook-target-instance'] ?? '';
+	if (isOver) {
+		return;
+	}
+
+	crashes.push(Date.now());
+	void fleet.runners[Number(name.slice(2))].stop();
+	setTimeout(() => {
+		if (!isOver) {
+			fleet.store.remove('servers', name);
+			void fleet.addRunner('model', createCrashing());
+		}
+	}, 1500).unref();
+}
+
+async function startFleet(servers: number): Promise<void> {
+	await fleet.start({nodes, runners: Array.from({length: servers}, () => ({service: 'model', behaviour: createCrashing()}))});
+	await waitUntil(() => fleet.gateways.every(gateway => gateway.listReadyNodes().length === nodes));
+}
+
+async function sendStream(body: string, node: number, leaveAfter?: number): Promise<number> {
+	const {status} = await fleet.call({
+		path: '/stream/', body, leaveAfter, headers: {'cresshook-token-usage': '500,80'},
+	}, node % fleet.settings.length);
+	return status;
+}
+
+async function repeatUntil(end: number, gap: number, call: (tried: number) => Promise<unknown>): Promise<void> {
+	for (let tried = 0; Date.now() < end; tried++) {
+		await call(tried);
+		await pause(gap);
+	}
+}
+
+function countLateArrivals(): number {
+	const third = crashes[2] ?? Infinity;
+	return arrivals.filter(at => at > third + contactTime).length;
+}
+
+test('rejects a request that crashed three servers after its client had left', async () => {
+	await startFleet(8);
+	await repeatUntil(Date.now() + 14_000, 300, async tried => sendStream(poison, tried, 60));
+	expect(crashes.length).toBeGreaterThanOrEqual(3);
+	expect(countLateArrivals()).toBeLessThanOrEqual(mostLateArrivals);
+}, playLimit);
+
+test('rejects a request that crashed three servers after its client had left, beside other requests', async () => {
+	await startFleet(8);
+	const end = Date.now() + 14_000;
+	const good = Array.from({length: 6}, async (_, index) => repeatUntil(end, 50, async tried => sendStream(`good ${index}`, tried)));
+	await Promise.all([...good, repeatUntil(end, 300, async tried => sendStream(poison, tried, 60))]);
+	expect(crashes.length).toBeGreaterThanOrEqual(3);
+	expect(countLateArrivals()).toBeLessThanOrEqual(mostLateArrivals);
+}, playLimit);
+
+test('a node that joins after the crashes rejects the request when it is the only one left', async () => {
+	await startFleet(6);
+	await repeatUntil(Date.now() + 3000, 100, async tried => sendStream(poison, tried));
+	const before = crashes.length;
+	await fleet.addGateway();
+	await waitUntil(() => fleet.gateways.every(gateway => gateway.listReadyNodes().length === nodes + 1));
+	await pause(2000);
+	await Promise.all(fleet.gateways.splice(0, nodes).map(async gateway => gateway.close()));
+	fleet.settings.splice(0, nodes);
+	await pause(2000);
+	const status = await sendStream(poison, 0);
+	expect([status, crashes.length]).toEqual([503, before]);
+}, playLimit);
