fix(planning): count crashes for requests whose attempt was stopped before the crash

Clients saw their servers crash under a request that came again and again although three servers had crashed under it.

Cause: a crash is recorded by the attempts that it breaks off. An attempt that was stopped before, because its client left, its time had passed or another server answered first, recorded nothing, though its server went on with the request and crashed.

Change: the deciding planner remembers stopped attempts for five seconds. A crash that other attempts report counts for those stopped up to 1 s before it; an entry that vanishes without a notice counts for all of them.

--- a/src/gateway/deciding/shared-placer.ts
+++ b/src/gateway/deciding/shared-placer.ts
@@ -10,7 +10,7 @@
 	Left, Right, type Either,
 } from 'purify-ts';
 import {
-	type BoxId, type Clock, type ContentDigest, type Failure, type IdSource, type Logger, type PlanId, type ServiceName, type Timer,
+	type BackendServerId, type BoxId, type Clock, type ContentDigest, type Failure, type IdSource, type Logger, type PlanId, type ServiceName, type Timer,
 } from '../../common/index.js';
 import {
 	isFirstAsk, Planner, type Decision, type Plan, type PlanNote, type PlanRequest, type RetryAllowance, type RetryLimits, type RetryRequest, type ServerEnd, type ServerWork,
@@ -36,6 +36,9 @@
 /** Time in which notes are gathered, in milliseconds. */
 const noteDelay = 8;
 
+/** How long before a reported crash an attempt may have been stopped whose request counts as a cause, in milliseconds: reports take a few round trips. */
+const reportedCrashAge = 1000;
+
 /** Time for plans to be taken over, in milliseconds. */
 const adoptTimeout = 500;
 
@@ -150,6 +153,7 @@
 		this.#queueNote(service, plans, note);
 		if (note.kind === 'server_ended') {
 			this.#tellEnds(service, note.content);
+			this.#attributeCrash(service, plans.planner, note.server, reportedCrashAge);
 		} else if (note.kind === 'ended' && note.wasAnswered === true && content !== undefined && plans.planner.suspects.has(content)) {
 			const survived: PlanNote = {planId: plan.planId, kind: 'survived', content};
 			const isSuspect = this.#isSuspect(service, content);
@@ -191,10 +195,16 @@
 
 		for (const note of notes) {
 			this.#takeNote(planner, note);
-			if (note.kind === 'server_ended' && this.#isSuspect(service, note.content)) {
-				// The node that carried it may know of this end alone.
+			if (note.kind !== 'server_ended') {
+				continue;
+			}
+
+			if (this.#isSuspect(service, note.content)) {
+				// Only the node that proxied the request may have seen this crash.
 				this.#tellEnds(service, note.content);
 			}
+
+			this.#attributeCrash(service, planner, note.server, reportedCrashAge);
 		}
 
 		const forgotten = active === undefined ? 0 : planner.reconcile(node, new Set(active), now);
@@ -410,6 +420,28 @@
 		}
 	}
 
+	/** Counts a crash for requests whose attempts were stopped before it: no attempt reports it for them. */
+	#attributeCrash(service: ServiceName, planner: Planner, server: BackendServerId, age?: number): void {
+		for (const content of planner.attributeCrash(server, this.#parts.clock.readMonotonic(), age)) {
+			this.#parts.logger.info({
+				event: 'server_ended', service, server, content, wasStopped: true,
+			}, 'a backend server crashed after an attempt there was stopped');
+			this.#tellEnds(service, content);
+		}
+	}
+
+	/** An entry that vanishes without a notice counts as a crash for requests whose attempts there were stopped. */
+	#checkAbandoned(service: ServiceName, planner: Planner): void {
+		const {state, clock} = this.#parts;
+		for (const server of planner.listAbandonedServers()) {
+			if (!state.hasServer(server)) {
+				this.#attributeCrash(service, planner, server);
+			} else if (state.findServer(server) === undefined) {
+				planner.forgetAbandoned(server, clock.readMonotonic());
+			}
+		}
+	}
+
 	#findPlans(service: ServiceName): ServicePlans {
 		let plans = this.#services.get(service);
 		if (plans === undefined) {
@@ -433,6 +465,7 @@
 	#refreshServers(): void {
 		for (const [service, {planner}] of this.#services) {
 			planner.setServers(this.#parts.state.listServers(service), this.#parts.state.table?.findService(service)?.engine);
+			this.#checkAbandoned(service, planner);
 		}
 	}
 }
--- a/src/planning/planner.ts
+++ b/src/planning/planner.ts
@@ -14,6 +14,7 @@
 	createFailure, type AvailabilityZone, type BackendServerId, type BoxId, type ContentDigest, type Failure, type IdSource, type PlanId,
 } from '../common/index.js';
 import type {BackendServer, EngineFigures} from '../routing/index.js';
+import {AbandonedRuns} from './abandoned-runs.js';
 import {CallerWaits} from './caller-waits.js';
 import {computeReadTime} from './engine-model.js';
 import {findLeast} from './find-least.js';
@@ -104,6 +105,7 @@
 	readonly #shares = new ServerShares();
 	readonly #sight = new DimSight();
 	readonly #trials = new Trials();
+	readonly #abandoned = new AbandonedRuns();
 
 	constructor(parts: PlannerParts) {
 		this.#ids = parts.ids;
@@ -247,9 +249,34 @@
 		}
 
 		this.#release(held.plan);
+		// A server that takes no new work may leave as planned, which is no crash.
+		if (note.mayStillRun === true && held.plan.request.content !== undefined && this.#boards.has(held.plan.server)) {
+			this.#abandoned.add(held.plan.server, held.plan.request.content, now);
+		}
+
 		return undefined;
 	}
 
+	/** Servers that may still run requests whose attempts were stopped. */
+	listAbandonedServers(): BackendServerId[] {
+		return this.#abandoned.listServers();
+	}
+
+	/** Counts a server's crash for the requests whose attempts there were stopped at most `age` milliseconds ago; returns those requests. */
+	attributeCrash(server: BackendServerId, now: number, age?: number): ContentDigest[] {
+		const contents = this.#abandoned.take(server, now, age);
+		for (const content of contents) {
+			this.suspects.noteEnd(server, content, this.#weighEnd(server, content), now);
+		}
+
+		return contents;
+	}
+
+	/** Forgets the stopped attempts at a server that leaves as planned. */
+	forgetAbandoned(server: BackendServerId, now: number): void {
+		this.#abandoned.take(server, now);
+	}
+
 	/** Forgets the plans of a node that is gone. */
 	forgetNode(node: BoxId): void {
 		for (const {plan} of this.#plans.values()) {
--- /dev/null
+++ b/test/abandoned-runs.test.ts
@@ -0,0 +1,57 @@
+import {expect, test} from '@jest/globals';
+import type {BackendServerId, ContentDigest} from '../src/common/index.js';
+import type {Plan, Planner} from '../src/planning/index.js';
+import {
+	ask, createPlanner, createServers, engine, planNow, short,
+} from './helpers/planning.js';
+
+const content = 'content-a' as ContentDigest;
+
+/** Places a request and stops its attempt. */
+function abandon(planner: Planner, now: number, mayStillRun = true): Plan {
+	const plan = planNow(planner, ask(500, {...short, content}), now);
+	planner.note({planId: plan.planId, kind: 'ended', mayStillRun}, now + 50);
+	return plan;
+}
+
+function crashReported(planner: Planner, server: BackendServerId, now: number): ContentDigest[] {
+	planner.note({
+		planId: 'plan-other' as Plan['planId'], kind: 'server_ended', server, content: 'content-other' as ContentDigest,
+	}, now);
+	return planner.attributeCrash(server, now, 1000);
+}
+
+test('counts a crash for a request that was stopped shortly before it', () => {
+	const planner = createPlanner();
+	for (const start of [0, 10_000, 20_000]) {
+		const {server} = abandon(planner, start);
+		expect(crashReported(planner, server, start + 200)).toEqual([content]);
+		planner.setServers(createServers(18).filter(({id}) => id !== server), engine);
+	}
+
+	expect(planner.suspects.judge(content, 21_000).kind).toBe('refused');
+});
+
+test('counts a lost entry for a request that was stopped up to five seconds before', () => {
+	const planner = createPlanner();
+	const {server} = abandon(planner, 0);
+	expect(planner.listAbandonedServers()).toEqual([server]);
+	expect(planner.attributeCrash(server, 4000)).toEqual([content]);
+	expect(planner.listAbandonedServers()).toEqual([]);
+});
+
+test('counts no crash for a request that was stopped long before it or was not sent', () => {
+	const planner = createPlanner();
+	const {server} = abandon(planner, 0);
+	expect(crashReported(planner, server, 1500)).toEqual([]);
+	abandon(planner, 10_000, false);
+	expect(planner.suspects.judge(content, 11_000)).toEqual({kind: 'free', ends: 0});
+});
+
+test('counts no crash for a request whose server is leaving', () => {
+	const planner = createPlanner();
+	const plan = planNow(planner, ask(500, {...short, content}), 0);
+	planner.setServers(createServers(18).filter(({id}) => id !== plan.server), engine);
+	planner.note({planId: plan.planId, kind: 'ended', mayStillRun: true}, 50);
+	expect(planner.listAbandonedServers()).toEqual([]);
+});
