--- a/src/gateway/calls/call-service.ts
+++ b/src/gateway/calls/call-service.ts
@@ -134,7 +134,7 @@
 	/** Finds the route, the organisation and the service of a call. */
 	#resolve(head: CallHead, body: Uint8Array | undefined, arrived: number) {
 		return this.#parts.state.resolveCall(head.host, head.target, head.key, this.#parts.random()).map(resolved => ({
-			head, body, content: computeContent(head, body), arrived, ...resolved,
+			head, body, content: computeContent(head, resolved.organisation?.name, body), arrived, ...resolved,
 		}));
 	}
 
--- a/src/gateway/wire.ts
+++ b/src/gateway/wire.ts
@@ -28,8 +28,6 @@
 	/** Tokens of the prompt, and the most of the answer; 0 when it names none. */
 	promptTokens: number;
 	outputTokens: number;
-	/** What the head tells of the prompt; undefined when it tells nothing. */
-	prompt?: string;
 	/** Fields to pass on: all but those of one connection and those the gateway writes itself. */
 	headers: HeaderFields;
 };
