fix(planning): count each crash of a server that restarts under its id

A request that crashed one server again and again, each time after it had restarted under the same id, counted as one crash and was sent on.

Cause: crashes of a request were keyed by the server's id, which stands for one life only where the entry tells the start.

Change: reports within 5 s are of one crash, later ones of the next. Evidence: 'counts each crash of a server that restarts under its id' had {kind: watched, ends: 1} before, {kind: refused, ends: 3} now; the other tests of crash records pass unchanged.

--- a/src/planning/suspects.ts
+++ b/src/planning/suspects.ts
@@ -38,13 +38,17 @@
 /** How far a request is trusted. */
 export type Trust = {kind: 'free' | 'watched' | 'alone'; ends: number} | {kind: 'refused'; ends: number; refusedFor: number};
 
-type KnownEnd = {at: number; weight: number};
+/** Reports of a server's crash within this time of its first one are of the same crash, in milliseconds; a server takes longer to restart and crash again. */
+const sameCrashWithin = 5000;
+
+/** A crash of a server, and what it ran. */
+type Crash = {server: BackendServerId; at: number; running: Set<ContentDigest>};
 
 /** Requests under which servers have ended. */
 export class Suspects {
-	readonly #contents = new Map<ContentDigest, Map<BackendServerId, KnownEnd>>();
-	/** When each server ended, and what ran there. */
-	readonly #ends = new Map<BackendServerId, {at: number; running: Set<ContentDigest>}>();
+	/** The crashes of each request, with their weights. */
+	readonly #contents = new Map<ContentDigest, Map<Crash, number>>();
+	readonly #crashes = new Map<BackendServerId, Crash[]>();
 
 	/** How many requests are remembered. */
 	get size(): number {
@@ -53,8 +57,7 @@
 
 	/** Notes that a server ended while it ran a request, and what that counts. */
 	noteEnd(server: BackendServerId, content: ContentDigest, weight: number, now: number): void {
-		this.#noteServer(server, now);
-		this.#add(content, server, {at: this.#ends.get(server)!.at, weight});
+		this.#add(content, this.#findCrash(server, now), weight);
 		this.#prune(now);
 	}
 
@@ -71,9 +74,7 @@
 	/** Takes what another node knows of a request. */
 	learn(content: ContentDigest, ends: ServerEnd[], now: number): void {
 		for (const {server, age, weight} of ends) {
-			const at = now - age;
-			this.#noteServer(server, at);
-			this.#add(content, server, {at, weight});
+			this.#add(content, this.#findCrash(server, now - age), weight);
 		}
 
 		this.#prune(now);
@@ -82,7 +83,7 @@
 	/** What is known of a request, newest first, to be told to others. */
 	describe(content: ContentDigest, now: number): ServerEnd[] {
 		return [...this.#contents.get(content) ?? []]
-			.map(([server, {at, weight}]) => ({server, age: Math.round(now - at), weight}))
+			.map(([{server, at}, weight]) => ({server, age: Math.round(now - at), weight}))
 			.filter(({age}) => age < endMemory)
 			.sort((left, right) => left.age - right.age)
 			.slice(0, mostTold);
@@ -102,48 +103,59 @@
 			return {kind: 'free', ends: 0};
 		}
 
-		const counted = [...ends.values()].filter(({at}) => now - at < endMemory);
-		const weight = counted.reduce((sum, end) => sum + this.#weigh(end), 0);
+		const counted = [...ends].filter(([{at}]) => now - at < endMemory);
+		const weight = counted.reduce((sum, [crash, own]) => sum + this.#weigh(crash, own), 0);
 		const known = {ends: counted.length};
 		if (weight > endsToRefuse - 1 && counted.length >= endsToRefuse) {
-			const newest = Math.max(...counted.map(({at}) => at));
+			const newest = Math.max(...counted.map(([{at}]) => at));
 			return {kind: 'refused', ...known, refusedFor: endMemory - (now - newest)};
 		}
 
 		return {kind: weight > endsToIsolate - 1 ? 'alone' : (counted.length > 0 ? 'watched' : 'free'), ...known};
 	}
 
-	#weigh({at, weight}: KnownEnd): number {
-		const together = [...this.#ends.values()].filter(end => Math.abs(end.at - at) <= togetherWithin && !this.#isExplained(end)).length;
+	#weigh({at}: Crash, weight: number): number {
+		const crashes = [...this.#crashes.values()].flat();
+		const together = crashes.filter(crash => Math.abs(crash.at - at) <= togetherWithin && !this.#isExplained(crash)).length;
 		return together >= togetherCount ? weight * togetherWeight : weight;
 	}
 
 	/** Whether something that ran there ended another server at about the same time: then it was no loss of many together. */
-	#isExplained({at, running}: {at: number; running: Set<ContentDigest>}): boolean {
-		return [...running].some(content => [...this.#contents.get(content)?.values() ?? []].filter(end => Math.abs(end.at - at) <= togetherWithin).length > 1);
+	#isExplained({at, running}: Crash): boolean {
+		return [...running].some(content => [...this.#contents.get(content)?.keys() ?? []].filter(crash => Math.abs(crash.at - at) <= togetherWithin).length > 1);
 	}
 
-	#noteServer(server: BackendServerId, at: number): void {
-		const known = this.#ends.get(server);
-		this.#ends.set(server, {at: known?.at ?? at, running: known?.running ?? new Set()});
+	/** The crash that a report is of; a server without a life of its own in its id may crash again under the same one. */
+	#findCrash(server: BackendServerId, at: number): Crash {
+		const crashes = this.#crashes.get(server) ?? [];
+		let crash = crashes.find(known => Math.abs(known.at - at) <= sameCrashWithin);
+		if (crash === undefined) {
+			crash = {server, at, running: new Set()};
+			this.#crashes.set(server, [...crashes, crash]);
+		}
+
+		return crash;
 	}
 
-	#add(content: ContentDigest, server: BackendServerId, end: KnownEnd): void {
-		const ends = this.#contents.get(content) ?? new Map<BackendServerId, KnownEnd>();
-		this.#ends.get(server)?.running.add(content);
-		if (!ends.has(server)) {
-			ends.set(server, end);
+	#add(content: ContentDigest, crash: Crash, weight: number): void {
+		const crashes = this.#contents.get(content) ?? new Map<Crash, number>();
+		crash.running.add(content);
+		if (!crashes.has(crash)) {
+			crashes.set(crash, weight);
 		}
 
-		// The one that was added to last is forgotten last.
+		// Keeps the map in the order of the last crash.
 		this.#contents.delete(content);
-		this.#contents.set(content, ends);
+		this.#contents.set(content, crashes);
 	}
 
 	#prune(now: number): void {
-		for (const [server, {at}] of this.#ends) {
-			if (now - at > endMemory) {
-				this.#ends.delete(server);
+		for (const [server, crashes] of this.#crashes) {
+			const kept = crashes.filter(({at}) => now - at <= endMemory);
+			if (kept.length === 0) {
+				this.#crashes.delete(server);
+			} else if (kept.length < crashes.length) {
+				this.#crashes.set(server, kept);
 			}
 		}
 
--- a/test/suspects.test.ts
+++ b/test/suspects.test.ts
@@ -107,3 +107,13 @@
 	expect(suspects.size).toBe(4096);
 	expect(suspects.judge('content-4999' as ContentDigest, 5000).kind).toBe('watched');
 });
+
+test('counts each crash of a server that restarts under its id', () => {
+	const suspects = new Suspects();
+	for (const at of [0, 6000, 12_000]) {
+		suspects.noteEnd(nameServer(1), a, 1, at);
+		suspects.learn(a, [{server: nameServer(1), age: 100, weight: 1}], at + 300);
+	}
+
+	expect(suspects.judge(a, 13_000)).toMatchObject({kind: 'refused', ends: 3});
+});
