fix(gateway): send crash records to nodes that have started lately

A node that had joined after the crashes and was left alone sent a request that had crashed three servers to three more, and answered 502.

Cause: crash records are sent when a crash happens, and to a node that becomes the decider; a node that starts later and decides alone had none.

Change: for 3.5 s after a node's life is first heard of, the deciding node sends it the records of requests with more than one crash, once a second.

Ruled out: asking the others before a node decides alone costs a round trip in the moment in which the others do not answer.

--- a/src/gateway/deciding/shared-placer.ts
+++ b/src/gateway/deciding/shared-placer.ts
@@ -48,6 +48,12 @@
 /** Empty lists told after the last plan has ended: any of them may be lost. Hundreds of nodes at rest tell nothing. */
 const emptyLists = 3;
 
+/** Age up to which a node's life is sent the crash records with each list, in milliseconds: three datagrams, any of which may be lost. */
+const newNodeAge = 3500;
+
+/** Requests in one datagram of crash records, at most. */
+const maxSuspectsTold = 20;
+
 /** What the placer needs. */
 export type SharedPlacerParts = {
 	clock: Clock;
@@ -245,6 +251,10 @@
 			if (plans.emptyLeft >= 0) {
 				this.#tellDecider(plans, news);
 			}
+
+			if (plans.decider?.name === self) {
+				this.#tellNewNodes(service, plans);
+			}
 		}
 	}
 
@@ -420,6 +430,25 @@
 		}
 	}
 
+	/** Sends the crash records to nodes that have started lately: any of them may have to decide alone. */
+	#tellNewNodes(service: ServiceName, {planner}: ServicePlans): void {
+		const peers = this.#parts.peers.listNew(newNodeAge);
+		if (peers.length === 0) {
+			return;
+		}
+
+		const node = this.#parts.self().name;
+		const repeated = planner.suspects.describeRepeated(this.#parts.clock.readMonotonic());
+		for (let start = 0; start < repeated.length; start += maxSuspectsTold) {
+			const suspects = repeated.slice(start, start + maxSuspectsTold);
+			for (const {beatAddress} of peers) {
+				this.#parts.socket.tell(beatAddress, {
+					service, node, notes: [], suspects,
+				});
+			}
+		}
+	}
+
 	/** Counts a crash for requests whose attempts were stopped before it: no attempt reports it for them. */
 	#attributeCrash(service: ServiceName, planner: Planner, server: BackendServerId, age?: number): void {
 		for (const content of planner.attributeCrash(server, this.#parts.clock.readMonotonic(), age)) {
--- a/src/gateway/peers/peers.ts
+++ b/src/gateway/peers/peers.ts
@@ -109,6 +109,12 @@
 		return this.#lives.list(now).map(({peer, learnedAt}) => ({life: peer.life, heardFor: now - learnedAt}));
 	}
 
+	/** Live nodes whose present life has been known for at most so many milliseconds. */
+	listNew(age: number): Peer[] {
+		const now = this.#parts.clock.readMonotonic();
+		return this.#lives.list(now).filter(({learnedAt}) => now - learnedAt <= age).map(({peer}) => peer);
+	}
+
 	/** How many nodes live, this one left out. */
 	countLive(): number {
 		return this.#lives.list(this.#parts.clock.readMonotonic()).length;
--- a/src/planning/suspects.ts
+++ b/src/planning/suspects.ts
@@ -89,6 +89,11 @@
 			.slice(0, mostTold);
 	}
 
+	/** Requests with more than one crash, to be told to a node that has started. */
+	describeRepeated(now: number): Array<[ContentDigest, ServerEnd[]]> {
+		return this.describeAll(now).filter(([, ends]) => ends.length > 1);
+	}
+
 	/** All that is known, to be told to another node. */
 	describeAll(now: number): Array<[ContentDigest, ServerEnd[]]> {
 		return [...this.#contents.keys()]
