fix(planning): count crashes for requests whose node was killed

A node that is killed with the server that it uses reports no crash, and the request came to three more servers.

Cause: a crash is reported by the node whose attempt it breaks off; the plans of a dead node were dropped without a trace.

Evidence: 'counts a lost entry for a request whose node was killed' got [] before (attributeCrash had nothing for it), the request now.

--- a/src/gateway/deciding/shared-placer.ts
+++ b/src/gateway/deciding/shared-placer.ts
@@ -124,7 +124,7 @@
 		});
 		parts.peers.addLostListener(peer => {
 			for (const {planner} of this.#services.values()) {
-				planner.forgetNode(peer.name);
+				planner.forgetNode(peer.name, parts.clock.readMonotonic());
 			}
 		});
 	}
--- a/src/planning/planner.ts
+++ b/src/planning/planner.ts
@@ -249,9 +249,8 @@
 		}
 
 		this.#release(held.plan);
-		// A server that takes no new work may leave as planned, which is no crash.
-		if (note.mayStillRun === true && held.plan.request.content !== undefined && this.#boards.has(held.plan.server)) {
-			this.#abandoned.add(held.plan.server, held.plan.request.content, now);
+		if (note.mayStillRun === true) {
+			this.#noteAbandoned(held.plan, now);
 		}
 
 		return undefined;
@@ -277,11 +276,12 @@
 		this.#abandoned.take(server, now);
 	}
 
-	/** Forgets the plans of a node that is gone. */
-	forgetNode(node: BoxId): void {
+	/** Forgets the plans of a node that is gone. It reports no crash under them any more. */
+	forgetNode(node: BoxId, now: number): void {
 		for (const {plan} of this.#plans.values()) {
 			if (plan.request.node === node) {
 				this.#release(plan);
+				this.#noteAbandoned(plan, now);
 			}
 		}
 	}
@@ -398,6 +398,13 @@
 		return Right(decision);
 	}
 
+	/** A server that takes no new work may leave as planned, which is no crash. */
+	#noteAbandoned({server, request: {content}}: Plan, now: number): void {
+		if (content !== undefined && this.#boards.has(server)) {
+			this.#abandoned.add(server, content, now);
+		}
+	}
+
 	/** What the end of a server counts for a request that it ran: nothing for one that runs at all servers. */
 	#weighEnd(server: BackendServerId, content: ContentDigest): number {
 		if (this.#trials.isKept(server)) {
--- a/test/abandoned-runs.test.ts
+++ b/test/abandoned-runs.test.ts
@@ -55,3 +55,10 @@
 	planner.note({planId: plan.planId, kind: 'ended', mayStillRun: true}, 50);
 	expect(planner.listAbandonedServers()).toEqual([]);
 });
+
+test('counts a lost entry for a request whose node was killed', () => {
+	const planner = createPlanner();
+	const {server, request} = planNow(planner, ask(500, {...short, content}), 0);
+	planner.forgetNode(request.node, 1300);
+	expect(planner.attributeCrash(server, 2500)).toEqual([content]);
+});
--- a/test/planner-runs.test.ts
+++ b/test/planner-runs.test.ts
@@ -154,7 +154,7 @@
 
 function killNode(index: number): PlanStep {
 	return new PlanStep('node died', index, (model, {planner}) => {
-		planner.forgetNode(nodes[index]);
+		planner.forgetNode(nodes[index], model.now);
 		model.forget(({plan}) => plan.request.node === nodes[index]);
 	});
 }
--- a/test/planning.test.ts
+++ b/test/planning.test.ts
@@ -203,7 +203,7 @@
 	const planner = createPlanner();
 	planNow(planner, ask(5000, {...short, node: 'edge-2' as BoxId}), 0);
 	planNow(planner, ask(5000, {...short, patience: 500}), 0);
-	planner.forgetNode('edge-2' as BoxId);
+	planner.forgetNode('edge-2' as BoxId, 0);
 	expect(planner.planCount).toBe(1);
 	planner.prune(2000);
 	expect(planner.planCount).toBe(0);
