fix(gateway): keep the request limits that backend servers name

Cause: nothing read the field. Class: a bound that holds for the fleet is known where answers pass, while requests are placed elsewhere.

The deciding node grants requests from one token bucket for each server; a node that decides for a part of the fleet grants that part, and one that stands in for the deciding node a small share. Where all servers are at their limits, requests wait in order while their turn comes within half of their caller's patience; others are rejected at once with a Retry-After at which there is room, spread.

A property test of drawn deciders, stand-ins and cuts found that two tokens at a limit of 0 and unbounded credit of stand-ins break the rule.

--- a/src/cli/format-status.ts
+++ b/src/cli/format-status.ts
@@ -46,6 +46,7 @@
 function formatServer(work: ServerWork): string {
 	const health = [
 		...work.restsFor > 0 ? [`left alone for ${work.restsFor} ms`] : [],
+		...work.requestLimit === undefined ? [] : [`takes ${work.requestLimit} requests a second`],
 		...work.isDoubtful ? [`doubtful, ${Math.round(work.spoiled * 100)}% of its answers spoiled`] : [],
 	];
 	const reading = work.readFor > 0 ? `, reads for ${work.readFor} ms` : '';
--- a/src/gateway/calls/backend-attempt.ts
+++ b/src/gateway/calls/backend-attempt.ts
@@ -46,6 +46,8 @@
 	onSilent: (reason: string) => void;
 	/** Called before anything is passed on: from then on this server alone answers the caller. */
 	claimAnswer: () => void;
+	/** Called with the request limit of an answer's head, in requests a second; undefined when it names none. */
+	onLimit: (requestsPerSecond: number | undefined) => void;
 	/** Called with each event that is passed on. */
 	onEvent: (id: number | undefined, at: number) => void;
 	/** Called once, at the first event or the whole answer. */
@@ -165,6 +167,11 @@
 			return;
 		}
 
+		// Only a true answer tells that a limit was lifted.
+		if (head.requestLimit !== undefined || head.isSigned) {
+			this.#parts.onLimit(head.requestLimit);
+		}
+
 		const isSuccess = status < 300;
 		if (isSuccess && (!head.isSigned || head.isEncoded)) {
 			this.#giveUp('spoiled', 'the answer lacks the mark of a backend server');
--- a/src/gateway/calls/call-attempts.ts
+++ b/src/gateway/calls/call-attempts.ts
@@ -17,7 +17,7 @@
 } from './live-attempt.js';
 
 /** What the attempts tell their call. */
-export type CallAttemptsListener = Pick<LiveAttemptListener, 'dropMove' | 'onEvent' | 'onFirst'> & {
+export type CallAttemptsListener = Pick<LiveAttemptListener, 'dropMove' | 'onEvent' | 'onFirst' | 'onLimit'> & {
 	/** Takes a place beside the server of a plan. */
 	takeMove: (plan: Plan) => Promise<boolean>;
 	/** Called once for each attempt; `wasSent` says whether the request may have reached its server. */
--- a/src/gateway/calls/call-run.ts
+++ b/src/gateway/calls/call-run.ts
@@ -181,6 +181,9 @@
 				this.#firstAfter ??= this.#parts.clock.readMonotonic() - this.#call.arrived;
 				this.#parts.placer.note(plan, {planId: plan.planId, kind: 'started'});
 			},
+			onLimit: (plan, requestsPerSecond) => {
+				this.#parts.placer.noteLimit(this.#call.service.name, plan.server, requestsPerSecond);
+			},
 			onEnded: (plan, end, wasSent) => {
 				this.#noteEnd(plan, end, wasSent);
 			},
--- a/src/gateway/calls/live-attempt.ts
+++ b/src/gateway/calls/live-attempt.ts
@@ -40,6 +40,8 @@
 	onSend: (plan: Plan) => void;
 	/** Called once, at the first event or the whole answer. */
 	onFirst: (plan: Plan) => void;
+	/** Called with the request limit of an answer's head, in requests a second; undefined when it names none. */
+	onLimit: (plan: Plan, requestsPerSecond: number | undefined) => void;
 	/** Called once, before `ended` settles. */
 	onEnded: (attempt: LiveAttempt, end: AttemptEnd) => void;
 };
@@ -222,6 +224,9 @@
 			claimAnswer: () => {
 				listener.claimAnswer(this);
 			},
+			onLimit(requestsPerSecond) {
+				listener.onLimit(plan, requestsPerSecond);
+			},
 			onEvent(id, at) {
 				listener.onEvent(id, at);
 			},
--- a/src/gateway/calls/placer.ts
+++ b/src/gateway/calls/placer.ts
@@ -1,6 +1,6 @@
 /** Where plans come from: a planner that decides for all nodes, or this node's own when that one does not answer. */
 import type {Either} from 'purify-ts';
-import type {Failure} from '../../common/index.js';
+import type {BackendServerId, Failure, ServiceName} from '../../common/index.js';
 import type {
 	Plan, PlanNote, PlanRequest, RetryRequest,
 } from '../../planning/index.js';
@@ -23,6 +23,9 @@
 	/** Takes one retry out of the fleet's budget; false when none is left. */
 	abstract takeRetry(request: RetryRequest): Promise<boolean>;
 
+	/** Notes the request limit that a server's answer names, in requests a second; undefined when it names none. */
+	abstract noteLimit(service: ServiceName, server: BackendServerId, requestsPerSecond: number | undefined): void;
+
 	/** Tells how a plan goes on. */
 	abstract note(plan: Plan, note: PlanNote): void;
 }
--- a/src/gateway/deciding/shared-placer.ts
+++ b/src/gateway/deciding/shared-placer.ts
@@ -13,7 +13,7 @@
 	type BackendServerId, type BoxId, type Clock, type ContentDigest, type Failure, type IdSource, type Logger, type PlanId, type ServiceName, type Timer,
 } from '../../common/index.js';
 import {
-	isFirstAsk, Planner, type Decision, type Plan, type PlanNote, type PlanRequest, type RetryAllowance, type RetryLimits, type RetryRequest, type ServerEnd, type ServerWork,
+	isFirstAsk, Planner, type Decision, type NamedLimit, type Plan, type PlanNote, type PlanRequest, type RetryAllowance, type RetryLimits, type RetryRequest, type ServerEnd, type ServerWork,
 } from '../../planning/index.js';
 import type {FleetState} from '../../routing/index.js';
 import type {GatewayMetrics} from '../gateway-metrics.js';
@@ -39,6 +39,12 @@
 /** How long before a reported crash an attempt may have been stopped whose request counts as a cause, in milliseconds: reports take a few round trips. */
 const reportedCrashAge = 1000;
 
+/** Part of the servers' limits that all nodes together may grant which are not the deciding one by their own view. */
+const standInLimitShare = 0.3;
+
+/** Time between two reports of the same limit to the deciding node, in milliseconds. */
+const limitReportEvery = 500;
+
 /** Time for plans to be taken over, in milliseconds. */
 const adoptTimeout = 500;
 
@@ -81,6 +87,8 @@
 	/** Whether that node may not know yet what this one has running and has spent. */
 	isUntold: boolean;
 	notes: PlanNote[];
+	/** When the limit of a server was last reported to the deciding node. */
+	limitsReportedAt: Map<BackendServerId, number>;
 	/** Empty lists that are still to be told. */
 	emptyLeft: number;
 	noteTimer: Timer | undefined;
@@ -169,6 +177,23 @@
 		}
 	}
 
+	override noteLimit(service: ServiceName, server: BackendServerId, requestsPerSecond: number | undefined): void {
+		const plans = this.#findPlans(service);
+		if (requestsPerSecond === undefined && plans.planner.limits.findRate(server) === undefined) {
+			return;
+		}
+
+		const limit = {server, requestsPerSecond, age: 0};
+		const isChanged = this.#learnLimit(service, plans.planner, limit, this.#parts.self().name);
+		const now = this.#parts.clock.readMonotonic();
+		if (isChanged || now - (plans.limitsReportedAt.get(server) ?? -Infinity) >= limitReportEvery) {
+			plans.limitsReportedAt.set(server, now);
+			this.#tellDecider(plans, {
+				service, node: this.#parts.self().name, notes: [], limits: [limit],
+			});
+		}
+	}
+
 	/** Decides for a node that asked. One that is refused a request which ends servers learns of the ends: it may have to decide alone. */
 	decideFor(request: PlanRequest): DecisionAnswer {
 		return this.#decideForAll(request).caseOf<DecisionAnswer>({
@@ -192,9 +217,15 @@
 	}
 
 	/** Takes the news of a node that carries plans out; it does not carry out what it does not list. */
-	takeNews({service, node, notes, active, suspects = []}: PlanNews): void {
+	takeNews({
+		service, node, notes, active, suspects = [], limits = [],
+	}: PlanNews): void {
 		const {planner} = this.#findPlans(service);
 		const now = this.#parts.clock.readMonotonic();
+		for (const limit of limits) {
+			this.#learnLimit(service, planner, limit, node);
+		}
+
 		for (const [content, ends] of suspects) {
 			planner.suspects.learn(content, ends, now);
 		}
@@ -222,7 +253,9 @@
 	}
 
 	/** Takes over a node that another one decided for until now: what it carries out, and what it has spent. */
-	adopt({service, plans, suspects, history}: Adoption): void {
+	adopt({
+		service, plans, suspects, limits, history,
+	}: Adoption): void {
 		this.#retries.learn(service, history);
 		const {planner} = this.#findPlans(service);
 		const now = this.#parts.clock.readMonotonic();
@@ -230,6 +263,10 @@
 		for (const [content, ends] of suspects) {
 			planner.suspects.learn(content, ends, now);
 		}
+
+		for (const limit of limits) {
+			planner.limits.learn(limit, now);
+		}
 	}
 
 	/** Tells the deciding nodes once in a while what this node carries out; notes may have been lost. */
@@ -254,6 +291,7 @@
 
 			if (plans.decider?.name === self) {
 				this.#tellNewNodes(service, plans);
+				this.#tellLimits(service, plans);
 			}
 		}
 	}
@@ -302,11 +340,14 @@
 	}
 
 	#decideForAll(request: PlanRequest): Either<Failure, Decision> {
-		return this.#decideHere(request, this.#parts.peers.countLive() + 1);
+		const seen = this.#parts.peers.countLive() + 1;
+		const known = this.#retries.countKnown();
+		const isDecider = this.#deciders.choose(request.service).name === this.#parts.self().name;
+		return this.#decideHere(request, seen, isDecider ? Math.min(1, seen / known) : standInLimitShare / known);
 	}
 
 	/** Decides by what this node has seen: its own plans, and those of so many nodes, itself among them, that ask it. */
-	#decideHere(request: PlanRequest, seen: number): Either<Failure, Decision> {
+	#decideHere(request: PlanRequest, seen: number, limitShare = standInLimitShare / this.#retries.countKnown()): Either<Failure, Decision> {
 		const {planner} = this.#findPlans(request.service);
 		const now = this.#parts.clock.readMonotonic();
 		if (isFirstAsk(request)) {
@@ -315,7 +356,7 @@
 
 		const {logger, state} = this.#parts;
 		const sight = {seen, known: this.#retries.countKnown()};
-		const decided = planner.decide(request, now, sight);
+		const decided = planner.decide(request, now, sight, limitShare);
 		logDecision(logger, request, decided, {
 			inProgress: planner.planCount, configVersion: state.configVersion, serversRevision: state.serversRevision, ...sight,
 		});
@@ -376,6 +417,7 @@
 			service,
 			plans: [...plans.own.values()].map(plan => ({...plan, startIn: 0})),
 			suspects: plans.planner.suspects.describeAll(this.#parts.clock.readMonotonic()),
+			limits: plans.planner.limits.describe(this.#parts.clock.readMonotonic()),
 			history: this.#retries.describeOwn(service, decider),
 		};
 		if (decider.name === this.#parts.self().name) {
@@ -449,6 +491,36 @@
 		}
 	}
 
+	/** Replicates the limits to all nodes: any of them may have to decide. */
+	#tellLimits(service: ServiceName, {planner}: ServicePlans): void {
+		const limits = planner.limits.describe(this.#parts.clock.readMonotonic());
+		if (limits.length > 0) {
+			this.#tellAllNodes({
+				service, node: this.#parts.self().name, notes: [], limits,
+			});
+		}
+	}
+
+	#tellAllNodes(news: PlanNews): void {
+		for (const {name, beatAddress} of this.#parts.peers.listReady()) {
+			if (name !== this.#parts.self().name) {
+				this.#parts.socket.tell(beatAddress, news);
+			}
+		}
+	}
+
+	#learnLimit(service: ServiceName, planner: Planner, limit: NamedLimit, origin: BoxId): boolean {
+		const before = planner.limits.findRate(limit.server);
+		const isChanged = planner.limits.learn(limit, this.#parts.clock.readMonotonic());
+		if (isChanged) {
+			this.#parts.logger.info({
+				event: 'server_limit', service, ...limit, before, origin,
+			}, limit.requestsPerSecond === undefined ? 'a backend server has lifted its request limit' : 'a backend server names a request limit');
+		}
+
+		return isChanged;
+	}
+
 	/** Counts a crash for requests whose attempts were stopped before it: no attempt reports it for them. */
 	#attributeCrash(service: ServiceName, planner: Planner, server: BackendServerId, age?: number): void {
 		for (const content of planner.attributeCrash(server, this.#parts.clock.readMonotonic(), age)) {
@@ -481,6 +553,7 @@
 				decider: undefined,
 				isUntold: false,
 				notes: [],
+				limitsReportedAt: new Map(),
 				emptyLeft: emptyLists,
 				noteTimer: undefined,
 			};
@@ -492,9 +565,14 @@
 	}
 
 	#refreshServers(): void {
-		for (const [service, {planner}] of this.#services) {
+		for (const [service, {planner, limitsReportedAt}] of this.#services) {
 			planner.setServers(this.#parts.state.listServers(service), this.#parts.state.table?.findService(service)?.engine);
 			this.#checkAbandoned(service, planner);
+			for (const server of limitsReportedAt.keys()) {
+				if (!this.#parts.state.hasServer(server)) {
+					limitsReportedAt.delete(server);
+				}
+			}
 		}
 	}
 }
--- a/src/gateway/peers/peer-rpc.ts
+++ b/src/gateway/peers/peer-rpc.ts
@@ -8,7 +8,7 @@
 	readErrorMessage, RenewedAgent, type Clock, type ContentDigest, type Failure, type ServiceName,
 } from '../../common/index.js';
 import type {
-	Decision, Plan, PlanRequest, RetryHistory, RetryRequest, ServerEnd,
+	Decision, NamedLimit, Plan, PlanRequest, RetryHistory, RetryRequest, ServerEnd,
 } from '../../planning/index.js';
 import {
 	askWithin, rpcPath, sendNodeRequest, type NodeRequest,
@@ -31,6 +31,8 @@
 	plans: Plan[];
 	/** Requests under which servers have ended. */
 	suspects: Array<[ContentDigest, ServerEnd[]]>;
+	/** Limits that servers have named or lifted. */
+	limits: NamedLimit[];
 	history: RetryHistory;
 };
 
@@ -56,6 +58,7 @@
 const planSchema = defineShape<Plan>(['planId', 'request', 'server', 'helpers']);
 const historySchema = defineShape<RetryHistory>(['life', 'age', 'known', 'requests', 'retries', 'meanWorth']);
 const suspectSchema = z.custom<[ContentDigest, ServerEnd[]]>(value => Array.isArray(value) && value.length === 2 && Array.isArray(value[1]));
+const limitSchema = defineShape<NamedLimit>(['server', 'age']);
 const serviceSchema = z.string() as unknown as z.ZodType<ServiceName>;
 
 const trpc = initTRPC.context<{service: PeerService}>().create();
@@ -65,7 +68,7 @@
 	decide: trpc.procedure.input(planRequestSchema).mutation(({ctx, input}) => ctx.service.decide(input)),
 	grantRetry: trpc.procedure.input(retryRequestSchema).mutation(({ctx, input}) => ctx.service.grantRetry(input)),
 	adopt: trpc.procedure.input(z.object({
-		service: serviceSchema, plans: z.array(planSchema), suspects: z.array(suspectSchema), history: historySchema,
+		service: serviceSchema, plans: z.array(planSchema), suspects: z.array(suspectSchema), limits: z.array(limitSchema), history: historySchema,
 	})).mutation(({ctx, input}) => {
 		ctx.service.adopt(input);
 		return true;
--- a/src/gateway/peers/plan-news.ts
+++ b/src/gateway/peers/plan-news.ts
@@ -10,7 +10,7 @@
 import type {
 	BoxId, ContentDigest, PlanId, ServiceName,
 } from '../../common/index.js';
-import type {PlanNote, ServerEnd} from '../../planning/index.js';
+import type {NamedLimit, PlanNote, ServerEnd} from '../../planning/index.js';
 
 /** News of one node on one service. */
 export type PlanNews = {
@@ -21,6 +21,8 @@
 	active?: PlanId[];
 	/** Requests under which servers have ended. */
 	suspects?: Array<[ContentDigest, ServerEnd[]]>;
+	/** Limits that servers have named or lifted. */
+	limits?: NamedLimit[];
 };
 
 /** First byte of news; heartbeats begin with another one. */
@@ -32,6 +34,7 @@
 	notes: z.array(z.looseObject({planId: z.string(), kind: z.enum(['started', 'ended', 'failed', 'server_ended', 'survived'])})),
 	active: z.array(z.string()).optional(),
 	suspects: z.array(z.tuple([z.string(), z.array(z.object({server: z.string(), age: z.number(), weight: z.number()}))])).optional(),
+	limits: z.array(z.object({server: z.string(), requestsPerSecond: z.number().min(0).optional(), age: z.number()})).optional(),
 });
 
 /** Writes news. */
--- a/src/gateway/wire.ts
+++ b/src/gateway/wire.ts
@@ -63,6 +63,8 @@
 	isFramed: boolean;
 	/** Whether the body is encoded, which no true answer is. */
 	isEncoded: boolean;
+	/** Requests a second that the server takes from all nodes together; undefined when it names no limit. */
+	requestLimit?: number;
 	/** Address of the helping server at fault, where it is not the server asked. */
 	faultyAddress?: string;
 	/** Fields to pass on to the caller. */
--- a/src/planning/index.ts
+++ b/src/planning/index.ts
@@ -10,5 +10,6 @@
 export * from './retry-window.js';
 export * from './server-board.js';
 export * from './server-health.js';
+export * from './server-limits.js';
 export * from './suspects.js';
 export * from './told-retries.js';
--- a/src/planning/plan.ts
+++ b/src/planning/plan.ts
@@ -99,8 +99,8 @@
 /** What a planner answers: a plan, or when to ask again because others read first. */
 export type Decision = {kind: 'plan'; plan: Plan} | {kind: 'wait'; askAgainIn: number; reason: WaitReason};
 
-/** Why a long prompt waits: its servers still read or others read first, writers would pause too long, its memory has no room, its node doesn't see the fleet yet, or a server is emptied that it is to have for itself. */
-export type WaitReason = 'reading' | 'writers' | 'memory' | 'sight' | 'trial';
+/** Why a long prompt waits: its servers still read or others read first, writers would pause too long, its memory has no room, its node doesn't see the fleet yet, a server is emptied that it is to have for itself, or all servers have reached the limits that they named. */
+export type WaitReason = 'reading' | 'writers' | 'memory' | 'sight' | 'trial' | 'limit';
 
 /** How a plan went on, told by the node that carries it out. */
 export type PlanNote =
--- a/src/planning/planner.ts
+++ b/src/planning/planner.ts
@@ -28,6 +28,8 @@
 import {
 	isDone, ServerBoard, startWork, type Work,
 } from './server-board.js';
+import {LimitedLine} from './limited-line.js';
+import {ServerLimits} from './server-limits.js';
 import {ServerShares, type ServerGroups} from './server-shares.js';
 import {placeShort} from './short-placement.js';
 import {aloneWeight, Suspects, type Trust} from './suspects.js';
@@ -42,6 +44,10 @@
 /** Kept after a request's time before its plan is forgotten unasked, in milliseconds. */
 const planMargin = 1000;
 
+/** Part of its caller's patience for which a request waits for servers that have reached their limits, and the longest time until it asks again, in milliseconds. */
+const limitWaitShare = 0.5;
+const limitAskPause = 250;
+
 /** Letters of a plan's id: enough that no two of the thousands in progress are alike, and short, since they are listed once a second. */
 const planIdLength = 12;
 
@@ -69,6 +75,8 @@
 	readFor: number;
 	/** How long it is left alone, in milliseconds; 0 when it is not. */
 	restsFor: number;
+	/** Requests a second that it takes from all nodes; undefined when it names no limit. */
+	requestLimit?: number;
 	/** Smoothed share of answers that were spoiled, and whether others come first for it. */
 	spoiled: number;
 	isDoubtful: boolean;
@@ -93,6 +101,8 @@
 export class Planner {
 	/** Requests under which servers have ended. */
 	readonly suspects = new Suspects();
+	/** Limits that servers have named. */
+	readonly limits = new ServerLimits();
 	readonly #ids: IdSource;
 	readonly #boards = new Map<BackendServerId, ServerBoard>();
 	readonly #plans = new Map<PlanId, HeldPlan>();
@@ -106,6 +116,7 @@
 	readonly #sight = new DimSight();
 	readonly #trials = new Trials();
 	readonly #abandoned = new AbandonedRuns();
+	readonly #limitedLine = new LimitedLine();
 
 	constructor(parts: PlannerParts) {
 		this.#ids = parts.ids;
@@ -141,6 +152,7 @@
 				heldTokens: Math.round(board.heldTokens),
 				readFor: Math.round(board.findPendingRead(now)),
 				restsFor: Math.round(board.health.findRest(now)),
+				requestLimit: this.limits.findRate(board.server.id),
 				spoiled: Math.round(board.health.findSpoiled(now) * 100) / 100,
 				isDoubtful: board.health.isDoubtful(now),
 			}));
@@ -166,8 +178,12 @@
 		}
 	}
 
-	/** Decides for one request. A plan's place is held until `note` or `prune` frees it; a request that waits keeps its turn by asking again. */
-	decide(asked: PlanRequest, now: number, sight: FleetSight = wholeSight): Either<Failure, Decision> {
+	/**
+	 * Decides for one request. A plan's place is held until `note` or `prune` frees it; a request that waits keeps its turn by asking again.
+	 *
+	 * `limitShare` is the part of the servers' limits, from 0 to 1, that is granted here.
+	 */
+	decide(asked: PlanRequest, now: number, sight: FleetSight = wholeSight, limitShare = 1): Either<Failure, Decision> {
 		this.prune(now);
 		const request = this.#countEarlierTries(asked);
 		if (request.longestPause !== undefined) {
@@ -189,12 +205,19 @@
 			return Left(createFailure('no_backend_server', `no backend server of ${request.service} takes new work`));
 		}
 
+		const open = this.#listOpen(request, usable, limitShare, now);
+		if (open.length === 0) {
+			return this.#waitForLimits(request, usable, limitShare, now);
+		}
+
 		const planned = trust.kind === 'alone' && this.#boards.size > 1
-			? this.#planAlone(request, usable, now)
-			: this.#planBeside(request, usable, now);
+			? this.#planAlone(request, open, now)
+			: this.#planBeside(request, open, now);
 		return planned.map(decision => {
 			if (decision.kind === 'plan') {
 				this.#hold(decision.plan, now, true);
+				this.limits.take(decision.plan.server, limitShare, now);
+				this.#limitedLine.leave(request.requestId);
 				return trust.ends === 0 ? decision : {kind: 'plan', plan: {...decision.plan, request: {...decision.plan.request, ends: this.suspects.describe(request.content!, now)}}};
 			}
 
@@ -374,6 +397,34 @@
 		return [trusted.filter(board => isFor(board)), rested.filter(board => isFor(board)), trusted, rested, boards].find(list => list.length > 0) ?? [];
 	}
 
+	/** Servers that may be sent one more request. Where only limited ones are left, those that wait longer go first. */
+	#listOpen(request: PlanRequest, usable: ServerBoard[], share: number, now: number): ServerBoard[] {
+		if (this.limits.size === 0) {
+			return usable;
+		}
+
+		const open = usable.filter(board => this.limits.measureDelay(board.server.id, share, now) === 0);
+		const tokens = open.reduce((sum, board) => sum + Math.floor(this.limits.countTokens(board.server.id, share, now)), 0);
+		return this.#limitedLine.countAhead(request.requestId, now) < tokens ? open : [];
+	}
+
+	/** A request waits while its turn comes soon; else its caller is told when to return. */
+	#waitForLimits(request: PlanRequest, usable: ServerBoard[], share: number, now: number): Either<Failure, Decision> {
+		const {requestId, service, patience} = request;
+		const delays = usable.map(board => this.limits.measureDelay(board.server.id, share, now));
+		const rate = usable.reduce((sum, board) => sum + this.limits.findGrantedRate(board.server.id, share), 0);
+		const interval = 1000 / rate;
+		const delay = Math.min(...delays) + (this.#limitedLine.countAhead(requestId, now) * interval);
+		if (delay > patience * limitWaitShare) {
+			this.#limitedLine.leave(requestId);
+			const returnIn = this.#limitedLine.scheduleReturn(delay, interval, now);
+			return Left(createFailure('overloaded', `all backend servers of ${service} have reached the request limits that they named`, {retryAfterSeconds: Math.max(0.1, returnIn / 1000)}));
+		}
+
+		this.#limitedLine.join(requestId, now);
+		return Right({kind: 'wait', askAgainIn: Math.min(limitAskPause, Math.max(1, delay)), reason: 'limit'});
+	}
+
 	#planBeside(request: PlanRequest, usable: ServerBoard[], now: number): Either<Failure, Decision> {
 		return this.#engine === undefined || request.promptTokens === 0
 			? this.#planPlain(request, usable, now)
--- a/test/gateway-parts.test.ts
+++ b/test/gateway-parts.test.ts
@@ -69,6 +69,10 @@
 	override note(): never {
 		throw new Error('nothing is sent');
 	}
+
+	override noteLimit(): never {
+		throw new Error('nothing is sent');
+	}
 }
 
 test('of the asks of one request only the first says that it has not waited, however fine the clock', async () => {
--- a/test/helpers/scripted-call.ts
+++ b/test/helpers/scripted-call.ts
@@ -358,6 +358,8 @@
 		}
 	}
 
+	override noteLimit(): void {} // eslint-disable-line @typescript-eslint/no-empty-function
+
 	async #wait(): Promise<void> {
 		const {askDelay = 0} = this.options;
 		if (askDelay > 0) {
--- /dev/null
+++ b/test/limit-grants.test.ts
@@ -0,0 +1,148 @@
+// Nodes that all grant as many requests at a limited server as they may, while the deciding node changes.
+import {expect, test} from '@jest/globals';
+import fc from 'fast-check';
+import {CallWire} from '../platform/index.js';
+import type {BackendServerId} from '../src/common/index.js';
+import {ServerLimits} from '../src/planning/index.js';
+import {ask, createPlanner, short} from './helpers/planning.js';
+
+const server = 'i-000' as BackendServerId;
+const nodeCount = 6;
+
+/** Part of the limit that nodes grant together which stand in for the deciding one. */
+const standInShare = 0.3;
+
+/** Length of a step and of a window, in milliseconds. */
+const step = 20;
+const windowLength = 4000;
+
+/** A phase: the shares of the limit at which nodes grant, for a time in milliseconds. */
+type Phase = {shares: number[]; lasts: number};
+
+/** Plays phases; returns when requests were granted. */
+function playPhases(rate: number, phases: Phase[]): number[] {
+	const nodes = Array.from({length: nodeCount}, () => new ServerLimits());
+	for (const node of nodes) {
+		node.learn({server, requestsPerSecond: rate, age: 0}, 0);
+	}
+
+	const granted: number[] = [];
+	let now = 0;
+	for (const {shares, lasts} of phases) {
+		for (const end = now + lasts; now < end; now += step) {
+			for (const [index, share] of shares.entries()) {
+				const tokens = share > 0 ? Math.floor(nodes[index].countTokens(server, share, now)) : 0;
+				for (let taken = 0; taken < tokens; taken++) {
+					nodes[index].take(server, share, now);
+					granted.push(now);
+				}
+			}
+		}
+	}
+
+	return granted;
+}
+
+function findBusiest(granted: number[]): number {
+	let [first, busiest] = [0, 0];
+	for (const [last, at] of granted.entries()) {
+		while (granted[first] < at - windowLength) {
+			first++;
+		}
+
+		busiest = Math.max(busiest, last - first + 1);
+	}
+
+	return busiest;
+}
+
+function computeAllowed(rate: number): number {
+	return (rate * windowLength / 1000 * 1.5) + 5;
+}
+
+/** One node decides for all. */
+function decideAlone(decider: number): number[] {
+	return Array.from({length: nodeCount}, (_, index) => index === decider ? 1 : 0);
+}
+
+/** One node decides, and all others stand in for it. */
+function standIn(decider: number): number[] {
+	return Array.from({length: nodeCount}, (_, index) => index === decider ? 1 : standInShare / nodeCount);
+}
+
+/** The fleet is cut in two, and each part has a deciding node. */
+function cut(decider: number, part: number): number[] {
+	const shares = decideAlone(decider).map(share => share * part / nodeCount);
+	shares[(decider + 1) % nodeCount] = (nodeCount - part) / nodeCount;
+	return shares;
+}
+
+const phases = fc.array(fc.record({
+	shares: fc.oneof(
+		fc.nat(nodeCount - 1).map(decider => decideAlone(decider)),
+		fc.nat(nodeCount - 1).map(decider => standIn(decider)),
+		fc.tuple(fc.nat(nodeCount - 1), fc.integer({min: 1, max: nodeCount - 1})).map(([decider, part]) => cut(decider, part)),
+	),
+	lasts: fc.oneof(fc.integer({min: 1500, max: 8000}), fc.constant(60_000)),
+}), {minLength: 1, maxLength: 8});
+
+test('grants of all nodes stay within what a limit allows, whoever decides', () => {
+	fc.assert(fc.property(fc.constantFrom(0, 0.1, 0.5, 1, 3, 10, 200), phases, (rate, drawn) => {
+		expect(findBusiest(playPhases(rate, drawn))).toBeLessThanOrEqual(computeAllowed(rate));
+	}), {seed: 46, numRuns: 200});
+});
+
+test.each([0.5, 1, 10, 200])('the deciding node grants at least nine tenths of a limit of %d a second', rate => {
+	const seconds = 20;
+	const granted = playPhases(rate, [{shares: decideAlone(0), lasts: seconds * 1000}]);
+	expect(granted.length).toBeGreaterThanOrEqual(rate * seconds * 0.9);
+});
+
+test('an older report does not change a limit, and answers that overtake each other do not lift it', () => {
+	const limits = new ServerLimits();
+	expect(limits.learn({server, requestsPerSecond: 2, age: 0}, 1000)).toBe(true);
+	expect(limits.learn({server, requestsPerSecond: 9, age: 500}, 1200)).toBe(false);
+	expect(limits.learn({server, age: 0}, 1300)).toBe(false);
+	expect(limits.findRate(server)).toBe(2);
+	expect(limits.learn({server, age: 0}, 1600)).toBe(true);
+	expect(limits.findRate(server)).toBeUndefined();
+	expect(limits.learn({server, requestsPerSecond: 2, age: 700}, 1700)).toBe(false);
+});
+
+test('a rejected request is asked to return when there is room, and those after it later', () => {
+	const planner = createPlanner(1);
+	planner.limits.learn({server, requestsPerSecond: 2, age: 0}, 0);
+	const decide = (patience: number) => planner.decide(ask(500, {...short, patience}), 0);
+	expect(decide(4000).unsafeCoerce()).toMatchObject({kind: 'wait', reason: 'limit'});
+	const returns = [decide(800), decide(800), decide(800)].map(decided => decided.swap().unsafeCoerce().retryAfterSeconds);
+	expect(returns).toEqual([1, 1.5, 2]);
+});
+
+test('a request that waits longer is sent before one that has just come', () => {
+	const planner = createPlanner(1);
+	planner.limits.learn({server, requestsPerSecond: 1, age: 0}, 0);
+	const first = ask(500, {...short, patience: 8000});
+	expect(planner.decide(first, 0).unsafeCoerce().kind).toBe('wait');
+	expect(planner.decide({...first, waited: 900}, 900).unsafeCoerce().kind).toBe('wait');
+	expect(planner.decide(ask(500, {...short, patience: 8000}), 1000).unsafeCoerce().kind).toBe('wait');
+	expect(planner.decide({...first, waited: 1010}, 1010).unsafeCoerce().kind).toBe('plan');
+});
+
+test.each([
+	['2', 2],
+	['0', 0],
+	['0.25', 0.25],
+	[' 12.5 ', 12.5],
+	['-1', undefined],
+	['1e9', undefined],
+	['', undefined],
+	['none', undefined],
+	['1, 2', undefined],
+	['Infinity', undefined],
+])('reads a server limit of "%s" as %p', (text, rate) => {
+	expect(new CallWire().readAnswer(200, {'server-limit': text}).requestLimit).toBe(rate);
+});
+
+test('an answer of another server at the address names no limit', () => {
+	expect(new CallWire().readAnswer(421, {'server-limit': '2'}).requestLimit).toBeUndefined();
+});
--- a/test/silent-connections.test.ts
+++ b/test/silent-connections.test.ts
@@ -64,6 +64,7 @@
 			service: 'app',
 			plans: [],
 			suspects: [],
+			limits: [],
 			history: {
 				life: 'a', age: 0, known: 1, requests: [], retries: [], meanWorth: 0,
 			},
