fix(gateway): count crashes of servers whose address still takes connections

A request that crashed servers behind a proxy, or servers that restart at once, was sent on without end: 39 arrivals later than 3 s after the third crash (3 allowed).

Cause: an attempt that is broken off counts a crash when a connection to the server is refused. A proxy takes the connection.

Change: an attempt that is broken off is remembered like one that was stopped, so that the loss of the server's entry within 5 s counts.

Evidence: 'rejects a request that crashed three servers behind proxies' had 39 late arrivals without the change, at most 3 with it.

--- a/src/gateway/calls/call-run.ts
+++ b/src/gateway/calls/call-run.ts
@@ -206,7 +206,7 @@
 		// What never left this node is no arrival anywhere and costs nothing of the budget.
 		this.#hasRetry ||= !wasSent && this.#attempts.sends > 0;
 		this.#parts.placer.note(plan, {
-			planId: plan.planId, kind: 'ended', wasAnswered: end.kind === 'done' || end.kind === 'failed', mayStillRun: end.kind === 'stopped' && end.mayHaveRun,
+			planId: plan.planId, kind: 'ended', wasAnswered: end.kind === 'done' || end.kind === 'failed', isUnanswered: end.kind === 'lost' || (end.kind === 'stopped' && end.mayHaveRun),
 		});
 	}
 
--- a/src/gateway/deciding/shared-placer.ts
+++ b/src/gateway/deciding/shared-placer.ts
@@ -36,7 +36,7 @@
 /** Time in which notes are gathered, in milliseconds. */
 const noteDelay = 8;
 
-/** How long before a reported crash an attempt may have been stopped whose request counts as a cause, in milliseconds: reports take a few round trips. */
+/** How long before a reported crash an unanswered attempt may have ended whose request counts as a cause, in milliseconds: reports take a few round trips. */
 const reportedCrashAge = 1000;
 
 /** Part of the servers' limits that all nodes together may grant which are not the deciding one by their own view. */
@@ -521,17 +521,17 @@
 		return isChanged;
 	}
 
-	/** Counts a crash for requests whose attempts were stopped before it: no attempt reports it for them. */
+	/** Counts a crash for requests whose attempts ended without an answer before it: no attempt reports it for them. */
 	#attributeCrash(service: ServiceName, planner: Planner, server: BackendServerId, age?: number): void {
 		for (const content of planner.attributeCrash(server, this.#parts.clock.readMonotonic(), age)) {
 			this.#parts.logger.info({
-				event: 'server_ended', service, server, content, wasStopped: true,
-			}, 'a backend server crashed after an attempt there was stopped');
+				event: 'server_ended', service, server, content, isInferred: true,
+			}, 'a backend server crashed after an attempt there had ended without an answer');
 			this.#tellEnds(service, content);
 		}
 	}
 
-	/** An entry that vanishes without a notice counts as a crash for requests whose attempts there were stopped. */
+	/** An entry that vanishes without a notice counts as a crash for requests that were not answered there. */
 	#checkAbandoned(service: ServiceName, planner: Planner): void {
 		const {state, clock} = this.#parts;
 		for (const server of planner.listAbandonedServers()) {
--- a/src/planning/abandoned-runs.ts
+++ b/src/planning/abandoned-runs.ts
@@ -1,37 +1,38 @@
 /**
- * Requests whose attempt was stopped while their backend server may still run them. Pure.
+ * Requests whose attempt ended without an answer, and whose backend server may have crashed under them. Pure.
  *
- * A crash is reported by the attempts that it breaks off. An attempt that was stopped before, because its client left or
- * another server answered first, reports nothing: its request is matched with the crash here.
+ * A crash is reported by the attempts that it breaks off and that find the server gone. An attempt that was stopped before,
+ * because its client left or another server answered first, or whose server restarts at once or is behind a proxy, reports
+ * nothing: its request is matched with the crash here.
  */
 import type {BackendServerId, ContentDigest} from '../common/index.js';
 
-/** How long a stopped attempt is remembered, in milliseconds: above the time in which the entry of a crashed server lapses. */
+/** How long an attempt is remembered, in milliseconds: above the time in which the entry of a crashed server lapses. */
 const runMemory = 5000;
 
-/** Maximum number of stopped attempts that are remembered; the oldest are dropped first. */
+/** Maximum number of attempts that are remembered; the oldest are dropped first. */
 const maxRuns = 4096;
 
-type AbandonedRun = {server: BackendServerId; content: ContentDigest; stoppedAt: number};
+type AbandonedRun = {server: BackendServerId; content: ContentDigest; endedAt: number};
 
-/** Stopped attempts of one service. */
+/** Unanswered attempts of one service. */
 export class AbandonedRuns {
 	#runs: AbandonedRun[] = [];
 
-	/** Records an attempt that was stopped after its request had been sent. */
+	/** Records an attempt that was sent and not answered. */
 	add(server: BackendServerId, content: ContentDigest, now: number): void {
-		this.#runs = this.#runs.filter(run => now - run.stoppedAt <= runMemory).slice(1 - maxRuns);
-		this.#runs.push({server, content, stoppedAt: now});
+		this.#runs = this.#runs.filter(run => now - run.endedAt <= runMemory).slice(1 - maxRuns);
+		this.#runs.push({server, content, endedAt: now});
 	}
 
-	/** Servers at which attempts were stopped. */
+	/** Servers of the attempts. */
 	listServers(): BackendServerId[] {
 		return [...new Set(this.#runs.map(run => run.server))];
 	}
 
-	/** Removes and returns the requests of a server's attempts that were stopped at most `age` milliseconds ago. */
+	/** Removes and returns the requests of a server's attempts that ended at most `age` milliseconds ago. */
 	take(server: BackendServerId, now: number, age = runMemory): ContentDigest[] {
-		const taken = this.#runs.filter(run => run.server === server && now - run.stoppedAt <= age);
+		const taken = this.#runs.filter(run => run.server === server && now - run.endedAt <= age);
 		this.#runs = this.#runs.filter(run => !taken.includes(run));
 		return [...new Set(taken.map(run => run.content))];
 	}
--- a/src/planning/plan.ts
+++ b/src/planning/plan.ts
@@ -105,8 +105,8 @@
 /** How a plan went on, told by the node that carries it out. */
 export type PlanNote =
 	| {planId: PlanId; kind: 'started'}
-	/** `wasAnswered` when its server gave an answer to the end, and lives; `mayStillRun` when it was stopped after it had been sent. */
-	| {planId: PlanId; kind: 'ended'; wasAnswered?: boolean; mayStillRun?: boolean}
+	/** `wasAnswered` when its server gave an answer to the end, and lives; `isUnanswered` when it was sent and stopped or broken off: its server may have crashed. */
+	| {planId: PlanId; kind: 'ended'; wasAnswered?: boolean; isUnanswered?: boolean}
 	| {planId: PlanId; kind: 'failed'; server: BackendServerId; trouble: Trouble}
 	/** The server has ended while it ran the plan. */
 	| {planId: PlanId; kind: 'server_ended'; server: BackendServerId; content: ContentDigest}
--- a/src/planning/planner.ts
+++ b/src/planning/planner.ts
@@ -272,29 +272,24 @@
 		}
 
 		this.#release(held.plan);
-		if (note.mayStillRun === true) {
+		if (note.isUnanswered === true) {
 			this.#noteAbandoned(held.plan, now);
 		}
 
 		return undefined;
 	}
 
-	/** Servers that may still run requests whose attempts were stopped. */
+	/** Servers that may have crashed under requests that they did not answer. */
 	listAbandonedServers(): BackendServerId[] {
 		return this.#abandoned.listServers();
 	}
 
-	/** Counts a server's crash for the requests whose attempts there were stopped at most `age` milliseconds ago; returns those requests. */
+	/** Counts a server's crash for the requests whose attempts there ended without an answer at most `age` milliseconds ago; returns those for which it was not known. */
 	attributeCrash(server: BackendServerId, now: number, age?: number): ContentDigest[] {
-		const contents = this.#abandoned.take(server, now, age);
-		for (const content of contents) {
-			this.suspects.noteEnd(server, content, this.#weighEnd(server, content), now);
-		}
-
-		return contents;
+		return this.#abandoned.take(server, now, age).filter(content => this.suspects.noteEnd(server, content, this.#weighEnd(server, content), now));
 	}
 
-	/** Forgets the stopped attempts at a server that leaves as planned. */
+	/** Forgets the unanswered attempts at a server that leaves as planned. */
 	forgetAbandoned(server: BackendServerId, now: number): void {
 		this.#abandoned.take(server, now);
 	}
--- a/src/planning/suspects.ts
+++ b/src/planning/suspects.ts
@@ -55,10 +55,11 @@
 		return this.#contents.size;
 	}
 
-	/** Notes that a server ended while it ran a request, and what that counts. */
-	noteEnd(server: BackendServerId, content: ContentDigest, weight: number, now: number): void {
-		this.#add(content, this.#findCrash(server, now), weight);
+	/** Notes that a server ended while it ran a request, and what that counts; returns whether that was not known. */
+	noteEnd(server: BackendServerId, content: ContentDigest, weight: number, now: number): boolean {
+		const isNew = this.#add(content, this.#findCrash(server, now), weight);
 		this.#prune(now);
+		return isNew;
 	}
 
 	/** Notes that a server has answered a request: it was there by chance when others ended. Requests that are alike, as a short question of many callers is, would else be refused for all. */
@@ -142,16 +143,18 @@
 		return crash;
 	}
 
-	#add(content: ContentDigest, crash: Crash, weight: number): void {
+	#add(content: ContentDigest, crash: Crash, weight: number): boolean {
 		const crashes = this.#contents.get(content) ?? new Map<Crash, number>();
+		const isNew = !crashes.has(crash);
 		crash.running.add(content);
-		if (!crashes.has(crash)) {
+		if (isNew) {
 			crashes.set(crash, weight);
 		}
 
 		// Keeps the map in the order of the last crash.
 		this.#contents.delete(content);
 		this.#contents.set(content, crashes);
+		return isNew;
 	}
 
 	#prune(now: number): void {
--- a/test/abandoned-runs.test.ts
+++ b/test/abandoned-runs.test.ts
@@ -8,9 +8,9 @@
 const content = 'content-a' as ContentDigest;
 
 /** Places a request and stops its attempt. */
-function abandon(planner: Planner, now: number, mayStillRun = true): Plan {
+function abandon(planner: Planner, now: number, isUnanswered = true): Plan {
 	const plan = planNow(planner, ask(500, {...short, content}), now);
-	planner.note({planId: plan.planId, kind: 'ended', mayStillRun}, now + 50);
+	planner.note({planId: plan.planId, kind: 'ended', isUnanswered}, now + 50);
 	return plan;
 }
 
@@ -52,7 +52,7 @@
 	const planner = createPlanner();
 	const plan = planNow(planner, ask(500, {...short, content}), 0);
 	planner.setServers(createServers(18).filter(({id}) => id !== plan.server), engine);
-	planner.note({planId: plan.planId, kind: 'ended', mayStillRun: true}, 50);
+	planner.note({planId: plan.planId, kind: 'ended', isUnanswered: true}, 50);
 	expect(planner.listAbandonedServers()).toEqual([]);
 });
 
--- a/test/crashing-requests.test.ts
+++ b/test/crashing-requests.test.ts
@@ -25,12 +25,15 @@
 let crashes: number[];
 let arrivals: number[];
 let isOver: boolean;
+/** Whether the address of a crashed server takes connections, as that of a proxy does. */
+let isBehindProxy: boolean;
 
 beforeEach(() => {
 	fleet = new GatewayFleet();
 	crashes = [];
 	arrivals = [];
 	isOver = false;
+	isBehindProxy = false;
 });
 
 afterEach(async () => {
@@ -46,10 +49,11 @@
 
 /** Streams six events in 300 ms; a crashing request takes the server down, whether its client is still there or not. */
 function createCrashing(): RunnerBehaviour {
-	return async (request, response) => {
+	return async (request, response, socket) => {
 		if (request.body === poison) {
 			arrivals.push(Date.now());
 			await pause(crashDelay);
+			socket.destroy();
 			crashServer(request);
 			return;
 		}
@@ -72,7 +76,10 @@
 	}
 
 	crashes.push(Date.now());
-	void fleet.runners[Number(name.slice(2))].stop();
+	if (!isBehindProxy) {
+		void fleet.runners[Number(name.slice(2))].stop();
+	}
+
 	setTimeout(() => {
 		if (!isOver) {
 			fleet.store.remove('servers', name);
@@ -121,6 +128,14 @@
 	expect(countLateArrivals()).toBeLessThanOrEqual(mostLateArrivals);
 }, playLimit);
 
+test('rejects a request that crashed three servers behind proxies', async () => {
+	isBehindProxy = true;
+	await startFleet(8);
+	await repeatUntil(Date.now() + 14_000, 300, async tried => sendStream(poison, tried));
+	expect(crashes.length).toBeGreaterThanOrEqual(3);
+	expect(countLateArrivals()).toBeLessThanOrEqual(mostLateArrivals);
+}, playLimit);
+
 test('a node that joins after the crashes rejects the request when it is the only one left', async () => {
 	await startFleet(6);
 	await repeatUntil(Date.now() + 3000, 100, async tried => sendStream(poison, tried));
