test(soak): servers that name limits and requests that crash servers, judged from outside

Two series of their own, so that a seed has the same other faults as before. Limits of 0 to 5 a second for six to nine seconds, judged at the server in every window of 4 s; a crashing request each 0.25 s at gateways drawn anew, two of five times by a caller that leaves after 60 ms, judged by arrivals later than 3 s after the third crash; no other request may be rejected as a crashing one.

--- a/soak/answers.ts
+++ b/soak/answers.ts
@@ -1,9 +1,23 @@
 /** What a true answer of a stand-in server looks like, for the server and for the caller that checks it. */
+import {Buffer} from 'node:buffer';
 import {createHash} from 'node:crypto';
 
 /** Most events of one stream. */
 const mostEvents = 12;
 
+/** How the body of a request begins that crashes the backend servers that run it. */
+const crashMark = 'crash-';
+
+/** The body of a crashing request. */
+export function formatCrashing(name: string): string {
+	return `${crashMark}${name}`;
+}
+
+/** Whether a body is that of a crashing request. */
+export function isCrashing(body: Uint8Array): boolean {
+	return Buffer.from(body.subarray(0, crashMark.length)).toString() === crashMark;
+}
+
 /** Digest of a request's body, which its answer repeats. */
 export function hashBody(body: Uint8Array): string {
 	return createHash('sha1').update(body).digest('hex');
--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -23,6 +23,9 @@
 /** Time between the end of a process and its next start, in milliseconds. */
 const restartPause = 300;
 
+/** Time from a server's crash to the start of the next one, in milliseconds. */
+const crashPause = 1500;
+
 /** Time for an answer of the store, and between two tries of a change, in milliseconds. */
 const storeTimeout = 1500;
 const changePause = 100;
@@ -280,6 +283,59 @@
 		}
 	}
 
+	#noteLine(server: string, service: string, line: Record<string, unknown>): void {
+		const at = Number(line.at);
+		const node = String(line.node);
+		switch (line.event) {
+			case 'run': {
+				this.#records.runs.push({
+					id: String(line.id), server, service, node, at,
+				});
+				break;
+			}
+
+			case 'limited': {
+				this.#records.limitedArrivals.push({
+					server, node, at, limit: Number(line.limit), namedAt: Number(line.namedAt),
+				});
+				break;
+			}
+
+			case 'crash': {
+				this.#noteCrash(server, line);
+				break;
+			}
+
+			case 'leaving': {
+				this.#records.changes.push({at, sentAt: at, leaving: server});
+				break;
+			}
+
+			default:
+		}
+	}
+
+	#noteCrash(server: string, line: Record<string, unknown>): void {
+		const hasCrashed = line.hasCrashed === true;
+		this.#records.crashes.push({
+			request: String(line.request), server, node: String(line.node), at: Number(line.at), hasCrashed,
+		});
+		if (hasCrashed) {
+			this.#records.faults.push({
+				kind: 'request_crash', server, from: Number(line.at), to: Number(line.at) + crashPause,
+			});
+			void this.#replaceCrashed(server);
+		}
+	}
+
+	async #replaceCrashed(id: string): Promise<void> {
+		await pause(crashPause);
+		const server = this.servers.find(each => each.id === id);
+		if (server !== undefined && !this.#isOver) {
+			await this.replaceServer(server);
+		}
+	}
+
 	/** Only once: another fault may have ended the same life, and what it starts would be one server too many. */
 	async #putInPlace(server: SoakServer, start: () => Promise<SoakServer>): Promise<void> {
 		if (!this.servers.includes(server) || this.#replaced.has(server)) {
@@ -376,13 +432,7 @@
 			'server', '--id', name, '--born', String(born), '--service', service, '--store', this.#storeAddress, '--advertise', link.address, '--port', String(port),
 		]);
 		started.listen(line => {
-			if (line.event === 'run') {
-				this.#records.runs.push({
-					id: String(line.id), server: id, service, node: String(line.node), at: Number(line.at),
-				});
-			} else if (line.event === 'leaving') {
-				this.#records.changes.push({at: Number(line.at), sentAt: Number(line.at), leaving: id});
-			}
+			this.#noteLine(id, service, line);
 		});
 		await started.waitForLine(({address}) => address !== undefined);
 		return {
--- a/soak/judge.ts
+++ b/soak/judge.ts
@@ -1,6 +1,6 @@
 /** Checks the promises of the pages against what was seen from outside. Pure. */
 import {
-	keptVersions, type CallRecord, type FaultRecord, type RunRecord, type RunRecords,
+	keptVersions, type CallRecord, type FaultRecord, type RunRecords,
 } from './records.js';
 
 /** A promise that was broken. */
@@ -33,6 +33,21 @@
 /** What a slow store may add to the time of a change, in milliseconds: the answer that had left before it, and one more. */
 const slowSlack = 1800;
 
+/** Time from the first answer that names a limit, or from a third crash, until it binds, in milliseconds. */
+const contactTime = 3000;
+
+/** Length of a window of limited arrivals, in milliseconds, how far they may exceed the limit in it, and how many may come besides. */
+const limitWindow = 4000;
+const limitExcess = 1.5;
+const limitSlack = 5;
+
+/** Time after which a node that saw the limit has to keep it, in milliseconds. */
+const toldTime = 500;
+
+/** Crashes of servers by one request after which it may reach servers so many times more. */
+const crashesToReject = 3;
+const lateArrivals = 3;
+
 /** Last part of the grace in which a stopping node may end what has not ended, as a share. */
 const cutShare = 5 / 6;
 
@@ -46,6 +61,8 @@
 		...checkVersions(records),
 		...checkAdded(records),
 		...checkStops(records, graceMs),
+		...checkLimits(records),
+		...checkCrashing(records),
 		...records.unusedServers.map(({node, usable, ready}) => ({promise: 'every node uses the ready servers', id: node, detail: `${usable} of ${ready} servers`})),
 		...records.leftMemory.map(left => ({promise: 'memory set aside is freed', id: left.reservation, detail: `still held at ${left.server}`})),
 	];
@@ -60,10 +77,7 @@
 
 /** What may run once runs once; what was told not to have run has not. */
 function checkRuns({calls, runs}: RunRecords): Violation[] {
-	const counts = new Map<string, RunRecord[]>();
-	for (const run of runs) {
-		counts.set(run.id, [...counts.get(run.id) ?? [], run]);
-	}
+	const counts = collectBy(runs, ({id}) => id);
 
 	return calls.flatMap(call => {
 		const own = counts.get(call.id) ?? [];
@@ -164,6 +178,40 @@
 	});
 }
 
+function collectBy<Item>(items: Item[], findKey: (item: Item) => string): Map<string, Item[]> {
+	const groups = new Map<string, Item[]>();
+	for (const item of items) {
+		const key = findKey(item);
+		groups.set(key, [...groups.get(key) ?? [], item]);
+	}
+
+	return groups;
+}
+
+/** A server gets no more than the limit that it has named for three seconds, from nodes that have seen it and are well. */
+function checkLimits(records: RunRecords): Violation[] {
+	const spans = collectBy(records.limitedArrivals, ({server, namedAt}) => `${server} since ${namedAt}`);
+	return [...spans].flatMap(([id, arrivals]) => {
+		const counted = arrivals.filter(arrival => arrival.at > arrival.namedAt + contactTime
+			&& arrivals.some(({node, at}) => node === arrival.node && at + toldTime < arrival.at)
+			&& !isDisturbed(records, arrival, arrival.at - contactTime, arrival.at));
+		const allowed = (arrivals[0].limit * limitWindow / 1000 * limitExcess) + limitSlack;
+		const busiest = Math.max(0, ...counted.map(({at}) => counted.filter(other => other.at >= at && other.at <= at + limitWindow).length));
+		return busiest > allowed ? [{promise: 'a named limit is kept', id, detail: `${busiest} requests in ${limitWindow} ms at ${arrivals[0].limit} a second`}] : [];
+	});
+}
+
+/** A request that has crashed three servers is rejected from then on. */
+function checkCrashing(records: RunRecords): Violation[] {
+	const requests = collectBy(records.crashes, ({request}) => request);
+	return [...requests].flatMap(([id, seen]) => {
+		const crashes = seen.filter(({hasCrashed}) => hasCrashed).map(({at}) => at).sort((left, right) => left - right);
+		const third = crashes[crashesToReject - 1] ?? Infinity;
+		const late = seen.filter(({hasCrashed, at, node}) => !hasCrashed && at > third + contactTime && !isDisturbed(records, {node}, at - contactTime, at));
+		return late.length > lateArrivals ? [{promise: 'a crashing request is rejected', id, detail: `${late.length} arrivals ${contactTime} ms after the third of ${crashes.length} crashes`}] : [];
+	});
+}
+
 /** A planned stop cuts off nothing that was passed on, also of what still comes on open connections. */
 function checkStops({
 	calls, runs, stops, faults,
--- a/soak/load.ts
+++ b/soak/load.ts
@@ -3,7 +3,7 @@
 import {randomUUID} from 'node:crypto';
 import seedrandom from 'seedrandom';
 import {Agent, request as sendRequest, type Dispatcher} from 'undici';
-import {formatStream, formatText} from './answers.js';
+import {formatCrashing, formatStream, formatText} from './answers.js';
 import {
 	formatAddedKey, formatAddedPath, type SoakFleet, type SoakNode,
 } from './fleet.js';
@@ -34,6 +34,14 @@
 /** Pause between looks for changes, in milliseconds. */
 const changePoll = 25;
 
+/** Time between two tries of a crashing request, the share of its callers that leave early, and after which time, in milliseconds. */
+const crashingGap = 250;
+const crashingLeaveShare = 0.4;
+const crashingLeaveAfter = 60;
+
+/** What a node answers to a request that it takes for a crashing one. */
+const rejectedCode = '"ends_servers"';
+
 /** A kind of request: its path, its share of the traffic, and how long it may take in milliseconds. */
 type CallShape = {kind: CallRecord['kind']; path: string; share: number; limit: number};
 
@@ -89,6 +97,19 @@
 		await this.#agent.destroy();
 	}
 
+	/** Sends a crashing request again and again, each time to a node drawn anew, in milliseconds. */
+	async repeatCrashing(name: string, duration: number): Promise<void> {
+		const body = Buffer.from(formatCrashing(name));
+		for (const end = Date.now() + duration; Date.now() < end && !this.#isOver;) {
+			const node = this.#pickNode();
+			if (node !== undefined) {
+				this.#inProgress.add(this.#sendCrashing(node, body));
+			}
+
+			await pause(crashingGap);
+		}
+	}
+
 	/** Sends nothing more. */
 	stop(): void {
 		this.#isOver = true;
@@ -198,6 +219,23 @@
 		}
 	}
 
+	/** Its answer is not judged: what counts is how often it reaches a server. */
+	async #sendCrashing(node: SoakNode, body: Uint8Array): Promise<void> {
+		const [shape] = shapes;
+		const record: CallRecord = {
+			id: randomUUID(), kind: shape.kind, node: node.name, sentAt: Date.now(), endedAt: 0, status: 0, isComplete: false, limit: shape.limit,
+		};
+		const timeLeft = this.#random() < crashingLeaveShare ? crashingLeaveAfter : shape.limit;
+		try {
+			const answer = await sendRequest(`http://${node.callersLink.address}${shape.path}a`, {
+				dispatcher: this.#agent, method: 'POST', body, headers: this.#formatHeaders(record, shape), signal: AbortSignal.timeout(timeLeft),
+			});
+			await answer.body.dump();
+		} catch {
+			// It crashes its server.
+		}
+	}
+
 	#formatHeaders(record: CallRecord, shape: CallShape): Record<string, string> {
 		return {
 			host: 'shop.example',
@@ -213,6 +251,7 @@
 /** Notes what is wrong with an answer that looks complete, and which service gave it. */
 function checkAnswer(record: CallRecord, answer: Dispatcher.ResponseData, text: string, expected: string): void {
 	if (answer.statusCode !== 200) {
+		record.wrong = text.includes(rejectedCode) ? 'it is rejected as a crashing request' : undefined;
 		return;
 	}
 
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -25,9 +25,16 @@
 	| 'link_severed'
 	/** The store is silent to all nodes but one, old and new connections alike, and the configuration changes meanwhile. */
 	| 'store_partial'
+	/** A backend server names a limit on its requests. */
+	| 'server_limit'
+	/** Callers repeat a request that crashes each backend server that runs it. */
+	| 'request_crash'
 	/** The operator changes the configuration. */
 	| 'config_change';
 
+/** Kinds of the main series; each of the others has a series of its own, so that a seed has the same other faults with it and without it. */
+type SeriesKind = Exclude<FaultKind, 'link_severed' | 'store_partial' | 'server_limit' | 'request_crash'>;
+
 /** One fault; times in milliseconds from the start. */
 export type Fault = {
 	kind: FaultKind;
@@ -47,8 +54,8 @@
 /** Links that are severed: a caller on a severed connection learns nothing of its node, and the node is not to blame. */
 const severedKinds: LinkKind[] = ['store', 'server', 'peers'];
 
-/** How often each kind comes, relative to the others; those of the second series are not among them. */
-const weights: Record<Exclude<FaultKind, 'link_severed' | 'store_partial'>, number> = {
+/** How often each kind of the main series comes, relative to the others. */
+const weights: Record<SeriesKind, number> = {
 	node_kill: 3,
 	node_pause: 3,
 	node_stop: 4,
@@ -72,7 +79,7 @@
 };
 
 /** Kinds of fault, in the order in which they are drawn. */
-export const faultKinds = [...Object.keys(weights) as Array<keyof typeof weights>, 'link_severed' as const, 'store_partial' as const];
+export const faultKinds: FaultKind[] = [...Object.keys(weights) as SeriesKind[], 'link_severed', 'store_partial', 'server_limit', 'request_crash'];
 
 /** Mean time between two faults, in milliseconds: with durations of seconds, four or so overlap. */
 const meanGap = 500;
@@ -90,6 +97,14 @@
 /** Longest time from a severing to the change of the configuration, in milliseconds: within the bound for a change. */
 const longestSevered = 1500;
 
+/** Pauses, and shortest and longest durations, of limits and of crashing requests, in milliseconds: a limit binds three seconds after it was first named. */
+const limitSeries = {
+	name: 'limit', pause: 1500, shortest: 6000, longest: 9000,
+};
+const crashSeries = {
+	name: 'crash', pause: 3000, shortest: 5000, longest: 9000,
+};
+
 /** Shortest and longest fault, in milliseconds. */
 const shortest = 200;
 const longest = 3000;
@@ -99,11 +114,13 @@
 
 /** Draws the faults of a run that lasts so many milliseconds. */
 export function drawFaults(seed: number, length: number, kinds: FaultKind[] = faultKinds): Fault[] {
-	const drawn = kinds.filter(kind => kind !== 'link_severed' && kind !== 'store_partial');
+	const drawn = kinds.filter(kind => isOfMainSeries(kind));
 	return [
 		...drawn.length === 0 ? [] : drawSeries(seed, length, drawn),
 		...kinds.includes('link_severed') ? drawSeverings(seed, length) : [],
 		...kinds.includes('store_partial') ? drawPartialSilences(seed, length) : [],
+		...kinds.includes('server_limit') ? drawSpans('server_limit', limitSeries, seed, length) : [],
+		...kinds.includes('request_crash') ? drawSpans('request_crash', crashSeries, seed, length) : [],
 	];
 }
 
@@ -141,7 +158,27 @@
 	}
 }
 
-function drawSeries(seed: number, length: number, kinds: Array<keyof typeof weights>): Fault[] {
+function isOfMainSeries(kind: FaultKind): kind is SeriesKind {
+	return kind in weights;
+}
+
+/** One after the other, with pauses. */
+function drawSpans(kind: FaultKind, series: typeof limitSeries, seed: number, length: number): Fault[] {
+	const random = seedrandom(`${series.name}-${seed}`);
+	const faults: Fault[] = [];
+	let at = quietStart;
+	while (at < length) {
+		const duration = Math.round(series.shortest + (random() * (series.longest - series.shortest)));
+		faults.push({
+			kind, at, duration, target: Math.floor(random() * 1000),
+		});
+		at += duration + Math.round(random() * series.pause * 2);
+	}
+
+	return faults;
+}
+
+function drawSeries(seed: number, length: number, kinds: SeriesKind[]): Fault[] {
 	const random = seedrandom(`faults-${seed}`);
 	const faults: Fault[] = [];
 	let at = quietStart;
@@ -166,7 +203,7 @@
 	}
 }
 
-function pick(kinds: Array<keyof typeof weights>, draw: number): FaultKind {
+function pick(kinds: SeriesKind[], draw: number): FaultKind {
 	const total = kinds.reduce((sum, kind) => sum + weights[kind], 0);
 	let left = draw * total;
 	return kinds.find(kind => {
--- a/soak/records.ts
+++ b/soak/records.ts
@@ -45,6 +45,12 @@
 /** A planned stop of a node. */
 export type StopRecord = {node: string; at: number; endedAt: number};
 
+/** A request that reached a backend server which named a limit, in requests a second; `namedAt` is when it first did. */
+export type LimitedArrival = {server: string; node: string; at: number; limit: number; namedAt: number};
+
+/** A crashing request reached a backend server, or crashed it. */
+export type CrashRecord = {request: string; server: string; node: string; at: number; hasCrashed: boolean};
+
 /** Memory that a backend server still had set aside at the end. */
 export type LeftMemory = {server: string; reservation: string};
 
@@ -58,6 +64,8 @@
 	changes: ChangeRecord[];
 	faults: FaultRecord[];
 	stops: StopRecord[];
+	limitedArrivals: LimitedArrival[];
+	crashes: CrashRecord[];
 	leftMemory: LeftMemory[];
 	unusedServers: UnusedServers[];
 };
@@ -65,6 +73,6 @@
 /** An empty set. */
 export function createRecords(): RunRecords {
 	return {
-		calls: [], runs: [], changes: [], faults: [], stops: [], leftMemory: [], unusedServers: [],
+		calls: [], runs: [], changes: [], faults: [], stops: [], limitedArrivals: [], crashes: [], leftMemory: [], unusedServers: [],
 	};
 }
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -33,6 +33,9 @@
 /** How long connections that were severed may stay in use at nodes that have not met them, in milliseconds. */
 const severedMemory = 2000;
 
+/** Limits that servers name, in requests a second. */
+const namedLimits = [0, 0.5, 1, 2, 5];
+
 /** Time between two changes while the store is silent to most nodes, in milliseconds. */
 const partialChangeGap = 500;
 
@@ -57,7 +60,7 @@
 	const faults = drawFaults(options.seed, options.length, options.kinds);
 	try {
 		// Together, so that a fault that cannot be played ends the run when it comes, and not as an error that nobody waits for.
-		await Promise.all([disturb(fleet, records, faults), pause(options.length)]);
+		await Promise.all([disturb({fleet, records, load}, faults), pause(options.length)]);
 	} finally {
 		load.stop();
 	}
@@ -76,11 +79,14 @@
 	};
 }
 
-async function disturb(fleet: SoakFleet, records: RunRecords, faults: Fault[]): Promise<void> {
+/** What faults are played on. */
+type Played = {fleet: SoakFleet; records: RunRecords; load: Load};
+
+async function disturb(played: Played, faults: Fault[]): Promise<void> {
 	const start = Date.now();
 	await Promise.all(faults.map(async fault => {
 		await pause(start + fault.at - Date.now());
-		await new Disturbance(fleet, records, fault).play();
+		await new Disturbance(played, fault).play();
 	}));
 }
 
@@ -88,11 +94,13 @@
 class Disturbance {
 	readonly #fleet: SoakFleet;
 	readonly #records: RunRecords;
+	readonly #load: Load;
 	readonly #fault: Fault;
 
-	constructor(fleet: SoakFleet, records: RunRecords, fault: Fault) {
+	constructor({fleet, records, load}: Played, fault: Fault) {
 		this.#fleet = fleet;
 		this.#records = records;
+		this.#load = load;
 		this.#fault = fault;
 	}
 
@@ -108,7 +116,14 @@
 			}
 
 			case 'server': {
-				await this.#disturbServer(this.#fleet.findServer(target), how);
+				const server = this.#fleet.findServer(target);
+				await (how === 'limit' ? this.#limitServer(server) : this.#disturbServer(server, how));
+
+				break;
+			}
+
+			case 'request': {
+				await this.#load.repeatCrashing(`${target}-${this.#fault.at}`, this.#fault.duration);
 
 				break;
 			}
@@ -211,6 +226,13 @@
 		});
 	}
 
+	/** Excuses nothing: a limited server serves what it is sent. */
+	async #limitServer(server: SoakServer): Promise<void> {
+		server.process.tell({limit: namedLimits[this.#fault.target % namedLimits.length]});
+		await pause(this.#fault.duration);
+		server.process.tell({});
+	}
+
 	async #disturbStore(how: string): Promise<void> {
 		await this.#record({}, async () => {
 			this.#fleet.tellStore(how === 'forget' ? {forget: true} : {trouble: how});
--- a/soak/standin.ts
+++ b/soak/standin.ts
@@ -10,7 +10,9 @@
 import {Command} from 'commander';
 import {request as sendRequest} from 'undici';
 import {Listening, StandinStore} from '../test/helpers/platform-standins.js';
-import {countEvents, formatEvent, formatText} from './answers.js';
+import {
+	countEvents, formatEvent, formatText, isCrashing,
+} from './answers.js';
 import {pause} from './link.js';
 
 /** Time between two heartbeats of a server, in milliseconds. */
@@ -40,6 +42,10 @@
 /** Longest time in which a plain request is worked on, in milliseconds: faults must meet some of them half done. */
 const longestPlainTime = 300;
 
+/** Time from the start of a crashing request to the crash, and time in which its last line is written, in milliseconds. */
+const crashAfter = 100;
+const lastLineTime = 5;
+
 function print(line: Record<string, unknown>): void {
 	process.stdout.write(`${JSON.stringify(line)}\n`);
 }
@@ -93,6 +99,8 @@
 	readonly #reservations = new Map<string, {tokens: number; until: number}>();
 	#running = 0;
 	#sequence = 0;
+	#limit: number | undefined;
+	#limitNamedAt: number | undefined;
 	#isLeaving = false;
 
 	constructor(options: ServerOptions) {
@@ -108,6 +116,14 @@
 			void this.#leave();
 		});
 		void this.#register();
+		void this.#takeOrders();
+	}
+
+	async #takeOrders(): Promise<void> {
+		for await (const line of readLines()) {
+			this.#limit = (JSON.parse(line) as {limit?: number}).limit;
+			this.#limitNamedAt = undefined;
+		}
 	}
 
 	async #register(): Promise<void> {
@@ -201,7 +217,8 @@
 
 	async #serve(request: IncomingMessage, body: Uint8Array, response: ServerResponse): Promise<void> {
 		const id = String(request.headers['cresshook-attempt-id'] ?? '');
-		const head = {'cresshook-attempt-id': id, 'cresshook-response-seal': 'seal'};
+		const node = String(request.headers['x-soak-node'] ?? '');
+		const head = {'cresshook-attempt-id': id, 'cresshook-response-seal': 'seal', ...this.#nameLimit(node)};
 		const isOther = request.headers['cresshook-target-instance'] !== this.#options.id;
 		if (isOther || this.#running >= slots * 2) {
 			response.writeHead(isOther ? 421 : 503, {...head, 'cresshook-not-executed': '1', 'content-length': '0'});
@@ -211,8 +228,13 @@
 
 		this.#running++;
 		print({
-			event: 'run', id, at: Date.now(), service: this.#options.service, node: String(request.headers['x-soak-node'] ?? ''),
+			event: 'run', id, at: Date.now(), service: this.#options.service, node,
 		});
+		if (isCrashing(body)) {
+			await this.#crash(Buffer.from(body).toString(), node);
+			return;
+		}
+
 		const text = formatText(id, body);
 		try {
 			await (request.headers['cresshook-token-usage'] === undefined
@@ -223,6 +245,32 @@
 		}
 	}
 
+	/** Counts an arrival and names the limit in its answer. */
+	#nameLimit(node: string): Record<string, string> {
+		if (this.#limit === undefined) {
+			return {};
+		}
+
+		this.#limitNamedAt ??= Date.now();
+		print({
+			event: 'limited', at: Date.now(), node, limit: this.#limit, namedAt: this.#limitNamedAt,
+		});
+		return {'server-limit': String(this.#limit)};
+	}
+
+	/** Ends the process, whether the caller is still there or not. */
+	async #crash(name: string, node: string): Promise<void> {
+		print({
+			event: 'crash', request: name, node, at: Date.now(), hasCrashed: false,
+		});
+		await pause(crashAfter);
+		print({
+			event: 'crash', request: name, node, at: Date.now(), hasCrashed: true,
+		});
+		await pause(lastLineTime);
+		process.exit(1); // eslint-disable-line unicorn/no-process-exit -- it is what the request does
+	}
+
 	async #sendWhole(response: ServerResponse, head: Record<string, string>, text: string): Promise<void> {
 		await pause(Math.random() * longestPlainTime);
 		response.writeHead(200, {...head, 'content-length': String(text.length)});
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -95,6 +95,53 @@
 	})).toEqual([]);
 });
 
+test('more requests than a server takes are found, but for those of nodes that have not seen its limit', () => {
+	const fill = (records: RunRecords, node: string, count: number) => {
+		records.limitedArrivals.push(...Array.from({length: count}, (_, index) => ({
+			server: 'i-1', node, at: 10_000 + (index * 300), limit: 1, namedAt: 6000,
+		})));
+	};
+
+	const seen = {
+		server: 'i-1', node: 'edge-0', at: 6000, limit: 1, namedAt: 6000,
+	};
+	const isExcused = (kind: string, node: string) => listBroken(records => {
+		records.limitedArrivals.push(seen);
+		fill(records, 'edge-0', 12);
+		records.faults.push({
+			kind, from: 10_500, to: 11_000, node,
+		});
+	}).length === 0;
+	expect(listBroken(records => {
+		records.limitedArrivals.push(seen);
+		fill(records, 'edge-0', 12);
+	})).toEqual(['a named limit is kept']);
+	expect(listBroken(records => {
+		records.limitedArrivals.push(seen);
+		fill(records, 'edge-0', 11);
+		fill(records, 'edge-1', 1);
+	})).toEqual([]);
+	expect([isExcused('node_pause', 'edge-0'), isExcused('node_pause', 'edge-1')]).toEqual([true, false]);
+});
+
+test('a request that reaches servers after it has crashed three is found', () => {
+	const fill = (records: RunRecords, late: number) => {
+		const record = {request: 'crash-1', server: 'i-1', node: 'edge-0'};
+		for (let crash = 0; crash < 3; crash++) {
+			records.crashes.push({...record, at: 1000 + crash, hasCrashed: true});
+		}
+
+		records.crashes.push(...Array.from({length: late}, (_, index) => ({...record, at: 4500 + index, hasCrashed: false})));
+	};
+
+	expect(listBroken(records => {
+		fill(records, 3);
+	})).toEqual([]);
+	expect(listBroken(records => {
+		fill(records, 4);
+	})).toEqual(['a crashing request is rejected']);
+});
+
 test('a change that is not in force in time is found, and a node that goes back', () => {
 	const versions = (records: RunRecords) => {
 		records.changes.push(
