--- a/src/common/ids.ts
+++ b/src/common/ids.ts
@@ -29,8 +29,8 @@
 export type GrantId = Branded<'GrantId'>;
 /** One plan: a place that a planner has given to a request. */
 export type PlanId = Branded<'PlanId'>;
-/** What a request asks, as a digest: alike for all tries of it. */
-export type ContentDigest = Branded<'ContentDigest'>;
+/** Identifies a request across retries: a digest of its method, path, caller and body. */
+export type RequestFingerprint = Branded<'RequestFingerprint'>;
 /** A caller's key for a request that may run at most once. */
 export type RunKey = Branded<'RunKey'>;
 
--- a/src/gateway/calls/call-run.ts
+++ b/src/gateway/calls/call-run.ts
@@ -242,15 +242,15 @@
 			}
 
 			case 'lost': {
-				await this.#noteServerEnd(end);
+				await this.#noteServerCrash(end);
 				return this.#mayRepeat() && await this.#takeTry(end.server, end.reason) ? 'again' : describeUnconfirmed(end.reason);
 			}
 		}
 	}
 
-	/** Who ran at a server that has ended is told apart from those that lost a connection: only the first come under suspicion. */
-	async #noteServerEnd({server, trouble}: Extract<AttemptEnd, {kind: 'lost'}>): Promise<void> {
-		const {head, content, service} = this.#call;
+	/** Records a crash if the server is gone; a lost connection alone is none. */
+	async #noteServerCrash({server, trouble}: Extract<AttemptEnd, {kind: 'lost'}>): Promise<void> {
+		const {head, fingerprint, service} = this.#call;
 		const plan = this.#placed?.plan;
 		if (plan === undefined || trouble === 'silent' || !await this.#parts.hasEnded(server)) {
 			return;
@@ -258,10 +258,10 @@
 
 		this.#parts.metrics.countServerEnd(service.name);
 		this.#parts.logger.info({
-			event: 'server_ended', request: head.requestId, service: service.name, server, content,
+			event: 'server_ended', request: head.requestId, service: service.name, server, fingerprint,
 		}, 'a backend server ended while it ran the request');
 		this.#parts.placer.note(plan, {
-			planId: plan.planId, kind: 'server_ended', server, content,
+			planId: plan.planId, kind: 'server_ended', server, fingerprint,
 		});
 	}
 
--- a/src/gateway/calls/call.ts
+++ b/src/gateway/calls/call.ts
@@ -1,5 +1,5 @@
 /** One call of a caller, as the node that took it knows it. */
-import type {ContentDigest} from '../../common/index.js';
+import type {RequestFingerprint} from '../../common/index.js';
 import type {Organisation, Route, ServiceSpec} from '../../routing/index.js';
 import type {CallHead} from '../wire.js';
 
@@ -7,8 +7,8 @@
 export type Call = {
 	head: CallHead;
 	body: Uint8Array | undefined;
-	/** What it asks; alike for all tries of its caller. */
-	content: ContentDigest;
+	/** Identifies the request across retries of its caller. */
+	fingerprint: RequestFingerprint;
 	route: Route;
 	service: ServiceSpec;
 	organisation?: Organisation;
--- a/src/gateway/calls/index.ts
+++ b/src/gateway/calls/index.ts
@@ -6,7 +6,7 @@
 export * from './call-run.js';
 export * from './call-service.js';
 export * from './call-sink.js';
-export * from './content-digest.js';
+export * from './request-fingerprint.js';
 export * from './event-frames.js';
 export * from './failure-answer.js';
 export * from './first-view.js';
--- a/src/gateway/calls/place-seeker.ts
+++ b/src/gateway/calls/place-seeker.ts
@@ -104,7 +104,7 @@
 			route: route.name,
 			callerWaits: head.timeLeft,
 			hasBegun,
-			content: call.content,
+			fingerprint: call.fingerprint,
 			excluded,
 			failedAt: this.failedAt,
 		});
--- a/src/gateway/calls/content-digest.ts
+++ b/src/gateway/calls/request-fingerprint.ts
@@ -1,5 +1,5 @@
-/** What a call asks, as a digest: its caller may send it again under another id, at another node. Pure. */
-import type {ContentDigest, OrganisationId} from '../../common/index.js';
+/** Identifies a request across retries: its caller may send it again under another id, at another node. Pure. */
+import type {RequestFingerprint, OrganisationId} from '../../common/index.js';
 import {computeDigest} from '../digest.js';
 import type {CallHead} from '../wire.js';
 
@@ -11,6 +11,6 @@
  *
  * Header fields are left out: a retry may state its prompt differently, or resume a stream.
  */
-export function computeContent({method, host, target}: CallHead, organisation: OrganisationId | undefined, body: Uint8Array | undefined): ContentDigest {
-	return computeDigest([JSON.stringify([method, host, target, organisation ?? null]), body ?? ''], digestLength) as ContentDigest;
+export function computeFingerprint({method, host, target}: CallHead, organisation: OrganisationId | undefined, body: Uint8Array | undefined): RequestFingerprint {
+	return computeDigest([JSON.stringify([method, host, target, organisation ?? null]), body ?? ''], digestLength) as RequestFingerprint;
 }
--- a/src/gateway/deciding/decision-log.ts
+++ b/src/gateway/deciding/decision-log.ts
@@ -24,8 +24,8 @@
 		waited: Math.round(request.waited),
 		patience: Math.round(request.patience),
 		excluded: request.excluded,
-		content: request.ends === undefined ? undefined : request.content,
-		ends: request.ends?.length,
+		fingerprint: request.crashes === undefined ? undefined : request.fingerprint,
+		crashes: request.crashes?.length,
 		...known,
 	};
 	decided.caseOf({
--- a/src/gateway/deciding/shared-placer.ts
+++ b/src/gateway/deciding/shared-placer.ts
@@ -10,10 +10,10 @@
 	Left, Right, type Either,
 } from 'purify-ts';
 import {
-	type BackendServerId, type BoxId, type Clock, type ContentDigest, type Failure, type IdSource, type Logger, type PlanId, type ServiceName, type Timer,
+	type BackendServerId, type BoxId, type Clock, type RequestFingerprint, type Failure, type IdSource, type Logger, type PlanId, type ServiceName, type Timer,
 } from '../../common/index.js';
 import {
-	isFirstAsk, Planner, type Decision, type NamedLimit, type Plan, type PlanNote, type PlanRequest, type RetryAllowance, type RetryLimits, type RetryRequest, type ServerEnd, type ServerWork,
+	isFirstAsk, Planner, type Decision, type NamedLimit, type Plan, type PlanNote, type PlanRequest, type RetryAllowance, type RetryLimits, type RetryRequest, type CrashReport, type ServerWork,
 } from '../../planning/index.js';
 import type {FleetState} from '../../routing/index.js';
 import type {GatewayMetrics} from '../gateway-metrics.js';
@@ -57,8 +57,8 @@
 /** Age up to which a node's life is sent the crash records with each list, in milliseconds: three datagrams, any of which may be lost. */
 const newNodeAge = 3500;
 
-/** Requests in one datagram of crash records, at most. */
-const maxSuspectsTold = 20;
+/** Maximum number of requests in one datagram of crash records. */
+const maxCrashesReplicated = 20;
 
 /** What the placer needs. */
 export type SharedPlacerParts = {
@@ -143,21 +143,21 @@
 			this.#retries.addOwn(request);
 		}
 
-		const {decidedBy, result} = await this.#decide(this.#addEnds(request));
+		const {decidedBy, result} = await this.#decide(this.#addCrashes(request));
 		this.#parts.metrics.recordPlace(decidedBy, this.#parts.clock.readMonotonic() - started);
 		return result.map(decision => {
 			if (decision.kind === 'wait') {
 				return {askAgainIn: decision.askAgainIn};
 			}
 
-			this.#learnEnds(decision.plan.request);
+			this.#learnCrashes(decision.plan.request);
 			this.#findPlans(request.service).own.set(decision.plan.planId, decision.plan);
 			return {plan: decision.plan, decidedBy};
 		});
 	}
 
 	override note(plan: Plan, note: PlanNote): void {
-		const {service, content} = plan.request;
+		const {service, fingerprint} = plan.request;
 		const plans = this.#findPlans(service);
 		this.#takeNote(plans.planner, note);
 		if (note.kind === 'ended') {
@@ -166,11 +166,11 @@
 
 		this.#queueNote(service, plans, note);
 		if (note.kind === 'server_ended') {
-			this.#tellEnds(service, note.content);
+			this.#replicateCrashes(service, note.fingerprint);
 			this.#attributeCrash(service, plans.planner, note.server, reportedCrashAge);
-		} else if (note.kind === 'ended' && note.wasAnswered === true && content !== undefined && plans.planner.suspects.has(content)) {
-			const survived: PlanNote = {planId: plan.planId, kind: 'survived', content};
-			const isSuspect = this.#isSuspect(service, content);
+		} else if (note.kind === 'ended' && note.wasAnswered === true && fingerprint !== undefined && plans.planner.crashRecords.has(fingerprint)) {
+			const survived: PlanNote = {planId: plan.planId, kind: 'survived', fingerprint};
+			const isSuspect = this.#hasRepeated(service, fingerprint);
 			this.#takeNote(plans.planner, survived);
 			this.#queueNote(service, plans, survived);
 			this.#tellOthers(service, isSuspect, {notes: [survived]});
@@ -194,10 +194,10 @@
 		}
 	}
 
-	/** Decides for a node that asked. One that is refused a request which ends servers learns of the ends: it may have to decide alone. */
+	/** Decides for a node that asked. One that is refused a request which crashes servers learns of the crashes: it may have to decide alone. */
 	decideFor(request: PlanRequest): DecisionAnswer {
 		return this.#decideForAll(request).caseOf<DecisionAnswer>({
-			Left: failure => failure.kind === 'ends_servers' ? {failure, ends: this.#describeEnds(request)} : {failure},
+			Left: failure => failure.kind === 'ends_servers' ? {failure, crashes: this.#describeCrashes(request)} : {failure},
 			Right: decision => ({decision}),
 		});
 	}
@@ -218,7 +218,7 @@
 
 	/** Takes the news of a node that carries plans out; it does not carry out what it does not list. */
 	takeNews({
-		service, node, notes, active, suspects = [], limits = [],
+		service, node, notes, active, crashRecords = [], limits = [],
 	}: PlanNews): void {
 		const {planner} = this.#findPlans(service);
 		const now = this.#parts.clock.readMonotonic();
@@ -226,8 +226,8 @@
 			this.#learnLimit(service, planner, limit, node);
 		}
 
-		for (const [content, ends] of suspects) {
-			planner.suspects.learn(content, ends, now);
+		for (const [fingerprint, crashes] of crashRecords) {
+			planner.crashRecords.learn(fingerprint, crashes, now);
 		}
 
 		for (const note of notes) {
@@ -236,9 +236,9 @@
 				continue;
 			}
 
-			if (this.#isSuspect(service, note.content)) {
+			if (this.#hasRepeated(service, note.fingerprint)) {
 				// Only the node that proxied the request may have seen this crash.
-				this.#tellEnds(service, note.content);
+				this.#replicateCrashes(service, note.fingerprint);
 			}
 
 			this.#attributeCrash(service, planner, note.server, reportedCrashAge);
@@ -254,14 +254,14 @@
 
 	/** Takes over a node that another one decided for until now: what it carries out, and what it has spent. */
 	adopt({
-		service, plans, suspects, limits, history,
+		service, plans, crashRecords, limits, history,
 	}: Adoption): void {
 		this.#retries.learn(service, history);
 		const {planner} = this.#findPlans(service);
 		const now = this.#parts.clock.readMonotonic();
 		planner.adopt(plans, now);
-		for (const [content, ends] of suspects) {
-			planner.suspects.learn(content, ends, now);
+		for (const [fingerprint, crashes] of crashRecords) {
+			planner.crashRecords.learn(fingerprint, crashes, now);
 		}
 
 		for (const limit of limits) {
@@ -290,8 +290,8 @@
 			}
 
 			if (plans.decider?.name === self) {
-				this.#tellNewNodes(service, plans);
-				this.#tellLimits(service, plans);
+				this.#replicateToNewNodes(service, plans);
+				this.#replicateLimits(service, plans);
 			}
 		}
 	}
@@ -317,18 +317,18 @@
 	}
 
 	/** Each node remembers what it has been told of the requests that came to it: the next one that decides learns it from all of them. */
-	#addEnds(request: PlanRequest): PlanRequest {
-		const ends = this.#describeEnds(request);
-		return ends.length === 0 ? request : {...request, ends};
+	#addCrashes(request: PlanRequest): PlanRequest {
+		const crashes = this.#describeCrashes(request);
+		return crashes.length === 0 ? request : {...request, crashes};
 	}
 
-	#describeEnds({content, service}: Pick<PlanRequest, 'content' | 'service'>): ServerEnd[] {
-		return content === undefined ? [] : this.#findPlans(service).planner.suspects.describe(content, this.#parts.clock.readMonotonic());
+	#describeCrashes({fingerprint, service}: Pick<PlanRequest, 'fingerprint' | 'service'>): CrashReport[] {
+		return fingerprint === undefined ? [] : this.#findPlans(service).planner.crashRecords.describe(fingerprint, this.#parts.clock.readMonotonic());
 	}
 
-	#learnEnds({content, ends = [], service}: PlanRequest): void {
-		if (content !== undefined && ends.length > 0) {
-			this.#findPlans(service).planner.suspects.learn(content, ends, this.#parts.clock.readMonotonic());
+	#learnCrashes({fingerprint, crashes = [], service}: PlanRequest): void {
+		if (fingerprint !== undefined && crashes.length > 0) {
+			this.#findPlans(service).planner.crashRecords.learn(fingerprint, crashes, this.#parts.clock.readMonotonic());
 		}
 	}
 
@@ -377,7 +377,7 @@
 			plans.planner.adopt([answer.decision.plan], this.#parts.clock.readMonotonic());
 		}
 
-		this.#learnEnds({...request, ends: answer?.ends});
+		this.#learnCrashes({...request, crashes: answer?.crashes});
 		if (answer?.decision !== undefined) {
 			return {decidedBy: 'planner', result: Right(answer.decision)};
 		}
@@ -416,7 +416,7 @@
 		const adoption = {
 			service,
 			plans: [...plans.own.values()].map(plan => ({...plan, startIn: 0})),
-			suspects: plans.planner.suspects.describeAll(this.#parts.clock.readMonotonic()),
+			crashRecords: plans.planner.crashRecords.describeAll(this.#parts.clock.readMonotonic()),
 			limits: plans.planner.limits.describe(this.#parts.clock.readMonotonic()),
 			history: this.#retries.describeOwn(service, decider),
 		};
@@ -452,17 +452,17 @@
 		}
 	}
 
-	/** Whether a request is more than a bystander of one end. */
-	#isSuspect(service: ServiceName, content: ContentDigest): boolean {
-		return this.#describeEnds({service, content}).length > 1;
+	/** Whether more than one crash is recorded for the request. */
+	#hasRepeated(service: ServiceName, fingerprint: RequestFingerprint): boolean {
+		return this.#describeCrashes({service, fingerprint}).length > 1;
 	}
 
-	#tellEnds(service: ServiceName, content: ContentDigest): void {
-		this.#tellOthers(service, this.#isSuspect(service, content), {notes: [], suspects: [[content, this.#describeEnds({service, content})]]});
+	#replicateCrashes(service: ServiceName, fingerprint: RequestFingerprint): void {
+		this.#tellOthers(service, this.#hasRepeated(service, fingerprint), {notes: [], crashRecords: [[fingerprint, this.#describeCrashes({service, fingerprint})]]});
 	}
 
-	/** Under which requests servers have ended must outlive the node that decides, which may be this one; of suspects all are told, since any of them may have to decide alone. */
-	#tellOthers(service: ServiceName, isForAll: boolean, news: Pick<PlanNews, 'notes' | 'suspects'>): void {
+	/** Sends news to the next deciding node, or to all nodes: any of them may have to decide. */
+	#tellOthers(service: ServiceName, isForAll: boolean, news: Pick<PlanNews, 'notes' | 'crashRecords'>): void {
 		const next = this.#deciders.findNext(service);
 		const self = this.#parts.self().name;
 		for (const peer of isForAll ? this.#parts.peers.listReady() : (next === undefined ? [] : [next])) {
@@ -473,26 +473,26 @@
 	}
 
 	/** Sends the crash records to nodes that have started lately: any of them may have to decide alone. */
-	#tellNewNodes(service: ServiceName, {planner}: ServicePlans): void {
+	#replicateToNewNodes(service: ServiceName, {planner}: ServicePlans): void {
 		const peers = this.#parts.peers.listNew(newNodeAge);
 		if (peers.length === 0) {
 			return;
 		}
 
 		const node = this.#parts.self().name;
-		const repeated = planner.suspects.describeRepeated(this.#parts.clock.readMonotonic());
-		for (let start = 0; start < repeated.length; start += maxSuspectsTold) {
-			const suspects = repeated.slice(start, start + maxSuspectsTold);
+		const repeated = planner.crashRecords.describeRepeated(this.#parts.clock.readMonotonic());
+		for (let start = 0; start < repeated.length; start += maxCrashesReplicated) {
+			const crashRecords = repeated.slice(start, start + maxCrashesReplicated);
 			for (const {beatAddress} of peers) {
 				this.#parts.socket.tell(beatAddress, {
-					service, node, notes: [], suspects,
+					service, node, notes: [], crashRecords,
 				});
 			}
 		}
 	}
 
 	/** Replicates the limits to all nodes: any of them may have to decide. */
-	#tellLimits(service: ServiceName, {planner}: ServicePlans): void {
+	#replicateLimits(service: ServiceName, {planner}: ServicePlans): void {
 		const limits = planner.limits.describe(this.#parts.clock.readMonotonic());
 		if (limits.length > 0) {
 			this.#tellAllNodes({
@@ -523,11 +523,11 @@
 
 	/** Counts a crash for requests whose attempts ended without an answer before it: no attempt reports it for them. */
 	#attributeCrash(service: ServiceName, planner: Planner, server: BackendServerId, age?: number): void {
-		for (const content of planner.attributeCrash(server, this.#parts.clock.readMonotonic(), age)) {
+		for (const fingerprint of planner.attributeCrash(server, this.#parts.clock.readMonotonic(), age)) {
 			this.#parts.logger.info({
-				event: 'server_ended', service, server, content, isInferred: true,
+				event: 'server_ended', service, server, fingerprint, isInferred: true,
 			}, 'a backend server crashed after an attempt there had ended without an answer');
-			this.#tellEnds(service, content);
+			this.#replicateCrashes(service, fingerprint);
 		}
 	}
 
--- a/src/gateway/peers/peer-rpc.ts
+++ b/src/gateway/peers/peer-rpc.ts
@@ -5,10 +5,10 @@
 import {Agent} from 'undici';
 import * as z from 'zod';
 import {
-	readErrorMessage, RenewedAgent, type Clock, type ContentDigest, type Failure, type ServiceName,
+	readErrorMessage, RenewedAgent, type Clock, type RequestFingerprint, type Failure, type ServiceName,
 } from '../../common/index.js';
 import type {
-	Decision, NamedLimit, Plan, PlanRequest, RetryHistory, RetryRequest, ServerEnd,
+	Decision, NamedLimit, Plan, PlanRequest, RetryHistory, RetryRequest, CrashReport,
 } from '../../planning/index.js';
 import {
 	askWithin, rpcPath, sendNodeRequest, type NodeRequest,
@@ -21,7 +21,7 @@
 	decision?: Decision;
 	failure?: Failure;
 	/** Servers that have ended while they ran the request, when it is refused for that. */
-	ends?: ServerEnd[];
+	crashes?: CrashReport[];
 };
 
 /** What a node tells the one that decides for it from now on. */
@@ -30,7 +30,7 @@
 	/** Plans that it carries out. */
 	plans: Plan[];
 	/** Requests under which servers have ended. */
-	suspects: Array<[ContentDigest, ServerEnd[]]>;
+	crashRecords: Array<[RequestFingerprint, CrashReport[]]>;
 	/** Limits that servers have named or lifted. */
 	limits: NamedLimit[];
 	history: RetryHistory;
@@ -57,7 +57,7 @@
 const retryRequestSchema = defineShape<RetryRequest>(['requestId', 'service', 'node', 'promptTokens']);
 const planSchema = defineShape<Plan>(['planId', 'request', 'server', 'helpers']);
 const historySchema = defineShape<RetryHistory>(['life', 'age', 'known', 'requests', 'retries', 'meanWorth']);
-const suspectSchema = z.custom<[ContentDigest, ServerEnd[]]>(value => Array.isArray(value) && value.length === 2 && Array.isArray(value[1]));
+const crashSchema = z.custom<[RequestFingerprint, CrashReport[]]>(value => Array.isArray(value) && value.length === 2 && Array.isArray(value[1]));
 const limitSchema = defineShape<NamedLimit>(['server', 'age']);
 const serviceSchema = z.string() as unknown as z.ZodType<ServiceName>;
 
@@ -68,7 +68,7 @@
 	decide: trpc.procedure.input(planRequestSchema).mutation(({ctx, input}) => ctx.service.decide(input)),
 	grantRetry: trpc.procedure.input(retryRequestSchema).mutation(({ctx, input}) => ctx.service.grantRetry(input)),
 	adopt: trpc.procedure.input(z.object({
-		service: serviceSchema, plans: z.array(planSchema), suspects: z.array(suspectSchema), limits: z.array(limitSchema), history: historySchema,
+		service: serviceSchema, plans: z.array(planSchema), crashRecords: z.array(crashSchema), limits: z.array(limitSchema), history: historySchema,
 	})).mutation(({ctx, input}) => {
 		ctx.service.adopt(input);
 		return true;
--- a/src/gateway/peers/plan-news.ts
+++ b/src/gateway/peers/plan-news.ts
@@ -8,9 +8,9 @@
 import {Buffer} from 'node:buffer';
 import * as z from 'zod';
 import type {
-	BoxId, ContentDigest, PlanId, ServiceName,
+	BoxId, RequestFingerprint, PlanId, ServiceName,
 } from '../../common/index.js';
-import type {NamedLimit, PlanNote, ServerEnd} from '../../planning/index.js';
+import type {NamedLimit, PlanNote, CrashReport} from '../../planning/index.js';
 
 /** News of one node on one service. */
 export type PlanNews = {
@@ -20,7 +20,7 @@
 	/** All plans that the node carries out; undefined when it only has notes. */
 	active?: PlanId[];
 	/** Requests under which servers have ended. */
-	suspects?: Array<[ContentDigest, ServerEnd[]]>;
+	crashRecords?: Array<[RequestFingerprint, CrashReport[]]>;
 	/** Limits that servers have named or lifted. */
 	limits?: NamedLimit[];
 };
@@ -33,7 +33,7 @@
 	node: z.string(),
 	notes: z.array(z.looseObject({planId: z.string(), kind: z.enum(['started', 'ended', 'failed', 'server_ended', 'survived'])})),
 	active: z.array(z.string()).optional(),
-	suspects: z.array(z.tuple([z.string(), z.array(z.object({server: z.string(), age: z.number(), weight: z.number()}))])).optional(),
+	crashRecords: z.array(z.tuple([z.string(), z.array(z.object({server: z.string(), age: z.number(), weight: z.number()}))])).optional(),
 	limits: z.array(z.object({server: z.string(), requestsPerSecond: z.number().min(0).optional(), age: z.number()})).optional(),
 });
 
--- a/src/planning/abandoned-runs.ts
+++ b/src/planning/abandoned-runs.ts
@@ -5,7 +5,7 @@
  * because its client left or another server answered first, or whose server restarts at once or is behind a proxy, reports
  * nothing: its request is matched with the crash here.
  */
-import type {BackendServerId, ContentDigest} from '../common/index.js';
+import type {BackendServerId, RequestFingerprint} from '../common/index.js';
 
 /** How long an attempt is remembered, in milliseconds: above the time in which the entry of a crashed server lapses. */
 const runMemory = 5000;
@@ -13,16 +13,16 @@
 /** Maximum number of attempts that are remembered; the oldest are dropped first. */
 const maxRuns = 4096;
 
-type AbandonedRun = {server: BackendServerId; content: ContentDigest; endedAt: number};
+type AbandonedRun = {server: BackendServerId; fingerprint: RequestFingerprint; endedAt: number};
 
 /** Unanswered attempts of one service. */
 export class AbandonedRuns {
 	#runs: AbandonedRun[] = [];
 
 	/** Records an attempt that was sent and not answered. */
-	add(server: BackendServerId, content: ContentDigest, now: number): void {
+	add(server: BackendServerId, fingerprint: RequestFingerprint, now: number): void {
 		this.#runs = this.#runs.filter(run => now - run.endedAt <= runMemory).slice(1 - maxRuns);
-		this.#runs.push({server, content, endedAt: now});
+		this.#runs.push({server, fingerprint, endedAt: now});
 	}
 
 	/** Servers of the attempts. */
@@ -31,9 +31,9 @@
 	}
 
 	/** Removes and returns the requests of a server's attempts that ended at most `age` milliseconds ago. */
-	take(server: BackendServerId, now: number, age = runMemory): ContentDigest[] {
+	take(server: BackendServerId, now: number, age = runMemory): RequestFingerprint[] {
 		const taken = this.#runs.filter(run => run.server === server && now - run.endedAt <= age);
 		this.#runs = this.#runs.filter(run => !taken.includes(run));
-		return [...new Set(taken.map(run => run.content))];
+		return [...new Set(taken.map(run => run.fingerprint))];
 	}
 }
--- a/src/planning/index.ts
+++ b/src/planning/index.ts
@@ -11,5 +11,5 @@
 export * from './server-board.js';
 export * from './server-health.js';
 export * from './server-limits.js';
-export * from './suspects.js';
+export * from './crash-records.js';
 export * from './told-retries.js';
--- a/src/planning/plan.ts
+++ b/src/planning/plan.ts
@@ -1,8 +1,8 @@
 /** What is asked of a planner and what it decides. */
 import type {
-	AvailabilityZone, BackendServerId, BoxId, ContentDigest, OrganisationId, PlanId, RequestId, ServiceName,
+	AvailabilityZone, BackendServerId, BoxId, RequestFingerprint, OrganisationId, PlanId, RequestId, ServiceName,
 } from '../common/index.js';
-import type {ServerEnd} from './suspects.js';
+import type {CrashReport} from './crash-records.js';
 
 /**
  * Share of the silence that a caller bears after which its stream is moved to another server.
@@ -45,10 +45,10 @@
 	hasBegun?: boolean;
 	/** Whether its caller has tried before and been turned away or cut off; found out by the planner. */
 	hasTried?: boolean;
-	/** What it asks: its caller may send it again under another id. */
-	content?: ContentDigest;
-	/** Servers that have ended while they ran it, as far as the asking node knows, and in a plan as the planner does. */
-	ends?: ServerEnd[];
+	/** Identifies the request across retries of its caller. */
+	fingerprint?: RequestFingerprint;
+	/** Crashes under it, as the asking node knows them, and in a plan as the planner does. */
+	crashes?: CrashReport[];
 	/** Servers that must not be chosen. */
 	excluded: BackendServerId[];
 	/** Those among them that answered it with a failure: they may be asked again when there is no other. */
@@ -108,10 +108,10 @@
 	/** `wasAnswered` when its server gave an answer to the end, and lives; `isUnanswered` when it was sent and stopped or broken off: its server may have crashed. */
 	| {planId: PlanId; kind: 'ended'; wasAnswered?: boolean; isUnanswered?: boolean}
 	| {planId: PlanId; kind: 'failed'; server: BackendServerId; trouble: Trouble}
-	/** The server has ended while it ran the plan. */
-	| {planId: PlanId; kind: 'server_ended'; server: BackendServerId; content: ContentDigest}
-	/** A server has answered what is under suspicion. */
-	| {planId: PlanId; kind: 'survived'; content: ContentDigest};
+	/** The server crashed while it ran the plan. */
+	| {planId: PlanId; kind: 'server_ended'; server: BackendServerId; fingerprint: RequestFingerprint}
+	/** A server has answered a request that had crash records. */
+	| {planId: PlanId; kind: 'survived'; fingerprint: RequestFingerprint};
 
 /** A read that took longer than was planned with, times in milliseconds; `overrun` is the share by which it was allowed to. */
 export type LongerRead = {plan: Plan; predicted: number; took: number; overrun: number};
--- a/src/planning/planner.ts
+++ b/src/planning/planner.ts
@@ -11,7 +11,7 @@
  */
 import {Left, Right, type Either} from 'purify-ts';
 import {
-	createFailure, type AvailabilityZone, type BackendServerId, type BoxId, type ContentDigest, type Failure, type IdSource, type PlanId,
+	createFailure, type AvailabilityZone, type BackendServerId, type BoxId, type RequestFingerprint, type Failure, type IdSource, type PlanId,
 } from '../common/index.js';
 import type {BackendServer, EngineFigures} from '../routing/index.js';
 import {AbandonedRuns} from './abandoned-runs.js';
@@ -32,7 +32,7 @@
 import {ServerLimits} from './server-limits.js';
 import {ServerShares, type ServerGroups} from './server-shares.js';
 import {placeShort} from './short-placement.js';
-import {aloneWeight, Suspects, type Trust} from './suspects.js';
+import {CrashRecords, isolatedWeight, type Quarantine} from './crash-records.js';
 import {trialAskPause, Trials} from './trials.js';
 
 /** A prompt whose read takes more than this share of the shortest pause is long. */
@@ -93,14 +93,14 @@
 	return since + plan.request.timeLeft + planMargin;
 }
 
-function describeRefusal({ends, refusedFor}: Extract<Trust, {kind: 'refused'}>): Failure {
-	return createFailure('ends_servers', `${ends} backend servers have ended while they ran this request; it is not sent to another one`, {retryAfterSeconds: Math.ceil(refusedFor / 1000)});
+function describeRejection({crashes, rejectedFor}: Extract<Quarantine, {kind: 'rejected'}>): Failure {
+	return createFailure('ends_servers', `${crashes} backend servers have ended while they ran this request; it is not sent to another one`, {retryAfterSeconds: Math.ceil(rejectedFor / 1000)});
 }
 
 /** Plans for one service. */
 export class Planner {
-	/** Requests under which servers have ended. */
-	readonly suspects = new Suspects();
+	/** Requests that have crashed servers. */
+	readonly crashRecords = new CrashRecords();
 	/** Limits that servers have named. */
 	readonly limits = new ServerLimits();
 	readonly #ids: IdSource;
@@ -191,16 +191,16 @@
 		}
 
 		this.#sight.notice(sight, now);
-		if (request.content !== undefined && request.ends !== undefined) {
-			this.suspects.learn(request.content, request.ends, now);
+		if (request.fingerprint !== undefined && request.crashes !== undefined) {
+			this.crashRecords.learn(request.fingerprint, request.crashes, now);
 		}
 
-		const trust = this.suspects.judge(request.content, now);
-		if (trust.kind === 'refused') {
-			return Left(describeRefusal(trust));
+		const quarantine = this.crashRecords.judge(request.fingerprint, now);
+		if (quarantine.kind === 'rejected') {
+			return Left(describeRejection(quarantine));
 		}
 
-		const usable = this.#listUsable(request, trust, now);
+		const usable = this.#listUsable(request, quarantine, now);
 		if (usable.length === 0) {
 			return Left(createFailure('no_backend_server', `no backend server of ${request.service} takes new work`));
 		}
@@ -210,15 +210,15 @@
 			return this.#waitForLimits(request, usable, limitShare, now);
 		}
 
-		const planned = trust.kind === 'alone' && this.#boards.size > 1
-			? this.#planAlone(request, open, now)
+		const planned = quarantine.kind === 'isolated' && this.#boards.size > 1
+			? this.#planIsolated(request, open, now)
 			: this.#planBeside(request, open, now);
 		return planned.map(decision => {
 			if (decision.kind === 'plan') {
 				this.#hold(decision.plan, now, true);
 				this.limits.take(decision.plan.server, limitShare, now);
 				this.#limitedLine.leave(request.requestId);
-				return trust.ends === 0 ? decision : {kind: 'plan', plan: {...decision.plan, request: {...decision.plan.request, ends: this.suspects.describe(request.content!, now)}}};
+				return quarantine.crashes === 0 ? decision : {kind: 'plan', plan: {...decision.plan, request: {...decision.plan.request, crashes: this.crashRecords.describe(request.fingerprint!, now)}}};
 			}
 
 			return decision;
@@ -237,12 +237,12 @@
 	/** Takes a note on how a plan went on; says so when a long read took longer than was planned with. */
 	note(note: PlanNote, now: number): LongerRead | undefined {
 		if (note.kind === 'server_ended') {
-			this.suspects.noteEnd(note.server, note.content, this.#weighEnd(note.server, note.content), now);
+			this.crashRecords.recordCrash(note.server, note.fingerprint, this.#weighCrash(note.server, note.fingerprint), now);
 			return undefined;
 		}
 
 		if (note.kind === 'survived') {
-			this.suspects.clear(note.content);
+			this.crashRecords.clear(note.fingerprint);
 			return undefined;
 		}
 
@@ -285,8 +285,8 @@
 	}
 
 	/** Counts a server's crash for the requests whose attempts there ended without an answer at most `age` milliseconds ago; returns those for which it was not known. */
-	attributeCrash(server: BackendServerId, now: number, age?: number): ContentDigest[] {
-		return this.#abandoned.take(server, now, age).filter(content => this.suspects.noteEnd(server, content, this.#weighEnd(server, content), now));
+	attributeCrash(server: BackendServerId, now: number, age?: number): RequestFingerprint[] {
+		return this.#abandoned.take(server, now, age).filter(fingerprint => this.crashRecords.recordCrash(server, fingerprint, this.#weighCrash(server, fingerprint), now));
 	}
 
 	/** Forgets the unanswered attempts at a server that leaves as planned. */
@@ -379,7 +379,7 @@
 		return {...request, objective: objective - tried, hasTried: tried > 0};
 	}
 
-	#listUsable(request: PlanRequest, trust: Trust, now: number): ServerBoard[] {
+	#listUsable(request: PlanRequest, quarantine: Quarantine, now: number): ServerBoard[] {
 		const {excluded, failedAt = []} = request;
 		const all = [...this.#boards.values()];
 		const others = all.filter(board => !excluded.includes(board.server.id));
@@ -387,7 +387,7 @@
 		const boards = others.length > 0 ? others : all.filter(board => failedAt.includes(board.server.id));
 		const rested = boards.filter(board => !board.health.isResting(now));
 		const trusted = rested.filter(board => board.health.mayTake(board.workCount, now));
-		const isFor = (board: ServerBoard) => trust.kind === 'alone' || !this.#trials.isKept(board.server.id);
+		const isFor = (board: ServerBoard) => quarantine.kind === 'isolated' || !this.#trials.isKept(board.server.id);
 		// Any server is better than none: suspicion may be wrong for all of them at once.
 		return [trusted.filter(board => isFor(board)), rested.filter(board => isFor(board)), trusted, rested, boards].find(list => list.length > 0) ?? [];
 	}
@@ -426,13 +426,13 @@
 			: this.#planPrompt(request, usable, this.#engine, now);
 	}
 
-	/** A request under which servers have ended runs where it can cut nobody else. */
-	#planAlone(request: PlanRequest, usable: ServerBoard[], now: number): Either<Failure, Decision> {
+	/** Isolates a request that crashed servers on a server of its own. */
+	#planIsolated(request: PlanRequest, usable: ServerBoard[], now: number): Either<Failure, Decision> {
 		if (request.patience <= trialAskPause) {
 			return Left(createFailure('overloaded', 'servers ended while they ran this request, and none is free to run it by itself'));
 		}
 
-		const board = this.#trials.find(request.content!, usable, this.#boards.size, now);
+		const board = this.#trials.find(request.fingerprint!, usable, this.#boards.size, now);
 		if (board === undefined) {
 			return Right({kind: 'wait', askAgainIn: trialAskPause, reason: 'trial'});
 		}
@@ -445,21 +445,21 @@
 	}
 
 	/** A server that takes no new work may leave as planned, which is no crash. */
-	#noteAbandoned({server, request: {content}}: Plan, now: number): void {
-		if (content !== undefined && this.#boards.has(server)) {
-			this.#abandoned.add(server, content, now);
+	#noteAbandoned({server, request: {fingerprint}}: Plan, now: number): void {
+		if (fingerprint !== undefined && this.#boards.has(server)) {
+			this.#abandoned.add(server, fingerprint, now);
 		}
 	}
 
-	/** What the end of a server counts for a request that it ran: nothing for one that runs at all servers. */
-	#weighEnd(server: BackendServerId, content: ContentDigest): number {
+	/** The weight of a crash for a request: none for one that runs on all servers. */
+	#weighCrash(server: BackendServerId, fingerprint: RequestFingerprint): number {
 		if (this.#trials.isKept(server)) {
-			return aloneWeight;
+			return isolatedWeight;
 		}
 
 		const places = new Set<BackendServerId>();
 		for (const {plan, works} of this.#plans.values()) {
-			if (plan.request.content === content) {
+			if (plan.request.fingerprint === fingerprint) {
 				for (const id of works.keys()) {
 					places.add(id);
 				}
--- a/src/planning/trials.ts
+++ b/src/planning/trials.ts
@@ -1,5 +1,5 @@
 /** Servers that are kept free for requests that may end them, one request at a server. Pure. */
-import type {BackendServerId, ContentDigest, PlanId} from '../common/index.js';
+import type {BackendServerId, RequestFingerprint, PlanId} from '../common/index.js';
 import {findLeast} from './find-least.js';
 import type {ServerBoard} from './server-board.js';
 
@@ -14,7 +14,7 @@
 export const trialAskPause = 40;
 
 /** A server that is kept free for a request, or runs it. */
-type Trial = {content: ContentDigest; askedAt: number; planId?: PlanId};
+type Trial = {fingerprint: RequestFingerprint; askedAt: number; planId?: PlanId};
 
 /** Trials of one service. */
 export class Trials {
@@ -26,9 +26,9 @@
 	}
 
 	/** The server that a request may have for itself; undefined while there is none. `all` counts the servers of the service. */
-	find(content: ContentDigest, usable: ServerBoard[], all: number, now: number): ServerBoard | undefined {
+	find(fingerprint: RequestFingerprint, usable: ServerBoard[], all: number, now: number): ServerBoard | undefined {
 		this.#prune(now);
-		const kept = this.#findKept(content);
+		const kept = this.#findKept(fingerprint);
 		if (kept !== undefined) {
 			const [server, trial] = kept;
 			trial.askedAt = now;
@@ -43,7 +43,7 @@
 		}
 
 		const board = findLeast(free, candidate => candidate.workCount)!;
-		this.#trials.set(board.server.id, {content, askedAt: now});
+		this.#trials.set(board.server.id, {fingerprint, askedAt: now});
 		return board.workCount === 0 ? board : undefined;
 	}
 
@@ -64,8 +64,8 @@
 		}
 	}
 
-	#findKept(content: ContentDigest): [BackendServerId, Trial] | undefined {
-		return [...this.#trials].find(([, trial]) => trial.content === content);
+	#findKept(fingerprint: RequestFingerprint): [BackendServerId, Trial] | undefined {
+		return [...this.#trials].find(([, trial]) => trial.fingerprint === fingerprint);
 	}
 
 	/** A request that is not asked for any more needs no server. */
--- a/test/abandoned-runs.test.ts
+++ b/test/abandoned-runs.test.ts
@@ -1,22 +1,22 @@
 import {expect, test} from '@jest/globals';
-import type {BackendServerId, ContentDigest} from '../src/common/index.js';
+import type {BackendServerId, RequestFingerprint} from '../src/common/index.js';
 import type {Plan, Planner} from '../src/planning/index.js';
 import {
 	ask, createPlanner, createServers, engine, planNow, short,
 } from './helpers/planning.js';
 
-const content = 'content-a' as ContentDigest;
+const fingerprint = 'fingerprint-a' as RequestFingerprint;
 
 /** Places a request and stops its attempt. */
 function abandon(planner: Planner, now: number, isUnanswered = true): Plan {
-	const plan = planNow(planner, ask(500, {...short, content}), now);
+	const plan = planNow(planner, ask(500, {...short, fingerprint}), now);
 	planner.note({planId: plan.planId, kind: 'ended', isUnanswered}, now + 50);
 	return plan;
 }
 
-function crashReported(planner: Planner, server: BackendServerId, now: number): ContentDigest[] {
+function crashReported(planner: Planner, server: BackendServerId, now: number): RequestFingerprint[] {
 	planner.note({
-		planId: 'plan-other' as Plan['planId'], kind: 'server_ended', server, content: 'content-other' as ContentDigest,
+		planId: 'plan-other' as Plan['planId'], kind: 'server_ended', server, fingerprint: 'fingerprint-other' as RequestFingerprint,
 	}, now);
 	return planner.attributeCrash(server, now, 1000);
 }
@@ -25,18 +25,18 @@
 	const planner = createPlanner();
 	for (const start of [0, 10_000, 20_000]) {
 		const {server} = abandon(planner, start);
-		expect(crashReported(planner, server, start + 200)).toEqual([content]);
+		expect(crashReported(planner, server, start + 200)).toEqual([fingerprint]);
 		planner.setServers(createServers(18).filter(({id}) => id !== server), engine);
 	}
 
-	expect(planner.suspects.judge(content, 21_000).kind).toBe('refused');
+	expect(planner.crashRecords.judge(fingerprint, 21_000).kind).toBe('rejected');
 });
 
 test('counts a lost entry for a request that was stopped up to five seconds before', () => {
 	const planner = createPlanner();
 	const {server} = abandon(planner, 0);
 	expect(planner.listAbandonedServers()).toEqual([server]);
-	expect(planner.attributeCrash(server, 4000)).toEqual([content]);
+	expect(planner.attributeCrash(server, 4000)).toEqual([fingerprint]);
 	expect(planner.listAbandonedServers()).toEqual([]);
 });
 
@@ -45,12 +45,12 @@
 	const {server} = abandon(planner, 0);
 	expect(crashReported(planner, server, 1500)).toEqual([]);
 	abandon(planner, 10_000, false);
-	expect(planner.suspects.judge(content, 11_000)).toEqual({kind: 'free', ends: 0});
+	expect(planner.crashRecords.judge(fingerprint, 11_000)).toEqual({kind: 'clean', crashes: 0});
 });
 
 test('counts no crash for a request whose server is leaving', () => {
 	const planner = createPlanner();
-	const plan = planNow(planner, ask(500, {...short, content}), 0);
+	const plan = planNow(planner, ask(500, {...short, fingerprint}), 0);
 	planner.setServers(createServers(18).filter(({id}) => id !== plan.server), engine);
 	planner.note({planId: plan.planId, kind: 'ended', isUnanswered: true}, 50);
 	expect(planner.listAbandonedServers()).toEqual([]);
@@ -58,7 +58,7 @@
 
 test('counts a lost entry for a request whose node was killed', () => {
 	const planner = createPlanner();
-	const {server, request} = planNow(planner, ask(500, {...short, content}), 0);
+	const {server, request} = planNow(planner, ask(500, {...short, fingerprint}), 0);
 	planner.forgetNode(request.node, 1300);
-	expect(planner.attributeCrash(server, 2500)).toEqual([content]);
+	expect(planner.attributeCrash(server, 2500)).toEqual([fingerprint]);
 });
--- a/test/helpers/scripted-call.ts
+++ b/test/helpers/scripted-call.ts
@@ -6,7 +6,7 @@
 import {CallWire} from '../../platform/index.js';
 import {
 	createFailure, createSilentLogger, VirtualClock, type AvailabilityZone, type BackendServerId, type BackendServerName,
-	type BoxId, type Clock, type ContentDigest, type Failure, type PlanId, type RequestId, type ServiceName, type Timer,
+	type BoxId, type Clock, type RequestFingerprint, type Failure, type PlanId, type RequestId, type ServiceName, type Timer,
 } from '../../src/common/index.js';
 import {
 	CallRun, CallSink, Placer, type BackendExchange, type BackendPool, type BackendRequest, type CallOutcome, type Lease,
@@ -413,7 +413,7 @@
 				requestId, method: 'POST', target: '/', host: 'shop.example', promptTokens: 1000, outputTokens: 80, headers: {},
 			},
 			body: undefined,
-			content: 'content-1' as ContentDigest,
+			fingerprint: 'fingerprint-1' as RequestFingerprint,
 			route,
 			service: modelService,
 			arrived: 0,
--- a/test/request-fingerprint.test.ts
+++ b/test/request-fingerprint.test.ts
@@ -2,7 +2,7 @@
 import {expect, test} from '@jest/globals';
 import {CallWire} from '../platform/index.js';
 import type {OrganisationId} from '../src/common/index.js';
-import {computeContent} from '../src/gateway/calls/index.js';
+import {computeFingerprint} from '../src/gateway/calls/index.js';
 import type {CallHead} from '../src/gateway/index.js';
 
 const wire = new CallWire();
@@ -21,16 +21,16 @@
 
 test('a retry with other prompt headers has the same fingerprint', () => {
 	const body = Buffer.from('body');
-	const first = computeContent(readHead({'cresshook-prompt-prefix': 'aa:100,bb:200'}), guild, body);
-	expect(computeContent(readHead(), guild, body)).toBe(first);
-	expect(computeContent(readHead({'cresshook-prompt-prefix': 'aa:100'}), guild, body)).toBe(first);
+	const first = computeFingerprint(readHead({'cresshook-prompt-prefix': 'aa:100,bb:200'}), guild, body);
+	expect(computeFingerprint(readHead(), guild, body)).toBe(first);
+	expect(computeFingerprint(readHead({'cresshook-prompt-prefix': 'aa:100'}), guild, body)).toBe(first);
 });
 
 test('equal requests of two callers have different fingerprints', () => {
 	const body = Buffer.from('body');
-	expect(computeContent(readHead(), guild, body)).not.toBe(computeContent(readHead(), harbour, body));
+	expect(computeFingerprint(readHead(), guild, body)).not.toBe(computeFingerprint(readHead(), harbour, body));
 });
 
 test('long bodies that differ in the middle have different fingerprints', () => {
-	expect(computeContent(readHead(), guild, createLongBody('a'))).not.toBe(computeContent(readHead(), guild, createLongBody('b')));
+	expect(computeFingerprint(readHead(), guild, createLongBody('a'))).not.toBe(computeFingerprint(readHead(), guild, createLongBody('b')));
 });
--- a/test/silent-connections.test.ts
+++ b/test/silent-connections.test.ts
@@ -63,7 +63,7 @@
 		client.adopt.mutate({
 			service: 'app',
 			plans: [],
-			suspects: [],
+			crashRecords: [],
 			limits: [],
 			history: {
 				life: 'a', age: 0, known: 1, requests: [], retries: [], meanWorth: 0,
