--- /dev/null
+++ b/src/gateway/deciding/shared-limits.ts
@@ -0,0 +1,84 @@
+/** Request limits of one service's servers, as one node takes part in them: reports what answers name and replicates what it knows. */
+import type {
+	BackendServerId, BoxId, Clock, Logger, ServiceName,
+} from '../../common/index.js';
+import type {NamedLimit, Planner} from '../../planning/index.js';
+import type {FleetState} from '../../routing/index.js';
+import type {NewsSender} from './news-sender.js';
+
+/** Time between two reports of the same limit to the deciding node, in milliseconds. */
+const reportEvery = 500;
+
+/** What a node's part needs. */
+export type SharedLimitsParts = {
+	service: ServiceName;
+	planner: Planner;
+	clock: Clock;
+	logger: Logger;
+	state: FleetState;
+	news: NewsSender;
+};
+
+/** Limits of one service's servers. */
+export class SharedLimits {
+	readonly #parts: SharedLimitsParts;
+	readonly #reportedAt = new Map<BackendServerId, number>();
+
+	constructor(parts: SharedLimitsParts) {
+		this.#parts = parts;
+	}
+
+	/** Notes the limit of an answer, in requests a second, undefined when it names none; returns a report that is due to the deciding node. */
+	noteAnswer(server: BackendServerId, requestsPerSecond: number | undefined, self: BoxId): NamedLimit | undefined {
+		if (requestsPerSecond === undefined && this.#parts.planner.limits.findRate(server) === undefined) {
+			return undefined;
+		}
+
+		const limit = {server, requestsPerSecond, age: 0};
+		const now = this.#parts.clock.readMonotonic();
+		const isChanged = this.learn(limit, self);
+		if (!isChanged && now - (this.#reportedAt.get(server) ?? -Infinity) < reportEvery) {
+			return undefined;
+		}
+
+		this.#reportedAt.set(server, now);
+		return limit;
+	}
+
+	/** Takes a report; returns whether it changed the limit. */
+	learn(limit: NamedLimit, origin: BoxId): boolean {
+		const {service, planner, clock, logger} = this.#parts;
+		const before = planner.limits.findRate(limit.server);
+		const isChanged = planner.limits.learn(limit, clock.readMonotonic());
+		if (isChanged) {
+			logger.info({
+				event: 'server_limit', service, ...limit, before, origin,
+			}, limit.requestsPerSecond === undefined ? 'a backend server has lifted its request limit' : 'a backend server names a request limit');
+		}
+
+		return isChanged;
+	}
+
+	/** All limits, for other nodes. */
+	describe(): NamedLimit[] {
+		return this.#parts.planner.limits.describe(this.#parts.clock.readMonotonic());
+	}
+
+	/** Sends the limits to all nodes: any of them may have to decide. */
+	replicate(): void {
+		const {service, news} = this.#parts;
+		const limits = this.describe();
+		if (limits.length > 0) {
+			news.sendOn(service, true, {limits});
+		}
+	}
+
+	/** Forgets when limits of servers were reported that are gone. */
+	prune(): void {
+		for (const server of this.#reportedAt.keys()) {
+			if (!this.#parts.state.hasServer(server)) {
+				this.#reportedAt.delete(server);
+			}
+		}
+	}
+}
--- a/src/gateway/deciding/shared-placer.ts
+++ b/src/gateway/deciding/shared-placer.ts
@@ -10,12 +10,12 @@
 	Left, Right, type Either,
 } from 'purify-ts';
 import {
-	type BackendServerId, type BoxId, type Clock, type RequestFingerprint, type Failure, type IdSource, type Logger, type PlanId, type ServiceName, type Timer,
+	type BackendServerId, type BoxId, type Clock, type Failure, type IdSource, type Logger, type PlanId, type ServiceName, type Timer,
 } from '../../common/index.js';
 import {
-	isFirstAsk, Planner, type Decision, type NamedLimit, type Plan, type PlanNote, type PlanRequest, type RetryAllowance, type RetryLimits, type RetryRequest, type CrashReport, type ServerWork,
+	isFirstAsk, Planner, type Decision, type Plan, type PlanNote, type PlanRequest, type RetryAllowance, type RetryLimits, type RetryRequest, type ServerWork,
 } from '../../planning/index.js';
-import type {FleetState} from '../../routing/index.js';
+import type {EngineFigures, FleetState} from '../../routing/index.js';
 import type {GatewayMetrics} from '../gateway-metrics.js';
 import type {Adoption, DecisionAnswer, PeerClients} from '../peers/peer-rpc.js';
 import type {PeerSocket} from '../peers/peer-socket.js';
@@ -25,6 +25,9 @@
 import {Placer, type PlaceAnswer, type Placed} from '../calls/placer.js';
 import {DeciderChoice} from './decider-choice.js';
 import {logDecision, logLongerRead} from './decision-log.js';
+import {NewsSender} from './news-sender.js';
+import {SharedCrashes} from './shared-crashes.js';
+import {SharedLimits} from './shared-limits.js';
 import {SharedRetries, type RetryBudget} from './shared-retries.js';
 
 /** Time in which the deciding node must answer, in milliseconds: a box that has used up its quota stands still for most of a tenth of a second; with 60, 14 asks were given up within two seconds of one played day. */
@@ -36,15 +39,9 @@
 /** Time in which notes are gathered, in milliseconds. */
 const noteDelay = 8;
 
-/** How long before a reported crash an unanswered attempt may have ended whose request counts as a cause, in milliseconds: reports take a few round trips. */
-const reportedCrashAge = 1000;
-
 /** Part of the servers' limits that all nodes together may grant which are not the deciding one by their own view. */
 const standInLimitShare = 0.3;
 
-/** Time between two reports of the same limit to the deciding node, in milliseconds. */
-const limitReportEvery = 500;
-
 /** Time for plans to be taken over, in milliseconds. */
 const adoptTimeout = 500;
 
@@ -54,12 +51,6 @@
 /** Empty lists told after the last plan has ended: any of them may be lost. Hundreds of nodes at rest tell nothing. */
 const emptyLists = 3;
 
-/** Age up to which a node's life is sent the crash records with each list, in milliseconds: three datagrams, any of which may be lost. */
-const newNodeAge = 3500;
-
-/** Maximum number of requests in one datagram of crash records. */
-const maxCrashesReplicated = 20;
-
 /** What the placer needs. */
 export type SharedPlacerParts = {
 	clock: Clock;
@@ -87,8 +78,8 @@
 	/** Whether that node may not know yet what this one has running and has spent. */
 	isUntold: boolean;
 	notes: PlanNote[];
-	/** When the limit of a server was last reported to the deciding node. */
-	limitsReportedAt: Map<BackendServerId, number>;
+	crashes: SharedCrashes;
+	limits: SharedLimits;
 	/** Empty lists that are still to be told. */
 	emptyLeft: number;
 	noteTimer: Timer | undefined;
@@ -115,6 +106,7 @@
 	readonly #services = new Map<ServiceName, ServicePlans>();
 	readonly #deciders: DeciderChoice;
 	readonly #retries: SharedRetries;
+	readonly #news: NewsSender;
 	#reconciledAt = 0;
 
 	constructor(parts: SharedPlacerParts) {
@@ -124,6 +116,7 @@
 		const {
 			clock, logger, peers, clients, countTold, self,
 		} = parts;
+		this.#news = new NewsSender(parts.socket, peers, this.#deciders, () => self().name);
 		this.#retries = new SharedRetries({
 			clock, logger, peers, clients, deciders: this.#deciders, limits: parts.retries, countTold, askTimeout, self,
 		});
@@ -166,38 +159,28 @@
 
 		this.#queueNote(service, plans, note);
 		if (note.kind === 'server_ended') {
-			this.#replicateCrashes(service, note.fingerprint);
-			this.#attributeCrash(service, plans.planner, note.server, reportedCrashAge);
+			plans.crashes.replicateOwn(note);
 		} else if (note.kind === 'ended' && note.wasAnswered === true && fingerprint !== undefined && plans.planner.crashRecords.has(fingerprint)) {
 			const survived: PlanNote = {planId: plan.planId, kind: 'survived', fingerprint};
-			const isSuspect = this.#hasRepeated(service, fingerprint);
+			const isForAll = plans.crashes.hasRepeated(fingerprint);
 			this.#takeNote(plans.planner, survived);
 			this.#queueNote(service, plans, survived);
-			this.#tellOthers(service, isSuspect, {notes: [survived]});
+			this.#news.sendOn(service, isForAll, {notes: [survived]});
 		}
 	}
 
 	override noteLimit(service: ServiceName, server: BackendServerId, requestsPerSecond: number | undefined): void {
 		const plans = this.#findPlans(service);
-		if (requestsPerSecond === undefined && plans.planner.limits.findRate(server) === undefined) {
-			return;
-		}
-
-		const limit = {server, requestsPerSecond, age: 0};
-		const isChanged = this.#learnLimit(service, plans.planner, limit, this.#parts.self().name);
-		const now = this.#parts.clock.readMonotonic();
-		if (isChanged || now - (plans.limitsReportedAt.get(server) ?? -Infinity) >= limitReportEvery) {
-			plans.limitsReportedAt.set(server, now);
-			this.#tellDecider(plans, {
-				service, node: this.#parts.self().name, notes: [], limits: [limit],
-			});
+		const report = plans.limits.noteAnswer(server, requestsPerSecond, this.#parts.self().name);
+		if (report !== undefined) {
+			this.#news.sendToNode(plans.decider?.name, service, {limits: [report]});
 		}
 	}
 
 	/** Decides for a node that asked. One that is refused a request which crashes servers learns of the crashes: it may have to decide alone. */
 	decideFor(request: PlanRequest): DecisionAnswer {
 		return this.#decideForAll(request).caseOf<DecisionAnswer>({
-			Left: failure => failure.kind === 'ends_servers' ? {failure, crashes: this.#describeCrashes(request)} : {failure},
+			Left: failure => failure.kind === 'ends_servers' ? {failure, crashes: this.#findPlans(request.service).crashes.describe(request.fingerprint)} : {failure},
 			Right: decision => ({decision}),
 		});
 	}
@@ -220,31 +203,20 @@
 	takeNews({
 		service, node, notes, active, crashRecords = [], limits = [],
 	}: PlanNews): void {
-		const {planner} = this.#findPlans(service);
-		const now = this.#parts.clock.readMonotonic();
+		const {planner, crashes, limits: known} = this.#findPlans(service);
 		for (const limit of limits) {
-			this.#learnLimit(service, planner, limit, node);
-		}
-
-		for (const [fingerprint, crashes] of crashRecords) {
-			planner.crashRecords.learn(fingerprint, crashes, now);
+			known.learn(limit, node);
 		}
 
+		crashes.learn(crashRecords);
 		for (const note of notes) {
 			this.#takeNote(planner, note);
-			if (note.kind !== 'server_ended') {
-				continue;
-			}
-
-			if (this.#hasRepeated(service, note.fingerprint)) {
-				// Only the node that proxied the request may have seen this crash.
-				this.#replicateCrashes(service, note.fingerprint);
+			if (note.kind === 'server_ended') {
+				crashes.replicateReported(note);
 			}
-
-			this.#attributeCrash(service, planner, note.server, reportedCrashAge);
 		}
 
-		const forgotten = active === undefined ? 0 : planner.reconcile(node, new Set(active), now);
+		const forgotten = active === undefined ? 0 : planner.reconcile(node, new Set(active), this.#parts.clock.readMonotonic());
 		if (forgotten > 0) {
 			this.#parts.logger.info({
 				event: 'plans_reconciled', service, node, forgotten, active: active?.length,
@@ -257,13 +229,10 @@
 		service, plans, crashRecords, limits, history,
 	}: Adoption): void {
 		this.#retries.learn(service, history);
-		const {planner} = this.#findPlans(service);
+		const {planner, crashes} = this.#findPlans(service);
 		const now = this.#parts.clock.readMonotonic();
 		planner.adopt(plans, now);
-		for (const [fingerprint, crashes] of crashRecords) {
-			planner.crashRecords.learn(fingerprint, crashes, now);
-		}
-
+		crashes.learn(crashRecords);
 		for (const limit of limits) {
 			planner.limits.learn(limit, now);
 		}
@@ -280,18 +249,18 @@
 		const self = this.#parts.self().name;
 		for (const [service, plans] of this.#services) {
 			this.#changeDecider(service, plans, this.#deciders.choose(service));
-			const news = {
-				service, node: self, notes: [], active: [...plans.own.keys()],
-			};
-			this.takeNews(news);
+			const active = [...plans.own.keys()];
+			this.takeNews({
+				service, node: self, notes: [], active,
+			});
 			plans.emptyLeft = plans.own.size > 0 ? emptyLists : plans.emptyLeft - 1;
 			if (plans.emptyLeft >= 0) {
-				this.#tellDecider(plans, news);
+				this.#news.sendToNode(plans.decider?.name, service, {active});
 			}
 
 			if (plans.decider?.name === self) {
-				this.#replicateToNewNodes(service, plans);
-				this.#replicateLimits(service, plans);
+				plans.crashes.replicateToNewNodes();
+				plans.limits.replicate();
 			}
 		}
 	}
@@ -318,17 +287,13 @@
 
 	/** Each node remembers what it has been told of the requests that came to it: the next one that decides learns it from all of them. */
 	#addCrashes(request: PlanRequest): PlanRequest {
-		const crashes = this.#describeCrashes(request);
+		const crashes = this.#findPlans(request.service).crashes.describe(request.fingerprint);
 		return crashes.length === 0 ? request : {...request, crashes};
 	}
 
-	#describeCrashes({fingerprint, service}: Pick<PlanRequest, 'fingerprint' | 'service'>): CrashReport[] {
-		return fingerprint === undefined ? [] : this.#findPlans(service).planner.crashRecords.describe(fingerprint, this.#parts.clock.readMonotonic());
-	}
-
 	#learnCrashes({fingerprint, crashes = [], service}: PlanRequest): void {
 		if (fingerprint !== undefined && crashes.length > 0) {
-			this.#findPlans(service).planner.crashRecords.learn(fingerprint, crashes, this.#parts.clock.readMonotonic());
+			this.#findPlans(service).crashes.learn([[fingerprint, crashes]]);
 		}
 	}
 
@@ -416,8 +381,8 @@
 		const adoption = {
 			service,
 			plans: [...plans.own.values()].map(plan => ({...plan, startIn: 0})),
-			crashRecords: plans.planner.crashRecords.describeAll(this.#parts.clock.readMonotonic()),
-			limits: plans.planner.limits.describe(this.#parts.clock.readMonotonic()),
+			crashRecords: plans.crashes.describeAll(),
+			limits: plans.limits.describe(),
 			history: this.#retries.describeOwn(service, decider),
 		};
 		if (decider.name === this.#parts.self().name) {
@@ -442,121 +407,14 @@
 		const {notes} = plans;
 		plans.notes = [];
 		plans.noteTimer = undefined;
-		this.#tellDecider(plans, {service, node: this.#parts.self().name, notes});
-	}
-
-	#tellDecider(plans: ServicePlans, news: PlanNews): void {
-		const decider = plans.decider === undefined ? undefined : this.#parts.peers.findLive(plans.decider.name);
-		if (decider !== undefined) {
-			this.#parts.socket.tell(decider.beatAddress, news);
-		}
-	}
-
-	/** Whether more than one crash is recorded for the request. */
-	#hasRepeated(service: ServiceName, fingerprint: RequestFingerprint): boolean {
-		return this.#describeCrashes({service, fingerprint}).length > 1;
-	}
-
-	#replicateCrashes(service: ServiceName, fingerprint: RequestFingerprint): void {
-		this.#tellOthers(service, this.#hasRepeated(service, fingerprint), {notes: [], crashRecords: [[fingerprint, this.#describeCrashes({service, fingerprint})]]});
-	}
-
-	/** Sends news to the next deciding node, or to all nodes: any of them may have to decide. */
-	#tellOthers(service: ServiceName, isForAll: boolean, news: Pick<PlanNews, 'notes' | 'crashRecords'>): void {
-		const next = this.#deciders.findNext(service);
-		const self = this.#parts.self().name;
-		for (const peer of isForAll ? this.#parts.peers.listReady() : (next === undefined ? [] : [next])) {
-			if (peer.name !== self) {
-				this.#parts.socket.tell(peer.beatAddress, {service, node: self, ...news});
-			}
-		}
-	}
-
-	/** Sends the crash records to nodes that have started lately: any of them may have to decide alone. */
-	#replicateToNewNodes(service: ServiceName, {planner}: ServicePlans): void {
-		const peers = this.#parts.peers.listNew(newNodeAge);
-		if (peers.length === 0) {
-			return;
-		}
-
-		const node = this.#parts.self().name;
-		const repeated = planner.crashRecords.describeRepeated(this.#parts.clock.readMonotonic());
-		for (let start = 0; start < repeated.length; start += maxCrashesReplicated) {
-			const crashRecords = repeated.slice(start, start + maxCrashesReplicated);
-			for (const {beatAddress} of peers) {
-				this.#parts.socket.tell(beatAddress, {
-					service, node, notes: [], crashRecords,
-				});
-			}
-		}
-	}
-
-	/** Replicates the limits to all nodes: any of them may have to decide. */
-	#replicateLimits(service: ServiceName, {planner}: ServicePlans): void {
-		const limits = planner.limits.describe(this.#parts.clock.readMonotonic());
-		if (limits.length > 0) {
-			this.#tellAllNodes({
-				service, node: this.#parts.self().name, notes: [], limits,
-			});
-		}
-	}
-
-	#tellAllNodes(news: PlanNews): void {
-		for (const {name, beatAddress} of this.#parts.peers.listReady()) {
-			if (name !== this.#parts.self().name) {
-				this.#parts.socket.tell(beatAddress, news);
-			}
-		}
-	}
-
-	#learnLimit(service: ServiceName, planner: Planner, limit: NamedLimit, origin: BoxId): boolean {
-		const before = planner.limits.findRate(limit.server);
-		const isChanged = planner.limits.learn(limit, this.#parts.clock.readMonotonic());
-		if (isChanged) {
-			this.#parts.logger.info({
-				event: 'server_limit', service, ...limit, before, origin,
-			}, limit.requestsPerSecond === undefined ? 'a backend server has lifted its request limit' : 'a backend server names a request limit');
-		}
-
-		return isChanged;
-	}
-
-	/** Counts a crash for requests whose attempts ended without an answer before it: no attempt reports it for them. */
-	#attributeCrash(service: ServiceName, planner: Planner, server: BackendServerId, age?: number): void {
-		for (const fingerprint of planner.attributeCrash(server, this.#parts.clock.readMonotonic(), age)) {
-			this.#parts.logger.info({
-				event: 'server_ended', service, server, fingerprint, isInferred: true,
-			}, 'a backend server crashed after an attempt there had ended without an answer');
-			this.#replicateCrashes(service, fingerprint);
-		}
-	}
-
-	/** An entry that vanishes without a notice counts as a crash for requests that were not answered there. */
-	#checkAbandoned(service: ServiceName, planner: Planner): void {
-		const {state, clock} = this.#parts;
-		for (const server of planner.listAbandonedServers()) {
-			if (!state.hasServer(server)) {
-				this.#attributeCrash(service, planner, server);
-			} else if (state.findServer(server) === undefined) {
-				planner.forgetAbandoned(server, clock.readMonotonic());
-			}
-		}
+		this.#news.sendToNode(plans.decider?.name, service, {notes});
 	}
 
 	#findPlans(service: ServiceName): ServicePlans {
 		let plans = this.#services.get(service);
 		if (plans === undefined) {
 			const engine = this.#parts.state.table?.findService(service)?.engine;
-			plans = {
-				planner: new Planner({ids: this.#parts.ids, engine}),
-				own: new Map(),
-				decider: undefined,
-				isUntold: false,
-				notes: [],
-				limitsReportedAt: new Map(),
-				emptyLeft: emptyLists,
-				noteTimer: undefined,
-			};
+			plans = this.#createPlans(service, engine);
 			plans.planner.setServers(this.#parts.state.listServers(service), engine);
 			this.#services.set(service, plans);
 		}
@@ -564,15 +422,32 @@
 		return plans;
 	}
 
+	#createPlans(service: ServiceName, engine: EngineFigures | undefined): ServicePlans {
+		const {
+			ids, clock, logger, state,
+		} = this.#parts;
+		const planner = new Planner({ids, engine});
+		const shared = {
+			service, planner, clock, logger, state, news: this.#news,
+		};
+		return {
+			planner,
+			own: new Map(),
+			decider: undefined,
+			isUntold: false,
+			notes: [],
+			crashes: new SharedCrashes(shared),
+			limits: new SharedLimits(shared),
+			emptyLeft: emptyLists,
+			noteTimer: undefined,
+		};
+	}
+
 	#refreshServers(): void {
-		for (const [service, {planner, limitsReportedAt}] of this.#services) {
+		for (const [service, {planner, crashes, limits}] of this.#services) {
 			planner.setServers(this.#parts.state.listServers(service), this.#parts.state.table?.findService(service)?.engine);
-			this.#checkAbandoned(service, planner);
-			for (const server of limitsReportedAt.keys()) {
-				if (!this.#parts.state.hasServer(server)) {
-					limitsReportedAt.delete(server);
-				}
-			}
+			crashes.checkServers();
+			limits.prune();
 		}
 	}
 }
--- a/src/planning/index.ts
+++ b/src/planning/index.ts
@@ -1,3 +1,4 @@
+export * from './crash-records.js';
 export * from './credit.js';
 export * from './engine-model.js';
 export * from './fleet-retries.js';
@@ -11,5 +12,4 @@
 export * from './server-board.js';
 export * from './server-health.js';
 export * from './server-limits.js';
-export * from './crash-records.js';
 export * from './told-retries.js';
--- a/src/planning/planner.ts
+++ b/src/planning/planner.ts
@@ -28,8 +28,8 @@
 import {
 	isDone, ServerBoard, startWork, type Work,
 } from './server-board.js';
-import {LimitedLine} from './limited-line.js';
-import {ServerLimits} from './server-limits.js';
+import {LimitGate} from './limit-gate.js';
+import type {ServerLimits} from './server-limits.js';
 import {ServerShares, type ServerGroups} from './server-shares.js';
 import {placeShort} from './short-placement.js';
 import {CrashRecords, isolatedWeight, type Quarantine} from './crash-records.js';
@@ -44,10 +44,6 @@
 /** Kept after a request's time before its plan is forgotten unasked, in milliseconds. */
 const planMargin = 1000;
 
-/** Part of its caller's patience for which a request waits for servers that have reached their limits, and the longest time until it asks again, in milliseconds. */
-const limitWaitShare = 0.5;
-const limitAskPause = 250;
-
 /** Letters of a plan's id: enough that no two of the thousands in progress are alike, and short, since they are listed once a second. */
 const planIdLength = 12;
 
@@ -101,8 +97,6 @@
 export class Planner {
 	/** Requests that have crashed servers. */
 	readonly crashRecords = new CrashRecords();
-	/** Limits that servers have named. */
-	readonly limits = new ServerLimits();
 	readonly #ids: IdSource;
 	readonly #boards = new Map<BackendServerId, ServerBoard>();
 	readonly #plans = new Map<PlanId, HeldPlan>();
@@ -116,13 +110,18 @@
 	readonly #sight = new DimSight();
 	readonly #trials = new Trials();
 	readonly #abandoned = new AbandonedRuns();
-	readonly #limitedLine = new LimitedLine();
+	readonly #gate = new LimitGate();
 
 	constructor(parts: PlannerParts) {
 		this.#ids = parts.ids;
 		this.#engine = parts.engine;
 	}
 
+	/** Limits that servers have named. */
+	get limits(): ServerLimits {
+		return this.#gate.limits;
+	}
+
 	/** Plans in progress. */
 	get planCount(): number {
 		return this.#plans.size;
@@ -205,9 +204,10 @@
 			return Left(createFailure('no_backend_server', `no backend server of ${request.service} takes new work`));
 		}
 
-		const open = this.#listOpen(request, usable, limitShare, now);
+		const gated = {request, usable, share: limitShare};
+		const open = this.#gate.listOpen(gated, now);
 		if (open.length === 0) {
-			return this.#waitForLimits(request, usable, limitShare, now);
+			return this.#gate.wait(gated, now);
 		}
 
 		const planned = quarantine.kind === 'isolated' && this.#boards.size > 1
@@ -216,9 +216,8 @@
 		return planned.map(decision => {
 			if (decision.kind === 'plan') {
 				this.#hold(decision.plan, now, true);
-				this.limits.take(decision.plan.server, limitShare, now);
-				this.#limitedLine.leave(request.requestId);
-				return quarantine.crashes === 0 ? decision : {kind: 'plan', plan: {...decision.plan, request: {...decision.plan.request, crashes: this.crashRecords.describe(request.fingerprint!, now)}}};
+				this.#gate.pass(gated, decision.plan.server, now);
+				return quarantine.crashes === 0 ? decision : this.#addCrashes(decision.plan, now);
 			}
 
 			return decision;
@@ -392,32 +391,10 @@
 		return [trusted.filter(board => isFor(board)), rested.filter(board => isFor(board)), trusted, rested, boards].find(list => list.length > 0) ?? [];
 	}
 
-	/** Servers that may be sent one more request. Where only limited ones are left, those that wait longer go first. */
-	#listOpen(request: PlanRequest, usable: ServerBoard[], share: number, now: number): ServerBoard[] {
-		if (this.limits.size === 0) {
-			return usable;
-		}
-
-		const open = usable.filter(board => this.limits.measureDelay(board.server.id, share, now) === 0);
-		const tokens = open.reduce((sum, board) => sum + Math.floor(this.limits.countTokens(board.server.id, share, now)), 0);
-		return this.#limitedLine.countAhead(request.requestId, now) < tokens ? open : [];
-	}
-
-	/** A request waits while its turn comes soon; else its caller is told when to return. */
-	#waitForLimits(request: PlanRequest, usable: ServerBoard[], share: number, now: number): Either<Failure, Decision> {
-		const {requestId, service, patience} = request;
-		const delays = usable.map(board => this.limits.measureDelay(board.server.id, share, now));
-		const rate = usable.reduce((sum, board) => sum + this.limits.findGrantedRate(board.server.id, share), 0);
-		const interval = 1000 / rate;
-		const delay = Math.min(...delays) + (this.#limitedLine.countAhead(requestId, now) * interval);
-		if (delay > patience * limitWaitShare) {
-			this.#limitedLine.leave(requestId);
-			const returnIn = this.#limitedLine.scheduleReturn(delay, interval, now);
-			return Left(createFailure('overloaded', `all backend servers of ${service} have reached the request limits that they named`, {retryAfterSeconds: Math.max(0.1, returnIn / 1000)}));
-		}
-
-		this.#limitedLine.join(requestId, now);
-		return Right({kind: 'wait', askAgainIn: Math.min(limitAskPause, Math.max(1, delay)), reason: 'limit'});
+	/** The node that carries the plan out may have to decide for the request later. */
+	#addCrashes(plan: Plan, now: number): Decision {
+		const {request} = plan;
+		return {kind: 'plan', plan: {...plan, request: {...request, crashes: this.crashRecords.describe(request.fingerprint!, now)}}};
 	}
 
 	#planBeside(request: PlanRequest, usable: ServerBoard[], now: number): Either<Failure, Decision> {
