--- a/soak/main.ts
+++ b/soak/main.ts
@@ -29,8 +29,8 @@
 	regressions?: boolean;
 };
 
-/** A run to be made. */
-type SeedRun = {seed: number; seconds: number};
+/** A run to be made; sizes are those of the command line where they are not stated. */
+type SeedRun = {seed: number; seconds: number; nodes?: number; servers?: number};
 
 function listRuns(options: Options): SeedRun[] {
 	if (options.regressions === true) {
@@ -41,11 +41,14 @@
 }
 
 /** Whether every promise was kept. */
-async function runSeed({seed, seconds}: SeedRun, options: Options): Promise<boolean> {
+async function runSeed(run: SeedRun, options: Options): Promise<boolean> {
+	const {
+		seed, seconds, nodes = options.nodes, servers = options.servers,
+	} = run;
 	const folder = options.logs === undefined ? mkdtempSync(path.join(tmpdir(), 'cresshook-soak-')) : path.join(options.logs, String(seed));
 	mkdirSync(folder, {recursive: true});
 	const result = await runOnce({
-		seed, length: seconds * 1000, size: {nodes: options.nodes, modelServers: options.servers, fillerRoutes: options.routes}, folder, kinds: options.kinds,
+		seed, length: seconds * 1000, size: {nodes, modelServers: servers, fillerRoutes: options.routes}, folder, kinds: options.kinds,
 	});
 	process.stdout.write(`${JSON.stringify({...result, violations: result.violations.slice(0, mostPrinted), broken: result.violations.length})}\n`);
 	if (options.logs === undefined) {
