fix(gateway): only the node that decides if none is slow grants a whole request limit

Cause: a node that does not answer within 90 ms is passed over for 0.6 s. Where all nodes are slow, each takes itself for the deciding one, and each granted the whole limit.

Change: a node grants the whole limit if it would decide were none slow, which live nodes agree on; all others grant the small share of stand-ins.

Evidence: of four nodes that pass each other over all four choose themselves, one is the first (new test). server-limits and crashing-requests pass beside 16 busy processes, 12 of 12, once.

--- a/src/gateway/deciding/decider-choice.ts
+++ b/src/gateway/deciding/decider-choice.ts
@@ -7,7 +7,8 @@
 /** How long a choice holds while nothing changes, in milliseconds: silence and slowness end without a sign. */
 const chosenFor = 50;
 
-type Choice = {revision: number; isReady: boolean; at: number; node: Peer};
+/** `first` is the node that would decide if none were slow. */
+type Choice = {revision: number; isReady: boolean; at: number; node: Peer; first: Peer};
 
 /** The deciding nodes as this node sees them. It is asked several times a request, and orders a fleet of hundreds for it. */
 export class DeciderChoice {
@@ -30,19 +31,30 @@
 
 	/** Every node finds the same one among the live nodes, unless one was slow to it lately. */
 	choose(service: ServiceName): Peer {
+		return this.#find(service).node;
+	}
+
+	/** Whether this node decides as far as all live nodes agree. Slow nodes pass each other over, and several may decide at a time. */
+	isFirst(service: ServiceName): boolean {
+		return this.#find(service).first.name === this.#self().name;
+	}
+
+	#find(service: ServiceName): Choice {
 		const {revision} = this.#peers;
 		const self = this.#self();
 		const now = this.#clock.readMonotonic();
 		const choice = this.#choices.get(service);
 		if (choice?.revision === revision && choice.isReady === self.isReady && now - choice.at < chosenFor) {
-			return choice.node;
+			return choice;
 		}
 
-		const nodes = this.#peers.listReady().filter(peer => !this.#peers.isSlow(peer.name));
-		const node = chooseDecider(service, nodes) ?? self;
-		this.#choices.set(service, {
-			revision, isReady: self.isReady, at: now, node,
-		});
-		return node;
+		const ready = this.#peers.listReady();
+		const first = chooseDecider(service, ready) ?? self;
+		const node = this.#peers.isSlow(first.name) ? chooseDecider(service, ready.filter(peer => !this.#peers.isSlow(peer.name))) ?? self : first;
+		const found = {
+			revision, isReady: self.isReady, at: now, node, first,
+		};
+		this.#choices.set(service, found);
+		return found;
 	}
 }
--- a/src/gateway/deciding/shared-placer.ts
+++ b/src/gateway/deciding/shared-placer.ts
@@ -39,7 +39,7 @@
 /** Time in which notes are gathered, in milliseconds. */
 const noteDelay = 8;
 
-/** Part of the servers' limits that all nodes together may grant which are not the deciding one by their own view. */
+/** Part of the servers' limits that all nodes together may grant which stand in for the deciding one. */
 const standInLimitShare = 0.3;
 
 /** Time for plans to be taken over, in milliseconds. */
@@ -307,8 +307,8 @@
 	#decideForAll(request: PlanRequest): Either<Failure, Decision> {
 		const seen = this.#parts.peers.countLive() + 1;
 		const known = this.#retries.countKnown();
-		const isDecider = this.#deciders.choose(request.service).name === this.#parts.self().name;
-		return this.#decideHere(request, seen, isDecider ? Math.min(1, seen / known) : standInLimitShare / known);
+		const limitShare = this.#deciders.isFirst(request.service) ? Math.min(1, seen / known) : standInLimitShare / known;
+		return this.#decideHere(request, seen, limitShare);
 	}
 
 	/** Decides by what this node has seen: its own plans, and those of so many nodes, itself among them, that ask it. */
--- a/test/deciders.test.ts
+++ b/test/deciders.test.ts
@@ -1,7 +1,11 @@
 import {expect, test} from '@jest/globals';
-import type {AvailabilityZone, BoxId, ServiceName} from '../src/common/index.js';
+import {
+	VirtualClock, type AvailabilityZone, type BoxId, type ServiceName,
+} from '../src/common/index.js';
+import {DeciderChoice} from '../src/gateway/deciding/decider-choice.js';
 import {chooseDecider} from '../src/gateway/deciding/deciders.js';
 import type {Peer} from '../src/gateway/peers/peer-beat.js';
+import type {Peers} from '../src/gateway/peers/peers.js';
 
 const service = 'model' as ServiceName;
 
@@ -41,3 +45,14 @@
 test('without nodes nobody decides', () => {
 	expect(chooseDecider(service, [])).toBeUndefined();
 });
+
+// Each of four nodes granted a server's whole limit: 92 requests in 4 s at ten a second.
+test('of nodes that pass each other over as slow one is the first', () => {
+	const nodes = Array.from({length: 4}, (_, index) => createNode(`n${index}`, 1));
+	const choices = nodes.map(self => {
+		const peers: Partial<Peers> = {revision: 0, listReady: () => nodes, isSlow: name => name !== self.name};
+		return new DeciderChoice(new VirtualClock(), peers as Peers, () => self);
+	});
+	expect(choices.filter((choice, index) => choice.choose(service) === nodes[index]).length).toBe(4);
+	expect(choices.filter(choice => choice.isFirst(service)).length).toBe(1);
+});
