--- a/src/gateway/deciding/shared-crashes.ts
+++ b/src/gateway/deciding/shared-crashes.ts
@@ -1,10 +1,7 @@
 /** Crash records of one service, as one node takes part in them: attributes crashes to requests and replicates the records. */
-import type {
-	BackendServerId, Clock, Logger, RequestFingerprint, ServiceName,
-} from '../../common/index.js';
-import type {CrashReport, Planner, PlanNote} from '../../planning/index.js';
-import type {FleetState} from '../../routing/index.js';
-import type {NewsSender} from './news-sender.js';
+import type {BackendServerId, RequestFingerprint} from '../../common/index.js';
+import type {CrashReport, PlanNote} from '../../planning/index.js';
+import type {ServiceParts} from './service-parts.js';
 
 /** How long before a reported crash an unanswered attempt may have ended whose request counts as a cause, in milliseconds: reports take a few round trips. */
 const reportedCrashAge = 1000;
@@ -15,21 +12,11 @@
 /** Maximum number of requests in one datagram of crash records. */
 const maxCrashesReplicated = 20;
 
-/** What a node's part needs. */
-export type SharedCrashesParts = {
-	service: ServiceName;
-	planner: Planner;
-	clock: Clock;
-	logger: Logger;
-	state: FleetState;
-	news: NewsSender;
-};
-
 /** Crash records of one service. */
 export class SharedCrashes {
-	readonly #parts: SharedCrashesParts;
+	readonly #parts: ServiceParts;
 
-	constructor(parts: SharedCrashesParts) {
+	constructor(parts: ServiceParts) {
 		this.#parts = parts;
 	}
 
--- a/src/gateway/deciding/shared-limits.ts
+++ b/src/gateway/deciding/shared-limits.ts
@@ -1,30 +1,17 @@
 /** Request limits of one service's servers, as one node takes part in them: reports what answers name and replicates what it knows. */
-import type {
-	BackendServerId, BoxId, Clock, Logger, ServiceName,
-} from '../../common/index.js';
-import type {NamedLimit, Planner} from '../../planning/index.js';
-import type {FleetState} from '../../routing/index.js';
-import type {NewsSender} from './news-sender.js';
+import type {BackendServerId, BoxId} from '../../common/index.js';
+import type {NamedLimit} from '../../planning/index.js';
+import type {ServiceParts} from './service-parts.js';
 
 /** Time between two reports of the same limit to the deciding node, in milliseconds. */
 const reportEvery = 500;
 
-/** What a node's part needs. */
-export type SharedLimitsParts = {
-	service: ServiceName;
-	planner: Planner;
-	clock: Clock;
-	logger: Logger;
-	state: FleetState;
-	news: NewsSender;
-};
-
 /** Limits of one service's servers. */
 export class SharedLimits {
-	readonly #parts: SharedLimitsParts;
+	readonly #parts: ServiceParts;
 	readonly #reportedAt = new Map<BackendServerId, number>();
 
-	constructor(parts: SharedLimitsParts) {
+	constructor(parts: ServiceParts) {
 		this.#parts = parts;
 	}
 
--- a/test/crashing-requests.test.ts
+++ b/test/crashing-requests.test.ts
@@ -3,6 +3,7 @@
 	afterEach, beforeEach, expect, test,
 } from '@jest/globals';
 import {GatewayFleet, waitUntil} from './helpers/gateways.js';
+import {pause} from './helpers/pause.js';
 import {
 	formatEvent, markAnswer, type RunnerBehaviour, type SeenRequest,
 } from './helpers/platform-standins.js';
@@ -41,12 +42,6 @@
 	await fleet.stop();
 });
 
-async function pause(time: number): Promise<void> {
-	await new Promise(resolve => {
-		setTimeout(resolve, time);
-	});
-}
-
 /** Streams six events in 300 ms; a crashing request takes the server down, whether its client is still there or not. */
 function createCrashing(): RunnerBehaviour {
 	return async (request, response, socket) => {
--- a/test/deadly-requests.test.ts
+++ b/test/deadly-requests.test.ts
@@ -5,6 +5,7 @@
 	afterEach, beforeEach, expect, test,
 } from '@jest/globals';
 import {GatewayFleet, waitUntil, type SeenAnswer} from './helpers/gateways.js';
+import {pause} from './helpers/pause.js';
 import {formatEvent, markAnswer, type RunnerBehaviour} from './helpers/platform-standins.js';
 
 /** Time for a test with dozens of callers, in milliseconds. */
@@ -36,12 +37,6 @@
 	await fleet.stop();
 });
 
-async function pause(time: number): Promise<void> {
-	await new Promise(resolve => {
-		setTimeout(resolve, time);
-	});
-}
-
 /** Streams six events in 300 ms; a deadly request ends the server, and with it all that it runs, after the second one. */
 function createMortal(): RunnerBehaviour {
 	return async (request, response) => {
--- a/test/server-limits.test.ts
+++ b/test/server-limits.test.ts
@@ -3,6 +3,7 @@
 	afterEach, beforeEach, expect, test,
 } from '@jest/globals';
 import {GatewayFleet, waitUntil} from './helpers/gateways.js';
+import {pause} from './helpers/pause.js';
 import {markAnswer, type RunnerBehaviour} from './helpers/platform-standins.js';
 
 /** Limit for tests with seconds of load, in milliseconds. */
@@ -33,12 +34,6 @@
 	await fleet.stop();
 });
 
-async function pause(time: number): Promise<void> {
-	await new Promise(resolve => {
-		setTimeout(resolve, time);
-	});
-}
-
 function answerLimited(index: number): RunnerBehaviour {
 	return (request, response) => {
 		arrivals.set(index, [...arrivals.get(index) ?? [], Date.now()]);
--- a/test/store-returns.test.ts
+++ b/test/store-returns.test.ts
@@ -3,6 +3,7 @@
 } from '@jest/globals';
 import type {ServiceName} from '../src/common/index.js';
 import {createConfig, GatewayFleet, waitUntil} from './helpers/gateways.js';
+import {pause} from './helpers/pause.js';
 import {answerWhole} from './helpers/platform-standins.js';
 
 /** For tests that wait until a silence has been noticed, in milliseconds. */
@@ -29,12 +30,6 @@
 	await fleet.stop();
 });
 
-async function pause(milliseconds: number): Promise<void> {
-	await new Promise(resolve => {
-		setTimeout(resolve, milliseconds);
-	});
-}
-
 function areAllAt(version: number): boolean {
 	return fleet.gateways.every(gateway => gateway.state.configVersion === version);
 }
