--- a/soak/judge.ts
+++ b/soak/judge.ts
@@ -44,7 +44,7 @@
 /** Time after which a node that saw the limit has to keep it, in milliseconds. */
 const toldTime = 500;
 
-/** Crashes of servers by one request after which it may reach servers so many times more. */
+/** Crashes after which a request must be rejected, and the number of later arrivals that are tolerated. */
 const crashesToReject = 3;
 const lateArrivals = 3;
 
--- a/src/gateway/deciding/news-sender.ts
+++ b/src/gateway/deciding/news-sender.ts
@@ -23,7 +23,7 @@
 		this.#self = self;
 	}
 
-	/** Live nodes whose present life has been known for at most so many milliseconds. */
+	/** Live nodes whose process was discovered within the last `age` milliseconds. */
 	listNewNodes(age: number): Peer[] {
 		return this.#peers.listNew(age);
 	}
--- a/src/gateway/deciding/shared-crashes.ts
+++ b/src/gateway/deciding/shared-crashes.ts
@@ -3,7 +3,7 @@
 import type {CrashReport, PlanNote} from '../../planning/index.js';
 import type {ServiceParts} from './service-parts.js';
 
-/** How long before a reported crash an unanswered attempt may have ended whose request counts as a cause, in milliseconds: reports take a few round trips. */
+/** Maximum age in milliseconds of an unanswered attempt that a reported crash is attributed to. */
 const reportedCrashAge = 1000;
 
 /** Age up to which a node's life is sent the crash records with each list, in milliseconds: three datagrams, any of which may be lost. */
--- a/src/gateway/peers/peers.ts
+++ b/src/gateway/peers/peers.ts
@@ -109,7 +109,7 @@
 		return this.#lives.list(now).map(({peer, learnedAt}) => ({life: peer.life, heardFor: now - learnedAt}));
 	}
 
-	/** Live nodes whose present life has been known for at most so many milliseconds. */
+	/** Live nodes whose process was discovered within the last `age` milliseconds. */
 	listNew(age: number): Peer[] {
 		const now = this.#parts.clock.readMonotonic();
 		return this.#lives.list(now).filter(({learnedAt}) => now - learnedAt <= age).map(({peer}) => peer);
--- a/src/planning/limit-gate.ts
+++ b/src/planning/limit-gate.ts
@@ -33,7 +33,7 @@
 		return this.#line.countAhead(request.requestId, now) < tokens ? open : [];
 	}
 
-	/** A request waits while its turn comes soon; else its caller is told when to return. */
+	/** Queues the request if it can be sent soon; otherwise rejects it with a time to return. */
 	wait({request, usable, share}: GatedRequest, now: number): Either<Failure, Decision> {
 		const {requestId, service, patience} = request;
 		const rate = usable.reduce((sum, {server}) => sum + this.limits.findGrantedRate(server.id, share), 0);
--- a/test/server-limits.test.ts
+++ b/test/server-limits.test.ts
@@ -53,7 +53,7 @@
 	return status;
 }
 
-/** Sends so many requests a second, each at the next node, and returns their statuses. */
+/** Sends requests at a rate per second, round robin over the nodes, and returns their statuses. */
 async function load(rate: number, duration: number): Promise<number[]> {
 	const calls: Array<Promise<number>> = [];
 	const start = Date.now();
--- a/test/status.test.ts
+++ b/test/status.test.ts
@@ -137,7 +137,7 @@
 	await pass(readEvery);
 	const askedAt = performance.now();
 	const texts = await Promise.all(Array.from({length: 50}, async () => send(findAddress(), {path: '/status', method: 'GET'})));
-	// A reading lasts for its time only, and so many answers may take longer.
+	// A reading is cached for `readEvery`; on a busy machine the answers may span several.
 	const readings = 1 + Math.floor((performance.now() - askedAt) / readEvery);
 	expect(new Set(texts.map(({body}) => body)).size).toBeLessThanOrEqual(readings);
 	expect(texts[0].body.length).toBeLessThan(largestAnswer);
