fix(gateway): a silent server without an entry is waited for until its caller's time ends

What callers saw: a stream that had begun was cut, and a whole answer was given up for a second attempt, although the server still worked on the request.

Cause: LiveAttempt.hasOutlastedCaller took a missing entry for the end of the server once it had been silent for as long as callers bear. For a whole answer that time counted as 0, so that the attempt was stopped as soon as another one began or ended. Entries go in planned work too: a server that leaves without stating it loses its entry and serves on, and entries lapse while the source is down.

Change: only a restart under the same name, told by a later entry, ends an attempt early. The predicate is the same for streams and whole answers.

Ruled out: a connection that is refused as a sign of the end. A server that drains may close its listener before its answers.

--- a/src/gateway/calls/call-attempts.ts
+++ b/src/gateway/calls/call-attempts.ts
@@ -124,7 +124,7 @@
 		return this.#parts.call.route.kind === 'once' || plan.helpers.length > 0 || this.#hasMetSilence ? 'fresh' : 'kept';
 	}
 
-	/** A silent server that has started again, or is out of view for longer than its caller waits, will not speak again. */
+	/** A silent server that has started again will not speak again. */
 	#stopDead(): void {
 		for (const attempt of this.#live) {
 			if (attempt.isDead) {
--- a/src/gateway/calls/call-service.ts
+++ b/src/gateway/calls/call-service.ts
@@ -110,7 +110,6 @@
 			placer: this.#parts.placer,
 			reservations: this.#parts.reservations,
 			findServer: id => this.#parts.state.findServer(id),
-			isLive: id => this.#parts.state.hasServer(id),
 			hasEnded: async id => this.#probe.hasEnded(id),
 			node: this.#parts.node,
 			availabilityZone: this.#parts.availabilityZone,
--- a/src/gateway/calls/live-attempt.ts
+++ b/src/gateway/calls/live-attempt.ts
@@ -26,8 +26,6 @@
 	reservations: Reservations;
 	/** A server that still takes new work, by this node's own view. */
 	findServer: (id: BackendServerId) => BackendServer | undefined;
-	/** Whether a server's life has not ended, by this node's own view. */
-	isLive: (id: BackendServerId) => boolean;
 };
 
 /** What an attempt tells its call. */
@@ -95,20 +93,19 @@
 		return this.#attempt?.exchange.wasSent ?? false;
 	}
 
-	/** Whether nothing is to be expected of its server: it has started again, or its caller would have left by now. */
+	/** Whether its server has started again: nothing that ran in the earlier life will be answered. */
 	get isDead(): boolean {
-		return this.#hasServerEnded || this.hasOutlastedCaller;
+		return this.#hasServerEnded;
 	}
 
 	/**
-	 * Whether its server is out of view and was silent for as long as callers bear.
+	 * Whether its server has started again and was silent for as long as callers bear.
 	 *
-	 * That its entry is gone proves nothing alone: servers that leave without a word serve on, and entries lapse while
-	 * the source is down. An answer that is no stream is not waited for: whoever asks anew gets all of it.
+	 * A missing entry is no proof: servers that leave without stating it lose theirs and serve on, and entries lapse while the source is down.
 	 */
 	get hasOutlastedCaller(): boolean {
-		const {call, plan, isLive} = this.#parts;
-		return !isLive(plan.server) && (this.#attempt?.silentFor ?? Infinity) >= (call.route.longestSilence ?? 0);
+		const {longestSilence = 0} = this.#parts.call.route;
+		return this.#hasServerEnded && (this.#attempt?.silentFor ?? Infinity) >= longestSilence;
 	}
 
 	/** Settles with its end, or with the next silence for which a place was taken. */
--- a/test/gateway-attempts.test.ts
+++ b/test/gateway-attempts.test.ts
@@ -76,6 +76,29 @@
 	expect([call.sink.ending, call.sink.events]).toEqual(['whole', wholeStream]);
 });
 
+// A server that leaves without stating it has no entry while it works on, so its silence proves nothing.
+test('a stream whose silent server has lost its entry is not cut while no other server takes it', async () => {
+	const call = await startCall({servers: 1});
+	call.findOpen()?.speak();
+	call.removeEntry('i-0');
+	await call.pass(streamRoute.longestSilence! + laterSilence);
+	await speakToEnd(call);
+	expect([call.sink.ending, call.sink.events]).toEqual(['whole', wholeStream]);
+});
+
+for (const failure of ['decline', 'fail', 'breakOff'] as const) {
+	test(`a whole answer whose server has lost its entry survives a second attempt that ends by ${failure}`, async () => {
+		const call = await startCall({route: {...repeatableRoute, attempts: 3}, servers: 2});
+		call.removeEntry('i-0');
+		await call.pass(firstSilence);
+		call.findOpen()?.[failure]();
+		await call.pass(100);
+		call.sends[0].speak();
+		await call.settle();
+		expect([call.sink.status, call.sink.ending, call.sends.map(send => send.wasAborted)]).toEqual([200, 'whole', [false, false]]);
+	});
+}
+
 test('a silent server that has started again is not waited for', async () => {
 	const call = await startCall({servers: 2});
 	call.findOpen()?.speak();
