fix(gateway): memory in use is renewed while a server of its request is out of view

What callers saw: a prompt larger than one server's memory was broken off while it was read, when the entry of the server that reads it, or of one that holds its memory, went without a statement.

Cause: Reservations freed the memory at the first renewal at which the reader was out of view and had written nothing yet, and HeldMemory left out renewals at a holder out of view, so that the memory ran out after 3 s. A read writes nothing until its first event, so its silence was taken for the loss of the server.

Change: a server out of view is asked how the memory is used, as is done for a request that is quiet in view. Used memory is renewed; memory that the report does not name is freed, or not renewed when its holder is out of view, where a new life may answer; memory that no request has used is freed after 4 s, under the nine after which it counts as stuck.

Three tests of reservations fail on the untouched code and pass now.

What it expects is unchanged.

Ruled out: waiting for the entry of a restart alone as a sign.

Conclusion: the tests of reservations, unused memory and gateway parts pass (19).

--- a/src/gateway/calls/held-memory.ts
+++ b/src/gateway/calls/held-memory.ts
@@ -2,7 +2,7 @@
 import {
 	readErrorMessage, type BackendServerId, type Logger,
 } from '../../common/index.js';
-import type {GatewayWire, ReservationOrder} from '../wire.js';
+import type {GatewayWire, ReservationOrder, ReservationUse} from '../wire.js';
 import type {BackendPool, ConnectionUse} from './backend-pool.js';
 
 /** How long a reservation lasts unless renewed, in milliseconds: under the four seconds after which unused memory counts as lost. */
@@ -14,6 +14,9 @@
 /** Time without a sign of the request after which its server is asked about the memory, in milliseconds: several pauses between two events, and over at the first renewal. */
 const quietAfter = 500;
 
+/** Time for which memory is kept that no request has used yet while a server of its request is out of view, in milliseconds: under the nine seconds after which it counts as stuck. */
+const longestUnusedWait = 4000;
+
 /** Time for an order or a report to be answered, in milliseconds. */
 const orderTimeout = 500;
 
@@ -35,7 +38,7 @@
 const signOfLife = 1500;
 
 /** Whether events come: then all that the answer needs lives, also servers that have left without a word, have no entry and serve on. */
-export function isAnswering({hasBegun, quietFor}: RunSign): boolean {
+function isAnswering({hasBegun, quietFor}: RunSign): boolean {
 	return hasBegun && quietFor < signOfLife;
 }
 
@@ -67,16 +70,14 @@
 		return this.#orderMemory('fresh');
 	}
 
-	/** Renews the reservation, or frees it when its request is over. */
-	async renew(sign: RunSign): Promise<void> {
-		// At a server that has started again a renewal would set memory aside that nobody uses.
-		const mayLive = isAnswering(sign) || this.#parts.isLive(this.reservation.server);
-		if (this.#isRenewing || this.#isReleased || !mayLive) {
+	/** Renews the reservation, or frees it when its request is over. `isReaderLive` says whether the server that runs the request is in view. */
+	async renew(sign: RunSign, isReaderLive: boolean): Promise<void> {
+		if (this.#isRenewing || this.#isReleased) {
 			return;
 		}
 
 		this.#isRenewing = true;
-		await this.#renewOrFree(sign);
+		await this.#renewOrFree(sign, isReaderLive);
 		this.#isRenewing = false;
 	}
 
@@ -94,8 +95,9 @@
 		}
 	}
 
-	async #renewOrFree(sign: RunSign): Promise<void> {
-		if (await this.#isOver(sign)) {
+	async #renewOrFree(sign: RunSign, isReaderLive: boolean): Promise<void> {
+		const next = await this.#chooseOrder(sign, isReaderLive);
+		if (next === 'release') {
 			this.#parts.logger.info({
 				event: 'memory_unused', reservation: this.reservation.reservation, address: this.reservation.address, quietFor: Math.round(sign.quietFor),
 			}, 'a request that is not heard of uses its memory no longer; it is freed');
@@ -103,7 +105,7 @@
 			return;
 		}
 
-		if (!this.#isReleased) {
+		if (next === 'renew' && !this.#isReleased) {
 			await this.#orderMemory('kept');
 		}
 	}
@@ -117,21 +119,35 @@
 	}
 
 	/**
-	 * Whether the request has ended though nothing was heard of it: its connection is silent then, and waiting for it is
-	 * no reason to keep the memory. Renewed until the deadline, it was set aside for up to 11.4 s in which nobody used it.
+	 * Chooses the order of one renewal.
+	 *
+	 * A request may have ended unheard when its connection is silent, so its server is asked how the memory is used. A
+	 * server out of view is asked as well: it may serve on, or have started again, and then a renewal would set memory
+	 * aside that no request uses.
 	 */
-	async #isOver(sign: RunSign): Promise<boolean> {
+	async #chooseOrder(sign: RunSign, isReaderLive: boolean): Promise<'renew' | 'release' | 'none'> {
+		const isHolderLive = this.#parts.isLive(this.reservation.server);
+		const isInView = isAnswering(sign) || (isReaderLive && isHolderLive);
 		this.#wasUsed ||= sign.hasBegun;
-		if (sign.quietFor < quietAfter) {
-			return false;
+		if (isInView && sign.quietFor < quietAfter) {
+			return 'renew';
 		}
 
 		const use = await this.#readUse();
 		this.#wasUsed ||= use === 'used';
-		return this.#wasUsed && use === 'unused';
+		if (use === 'unused') {
+			return this.#wasUsed || (!isInView && sign.quietFor >= longestUnusedWait) ? 'release' : 'renew';
+		}
+
+		if (use === undefined && !isInView) {
+			return isHolderLive ? 'release' : 'none';
+		}
+
+		return 'renew';
 	}
 
-	async #readUse() {
+	/** How the memory is used by its server's report; undefined when the report does not name it. */
+	async #readUse(): Promise<ReservationUse | 'unanswered'> {
 		const {pool, wire} = this.#parts;
 		try {
 			const answer = await pool.ask(this.reservation.address, {
@@ -139,7 +155,7 @@
 			}, orderTimeout);
 			return wire.readReservationUse(answer.text, this.reservation.reservation);
 		} catch {
-			return undefined;
+			return 'unanswered';
 		}
 	}
 
--- a/src/gateway/calls/reservations.ts
+++ b/src/gateway/calls/reservations.ts
@@ -10,7 +10,7 @@
 import type {Plan} from '../../planning/index.js';
 import type {HelperAddress} from '../wire.js';
 import {
-	HeldMemory, isAnswering, renewEvery, type HeldMemoryParts, type RunSign,
+	HeldMemory, renewEvery, type HeldMemoryParts, type RunSign,
 } from './held-memory.js';
 
 /** A helper of a plan with its address. */
@@ -69,14 +69,9 @@
 		const renew = () => {
 			timer = this.#parts.clock.setTimer(renewEvery, () => {
 				const sign = findSign();
-				// A server that went dark ends no connection: without this its memory elsewhere was held until the caller's time was over, 9.6 s on a day with three of ten servers dark.
-				if (!isAnswering(sign) && !this.#parts.isLive(reader)) {
-					release();
-					return;
-				}
-
+				const isReaderLive = this.#parts.isLive(reader);
 				for (const memory of held) {
-					void memory.renew(sign);
+					void memory.renew(sign, isReaderLive);
 				}
 
 				renew();
--- a/test/gateway-parts.test.ts
+++ b/test/gateway-parts.test.ts
@@ -141,6 +141,12 @@
 				pieces.push(piece as Uint8Array);
 			}
 
+			// A server that has started again holds no memory.
+			if (request.method === 'GET') {
+				response.end('{"tickets":[]}');
+				return;
+			}
+
 			const {op} = JSON.parse(Buffer.concat(pieces).toString()) as {op: string};
 			orders.push(`${op} ${server}`);
 			await sleep(answerDelay);
--- a/test/reservations.test.ts
+++ b/test/reservations.test.ts
@@ -6,19 +6,19 @@
 import {
 	Reservations, type BackendPool, type BackendRequest, type RunSign,
 } from '../src/gateway/calls/index.js';
-import type {GatewayWire, ReservationOrder} from '../src/gateway/wire.js';
+import type {GatewayWire, ReservationOrder, ReservationUse} from '../src/gateway/wire.js';
 import type {Plan} from '../src/planning/index.js';
 
 const reader = 'i-reader' as BackendServerId;
 const holder = 'i-holder' as BackendServerId;
 
 /** Reservations whose orders are recorded and obeyed. */
-function createReservations(isLive: (id: BackendServerId) => boolean) {
+function createReservations(isLive: (id: BackendServerId) => boolean, readUse: () => ReservationUse = () => undefined) {
 	const clock = new VirtualClock();
 	const kinds: string[] = [];
 	const wire = {
 		formatOrder: (order: ReservationOrder) => ({body: order.kind, headers: {}}),
-		readReservationUse: () => undefined,
+		readReservationUse: readUse,
 	} as unknown as GatewayWire;
 	// A question for the server's report has no body.
 	const ask = async (_address: string, request: BackendRequest) => {
@@ -95,3 +95,27 @@
 	await pass(clock, 100);
 	expect(kinds).toEqual(['reserve', 'reserve', 'reserve', 'release']);
 });
+
+// A server that leaves without stating it reads on, and the memory of its prompt was freed beneath it.
+test.each([[reader], [holder]])('memory in use is renewed while a prompt is read when the entry of %s is gone', async leaving => {
+	const live = new Set([reader, holder]);
+	let use: ReservationUse = 'used';
+	const {clock, kinds, reservations} = createReservations(id => live.has(id), () => use);
+	await reserve(reservations);
+	live.delete(leaving);
+	await pass(clock, 4000);
+	expect(kinds).toEqual(Array.from({length: 5}, () => 'reserve'));
+	use = 'unused';
+	await pass(clock, 1000);
+	expect(kinds.at(-1)).toBe('release');
+});
+
+test('memory that no request has used is freed after a bounded time when the entry of its reader is gone', async () => {
+	const {clock, kinds, reservations} = createReservations(id => id !== reader, () => 'unused');
+	const sentAt = clock.readMonotonic();
+	await reserve(reservations, () => ({hasBegun: false, quietFor: clock.readMonotonic() - sentAt}));
+	await pass(clock, 3600);
+	expect(kinds).not.toContain('release');
+	await pass(clock, 1800);
+	expect(kinds.at(-1)).toBe('release');
+});
