--- a/test/gateway-calls.test.ts
+++ b/test/gateway-calls.test.ts
@@ -172,6 +172,21 @@
 	expect(took).toBeLessThan(5500);
 }, 10_000);
 
+// The time limits of a caller's connection are for heads, bodies and connections at rest.
+test('an answer that begins later than the idle limit of its connection is passed on', async () => {
+	const late: RunnerBehaviour = (request, response) => {
+		setTimeout(() => {
+			void answerWhole('late')(request, response, response.socket!);
+		}, 1200);
+	};
+
+	await fleet.start({runners: [{service: 'app', behaviour: late}]});
+	fleet.store.put('config', 'main', createConfig(2, {limits: {idleTimeoutMs: 300, headerTimeoutMs: 300}}));
+	await waitUntil(() => fleet.gateways[0].state.configVersion === 2);
+	const answers = await Promise.all(['first', undefined].map(async body => fleet.call({path: '/once/', body})));
+	expect(answers.map(answer => [answer.status, answer.isWhole, answer.body])).toEqual([[200, true, 'late'], [200, true, 'late']]);
+});
+
 // Each of the calls that waited at a silent server took a retry out of the budget before it knew of a place to go to,
 // and kept it: on a day with many servers silent 66 retries of others were not granted within 13 s (`retry_not_granted`).
 test('a call that finds no place beside a silent server leaves the retry to others', async () => {
