fix(routing): a process that stood still reads what has arrived before it takes the source for silent

What callers saw: nothing directly. A node that stood still for 150 ms or more while it listed or checked the source said that it could not reach it; another node followed in its place and stopped again when the answer was read a moment later.

Cause: SourceCalls judged a call by its timer. In a turn of Node.js timers fire before arrived data is read, so after a gap of the process an answer that was there already counted as missing.

Change: a call has 20 ms to read its answer before it counts as silent, and a first call before it counts as late. The time begins when the call is first judged, so the gap's length does not matter.

Ways compared by the tests of a stalling clock: later timers only (a gap of 50 ms or more extends a call once) missed gaps just above the limit of 150 ms (one of four cases red); a further turn for each call covers all. A second unanswered call before the source counts as lost was not built: it would add 600 ms to the detection of a real silence, and a change must be known in two seconds.

Evidence: on the untouched code a stall of 160, 300, 900 or 2,000 ms within a list gives 'source_lost', and so do some of 40 drawn series of 30 stalls; now none. A silent source is still noticed within 150 ms after a stall. Calls to the source are unchanged while it answers.

--- a/src/routing/source-calls.ts
+++ b/src/routing/source-calls.ts
@@ -18,6 +18,9 @@
 /** How many times the time that the source took of late a call may take before it counts as unanswered. */
 const slowFactor = 1.5;
 
+/** Time in which what has arrived is read before a call counts as late or silent, in milliseconds: after a gap of this process its timers fire first. */
+const readingTime = 20;
+
 /** What is asked until it is answered. */
 export type Question<Answer> = {
 	/** Asks once; `attempt` counts from 0 since the last answer. */
@@ -48,7 +51,16 @@
 };
 
 /** One call without an answer. */
-type OpenCall = {attempt: number; startedAt: number; heardAt: number; wait: number; isSilent: boolean; stop: AbortController};
+type OpenCall = {
+	attempt: number;
+	startedAt: number;
+	heardAt: number;
+	wait: number;
+	isSilent: boolean;
+	/** When the time to read its answer is over; undefined until it would count as late or silent. */
+	readUntil?: number;
+	stop: AbortController;
+};
 
 /** An answer, and whether it came to the first call. */
 export type SourceAnswer<Answer> = {result: Either<SourceFailure, Answer>; attempt: number};
@@ -116,7 +128,7 @@
 
 				this.#noticeSilence(question);
 				if (this.#now() >= this.#dueAt) {
-					this.#launch(question);
+					this.#launchDue(question);
 				}
 
 				await this.#waitForTurn(question);
@@ -172,6 +184,16 @@
 		this.#turn.abort();
 	}
 
+	/** A first call that is late may have been answered in a gap of this process. */
+	#launchDue(question: Question<Answer>): void {
+		const [first] = this.#open;
+		if (first === undefined || this.#isDoubted || this.#hasRead(first)) {
+			this.#launch(question);
+		} else {
+			this.#dueAt = first.readUntil!;
+		}
+	}
+
 	#launch(question: Question<Answer>): void {
 		const attempt = this.#attempt++;
 		const now = this.#now();
@@ -255,7 +277,7 @@
 	#noticeSilence(question: Question<Answer>): void {
 		const now = this.#now();
 		for (const call of this.#open) {
-			if (!call.isSilent && now >= this.#findSilentAt(call, question)) {
+			if (!call.isSilent && now >= this.#findSilentAt(call, question) && this.#hasRead(call)) {
 				call.isSilent = true;
 				question.onUnanswered(`no answer within ${Math.round(now - call.startedAt)} ms`);
 			}
@@ -266,7 +288,7 @@
 	#findSilentAt(call: OpenCall, {silentAfter}: Question<Answer>): number {
 		return call.attempt === 0 && call.wait > 0
 			? Infinity
-			: call.heardAt + call.wait + Math.max(silentAfter, this.#parts.health.answerTime * slowFactor);
+			: Math.max(call.heardAt + call.wait + Math.max(silentAfter, this.#parts.health.answerTime * slowFactor), call.readUntil ?? -Infinity);
 	}
 
 	#drawPause({pause}: Question<Answer>): number {
@@ -284,6 +306,12 @@
 		await waitFor(this.#parts.clock, Math.max(0, Math.min(this.#dueAt, ...silentAt) - this.#now()), this.#turn.signal);
 	}
 
+	/** Whether the time to read an answer of this call that may have arrived is over; it begins with the first look. */
+	#hasRead(call: OpenCall): boolean {
+		call.readUntil ??= this.#now() + readingTime;
+		return this.#now() >= call.readUntil;
+	}
+
 	#now(): number {
 		return this.#parts.clock.readMonotonic();
 	}
--- a/test/follow-source.test.ts
+++ b/test/follow-source.test.ts
@@ -1,4 +1,5 @@
 import {expect, test} from '@jest/globals';
+import seedrandom from 'seedrandom';
 import {
 	createLogger, createSilentLogger, VirtualClock, type BackendServerId, type BackendServerName, type ServiceName, type AvailabilityZone,
 } from '../src/common/index.js';
@@ -7,6 +8,7 @@
 } from '../src/routing/index.js';
 import {LogMemory} from './helpers/logs.js';
 import {passTime, StandinSource} from './helpers/sources.js';
+import {StallingClock} from './helpers/stalling-clock.js';
 
 /** A follower that waits longer than those of a node do, in milliseconds. */
 const longPace = {wait: 5000, pause: 2000};
@@ -71,6 +73,87 @@
 	};
 }
 
+/** A follower that reads for a node that can serve, in a process that stands still at some moments, beside a source that answers; times in milliseconds. */
+async function followWithStalls(stalls: Array<{after: number; time: number}>): Promise<LogMemory> {
+	const clock = new StallingClock();
+	const log = new LogMemory();
+	const logger = createLogger('info', log);
+	const state = createUsableState(clock);
+	const source = new StandinSource(clock.arrivals);
+	const follower = new Follower({
+		name: 'configuration',
+		pace: followPace,
+		health: new SourceHealth(),
+		source,
+		state,
+		asksSource: () => true,
+		onList() {/* Nothing. */},
+		onChanges() {/* Nothing. */},
+	}, {clock, logger, random: () => 0.5});
+	const stopping = new AbortController();
+	const running = follower.run(stopping.signal);
+	for (const {after, time} of stalls) {
+		await passTime(clock, after);
+		await clock.stall(time);
+	}
+
+	await passTime(clock, 100);
+	stopping.abort();
+	await passTime(clock, 20);
+	await running;
+	return log;
+}
+
+/** The state of a node that knows a configuration and a server. */
+function createUsableState(clock: VirtualClock): FleetState {
+	const state = new FleetState(clock, createSilentLogger());
+	state.applyServerList({items: [createServer('i-1')], revision: 1}, 'source');
+	state.applyConfig({
+		version: 1, routes: [], services: [], organisations: [], limits: {
+			headerBytes: 1000, bodyBytes: 1000, headerTime: 1000, idleTime: 1000,
+		},
+	}, 'source');
+	return state;
+}
+
+// A node that took its own gap for a silence of the source had another one follow in its place, and took it back at once.
+test('a process that stands still while it lists does not take that for a silence of the source', async () => {
+	const logs = await Promise.all([160, 300, 900, 2000].map(async time => followWithStalls([{after: 0, time}])));
+	expect(logs.flatMap(log => [...log.listLines('source_lost'), ...log.listLines('source_checked')])).toEqual([]);
+});
+
+test('a process that stands still again and again does not take that for a silence of the source', async () => {
+	const random = seedrandom('stalls');
+	const drawStalls = () => Array.from({length: 30}, () => ({after: 10 * Math.floor(random() * 200), time: 10 * Math.floor(random() * 80)}));
+	const logs = await Promise.all(Array.from({length: 40}, async () => followWithStalls(drawStalls())));
+	expect(logs.flatMap(log => log.listLines('source_lost'))).toEqual([]);
+});
+
+test('a source that is silent is noticed as soon by a process that stands still once', async () => {
+	const clock = new StallingClock();
+	const source = new StandinSource(clock.arrivals);
+	const log = new LogMemory();
+	source.stopAnswers();
+	const follower = new Follower({
+		name: 'configuration',
+		pace: followPace,
+		health: new SourceHealth(),
+		source,
+		state: createUsableState(clock),
+		asksSource: () => true,
+		onList() {/* Nothing. */},
+		onChanges() {/* Nothing. */},
+	}, {clock, logger: createLogger('info', log), random: () => 0.5});
+	const stopping = new AbortController();
+	const running = follower.run(stopping.signal);
+	await clock.stall(200);
+	await passTime(clock, 150);
+	expect(log.listLines('source_lost')).toHaveLength(1);
+	stopping.abort();
+	await passTime(clock, 20);
+	await running;
+});
+
 test('the log says for how long a lost source has been silent, and how many calls it left unanswered', async () => {
 	const {clock, source, log, stop} = await startFollower();
 	source.stopAnswers();
