fix(gateway): a node says that it hears the source only after an answer of its present turn

Cause: ViewExchange.hearsSource looked at the age of the last answers (2.5 s) and not at whose turn they came in.

Change: an answer counts from the beginning of the turn.

Evidence: three tests of forty nodes on a virtual clock fail on the untouched code (nodes that heard nothing said that they did) and pass now.

Ruled out: larger waves (growth 4 in place of 2); not tried, since they cost a slow store calls.

--- a/src/gateway/views/view-exchange.ts
+++ b/src/gateway/views/view-exchange.ts
@@ -63,6 +63,8 @@
 	#view: Omit<PeerView, 'sourceAges'> | undefined;
 	#reportedVersion = 0;
 	#isWatcher: boolean;
+	/** When its turn to follow began, by the monotonic clock. */
+	#watchesSince = -Infinity;
 	readonly #patientUntil: number;
 	readonly #settledAt: number;
 	/** Until when this node goes on to ask though it had no answer yet. */
@@ -99,11 +101,12 @@
 		return this.#parts.state.isUsable ? this.#isWatcher && this.#isSettled : !this.#isPatient;
 	}
 
-	/** Whether this node follows the source and has had its answers of late. */
+	/** Whether this node follows the source and has had its answers of late. Those of an earlier turn say nothing of this one. */
 	get hearsSource(): boolean {
-		const {state} = this.#parts;
+		const {state, clock} = this.#parts;
+		const age = Math.min(hearingAge, clock.readMonotonic() - this.#watchesSince);
 		return this.#isWatcher && state.isSourceReachable
-			&& followedKinds.every(kind => (state.sourceHeard.measureOwn(kind) ?? Infinity) < hearingAge);
+			&& followedKinds.every(kind => (state.sourceHeard.measureOwn(kind) ?? Infinity) < age);
 	}
 
 	get #isSettled(): boolean {
@@ -149,6 +152,7 @@
 		if (isWatcher !== this.#isWatcher) {
 			this.#isWatcher = isWatcher;
 			if (isWatcher) {
+				this.#watchesSince = now;
 				this.#turnEndsAt = now + leastTurn;
 				this.#parts.health.tellTurn();
 			}
--- a/test/helpers/store-fleet.ts
+++ b/test/helpers/store-fleet.ts
@@ -210,14 +210,14 @@
 		return this.nodes.filter(node => node.exchange.isWatcher).map(node => node.index);
 	}
 
-	/** Lets all nodes find each other and the store, and settle on who follows it. */
-	async begin(): Promise<this> {
+	/** Lets all nodes find each other and the store, and settle on who follows it, for a time in milliseconds. */
+	async begin(time = 6000): Promise<this> {
 		this.store.putConfig(this.#createConfig());
 		for (let index = 0; index < 5; index++) {
 			this.store.putServer(createModelServer(index));
 		}
 
-		await this.pass(6000);
+		await this.pass(time);
 		return this;
 	}
 
--- a/test/source-silence.test.ts
+++ b/test/source-silence.test.ts
@@ -150,3 +150,41 @@
 
 	await fleet.end();
 }, playLimit);
+
+/** Forty nodes that started so long ago, in milliseconds, of which one is served. */
+async function silenceAllButOne(time: number, served: number): Promise<StoreFleet> {
+	const fleet = await new StoreFleet({nodes: 40, seed: `forty ${served}`}).begin(time);
+	fleet.silence(fleet.nodes.map(node => node.index).filter(index => index !== served));
+	return fleet;
+}
+
+// A node that had heard the source in an earlier turn said so as soon as it followed again, and the others stopped looking.
+test.each([800, 1200, 1600])('of forty nodes that started %d ms ago none says in a new turn that it hears the source before it does', async time => {
+	for (const served of [3, 19, 27]) {
+		const fleet = await silenceAllButOne(time, served);
+		const first = fleet.followers;
+		const wrong = new Set<number>();
+		for (let passed = 0; passed < 3000; passed += 10) {
+			await fleet.pass(10);
+			for (const {index, exchange} of fleet.nodes) {
+				if (exchange.hearsSource && index !== served && !first.includes(index)) {
+					wrong.add(index);
+				}
+			}
+		}
+
+		expect([...wrong]).toEqual([]);
+		await fleet.end();
+	}
+}, playLimit);
+
+test.each([800, 1200, 1600, 6000])('of forty nodes that started %d ms ago one is served: a change is in force at all within two seconds', async time => {
+	const times: number[] = [];
+	for (const served of [3, 11, 19, 27, 35]) {
+		const fleet = await silenceAllButOne(time, served);
+		times.push(await measureWorst(fleet, 4));
+		await fleet.end();
+	}
+
+	expect(times.filter(worst => worst > changeBound)).toEqual([]);
+}, playLimit);
