test: a watch of the stand-in store ends by a change of its kind, not by any

Cause: StandinStore answered all waiting watches, without changes, whenever anything was written.

Change: a watch goes on waiting for its own kind, for what is left of its time.

--- a/test/helpers/platform-standins.ts
+++ b/test/helpers/platform-standins.ts
@@ -266,7 +266,11 @@
 		const find = () => this.#events.filter(event => event.kind === kind && event.revision > revision);
 		if (find().length === 0) {
 			this.#watching.set(request.socket, kind);
-			await this.#waitForEvent(wait);
+			const until = Date.now() + wait;
+			do {
+				await this.#waitForEvent(until - Date.now());
+			} while (find().length === 0 && Date.now() < until && revision >= this.#oldestKnown && this.trouble === 'none');
+
 			this.#watching.delete(request.socket);
 		}
 
