--- a/src/planning/planner.ts
+++ b/src/planning/planner.ts
@@ -18,6 +18,7 @@
 import {CallerWaits} from './caller-waits.js';
 import {computeReadTime} from './engine-model.js';
 import {findLeast} from './find-least.js';
+import {HeldPlans, type HeldPlan} from './held-plans.js';
 import {
 	DimSight, divideUnseen, sightAskPause, spreadServers, wholeSight, type FleetSight,
 } from './fleet-sight.js';
@@ -25,9 +26,7 @@
 	Decision, LongerRead, Plan, PlanNote, PlanRequest,
 } from './plan.js';
 import {describeOverload, LongReads} from './long-reads.js';
-import {
-	isDone, ServerBoard, startWork, type Work,
-} from './server-board.js';
+import type {ServerBoard} from './server-board.js';
 import {LimitGate} from './limit-gate.js';
 import type {ServerLimits} from './server-limits.js';
 import {ServerShares, type ServerGroups} from './server-shares.js';
@@ -41,15 +40,9 @@
 /** Pause assumed for requests that state none, in milliseconds. */
 const defaultPause = 250;
 
-/** Kept after a request's time before its plan is forgotten unasked, in milliseconds. */
-const planMargin = 1000;
-
 /** Letters of a plan's id: enough that no two of the thousands in progress are alike, and short, since they are listed once a second. */
 const planIdLength = 12;
 
-/** Age from which a plan that its node does not know is forgotten, in milliseconds: a younger one may still be on its way to it. */
-const reconcileAge = 500;
-
 /** What a planner needs. */
 export type PlannerParts = {
 	ids: IdSource;
@@ -78,17 +71,6 @@
 	isDoubtful: boolean;
 };
 
-/**
- * A plan, when it was made or taken over, and whether it counts as a short request: what is short may change meanwhile. Its work is
- * kept for each server, also for one that takes no new work at the moment and so has no board.
- */
-type HeldPlan = {plan: Plan; since: number; isShort: boolean; isDecidedHere: boolean; works: ReadonlyMap<BackendServerId, Work>};
-
-/** When a plan is forgotten unasked. */
-function findPlanEnd({plan, since}: HeldPlan): number {
-	return since + plan.request.timeLeft + planMargin;
-}
-
 function describeRejection({crashes, rejectedFor}: Extract<Quarantine, {kind: 'rejected'}>): Failure {
 	return createFailure('ends_servers', `${crashes} backend servers have ended while they ran this request; it is not sent to another one`, {retryAfterSeconds: Math.ceil(rejectedFor / 1000)});
 }
@@ -98,10 +80,7 @@
 	/** Requests that have crashed servers. */
 	readonly crashRecords = new CrashRecords();
 	readonly #ids: IdSource;
-	readonly #boards = new Map<BackendServerId, ServerBoard>();
-	readonly #plans = new Map<PlanId, HeldPlan>();
-	/** No plan's time is over before this. */
-	#pruneFrom = Infinity;
+	readonly #held = new HeldPlans();
 	readonly #reads = new LongReads();
 	readonly #callerWaits = new CallerWaits();
 	#engine: EngineFigures | undefined;
@@ -124,7 +103,7 @@
 
 	/** Plans in progress. */
 	get planCount(): number {
-		return this.#plans.size;
+		return this.#held.size;
 	}
 
 	/** Short requests that have a place. */
@@ -139,7 +118,7 @@
 
 	/** What is planned on each server, and how far it is trusted: the busiest first, so many at most. */
 	describeServers(now: number, most: number): ServerWork[] {
-		return [...this.#boards.values()]
+		return [...this.#held.boards.values()]
 			.sort((left, right) => right.workCount - left.workCount)
 			.slice(0, most)
 			.map(board => ({
@@ -160,21 +139,7 @@
 	/** Replaces the figures and the servers that take new work. */
 	setServers(servers: BackendServer[], engine: EngineFigures | undefined): void {
 		this.#engine = engine;
-		const kept = new Set(servers.map(server => server.id));
-		for (const id of this.#boards.keys()) {
-			if (!kept.has(id)) {
-				this.#boards.delete(id);
-			}
-		}
-
-		for (const server of servers) {
-			const board = this.#boards.get(server.id);
-			if (board === undefined) {
-				this.#addBoard(server);
-			} else {
-				board.server = server;
-			}
-		}
+		this.#held.setServers(servers);
 	}
 
 	/**
@@ -210,7 +175,7 @@
 			return this.#gate.wait(gated, now);
 		}
 
-		const planned = quarantine.kind === 'isolated' && this.#boards.size > 1
+		const planned = quarantine.kind === 'isolated' && this.#held.boards.size > 1
 			? this.#planIsolated(request, open, now)
 			: this.#planBeside(request, open, now);
 		return planned.map(decision => {
@@ -227,7 +192,7 @@
 	/** Takes over plans that another planner made; `startIn` counts from now. */
 	adopt(plans: Plan[], now: number): void {
 		for (const plan of plans) {
-			if (!this.#plans.has(plan.planId)) {
+			if (!this.#held.has(plan.planId)) {
 				this.#hold(plan, now, false);
 			}
 		}
@@ -246,7 +211,7 @@
 		}
 
 		if (note.kind === 'failed') {
-			const board = this.#boards.get(note.server);
+			const board = this.#held.boards.get(note.server);
 			// A server that was given a long read is silent while it reads, and none the worse for it.
 			if (note.trouble !== 'silent' || !board?.hasReadLately(now)) {
 				board?.health.recordTrouble(note.trouble, now);
@@ -255,23 +220,12 @@
 			return undefined;
 		}
 
-		const held = this.#plans.get(note.planId);
-		if (held === undefined) {
-			return undefined;
-		}
-
 		if (note.kind === 'started') {
-			for (const [id, work] of held.works) {
-				startWork(work, now);
-				this.#boards.get(id)?.start(note.planId, now);
-			}
-
-			this.#boards.get(held.plan.server)?.health.recordSuccess(now);
-			return this.#noteRead(held, now);
+			return this.#noteStart(note.planId, now);
 		}
 
-		this.#release(held.plan);
-		if (note.isUnanswered === true) {
+		const held = this.#release(note.planId);
+		if (held !== undefined && note.isUnanswered === true) {
 			this.#noteAbandoned(held.plan, now);
 		}
 
@@ -295,44 +249,38 @@
 
 	/** Forgets the plans of a node that is gone. It reports no crash under them any more. */
 	forgetNode(node: BoxId, now: number): void {
-		for (const {plan} of this.#plans.values()) {
-			if (plan.request.node === node) {
-				this.#release(plan);
-				this.#noteAbandoned(plan, now);
-			}
+		for (const plan of this.#held.listOfNode(node)) {
+			this.#release(plan.planId);
+			this.#noteAbandoned(plan, now);
 		}
 	}
 
 	/** Forgets the plans of a node that it does not carry out: their answer or the note of their end was lost on the way. */
 	reconcile(node: BoxId, active: ReadonlySet<PlanId>, now: number): number {
-		let forgotten = 0;
-		for (const {plan, since} of this.#plans.values()) {
-			if (plan.request.node === node && !active.has(plan.planId) && since < now - reconcileAge) {
-				this.#release(plan);
-				forgotten++;
-			}
+		const unknown = this.#held.listUnknown(node, active, now);
+		for (const {planId} of unknown) {
+			this.#release(planId);
 		}
 
-		return forgotten;
+		return unknown.length;
 	}
 
 	/** Forgets plans whose time is over. */
 	prune(now: number): void {
 		this.#reads.prune(now);
-		// Nearly all end long before: they are looked through only when one's time may be over.
-		if (this.#pruneFrom >= now) {
-			return;
+		for (const {planId} of this.#held.listExpired(now)) {
+			this.#release(planId);
 		}
+	}
 
-		this.#pruneFrom = Infinity;
-		for (const held of this.#plans.values()) {
-			const end = findPlanEnd(held);
-			if (end < now) {
-				this.#release(held.plan);
-			} else {
-				this.#pruneFrom = Math.min(this.#pruneFrom, end);
-			}
+	#noteStart(planId: PlanId, now: number): LongerRead | undefined {
+		const held = this.#held.start(planId, now);
+		if (held === undefined) {
+			return undefined;
 		}
+
+		this.#held.boards.get(held.plan.server)?.health.recordSuccess(now);
+		return this.#noteRead(held, now);
 	}
 
 	/** Plans that another planner made say nothing of when they were to be sent. */
@@ -351,18 +299,6 @@
 			};
 	}
 
-	/** A server that takes new work again runs what it ran: without that its memory was planned with twice. */
-	#addBoard(server: BackendServer): void {
-		const board = new ServerBoard(server);
-		this.#boards.set(server.id, board);
-		for (const {works} of this.#plans.values()) {
-			const work = works.get(server.id);
-			if (work !== undefined && !isDone(work)) {
-				board.add(work);
-			}
-		}
-	}
-
 	/** The objective counts from a caller's first try. */
 	#countEarlierTries(request: PlanRequest): PlanRequest {
 		const {route, callerWaits, waited, objective} = request;
@@ -380,7 +316,7 @@
 
 	#listUsable(request: PlanRequest, quarantine: Quarantine, now: number): ServerBoard[] {
 		const {excluded, failedAt = []} = request;
-		const all = [...this.#boards.values()];
+		const all = [...this.#held.boards.values()];
 		const others = all.filter(board => !excluded.includes(board.server.id));
 		// The next answer of a server that failed a request may be whole, and without another one the request fails for certain.
 		const boards = others.length > 0 ? others : all.filter(board => failedAt.includes(board.server.id));
@@ -409,7 +345,7 @@
 			return Left(createFailure('overloaded', 'servers ended while they ran this request, and none is free to run it by itself'));
 		}
 
-		const board = this.#trials.find(request.fingerprint!, usable, this.#boards.size, now);
+		const board = this.#trials.find(request.fingerprint!, usable, this.#held.boards.size, now);
 		if (board === undefined) {
 			return Right({kind: 'wait', askAgainIn: trialAskPause, reason: 'trial'});
 		}
@@ -423,7 +359,7 @@
 
 	/** A server that takes no new work may leave as planned, which is no crash. */
 	#noteAbandoned({server, request: {fingerprint}}: Plan, now: number): void {
-		if (fingerprint !== undefined && this.#boards.has(server)) {
+		if (fingerprint !== undefined && this.#held.boards.has(server)) {
 			this.#abandoned.add(server, fingerprint, now);
 		}
 	}
@@ -434,17 +370,9 @@
 			return isolatedWeight;
 		}
 
-		const places = new Set<BackendServerId>();
-		for (const {plan, works} of this.#plans.values()) {
-			if (plan.request.fingerprint === fingerprint) {
-				for (const id of works.keys()) {
-					places.add(id);
-				}
-			}
-		}
-
+		const places = this.#held.findServers(fingerprint);
 		places.delete(server);
-		return 1 - (places.size / Math.max(1, this.#boards.size));
+		return 1 - (places.size / Math.max(1, this.#held.boards.size));
 	}
 
 	#planPlain(request: PlanRequest, usable: ServerBoard[], now: number): Either<Failure, Decision> {
@@ -454,7 +382,7 @@
 	}
 
 	#planPrompt(request: PlanRequest, usable: ServerBoard[], engine: EngineFigures, now: number): Either<Failure, Decision> {
-		const groups = this.#sight.isDim ? divideUnseen(usable, request.requestId) : this.#shares.divide([...this.#boards.values()], usable, engine, now);
+		const groups = this.#sight.isDim ? divideUnseen(usable, request.requestId) : this.#shares.divide([...this.#held.boards.values()], usable, engine, now);
 		const readTime = computeReadTime(engine, request.promptTokens);
 		const isLong = readTime > longReadShare * this.#shortestPause;
 		if (isLong) {
@@ -499,76 +427,25 @@
 	}
 
 	#hold(plan: Plan, now: number, isDecidedHere: boolean): void {
-		const engine = this.#engine;
-		const isPrompt = engine !== undefined && plan.request.promptTokens > 0;
-		const parts = plan.helpers.length + 1;
-		const readTime = isPrompt ? computeReadTime(engine, plan.request.promptTokens, parts) : 0;
-		const findReadEnd = (board?: ServerBoard) => now + plan.startIn + readTime + (isLong ? board?.computePass(engine, 0) ?? 0 : 0);
-		const isLong = isPrompt && computeReadTime(engine, plan.request.promptTokens) > longReadShare * this.#shortestPause;
-		const work = {
-			planId: plan.planId,
-			isHelper: false,
-			isLong,
-			promptTokens: plan.request.promptTokens,
-			readTime,
-			heldTokens: plan.ownTokens,
-			longestPause: plan.request.longestPause,
-			longestSilence: plan.request.longestSilence,
-			contextTokens: plan.request.promptTokens / parts,
-			hasStarted: false,
-			hasLostPause: false,
-		};
-		if (isPrompt) {
-			this.#forEachBoard(plan, board => {
-				board.markPauses(engine, readTime);
-			});
-		}
-
-		const works = new Map<BackendServerId, Work>([[plan.server, {...work, readUntil: findReadEnd(this.#boards.get(plan.server))}]]);
-		for (const helper of plan.helpers) {
-			const readUntil = findReadEnd(this.#boards.get(helper.server));
-			works.set(helper.server, {
-				...work, readUntil, isHelper: true, heldTokens: helper.heldTokens, contextTokens: 0, promptTokens: 0, longestPause: undefined, longestSilence: undefined,
-			});
-		}
-
-		for (const [id, part] of works) {
-			this.#boards.get(id)?.add(part);
-		}
-
-		const isShort = isPrompt && !isLong;
-		const held = {
-			plan, since: now, isShort, isDecidedHere, works,
-		};
-		this.#plans.set(plan.planId, held);
-		this.#pruneFrom = Math.min(this.#pruneFrom, findPlanEnd(held));
+		const {promptTokens} = plan.request;
+		const engine = promptTokens > 0 ? this.#engine : undefined;
+		const isLong = engine !== undefined && computeReadTime(engine, promptTokens) > longReadShare * this.#shortestPause;
+		const {isShort} = this.#held.hold(plan, {engine, isLong, isDecidedHere}, now);
 		if (isShort) {
 			this.#shares.addShort();
 		}
 	}
 
-	#release(plan: Plan): void {
-		const held = this.#plans.get(plan.planId);
-		if (held === undefined) {
-			return;
+	#release(planId: PlanId): HeldPlan | undefined {
+		const held = this.#held.release(planId);
+		if (held !== undefined) {
+			this.#trials.end(planId);
 		}
 
-		this.#plans.delete(plan.planId);
-		this.#trials.end(plan.planId);
-		this.#forEachBoard(plan, board => {
-			board.remove(plan.planId);
-		});
-		if (held.isShort) {
+		if (held?.isShort) {
 			this.#shares.removeShort();
 		}
-	}
 
-	#forEachBoard(plan: Plan, use: (board: ServerBoard) => void): void {
-		for (const id of [plan.server, ...plan.helpers.map(helper => helper.server)]) {
-			const board = this.#boards.get(id);
-			if (board !== undefined) {
-				use(board);
-			}
-		}
+		return held;
 	}
 }
