refactor(test): the model of planned work in modules of one job each, verbs of the list

Change: calls and servers of the model leave planned-fleet.ts; functions begin with verbs of the list.

--- a/test/follow-source.test.ts
+++ b/test/follow-source.test.ts
@@ -94,7 +94,7 @@
 	const running = follower.run(stopping.signal);
 	for (const {after, time} of stalls) {
 		await passTime(clock, after);
-		await clock.stall(time);
+		await clock.pause(time);
 	}
 
 	await passTime(clock, 100);
@@ -146,7 +146,7 @@
 	}, {clock, logger: createLogger('info', log), random: () => 0.5});
 	const stopping = new AbortController();
 	const running = follower.run(stopping.signal);
-	await clock.stall(200);
+	await clock.pause(200);
 	await passTime(clock, 150);
 	expect(log.listLines('source_lost')).toHaveLength(1);
 	stopping.abort();
--- /dev/null
+++ b/test/helpers/modelled-server.ts
@@ -0,0 +1,37 @@
+/** A model server that works in passes and may say nothing for a while, on a virtual clock. */
+import type {VirtualClock} from '../../src/common/index.js';
+import {PassServer} from '../../src/replay/routed/index.js';
+import type {BackendServer} from '../../src/routing/index.js';
+import {engine} from './planning.js';
+
+/** One server and its process. */
+export class ModelledServer {
+	readonly passes: PassServer;
+	/** When memory that is set aside runs out, by reservation. */
+	readonly memory = new Map<string, number>();
+	isDraining = false;
+	/** Until when it says nothing. */
+	silentUntil = 0;
+	readonly #clock: VirtualClock;
+
+	constructor(readonly entry: BackendServer, clock: VirtualClock, pace: number) {
+		this.#clock = clock;
+		this.passes = new PassServer(engine, (delay, run) => {
+			clock.setTimer(delay, run);
+		});
+		this.passes.pace = pace;
+	}
+
+	/** Runs a function once the server may answer. */
+	answer(run: () => void): void {
+		const delay = this.silentUntil - this.#clock.readMonotonic();
+		if (delay <= 0) {
+			run();
+			return;
+		}
+
+		this.#clock.setTimer(delay, () => {
+			this.answer(run);
+		});
+	}
+}
--- /dev/null
+++ b/test/helpers/planned-calls.ts
@@ -0,0 +1,65 @@
+/** Calls to a fleet beside planned work, with callers that leave a stream that is silent for too long. */
+import type {RequestId} from '../../src/common/index.js';
+import type {CallOutcome, CallRun} from '../../src/gateway/calls/index.js';
+import type {Route} from '../../src/routing/index.js';
+import {RecordingSink, streamRoute, type ScriptedSend} from './scripted-call.js';
+
+/** Routes that calls of the fleet take. */
+export const plannedRoutes = {
+	stream: {...streamRoute, timeLimit: 10_000},
+	fixedStream: {...streamRoute, timeLimit: 10_000, canResume: false},
+	longStream: {
+		...streamRoute, timeLimit: 15_000, objective: 2200, longestPause: 1000, longestSilence: 8800,
+	},
+	repeatable: {
+		...streamRoute, kind: 'repeatable', timeLimit: 4000, objective: 400, longestPause: undefined, longestSilence: undefined, canResume: false, attempts: 2,
+	},
+	once: {
+		...streamRoute, kind: 'once', timeLimit: 4000, objective: 400, longestPause: undefined, longestSilence: undefined, canResume: false, attempts: 1,
+	},
+} satisfies Record<string, Route>;
+
+/** A call: when and at which node it comes, and what it asks for. */
+export type PlannedCallSpec = {at: number; node: number; route: keyof typeof plannedRoutes; promptTokens: number; events: number};
+
+/** One call, its caller and what its servers saw of it. */
+export class PlannedCall {
+	readonly id: RequestId;
+	readonly sink = new RecordingSink();
+	readonly sends: ScriptedSend[] = [];
+	readonly route: Route;
+	run: CallRun | undefined;
+	outcome: CallOutcome | undefined;
+	error: unknown;
+	hasLeft = false;
+	heardAt: number;
+	#seenLength = 0;
+
+	constructor(readonly spec: PlannedCallSpec, index: number) {
+		this.id = `request-${index}` as RequestId;
+		this.route = plannedRoutes[spec.route];
+		this.heardAt = spec.at;
+	}
+
+	get isOver(): boolean {
+		return this.outcome !== undefined || this.error !== undefined;
+	}
+
+	isLate(now: number): boolean {
+		return now >= this.spec.at + this.route.timeLimit;
+	}
+
+	/** The caller leaves a stream that is silent for too long. */
+	watch(now: number): void {
+		if (this.sink.body.length > this.#seenLength) {
+			this.#seenLength = this.sink.body.length;
+			this.heardAt = now;
+		}
+
+		const {longestSilence} = this.route;
+		if (this.run !== undefined && !this.isOver && !this.hasLeft && longestSilence !== undefined && now - this.heardAt >= longestSilence) {
+			this.hasLeft = true;
+			this.run.leave();
+		}
+	}
+}
--- a/test/helpers/planned-fleet.ts
+++ b/test/helpers/planned-fleet.ts
@@ -9,21 +9,23 @@
 import {CallWire} from '../../platform/index.js';
 import {
 	createSilentLogger, readErrorMessage, VirtualClock, type AvailabilityZone, type BackendServerId, type BackendServerName, type BoxId, type Failure,
-	type PlanId, type RequestFingerprint, type RequestId, type ServiceName,
+	type PlanId, type RequestFingerprint, type ServiceName,
 } from '../../src/common/index.js';
 import {
-	CallRun, Placer, Reservations, type BackendExchange, type BackendPool, type BackendRequest, type CallOutcome, type PlaceAnswer, type Placed,
+	CallRun, Placer, Reservations, type BackendExchange, type BackendPool, type BackendRequest, type PlaceAnswer, type Placed,
 } from '../../src/gateway/calls/index.js';
 import {GatewayMetrics} from '../../src/gateway/gateway-metrics.js';
 import {
 	Planner, type Plan, type PlanNote, type PlanRequest,
 } from '../../src/planning/index.js';
-import {PassJob, PassServer} from '../../src/replay/routed/index.js';
+import {PassJob} from '../../src/replay/routed/index.js';
 import {
-	FleetState, type BackendServer, type Route, type RoutingConfig, type ServiceSpec,
+	FleetState, type BackendServer, type RoutingConfig, type ServiceSpec,
 } from '../../src/routing/index.js';
+import {ModelledServer} from './modelled-server.js';
+import {PlannedCall, type PlannedCallSpec} from './planned-calls.js';
 import {createIds, engine} from './planning.js';
-import {RecordingSink, ScriptedSend, streamRoute} from './scripted-call.js';
+import {ScriptedSend} from './scripted-call.js';
 
 /** Length of a turn, in milliseconds: all times are exact to within it. */
 const turn = 5;
@@ -43,24 +45,6 @@
 const model: ServiceSpec = {name: 'model' as ServiceName, connectionLimit: 99, engine};
 const plain: ServiceSpec = {name: 'plain' as ServiceName, connectionLimit: 99};
 
-/** Routes that calls of the fleet take. */
-export const plannedRoutes = {
-	stream: {...streamRoute, timeLimit: 10_000},
-	fixedStream: {...streamRoute, timeLimit: 10_000, canResume: false},
-	longStream: {
-		...streamRoute, timeLimit: 15_000, objective: 2200, longestPause: 1000, longestSilence: 8800,
-	},
-	repeatable: {
-		...streamRoute, kind: 'repeatable', timeLimit: 4000, objective: 400, longestPause: undefined, longestSilence: undefined, canResume: false, attempts: 2,
-	},
-	once: {
-		...streamRoute, kind: 'once', timeLimit: 4000, objective: 400, longestPause: undefined, longestSilence: undefined, canResume: false, attempts: 1,
-	},
-} satisfies Record<string, Route>;
-
-/** A call: when and at which node it comes, and what it asks for. */
-export type PlannedCallSpec = {at: number; node: number; route: keyof typeof plannedRoutes; promptTokens: number; events: number};
-
 /** Planned work and delays; `server` and `node` count around, times are in milliseconds. */
 export type PlannedStep = {at: number} & (
 	/** A server states that it leaves, its entry goes, and it works on to the end of what it runs. */
@@ -94,80 +78,6 @@
 	steps: PlannedStep[];
 };
 
-/** One server and its process. */
-class ModelledServer {
-	readonly passes: PassServer;
-	/** When memory that is set aside runs out, by reservation. */
-	readonly memory = new Map<string, number>();
-	isDraining = false;
-	/** Until when it says nothing. */
-	silentUntil = 0;
-	readonly #clock: VirtualClock;
-
-	constructor(readonly entry: BackendServer, clock: VirtualClock, pace: number) {
-		this.#clock = clock;
-		this.passes = new PassServer(engine, (delay, run) => {
-			clock.setTimer(delay, run);
-		});
-		this.passes.pace = pace;
-	}
-
-	/** Runs a function once the server may speak. */
-	speak(run: () => void): void {
-		const delay = this.silentUntil - this.#clock.readMonotonic();
-		if (delay <= 0) {
-			run();
-			return;
-		}
-
-		this.#clock.setTimer(delay, () => {
-			this.speak(run);
-		});
-	}
-}
-
-/** One call, its caller and what its servers saw of it. */
-class PlannedCall {
-	readonly id: RequestId;
-	readonly sink = new RecordingSink();
-	readonly sends: ScriptedSend[] = [];
-	readonly route: Route;
-	run: CallRun | undefined;
-	outcome: CallOutcome | undefined;
-	error: unknown;
-	hasLeft = false;
-	heardAt: number;
-	#seenLength = 0;
-
-	constructor(readonly spec: PlannedCallSpec, index: number) {
-		this.id = `request-${index}` as RequestId;
-		this.route = plannedRoutes[spec.route];
-		this.heardAt = spec.at;
-	}
-
-	get isOver(): boolean {
-		return this.outcome !== undefined || this.error !== undefined;
-	}
-
-	isLate(now: number): boolean {
-		return now >= this.spec.at + this.route.timeLimit;
-	}
-
-	/** The caller leaves a stream that is silent for too long. */
-	watch(now: number): void {
-		if (this.sink.body.length > this.#seenLength) {
-			this.#seenLength = this.sink.body.length;
-			this.heardAt = now;
-		}
-
-		const {longestSilence} = this.route;
-		if (this.run !== undefined && !this.isOver && !this.hasLeft && longestSilence !== undefined && now - this.heardAt >= longestSilence) {
-			this.hasLeft = true;
-			this.run.leave();
-		}
-	}
-}
-
 /** Asks the deciding node's planner, or its own node's when that one is late. */
 class NodePlacer extends Placer {
 	readonly #planners = new Map<PlanId, Planner>();
@@ -260,7 +170,7 @@
 		this.#pool = this.#createPool();
 		this.nodes = Array.from({length: options.nodes}, (_, index) => new FleetNode(this, `edge-${index}` as BoxId));
 		this.calls = options.calls.map((spec, index) => new PlannedCall(spec, index));
-		this.#configure('all');
+		this.#changeConfig('all');
 		for (let index = 0; index < options.modelServers + options.plainServers; index++) {
 			this.#addServer(index < options.modelServers ? model : plain);
 		}
@@ -410,7 +320,7 @@
 			}
 
 			case 'configure': {
-				this.#configure(step.services);
+				this.#changeConfig(step.services);
 				break;
 			}
 
@@ -464,7 +374,7 @@
 		});
 	}
 
-	#configure(services: 'all' | 'model' | 'plain'): void {
+	#changeConfig(services: 'all' | 'model' | 'plain'): void {
 		const config: RoutingConfig = {
 			version: ++this.#version,
 			routes: [],
@@ -537,7 +447,7 @@
 				job = this.#read(server, call, send);
 			} else {
 				this.clock.setTimer(plainWork, () => {
-					server.speak(() => {
+					server.answer(() => {
 						send.speak();
 					});
 				});
@@ -548,7 +458,7 @@
 	#read(server: ModelledServer, {spec, route}: PlannedCall, send: ScriptedSend): PassJob {
 		const helpers = send.helpers.map(helper => this.#findByAddress(helper.split('/')[0]));
 		const speak = () => {
-			server.speak(() => {
+			server.answer(() => {
 				send.speak();
 			});
 		};
@@ -591,7 +501,7 @@
 		if (op === 'reserve') {
 			server.memory.set(id, this.clock.readMonotonic() + holdMs);
 		} else {
-			this.#freeMemory(server, id, 'released');
+			this.#releaseMemory(server, id, 'released');
 		}
 
 		return {free: engine.memoryTokens};
@@ -606,13 +516,13 @@
 		for (const server of this.#servers) {
 			for (const [id, until] of server.memory) {
 				if (until < now) {
-					this.#freeMemory(server, id, 'not renewed');
+					this.#releaseMemory(server, id, 'not renewed');
 				}
 			}
 		}
 	}
 
-	#freeMemory(server: ModelledServer, reservation: string, how: string): void {
+	#releaseMemory(server: ModelledServer, reservation: string, how: string): void {
 		if (server.memory.delete(reservation) && this.#isUsed(server, reservation)) {
 			this.broken.push(`memory ${reservation} at ${server.entry.name} was ${how} at ${this.clock.readMonotonic()} while a request used it`);
 		}
--- a/test/helpers/stalling-clock.ts
+++ b/test/helpers/stalling-clock.ts
@@ -4,7 +4,7 @@
 /** The clock; `arrivals` is for whatever reaches the process over its connections. */
 export class StallingClock extends VirtualClock {
 	readonly arrivals: Clock;
-	#stalledUntil: number | undefined;
+	#pausedUntil: number | undefined;
 	#unread: Array<() => void> = [];
 
 	constructor() {
@@ -17,17 +17,17 @@
 	}
 
 	override readMonotonic(): number {
-		return this.#stalledUntil ?? super.readMonotonic();
+		return this.#pausedUntil ?? super.readMonotonic();
 	}
 
 	/** Stands still for a time in milliseconds; what has arrived is read in the next turn. */
-	async stall(time: number): Promise<void> {
-		this.#stalledUntil = super.readMonotonic() + time;
+	async pause(time: number): Promise<void> {
+		this.#pausedUntil = super.readMonotonic() + time;
 		this.advance(time);
 		await new Promise(resolve => {
 			setImmediate(resolve);
 		});
-		this.#stalledUntil = undefined;
+		this.#pausedUntil = undefined;
 		const unread = this.#unread;
 		this.#unread = [];
 		for (const read of unread) {
@@ -44,7 +44,7 @@
 				}
 			};
 
-			if (this.#stalledUntil === undefined) {
+			if (this.#pausedUntil === undefined) {
 				read();
 			} else {
 				this.#unread.push(read);
--- a/test/planned-work.test.ts
+++ b/test/planned-work.test.ts
@@ -6,9 +6,8 @@
 import process from 'node:process';
 import {expect, test} from '@jest/globals';
 import fc from 'fast-check';
-import {
-	plannedRoutes, PlannedFleet, type PlannedCallSpec, type PlannedFleetOptions, type PlannedStep,
-} from './helpers/planned-fleet.js';
+import {plannedRoutes, type PlannedCallSpec} from './helpers/planned-calls.js';
+import {PlannedFleet, type PlannedFleetOptions, type PlannedStep} from './helpers/planned-fleet.js';
 
 /** Seed of the runs in CI; others by `PLANNED_SEED` and `PLANNED_RUNS`. */
 const seed = Number(process.env.PLANNED_SEED ?? 20_261_203);
