test(routing): which entries tell that a server has started again

What runs at an earlier life is given up when a restart is told. Two tests say that only a later entry of another life does, also when the server's clock was set back; a life that lapses and comes back, entries of an earlier life and an overwritten entry do not. Both pass on the code as it is.

--- a/test/server-lives.test.ts
+++ b/test/server-lives.test.ts
@@ -103,6 +103,28 @@
 	}
 });
 
+// What runs at a life that is told to have ended is given up.
+test('no restart is told for a life that lapses and comes back, for entries of an earlier one, or for an overwritten one', () => {
+	const {state, restarted} = createState();
+	state.applyServerList({items: [second], revision: 6}, 'source');
+	state.applyServerChanges([{name: 'i-1', item: undefined, revision: 6}], 7, 'source');
+	state.applyServerChanges([createChange(createEntry('i-1', 2, 8))], 8, 'source');
+	state.applyServerList({items: [createEntry('i-1', 1, 5)], revision: 9}, 'source');
+	state.applyServers({revision: 10, items: [createEntry('i-1', 1, 5)]}, 'node');
+	state.applyServerChanges([{
+		name: 'i-1', item: undefined, revision: 11, isForeign: true,
+	}], 11, 'source');
+	state.applyServerChanges([createChange(createEntry('i-1', 2, 12))], 12, 'source');
+	expect([restarted, listIds(state)]).toEqual([[], ['i-1@2']]);
+});
+
+test('a restart is told when the clock of its server was set back meanwhile', () => {
+	const {state, restarted} = createState();
+	state.applyServerList({items: [second], revision: 6}, 'source');
+	state.applyServerChanges([createChange(createEntry('i-1', 1, 7))], 7, 'source');
+	expect([restarted, listIds(state)]).toEqual([['i-1@2'], ['i-1@1']]);
+});
+
 test('one life that leaves holds to it, and another life of its name may leave, too', () => {
 	const {state} = createLeaving();
 	state.applyServerChanges([createChange(createEntry('i-1', 1, 5))], 5, 'source');
