--- a/src/gateway/calls/live-attempt.ts
+++ b/src/gateway/calls/live-attempt.ts
@@ -101,7 +101,7 @@
 	/**
 	 * Whether its server has started again and was silent for as long as callers bear.
 	 *
-	 * A missing entry is no proof: servers that leave without stating it lose theirs and serve on, and entries lapse while the source is down.
+	 * A missing entry is no sign of that: a server may leave without stating it and serve on, and entries lapse while the source is down.
 	 */
 	get hasOutlastedCaller(): boolean {
 		const {longestSilence = 0} = this.#parts.call.route;
--- a/src/gateway/views/view-exchange.ts
+++ b/src/gateway/views/view-exchange.ts
@@ -101,12 +101,12 @@
 		return this.#parts.state.isUsable ? this.#isWatcher && this.#isSettled : !this.#isPatient;
 	}
 
-	/** Whether this node follows the source and has had its answers of late. Those of an earlier turn say nothing of this one. */
+	/** Whether this node follows the source and has had recent answers in its present turn. */
 	get hearsSource(): boolean {
 		const {state, clock} = this.#parts;
-		const age = Math.min(hearingAge, clock.readMonotonic() - this.#watchesSince);
+		const oldest = Math.min(hearingAge, clock.readMonotonic() - this.#watchesSince);
 		return this.#isWatcher && state.isSourceReachable
-			&& followedKinds.every(kind => (state.sourceHeard.measureOwn(kind) ?? Infinity) < age);
+			&& followedKinds.every(kind => (state.sourceHeard.measureOwn(kind) ?? Infinity) < oldest);
 	}
 
 	get #isSettled(): boolean {
--- a/src/planning/held-plans.ts
+++ b/src/planning/held-plans.ts
@@ -145,7 +145,7 @@
 		return new Set(plans.flatMap(({works}) => [...works.keys()]));
 	}
 
-	/** A server that takes new work again runs what it ran: without that its memory was planned with twice. */
+	/** A server that takes new work again still runs its earlier plans, which hold memory there. */
 	#addBoard(server: BackendServer): void {
 		const board = new ServerBoard(server);
 		this.boards.set(server.id, board);
