--- a/src/gateway/calls/held-memory.ts
+++ b/src/gateway/calls/held-memory.ts
@@ -121,9 +121,9 @@
 	/**
 	 * Chooses the order of one renewal.
 	 *
-	 * A request may have ended unheard when its connection is silent, so its server is asked how the memory is used. A
-	 * server out of view is asked as well: it may serve on, or have started again, and then a renewal would set memory
-	 * aside that no request uses.
+	 * On a silent connection the end of a request goes unnoticed, so the holder is asked how the memory is used. It is asked
+	 * as well when it or the reader is out of view: either may serve on, or have restarted, and then a renewal would set
+	 * memory aside that no request uses.
 	 */
 	async #chooseOrder(sign: RunSign, isReaderLive: boolean): Promise<'renew' | 'release' | 'none'> {
 		const isHolderLive = this.#parts.isLive(this.reservation.server);
--- a/test/follow-source.test.ts
+++ b/test/follow-source.test.ts
@@ -116,7 +116,7 @@
 	return state;
 }
 
-// A node that took its own gap for a silence of the source had another one follow in its place, and took it back at once.
+// A node that takes its own gap for a silence of the source is replaced as a follower for nothing.
 test('a process that stands still while it lists does not take that for a silence of the source', async () => {
 	const logs = await Promise.all([160, 300, 900, 2000].map(async time => followWithStalls([{after: 0, time}])));
 	expect(logs.flatMap(log => [...log.listLines('source_lost'), ...log.listLines('source_checked')])).toEqual([]);
--- a/test/helpers/planned-fleet.ts
+++ b/test/helpers/planned-fleet.ts
@@ -153,7 +153,7 @@
 	readonly clock = new VirtualClock();
 	readonly nodes: FleetNode[];
 	readonly calls: PlannedCall[];
-	/** What was done that may not be done. */
+	/** Violations of the promises. */
 	readonly broken: string[] = [];
 	/** Added to each answer of the deciding node, in milliseconds. */
 	decidingDelay = 0;
@@ -478,7 +478,7 @@
 		return this.#servers.find(({entry}) => entry.address === address)!;
 	}
 
-	/** A silent server does what it is told, and answers late. */
+	/** A silent server carries out orders and answers late. */
 	async #ask(address: string, request: BackendRequest, timeout: number): Promise<{status: number; text: string}> {
 		const server = this.#findByAddress(address);
 		await this.pause(roundTrip / 2);
--- a/test/server-lives.test.ts
+++ b/test/server-lives.test.ts
@@ -103,7 +103,7 @@
 	}
 });
 
-// What runs at a life that is told to have ended is given up.
+// Attempts at a server that has restarted are given up.
 test('no restart is told for a life that lapses and comes back, for entries of an earlier one, or for an overwritten one', () => {
 	const {state, restarted} = createState();
 	state.applyServerList({items: [second], revision: 6}, 'source');
--- a/test/source-silence.test.ts
+++ b/test/source-silence.test.ts
@@ -158,7 +158,7 @@
 	return fleet;
 }
 
-// A node that had heard the source in an earlier turn said so as soon as it followed again, and the others stopped looking.
+// A node that had answers in an earlier turn claimed to hear the source in a new one, and the other nodes stopped their search.
 test.each([800, 1200, 1600])('of forty nodes that started %d ms ago none says in a new turn that it hears the source before it does', async time => {
 	for (const served of [3, 19, 27]) {
 		const fleet = await silenceAllButOne(time, served);
