fix(test): each port is given to one node of a test process

Cause: findFreePorts looked for free TCP ports and closed them again. A node's heartbeat port is taken over UDP only, so the next node could be given the same one; its heartbeats then fail with EADDRINUSE for good. Shown: of 1,800 ports 212 were given twice; two nodes with one heartbeat port have a fleet of one each after 8 s (heartbeat_socket_error, child_restarted).

Change: ports are remembered and given once.

--- a/test/helpers/gateways.ts
+++ b/test/helpers/gateways.ts
@@ -1,6 +1,6 @@
 /** Gateway nodes over loopback, before stand-ins for the platform's store and runners. */
 import {request as sendRequest} from 'node:http';
-import {createServer, type AddressInfo} from 'node:net';
+import {createServer, type AddressInfo, type Server} from 'node:net';
 import {CallWire, PlatformSource} from '../../platform/index.js';
 import {
 	createSilentLogger, randomIdSource, systemClock, type Logger,
@@ -250,16 +250,27 @@
 	}
 }
 
-/** Ports that nobody listens on at this process's own address. */
+/** Ports that were given before: a heartbeat port is taken over UDP, which a look for a free TCP port does not see. */
+const givenPorts = new Set<number>();
+
+/** Ports that nobody listens on at this process's own address, each given once. */
 export async function findFreePorts(count: number): Promise<number[]> {
-	const servers = await Promise.all(Array.from({length: count}, async () => {
+	const servers: Server[] = [];
+	const found: Server[] = [];
+	while (found.length < count) {
 		const server = createServer();
 		await new Promise<void>(resolve => {
 			server.listen(0, ownHost, resolve);
 		});
-		return server;
-	}));
-	const ports = servers.map(server => (server.address() as AddressInfo).port);
+		servers.push(server);
+		const {port} = server.address() as AddressInfo;
+		if (!givenPorts.has(port)) {
+			givenPorts.add(port);
+			found.push(server);
+		}
+	}
+
+	const ports = found.map(server => (server.address() as AddressInfo).port);
 	await Promise.all(servers.map(async server => new Promise(resolve => {
 		server.close(resolve);
 	})));
--- a/test/own-host.test.ts
+++ b/test/own-host.test.ts
@@ -1,5 +1,6 @@
 import {connect} from 'node:net';
 import {expect, test} from '@jest/globals';
+import {findFreePorts} from './helpers/gateways.js';
 import {findHostOf} from './helpers/own-host.js';
 import {StandinRunner} from './helpers/platform-standins.js';
 
@@ -26,3 +27,13 @@
 	const hosts = [1, 255, 256, 65_536, (2 ** 22) - 1].map(id => findHostOf(id));
 	expect(hosts).toEqual(['127.64.0.1', '127.64.0.255', '127.64.1.0', '127.65.0.0', '127.127.255.255']);
 });
+
+// Two nodes with one heartbeat port never hear of each other.
+test('a port is given once', async () => {
+	const ports: number[] = [];
+	for (let count = 0; count < 300; count++) {
+		ports.push(...await findFreePorts(6));
+	}
+
+	expect(new Set(ports).size).toBe(ports.length);
+});
