--- a/test/helpers/gateways.ts
+++ b/test/helpers/gateways.ts
@@ -253,7 +253,7 @@
 /** Ports that were given before: a heartbeat port is taken over UDP, which a look for a free TCP port does not see. */
 const givenPorts = new Set<number>();
 
-/** Ports that nobody listens on at this process's own address, each given once. */
+/** Finds free ports at this process's own address; no port is returned twice. */
 export async function findFreePorts(count: number): Promise<number[]> {
 	const servers: Server[] = [];
 	const found: Server[] = [];
