--- a/test/server-limits.test.ts
+++ b/test/server-limits.test.ts
@@ -5,6 +5,7 @@
 import {GatewayFleet, waitUntil} from './helpers/gateways.js';
 import {pause} from './helpers/pause.js';
 import {createAnswerHeaders, type ServerBehaviour} from './helpers/platform-standins.js';
+import {loadSteadily} from './helpers/steady-load.js';
 
 /** Timeout of tests with seconds of load, in milliseconds. */
 const testTimeout = 60_000;
@@ -48,22 +49,10 @@
 	await waitUntil(() => fleet.gateways.every(gateway => gateway.listReadyNodes().length === nodes));
 }
 
-async function callRepeatable(node: number, count: number): Promise<number> {
-	const {status} = await fleet.call({path: '/again/', body: `body ${count}`}, node);
-	return status;
-}
-
-/** Sends requests at a rate per second, round-robin over the nodes, and returns their statuses. */
+/** Sends repeatable requests at a rate per second, round-robin over the nodes, and returns their statuses. */
 async function load(rate: number, duration: number): Promise<number[]> {
-	const calls: Array<Promise<number>> = [];
-	const start = Date.now();
-	while (Date.now() - start < duration) {
-		const node = calls.length % fleet.settings.length;
-		calls.push(callRepeatable(node, calls.length));
-		await pause(Math.max(0, start + (calls.length * 1000 / rate) - Date.now()));
-	}
-
-	return Promise.all(calls);
+	const responses = await loadSteadily(fleet, {path: '/again/', rate, duration});
+	return responses.map(({status}) => status);
 }
 
 /** Counts the maximum number of arrivals at a server in any window that starts at or after `from`. */
