--- a/src/gateway/calls/backend-attempt.ts
+++ b/src/gateway/calls/backend-attempt.ts
@@ -15,6 +15,7 @@
 import type {Call} from './call.js';
 import type {CallSink} from './call-sink.js';
 import {EventParser, type EventFrame} from './event-parser.js';
+import {listNotices, type ServerNotice} from './server-notice.js';
 
 /** How an attempt ended. */
 export type AttemptOutcome =
@@ -46,8 +47,8 @@
 	onSilent: (reason: string) => void;
 	/** Called before anything is forwarded: from then on only this server answers the caller. */
 	claimAnswer: () => void;
-	/** Called with the rate limit that the head of an answer states, in requests per second; undefined when it states none. */
-	onLimit: (requestsPerSecond: number | undefined) => void;
+	/** Called for each statement of the server about itself in the head of its answer. */
+	onNotice: (notice: ServerNotice) => void;
 	/** Called for each forwarded event, with its id and the monotonic time in milliseconds. */
 	onEvent: (id: number | undefined, at: number) => void;
 	/** Called once, at the first event or the complete answer. */
@@ -167,9 +168,8 @@
 			return;
 		}
 
-		// Without a limit, only a signed answer proves that an earlier limit was lifted.
-		if (head.requestLimit !== undefined || head.isSigned) {
-			this.#parts.onLimit(head.requestLimit);
+		for (const notice of listNotices(head)) {
+			this.#parts.onNotice(notice);
 		}
 
 		const isSuccess = status < 300;
--- a/src/gateway/calls/call-attempts.ts
+++ b/src/gateway/calls/call-attempts.ts
@@ -15,7 +15,7 @@
 } from './live-attempt.js';
 
 /** Callbacks from the attempts to their call. */
-export type CallAttemptsListener = Pick<LiveAttemptListener, 'releaseHedge' | 'onEvent' | 'onFirst' | 'onLimit'> & {
+export type CallAttemptsListener = Pick<LiveAttemptListener, 'releaseHedge' | 'onEvent' | 'onFirst' | 'onNotice'> & {
 	/** Acquires a hedge beside the server of a plan. */
 	acquireHedge: (plan: Plan) => Promise<boolean>;
 	/** Called once for each attempt; `wasSent` says whether the request may have reached its server. */
--- a/src/gateway/calls/call-run.ts
+++ b/src/gateway/calls/call-run.ts
@@ -180,8 +180,8 @@
 				this.#firstAfter ??= this.#parts.clock.readMonotonic() - this.#call.arrived;
 				this.#parts.placer.report(plan, {planId: plan.planId, kind: 'started'});
 			},
-			onLimit: (plan, requestsPerSecond) => {
-				this.#parts.placer.recordLimit(this.#call.service.name, plan.server, requestsPerSecond);
+			onNotice: (plan, notice) => {
+				this.#parts.placer.recordNotice(this.#call.service.name, plan.server, notice);
 			},
 			onEnded: (plan, outcome, wasSent) => {
 				this.#recordAttempt(plan, outcome, wasSent);
--- a/src/gateway/calls/live-attempt.ts
+++ b/src/gateway/calls/live-attempt.ts
@@ -13,6 +13,7 @@
 import type {BackendPool, ConnectionUse} from './backend-pool.js';
 import type {RequestActivity} from './memory-reservation.js';
 import type {LocatedHelper, Reservations} from './reservations.js';
+import type {ServerNotice} from './server-notice.js';
 
 /** Ranks by which the priority of a request is lowered once it can only be late: an answer in time is worth several late ones. */
 const latePriorityPenalty = 2;
@@ -37,8 +38,8 @@
 	onSend: (plan: Plan) => void;
 	/** Called once, at the first event or the complete answer. */
 	onFirst: (plan: Plan) => void;
-	/** Called with the rate limit that the head of an answer states, in requests per second; undefined when it states none. */
-	onLimit: (plan: Plan, requestsPerSecond: number | undefined) => void;
+	/** Called for each statement of the server about itself in the head of its answer. */
+	onNotice: (plan: Plan, notice: ServerNotice) => void;
 	/** Called once, before `ended` resolves. */
 	onEnded: (attempt: LiveAttempt, outcome: AttemptOutcome) => void;
 };
@@ -220,8 +221,8 @@
 			claimAnswer: () => {
 				listener.claimAnswer(this);
 			},
-			onLimit(requestsPerSecond) {
-				listener.onLimit(plan, requestsPerSecond);
+			onNotice(notice) {
+				listener.onNotice(plan, notice);
 			},
 			onEvent(id, at) {
 				listener.onEvent(id, at);
--- a/src/gateway/calls/placer.ts
+++ b/src/gateway/calls/placer.ts
@@ -4,6 +4,7 @@
 import type {
 	Plan, PlanEvent, PlanRequest, RetryRequest,
 } from '../../planning/index.js';
+import type {ServerNotice} from './server-notice.js';
 
 /** A plan and which planner made it. */
 export type Placement = {
@@ -23,8 +24,8 @@
 	/** Takes one retry from the fleet's budget; false when none is left. */
 	abstract takeRetry(request: RetryRequest): Promise<boolean>;
 
-	/** Records the rate limit that a server's answer states, in requests per second; undefined when it states none. */
-	abstract recordLimit(service: ServiceName, server: BackendServerId, requestsPerSecond: number | undefined): void;
+	/** Records what a server has stated about itself in an answer. */
+	abstract recordNotice(service: ServiceName, server: BackendServerId, notice: ServerNotice): void;
 
 	/** Reports the progress of a plan. */
 	abstract report(plan: Plan, note: PlanEvent): void;
--- a/src/gateway/scheduling/fleet-placer.ts
+++ b/src/gateway/scheduling/fleet-placer.ts
@@ -21,6 +21,7 @@
 import type {Peer} from '../peers/heartbeat.js';
 import type {Peers} from '../peers/peers.js';
 import {Placer, type PlacementAnswer, type Placement} from '../calls/placer.js';
+import type {ServerNotice} from '../calls/server-notice.js';
 import {SchedulerSelector} from './scheduler-selector.js';
 import {logDecision, logReadOverrun} from './decision-log.js';
 import {PlanUpdateSender} from './plan-update-sender.js';
@@ -167,12 +168,8 @@
 		}
 	}
 
-	override recordLimit(service: ServiceName, server: BackendServerId, requestsPerSecond: number | undefined): void {
-		const plans = this.#findPlans(service);
-		const report = plans.limits.recordAnswer(server, requestsPerSecond, this.#parts.self().name);
-		if (report !== undefined) {
-			this.#updates.sendToNode(plans.scheduler?.name, service, {limits: [report]});
-		}
+	override recordNotice(service: ServiceName, server: BackendServerId, notice: ServerNotice): void {
+		this.#recordLimit(service, server, notice.requestsPerSecond);
 	}
 
 	/** Schedules a request for another node. A refusal because of crashes includes them, as that node may have to schedule alone later. */
@@ -283,6 +280,14 @@
 		};
 	}
 
+	#recordLimit(service: ServiceName, server: BackendServerId, requestsPerSecond: number | undefined): void {
+		const plans = this.#findPlans(service);
+		const report = plans.limits.recordAnswer(server, requestsPerSecond, this.#parts.self().name);
+		if (report !== undefined) {
+			this.#updates.sendToNode(plans.scheduler?.name, service, {limits: [report]});
+		}
+	}
+
 	/** Adds known crashes to a request: a new scheduling node gets the records from the nodes that proxied the request. */
 	#addCrashes(request: PlanRequest): PlanRequest {
 		const crashes = this.#findPlans(request.service).crashes.describe(request.fingerprint);
--- a/test/gateway-parts.test.ts
+++ b/test/gateway-parts.test.ts
@@ -70,7 +70,7 @@
 		throw new Error('nothing is sent');
 	}
 
-	override recordLimit(): never {
+	override recordNotice(): never {
 		throw new Error('nothing is sent');
 	}
 }
--- a/test/helpers/planned-fleet.ts
+++ b/test/helpers/planned-fleet.ts
@@ -111,7 +111,7 @@
 		this.#planners.get(plan.planId)?.recordEvent(event, this.fleet.clock.readMonotonic());
 	}
 
-	override recordLimit(): void {} // eslint-disable-line @typescript-eslint/no-empty-function
+	override recordNotice(): void {} // eslint-disable-line @typescript-eslint/no-empty-function
 }
 
 /** A node with its view of the fleet and its planners. */
--- a/test/helpers/scripted-call.ts
+++ b/test/helpers/scripted-call.ts
@@ -370,7 +370,7 @@
 		}
 	}
 
-	override recordLimit(): void {} // eslint-disable-line @typescript-eslint/no-empty-function
+	override recordNotice(): void {} // eslint-disable-line @typescript-eslint/no-empty-function
 
 	async #wait(): Promise<void> {
 		const {askDelay = 0} = this.options;
