fix(routing): a server that says in its answers that it leaves gets no new requests

Cause: nothing read the field. A server was leaving by its entry only, and the entry reaches nodes through the store alone.

FleetState marks the incarnation, and remembers it for the rest of its life also while it has no entry; a later life owes nothing. The node that was told tells all nodes at once, the scheduling node repeats it every second, and each request for a placement carries the leaving servers that its node knows, so that no plan can name one of them, whoever decides.

Ruled out: marking the server only where answers pass (plans are made elsewhere, and a stand-in may decide at any moment); keeping it in the planner (it forgets with a change of the scheduling node).

Unit tests for malformed values and for entries that come later, go, or are written again.

The test of the service model was red for a reason of its own when it landed: short prompts were packed on another server, so that none was told.

--- a/src/gateway/calls/server-notice.ts
+++ b/src/gateway/calls/server-notice.ts
@@ -4,10 +4,22 @@
 /** One statement of a backend server about itself. */
 export type ServerNotice =
 	/** Its rate limit for all nodes together, in requests per second; undefined when it has none. */
-	{kind: 'limit'; requestsPerSecond: number | undefined};
+	| {kind: 'limit'; requestsPerSecond: number | undefined}
+	/** It is leaving: it takes no new requests and ends soon. */
+	| {kind: 'leaving'};
 
 /** Lists the statements in the head of an answer to the request of an attempt. */
 export function listNotices(head: ResponseHead): ServerNotice[] {
+	const notices: ServerNotice[] = [];
 	// Without a limit, only a signed answer proves that an earlier limit was lifted.
-	return head.requestLimit !== undefined || head.isSigned ? [{kind: 'limit', requestsPerSecond: head.requestLimit}] : [];
+	if (head.requestLimit !== undefined || head.isSigned) {
+		notices.push({kind: 'limit', requestsPerSecond: head.requestLimit});
+	}
+
+	// It holds for the rest of the server's life, so the answer has to be one to this request.
+	if (head.isLeaving && (head.isSigned || head.requestId !== undefined)) {
+		notices.push({kind: 'leaving'});
+	}
+
+	return notices;
 }
--- a/src/gateway/peers/plan-update.ts
+++ b/src/gateway/peers/plan-update.ts
@@ -7,7 +7,7 @@
 import {Buffer} from 'node:buffer';
 import * as z from 'zod';
 import type {
-	BoxId, RequestFingerprint, PlanId, ServiceName,
+	BackendServerId, BoxId, RequestFingerprint, PlanId, ServiceName,
 } from '../../common/index.js';
 import type {ReportedLimit, PlanEvent, CrashReport} from '../../planning/index.js';
 
@@ -23,6 +23,8 @@
 	crashRecords?: Array<[RequestFingerprint, CrashReport[]]>;
 	/** Request limits that servers announced or lifted. */
 	limits?: ReportedLimit[];
+	/** Servers that are leaving. */
+	leaving?: BackendServerId[];
 };
 
 /** First byte of an update; heartbeats start with a different one. */
@@ -35,6 +37,7 @@
 	active: z.array(z.string()).optional(),
 	crashRecords: z.array(z.tuple([z.string(), z.array(z.object({server: z.string(), age: z.number(), weight: z.number()}))])).optional(),
 	limits: z.array(z.object({server: z.string(), requestsPerSecond: z.number().min(0).optional(), age: z.number()})).optional(),
+	leaving: z.array(z.string()).optional(),
 });
 
 /** Encodes an update as a datagram. */
--- a/src/gateway/scheduling/fleet-placer.ts
+++ b/src/gateway/scheduling/fleet-placer.ts
@@ -25,6 +25,7 @@
 import {SchedulerSelector} from './scheduler-selector.js';
 import {logDecision, logReadOverrun} from './decision-log.js';
 import {PlanUpdateSender} from './plan-update-sender.js';
+import {LeavingNotices} from './leaving-notices.js';
 import {ReplicatedCrashes} from './replicated-crashes.js';
 import {ReplicatedLimits} from './replicated-limits.js';
 import {DistributedRetryBudget, type RetryBudget} from './distributed-retry-budget.js';
@@ -79,6 +80,7 @@
 	pendingEvents: PlanEvent[];
 	crashes: ReplicatedCrashes;
 	limits: ReplicatedLimits;
+	leaving: LeavingNotices;
 	/** Number of empty lists still to send. */
 	emptyListsLeft: number;
 	eventTimer: Timer | undefined;
@@ -135,7 +137,7 @@
 			this.#retries.recordOwn(request);
 		}
 
-		const {decidedBy, result} = await this.#decide(this.#addCrashes(request));
+		const {decidedBy, result} = await this.#decide(this.#addLeaving(this.#addCrashes(request)));
 		this.#parts.metrics.recordPlacement(decidedBy, this.#parts.clock.readMonotonic() - started);
 		return result.map(decision => {
 			if (decision.kind === 'wait') {
@@ -169,11 +171,22 @@
 	}
 
 	override recordNotice(service: ServiceName, server: BackendServerId, notice: ServerNotice): void {
-		this.#recordLimit(service, server, notice.requestsPerSecond);
+		switch (notice.kind) {
+			case 'limit': {
+				this.#recordLimit(service, server, notice.requestsPerSecond);
+				break;
+			}
+
+			case 'leaving': {
+				this.#findPlans(service).leaving.recordAnswer(server);
+				break;
+			}
+		}
 	}
 
 	/** Schedules a request for another node. A refusal because of crashes includes them, as that node may have to schedule alone later. */
 	decideFor(request: PlanRequest): DecisionAnswer {
+		this.#findPlans(request.service).leaving.merge(request.leaving ?? [], request.node);
 		return this.#decideAsScheduler(request).caseOf<DecisionAnswer>({
 			Left: failure => failure.kind === 'ends_servers' ? {failure, crashes: this.#findPlans(request.service).crashes.describe(request.fingerprint)} : {failure},
 			Right: decision => ({decision}),
@@ -196,9 +209,10 @@
 
 	/** Applies an update of a node that runs plans; plans missing from its list have ended. */
 	applyPlanUpdate({
-		service, node, notes, active, crashRecords = [], limits = [],
+		service, node, notes, active, crashRecords = [], limits = [], leaving = [],
 	}: PlanUpdate): void {
-		const {planner, crashes, limits: replicatedLimits} = this.#findPlans(service);
+		const {planner, crashes, limits: replicatedLimits, leaving: leavingNotices} = this.#findPlans(service);
+		leavingNotices.merge(leaving, node);
 		for (const limit of limits) {
 			replicatedLimits.merge(limit, node);
 		}
@@ -256,6 +270,7 @@
 			if (plans.scheduler?.name === self) {
 				plans.crashes.replicateToNewNodes();
 				plans.limits.replicate();
+				plans.leaving.replicate();
 			}
 		}
 	}
@@ -294,6 +309,12 @@
 		return crashes.length === 0 ? request : {...request, crashes};
 	}
 
+	/** Adds the leaving servers known to this node: a request never goes to one of them, even if the scheduling node has not heard of it. */
+	#addLeaving(request: PlanRequest): PlanRequest {
+		const leaving = this.#findPlans(request.service).leaving.list();
+		return leaving.length === 0 ? request : {...request, leaving};
+	}
+
 	#mergeCrashes({fingerprint, crashes = [], service}: PlanRequest): void {
 		if (fingerprint !== undefined && crashes.length > 0) {
 			this.#findPlans(service).crashes.merge([[fingerprint, crashes]]);
@@ -441,6 +462,7 @@
 			pendingEvents: [],
 			crashes: new ReplicatedCrashes(parts),
 			limits: new ReplicatedLimits(parts),
+			leaving: new LeavingNotices(parts),
 			emptyListsLeft: emptyListRepeats,
 			eventTimer: undefined,
 		};
--- a/src/planning/plan.ts
+++ b/src/planning/plan.ts
@@ -52,6 +52,8 @@
 	excluded: BackendServerId[];
 	/** Excluded servers that answered it with a failure: they may be used again if there is no other. */
 	failedAt?: BackendServerId[];
+	/** Servers that are leaving by what the requesting node knows, possibly before the scheduling node does. */
+	leaving?: BackendServerId[];
 };
 
 /** A request for one more attempt of a request that was sent before. */
--- a/src/routing/fleet-state.ts
+++ b/src/routing/fleet-state.ts
@@ -212,6 +212,16 @@
 		return this.#servers.findUsableIncarnation(id);
 	}
 
+	/** Marks an incarnation of a server as leaving for the rest of its life; returns whether that is new. */
+	markServerLeaving(id: BackendServerId, origin: string): boolean {
+		return this.#servers.markLeaving(id, origin);
+	}
+
+	/** Lists the current servers of a service that are leaving. */
+	listLeavingServers(service: ServiceName): BackendServerId[] {
+		return this.#servers.listLeaving(service);
+	}
+
 	/** Whether an incarnation of a server is current, including one that accepts no new requests. */
 	hasServer(id: BackendServerId): boolean {
 		return this.#servers.hasIncarnation(id);
--- a/src/routing/server-view.ts
+++ b/src/routing/server-view.ts
@@ -4,12 +4,16 @@
  * A server has a name and, after each start, a new incarnation; requests are placed at an incarnation. Of two entries of
  * a name the one of the later revision counts, regardless of its origin. A server whose entry is missing right after an
  * outage of the source is kept for a while: it may have expired only because its heartbeats could not be accepted.
+ *
+ * An incarnation that is leaving stays so for the rest of its life, whether its entry or the server itself said it: its
+ * entry may be late, lost or written again meanwhile.
  */
 import type {
 	BackendServerId, BackendServerName, Clock, Logger, ServiceName,
 } from '../common/index.js';
 import type {Change, Listing} from './fleet-source.js';
 import type {BackendServer} from './model.js';
+import {LeavingServers} from './leaving-servers.js';
 
 /** How long a server whose entry disappeared in an outage is kept after the source is back, in milliseconds: servers re-register within about two seconds. */
 export const reregistrationGrace = 1800;
@@ -44,12 +48,14 @@
 	readonly #servers = new Map<BackendServerName, KnownServer>();
 	readonly #incarnations = new Map<BackendServerId, KnownServer>();
 	readonly #foreignNames = new Set<string>();
+	readonly #leaving: LeavingServers;
 	#revision = 0;
 	#graceUntil = 0;
 	#hasOutage = false;
 
 	constructor(parts: ServerViewParts) {
 		this.#parts = parts;
+		this.#leaving = new LeavingServers(parts.clock);
 	}
 
 	/** Revision up to which changes are known. */
@@ -153,6 +159,27 @@
 		return this.#incarnations.has(id);
 	}
 
+	/** Marks an incarnation as leaving for the rest of its life, also one that is not known yet; returns whether that is new. */
+	markLeaving(id: BackendServerId, origin: string): boolean {
+		if (!this.#leaving.add(id)) {
+			return false;
+		}
+
+		const known = this.#incarnations.get(id);
+		if (known !== undefined) {
+			known.server = {...known.server, isLeaving: true};
+			this.#logChange(known.server, origin);
+			this.#parts.onChange();
+		}
+
+		return true;
+	}
+
+	/** Lists the current incarnations of a service that are leaving. */
+	listLeaving(service: ServiceName): BackendServerId[] {
+		return this.#leaving.list().filter(id => this.#incarnations.get(id)?.server.service === service);
+	}
+
 	/** Returns all servers for a node that knows an earlier revision; undefined when it is up to date. */
 	takeSnapshot(known: number): ServersSnapshot | undefined {
 		if (known >= this.#revision) {
@@ -246,22 +273,29 @@
 			return false;
 		}
 
-		// An incarnation that is leaving never becomes ready again, so a late older entry must not change that.
-		const isLeaving = server.isLeaving || (isSameIncarnation && previous.isLeaving);
+		if (server.isLeaving) {
+			this.#leaving.add(server.id);
+		}
+
+		const isLeaving = this.#leaving.has(server.id);
 		this.#put({server: {...server, isLeaving}, isOverwritten: false});
 		if (previous !== undefined && !isSameIncarnation) {
 			this.#reportRestart(previous, server, origin);
 		} else if (previous?.isLeaving !== isLeaving || known?.isOverwritten === true) {
-			// A node's first list adds all servers at once; a single log line gives their number instead.
-			const level = this.#revision === 0 ? 'debug' : 'info';
-			this.#parts.logger[level]({
-				event: isLeaving ? 'server_leaving' : 'server_added', server: server.id, service: server.service, address: server.address, origin,
-			}, 'a backend server changed');
+			this.#logChange({...server, isLeaving}, origin);
 		}
 
 		return true;
 	}
 
+	#logChange({id, service, address, isLeaving}: BackendServer, origin: string): void {
+		// A node's first list adds all servers at once; a single log line gives their number instead.
+		const level = this.#revision === 0 ? 'debug' : 'info';
+		this.#parts.logger[level]({
+			event: isLeaving ? 'server_leaving' : 'server_added', server: id, service, address, origin,
+		}, 'a backend server changed');
+	}
+
 	#reportRestart(previous: BackendServer, server: BackendServer, origin: string): void {
 		this.#parts.logger.info({
 			event: 'server_restarted', server: server.id, before: previous.id, service: server.service, address: server.address, isLeaving: server.isLeaving, origin,
--- a/test/leaving-servers.test.ts
+++ b/test/leaving-servers.test.ts
@@ -65,6 +65,10 @@
 	await waitUntil(() => fleet.gateways.every(gateway => gateway.listReadyNodes().length === nodeCount));
 }
 
+function countArrivals(index: number): number {
+	return arrivals.get(index)?.length ?? 0;
+}
+
 /** Arrivals at a server later than allowed after its word has reached the node that sent them. */
 function listLateArrivals(index: number): Arrival[] {
 	return (arrivals.get(index) ?? []).filter(({at, node}) => at > (toldAt.get(`${index} ${node}`) ?? Infinity) + drainTime);
@@ -85,12 +89,14 @@
 // Guards against a leaving server that stays in use for as long as the store cannot take its entry.
 test.each(['app', 'model'] as const)('a leaving server of the service %s gets no new requests while the store is down', async service => {
 	await startFleet(3, service);
+	await loadSteadily(fleet, {...loads[service], rate: 40, duration: 1000});
+	const [busiest] = [0, 1, 2].sort((left, right) => countArrivals(right) - countArrivals(left));
 	fleet.store.trouble = 'busy';
-	leaving.add(0);
+	leaving.add(busiest);
 	const responses = await loadSteadily(fleet, {...loads[service], rate: 40, duration: 6000});
 	expect(toldAt.size).toBeGreaterThan(0);
-	expect(listLateArrivals(0)).toEqual([]);
-	expect(listArrivalsAfterFirstWord(0)).toEqual([]);
+	expect(listLateArrivals(busiest)).toEqual([]);
+	expect(listArrivalsAfterFirstWord(busiest)).toEqual([]);
 	expect(responses.filter(({status}) => status !== 200)).toEqual([]);
 }, testTimeout);
 
@@ -132,9 +138,9 @@
 	answerTime = 100;
 	fleet.putServer(0, 'app', 'ready', 2000);
 	await waitUntil(() => fleet.gateways.every(gateway => gateway.state.listServers('app' as ServiceName).length === 2));
-	const before = arrivals.get(0)?.length ?? 0;
+	const before = countArrivals(0);
 	await loadSteadily(fleet, {path: '/again/', rate: 40, duration: 1000});
-	expect(arrivals.get(0)?.length ?? 0).toBeGreaterThan(before);
+	expect(countArrivals(0)).toBeGreaterThan(before);
 }, testTimeout);
 
 test('requests are refused at once when every server of their service leaves', async () => {
--- a/test/server-incarnations.test.ts
+++ b/test/server-incarnations.test.ts
@@ -339,3 +339,28 @@
 		expect(listIds(nodes[2].state)).toEqual(history.listUsable());
 	}), {seed: 5, numRuns: 1500});
 });
+
+test('a server that says that it leaves is not usable, also when its entry is known later, removed or written again', () => {
+	const {state} = createState();
+	const entry = createEntry('i-1', 1, 3);
+	expect(state.markServerLeaving(entry.id, 'answer')).toBe(true);
+	expect(state.markServerLeaving(entry.id, 'answer')).toBe(false);
+	state.applyServerList({items: [entry], revision: 3}, 'source');
+	expect(listIds(state)).toEqual([]);
+	expect(state.listLeavingServers(app)).toEqual([entry.id]);
+	state.applyServerChanges([{name: entry.name, item: undefined}], 4, 'source');
+	expect(state.listLeavingServers(app)).toEqual([]);
+	state.applyServerChanges([createChange({...entry, entryRevision: 5})], 5, 'source');
+	expect(listIds(state)).toEqual([]);
+	state.applyServerChanges([createChange(secondIncarnation)], 6, 'source');
+	expect(listIds(state)).toEqual([secondIncarnation.id]);
+});
+
+test('a node that takes over the servers of another one takes over which of them have said that they leave', () => {
+	const {state} = createState();
+	state.applyServerList({items: [createEntry('i-1', 1, 3), createEntry('i-2', 1, 3)], revision: 3}, 'source');
+	state.markServerLeaving('i-1@1' as BackendServerId, 'answer');
+	const other = createState().state;
+	other.applyServers(state.getServersSnapshot(0)!, 'node');
+	expect(listIds(other)).toEqual(['i-2@1']);
+});
