fix(planning): a server that asks for rest gets no requests from the node that it told

Cause: nothing read the time. A 503 counted as full, a backoff of 100 ms, and an idle server is the best one again after that.

A plan that was made before the word is not sent. Where only resting servers are left, a request waits in order if the rest ends within half of its caller's patience, and is refused at once with the remaining time otherwise. The planner avoids the server for all other nodes while there is a better one, since it was not asked for rest by them.

--- a/src/gateway/calls/call-run.ts
+++ b/src/gateway/calls/call-run.ts
@@ -92,7 +92,13 @@
 			clock, placer, call, node, availabilityZone, deadline,
 		});
 		this.#attempts = new CallAttempts({
-			...parts, call, sink, readTimeLeft: () => this.#placementFinder.timeLeft, listener: this.#createListener(),
+			...parts,
+			call,
+			sink,
+			// A server may have asked for rest since the plan was made.
+			findServer: id => placer.isResting(call.service.name, id) ? undefined : parts.findServer(id),
+			readTimeLeft: () => this.#placementFinder.timeLeft,
+			listener: this.#createListener(),
 		});
 	}
 
--- a/src/gateway/calls/placer.ts
+++ b/src/gateway/calls/placer.ts
@@ -27,6 +27,9 @@
 	/** Records what a server has stated about itself in an answer. */
 	abstract recordNotice(service: ServiceName, server: BackendServerId, notice: ServerNotice): void;
 
+	/** Whether a server has asked this node for rest, which has not ended. */
+	abstract isResting(service: ServiceName, server: BackendServerId): boolean;
+
 	/** Reports the progress of a plan. */
 	abstract report(plan: Plan, note: PlanEvent): void;
 }
--- a/src/gateway/calls/server-notice.ts
+++ b/src/gateway/calls/server-notice.ts
@@ -6,7 +6,9 @@
 	/** Its rate limit for all nodes together, in requests per second; undefined when it has none. */
 	| {kind: 'limit'; requestsPerSecond: number | undefined}
 	/** It is leaving: it takes no new requests and ends soon. */
-	| {kind: 'leaving'};
+	| {kind: 'leaving'}
+	/** It wants no requests from this node for a time in milliseconds. */
+	| {kind: 'rest'; time: number};
 
 /** Lists the statements in the head of an answer to the request of an attempt. */
 export function listNotices(head: ResponseHead): ServerNotice[] {
@@ -21,5 +23,9 @@
 		notices.push({kind: 'leaving'});
 	}
 
+	if (head.rest !== undefined && head.rest > 0) {
+		notices.push({kind: 'rest', time: head.rest});
+	}
+
 	return notices;
 }
--- a/src/gateway/scheduling/fleet-placer.ts
+++ b/src/gateway/scheduling/fleet-placer.ts
@@ -11,7 +11,8 @@
 	type BackendServerId, type BoxId, type Clock, type Failure, type IdSource, type Logger, type PlanId, type ServiceName, type Timer,
 } from '../../common/index.js';
 import {
-	isFirstAttempt, Planner, type Decision, type Plan, type PlanEvent, type PlanRequest, type RetryAllowance, type RetryLimits, type RetryRequest, type PlannedServerStatus,
+	isFirstAttempt, Planner, RestingServers,
+	type Decision, type Plan, type PlanEvent, type PlanRequest, type RetryAllowance, type RetryLimits, type RestingServer, type RetryRequest, type PlannedServerStatus,
 } from '../../planning/index.js';
 import type {EngineProfile, FleetState} from '../../routing/index.js';
 import type {GatewayMetrics} from '../gateway-metrics.js';
@@ -81,6 +82,8 @@
 	crashes: ReplicatedCrashes;
 	limits: ReplicatedLimits;
 	leaving: LeavingNotices;
+	/** Servers that have asked this node for rest. */
+	resting: RestingServers;
 	/** Number of empty lists still to send. */
 	emptyListsLeft: number;
 	eventTimer: Timer | undefined;
@@ -137,7 +140,7 @@
 			this.#retries.recordOwn(request);
 		}
 
-		const {decidedBy, result} = await this.#decide(this.#addLeaving(this.#addCrashes(request)));
+		const {decidedBy, result} = await this.#decide(this.#addNotices(this.#addCrashes(request)));
 		this.#parts.metrics.recordPlacement(decidedBy, this.#parts.clock.readMonotonic() - started);
 		return result.map(decision => {
 			if (decision.kind === 'wait') {
@@ -181,9 +184,18 @@
 				this.#findPlans(service).leaving.recordAnswer(server);
 				break;
 			}
+
+			case 'rest': {
+				this.#recordRest(service, {server, time: notice.time});
+				break;
+			}
 		}
 	}
 
+	override isResting(service: ServiceName, server: BackendServerId): boolean {
+		return this.#findPlans(service).resting.computeRestLeft(server, this.#parts.clock.readMonotonic()) > 0;
+	}
+
 	/** Schedules a request for another node. A refusal because of crashes includes them, as that node may have to schedule alone later. */
 	decideFor(request: PlanRequest): DecisionAnswer {
 		this.#findPlans(request.service).leaving.merge(request.leaving ?? [], request.node);
@@ -303,16 +315,24 @@
 		}
 	}
 
+	#recordRest(service: ServiceName, rest: RestingServer): void {
+		if (this.#findPlans(service).resting.add(rest, this.#parts.clock.readMonotonic())) {
+			this.#parts.logger.info({event: 'server_resting', service, ...rest}, 'a backend server asked this node to send it no requests for a while');
+		}
+	}
+
 	/** Adds known crashes to a request: a new scheduling node gets the records from the nodes that proxied the request. */
 	#addCrashes(request: PlanRequest): PlanRequest {
 		const crashes = this.#findPlans(request.service).crashes.describe(request.fingerprint);
 		return crashes.length === 0 ? request : {...request, crashes};
 	}
 
-	/** Adds the leaving servers known to this node: a request never goes to one of them, even if the scheduling node has not heard of it. */
-	#addLeaving(request: PlanRequest): PlanRequest {
-		const leaving = this.#findPlans(request.service).leaving.list();
-		return leaving.length === 0 ? request : {...request, leaving};
+	/** Adds the leaving and resting servers known to this node: a request never goes to one of them, even if the scheduling node has not heard of it. */
+	#addNotices(request: PlanRequest): PlanRequest {
+		const plans = this.#findPlans(request.service);
+		const leaving = plans.leaving.list();
+		const resting = plans.resting.list(this.#parts.clock.readMonotonic());
+		return {...request, ...(leaving.length > 0 && {leaving}), ...(resting.length > 0 && {resting})};
 	}
 
 	#mergeCrashes({fingerprint, crashes = [], service}: PlanRequest): void {
@@ -463,6 +483,7 @@
 			crashes: new ReplicatedCrashes(parts),
 			limits: new ReplicatedLimits(parts),
 			leaving: new LeavingNotices(parts),
+			resting: new RestingServers(),
 			emptyListsLeft: emptyListRepeats,
 			eventTimer: undefined,
 		};
--- a/src/planning/index.ts
+++ b/src/planning/index.ts
@@ -8,6 +8,7 @@
 export * from './prefill-demand.js';
 export * from './prefill-queue.js';
 export * from './prefill-options.js';
+export * from './resting-servers.js';
 export * from './retry-window.js';
 export * from './server-load.js';
 export * from './server-health.js';
--- a/src/planning/limit-gate.ts
+++ b/src/planning/limit-gate.ts
@@ -1,4 +1,4 @@
-/** Enforces the request limits of backend servers: which servers may take a request, and how it waits when none may. Pure. */
+/** Enforces what backend servers ask for, a request limit or rest: which servers may take a request, and how it waits when none may. Pure. */
 import {Left, Right, type Either} from 'purify-ts';
 import {createFailure, type BackendServerId, type Failure} from '../common/index.js';
 import {LimitQueue} from './limit-queue.js';
@@ -24,11 +24,11 @@
 
 	/** Servers that may be sent one more request; empty while requests that have waited longer need the remaining tokens. */
 	listAvailable({request, usable, share}: GatedRequest, now: number): ServerLoad[] {
-		if (this.limits.size === 0) {
+		if (this.limits.size === 0 && (request.resting ?? []).length === 0) {
 			return usable;
 		}
 
-		const available = usable.filter(({server}) => this.limits.computeDelay(server.id, share, now) === 0);
+		const available = usable.filter(load => this.#computeDelay(load, {request, share}, now) === 0);
 		const tokens = available.reduce((sum, {server}) => sum + Math.floor(this.limits.countTokens(server.id, share, now)), 0);
 		return this.#queue.countAhead(request.requestId, now) < tokens ? available : [];
 	}
@@ -38,16 +38,18 @@
 		const {requestId, service, patience} = request;
 		const rate = usable.reduce((sum, {server}) => sum + this.limits.findGrantedRate(server.id, share), 0);
 		const interval = 1000 / rate;
-		const firstDelay = Math.min(...usable.map(({server}) => this.limits.computeDelay(server.id, share, now)));
+		const firstDelay = Math.min(...usable.map(load => this.#computeDelay(load, {request, share}, now)));
+		const isResting = usable.some(load => computeRestLeft(load, request) > 0);
 		const delay = firstDelay + (this.#queue.countAhead(requestId, now) * interval);
 		if (delay > patience * maxWaitShare) {
 			this.#queue.leave(requestId);
 			const retryIn = this.#queue.scheduleRetry(delay, interval, now) / 1000;
-			return Left(createFailure('overloaded', `all backend servers of ${service} have reached their declared request limits`, {retryAfterSeconds: Math.max(minRetryAfter, retryIn)}));
+			const reason = `all backend servers of ${service} have reached their declared request limits or asked for rest`;
+			return Left(createFailure('overloaded', reason, {retryAfterSeconds: Math.max(minRetryAfter, retryIn)}));
 		}
 
 		this.#queue.join(requestId, now);
-		return Right({kind: 'wait', askAgainIn: Math.min(maxRetryDelay, Math.max(1, delay)), reason: 'limit'});
+		return Right({kind: 'wait', askAgainIn: Math.min(maxRetryDelay, Math.max(1, delay)), reason: isResting ? 'rest' : 'limit'});
 	}
 
 	/** Records that a request is sent to a server. */
@@ -55,4 +57,14 @@
 		this.limits.take(server, share, now);
 		this.#queue.leave(request.requestId);
 	}
+
+	/** Time until a server may be sent the request, in milliseconds. */
+	#computeDelay(load: ServerLoad, {request, share}: Pick<GatedRequest, 'request' | 'share'>, now: number): number {
+		return Math.max(this.limits.computeDelay(load.server.id, share, now), computeRestLeft(load, request));
+	}
+}
+
+/** Time for which a server still wants no requests from the node that asks, in milliseconds. */
+function computeRestLeft({server}: ServerLoad, {resting = []}: PlanRequest): number {
+	return resting.find(other => other.server === server.id)?.time ?? 0;
 }
--- a/src/planning/plan.ts
+++ b/src/planning/plan.ts
@@ -3,6 +3,7 @@
 	AvailabilityZone, BackendServerId, BoxId, RequestFingerprint, OrganisationId, PlanId, RequestId, ServiceName,
 } from '../common/index.js';
 import type {CrashReport} from './crash-records.js';
+import type {RestingServer} from './resting-servers.js';
 
 /**
  * Share of the silence that a caller tolerates after which its stream is moved to another server.
@@ -54,6 +55,8 @@
 	failedAt?: BackendServerId[];
 	/** Servers that are leaving by what the requesting node knows, possibly before the scheduling node does. */
 	leaving?: BackendServerId[];
+	/** Servers that have asked the requesting node for rest: it must not send them the request before its end. */
+	resting?: RestingServer[];
 };
 
 /** A request for one more attempt of a request that was sent before. */
@@ -100,8 +103,8 @@
 /** A planner's decision: a plan, or a wait after which to ask again. */
 export type Decision = {kind: 'plan'; plan: Plan} | {kind: 'wait'; askAgainIn: number; reason: WaitReason};
 
-/** Why a request waits: its servers are busy with other prefills (`reading`), decoding requests would be paused too long (`writers`), too little memory, the node sees too little of the fleet yet (`sight`), its isolated server is being drained (`trial`), or all servers have reached their declared limits. */
-export type WaitReason = 'reading' | 'writers' | 'memory' | 'sight' | 'trial' | 'limit';
+/** Why a request waits: its servers are busy with other prefills (`reading`), decoding requests would be paused too long (`writers`), too little memory, the node sees too little of the fleet yet (`sight`), its isolated server is being drained (`trial`), or all servers have reached their declared limits (`limit`) or have asked for rest (`rest`). */
+export type WaitReason = 'reading' | 'writers' | 'memory' | 'sight' | 'trial' | 'limit' | 'rest';
 
 /** Progress of a plan, reported by the node that runs it. */
 export type PlanEvent =
--- a/src/planning/planner.ts
+++ b/src/planning/planner.ts
@@ -163,6 +163,10 @@
 			return Left(createRejection(quarantine));
 		}
 
+		for (const {server, time} of request.resting ?? []) {
+			this.#plans.loads.get(server)?.health.recordRest(time, now);
+		}
+
 		const usable = this.#listUsable(request, quarantine, now);
 		if (usable.length === 0) {
 			return Left(createFailure('no_backend_server', `no backend server of ${request.service} takes new work`));
--- a/src/planning/server-health.ts
+++ b/src/planning/server-health.ts
@@ -97,6 +97,11 @@
 		return true;
 	}
 
+	/** Starts a backoff of `time` milliseconds, which the server has asked for. */
+	recordRest(time: number, now: number): void {
+		this.#backoffUntil = Math.max(this.#backoffUntil, now + time);
+	}
+
 	#recordFailedAnswer(now: number): void {
 		const hasDecayed = this.#isOnProbation && !this.isUnreliable(now);
 		this.#setFailureShare((this.computeFailureShare(now) * (1 - smoothing)) + smoothing, now);
--- a/test/gateway-parts.test.ts
+++ b/test/gateway-parts.test.ts
@@ -73,6 +73,10 @@
 	override recordNotice(): never {
 		throw new Error('nothing is sent');
 	}
+
+	override isResting(): boolean {
+		return false;
+	}
 }
 
 test('only the first ask of a request states a wait of zero, however precise the clock', async () => {
--- a/test/helpers/planned-fleet.ts
+++ b/test/helpers/planned-fleet.ts
@@ -111,6 +111,10 @@
 		this.#planners.get(plan.planId)?.recordEvent(event, this.fleet.clock.readMonotonic());
 	}
 
+	override isResting(): boolean {
+		return false;
+	}
+
 	override recordNotice(): void {} // eslint-disable-line @typescript-eslint/no-empty-function
 }
 
--- a/test/helpers/scripted-call.ts
+++ b/test/helpers/scripted-call.ts
@@ -370,6 +370,10 @@
 		}
 	}
 
+	override isResting(): boolean {
+		return false;
+	}
+
 	override recordNotice(): void {} // eslint-disable-line @typescript-eslint/no-empty-function
 
 	async #wait(): Promise<void> {
