feat(routing): log lists and changes of servers that are ignored as old

For the incident of a store that came back from a copy: between its return and the first change that was taken over, no line told an ignored list from a watch that skips events. The line has both revisions. No change of behaviour; server-incarnations, operations-page and log-decisions pass (20).

--- a/src/routing/server-view.ts
+++ b/src/routing/server-view.ts
@@ -87,6 +87,7 @@
 	/** Applies a complete list. */
 	applyList(listing: Listing<BackendServer>, origin: string): void {
 		if (listing.revision < this.#revision) {
+			this.#logIgnored('list', listing.items.length, listing.revision, origin);
 			return;
 		}
 
@@ -113,6 +114,10 @@
 	/** Applies changes up to a revision. */
 	applyChanges(changes: Array<Change<BackendServer>>, revision: number, origin: string): void {
 		if (revision < this.#revision) {
+			if (changes.length > 0) {
+				this.#logIgnored('changes', changes.length, revision, origin);
+			}
+
 			return;
 		}
 
@@ -296,6 +301,12 @@
 		}, 'a backend server changed');
 	}
 
+	#logIgnored(part: 'list' | 'changes', count: number, revision: number, origin: string): void {
+		this.#parts.logger.info({
+			event: 'servers_ignored', part, count, revision, serversRevision: this.#revision, origin,
+		}, 'ignored backend servers of a revision that is older than the known one');
+	}
+
 	#reportRestart(previous: BackendServer, server: BackendServer, origin: string): void {
 		this.#parts.logger.info({
 			event: 'server_restarted', server: server.id, before: previous.id, service: server.service, address: server.address, isLeaving: server.isLeaving, origin,
