--- a/test/helpers/platform-standins.ts
+++ b/test/helpers/platform-standins.ts
@@ -83,6 +83,8 @@
 const slowAnswerDelay = 900;
 
 type StoredObject = {metadata: {name: string; revision: number}; spec: unknown};
+/** The content of a store at a moment. */
+export type StoreCopy = {objects: Map<string, Map<string, StoredObject>>; revision: number};
 type StoreEvent = {kind: string; revision: number; gone: boolean; object: StoredObject};
 
 /** The object store, with paged lists, watches and injected faults. */
@@ -92,7 +94,9 @@
 	/** Injected fault: `silent` never answers, `busy` answers 503, `slow` answers late, `lossy` performs every second write without an answer. */
 	trouble: 'none' | 'silent' | 'busy' | 'slow' | 'lossy' = 'none';
 	readonly calls: string[] = [];
-	readonly #objects = new Map<string, Map<string, StoredObject>>();
+	/** Sent with every answer; undefined for a store that does not send it. */
+	era: number | undefined;
+	#objects = new Map<string, Map<string, StoredObject>>();
 	#events: StoreEvent[] = [];
 	#revision = 0;
 	#oldestRevision = 0;
@@ -136,6 +140,25 @@
 		this.#wakeAll();
 	}
 
+	/** Copies the content, which `restore` brings back. */
+	copy(): StoreCopy {
+		return {objects: new Map([...this.#objects].map(([kind, objects]) => [kind, new Map(objects)])), revision: this.#revision};
+	}
+
+	/** Comes back from a copy: what was written since is gone, and revisions are given out again. All connections are closed unless it was away too briefly for that. */
+	restore({objects, revision}: StoreCopy, isKeepingConnections = false): void {
+		this.#objects = new Map([...objects].map(([kind, copied]) => [kind, new Map(copied)]));
+		this.#revision = revision;
+		this.#events = [];
+		this.#oldestRevision = revision;
+		this.era = (this.era ?? 0) + 1;
+		for (const socket of isKeepingConnections ? [] : this.sockets) {
+			socket.resetAndDestroy();
+		}
+
+		this.#wakeAll();
+	}
+
 	/** Number of watches that currently wait for a change. */
 	get waitingWatches(): number {
 		return this.#waitingWatches.size;
@@ -184,6 +207,10 @@
 			return;
 		}
 
+		if (this.era !== undefined) {
+			response.setHeader('store-era', String(this.era));
+		}
+
 		if (this.trouble === 'slow') {
 			// An answer that is no longer awaited must not keep the process alive.
 			await new Promise(resolve => {
@@ -258,7 +285,7 @@
 	async #watch(url: URL, request: IncomingMessage, response: ServerResponse): Promise<void> {
 		const [kind] = url.pathname.split('/').slice(3);
 		const [revision, wait] = ['watch', 'waitMs'].map(field => Number(url.searchParams.get(field)));
-		if (revision < this.#oldestRevision) {
+		if (revision < this.#oldestRevision || revision > this.#revision) {
 			response.writeHead(410).end('{}');
 			return;
 		}
