fix(routing): changes of a store that came back from a copy are not taken for old ones

Cause: revisions were compared as if they only rose. The store came back from a copy at 18.5 s, below revision 32, which all nodes knew. Its list was dropped as old, and so was each change until it had given out 32 again, at about 24 s. A watch from a revision that exists again would even have skipped the changes before it without a word.

An answer to a watch of another era is lost history (or, of an earlier one, no answer), so a follower lists again. Entries that the copy lacks are kept as after an outage; leaving incarnations stay leaving whatever the copy has.

Ruled out: resetting the view at 410 (a revision may exist again before the watch, and other nodes would teach the old view back); a type of its own for positions (heartbeats of the earlier build carry numbers).

--- a/src/cli/format-status.ts
+++ b/src/cli/format-status.ts
@@ -1,5 +1,6 @@
 /** Formats the status of a node as text. */
 import type {NodeStatus} from '../gateway/index.js';
+import {formatPosition} from '../routing/index.js';
 
 type ServiceWork = NodeStatus['services'][number];
 type ServerWork = ServiceWork['servers'][number];
@@ -12,7 +13,7 @@
 	} = status;
 	const lines = [
 		`${node.name} (life ${node.life}, ${node.availabilityZone}): ${phase}, ${calls} calls in progress`,
-		`configuration ${node.configVersion}, servers' revision ${node.serversRevision}; ${servers.usable} servers take new work, ${servers.foreign} entries of other writers`,
+		`configuration ${node.configVersion}, servers' revision ${formatRevision(node)}; ${servers.usable} servers take new work, ${servers.foreign} entries of other writers`,
 		`${isWatcher ? 'follows the store' : 'is told by other nodes'}${isSourceOut ? ', which does not answer' : ''}`,
 		...sources.map(source => formatSource(source)),
 		...services.flatMap(service => formatService(service)),
@@ -59,6 +60,10 @@
 		...other.isSourceReachable ? [] : ['does not reach the store'],
 		...(other.configVersion ?? 0) < (self.configVersion ?? 0) ? ['behind in the configuration'] : [],
 	];
-	const versions = `configuration ${other.configVersion ?? '?'}, servers' revision ${other.serversRevision ?? '?'}`;
+	const versions = `configuration ${other.configVersion ?? '?'}, servers' revision ${formatRevision(other)}`;
 	return `  ${other.name} (life ${other.life}, ${other.availabilityZone}): ${versions}${marks.length === 0 ? '' : `; ${marks.join(', ')}`}`;
 }
+
+function formatRevision({serversRevision}: NodeEntry): number | string {
+	return serversRevision === undefined ? '?' : formatPosition(serversRevision);
+}
--- a/src/gateway/scheduling/decision-log.ts
+++ b/src/gateway/scheduling/decision-log.ts
@@ -2,6 +2,7 @@
 import type {Either} from 'purify-ts';
 import type {Failure, Logger} from '../../common/index.js';
 import type {Decision, OverrunReport, PlanRequest} from '../../planning/index.js';
+import {formatPosition} from '../../routing/index.js';
 
 /** Inputs of a decision besides the request. */
 export type DecisionInputs = {
@@ -27,6 +28,7 @@
 		fingerprint: request.crashes === undefined ? undefined : request.fingerprint,
 		crashes: request.crashes?.length,
 		...inputs,
+		serversRevision: formatPosition(inputs.serversRevision),
 	};
 	decided.caseOf({
 		Left(failure) {
--- a/src/routing/fleet-source.ts
+++ b/src/routing/fleet-source.ts
@@ -6,13 +6,13 @@
 export type SourceFailure = {
 	/**
 	 * - `unreachable`: no answer, or an error; retry later.
-	 * - `history_lost`: the requested revision is older than the source's history; list again.
+	 * - `history_lost`: the requested revision is older than the source's history, or belongs to one that was replaced by a copy; list again.
 	 */
 	kind: 'unreachable' | 'history_lost';
 	message: string;
 };
 
-/** All items of one kind at one revision. */
+/** All items of one kind at one revision; revisions are positions (`createPosition`), which rise even when the source is restored from a copy. */
 export type Listing<Item> = {
 	items: Item[];
 	revision: number;
--- a/src/routing/follower.ts
+++ b/src/routing/follower.ts
@@ -6,6 +6,7 @@
 import type {FleetState} from './fleet-state.js';
 import type {FollowedKind} from './source-ages.js';
 import {SourceCalls} from './source-calls.js';
+import {formatPosition} from './source-position.js';
 import type {SourceHealth} from './source-health.js';
 
 /** Timing of a follower's calls. */
@@ -172,9 +173,11 @@
 		return followed === undefined
 			? undefined
 			: this.#recordAnswer(followed.result).caseOf<ReadPosition | undefined>({
-				Left: () => {
+				Left: ({message}) => {
 					this.#changeCalls.cancelAll();
-					this.#logger.warn({event: 'history_lost', items: this.#items.name, revision}, 'the source no longer keeps this revision; listing again');
+					this.#logger.warn({
+						event: 'history_lost', items: this.#items.name, revision: formatPosition(revision), reason: message,
+					}, 'the source no longer keeps this revision; listing again');
 					return undefined;
 				},
 				Right: changes => this.#handleChanges(changes, {revision, wasRepeated: followed.attempt > 0}),
@@ -200,7 +203,7 @@
 			silenceTimeout: this.#items.state.isUsable ? silenceTimeout : startupSilenceTimeout,
 			onSuspect: (reason: string) => {
 				this.#logger.info({
-					event: 'source_checked', items: this.#items.name, revision, reason, sinceAnswer: this.#measureSilence(),
+					event: 'source_checked', items: this.#items.name, revision: revision === undefined ? undefined : formatPosition(revision), reason, sinceAnswer: this.#measureSilence(),
 				}, 'a call failed or is late; probing the source with parallel calls');
 			},
 			onUnanswered: (reason: string) => {
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -7,3 +7,4 @@
 export * from './server-view.js';
 export * from './source-ages.js';
 export * from './source-health.js';
+export * from './source-position.js';
--- a/src/routing/server-view.ts
+++ b/src/routing/server-view.ts
@@ -13,11 +13,15 @@
 } from '../common/index.js';
 import type {Change, Listing} from './fleet-source.js';
 import type {BackendServer} from './model.js';
-import {LeavingServers} from './leaving-servers.js';
+import {IncarnationSet} from './incarnation-set.js';
+import {formatPosition, readEra} from './source-position.js';
 
 /** How long a server whose entry disappeared in an outage is kept after the source is back, in milliseconds: servers re-register within about two seconds. */
 export const reregistrationGrace = 1800;
 
+/** How long a leaving incarnation is remembered, in milliseconds: far longer than it runs. Ids are not reused, so this only bounds memory. */
+const leavingRetention = 600_000;
+
 /** A server and the state of its entry. */
 type KnownServer = {
 	server: BackendServer;
@@ -42,20 +46,24 @@
 	onRestart: (previous: BackendServer) => void;
 };
 
-/** Backend servers by name. */
+/**
+ * Backend servers by name.
+ *
+ * Revisions are positions in the history of the source, so that those of a source that was restored from a copy are later than all before.
+ */
 export class ServerView {
 	readonly #parts: ServerViewParts;
 	readonly #servers = new Map<BackendServerName, KnownServer>();
 	readonly #incarnations = new Map<BackendServerId, KnownServer>();
 	readonly #foreignNames = new Set<string>();
-	readonly #leaving: LeavingServers;
+	readonly #leaving: IncarnationSet;
 	#revision = 0;
 	#graceUntil = 0;
 	#hasOutage = false;
 
 	constructor(parts: ServerViewParts) {
 		this.#parts = parts;
-		this.#leaving = new LeavingServers(parts.clock);
+		this.#leaving = new IncarnationSet(parts.clock, leavingRetention);
 	}
 
 	/** Revision up to which changes are known. */
@@ -91,6 +99,7 @@
 			return;
 		}
 
+		this.#checkRestored(listing.revision, origin);
 		const listed = new Set<string>([...listing.items.map(server => server.name), ...listing.foreign ?? []]);
 		this.#foreignNames.clear();
 		for (const name of listing.foreign ?? []) {
@@ -206,6 +215,7 @@
 			return;
 		}
 
+		this.#checkRestored(revision, origin);
 		const listed = new Set(items.map(server => server.name));
 		for (const item of items) {
 			this.#applySnapshotItem(item, origin);
@@ -221,6 +231,18 @@
 		this.#parts.onChange();
 	}
 
+	/** Detects that the source was restored from a copy: servers whose entries it has lost may still be running, and register again. */
+	#checkRestored(revision: number, origin: string): void {
+		if (this.#revision === 0 || readEra(revision) === readEra(this.#revision)) {
+			return;
+		}
+
+		this.#graceUntil = this.#parts.clock.readMonotonic() + reregistrationGrace;
+		this.#parts.logger.warn({
+			event: 'source_restored', from: formatPosition(this.#revision), to: formatPosition(revision), origin,
+		}, 'the source was restored from a copy; entries that it has lost are kept for a while');
+	}
+
 	#applySnapshotItem({forgetIn, isOverwritten = false, ...server}: SnapshotServer, origin: string): void {
 		if (!this.#applyEntry(server, origin)) {
 			return;
@@ -246,7 +268,7 @@
 		} else {
 			// Another node's snapshot was newer; the entry must not bring back a server removed by it.
 			this.#parts.logger.info({
-				event: 'server_passed_over', server: item.id, changedAt, serversRevision: this.#revision, origin,
+				event: 'server_passed_over', server: item.id, changedAt: formatPosition(changedAt), serversRevision: formatPosition(this.#revision), origin,
 			}, 'ignored an entry that is older than the known state');
 		}
 	}
@@ -303,7 +325,7 @@
 
 	#logIgnored(part: 'list' | 'changes', count: number, revision: number, origin: string): void {
 		this.#parts.logger.info({
-			event: 'servers_ignored', part, count, revision, serversRevision: this.#revision, origin,
+			event: 'servers_ignored', part, count, revision: formatPosition(revision), serversRevision: formatPosition(this.#revision), origin,
 		}, 'ignored backend servers of a revision that is older than the known one');
 	}
 
@@ -366,7 +388,7 @@
 	#setRevision(revision: number, origin: string): void {
 		if (this.#revision === 0) {
 			this.#parts.logger.info({
-				event: 'servers_known', servers: this.#servers.size, revision, origin,
+				event: 'servers_known', servers: this.#servers.size, revision: formatPosition(revision), origin,
 			}, 'received the backend servers for the first time');
 		}
 
