fix(routing): a restored store does not bring back servers that have gone

Likewise an entry of an earlier incarnation replaced the running one and ended its requests.

Change: incarnations that are gone or replaced are remembered for a minute. An entry of one of them in the first list of a new era gets no requests until it is written again, or for five seconds: a server that lives writes more often, and the entry of one that does not is removed by then. Other nodes take the doubt over with the view. An earlier incarnation in the copy is ignored.

--- a/src/routing/server-view.ts
+++ b/src/routing/server-view.ts
@@ -22,6 +22,12 @@
 /** How long a leaving incarnation is remembered, in milliseconds: far longer than it runs. Ids are not reused, so this only bounds memory. */
 const leavingRetention = 600_000;
 
+/** How long an incarnation that is gone is remembered, in milliseconds: a restored source is some seconds old. */
+const goneRetention = 60_000;
+
+/** How long a restored source keeps the entry of a server that has gone, in milliseconds: a server that lives writes more often than this. */
+const staleEntryLifetime = 5000;
+
 /** A server and the state of its entry. */
 type KnownServer = {
 	server: BackendServer;
@@ -29,10 +35,16 @@
 	isOverwritten: boolean;
 	/** When it is to be removed, by the monotonic clock; undefined while its entry exists. */
 	forgetAt?: number;
+	/** Until when it gets no new requests, by the monotonic clock: it was gone when the source was restored from a copy with its entry. */
+	doubtfulUntil?: number;
 };
 
-/** A server in a snapshot; `forgetIn` is the time until its removal in milliseconds, if its entry disappeared in an outage. */
-export type SnapshotServer = BackendServer & {isOverwritten?: boolean; forgetIn?: number};
+/**
+ * A server in a snapshot; times in milliseconds.
+ *
+ * `forgetIn` is the time until its removal, if its entry disappeared in an outage; `doubtfulFor` is the time for which it gets no new requests.
+ */
+export type SnapshotServer = BackendServer & {isOverwritten?: boolean; forgetIn?: number; doubtfulFor?: number};
 
 /** All servers at a revision, as nodes send them to each other. */
 export type ServersSnapshot = {revision: number; items: SnapshotServer[]};
@@ -57,6 +69,8 @@
 	readonly #incarnations = new Map<BackendServerId, KnownServer>();
 	readonly #foreignNames = new Set<string>();
 	readonly #leaving: IncarnationSet;
+	/** Incarnations whose entry was removed or replaced. */
+	readonly #gone: IncarnationSet;
 	#revision = 0;
 	#graceUntil = 0;
 	#hasOutage = false;
@@ -64,6 +78,7 @@
 	constructor(parts: ServerViewParts) {
 		this.#parts = parts;
 		this.#leaving = new IncarnationSet(parts.clock, leavingRetention);
+		this.#gone = new IncarnationSet(parts.clock, goneRetention);
 	}
 
 	/** Revision up to which changes are known. */
@@ -78,7 +93,7 @@
 
 	/** Number of servers that accept new requests. */
 	get usableCount(): number {
-		this.#removeExpired();
+		this.#updateExpired();
 		return [...this.#servers.values()].filter(known => isUsable(known)).length;
 	}
 
@@ -99,7 +114,7 @@
 			return;
 		}
 
-		this.#checkRestored(listing.revision, origin);
+		const isRestored = this.#checkRestored(listing.revision, origin);
 		const listed = new Set<string>([...listing.items.map(server => server.name), ...listing.foreign ?? []]);
 		this.#foreignNames.clear();
 		for (const name of listing.foreign ?? []) {
@@ -107,7 +122,7 @@
 		}
 
 		for (const server of listing.items) {
-			this.#applyEntry(server, origin);
+			this.#applyEntry(server, origin, isRestored);
 		}
 
 		for (const name of this.#servers.keys()) {
@@ -155,7 +170,7 @@
 
 	/** Lists the servers of a service that accept new requests. */
 	list(service: ServiceName): BackendServer[] {
-		this.#removeExpired();
+		this.#updateExpired();
 		return [...this.#servers.values()]
 			.filter(known => known.server.service === service && isUsable(known))
 			.map(known => known.server);
@@ -163,7 +178,7 @@
 
 	/** Finds an incarnation that accepts new requests. */
 	findUsableIncarnation(id: BackendServerId): BackendServer | undefined {
-		this.#removeExpired();
+		this.#updateExpired();
 		const known = this.#incarnations.get(id);
 		return known !== undefined && isUsable(known) ? known.server : undefined;
 	}
@@ -201,10 +216,11 @@
 		}
 
 		const now = this.#parts.clock.readMonotonic();
-		const items = [...this.#servers.values()].map(({server, isOverwritten, forgetAt}) => ({
+		const items = [...this.#servers.values()].map(({server, isOverwritten, forgetAt, doubtfulUntil}) => ({
 			...server,
 			...(isOverwritten && {isOverwritten}),
 			...(forgetAt !== undefined && {forgetIn: forgetAt - now}),
+			...(doubtfulUntil !== undefined && {doubtfulFor: doubtfulUntil - now}),
 		}));
 		return {revision: this.#revision, items};
 	}
@@ -215,10 +231,10 @@
 			return;
 		}
 
-		this.#checkRestored(revision, origin);
+		const isRestored = this.#checkRestored(revision, origin);
 		const listed = new Set(items.map(server => server.name));
 		for (const item of items) {
-			this.#applySnapshotItem(item, origin);
+			this.#applySnapshotItem(item, origin, isRestored);
 		}
 
 		for (const [name, {server}] of this.#servers) {
@@ -232,25 +248,28 @@
 	}
 
 	/** Detects that the source was restored from a copy: servers whose entries it has lost may still be running, and register again. */
-	#checkRestored(revision: number, origin: string): void {
+	#checkRestored(revision: number, origin: string): boolean {
 		if (this.#revision === 0 || readEra(revision) === readEra(this.#revision)) {
-			return;
+			return false;
 		}
 
 		this.#graceUntil = this.#parts.clock.readMonotonic() + reregistrationGrace;
 		this.#parts.logger.warn({
 			event: 'source_restored', from: formatPosition(this.#revision), to: formatPosition(revision), origin,
 		}, 'the source was restored from a copy; entries that it has lost are kept for a while');
+		return true;
 	}
 
-	#applySnapshotItem({forgetIn, isOverwritten = false, ...server}: SnapshotServer, origin: string): void {
-		if (!this.#applyEntry(server, origin)) {
+	#applySnapshotItem({forgetIn, doubtfulFor, isOverwritten = false, ...server}: SnapshotServer, origin: string, isRestored: boolean): void {
+		if (!this.#applyEntry(server, origin, isRestored)) {
 			return;
 		}
 
+		const now = this.#parts.clock.readMonotonic();
 		const known = this.#servers.get(server.name)!;
 		known.isOverwritten = isOverwritten;
-		known.forgetAt = forgetIn === undefined ? undefined : this.#parts.clock.readMonotonic() + forgetIn;
+		known.forgetAt = forgetIn === undefined ? undefined : now + forgetIn;
+		known.doubtfulUntil = doubtfulFor === undefined ? known.doubtfulUntil : now + doubtfulFor;
 	}
 
 	#applyChange(change: Change<BackendServer>, revision: number, origin: string): void {
@@ -285,8 +304,8 @@
 		}
 	}
 
-	/** Applies an entry; false when it is ignored, being older than the known one or foreign. */
-	#applyEntry(server: BackendServer, origin: string): boolean {
+	/** Applies an entry; false when it is ignored, being older than the known one or foreign. `isRestored` for an entry of the copy from which the source was restored. */
+	#applyEntry(server: BackendServer, origin: string, isRestored = false): boolean {
 		const known = this.#servers.get(server.name);
 		const previous = known?.server;
 		if (previous !== undefined && server.entryRevision < previous.entryRevision) {
@@ -294,6 +313,11 @@
 		}
 
 		const isSameIncarnation = previous?.id === server.id;
+		if (isRestored && previous !== undefined && !isSameIncarnation && this.#gone.has(server.id)) {
+			// The copy is from before the restart of the server.
+			return false;
+		}
+
 		if (isSameIncarnation && previous.service !== server.service) {
 			// A server never changes its service, so another writer wrote this entry.
 			this.#applyForeignEntry(server.name, server.entryRevision, origin);
@@ -305,7 +329,14 @@
 		}
 
 		const isLeaving = this.#leaving.has(server.id);
-		this.#put({server: {...server, isLeaving}, isOverwritten: false});
+		const doubtfulUntil = this.#findDoubt(server, known, isRestored);
+		this.#put({server: {...server, isLeaving}, isOverwritten: false, doubtfulUntil});
+		if (doubtfulUntil !== undefined) {
+			this.#logDoubtful(server, origin, 'the restored source still has the entry of a backend server that has gone');
+			return true;
+		}
+
+		this.#gone.delete(server.id);
 		if (previous !== undefined && !isSameIncarnation) {
 			this.#reportRestart(previous, server, origin);
 		} else if (previous?.isLeaving !== isLeaving || known?.isOverwritten === true) {
@@ -315,6 +346,22 @@
 		return true;
 	}
 
+	/** Until when a server gets no new requests because the copy of a restored source has its entry although it had gone; undefined once the entry is written again. */
+	#findDoubt(server: BackendServer, known: KnownServer | undefined, isRestored: boolean): number | undefined {
+		if (isRestored && this.#gone.has(server.id)) {
+			return this.#parts.clock.readMonotonic() + staleEntryLifetime;
+		}
+
+		const isSameEntry = known?.server.id === server.id && known.server.entryRevision === server.entryRevision;
+		return isSameEntry ? known.doubtfulUntil : undefined;
+	}
+
+	#logDoubtful({id, service}: BackendServer, origin: string, message: string): void {
+		this.#parts.logger.info({
+			event: 'server_doubtful', server: id, service, origin,
+		}, message);
+	}
+
 	#logChange({id, service, address, isLeaving}: BackendServer, origin: string): void {
 		// A node's first list adds all servers at once; a single log line gives their number instead.
 		const level = this.#revision === 0 ? 'debug' : 'info';
@@ -339,8 +386,9 @@
 	#put(known: KnownServer): void {
 		const {name, id} = known.server;
 		const previous = this.#servers.get(name);
-		if (previous !== undefined) {
+		if (previous !== undefined && previous.server.id !== id) {
 			this.#incarnations.delete(previous.server.id);
+			this.#gone.add(previous.server.id);
 		}
 
 		this.#servers.set(name, known);
@@ -361,17 +409,20 @@
 		}
 
 		known.forgetAt = Math.max(this.#graceUntil, now + reregistrationGrace);
-		this.#parts.logger.info({
-			event: 'server_doubtful', server: known.server.id, service: known.server.service, origin,
-		}, 'the entry of a backend server is gone');
+		this.#logDoubtful(known.server, origin, 'the entry of a backend server is gone');
 	}
 
-	#removeExpired(): void {
+	#updateExpired(): void {
 		const now = this.#parts.clock.readMonotonic();
 		for (const [name, known] of this.#servers) {
 			if (known.forgetAt !== undefined && known.forgetAt <= now) {
 				this.#remove(name, 'grace over', 'a backend server did not register again in time');
 				this.#parts.onChange();
+			} else if (known.doubtfulUntil !== undefined && known.doubtfulUntil <= now) {
+				known.doubtfulUntil = undefined;
+				this.#gone.delete(known.server.id);
+				this.#logChange(known.server, 'grace over');
+				this.#parts.onChange();
 			}
 		}
 	}
@@ -380,6 +431,7 @@
 		const {server} = this.#servers.get(name)!;
 		this.#servers.delete(name);
 		this.#incarnations.delete(server.id);
+		this.#gone.add(server.id);
 		this.#parts.logger.info({
 			event: 'server_gone', server: server.id, service: server.service, origin,
 		}, message);
@@ -396,15 +448,19 @@
 	}
 }
 
-function isUsable({server, isOverwritten}: KnownServer): boolean {
-	return !server.isLeaving && !isOverwritten;
+function isUsable({server, isOverwritten, doubtfulUntil}: KnownServer): boolean {
+	return !server.isLeaving && !isOverwritten && doubtfulUntil === undefined;
 }
 
-function formatState({server, isOverwritten}: KnownServer): string {
+function formatState({server, isOverwritten, doubtfulUntil}: KnownServer): string {
 	if (isOverwritten) {
 		return '!';
 	}
 
+	if (doubtfulUntil !== undefined) {
+		return '?';
+	}
+
 	return server.isLeaving ? '-' : '+';
 }
 
--- a/test/server-incarnations.test.ts
+++ b/test/server-incarnations.test.ts
@@ -4,7 +4,7 @@
 	createSilentLogger, VirtualClock, type AvailabilityZone, type BackendServerId, type BackendServerName, type ServiceName,
 } from '../src/common/index.js';
 import {
-	FleetState, reregistrationGrace, type BackendServer, type Change,
+	createPosition, FleetState, reregistrationGrace, type BackendServer, type Change,
 } from '../src/routing/index.js';
 
 const app = 'app' as ServiceName;
@@ -364,3 +364,66 @@
 	other.applyServers(state.getServersSnapshot(0)!, 'node');
 	expect(listIds(other)).toEqual(['i-2@1']);
 });
+
+/** An entry as the source has it after it was restored from a copy: its revision counts in the next era. */
+function createCopiedEntry(name: string, born: number, revision: number): BackendServer {
+	return createEntry(name, born, createPosition(1, revision));
+}
+
+/** Creates the state of a node that knows two servers and has seen the second one go. */
+function createStateWithGoneServer(): ReturnType<typeof createState> {
+	const created = createState();
+	created.state.applyServerList({items: [createEntry('i-1', 1, 3), createEntry('i-2', 1, 4)], revision: 4}, 'source');
+	created.state.applyServerChanges([{name: 'i-2', item: undefined}], 5, 'source');
+	return created;
+}
+
+const copiedList = {items: [createCopiedEntry('i-1', 1, 3), createCopiedEntry('i-2', 1, 4)], revision: createPosition(1, 4)};
+
+test('a server that has gone is not used for five seconds when a restored source has its entry, however often it is listed', () => {
+	const {state, clock} = createStateWithGoneServer();
+	state.applyServerList(copiedList, 'source');
+	clock.advance(2000);
+	state.applyServerList(copiedList, 'source');
+	expect(listIds(state)).toEqual(['i-1@1']);
+	clock.advance(3000);
+	expect(listIds(state)).toEqual(['i-1@1', 'i-2@1']);
+});
+
+test('a server that had gone is used as soon as it writes its entry in the restored source', () => {
+	const {state} = createStateWithGoneServer();
+	state.applyServerList(copiedList, 'source');
+	state.applyServerChanges([createChange(createCopiedEntry('i-2', 1, 5))], createPosition(1, 5), 'source');
+	expect(listIds(state)).toEqual(['i-1@1', 'i-2@1']);
+});
+
+test('a node that takes over the servers of a restored source does not use one that has gone, by its own or the other node\'s knowledge', () => {
+	const {state} = createStateWithGoneServer();
+	state.applyServerList(copiedList, 'source');
+	const snapshot = state.getServersSnapshot(0)!;
+	const uninformed = createState().state;
+	uninformed.applyServers(snapshot, 'node');
+	expect(listIds(uninformed)).toEqual(['i-1@1']);
+	const informed = createStateWithGoneServer().state;
+	informed.applyServers({...snapshot, items: snapshot.items.map(item => ({...item, doubtfulFor: undefined}))}, 'node');
+	expect(listIds(informed)).toEqual(['i-1@1']);
+});
+
+test('a restored source does not bring back an earlier incarnation of a server, nor one that is leaving', () => {
+	const {state, restarted} = createState();
+	state.applyServerList({items: [createEntry('i-1', 1, 3), createEntry('i-2', 1, 4)], revision: 4}, 'source');
+	state.applyServerChanges([createChange(createEntry('i-1', 2, 5)), createChange(createEntry('i-2', 1, 6, {isLeaving: true}))], 6, 'source');
+	state.applyServerList(copiedList, 'source');
+	expect(listIds(state)).toEqual(['i-1@2']);
+	expect(restarted).toEqual(['i-1@1']);
+});
+
+test('servers that a restored source lacks are used while they can register again, and not longer', () => {
+	const {state, clock} = createState();
+	state.applyServerList({items: [createEntry('i-1', 1, 3), createEntry('i-2', 1, 9)], revision: 9}, 'source');
+	state.applyServerList({items: [createCopiedEntry('i-1', 1, 3)], revision: createPosition(1, 4)}, 'source');
+	clock.advance(reregistrationGrace - 1);
+	expect(listIds(state)).toEqual(['i-1@1', 'i-2@1']);
+	clock.advance(1);
+	expect(listIds(state)).toEqual(['i-1@1']);
+});
