fix(gateway): a node registers again when the store has lost its registration

Found while looking for the cause elsewhere: a node registered once and stopped looking. A store that came back from an earlier copy had no entry of it any more, and a node started later without seeds would not have found the fleet.

Change: a registration holds for the era in which it was written; a node that has one writes it again in the next. Nodes whose servers are the same as the restored source's fetch them all the same once, so that they know the era.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -219,7 +219,7 @@
 		this.#running = this.#supervise();
 		const {source, clock, logger} = this.#parts;
 		void register({
-			clock, logger, source, peers: this.#peers, views: this.#views, self: () => this.#describeSelf(),
+			clock, logger, source, state: this.state, peers: this.#peers, views: this.#views, self: () => this.#describeSelf(),
 		}, this.#supervisorStop.signal);
 	}
 
--- a/src/gateway/views/registration.ts
+++ b/src/gateway/views/registration.ts
@@ -2,7 +2,9 @@
 import {
 	createTimeout, waitFor, type Clock, type Logger,
 } from '../../common/index.js';
-import type {FleetSource, SourceCall} from '../../routing/index.js';
+import {
+	readEra, type FleetSource, type FleetState, type SourceCall,
+} from '../../routing/index.js';
 import type {Peer} from '../peers/heartbeat.js';
 import type {Peers} from '../peers/peers.js';
 import type {ViewExchange} from './view-exchange.js';
@@ -22,28 +24,30 @@
 	clock: Clock;
 	logger: Logger;
 	source: FleetSource;
+	state: FleetState;
 	peers: Peers;
 	views: ViewExchange;
 	self: () => Peer;
 };
 
 /**
- * Retries until the node is registered once and the other nodes are listed.
+ * Retries until the node is registered and the other nodes are listed, and again when the source has been restored from a copy, which may
+ * lack the registration.
  *
  * Only watchers and nodes without live peers register: in a fleet of hundreds a few entries are enough for discovery.
  */
 export async function register(parts: RegistrationParts, signal: AbortSignal): Promise<void> {
-	const {clock, views, peers} = parts;
+	const {clock, views, peers, state} = parts;
 	let timeout = firstTimeout;
+	let registeredEra: number | undefined;
 	await waitFor(clock, registerDelay, signal);
 	while (!signal.aborted) {
-		const mayRegister = views.isWatcher || peers.countLive() === 0;
-		if (mayRegister) {
-			if (await registerWithTimeout(parts, timeout, signal)) {
-				return;
-			}
-
-			timeout = Math.min(maxTimeout, timeout * 2);
+		const era = readEra(state.serversRevision);
+		const mayRegister = views.isWatcher || peers.countLive() === 0 || registeredEra !== undefined;
+		if (mayRegister && era !== registeredEra) {
+			const isDone = await registerWithTimeout(parts, timeout, signal);
+			registeredEra = isDone ? era : registeredEra;
+			timeout = isDone ? firstTimeout : Math.min(maxTimeout, timeout * 2);
 		}
 
 		await waitFor(clock, registerInterval, signal);
--- a/src/gateway/views/view-exchange.ts
+++ b/src/gateway/views/view-exchange.ts
@@ -7,7 +7,7 @@
 	readErrorMessage, type BoxId, type Clock, type Logger,
 } from '../../common/index.js';
 import {
-	followedKinds, type ConfigChanges, type FleetState, type ServersSnapshot, type SourceHealth,
+	followedKinds, readEra, type ConfigChanges, type FleetState, type ServersSnapshot, type SourceHealth,
 } from '../../routing/index.js';
 import {parsePacked, type PackedText} from '../../rpc/packed-text.js';
 import {computeDigest} from '../digest.js';
@@ -193,10 +193,11 @@
 		}
 	}
 
-	/** Whether this view has newer servers than this node's own. */
+	/** Whether this view has newer servers than this node's own, or the same ones from a source that was restored since. */
 	#hasNewerServers(view: PeerView): boolean {
 		const own = this.describeView();
-		return view.serversRevision > own.serversRevision && view.serversDigest !== own.serversDigest;
+		return view.serversRevision > own.serversRevision
+			&& (view.serversDigest !== own.serversDigest || readEra(view.serversRevision) > readEra(own.serversRevision));
 	}
 
 	#createFetcher(part: ViewPart, options: Pick<ViewFetcherParts, 'isAhead' | 'ask'>): ViewFetcher {
