perf(routing): only leaving servers that the source does not show are told to other nodes

Each release has servers that leave by their entries, which all nodes know from the source; the scheduling node would have repeated them to every node once a second, and each request for a placement would have carried them.

--- a/src/gateway/scheduling/leaving-notices.ts
+++ b/src/gateway/scheduling/leaving-notices.ts
@@ -25,12 +25,12 @@
 		}
 	}
 
-	/** Lists the leaving servers, for other nodes. */
+	/** Lists the leaving servers that other nodes cannot know from the source. */
 	list(): BackendServerId[] {
-		return this.#parts.state.listLeavingServers(this.#parts.service);
+		return this.#parts.state.listLeavingUnannounced(this.#parts.service);
 	}
 
-	/** Sends the leaving servers to all nodes: an earlier datagram may have been lost. */
+	/** Sends these leaving servers to all nodes: an earlier datagram may have been lost. */
 	replicate(): void {
 		const {service, updates} = this.#parts;
 		const leaving = this.list();
--- a/src/planning/plan.ts
+++ b/src/planning/plan.ts
@@ -53,7 +53,7 @@
 	excluded: BackendServerId[];
 	/** Excluded servers that answered it with a failure: they may be used again if there is no other. */
 	failedAt?: BackendServerId[];
-	/** Servers that are leaving by what the requesting node knows, possibly before the scheduling node does. */
+	/** Servers that have said in answers that they are leaving, as known to the requesting node. */
 	leaving?: BackendServerId[];
 	/** Servers that have asked the requesting node for rest: it must not send them the request before its end. */
 	resting?: RestingServer[];
--- a/src/routing/fleet-state.ts
+++ b/src/routing/fleet-state.ts
@@ -217,9 +217,9 @@
 		return this.#servers.markLeaving(id, origin);
 	}
 
-	/** Lists the current servers of a service that are leaving. */
-	listLeavingServers(service: ServiceName): BackendServerId[] {
-		return this.#servers.listLeaving(service);
+	/** Lists the current servers of a service that have said in answers, and not in their entries, that they are leaving. */
+	listLeavingUnannounced(service: ServiceName): BackendServerId[] {
+		return this.#servers.listLeavingUnannounced(service);
 	}
 
 	/** Whether an incarnation of a server is current, including one that accepts no new requests. */
--- a/src/routing/server-view.ts
+++ b/src/routing/server-view.ts
@@ -33,6 +33,8 @@
 	server: BackendServer;
 	/** Whether a foreign entry replaced its own: it gets no new requests, and running ones continue. */
 	isOverwritten: boolean;
+	/** Whether its entry says that it is leaving, and not only its answers. */
+	isLeavingByEntry: boolean;
 	/** When it is to be removed, by the monotonic clock; undefined while its entry exists. */
 	forgetAt?: number;
 	/** Until when it gets no new requests, by the monotonic clock: it was gone when the source was restored from a copy with its entry. */
@@ -204,9 +206,12 @@
 		return true;
 	}
 
-	/** Lists the current incarnations of a service that are leaving. */
-	listLeaving(service: ServiceName): BackendServerId[] {
-		return this.#leaving.list().filter(id => this.#incarnations.get(id)?.server.service === service);
+	/** Lists the current incarnations of a service that are leaving although their entries do not say so: other nodes cannot know it from the source. */
+	listLeavingUnannounced(service: ServiceName): BackendServerId[] {
+		return this.#leaving.list().filter(id => {
+			const known = this.#incarnations.get(id);
+			return known?.server.service === service && !known.isLeavingByEntry;
+		});
 	}
 
 	/** Returns all servers for a node that knows an earlier revision; undefined when it is up to date. */
@@ -330,7 +335,9 @@
 
 		const isLeaving = this.#leaving.has(server.id);
 		const doubtfulUntil = this.#findDoubt(server, known, isRestored);
-		this.#put({server: {...server, isLeaving}, isOverwritten: false, doubtfulUntil});
+		this.#put({
+			server: {...server, isLeaving}, isOverwritten: false, isLeavingByEntry: server.isLeaving, doubtfulUntil,
+		});
 		if (doubtfulUntil !== undefined) {
 			this.#logDoubtful(server, origin, 'the restored source still has the entry of a backend server that has gone');
 			return true;
--- a/test/server-incarnations.test.ts
+++ b/test/server-incarnations.test.ts
@@ -347,12 +347,15 @@
 	expect(state.markServerLeaving(entry.id, 'answer')).toBe(false);
 	state.applyServerList({items: [entry], revision: 3}, 'source');
 	expect(listIds(state)).toEqual([]);
-	expect(state.listLeavingServers(app)).toEqual([entry.id]);
+	expect(state.listLeavingUnannounced(app)).toEqual([entry.id]);
 	state.applyServerChanges([{name: entry.name, item: undefined}], 4, 'source');
-	expect(state.listLeavingServers(app)).toEqual([]);
+	expect(state.listLeavingUnannounced(app)).toEqual([]);
 	state.applyServerChanges([createChange({...entry, entryRevision: 5})], 5, 'source');
 	expect(listIds(state)).toEqual([]);
-	state.applyServerChanges([createChange(secondIncarnation)], 6, 'source');
+	expect(state.listLeavingUnannounced(app)).toEqual([entry.id]);
+	state.applyServerChanges([createChange({...entry, entryRevision: 6, isLeaving: true})], 6, 'source');
+	expect(state.listLeavingUnannounced(app)).toEqual([]);
+	state.applyServerChanges([createChange({...secondIncarnation, entryRevision: 7})], 7, 'source');
 	expect(listIds(state)).toEqual([secondIncarnation.id]);
 });
 
