feat(gateway): place long prompts only once nine in ten nodes have reported their plans

Callers saw first events one to two seconds late for seconds after a change of the scheduling node. The successor got requests before the other nodes had handed over what they run: its log shows 3 and 11 of 35 plans in progress when it placed prompts of 381,000, 397,000 and 292,000 tokens on up to eight servers that decoded thirty streams.

A new scheduling node now counts the nodes whose running plans it knows, from adoptions and from the lists of plans, and treats the others as unseen. Nodes hand over within 25 ms of a change of their peers instead of at their next request, and nodes that run nothing say so in a datagram.

--- a/src/gateway/scheduling/fleet-placer.ts
+++ b/src/gateway/scheduling/fleet-placer.ts
@@ -11,8 +11,8 @@
 	type BackendServerId, type BoxId, type Clock, type Failure, type IdSource, type Logger, type PlanId, type ServiceName, type Timer,
 } from '../../common/index.js';
 import {
-	isFirstAttempt, Planner, RestingServers,
-	type Decision, type Plan, type PlanEvent, type PlanRequest, type RetryAllowance, type RetryLimits, type RestingServer, type RetryRequest, type PlannedServerStatus,
+	isFirstAttempt, PlanHandover, Planner, RestingServers,
+	type Decision, type FleetVisibility, type Plan, type PlanEvent, type PlanRequest, type RetryAllowance, type RetryLimits, type RestingServer, type RetryRequest, type PlannedServerStatus,
 } from '../../planning/index.js';
 import type {EngineProfile, FleetState} from '../../routing/index.js';
 import type {GatewayMetrics} from '../gateway-metrics.js';
@@ -49,6 +49,9 @@
 /** Time between two lists of the running plans of a node, in milliseconds. */
 const reconcileInterval = 1000;
 
+/** Delay after a change of the peers before plans are handed over to a changed scheduling node, in milliseconds: while a fleet starts, the selection changes with each discovered node. */
+const handoverDelay = 25;
+
 /** Number of empty lists sent after the last plan has ended, as any of them may be lost. Idle nodes send nothing after that. */
 const emptyListRepeats = 3;
 
@@ -78,6 +81,10 @@
 	scheduler: Pick<Peer, 'name' | 'life'> | undefined;
 	/** Whether that node may lack the running plans and retries of this one. */
 	isAdoptionPending: boolean;
+	/** Whether this node has placed a request: before, it has nothing to hand over. */
+	isUsed: boolean;
+	/** Nodes whose running plans are known here. */
+	handover: PlanHandover;
 	pendingEvents: PlanEvent[];
 	crashes: ReplicatedCrashes;
 	limits: ReplicatedLimits;
@@ -112,6 +119,7 @@
 	readonly #retries: DistributedRetryBudget;
 	readonly #updates: PlanUpdateSender;
 	#reconciledAt = 0;
+	#handoverTimer: Timer | undefined;
 
 	constructor(parts: FleetPlacerParts) {
 		super();
@@ -127,6 +135,12 @@
 		parts.state.addListener(() => {
 			this.#refreshServers();
 		});
+		parts.peers.addChangeListener(() => {
+			this.#handoverTimer ??= parts.clock.setTimer(handoverDelay, () => {
+				this.#handoverTimer = undefined;
+				this.#changeSchedulers();
+			});
+		});
 		parts.peers.addLostListener(peer => {
 			for (const {planner} of this.#services.values()) {
 				planner.releaseNode(peer.name, parts.clock.readMonotonic());
@@ -223,7 +237,7 @@
 	applyPlanUpdate({
 		service, node, notes, active, crashRecords = [], limits = [], leaving = [],
 	}: PlanUpdate): void {
-		const {planner, crashes, limits: replicatedLimits, leaving: leavingNotices} = this.#findPlans(service);
+		const {planner, crashes, limits: replicatedLimits, leaving: leavingNotices, handover} = this.#findPlans(service);
 		leavingNotices.merge(leaving, node);
 		for (const limit of limits) {
 			replicatedLimits.merge(limit, node);
@@ -237,6 +251,11 @@
 			}
 		}
 
+		const life = this.#parts.peers.findLive(node)?.life;
+		if (active !== undefined && life !== undefined && planner.hasPlans(active)) {
+			handover.record(life);
+		}
+
 		const forgotten = active === undefined ? 0 : planner.reconcile(node, new Set(active), this.#parts.clock.readMonotonic());
 		if (forgotten > 0) {
 			this.#parts.logger.info({
@@ -250,9 +269,10 @@
 		service, plans, crashRecords, limits, history,
 	}: Adoption): void {
 		this.#retries.mergeHistory(service, history);
-		const {planner, crashes} = this.#findPlans(service);
+		const {planner, crashes, handover} = this.#findPlans(service);
 		const now = this.#parts.clock.readMonotonic();
 		planner.adopt(plans, now);
+		handover.record(history.life);
 		crashes.merge(crashRecords);
 		for (const limit of limits) {
 			planner.limits.update(limit, now);
@@ -268,8 +288,13 @@
 
 		this.#reconciledAt = now;
 		const self = this.#parts.self().name;
+		// Also for services without requests here: the scheduling node has to know that this node runs nothing.
+		for (const {name} of this.#parts.state.table?.config.services ?? []) {
+			this.#findPlans(name);
+		}
+
+		this.#changeSchedulers();
 		for (const [service, plans] of this.#services) {
-			this.#changeScheduler(service, plans, this.#schedulers.select(service));
 			const active = [...plans.ownPlans.keys()];
 			this.applyPlanUpdate({
 				service, node: self, notes: [], active,
@@ -349,14 +374,16 @@
 	}
 
 	#decideAsScheduler(request: PlanRequest): Either<Failure, Decision> {
-		const seen = this.#parts.peers.countLive() + 1;
+		const peers = this.#parts.peers.listLive();
+		const live = peers.length + 1;
+		const seen = this.#findPlans(request.service).handover.countKnown(peers) + 1;
 		const known = this.#retries.countKnown();
-		const limitShare = this.#schedulers.isPreferred(request.service) ? Math.min(1, seen / known) : fallbackLimitShare / known;
-		return this.#decideLocally(request, seen, limitShare);
+		const limitShare = this.#schedulers.isPreferred(request.service) ? Math.min(1, live / known) : fallbackLimitShare / known;
+		return this.#decideLocally(request, {seen, known, live}, limitShare);
 	}
 
-	/** Decides from the plans known here: those of `seen` nodes that ask this one, itself included. */
-	#decideLocally(request: PlanRequest, seen: number, limitShare = fallbackLimitShare / this.#retries.countKnown()): Either<Failure, Decision> {
+	/** Decides from the plans known here: those of the nodes that have reported them, this one included. */
+	#decideLocally(request: PlanRequest, visibility: FleetVisibility, limitShare: number): Either<Failure, Decision> {
 		const {planner} = this.#findPlans(request.service);
 		const now = this.#parts.clock.readMonotonic();
 		if (isFirstAttempt(request)) {
@@ -364,7 +391,6 @@
 		}
 
 		const {logger, state} = this.#parts;
-		const visibility = {seen, known: this.#retries.countKnown()};
 		const decided = planner.decide(request, now, visibility, limitShare);
 		logDecision(logger, request, decided, {
 			inProgress: planner.planCount, configVersion: state.configVersion, serversRevision: state.serversRevision, ...visibility,
@@ -376,6 +402,8 @@
 		const plans = this.#findPlans(request.service);
 		const self = this.#parts.self();
 		const scheduler = this.#schedulers.select(request.service);
+		plans.isAdoptionPending ||= !plans.isUsed;
+		plans.isUsed = true;
 		this.#changeScheduler(request.service, plans, scheduler);
 		if (scheduler.name === self.name) {
 			return {decidedBy: 'self', result: this.#decideAsScheduler(request)};
@@ -401,13 +429,24 @@
 		this.#parts.logger.warn({
 			event: 'decider_passed_over', request: request.requestId, node: scheduler.name, reason: isMissingServers ? 'it knows no server' : `no answer within ${decisionTimeout} ms`,
 		}, 'bypassed the scheduling node; this node schedules by itself');
-		return {decidedBy: 'fallback', result: this.#decideLocally(request, 1)};
+		const known = this.#retries.countKnown();
+		return {decidedBy: 'fallback', result: this.#decideLocally(request, {seen: 1, known}, fallbackLimitShare / known)};
+	}
+
+	#changeSchedulers(): void {
+		for (const [service, plans] of this.#services) {
+			this.#changeScheduler(service, plans, this.#schedulers.select(service));
+		}
 	}
 
 	/** Hands running plans and retry history over to a new or restarted scheduling node. */
 	#changeScheduler(service: ServiceName, plans: ServicePlans, scheduler: Peer): void {
 		const isChanged = plans.scheduler?.life !== scheduler.life;
 		if (isChanged) {
+			if (plans.scheduler?.name === this.#parts.self().name) {
+				plans.handover.reset();
+			}
+
 			this.#parts.logger.info({
 				event: 'decider_changed', service, from: plans.scheduler?.name, to: scheduler.name, own: plans.ownPlans.size,
 			}, 'the scheduling node of a service changed');
@@ -415,7 +454,9 @@
 			plans.emptyListsLeft = emptyListRepeats;
 		}
 
-		if (isChanged || plans.isAdoptionPending) {
+		if (isChanged && !plans.isUsed) {
+			this.#updates.sendToNode(scheduler.name, service, {active: []});
+		} else if (isChanged || plans.isAdoptionPending) {
 			void this.#sendAdoption(service, plans, scheduler);
 		}
 	}
@@ -479,6 +520,8 @@
 			ownPlans: new Map(),
 			scheduler: undefined,
 			isAdoptionPending: false,
+			isUsed: false,
+			handover: new PlanHandover(),
 			pendingEvents: [],
 			crashes: new ReplicatedCrashes(parts),
 			limits: new ReplicatedLimits(parts),
--- a/src/planning/fleet-visibility.ts
+++ b/src/planning/fleet-visibility.ts
@@ -10,8 +10,11 @@
 import type {ServerLoad} from './server-load.js';
 import {compareServers, type ServerGroups} from './server-partition.js';
 
-/** Number of nodes whose plans a scheduling node sees, including its own, and number of nodes that it knows of. A node that decides because no other one answers sees only its own plans. */
-export type FleetVisibility = {seen: number; known: number};
+/**
+ * Number of nodes whose plans a scheduling node sees, including its own, and number of nodes that it knows of; `live` counts those that are alive
+ * and will report their plans shortly. A node that decides because no other one answers sees only its own plans.
+ */
+export type FleetVisibility = {seen: number; known: number; live?: number};
 
 /** Visibility of a node that decides for the whole fleet. */
 export const fullVisibility: FleetVisibility = {seen: 1, known: 1};
@@ -19,10 +22,13 @@
 /** Share of the fleet below which visibility is limited: other nodes place most requests. */
 const minVisibleShare = 0.5;
 
+/** Share of the live nodes whose plans must be known before a prompt that needs several servers is prefilled: one node in ten may run a tenth of the streams. */
+const minReportedShare = 0.9;
+
 /** Share of the servers that prefill long prompts while visibility is limited. A third earned more in replays than a half, two thirds or no division. */
 const longPromptShare = 1 / 3;
 
-/** Maximum time for which long prompts wait after visibility became limited, in milliseconds, and the time without such a decision after which the wait starts anew: 77 nodes that start together discover each other in about this time. */
+/** Maximum time for which long prompts wait after plans became unknown, in milliseconds, and the time without such a decision after which the wait starts anew: 77 nodes that start together discover each other in about this time. */
 const maxWait = 1000;
 
 /** Share of its objective above which prefill by one server is too slow to start while visibility is limited: it needs several servers, and their load is unknown. */
@@ -36,6 +42,7 @@
 	#limitedSince = -Infinity;
 	#updatedAt = -Infinity;
 	#isLimited = false;
+	#isIncomplete = false;
 
 	/** Whether other nodes place most requests. */
 	get isLimited(): boolean {
@@ -43,9 +50,10 @@
 	}
 
 	/** Updates the visibility; called for each request. */
-	update({seen, known}: FleetVisibility, now: number): void {
+	update({seen, known, live = 0}: FleetVisibility, now: number): void {
 		this.#isLimited = seen < known * minVisibleShare;
-		if (!this.#isLimited) {
+		this.#isIncomplete = this.#isLimited || seen < live * minReportedShare;
+		if (!this.#isIncomplete) {
 			return;
 		}
 
@@ -58,7 +66,7 @@
 
 	/** Whether a long prompt waits until the node sees more of the fleet. The wait is bounded, since a node may stay alone. */
 	shouldWait({objective}: PlanRequest, prefillTime: number, now: number): boolean {
-		return this.#isLimited && now - this.#limitedSince < maxWait && prefillTime > objective * slowPrefillShare;
+		return this.#isIncomplete && now - this.#limitedSince < maxWait && prefillTime > objective * slowPrefillShare;
 	}
 }
 
--- a/src/planning/index.ts
+++ b/src/planning/index.ts
@@ -3,6 +3,7 @@
 export * from './engine-model.js';
 export * from './fleet-retry-budget.js';
 export * from './fleet-visibility.js';
+export * from './plan-handover.js';
 export * from './plan.js';
 export * from './planner.js';
 export * from './prefill-demand.js';
--- a/src/planning/planner.ts
+++ b/src/planning/planner.ts
@@ -105,6 +105,11 @@
 		return this.#plans.size;
 	}
 
+	/** Whether all of these plans are in progress here. */
+	hasPlans(planIds: PlanId[]): boolean {
+		return planIds.every(planId => this.#plans.has(planId));
+	}
+
 	/** Short requests in progress. */
 	get shortCount(): number {
 		return this.#partition.shortCount;
