feat(planning): servers of an overdue prefill are not free before its first event

Callers of short prompts waited a second for servers that had counted as free: a prompt of 381,000 tokens took 3.5 s where 2.7 s were predicted, and at the predicted end its six servers got the next prompts of the burst.

A long prefill now occupies its servers until its first event is reported, for at most twice its predicted time, and is expected to take a fifth of its delay in addition.

--- a/src/planning/server-load.ts
+++ b/src/planning/server-load.ts
@@ -48,9 +48,28 @@
 	return hasStarted && isHelper && heldTokens === 0;
 }
 
-/** Whether its prompt is still being prefilled, according to the plan. */
-function isPrefilling({hasStarted, prefillEnd}: Task, now: number): boolean {
-	return !hasStarted && prefillEnd > now;
+/**
+ * Share of the time by which a long prefill is overdue that it is expected to take in addition.
+ *
+ * Load pattern: a prompt of 381,000 tokens is prefilled by six servers and takes a second longer than predicted. Servers that count as free at the
+ * predicted end get the next prompts of a burst, all of which wait for that second.
+ */
+const overdueExtension = 0.2;
+
+/** Minimum time that an overdue prefill is expected to take in addition, in milliseconds: the report of its first event takes some of it. */
+const minOverdueExtension = 1;
+
+/** Share of its predicted time by which a long prefill may be overdue before it counts as ended: the report of its first event may be lost. */
+const maxOverdueShare = 1;
+
+/** Whether its prompt is still being prefilled. A long prefill that is overdue goes on until its first event is seen. */
+function isPrefilling({hasStarted, isLong, prefillEnd, prefillTime}: Task, now: number): boolean {
+	return !hasStarted && prefillEnd + (isLong ? prefillTime * maxOverdueShare : 0) > now;
+}
+
+/** When the prefill of a task is expected to end; later than planned when it is overdue. */
+function findPrefillEnd({prefillEnd}: Task, now: number): number {
+	return prefillEnd > now ? prefillEnd : now + Math.max(minOverdueExtension, (now - prefillEnd) * overdueExtension);
 }
 
 /** Sums over the tasks of a server, cached until they change. */
@@ -127,8 +146,8 @@
 	/** Remaining prefill time, of short and long prompts. */
 	computePendingPrefill(now: number): number {
 		let sum = 0;
-		for (const {prefillTime, prefillEnd} of this.#listPrefilling(now)) {
-			sum += Math.min(prefillTime, prefillEnd - now);
+		for (const task of this.#listPrefilling(now)) {
+			sum += Math.min(task.prefillTime, findPrefillEnd(task, now) - now);
 		}
 
 		return sum;
@@ -137,9 +156,9 @@
 	/** When the last long prefill here is expected to end; now, when there is none. */
 	findLongPrefillEnd(now: number): number {
 		let end = now;
-		for (const {isLong, prefillEnd} of this.#listPrefilling(now)) {
-			if (isLong) {
-				end = Math.max(end, prefillEnd);
+		for (const task of this.#listPrefilling(now)) {
+			if (task.isLong) {
+				end = Math.max(end, findPrefillEnd(task, now));
 			}
 		}
 
