feat(planning): long prefills are charged for the short prompts that arrive meanwhile

Callers of thirty short prompts were late at once: a prompt of 276,000 tokens that was late already was prefilled by eight of ten servers for 1.1 s in a burst of 30 short prompts a second. Its price counted the streams that paused and the long prompts that waited, and no short prompt waits when it starts.

The planner now forecasts the short prompts of the next second from those of the last two, and charges those that find no room on the other servers.

--- a/src/planning/index.ts
+++ b/src/planning/index.ts
@@ -14,4 +14,5 @@
 export * from './server-load.js';
 export * from './server-health.js';
 export * from './server-limits.js';
+export * from './short-demand.js';
 export * from './retry-histories.js';
--- a/src/planning/planner.ts
+++ b/src/planning/planner.ts
@@ -402,6 +402,7 @@
 			return this.#planLong(request, [...new Set([...groups.forLong, ...groups.forShort])], engine, now);
 		}
 
+		this.#scheduler.recordShort(request, now);
 		return this.#planShort(request, groups, engine, now);
 	}
 
--- a/src/planning/prefill-options.ts
+++ b/src/planning/prefill-options.ts
@@ -11,6 +11,7 @@
 import type {PlannedPause, PlanRequest} from './plan.js';
 import {maxPrefillServers, type PrefillDemand} from './prefill-demand.js';
 import type {ServerLoad} from './server-load.js';
+import {estimateOverflowLoss, type ShortForecast} from './short-demand.js';
 
 /** Part of the accepted pause that a prefill leaves unused, in milliseconds: for a short prefill beside it and the transit of an event. */
 export const pauseMargin = 40;
@@ -54,6 +55,8 @@
 	waitingLoss: number;
 	/** Share by which a prefill may be longer than predicted. */
 	overrun: number;
+	/** Short requests that are expected while the prefill runs; undefined without any. */
+	shortForecast?: ShortForecast;
 	now: number;
 };
 
@@ -72,7 +75,7 @@
 		}
 
 		for (const chosen of listCandidateSets(byTime, count, context)) {
-			const option = evaluateOption(chosen, context, timePrice);
+			const option = evaluateOption(chosen, byTime, context, timePrice);
 			if (option.value > (best?.value ?? 0)) {
 				best = option;
 			}
@@ -105,7 +108,8 @@
 	return unaffected.length === count ? [earliest, unaffected] : [earliest];
 }
 
-function evaluateOption(chosen: Candidate[], {request, engine}: PrefillContext, timePrice: number): PrefillOption {
+function evaluateOption(chosen: Candidate[], all: AvailableServer[], context: PrefillContext, timePrice: number): PrefillOption {
+	const {request, engine} = context;
 	const sharedTime = computePrefillTime(engine, request.promptTokens, chosen.length);
 	const wait = Math.max(...chosen.map(candidate => candidate.freeIn));
 	const prefillTime = sharedTime + Math.max(...chosen.map(candidate => candidate.load.computePassTime(engine, 0)));
@@ -115,13 +119,25 @@
 	const lossShare = valueShare > 0 ? findLossShare(request) : 0;
 	const fullObjective = Math.max(1, request.objective + request.waited);
 	const delayLoss = delayPenalty * valueShare * Math.min(1, finish / fullObjective);
-	const costs = stallLoss + (chosen.length * prefillTime * timePrice);
+	const costs = stallLoss + computeOverflowCost(chosen, all, prefillTime, context) + (chosen.length * prefillTime * timePrice);
 	return {
 		servers: chosen.map(candidate => candidate.load), wait, prefillTime, finish, stallLoss, pause: findWorstPause(chosen, engine, sharedTime),
 		value: (computeValue(request.promptTokens) * (valueShare - delayLoss + lossShare)) - costs,
 	};
 }
 
+/** What short requests that arrive during the prefill lose because its servers stall. */
+function computeOverflowCost(chosen: Candidate[], all: AvailableServer[], prefillTime: number, {engine, shortForecast}: PrefillContext): number {
+	if (shortForecast === undefined || prefillTime <= shortForecast.objective) {
+		return 0;
+	}
+
+	const stalled = new Set(chosen.map(({load}) => load));
+	const free = all.filter(({freeIn}) => freeIn <= shortForecast.objective).map(({load}) => load);
+	const remaining = free.filter(load => !stalled.has(load));
+	return estimateOverflowLoss(shortForecast, remaining, engine, prefillTime) - estimateOverflowLoss(shortForecast, free, engine, prefillTime);
+}
+
 function findWorstPause(chosen: Candidate[], engine: EngineProfile, sharedTime: number): PlannedPause | undefined {
 	const pauses = chosen.map(({load}) => load.computePause(engine, sharedTime)).filter(pause => pause !== undefined);
 	return findMin(pauses, ({length, bearable}) => bearable / length);
--- a/src/planning/prefill-scheduler.ts
+++ b/src/planning/prefill-scheduler.ts
@@ -17,6 +17,7 @@
 } from './prefill-options.js';
 import {divideMemory} from './prompt-memory.js';
 import type {ServerLoad} from './server-load.js';
+import {ShortDemand} from './short-demand.js';
 
 /** Maximum time before its servers are free at which a prefill is planned, in milliseconds: later plans know more, and a pass takes about this long. */
 const planningHorizon = 60;
@@ -57,6 +58,7 @@
 export class PrefillScheduler {
 	readonly #queue = new PrefillQueue();
 	readonly #demand = new PrefillDemand();
+	readonly #shortDemand = new ShortDemand();
 	readonly #overrun = new OverrunEstimator();
 
 	/** Number of queued prompts, including those whose callers have left but whose entries have not timed out. */
@@ -88,6 +90,11 @@
 		return Right(describePrefill(option, request, engine));
 	}
 
+	/** Records a short request: it needs servers that are not stalled by a long prefill. */
+	recordShort(request: PlanRequest, now: number): void {
+		this.#shortDemand.add(request, now);
+	}
+
 	/** Records a prefill's predicted and actual time from its planned start to its first event, in milliseconds. Returns the allowed overrun if it was exceeded. */
 	recordPrefill(predicted: number, took: number): number | undefined {
 		const allowed = this.#overrun.share;
@@ -113,7 +120,13 @@
 
 	#findOption(available: AvailableServer[], request: PlanRequest, engine: EngineProfile, now: number): PrefillOption | undefined {
 		return findBestOption(available, {
-			request, engine, demand: this.#demand, waitingLoss: this.#queue.computeWaitingLoss(request.requestId, now), overrun: this.#overrun.share, now,
+			request,
+			engine,
+			demand: this.#demand,
+			waitingLoss: this.#queue.computeWaitingLoss(request.requestId, now),
+			overrun: this.#overrun.share,
+			shortForecast: this.#shortDemand.summarise(engine, now),
+			now,
 		});
 	}
 
