feat(routing): evacuated availability zones

Where a node follows them, servers of evacuated zones are no longer listed or found as usable, and the node is usable only once it knows the set. The set travels in an optional field of each heartbeat, which earlier builds ignore.

An object of the store without a spec is no longer dropped: the name alone evacuates a zone.

--- a/src/cli/format-status.ts
+++ b/src/cli/format-status.ts
@@ -9,13 +9,14 @@
 /** Formats the status that a node returns. */
 export function formatStatus(status: NodeStatus): string {
 	const {
-		node, phase, isWatcher, isSourceOut, sources, calls, servers, services, nodes, omitted,
+		node, phase, isWatcher, isSourceOut, sources, calls, servers, evacuations = [], services, nodes, omitted,
 	} = status;
 	const lines = [
 		`${node.name} (life ${node.life}, ${node.availabilityZone}): ${phase}, ${calls} calls in progress`,
 		`configuration ${node.configVersion}, servers' revision ${formatRevision(node)}; ${servers.usable} servers take new work, ${servers.foreign} entries of other writers`,
 		`${isWatcher ? 'follows the store' : 'is told by other nodes'}${isSourceOut ? ', which does not answer' : ''}`,
 		...sources.map(source => formatSource(source)),
+		...evacuations.map(evacuation => formatEvacuation(evacuation)),
 		...services.flatMap(service => formatService(service)),
 		...omitted.services > 0 ? [`and ${omitted.services} more services`] : [],
 		`nodes: ${nodes.live} live of ${nodes.known} known`,
@@ -30,6 +31,11 @@
 	return `  ${items}: store heard ${heardByAny === undefined ? 'by no node yet' : `${heardByAny} ms ago by any node`}${here}`;
 }
 
+function formatEvacuation({zone, position, age, origin, keptFor}: NonNullable<NodeStatus['evacuations']>[number]): string {
+	const kept = keptFor === undefined ? '' : `; the restored store has lost it, kept for ${keptFor} ms`;
+	return `  zone ${zone} is being evacuated: known for ${age} ms, position ${formatPosition(position)}, from ${origin}${kept}`;
+}
+
 function formatService({
 	service, decider, plans, waiting, retries, usableServers, servers,
 }: ServiceWork): string[] {
--- a/src/gateway/node-status.ts
+++ b/src/gateway/node-status.ts
@@ -5,7 +5,7 @@
  * polling it cannot slow down the serving of calls.
  */
 import type {AvailabilityZone, BoxId, Clock} from '../common/index.js';
-import {followedKinds, type FleetState, type FollowedKind} from '../routing/index.js';
+import type {EvacuatedZone, FleetState, FollowedKind} from '../routing/index.js';
 import type {ServiceWork, FleetPlacer} from './scheduling/index.js';
 import type {Peer, Peers, PeerView} from './peers/index.js';
 
@@ -43,6 +43,8 @@
 	/** Calls in progress at this node. */
 	calls: number;
 	servers: {usable: number; foreign: number};
+	/** Evacuated zones; undefined where they are not followed, or not known yet. */
+	evacuations?: EvacuatedZone[];
 	services: ServiceWork[];
 	nodes: {live: number; known: number; listed: NodeSummary[]};
 	omitted: {services: number; nodes: number};
@@ -100,11 +102,12 @@
 			phase: isStopping() ? 'stopping' : (state.isUsable ? 'ready' : 'starting'),
 			isWatcher: isWatcher(),
 			isSourceOut: state.hasSourceOutage,
-			sources: followedKinds.map(items => ({
+			sources: state.followedKinds.map(items => ({
 				items, heardHere: isWatcher() ? state.sourceAgeTracker.measureLocalAge(items) : undefined, heardByAny: state.sourceAgeTracker.measureFleetAge(items),
 			})),
 			calls: countCalls(),
 			servers: {usable: state.usableServers, foreign: state.foreignCount},
+			evacuations: state.evacuations?.isKnown === true ? state.evacuations.list() : undefined,
 			services: this.#describeServices(services.slice(0, maxServices).map(service => service.name)),
 			nodes: {live: live.length + 1, known: peers.countKnown() + 1, listed: live.slice(0, maxNodes).map(peer => describePeer(peer, this.#views.get(peer.name)))},
 			omitted: {services: Math.max(0, services.length - maxServices), nodes: Math.max(0, live.length - maxNodes)},
--- a/src/gateway/peers/heartbeat.ts
+++ b/src/gateway/peers/heartbeat.ts
@@ -7,7 +7,7 @@
 import {Buffer} from 'node:buffer';
 import * as z from 'zod';
 import type {AvailabilityZone, BoxId} from '../../common/index.js';
-import type {SourceAges} from '../../routing/index.js';
+import type {EvacuationsSnapshot, SourceAges} from '../../routing/index.js';
 
 /** Description of a node; constant while its process runs. */
 export type PeerInfo = {
@@ -44,6 +44,8 @@
 	serversDigest: string;
 	/** Milliseconds since any node known to it received data from the source. */
 	sourceAges: SourceAges;
+	/** Its evacuated zones, where it follows them and knows them. */
+	evacuations?: EvacuationsSnapshot;
 };
 
 /** A node as known to other nodes. */
@@ -93,11 +95,16 @@
 	cores: z.number(),
 });
 
+// Position, the age of the last answer of the source about evacuations, and zones with position, age and the time for which they are kept.
+const evacuationsSchema = z.tuple([z.number(), z.number().nullable(), z.array(z.tuple([z.string(), z.number(), z.number(), z.number().nullable()]))]);
+
 const headSchema = z.object({
 	from: z.tuple([z.string().min(1).max(lifeBytes), z.int().min(0)]),
 	view: z.tuple([z.number(), z.number(), z.string()]),
 	// Source ages in milliseconds: configuration, then servers.
 	ages: z.tuple([z.number().nullable(), z.number().nullable()]).default([null, null]),
+	// Not sent by nodes that do not follow evacuations. Another build may use another form, which must not invalidate the heartbeat.
+	evacuations: z.unknown().optional(),
 	described: z.array(infoSchema).default([]),
 	wanted: z.array(z.string()).default([]),
 });
@@ -109,6 +116,7 @@
 		from: [heartbeat.from.life, encodeEntry(heartbeat.from)],
 		view: [view.configVersion, view.serversRevision, view.serversDigest],
 		ages: [view.sourceAges.configuration ?? null, view.sourceAges.servers ?? null],
+		evacuations: encodeEvacuations(view),
 		described: heartbeat.described.length === 0 ? undefined : heartbeat.described,
 		wanted: heartbeat.wanted.length === 0 ? undefined : heartbeat.wanted,
 	})}\n`);
@@ -135,6 +143,7 @@
 	const head = headSchema.parse(JSON.parse(bytes.toString('utf8', 0, headLength)));
 	const [configVersion, serversRevision, serversDigest] = head.view;
 	const [configuration, servers] = head.ages.map(age => age ?? undefined);
+	const evacuations = evacuationsSchema.safeParse(head.evacuations).data;
 	const others: GossipEntry[] = [];
 	for (let start = headLength + 1; start < bytes.length; start += entryBytes) {
 		others.push(decodeEntry(bytes.toString('latin1', start, start + lifeBytes).trimEnd(), bytes.readUInt16BE(start + lifeBytes)));
@@ -143,7 +152,7 @@
 	return {
 		from: decodeEntry(...head.from),
 		view: {
-			configVersion, serversRevision, serversDigest, sourceAges: {configuration, servers},
+			configVersion, serversRevision, serversDigest, sourceAges: {configuration, servers, ...decodeEvacuationsAge(evacuations)}, ...decodeEvacuations(evacuations),
 		},
 		others,
 		described: head.described as PeerInfo[],
@@ -151,6 +160,33 @@
 	};
 }
 
+function encodeEvacuations({evacuations, sourceAges}: PeerView): z.infer<typeof evacuationsSchema> | undefined {
+	return evacuations === undefined
+		? undefined
+		: [evacuations.revision, sourceAges.evacuations ?? null, evacuations.zones.map(({zone, position, age, keptFor}) => [zone, position, age, keptFor ?? null])];
+}
+
+function decodeEvacuationsAge(encoded: z.infer<typeof evacuationsSchema> | undefined): Pick<SourceAges, 'evacuations'> {
+	const age = encoded?.[1] ?? undefined;
+	return age === undefined ? {} : {evacuations: age};
+}
+
+function decodeEvacuations(encoded: z.infer<typeof evacuationsSchema> | undefined): Pick<PeerView, 'evacuations'> {
+	if (encoded === undefined) {
+		return {};
+	}
+
+	const [revision, , zones] = encoded;
+	return {
+		evacuations: {
+			revision,
+			zones: zones.map(([zone, position, age, keptFor]) => ({
+				zone: zone as AvailabilityZone, position, age, ...(keptFor !== null && {keptFor}),
+			})),
+		},
+	};
+}
+
 function encodeEntry(entry: GossipEntry): number {
 	const flags = (entry.isReady ? readyFlag : 0) + (entry.isSourceReachable ? reachableFlag : 0) + (entry.hearsSource ? sourceHeardFlag : 0);
 	return (Math.min(maxAgeUnits, Math.max(0, Math.round(entry.age / ageUnit))) * flagCombinations) + flags;
--- a/src/gateway/views/source-age-reporter.ts
+++ b/src/gateway/views/source-age-reporter.ts
@@ -1,6 +1,6 @@
 /** Reports the time since the source last answered, on every node, watcher or not. */
 import type {Logger} from '../../common/index.js';
-import {followedKinds, type FleetState, type FollowedKind} from '../../routing/index.js';
+import type {FleetState, FollowedKind} from '../../routing/index.js';
 import type {GatewayMetrics} from '../gateway-metrics.js';
 
 /** Age of the last answer to any node above which a warning is logged, in milliseconds: longer than a long poll, and than ages take to spread through the fleet. */
@@ -28,7 +28,7 @@
 	/** Updates metrics and logs; called at each heartbeat. */
 	tick(): void {
 		const {metrics, state, isWatcher} = this.#parts;
-		for (const kind of followedKinds) {
+		for (const kind of state.followedKinds) {
 			const nodeAge = isWatcher() ? state.sourceAgeTracker.measureLocalAge(kind) : undefined;
 			const fleetAge = state.sourceAgeTracker.measureFleetAge(kind);
 			metrics.setSourceAge(kind, 'node', nodeAge);
--- a/src/gateway/views/view-exchange.ts
+++ b/src/gateway/views/view-exchange.ts
@@ -7,7 +7,7 @@
 	readErrorMessage, type BoxId, type Clock, type Logger,
 } from '../../common/index.js';
 import {
-	followedKinds, readEra, type ConfigChanges, type FleetState, type ServersSnapshot, type SourceHealth,
+	readEra, type ConfigChanges, type FleetState, type ServersSnapshot, type SourceHealth,
 } from '../../routing/index.js';
 import {parsePacked, type PackedText} from '../../rpc/packed-text.js';
 import {computeDigest} from '../digest.js';
@@ -60,7 +60,7 @@
 	readonly #serversFetcher: ViewFetcher;
 	readonly #configFetcher: ViewFetcher;
 	readonly #lag = new ConfigLag();
-	#cachedView: Omit<PeerView, 'sourceAges'> | undefined;
+	#cachedView: Omit<PeerView, 'sourceAges' | 'evacuations'> | undefined;
 	#loggedVersion = 0;
 	#isWatcher: boolean;
 	/** When this node last became a watcher, by the monotonic clock. */
@@ -106,7 +106,7 @@
 		const {state, clock} = this.#parts;
 		const oldest = Math.min(maxAnswerAge, clock.readMonotonic() - this.#watchingSince);
 		return this.#isWatcher && state.isSourceReachable
-			&& followedKinds.every(kind => (state.sourceAgeTracker.measureLocalAge(kind) ?? Infinity) < oldest);
+			&& state.followedKinds.every(kind => (state.sourceAgeTracker.measureLocalAge(kind) ?? Infinity) < oldest);
 	}
 
 	get #isPastRestartDelay(): boolean {
@@ -125,7 +125,8 @@
 			serversRevision: state.serversRevision,
 			serversDigest: computeDigest(state.describeServers(), digestLength),
 		};
-		return {...this.#cachedView, sourceAges: state.sourceAgeTracker.measureFleetAges()};
+		const evacuations = state.evacuations?.takeSnapshot();
+		return {...this.#cachedView, sourceAges: state.sourceAgeTracker.measureFleetAges(), ...(evacuations !== undefined && {evacuations})};
 	}
 
 	/** Chooses the watchers again when the peers, the source's reachability or the minimum watch time have changed. */
@@ -166,6 +167,10 @@
 		const minInterval = this.#isFirstStartWaiting ? firstStartMinInterval : undefined;
 		this.#lag.observe(view.configVersion, this.#parts.clock.readMonotonic());
 		this.#parts.state.sourceAgeTracker.mergeAges(view.sourceAges);
+		if (view.evacuations !== undefined) {
+			this.#parts.state.evacuations?.applySnapshot(view.evacuations, `node ${peer.name}`);
+		}
+
 		this.#serversFetcher.observe(peer, view, minInterval);
 		this.#configFetcher.observe(peer, view, minInterval);
 	}
--- a/src/routing/fleet-source.ts
+++ b/src/routing/fleet-source.ts
@@ -1,6 +1,6 @@
 /** The interface to the external store that provides the configuration and the backend servers. */
 import type {Either} from 'purify-ts';
-import type {BackendServer, RoutingConfig} from './model.js';
+import type {BackendServer, RoutingConfig, ZoneEvacuation} from './model.js';
 
 /** Why a call to the source failed. */
 export type SourceFailure = {
@@ -67,6 +67,8 @@
 export abstract class FleetSource {
 	abstract readonly configurations: ItemSource<RoutingConfig>;
 	abstract readonly servers: ItemSource<BackendServer>;
+	/** Followed only where the settings ask for it. */
+	abstract readonly evacuations: ItemSource<ZoneEvacuation>;
 
 	/** Registers a node, replacing an existing entry of that name. */
 	abstract register(node: NodeRegistration, call: SourceCall): Promise<Either<SourceFailure, void>>;
--- a/src/routing/fleet-state.ts
+++ b/src/routing/fleet-state.ts
@@ -5,7 +5,7 @@
  */
 import {Left, Right, type Either} from 'purify-ts';
 import {
-	createFailure, type BackendServerId, type Clock, type Failure, type Logger, type ServiceName,
+	createFailure, type AvailabilityZone, type BackendServerId, type Clock, type Failure, type Logger, type ServiceName,
 } from '../common/index.js';
 import type {ConfigChanges} from './config-changes.js';
 import {ConfigHistory} from './config-history.js';
@@ -15,7 +15,8 @@
 } from './model.js';
 import {chooseService, RouteTable} from './route-table.js';
 import {ServerView, type ServersSnapshot} from './server-view.js';
-import {followedKinds, SourceAgeTracker, type FollowedKind} from './source-ages.js';
+import {listFollowedKinds, SourceAgeTracker, type FollowedKind} from './source-ages.js';
+import {ZoneEvacuations} from './zone-evacuations.js';
 
 /**
  * How long a node counts as disconnected from the source after a failed call, in milliseconds; then it may be assigned to follow again.
@@ -37,6 +38,10 @@
 export class FleetState {
 	/** When the source last answered this node, and any node. */
 	readonly sourceAgeTracker: SourceAgeTracker;
+	/** The evacuated zones; undefined where the settings do not ask to follow them. */
+	readonly evacuations: ZoneEvacuations | undefined;
+	/** Kinds of items that this node follows. */
+	readonly followedKinds: readonly FollowedKind[];
 	readonly #clock: Clock;
 	readonly #logger: Logger;
 	readonly #servers: ServerView;
@@ -48,7 +53,8 @@
 	#table: RouteTable | undefined;
 	#fleetSize = Infinity;
 
-	constructor(clock: Clock, logger: Logger) {
+	constructor(clock: Clock, logger: Logger, {followsEvacuations = false}: {followsEvacuations?: boolean} = {}) {
+		this.followedKinds = listFollowedKinds(followsEvacuations);
 		this.sourceAgeTracker = new SourceAgeTracker(clock);
 		this.#clock = clock;
 		this.#logger = logger;
@@ -64,6 +70,15 @@
 				}
 			},
 		});
+		this.evacuations = followsEvacuations
+			? new ZoneEvacuations({
+				clock,
+				logger,
+				onChange: () => {
+					this.#notify();
+				},
+			})
+			: undefined;
 	}
 
 	/** The current configuration; undefined until one was received. */
@@ -83,7 +98,12 @@
 
 	/** Number of servers that accept new requests. */
 	get usableServers(): number {
-		return this.#servers.usableCount;
+		if (this.evacuations === undefined || this.evacuations.list().length === 0) {
+			return this.#servers.usableCount;
+		}
+
+		const services = this.#table?.config.services ?? [];
+		return services.reduce((sum, {name}) => sum + this.listServers(name).length, 0);
 	}
 
 	/** Number of foreign entries among those of servers. */
@@ -96,7 +116,7 @@
 		const now = this.#clock.readMonotonic();
 		const retention = Math.min(outageRetention.max, Math.max(outageRetention.min, this.#fleetSize * outageRetention.perNode));
 		const lastFailureAt = Math.max(-Infinity, ...this.#outages.values());
-		const hasAnsweredSince = followedKinds.every(kind => now - (this.sourceAgeTracker.measureFleetAge(kind) ?? Infinity) > lastFailureAt);
+		const hasAnsweredSince = this.followedKinds.every(kind => now - (this.sourceAgeTracker.measureFleetAge(kind) ?? Infinity) > lastFailureAt);
 		const isDisconnected = now - lastFailureAt < (hasAnsweredSince ? outageRetention.min : retention);
 		return !isDisconnected && this.#servers.revision > 0;
 	}
@@ -106,9 +126,9 @@
 		this.#fleetSize = size;
 	}
 
-	/** Whether calls can be served: a configuration and servers are known, from the source or from another node. */
+	/** Whether calls can be served: a configuration, servers and, where they are followed, evacuations are known, from the source or from another node. */
 	get isUsable(): boolean {
-		return this.#table !== undefined && (this.#servers.revision > 0 || this.#servers.size > 0);
+		return this.#table !== undefined && (this.#servers.revision > 0 || this.#servers.size > 0) && this.#knowsEvacuations;
 	}
 
 	/** Whether the last call to the source failed, for servers or for the configuration. */
@@ -202,14 +222,32 @@
 		}
 	}
 
-	/** Lists the servers of a service that accept new requests. */
+	/** Lists the servers of a service that accept new requests and are in no evacuated zone. */
 	listServers(service: ServiceName): BackendServer[] {
-		return this.#servers.list(service);
+		const servers = this.#servers.list(service);
+		return this.evacuations === undefined ? servers : servers.filter(server => !this.#isEvacuated(server));
 	}
 
-	/** Finds an incarnation of a server that accepts new requests. */
+	/** Finds an incarnation of a server that accepts new requests and is in no evacuated zone. */
 	findUsableServer(id: BackendServerId): BackendServer | undefined {
-		return this.#servers.findUsableIncarnation(id);
+		const server = this.#servers.findUsableIncarnation(id);
+		return server === undefined || this.#isEvacuated(server) ? undefined : server;
+	}
+
+	/** Finds the evacuated zone because of which an incarnation gets no new requests; undefined when it gets some, or none for another reason. */
+	findEvacuatedZone(id: BackendServerId): AvailabilityZone | undefined {
+		const server = this.#servers.findUsableIncarnation(id);
+		return server !== undefined && this.#isEvacuated(server) ? server.availabilityZone : undefined;
+	}
+
+	/** Lists the evacuated zones in which a service has servers that are left out. */
+	listEvacuatedZones(service: ServiceName): AvailabilityZone[] {
+		if (this.evacuations === undefined || this.evacuations.list().length === 0) {
+			return [];
+		}
+
+		const evacuated = this.#servers.list(service).filter(server => this.#isEvacuated(server));
+		return [...new Set(evacuated.map(server => server.availabilityZone))].sort();
 	}
 
 	/** Marks an incarnation of a server as leaving for the rest of its life; returns whether that is new. */
@@ -234,6 +272,10 @@
 			return Left(createFailure('node_not_ready', 'this node has no configuration yet; use another address'));
 		}
 
+		if (!this.#knowsEvacuations) {
+			return Left(createFailure('node_not_ready', 'this node does not know the evacuated zones yet; use another address'));
+		}
+
 		const route = table.findRoute(host, target.split('?', 1)[0]);
 		if (route === undefined) {
 			return Left(createFailure('unknown_path', `no route for host ${host} begins this path`));
@@ -255,6 +297,14 @@
 		});
 	}
 
+	get #knowsEvacuations(): boolean {
+		return this.evacuations?.isKnown ?? true;
+	}
+
+	#isEvacuated({availabilityZone}: BackendServer): boolean {
+		return this.evacuations?.has(availabilityZone) ?? false;
+	}
+
 	#notify(): void {
 		for (const listener of this.#listeners) {
 			listener();
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -8,3 +8,4 @@
 export * from './source-ages.js';
 export * from './source-health.js';
 export * from './source-position.js';
+export * from './zone-evacuations.js';
--- a/src/routing/model.ts
+++ b/src/routing/model.ts
@@ -91,6 +91,13 @@
 	limits: CallerLimits;
 };
 
+/** An availability zone whose servers get no new requests while its entry exists. */
+export type ZoneEvacuation = {
+	zone: AvailabilityZone;
+	/** Position of the write of its entry. */
+	position: number;
+};
+
 /** One incarnation of a backend server: from its start until it stops or restarts. */
 export type BackendServer = {
 	/** Id of this incarnation; for placement each incarnation is a separate server. */
--- a/src/routing/source-ages.ts
+++ b/src/routing/source-ages.ts
@@ -5,14 +5,19 @@
  */
 import type {Clock} from '../common/index.js';
 
-/** Kinds of items that are followed at the source. */
-export const followedKinds = ['configuration', 'servers'] as const;
+/** Kinds of items that every deployment follows at the source. */
+const commonKinds = ['configuration', 'servers'] as const;
 
 /** One kind of followed items. */
-export type FollowedKind = typeof followedKinds[number];
+export type FollowedKind = typeof commonKinds[number] | 'evacuations';
+
+/** Lists the kinds of items that a node follows. */
+export function listFollowedKinds(followsEvacuations: boolean): FollowedKind[] {
+	return followsEvacuations ? [...commonKinds, 'evacuations'] : [...commonKinds];
+}
 
 /** Milliseconds since the source last answered any node, by kind; undefined if it never has. */
-export type SourceAges = Record<FollowedKind, number | undefined>;
+export type SourceAges = Record<typeof commonKinds[number], number | undefined> & {evacuations?: number};
 
 /** Tracks when the source last answered. */
 export class SourceAgeTracker {
@@ -35,7 +40,7 @@
 	/** Merges the ages received from another node. */
 	mergeAges(ages: SourceAges): void {
 		const now = this.#clock.readMonotonic();
-		for (const kind of followedKinds) {
+		for (const kind of listFollowedKinds(true)) {
 			const age = ages[kind];
 			if (age !== undefined) {
 				this.#fleet.set(kind, Math.max(this.#fleet.get(kind) ?? -Infinity, now - Math.max(0, age)));
@@ -55,7 +60,10 @@
 
 	/** Measures the fleet's ages of all kinds, to be sent to other nodes. */
 	measureFleetAges(): SourceAges {
-		return {configuration: this.measureFleetAge('configuration'), servers: this.measureFleetAge('servers')};
+		const evacuations = this.measureFleetAge('evacuations');
+		return {
+			configuration: this.measureFleetAge('configuration'), servers: this.measureFleetAge('servers'), ...(evacuations !== undefined && {evacuations}),
+		};
 	}
 
 	#measure(at: number | undefined): number | undefined {
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -99,6 +99,21 @@
 	expect(() => decode({...serverSpec, state: 'asleep'})).toThrow('state');
 });
 
+// Guards against an evacuation that is not seen because its object is not as expected: the name alone counts.
+test('an evacuation is named like its zone, whatever its spec holds', async () => {
+	for (const [name, spec] of Object.entries({
+		a: {}, b: {state: 5}, c: 'text', d: undefined,
+	})) {
+		store.put('evacuations', name, spec);
+	}
+
+	const listed = await source.evacuations.list(call);
+	expect(listed.unsafeCoerce()).toEqual({items: ['a', 'b', 'c', 'd'].map((zone, index) => ({zone, position: index + 1})), foreign: [], revision: 4});
+	store.remove('evacuations', 'b');
+	const followed = await source.evacuations.follow({revision: 3, wait: 10}, call);
+	expect(followed.unsafeCoerce().changes).toEqual([{name: 'd', item: {zone: 'd', position: 4}, revision: 4}, {name: 'b', item: undefined, revision: 2}]);
+});
+
 test('all pages of a list are read', async () => {
 	store.pageSize = 3;
 	for (let index = 0; index < 10; index++) {
