feat(calls): check the evacuated zones at each send

A plan may have been granted before its zone was evacuated, by a node that learned of it later, or may have waited for a memory reservation. The node that sends declines such a plan as not sent, so that the request goes elsewhere without a retry of the budget.

--- a/src/gateway/calls/call-service.ts
+++ b/src/gateway/calls/call-service.ts
@@ -110,6 +110,7 @@
 			placer: this.#parts.placer,
 			reservations: this.#parts.reservations,
 			findServer: id => this.#parts.state.findUsableServer(id),
+			findEvacuatedZone: id => this.#parts.state.findEvacuatedZone(id),
 			hasEnded: async id => this.#probe.hasEnded(id),
 			node: this.#parts.node,
 			availabilityZone: this.#parts.availabilityZone,
--- a/src/gateway/calls/live-attempt.ts
+++ b/src/gateway/calls/live-attempt.ts
@@ -4,7 +4,7 @@
  * Several may run at once: a silent server still runs the request and may answer before its hedge.
  */
 import type {
-	BackendServerId, Clock, Timer,
+	AvailabilityZone, BackendServerId, Clock, Timer,
 } from '../../common/index.js';
 import type {Plan} from '../../planning/index.js';
 import {findPriority, type BackendServer} from '../../routing/index.js';
@@ -26,6 +26,8 @@
 	reservations: Reservations;
 	/** Finds a server that accepts new requests by this node's own view. */
 	findServer: (id: BackendServerId) => BackendServer | undefined;
+	/** Finds the evacuated zone because of which a server gets no new requests by this node's own view. */
+	findEvacuatedZone?: (id: BackendServerId) => AvailabilityZone | undefined;
 };
 
 /** Callbacks from an attempt to its call. */
@@ -178,7 +180,7 @@
 		const server = findServer(plan.server);
 		const helpers = this.#findHelpers();
 		if (server === undefined || helpers === undefined) {
-			return {
+			return this.#findEvacuation(plan.helpers) ?? {
 				kind: 'declined', trouble: 'full', server: plan.server, reason: 'a server of the plan accepts no new requests',
 			};
 		}
@@ -191,7 +193,12 @@
 		}
 
 		try {
-			return this.#isStopped ? {kind: 'stopped', mayHaveRun: false} : this.#assignFault(await this.#exchange(server, lease.helpers));
+			if (this.#isStopped) {
+				return {kind: 'stopped', mayHaveRun: false};
+			}
+
+			// Reserving takes up to half a second, in which a zone may have been evacuated.
+			return this.#findEvacuation(helpers) ?? this.#assignFault(await this.#exchange(server, lease.helpers));
 		} finally {
 			lease.release();
 		}
@@ -259,6 +266,21 @@
 		return {hasBegun: hasData, quietFor: silentFor};
 	}
 
+	/** Declines the plan if its server or one of these helpers is in an evacuated zone; undefined otherwise. */
+	#findEvacuation(helpers: Array<{server: BackendServerId}>): Extract<AttemptOutcome, {kind: 'declined'}> | undefined {
+		const {plan, findEvacuatedZone} = this.#parts;
+		for (const server of [plan.server, ...helpers.map(helper => helper.server)]) {
+			const zone = findEvacuatedZone?.(server);
+			if (zone !== undefined) {
+				return {
+					kind: 'declined', trouble: 'full', server, reason: `availability zone ${zone} of the server is being evacuated`,
+				};
+			}
+		}
+
+		return undefined;
+	}
+
 	#findHelpers(): LocatedHelper[] | undefined {
 		const helpers = [];
 		for (const helper of this.#parts.plan.helpers) {
