feat(gateway): follow evacuations with the section [evacuations]

Watchers make one long poll more; without the section nothing is followed or sent. A refusal for lack of servers carries the evacuated zones, since an asking node that has not heard of them would bypass the scheduling node as one that knows no server. Decisions log the zones left out, and explain names them.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -10,7 +10,7 @@
 } from '../common/index.js';
 import type {PlanRequest, RetryRequest} from '../planning/index.js';
 import {
-	FleetState, Follower, followTiming, SourceHealth, type FleetSource, type RoutingConfig,
+	FleetState, Follower, followTiming, SourceHealth, type FleetSource, type FollowTiming, type RoutingConfig,
 } from '../routing/index.js';
 import type {PackedText} from '../rpc/packed-text.js';
 import {BackendPool, CallService, Reservations} from './calls/index.js';
@@ -53,6 +53,9 @@
 /** Interval between checks whether all calls have ended, in milliseconds. */
 const drainPollInterval = 50;
 
+/** Maximum share of the time within which an evacuation must take effect that a long poll for it waits: detection of a dead connection, a new call and the way to the other nodes need the rest. */
+const maxEvacuationWaitShare = 0.3;
+
 /** Length of an incarnation id, in characters: makes a collision among thousands improbable. */
 const incarnationLength = 6;
 
@@ -85,7 +88,7 @@
 		this.#parts = {...parts};
 		this.#addressLifetime = new AddressLifetime(clock, parts.settings.address_lifetime_seconds);
 		this.#incarnation = computeDigest(parts.ids.createUuid(), incarnationLength);
-		this.state = new FleetState(clock, logger);
+		this.state = new FleetState(clock, logger, {followsEvacuations: parts.settings.evacuations !== undefined});
 		this.#pool = new BackendPool(clock);
 		this.#clients = new PeerClients(clock, () => {
 			this.metrics.countAbandonedConnections('peer');
@@ -369,10 +372,35 @@
 				this.state.applyServerChanges(changes, revision, 'source');
 			},
 		}, {clock, logger, random}));
+		this.#followEvacuations(supervisor);
 		supervisor.addChild(this.#socket);
 		await supervisor.run(this.#supervisorStop.signal);
 	}
 
+	/** Follows the evacuated zones where the settings ask for it: each watcher makes one long poll more. */
+	#followEvacuations(supervisor: Supervisor): void {
+		const {settings, source, ...parts} = this.#parts;
+		const {evacuations} = this.state;
+		if (settings.evacuations === undefined || evacuations === undefined) {
+			return;
+		}
+
+		supervisor.addChild(new Follower({
+			name: 'evacuations',
+			timing: createEvacuationTiming(settings.evacuations.apply_within_ms),
+			health: this.#sourceHealth,
+			isAssigned: () => this.#views.mayQuerySource,
+			source: source.evacuations,
+			state: this.state,
+			onList(listing) {
+				evacuations.applyList(listing, 'source');
+			},
+			onChanges(changes) {
+				evacuations.applyChanges(changes, 'source');
+			},
+		}, parts));
+	}
+
 	#applyConfigs(configs: RoutingConfig[]): void {
 		for (const config of configs) {
 			this.state.applyConfig(config, 'source');
@@ -390,6 +418,10 @@
 		this.#sourceAgeReporter.tick();
 		this.metrics.setState('usable_servers', this.state.usableServers);
 		this.metrics.setState('foreign_servers', this.state.foreignCount);
+		if (this.state.evacuations !== undefined) {
+			this.metrics.setState('evacuated_zones', this.state.evacuations.list().length);
+		}
+
 		this.metrics.setState('calls', this.#calls.inProgress);
 	}
 
@@ -404,6 +436,11 @@
 	}
 }
 
+/** Timing for a change that must take effect within a time, in milliseconds: a connection that dies without a reset is detected when its wait is over. */
+function createEvacuationTiming(applyWithin: number): FollowTiming {
+	return {...followTiming, wait: Math.min(followTiming.wait, applyWithin * maxEvacuationWaitShare)};
+}
+
 /** Whether the settings list this node as a seed. */
 function isSeed(settings: GatewaySettings): boolean {
 	return settings.seeds.some(seed => seed.split(':')[0] === findHost(settings));
--- a/src/gateway/peers/peer-rpc.ts
+++ b/src/gateway/peers/peer-rpc.ts
@@ -10,6 +10,7 @@
 import type {
 	Decision, ReportedLimit, Plan, PlanRequest, RetryHistory, RetryRequest, CrashReport,
 } from '../../planning/index.js';
+import type {EvacuationsSnapshot} from '../../routing/index.js';
 import {
 	askWithTimeout, rpcPath, sendNodeRequest, type NodeRequest,
 } from '../../rpc/node-fetch.js';
@@ -22,6 +23,8 @@
 	failure?: Failure;
 	/** Crashes attributed to the request, when it is refused because of them. */
 	crashes?: CrashReport[];
+	/** Evacuated zones, when the request is refused for lack of servers: the asking node may not know of them yet. */
+	evacuations?: EvacuationsSnapshot;
 };
 
 /** State that a node hands over to its new scheduling node. */
--- a/src/gateway/scheduling/decision-log.ts
+++ b/src/gateway/scheduling/decision-log.ts
@@ -1,6 +1,6 @@
 /** Logs scheduling decisions and their inputs. */
 import type {Either} from 'purify-ts';
-import type {Failure, Logger} from '../../common/index.js';
+import type {AvailabilityZone, Failure, Logger} from '../../common/index.js';
 import type {Decision, OverrunReport, PlanRequest} from '../../planning/index.js';
 import {formatPosition} from '../../routing/index.js';
 
@@ -13,8 +13,17 @@
 	/** Number of nodes whose plans this node sees, and number of known nodes. */
 	seen: number;
 	known: number;
+	/** Evacuated zones in which the service has servers; undefined when there are none. */
+	evacuated?: AvailabilityZone[];
 };
 
+/** Adds the evacuated zones of the service to a refusal for lack of servers. */
+export function explainEvacuation(failure: Failure, evacuated: AvailabilityZone[]): Failure {
+	return failure.kind === 'no_backend_server' && evacuated.length > 0
+		? {...failure, message: `${failure.message}; its servers in evacuated availability zones get none: ${evacuated.join(', ')}`}
+		: failure;
+}
+
 /** Logs a placement, a wait or a refusal. */
 export function logDecision(logger: Logger, request: PlanRequest, decided: Either<Failure, Decision>, inputs: DecisionInputs): void {
 	const fields = {
--- a/src/gateway/scheduling/fleet-placer.ts
+++ b/src/gateway/scheduling/fleet-placer.ts
@@ -24,7 +24,7 @@
 import {Placer, type PlacementAnswer, type Placement} from '../calls/placer.js';
 import type {ServerNotice} from '../calls/server-notice.js';
 import {SchedulerSelector} from './scheduler-selector.js';
-import {logDecision, logReadOverrun} from './decision-log.js';
+import {explainEvacuation, logDecision, logReadOverrun} from './decision-log.js';
 import {PlanUpdateSender} from './plan-update-sender.js';
 import {LeavingNotices} from './leaving-notices.js';
 import {ReplicatedCrashes} from './replicated-crashes.js';
@@ -200,7 +200,7 @@
 	decideFor(request: PlanRequest): DecisionAnswer {
 		this.#findPlans(request.service).leaving.merge(request.leaving ?? [], request.node);
 		return this.#decideAsScheduler(request).caseOf<DecisionAnswer>({
-			Left: failure => failure.kind === 'ends_servers' ? {failure, crashes: this.#findPlans(request.service).crashes.describe(request.fingerprint)} : {failure},
+			Left: failure => this.#describeRefusal(request, failure),
 			Right: decision => ({decision}),
 		});
 	}
@@ -321,6 +321,16 @@
 		}
 	}
 
+	/** Adds what the asking node may not know yet and needs to decide what follows a refusal. */
+	#describeRefusal({service, fingerprint}: PlanRequest, failure: Failure): DecisionAnswer {
+		if (failure.kind === 'ends_servers') {
+			return {failure, crashes: this.#findPlans(service).crashes.describe(fingerprint)};
+		}
+
+		const evacuations = failure.kind === 'no_backend_server' ? this.#parts.state.evacuations?.takeSnapshot() : undefined;
+		return evacuations === undefined ? {failure} : {failure, evacuations};
+	}
+
 	/** Adds known crashes to a request: a new scheduling node gets the records from the nodes that proxied the request. */
 	#addCrashes(request: PlanRequest): PlanRequest {
 		const crashes = this.#findPlans(request.service).crashes.describe(request.fingerprint);
@@ -365,9 +375,10 @@
 
 		const {logger, state} = this.#parts;
 		const visibility = {seen, known: this.#retries.countKnown()};
-		const decided = planner.decide(request, now, visibility, limitShare);
+		const evacuated = state.listEvacuatedZones(request.service);
+		const decided = planner.decide(request, now, visibility, limitShare).mapLeft(failure => explainEvacuation(failure, evacuated));
 		logDecision(logger, request, decided, {
-			inProgress: planner.planCount, configVersion: state.configVersion, serversRevision: state.serversRevision, ...visibility,
+			inProgress: planner.planCount, configVersion: state.configVersion, serversRevision: state.serversRevision, ...visibility, ...(evacuated.length > 0 && {evacuated}),
 		});
 		return decided;
 	}
@@ -391,6 +402,10 @@
 			return {decidedBy: 'planner', result: Right(answer.decision)};
 		}
 
+		if (answer?.evacuations !== undefined) {
+			this.#parts.state.evacuations?.applySnapshot(answer.evacuations, `node ${scheduler.name}`);
+		}
+
 		// A recently started node may lack servers known here; servers excluded by the request do not count as missing.
 		const isMissingServers = answer?.failure?.kind === 'no_backend_server' && this.#parts.state.listServers(request.service).some(server => !request.excluded.includes(server.id));
 		if (answer?.failure !== undefined && !isMissingServers) {
--- a/src/logs/find-cause.ts
+++ b/src/logs/find-cause.ts
@@ -180,12 +180,21 @@
 	const inProgress = refused === undefined ? undefined : findNumber(refused, 'inProgress');
 	return [
 		...wait === '' ? [] : [`; it had waited${wait}`],
+		describeEvacuation(timeline),
 		...inProgress === undefined ? [] : [`; ${inProgress} plans of the service were in progress`],
 		...left === undefined ? [] : [`; before, it was sent away from a server since ${describeRetry(left, timeline)}`],
 		describeBudget(timeline),
 	].join('');
 }
 
+/** Describes the evacuated zones whose servers were left out of the last decision. */
+function describeEvacuation({lines}: RequestTimeline): string {
+	const decision = lines.findLast(line => ['refused', 'waits', 'placed'].includes(line.event));
+	const zones = decision === undefined ? [] : listTexts(decision, 'evacuated');
+	// The reason of a rejection for lack of servers already names them.
+	return zones.length === 0 || decision?.fields.kind === 'no_backend_server' ? '' : `; servers in ${zones.join(', ')} were left out, since operators evacuated ${zones.length === 1 ? 'this zone' : 'these zones'}`;
+}
+
 /** Describes why a request that had been sent was not retried, and the state of its servers. */
 function describeNoRetry(timeline: RequestTimeline, ended: EndedCall): string {
 	if (ended.outcome === 'bound_passed_running') {
