--- a/test/explain.test.ts
+++ b/test/explain.test.ts
@@ -4,7 +4,7 @@
 import {
 	afterEach, beforeEach, expect, test,
 } from '@jest/globals';
-import {createLogger} from '../src/common/index.js';
+import {createLogger, type ServiceName} from '../src/common/index.js';
 import type {Explanation} from '../src/logs/index.js';
 import {runCommand} from './helpers/commands.js';
 import {GatewayFleet, waitUntil} from './helpers/gateways.js';
@@ -273,3 +273,27 @@
 	expect(without.code).toBe(2);
 	expect(without.error).toContain('--logs <files...>');
 });
+
+test('a rejection because of an evacuation names the zone', async () => {
+	fleet.evacuateWithin = 5000;
+	await fleet.start({runners: [{service: 'app', behaviour: createTextAnswer('yes')}]});
+	fleet.store.put('evacuations', 'north', {});
+	await waitUntil(() => fleet.gateways[0].state.listServers('app' as ServiceName).length === 0);
+	expect(await call('/once/', 'evacuated')).toBe(503);
+	const {cause} = await explain('evacuated', await writeLogs(1));
+	expect(cause).toBe('It was refused with 503 (no_backend_server), and ran nowhere: no backend server of app takes new work; '
+		+ 'its servers in evacuated availability zones get none: north; 0 plans of the service were in progress.');
+});
+
+test('a rejection for lack of capacity names the zones that were left out', async () => {
+	const files = await collect(
+		[1, 'b', {
+			event: 'refused', request: 'r1', kind: 'overloaded', inProgress: 40, evacuated: ['north'],
+		}],
+		[2, 'a', {
+			...ended, outcome: 'overloaded', status: 503, reason: 'no capacity', firstAfter: undefined, sends: 0,
+		}],
+	);
+	const {cause} = await explain('r1', files);
+	expect(cause).toBe('It was refused with 503 (overloaded), and ran nowhere: no capacity; servers in north were left out, since operators evacuated this zone; 40 plans of the service were in progress.');
+});
--- a/test/helpers/gateways.ts
+++ b/test/helpers/gateways.ts
@@ -78,6 +78,8 @@
 	seeds?: string[];
 	isFirstStart?: boolean;
 	retrySlack?: number;
+	/** Time within which evacuations must take effect, in milliseconds; without it they are not followed. */
+	evacuateWithin?: number;
 	/** Address of the store as seen by the node; differs from the store's own behind a link. */
 	storeAddress?: string;
 };
@@ -92,6 +94,8 @@
 	readonly gateways: Gateway[] = [];
 	readonly settings: GatewaySettings[] = [];
 	readonly runners: StandinServer[] = [];
+	/** Default of the nodes' option of that name. */
+	evacuateWithin: number | undefined;
 	#ports: number[] = [];
 
 	/** Starts the store with a configuration, the given runners, and nodes. */
@@ -119,9 +123,9 @@
 	}
 
 	/** Writes the entry of a runner; `born` is its start time, if it states one. */
-	putServer(index: number, service: string, state: 'ready' | 'draining', born?: number): void {
+	putServer(index: number, service: string, state: 'ready' | 'draining', born?: number, zone = 'north'): void { // eslint-disable-line max-params
 		this.store.put('servers', `i-${index}`, {
-			service, address: this.runners[index].address, zone: 'north', version: 'v1', slots: 11, state, coldRemainingMs: 0, sequence: 1, born,
+			service, address: this.runners[index].address, zone, version: 'v1', slots: 11, state, coldRemainingMs: 0, sequence: 1, born,
 		});
 	}
 
@@ -139,7 +143,7 @@
 	/** Starts a node; by default one with seeds is part of a first start. */
 	async addGateway(options: NodeOptions = {}): Promise<Gateway> {
 		const {
-			index = this.gateways.length, host = processHost, seeds = [], isFirstStart = seeds.length > 0, retrySlack = 100, storeAddress = this.store.address,
+			index = this.gateways.length, host = processHost, seeds = [], isFirstStart = seeds.length > 0, retrySlack = 100, storeAddress = this.store.address, evacuateWithin = this.evacuateWithin,
 		} = options;
 		const ports = options.ports ?? await findFreePorts(6);
 		const settings = parseGatewaySettings(`
@@ -164,7 +168,7 @@
 ratio = 0.2
 slack = ${retrySlack}
 window_seconds = 10
-`).unsafeCoerce();
+${evacuateWithin === undefined ? '' : `[evacuations]\napply_within_ms = ${evacuateWithin}\n`}`).unsafeCoerce();
 		const logger = this.loggers[index] ?? createSilentLogger();
 		const gateway = new Gateway({
 			settings, source: new PlatformSource(settings.store.address, logger), wire: new CallWire(), clock: systemClock, ids: randomIdSource, logger, random: Math.random,
--- a/test/helpers/planned-fleet.ts
+++ b/test/helpers/planned-fleet.ts
@@ -63,6 +63,8 @@
 	| {kind: 'list'; node: number}
 	/** Responses of the scheduling node are delayed for a while. */
 	| {kind: 'delay'; time: number; by: number}
+	/** An availability zone is evacuated for a while. */
+	| {kind: 'evacuate'; zone: number; time: number}
 );
 
 /** Options of a fleet. */
@@ -76,6 +78,8 @@
 	viewDelays: number[];
 	calls: PlannedCallSpec[];
 	steps: PlannedStep[];
+	/** Number of availability zones, whose evacuations the nodes follow; undefined for a single zone without evacuations. */
+	zones?: number;
 };
 
 /** Uses the planner of the scheduling node, or that of its own node when the response is late. */
@@ -126,7 +130,8 @@
 	readonly #ids = createIds();
 
 	constructor(fleet: PlannedFleet, readonly name: BoxId) {
-		this.state = new FleetState(fleet.clock, createSilentLogger());
+		this.state = new FleetState(fleet.clock, createSilentLogger(), {followsEvacuations: fleet.followsEvacuations});
+		this.state.evacuations?.applyList({items: [], revision: 0}, 'source');
 		this.placer = new NodePlacer(fleet, this);
 		this.state.addListener(() => {
 			for (const service of this.#planners.keys()) {
@@ -161,6 +166,7 @@
 	readonly violations: string[] = [];
 	/** Delay of each response of the scheduling node, in milliseconds. */
 	schedulerDelay = 0;
+	readonly followsEvacuations: boolean;
 	readonly #options: PlannedFleetOptions;
 	readonly #servers: ModelledServer[] = [];
 	readonly #wire = new CallWire();
@@ -171,6 +177,7 @@
 
 	constructor(options: PlannedFleetOptions) {
 		this.#options = options;
+		this.followsEvacuations = options.zones !== undefined;
 		this.#pool = this.#createPool();
 		this.nodes = Array.from({length: options.nodes}, (_, index) => new FleetNode(this, `edge-${index}` as BoxId));
 		this.calls = options.calls.map((spec, index) => new PlannedCall(spec, index));
@@ -244,6 +251,7 @@
 				clock: this.clock, logger: createSilentLogger(), wire: this.#wire, pool: this.#pool, isLive: id => node.state.hasServer(id),
 			}),
 			findServer: id => node.state.findUsableServer(id),
+			findEvacuatedZone: id => node.state.findEvacuatedZone(id),
 			hasEnded: async () => false,
 			node: node.name,
 			availabilityZone: 'a' as AvailabilityZone,
@@ -333,6 +341,11 @@
 				break;
 			}
 
+			case 'evacuate': {
+				this.#evacuate(`zone-${step.zone % (this.#options.zones ?? 1)}` as AvailabilityZone, step.time);
+				break;
+			}
+
 			case 'delay': {
 				this.schedulerDelay = step.by;
 				this.clock.setTimer(step.time, () => {
@@ -351,12 +364,33 @@
 		const index = this.#servers.length;
 		const entry: BackendServer = {
 			id: `i-${index}` as BackendServerId, name: `i-${index}` as BackendServerName, entryRevision: 0, service,
-			address: `10.0.0.${index}:80`, availabilityZone: 'a' as AvailabilityZone, slots: engine.slots, isLeaving: false,
+			address: `10.0.0.${index}:80`, availabilityZone: `zone-${index % (this.#options.zones ?? 1)}` as AvailabilityZone, slots: engine.slots, isLeaving: false,
 		};
 		this.#servers.push(new ModelledServer(entry, this.clock, this.#options.slowdown));
 		this.#publish(entry);
 	}
 
+	#evacuate(zone: AvailabilityZone, time: number): void {
+		const position = ++this.#revision;
+		this.#notifyNodes(node => {
+			node.state.evacuations?.applyChanges({changes: [{name: zone, item: {zone, position}, revision: position}], revision: position}, 'source');
+		});
+		this.clock.setTimer(time, () => {
+			const revision = ++this.#revision;
+			this.#notifyNodes(node => {
+				node.state.evacuations?.applyChanges({changes: [{name: zone, item: undefined, revision: position}], revision}, 'source');
+			});
+		});
+	}
+
+	/** Records a violation when a node that knows of the evacuation of a server's zone sends it something for a call. */
+	#checkEvacuation(call: PlannedCall, server: ModelledServer, what: string): void {
+		const node = this.nodes[call.spec.node % this.nodes.length];
+		if (node.state.evacuations?.has(server.entry.availabilityZone) === true) {
+			this.violations.push(`${what} of ${call.id} (${call.spec.route}) reached ${server.entry.name} at ${this.clock.readMonotonic()} in an evacuated zone`);
+		}
+	}
+
 	#publish(entry: BackendServer): void {
 		const item = {...entry, entryRevision: ++this.#revision};
 		this.#entries.set(item.name, item);
@@ -443,6 +477,11 @@
 			},
 		});
 		call.sends.push(send);
+		this.#checkEvacuation(call, server, 'the request');
+		for (const helper of send.helpers) {
+			this.#checkEvacuation(call, this.#findByAddress(helper.split('/')[0]), 'a part');
+		}
+
 		this.clock.setTimer(roundTrip, () => {
 			send.arrive();
 			if (server.isDraining) {
@@ -503,6 +542,7 @@
 
 		const {op, id, holdMs} = JSON.parse(String(body)) as {op: string; id: string; holdMs: number};
 		if (op === 'reserve') {
+			this.#checkReservation(server, id);
 			server.memory.set(id, this.clock.readMonotonic() + holdMs);
 		} else {
 			this.#releaseMemory(server, id, 'released');
@@ -511,6 +551,14 @@
 		return {free: engine.memoryTokens};
 	}
 
+	/** Renewals of memory are allowed in an evacuated zone, since running requests complete. */
+	#checkReservation(server: ModelledServer, reservation: string): void {
+		const call = this.calls.find(({id}) => reservation.startsWith(`${id}-`));
+		if (call !== undefined && !server.memory.has(reservation)) {
+			this.#checkEvacuation(call, server, 'a reservation');
+		}
+	}
+
 	#isUsed(server: ModelledServer, reservation: string): boolean {
 		const name = `${server.entry.address}/${reservation}`;
 		return this.calls.some(call => call.sends.some(send => send.hasArrived && !send.isOver && send.helpers.includes(name)));
--- a/test/helpers/scripted-call.ts
+++ b/test/helpers/scripted-call.ts
@@ -402,6 +402,7 @@
 	leases = 0;
 	readonly #withoutEntry = new Set<string>();
 	readonly #restarted = new Set<string>();
+	readonly #evacuated = new Set<string>();
 	readonly #run: CallRun;
 
 	constructor(readonly options: ScriptedCallOptions = {}) {
@@ -420,6 +421,7 @@
 			placer: this.placer,
 			reservations: this.#createReservations(),
 			findServer: id => this.#findServer(id),
+			findEvacuatedZone: id => this.#evacuated.has(id) ? 'a' as AvailabilityZone : undefined,
 			hasEnded: async () => false,
 			node: 'edge-1' as BoxId,
 			availabilityZone: 'a' as AvailabilityZone,
@@ -475,6 +477,11 @@
 		this.#withoutEntry.add(server);
 	}
 
+	/** Evacuates the zone of a server at this node; the placer does not know of it yet. */
+	evacuate(server: string): void {
+		this.#evacuated.add(server);
+	}
+
 	/** Restarts a server: requests of its previous process are lost. */
 	restart(server: string): void {
 		this.#restarted.add(server);
@@ -487,7 +494,7 @@
 			throw new Error('an unexpected error');
 		}
 
-		return this.takesWork(id) ? this.servers[index] : undefined;
+		return this.takesWork(id) && !this.#evacuated.has(id) ? this.servers[index] : undefined;
 	}
 
 	#connect(send: ScriptedSend): void {
--- a/test/helpers/viewing-fleet.ts
+++ b/test/helpers/viewing-fleet.ts
@@ -37,6 +37,8 @@
 	lossShare?: number;
 	/** Extra delay of slow nodes, in milliseconds, by index. */
 	slowNodes?: Map<number, number>;
+	/** Whether the nodes follow the evacuations of availability zones. */
+	followsEvacuations?: boolean;
 };
 
 /** One simulated node. */
@@ -173,7 +175,7 @@
 	#addNode(index: number): void {
 		const {clock} = this;
 		const logger = createSilentLogger();
-		const state = new FleetState(clock, logger);
+		const state = new FleetState(clock, logger, {followsEvacuations: this.#options.followsEvacuations});
 		const health = new SourceHealth();
 		const self = () => createPeer(`n${index}`, {
 			availabilityZone: `zone-${index % 3}` as AvailabilityZone,
