--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -10,7 +10,7 @@
 } from '../common/index.js';
 import type {PlanRequest, RetryRequest} from '../planning/index.js';
 import {
-	FleetState, Follower, followTiming, SourceHealth, type FleetSource, type FollowTiming, type RoutingConfig,
+	FleetState, Follower, followTiming, SourceHealth, type FleetSource, type RoutingConfig,
 } from '../routing/index.js';
 import type {PackedText} from '../rpc/packed-text.js';
 import {BackendPool, CallService, Reservations} from './calls/index.js';
@@ -21,6 +21,7 @@
 import {
 	register, SourceAgeReporter, ViewResponder, ViewExchange,
 } from './views/index.js';
+import {createEvacuationFollower} from './evacuation-follower.js';
 import {GatewayMetrics} from './gateway-metrics.js';
 import type {GatewaySettings} from './gateway-settings.js';
 import {StatusReader} from './node-status.js';
@@ -53,9 +54,6 @@
 /** Interval between checks whether all calls have ended, in milliseconds. */
 const drainPollInterval = 50;
 
-/** Maximum share of the time within which an evacuation must take effect that a long poll for it waits: detection of a dead connection, a new call and the way to the other nodes need the rest. */
-const maxEvacuationWaitShare = 0.3;
-
 /** Length of an incarnation id, in characters: makes a collision among thousands improbable. */
 const incarnationLength = 6;
 
@@ -372,33 +370,15 @@
 				this.state.applyServerChanges(changes, revision, 'source');
 			},
 		}, {clock, logger, random}));
-		this.#followEvacuations(supervisor);
-		supervisor.addChild(this.#socket);
-		await supervisor.run(this.#supervisorStop.signal);
-	}
-
-	/** Follows the evacuated zones where the settings ask for it: each watcher makes one long poll more. */
-	#followEvacuations(supervisor: Supervisor): void {
-		const {settings, source, ...parts} = this.#parts;
-		const {evacuations} = this.state;
-		if (settings.evacuations === undefined || evacuations === undefined) {
-			return;
+		const {evacuations} = this.#parts.settings;
+		if (evacuations !== undefined) {
+			supervisor.addChild(createEvacuationFollower({
+				clock, logger, random, source, health, state: this.state, isAssigned: mayQuerySource,
+			}, evacuations.apply_within_ms));
 		}
 
-		supervisor.addChild(new Follower({
-			name: 'evacuations',
-			timing: createEvacuationTiming(settings.evacuations.apply_within_ms),
-			health: this.#sourceHealth,
-			isAssigned: () => this.#views.mayQuerySource,
-			source: source.evacuations,
-			state: this.state,
-			onList(listing) {
-				evacuations.applyList(listing, 'source');
-			},
-			onChanges(changes) {
-				evacuations.applyChanges(changes, 'source');
-			},
-		}, parts));
+		supervisor.addChild(this.#socket);
+		await supervisor.run(this.#supervisorStop.signal);
 	}
 
 	#applyConfigs(configs: RoutingConfig[]): void {
@@ -436,11 +416,6 @@
 	}
 }
 
-/** Timing for a change that must take effect within a time, in milliseconds: a connection that dies without a reset is detected when its wait is over. */
-function createEvacuationTiming(applyWithin: number): FollowTiming {
-	return {...followTiming, wait: Math.min(followTiming.wait, applyWithin * maxEvacuationWaitShare)};
-}
-
 /** Whether the settings list this node as a seed. */
 function isSeed(settings: GatewaySettings): boolean {
 	return settings.seeds.some(seed => seed.split(':')[0] === findHost(settings));
