test(soak): evacuate zones

A series of its own evacuates one of two zones for 3.5 to 7 s, so that the other faults of a seed stay the same. The judge checks what servers begin to work on from 2.3 s after the store took the evacuation until its removal.

--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -64,6 +64,10 @@
 	return `key-${version}`;
 }
 
+/** Availability zones that are evacuated; servers of the version services are in another one, since their responses show which version is active. */
+export const evacuatedZones = ['south', 'west'];
+const lastingZone = 'north';
+
 /** Ports of one node; they stay the same across restarts. */
 type NodePorts = {callers: number; ready: number; addresses: number; peers: number; heartbeat: number; metrics: number};
 
@@ -84,7 +88,7 @@
 type NodeEndpoints = Omit<SoakNode, 'process' | 'isChanging'>;
 
 /** One incarnation of a backend server; `id` consists of its name and its start time. */
-export type SoakServer = {id: string; name: string; service: string; link: Link; port: number; process: SoakProcess};
+export type SoakServer = {id: string; name: string; service: string; zone: string; link: Link; port: number; process: SoakProcess};
 
 /** Numbers of nodes, model servers and additional routes without traffic. */
 export type FleetSize = {nodes: number; modelServers: number; fillerRoutes: number};
@@ -118,6 +122,9 @@
 	/** Starts everything and waits until all nodes are ready. */
 	async start(): Promise<void> {
 		this.#store = this.processes.start('store', standinProgram, ['store']);
+		this.#store.listen(line => {
+			this.#recordEvacuation(line);
+		});
 		const line = await this.#store.waitForLine(({address}) => address !== undefined);
 		this.#storeAddress = String(line.address);
 		await this.changeConfig();
@@ -283,13 +290,23 @@
 		}
 	}
 
-	#recordLine(server: string, service: string, line: Record<string, unknown>): void {
+	#recordEvacuation(line: Record<string, unknown>): void {
+		const {evacuations} = this.#records;
+		const [zone, at] = [String(line.zone), Number(line.at)];
+		if (line.event === 'evacuated') {
+			evacuations.push({zone, at, endedAt: Number.POSITIVE_INFINITY});
+		} else if (line.event === 'returned') {
+			evacuations.findLast(evacuation => evacuation.zone === zone)!.endedAt = at;
+		}
+	}
+
+	#recordLine(server: string, {service, zone}: Pick<SoakServer, 'service' | 'zone'>, line: Record<string, unknown>): void {
 		const at = Number(line.at);
 		const node = String(line.node);
 		switch (line.event) {
 			case 'run': {
 				this.#records.runs.push({
-					id: String(line.id), server, service, node, at,
+					id: String(line.id), server, service, node, at, zone,
 				});
 				break;
 			}
@@ -403,6 +420,8 @@
 ratio = 0.2
 slack = 100
 window_seconds = 10
+[evacuations]
+apply_within_ms = 5000
 `);
 		// A node advertises the address it listens on, so the preloaded module redirects connections through the links.
 		return this.processes.start(name, gatewayProgram, ['gateway', '--settings', file], {NODE_OPTIONS: `--require ${path.resolve(detourModule)}`, SOAK_DETOURS: JSON.stringify(this.#detours)});
@@ -418,25 +437,27 @@
 
 	async #startServer(service: string): Promise<SoakServer> {
 		const name = `i-${++this.#serverCount}`;
+		const zones = [lastingZone, ...evacuatedZones];
+		const zone = versionServices.includes(service) ? lastingZone : zones[this.#serverCount % zones.length];
 		const [port] = await findSteadyPorts(1);
 		const link = await this.#openLink(() => port);
 		return this.#startProcess({
-			name, service, link, port,
+			name, service, zone, link, port,
 		});
 	}
 
-	async #startProcess({name, service, link, port}: Pick<SoakServer, 'name' | 'service' | 'link' | 'port'>): Promise<SoakServer> {
+	async #startProcess({name, service, zone, link, port}: Pick<SoakServer, 'name' | 'service' | 'zone' | 'link' | 'port'>): Promise<SoakServer> {
 		const born = Date.now();
 		const id = `${name}@${born}`;
 		const started = this.processes.start(id, standinProgram, [
-			'server', '--id', name, '--born', String(born), '--service', service, '--store', this.#storeAddress, '--advertise', link.address, '--port', String(port),
+			'server', '--id', name, '--born', String(born), '--service', service, '--zone', zone, '--store', this.#storeAddress, '--advertise', link.address, '--port', String(port),
 		]);
 		started.listen(line => {
-			this.#recordLine(id, service, line);
+			this.#recordLine(id, {service, zone}, line);
 		});
 		await started.waitForLine(({address}) => address !== undefined);
 		return {
-			id, name, service, link, port, process: started,
+			id, name, service, zone, link, port, process: started,
 		};
 	}
 }
--- a/soak/judge.ts
+++ b/soak/judge.ts
@@ -15,6 +15,9 @@
 /** Time after which a draining server receives no new requests, in milliseconds: the documented two seconds plus the network time of a request. */
 const drainLimit = 2300;
 
+/** Time after which an evacuated zone receives no new requests, in milliseconds: the two seconds that nodes aim at plus the network time of a request. */
+const evacuationLimit = 2300;
+
 /** Time within which a configuration change must take effect, in milliseconds: the documented two seconds plus the network time of a request. */
 const changeLimit = 2300;
 
@@ -58,6 +61,7 @@
 		...checkRuns(records),
 		...checkBounds(records),
 		...checkLeaving(records),
+		...checkEvacuations(records),
 		...checkVersions(records),
 		...checkAdded(records),
 		...checkStops(records, graceMs),
@@ -112,6 +116,14 @@
 		.map(run => ({promise: 'a leaving server gets nothing new', id: run.id, detail: `server ${run.server} got it ${run.at - leaving.get(run.server)!} ms after it left, from ${run.node}`}));
 }
 
+/** A server of an evacuated zone must receive no new requests, except from nodes that a fault kept from receiving the change. */
+function checkEvacuations(records: RunRecords): Violation[] {
+	return records.evacuations.flatMap(({zone, at, endedAt}) => records.runs
+		.filter(run => run.zone === zone && run.at < endedAt && run.at > at + evacuationLimit + findSlack(records, at, run.at))
+		.filter(run => !isDisturbed(records, run, at, run.at))
+		.map(run => ({promise: 'an evacuated zone gets nothing new', id: run.id, detail: `server ${run.server} got it ${run.at - at} ms after the evacuation of ${zone}, from ${run.node}`})));
+}
+
 /** A configuration change must take effect in time, and no node may return to an older version. */
 function checkVersions(records: RunRecords): Violation[] {
 	const {calls, changes} = records;
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -29,11 +29,13 @@
 	| 'server_limit'
 	/** Callers retry a request that crashes every backend server that runs it. */
 	| 'request_crash'
+	/** The operator evacuates an availability zone for a while. */
+	| 'zone_evacuate'
 	/** The operator changes the configuration. */
 	| 'config_change';
 
 /** Kinds of the main series. Each other kind has its own random series, so that enabling it does not change the other faults of a seed. */
-type SeriesKind = Exclude<FaultKind, 'link_severed' | 'store_partial' | 'server_limit' | 'request_crash'>;
+type SeriesKind = Exclude<FaultKind, 'link_severed' | 'store_partial' | 'server_limit' | 'request_crash' | 'zone_evacuate'>;
 
 /** A scheduled fault; times are in milliseconds from the start of the run. */
 export type Fault = {
@@ -79,7 +81,7 @@
 };
 
 /** All kinds of fault; the order determines what a seed draws. */
-export const faultKinds: FaultKind[] = [...Object.keys(weights) as SeriesKind[], 'link_severed', 'store_partial', 'server_limit', 'request_crash'];
+export const faultKinds: FaultKind[] = [...Object.keys(weights) as SeriesKind[], 'link_severed', 'store_partial', 'server_limit', 'request_crash', 'zone_evacuate'];
 
 /** Mean time between two faults, in milliseconds; with durations of seconds, about four overlap. */
 const meanGap = 500;
@@ -105,6 +107,11 @@
 	name: 'crash', pause: 3000, shortest: 5000, longest: 9000,
 };
 
+/** The same for evacuations of a zone: longer than the bound for a change, and short enough for several in a run. */
+const evacuationSeries = {
+	name: 'evacuation', pause: 1500, shortest: 3500, longest: 7000,
+};
+
 /** Minimum and maximum duration of a fault in the main series, in milliseconds. */
 const shortest = 200;
 const longest = 3000;
@@ -121,6 +128,7 @@
 		...kinds.includes('store_partial') ? drawPartialSilences(seed, length) : [],
 		...kinds.includes('server_limit') ? drawSpans('server_limit', limitSeries, seed, length) : [],
 		...kinds.includes('request_crash') ? drawSpans('request_crash', crashSeries, seed, length) : [],
+		...kinds.includes('zone_evacuate') ? drawSpans('zone_evacuate', evacuationSeries, seed, length) : [],
 	];
 }
 
--- a/soak/records.ts
+++ b/soak/records.ts
@@ -23,7 +23,10 @@
 };
 
 /** A backend server started to run a request. */
-export type RunRecord = {id: string; server: string; service: string; node: string; at: number};
+export type RunRecord = {id: string; server: string; service: string; node: string; at: number; zone?: string};
+
+/** An evacuation of an availability zone: when the store wrote and removed its entry. */
+export type EvacuationRecord = {zone: string; at: number; endedAt: number};
 
 /** The store accepted a change: `sentAt` is when it was first sent, `at` when it was acknowledged. */
 export type ChangeRecord = {at: number; sentAt: number; version?: {number: number; service: string}; leaving?: string};
@@ -64,6 +67,7 @@
 	changes: ChangeRecord[];
 	faults: FaultRecord[];
 	stops: StopRecord[];
+	evacuations: EvacuationRecord[];
 	limitedArrivals: LimitedArrival[];
 	crashes: CrashRecord[];
 	leftMemory: LeftMemory[];
@@ -73,6 +77,6 @@
 /** Creates empty records. */
 export function createRecords(): RunRecords {
 	return {
-		calls: [], runs: [], changes: [], faults: [], stops: [], limitedArrivals: [], crashes: [], leftMemory: [], unusedServers: [],
+		calls: [], runs: [], changes: [], faults: [], stops: [], evacuations: [], limitedArrivals: [], crashes: [], leftMemory: [], unusedServers: [],
 	};
 }
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -1,6 +1,6 @@
 /** Executes one run: starts a fleet, sends traffic, injects the faults of the seed, and checks the records. */
 import {
-	SoakFleet, stopGrace, type FleetSize, type SoakNode, type SoakServer,
+	evacuatedZones, SoakFleet, stopGrace, type FleetSize, type SoakNode, type SoakServer,
 } from './fleet.js';
 import {evaluateRun, type Violation} from './judge.js';
 import {pause} from './link.js';
@@ -122,6 +122,12 @@
 				break;
 			}
 
+			case 'zone': {
+				await this.#evacuateZone();
+
+				break;
+			}
+
 			case 'request': {
 				await this.#load.repeatCrashing(`${target}-${this.#fault.at}`, this.#fault.duration);
 
@@ -233,6 +239,14 @@
 		server.process.send({});
 	}
 
+	/** Not recorded as a fault: the servers of the other zones serve every request. */
+	async #evacuateZone(): Promise<void> {
+		const zone = evacuatedZones[this.#fault.target % evacuatedZones.length];
+		this.#fleet.sendToStore({evacuate: zone});
+		await pause(this.#fault.duration);
+		this.#fleet.sendToStore({endEvacuation: zone});
+	}
+
 	async #injectStoreFault(how: string): Promise<void> {
 		await this.#record({}, async () => {
 			this.#fleet.sendToStore(how === 'forget' ? {forget: true} : {trouble: how});
--- a/soak/standin.ts
+++ b/soak/standin.ts
@@ -58,11 +58,21 @@
 		expireEntries(store, seen);
 	}, heartbeatInterval);
 	for await (const line of readLines()) {
-		const order = JSON.parse(line) as {trouble?: StandinStore['trouble']; forget?: boolean};
+		const order = JSON.parse(line) as {trouble?: StandinStore['trouble']; forget?: boolean; evacuate?: string; endEvacuation?: string};
 		store.trouble = order.trouble ?? store.trouble;
 		if (order.forget === true) {
 			store.forgetHistory();
 		}
+
+		if (order.evacuate !== undefined) {
+			store.put('evacuations', order.evacuate, {});
+			print({event: 'evacuated', zone: order.evacuate, at: Date.now()});
+		}
+
+		if (order.endEvacuation !== undefined) {
+			store.remove('evacuations', order.endEvacuation);
+			print({event: 'returned', zone: order.endEvacuation, at: Date.now()});
+		}
 	}
 }
 
@@ -91,7 +101,7 @@
 	}
 }
 
-type ServerOptions = {id: string; born: string; service: string; store: string; advertise: string; port: string};
+type ServerOptions = {id: string; born: string; service: string; zone: string; store: string; advertise: string; port: string};
 
 /** A backend server that serves requests, manages memory reservations and registers itself. */
 class SoakServer {
@@ -134,11 +144,11 @@
 	}
 
 	async #writeEntry(): Promise<boolean> {
-		const {id, born, service, store, advertise} = this.#options;
+		const {id, born, service, zone, store, advertise} = this.#options;
 		const body = JSON.stringify({
 			metadata: {name: id},
 			spec: {
-				service, address: advertise, zone: 'north', version: 'v1', slots, state: this.#isLeaving ? 'draining' : 'ready', coldRemainingMs: 0, sequence: ++this.#sequence, born: Number(born),
+				service, address: advertise, zone, version: 'v1', slots, state: this.#isLeaving ? 'draining' : 'ready', coldRemainingMs: 0, sequence: ++this.#sequence, born: Number(born),
 			},
 		});
 		try {
@@ -309,6 +319,7 @@
 	program.command('server')
 		.requiredOption('--id <id>')
 		.requiredOption('--born <milliseconds>')
+		.requiredOption('--zone <zone>')
 		.requiredOption('--service <service>')
 		.requiredOption('--store <address>')
 		.requiredOption('--advertise <address>')
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -222,6 +222,33 @@
 	})).toEqual(['every request ends within its bound']);
 });
 
+test('a request in an evacuated zone is a violation until the zone returns, unless a fault kept the change from its node', () => {
+	const listLate = (at: number, isPaused: boolean) => listViolations(records => {
+		records.evacuations.push({zone: 'south', at: 10_000, endedAt: 15_000});
+		for (const zone of ['south', 'north']) {
+			records.runs.push({
+				id: 'c-1', server: `i-${zone}`, service: 'app', node: 'edge-0', at, zone,
+			});
+		}
+
+		if (isPaused) {
+			records.faults.push({
+				kind: 'node_pause', from: 10_500, to: 12_500, node: 'edge-0',
+			});
+		}
+	});
+	expect(listLate(12_000, false)).toEqual([]);
+	expect(listLate(12_500, false)).toEqual(['an evacuated zone gets nothing new']);
+	expect(listLate(12_500, true)).toEqual([]);
+	expect(listLate(15_100, false)).toEqual([]);
+});
+
+// Guards against seeds of known faults that no longer draw them.
+test('evacuations do not change the other faults of a seed', () => {
+	const others = faultKinds.filter(kind => kind !== 'zone_evacuate');
+	expect(drawFaults(7, 20_000).filter(({kind}) => kind !== 'zone_evacuate')).toEqual(drawFaults(7, 20_000, others));
+});
+
 test('a memory reservation left at the end is a violation', () => {
 	expect(listViolations(records => records.leftMemory.push({server: 'i-1', reservation: 'r-1'}))).toEqual(['memory set aside is freed']);
 });
