--- a/test/evacuated-zones.test.ts
+++ b/test/evacuated-zones.test.ts
@@ -1,6 +1,7 @@
 // Which availability zones a node takes for evacuated, and how the set reaches every node.
 import {Buffer} from 'node:buffer';
 import {expect, test} from '@jest/globals';
+import fc from 'fast-check';
 import {
 	createLogger, createSilentLogger, VirtualClock, type AvailabilityZone, type BackendServerId, type ServiceName,
 } from '../src/common/index.js';
@@ -105,6 +106,52 @@
 	expect(listZones()).toEqual([]);
 });
 
+type Step = {node: number; how: 'list' | 'follow' | 'hear' | 'write' | 'remove'; zone: string; from: number};
+
+const arbitraryStep: fc.Arbitrary<Step> = fc.record({
+	node: fc.nat(2), how: fc.constantFrom('list', 'follow', 'follow', 'hear', 'write', 'remove'), zone: fc.constantFrom('north', 'south', 'west'), from: fc.nat(2),
+});
+
+// Guards against orders of lists, changes and heartbeats after which a node holds zones that were never evacuated together.
+test('in any order of messages a node holds the set of the position that it knows', () => {
+	fc.assert(fc.property(fc.array(arbitraryStep, {maxLength: 60, size: 'max'}), steps => {
+		const entries = new Map<string, ZoneEvacuation>();
+		const events: Array<Change<ZoneEvacuation> & {at: number}> = [];
+		const history: string[] = [''];
+		const formatZones = (zones: Iterable<string>) => [...zones].sort().join(',');
+		const nodes = [0, 1, 2].map(() => ({...createEvacuations(), followed: 0}));
+		for (const {node: index, how, zone: name, from} of steps) {
+			const node = nodes[index];
+			const revision = history.length - 1;
+			const entry = entries.get(name);
+			if (how === 'write' || (how === 'remove' && entry !== undefined)) {
+				const item = how === 'write' ? createItem(revision + 1, name) : undefined;
+				events.push({
+					name, item, revision: item?.position ?? entry?.position, at: revision + 1,
+				});
+				entries.delete(name);
+				if (item !== undefined) {
+					entries.set(name, item);
+				}
+
+				history.push(formatZones(entries.keys()));
+			} else if (how === 'list' || (how === 'follow' && node.followed === 0)) {
+				node.evacuations.applyList({items: [...entries.values()], revision}, 'source');
+				node.followed = revision;
+			} else if (how === 'follow') {
+				node.evacuations.applyChanges({changes: events.filter(event => event.at > node.followed), revision}, 'source');
+				node.followed = revision;
+			} else if (how === 'hear' && nodes[from].evacuations.isKnown) {
+				node.evacuations.applySnapshot(nodes[from].evacuations.takeSnapshot()!, 'node');
+			}
+
+			for (const {evacuations, listZones} of nodes.filter(each => each.evacuations.isKnown)) {
+				expect(formatZones(listZones())).toBe(history[evacuations.takeSnapshot()!.revision]);
+			}
+		}
+	}), {seed: 20_261_203, numRuns: 300});
+});
+
 test('an evacuation that a restored source has lost is kept for five seconds, or on when it is written again', () => {
 	const {evacuations, clock, listZones, changes} = createEvacuations();
 	const restored = (revision: number) => createPosition(1, revision);
