--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -21,6 +21,7 @@
 import {
 	register, SourceAgeReporter, ViewResponder, ViewExchange,
 } from './views/index.js';
+import {createEvacuationFollower} from './evacuation-follower.js';
 import {GatewayMetrics} from './gateway-metrics.js';
 import type {GatewaySettings} from './gateway-settings.js';
 import {StatusReader} from './node-status.js';
@@ -85,7 +86,7 @@
 		this.#parts = {...parts};
 		this.#addressLifetime = new AddressLifetime(clock, parts.settings.address_lifetime_seconds);
 		this.#incarnation = computeDigest(parts.ids.createUuid(), incarnationLength);
-		this.state = new FleetState(clock, logger);
+		this.state = new FleetState(clock, logger, {followsEvacuations: parts.settings.evacuations !== undefined});
 		this.#pool = new BackendPool(clock);
 		this.#clients = new PeerClients(clock, () => {
 			this.metrics.countAbandonedConnections('peer');
@@ -369,6 +370,13 @@
 				this.state.applyServerChanges(changes, revision, 'source');
 			},
 		}, {clock, logger, random}));
+		const {evacuations} = this.#parts.settings;
+		if (evacuations !== undefined) {
+			supervisor.addChild(createEvacuationFollower({
+				clock, logger, random, source, health, state: this.state, isAssigned: mayQuerySource,
+			}, evacuations.apply_within_ms));
+		}
+
 		supervisor.addChild(this.#socket);
 		await supervisor.run(this.#supervisorStop.signal);
 	}
@@ -390,6 +398,10 @@
 		this.#sourceAgeReporter.tick();
 		this.metrics.setState('usable_servers', this.state.usableServers);
 		this.metrics.setState('foreign_servers', this.state.foreignCount);
+		if (this.state.evacuations !== undefined) {
+			this.metrics.setState('evacuated_zones', this.state.evacuations.list().length);
+		}
+
 		this.metrics.setState('calls', this.#calls.inProgress);
 	}
 
