feat(platform): decode cold servers, cold starts and the setting of their bound

The entry of a server, the service in the configuration and the answers of servers state how long a server is cold and how many requests it takes then. The section cold_servers is rendered only where the platform gives its bound.

--- a/src/gateway/calls/server-notice.ts
+++ b/src/gateway/calls/server-notice.ts
@@ -7,6 +7,8 @@
 	| {kind: 'limit'; requestsPerSecond: number | undefined}
 	/** It is leaving: it takes no new requests and ends soon. */
 	| {kind: 'leaving'}
+	/** It is cold for a time in milliseconds; 0 when it is warm. */
+	| {kind: 'cold'; time: number}
 	/** It wants no requests from this node for a time in milliseconds. */
 	| {kind: 'rest'; time: number};
 
@@ -23,6 +25,11 @@
 		notices.push({kind: 'leaving'});
 	}
 
+	// That it is warm lets load rise, so only a signed answer proves it.
+	if (head.coldFor !== undefined && (head.coldFor > 0 || head.isSigned)) {
+		notices.push({kind: 'cold', time: head.coldFor});
+	}
+
 	if (head.rest !== undefined && head.rest > 0) {
 		notices.push({kind: 'rest', time: head.rest});
 	}
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -28,6 +28,10 @@
 	store: z.strictObject({address}),
 	stop: z.strictObject({grace_seconds: seconds}),
 	retry: z.strictObject({ratio: z.number().min(0), slack: z.number().min(0), window_seconds: seconds}),
+	cold_servers: z.strictObject({
+		overage: z.number().gt(0, {error: 'write the allowed ratio of requests to the rate of a cold server, above 0'}),
+		slack: z.number().min(0, {error: 'write the number of requests allowed on top of that ratio, 0 or more'}).default(0),
+	}).optional(),
 	address_lifetime_seconds: z.number().min(1).max(60).default(3),
 	log: z.strictObject({
 		level: z.enum(['debug', 'info', 'warn', 'error', 'silent'], {error: 'write one of "debug", "info", "warn", "error", "silent"'}).default('info'),
--- a/src/gateway/wire.ts
+++ b/src/gateway/wire.ts
@@ -65,6 +65,8 @@
 	isEncoded: boolean;
 	/** Rate limit of the server for all nodes together, in requests per second; undefined when it states none. */
 	requestLimit?: number;
+	/** Time for which the server is still cold, in milliseconds; undefined when it states none. */
+	coldFor?: number;
 	/** Time for which the server, which turned the request away, wants no requests from this node, in milliseconds; undefined when it states none. */
 	rest?: number;
 	/** Whether the server states that it is leaving: it takes no new requests and ends soon. */
--- a/src/routing/model.ts
+++ b/src/routing/model.ts
@@ -60,6 +60,9 @@
 	stepsPerPass: number;
 };
 
+/** How servers work right after a start: requests per second that a cold server takes from all nodes, and the time for which it is cold, in milliseconds. */
+export type ColdStart = {requestsPerSecond: number; duration: number};
+
 /** A service and how its backend servers are reached. */
 export type ServiceSpec = {
 	name: ServiceName;
@@ -67,6 +70,8 @@
 	connectionLimit: number;
 	/** Present for model servers. */
 	engine?: EngineProfile;
+	/** Present if its servers are cold after a start. */
+	coldStart?: ColdStart;
 };
 
 /** A customer and its API keys. */
@@ -107,4 +112,6 @@
 	slots: number;
 	/** Whether it is draining and accepts no new requests. */
 	isLeaving: boolean;
+	/** Time for which it is still cold, in milliseconds from when the entry was received; absent when it is warm. */
+	coldFor?: number;
 };
