feat(routing): keep the deadlines of cold servers

A remaining time is turned into a deadline on the monotonic clock, for the newest incarnation only, and nodes send each other the remaining time. A server that appears during traffic counts as cold. An entry that only repeats that its server is cold neither refreshes planners nor is announced: every cold server writes one each 1.2 s.

--- a/src/routing/fleet-state.ts
+++ b/src/routing/fleet-state.ts
@@ -7,6 +7,7 @@
 import {
 	createFailure, type BackendServerId, type Clock, type Failure, type Logger, type ServiceName,
 } from '../common/index.js';
+import {ColdServers} from './cold-servers.js';
 import type {ConfigChanges} from './config-changes.js';
 import {ConfigHistory} from './config-history.js';
 import type {Change, Listing} from './fleet-source.js';
@@ -37,6 +38,8 @@
 export class FleetState {
 	/** When the source last answered this node, and any node. */
 	readonly sourceAgeTracker: SourceAgeTracker;
+	/** Servers that are cold. */
+	readonly coldServers: ColdServers;
 	readonly #clock: Clock;
 	readonly #logger: Logger;
 	readonly #servers: ServerView;
@@ -52,7 +55,9 @@
 		this.sourceAgeTracker = new SourceAgeTracker(clock);
 		this.#clock = clock;
 		this.#logger = logger;
+		this.coldServers = new ColdServers({clock, logger, findColdStart: service => this.#table?.findService(service)?.coldStart});
 		this.#servers = new ServerView({
+			coldServers: this.coldServers,
 			clock,
 			logger,
 			onChange: () => {
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -1,3 +1,4 @@
+export * from './cold-servers.js';
 export * from './config-changes.js';
 export * from './fleet-source.js';
 export * from './fleet-state.js';
--- a/src/routing/server-view.ts
+++ b/src/routing/server-view.ts
@@ -8,9 +8,11 @@
  * An incarnation that is leaving stays so for the rest of its life, whether its entry or the server itself said it: its
  * entry may be late, lost or written again meanwhile.
  */
+import {isDeepStrictEqual} from 'node:util';
 import type {
 	BackendServerId, BackendServerName, Clock, Logger, ServiceName,
 } from '../common/index.js';
+import type {ColdServers} from './cold-servers.js';
 import type {Change, Listing} from './fleet-source.js';
 import type {BackendServer} from './model.js';
 import {IncarnationSet} from './incarnation-set.js';
@@ -53,6 +55,8 @@
 
 /** Dependencies of a view. */
 export type ServerViewParts = {
+	/** Is told of each entry. */
+	coldServers: ColdServers;
 	clock: Clock;
 	logger: Logger;
 	onChange: () => void;
@@ -147,12 +151,13 @@
 			return;
 		}
 
+		const isNotable = changes.some(change => !this.#isColdRefresh(change));
 		for (const change of dropSupersededRemovals(changes)) {
 			this.#applyChange(change, revision, origin);
 		}
 
 		this.#revision = revision;
-		if (changes.length > 0) {
+		if (isNotable) {
 			this.#parts.onChange();
 		}
 	}
@@ -226,6 +231,7 @@
 			...(isOverwritten && {isOverwritten}),
 			...(forgetAt !== undefined && {forgetIn: forgetAt - now}),
 			...(doubtfulUntil !== undefined && {doubtfulFor: doubtfulUntil - now}),
+			...this.#describeCold(server.id),
 		}));
 		return {revision: this.#revision, items};
 	}
@@ -333,10 +339,11 @@
 			this.#leaving.add(server.id);
 		}
 
+		this.#applyCold(server, previous);
 		const isLeaving = this.#leaving.has(server.id);
 		const doubtfulUntil = this.#findDoubt(server, known, isRestored);
 		this.#put({
-			server: {...server, isLeaving}, isOverwritten: false, isLeavingByEntry: server.isLeaving, doubtfulUntil,
+			server: {...dropColdTime(server), isLeaving}, isOverwritten: false, isLeavingByEntry: server.isLeaving, doubtfulUntil,
 		});
 		if (doubtfulUntil !== undefined) {
 			this.#logDoubtful(server, origin, 'the restored source still has the entry of a backend server that has gone');
@@ -363,6 +370,29 @@
 		return isSameEntry ? known.doubtfulUntil : undefined;
 	}
 
+	#applyCold(server: BackendServer, previous: BackendServer | undefined): void {
+		const isSameIncarnation = previous?.id === server.id;
+		this.#parts.coldServers.applyEntry({
+			server,
+			isNew: !isSameIncarnation && !this.#gone.has(server.id),
+			isFirstView: this.#revision === 0,
+			isRepeated: isSameIncarnation && previous.entryRevision === server.entryRevision,
+		});
+	}
+
+	/** Whether a change only repeats that a server is cold: such changes arrive every 1.2 s for each cold server, and need no new plans or announcements. */
+	#isColdRefresh({item}: Change<BackendServer>): boolean {
+		const known = item === undefined ? undefined : this.#servers.get(item.name);
+		return item?.coldFor !== undefined && known !== undefined && isUsable(known) && known.forgetAt === undefined
+			&& this.#parts.coldServers.computeColdLeft(item.id) > 0
+			&& isDeepStrictEqual({...dropColdTime(item), entryRevision: 0}, {...known.server, entryRevision: 0});
+	}
+
+	#describeCold(id: BackendServerId): {coldFor?: number} {
+		const coldFor = this.#parts.coldServers.computeColdLeft(id);
+		return coldFor > 0 ? {coldFor} : {};
+	}
+
 	#logDoubtful({id, service}: BackendServer, origin: string, message: string): void {
 		this.#parts.logger.info({
 			event: 'server_doubtful', server: id, service, origin,
@@ -395,6 +425,7 @@
 		const previous = this.#servers.get(name);
 		if (previous !== undefined && previous.server.id !== id) {
 			this.#incarnations.delete(previous.server.id);
+			this.#parts.coldServers.remove(previous.server.id);
 			this.#gone.add(previous.server.id);
 		}
 
@@ -438,6 +469,7 @@
 		const {server} = this.#servers.get(name)!;
 		this.#servers.delete(name);
 		this.#incarnations.delete(server.id);
+		this.#parts.coldServers.remove(server.id);
 		this.#gone.add(server.id);
 		this.#parts.logger.info({
 			event: 'server_gone', server: server.id, service: server.service, origin,
@@ -455,6 +487,11 @@
 	}
 }
 
+/** The time of an entry counts from when it was received, so it is kept as a deadline instead. */
+function dropColdTime({coldFor, ...server}: BackendServer): BackendServer {
+	return server;
+}
+
 function isUsable({server, isOverwritten, doubtfulUntil}: KnownServer): boolean {
 	return !server.isLeaving && !isOverwritten && doubtfulUntil === undefined;
 }
