feat(planning): limit the requests to cold servers

Cold servers share the gate and the queue of declared limits. Warm servers are used until they are full, then cold ones as their rates allow; the rest waits or is rejected with a spread retry delay.

--- a/src/planning/plan.ts
+++ b/src/planning/plan.ts
@@ -103,8 +103,8 @@
 /** A planner's decision: a plan, or a wait after which to ask again. */
 export type Decision = {kind: 'plan'; plan: Plan} | {kind: 'wait'; askAgainIn: number; reason: WaitReason};
 
-/** Why a request waits: its servers are busy with other prefills (`reading`), decoding requests would be paused too long (`writers`), too little memory, the node sees too little of the fleet yet (`sight`), its isolated server is being drained (`trial`), or all servers have reached their declared limits (`limit`) or have asked for rest (`rest`). */
-export type WaitReason = 'reading' | 'writers' | 'memory' | 'sight' | 'trial' | 'limit' | 'rest';
+/** Why a request waits: its servers are busy with other prefills (`reading`), decoding requests would be paused too long (`writers`), too little memory, the node sees too little of the fleet yet (`sight`), its isolated server is being drained (`trial`), all servers have reached their declared limits (`limit`) or have asked for rest (`rest`), or warm servers are full and cold ones have taken what they may (`cold`). */
+export type WaitReason = 'reading' | 'writers' | 'memory' | 'sight' | 'trial' | 'limit' | 'rest' | 'cold';
 
 /** Progress of a plan, reported by the node that runs it. */
 export type PlanEvent =
--- a/src/planning/planner.ts
+++ b/src/planning/planner.ts
@@ -26,10 +26,12 @@
 } from './plan.js';
 import {createOverloadFailure, PrefillScheduler} from './prefill-scheduler.js';
 import type {ServerLoad} from './server-load.js';
-import {LimitGate} from './limit-gate.js';
+import {LimitGate, type GatedRequest} from './limit-gate.js';
 import type {ServerLimits} from './server-limits.js';
 import {ServerPartition, type ServerGroups} from './server-partition.js';
 import {placeShort} from './short-placement.js';
+import type {ColdLimits, GrantedShares} from './cold-limits.js';
+import {placeWarmFirst} from './cold-placement.js';
 import {CrashRecords, isolatedCrashWeight, type QuarantineState} from './crash-records.js';
 import {trialRetryDelay, IsolationTrials} from './isolation-trials.js';
 
@@ -65,6 +67,8 @@
 	restsFor: number;
 	/** Requests per second that it accepts from all nodes; undefined without a declared limit. */
 	requestLimit?: number;
+	/** Remaining cold time, in milliseconds; undefined for a warm server. */
+	coldFor?: number;
 	/** Smoothed share of failed answers, and whether other servers are preferred because of it. */
 	spoiled: number;
 	isDoubtful: boolean;
@@ -100,6 +104,11 @@
 		return this.#gate.limits;
 	}
 
+	/** Limits of cold servers. */
+	get coldLimits(): ColdLimits {
+		return this.#gate.cold;
+	}
+
 	/** Plans in progress. */
 	get planCount(): number {
 		return this.#plans.size;
@@ -130,6 +139,7 @@
 				readFor: Math.round(load.computePendingPrefill(now)),
 				restsFor: Math.round(load.health.computeBackoffLeft(now)),
 				requestLimit: this.limits.findRate(load.server.id),
+				coldFor: this.#gate.isCold(load, now) ? Math.round(this.coldLimits.computeColdLeft(load.server.id, now)) : undefined,
 				spoiled: Math.round(load.health.computeFailureShare(now) * 100) / 100,
 				isDoubtful: load.health.isUnreliable(now),
 			}));
@@ -144,9 +154,9 @@
 	/**
 	 * Decides for one request. A plan holds its place until `recordEvent` or `prune` releases it; a waiting request keeps its position by asking again.
 	 *
-	 * `limitShare` is the share of the servers' limits, from 0 to 1, that this node grants.
+	 * `limitShare` is the share of the servers' limits, from 0 to 1, that this node grants; declared limits and those of cold servers may differ in it.
 	 */
-	decide(original: PlanRequest, now: number, visibility: FleetVisibility = fullVisibility, limitShare = 1): Either<Failure, Decision> {
+	decide(original: PlanRequest, now: number, visibility: FleetVisibility = fullVisibility, limitShare: number | GrantedShares = 1): Either<Failure, Decision> {
 		this.prune(now);
 		const request = this.#adjustObjective(original);
 		if (request.longestPause !== undefined) {
@@ -172,19 +182,21 @@
 			return Left(createFailure('no_backend_server', `no backend server of ${request.service} takes new work`));
 		}
 
-		const gatedRequest = {request, usable, share: limitShare};
+		const {declared: share, cold: coldShare} = typeof limitShare === 'number' ? {declared: limitShare, cold: () => limitShare} : limitShare;
+		const gatedRequest = {
+			request, usable, share, coldShare,
+		};
 		const available = this.#gate.listAvailable(gatedRequest, now);
 		if (available.length === 0) {
 			return this.#gate.queueOrReject(gatedRequest, now);
 		}
 
-		const planned = quarantine.kind === 'isolated' && this.#plans.loads.size > 1
-			? this.#planIsolated(request, available, now)
-			: this.#planShared(request, available, now);
+		const isIsolated = quarantine.kind === 'isolated' && this.#plans.loads.size > 1;
+		const planned = this.#planWarmFirst(gatedRequest, {available, isIsolated}, now);
 		return planned.map(decision => {
 			if (decision.kind === 'plan') {
 				this.#addPlan(decision.plan, now, true);
-				this.#gate.recordSent(gatedRequest, decision.plan.server, now);
+				this.#recordSent(gatedRequest, decision.plan, now);
 				return quarantine.crashes === 0 ? decision : this.#addCrashes(decision.plan, now);
 			}
 
@@ -336,6 +348,43 @@
 		return {kind: 'plan', plan: {...plan, request: {...request, crashes: this.crashRecords.describe(request.fingerprint!, now)}}};
 	}
 
+	/** Plans on warm servers until they are full, then on cold ones; what occupies a server for long goes to a cold one only when there is no warm one. */
+	#planWarmFirst(gated: GatedRequest, {available, isIsolated}: {available: ServerLoad[]; isIsolated: boolean}, now: number): Either<Failure, Decision> {
+		const {request} = gated;
+		const plan = (servers: ServerLoad[]) => isIsolated ? this.#planIsolated(request, servers, now) : this.#planShared(request, servers, now);
+		if (!this.#gate.cold.hasLimits(now)) {
+			return plan(available);
+		}
+
+		return placeWarmFirst({
+			gate: this.#gate, gated, available, plan, isHeavy: isIsolated || this.#isLong(request), isFull: decision => this.#isFull(decision),
+		}, now);
+	}
+
+	/** Whether a plan would make its request wait at its server, since all servers that it was chosen from are full. */
+	#isFull(decision: Decision): boolean {
+		const load = decision.kind === 'plan' ? this.#plans.loads.get(decision.plan.server) : undefined;
+		if (load === undefined || decision.kind !== 'plan') {
+			return false;
+		}
+
+		const {request: {promptTokens, objective}, expectedFirst} = decision.plan;
+		return this.#engine === undefined || promptTokens === 0
+			? load.taskCount >= load.server.slots
+			: load.writers >= this.#engine.slots || (objective > 0 && expectedFirst > objective);
+	}
+
+	#recordSent(gated: GatedRequest, {server, helpers}: Plan, now: number): void {
+		this.#gate.recordSent(gated, server, now);
+		for (const helper of helpers) {
+			this.#gate.cold.take(helper.server, now);
+		}
+	}
+
+	#isLong({promptTokens}: PlanRequest): boolean {
+		return this.#engine !== undefined && promptTokens > 0 && computePrefillTime(this.#engine, promptTokens) > longPrefillShare * this.#shortestPause;
+	}
+
 	#planShared(request: PlanRequest, usable: ServerLoad[], now: number): Either<Failure, Decision> {
 		return this.#engine === undefined || request.promptTokens === 0
 			? this.#planPlain(request, usable, now)
@@ -387,8 +436,7 @@
 	#planPrompt(request: PlanRequest, usable: ServerLoad[], engine: EngineProfile, now: number): Either<Failure, Decision> {
 		const groups = this.#visibility.isLimited ? divideWithoutDemand(usable, request.requestId) : this.#partition.divide([...this.#plans.loads.values()], usable, engine, now);
 		const prefillTime = computePrefillTime(engine, request.promptTokens);
-		const isLong = prefillTime > longPrefillShare * this.#shortestPause;
-		if (isLong) {
+		if (this.#isLong(request)) {
 			this.#partition.recordLong(request, prefillTime, now);
 			if (this.#visibility.shouldWait(request, prefillTime, now)) {
 				return Right({kind: 'wait', askAgainIn: visibilityRetryDelay, reason: 'sight'});
