feat(gateway): grant cold rates so that all nodes stay under the bound

The scheduling node grants the cold rate by the share of the fleet that asks it, a second one and nodes that decide alone only parts of what is allowed beyond it. Statements in answers are replicated; status, a counter, log lines and explain show cold servers.

--- a/src/cli/format-status.ts
+++ b/src/cli/format-status.ts
@@ -48,6 +48,7 @@
 	const health = [
 		...work.restsFor > 0 ? [`left alone for ${work.restsFor} ms`] : [],
 		...work.requestLimit === undefined ? [] : [`takes ${work.requestLimit} requests a second`],
+		...work.coldFor === undefined ? [] : [`cold for ${work.coldFor} ms`],
 		...work.isDoubtful ? [`doubtful, ${Math.round(work.spoiled * 100)}% of its answers spoiled`] : [],
 	];
 	const reading = work.readFor > 0 ? `, reads for ${work.readFor} ms` : '';
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -36,6 +36,10 @@
 		name: 'cresshook_requests_at_server_end_total', help: 'requests that a backend server ran when it ended', labelNames: ['service'], registers: [this.#registry],
 	});
 
+	readonly #coldLimited = new Counter({
+		name: 'cresshook_cold_limited_total', help: 'requests that wait or are rejected because backend servers are cold', labelNames: ['service', 'result'], registers: [this.#registry],
+	});
+
 	readonly #abandonedConnections = new Counter({
 		name: 'cresshook_connections_left_total', help: 'connections left because they were silent, by what they were for', labelNames: ['kind'], registers: [this.#registry],
 	});
@@ -82,6 +86,11 @@
 		this.#serverEnds.inc({service});
 	}
 
+	/** Counts a request that waits or is rejected because backend servers are cold. */
+	countColdLimited(service: string, result: 'delayed' | 'rejected'): void {
+		this.#coldLimited.inc({service, result});
+	}
+
 	/** Counts kept connections to one target being closed because one of them was unresponsive. */
 	countAbandonedConnections(kind: string): void {
 		this.#abandonedConnections.inc({kind});
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -91,6 +91,10 @@
 			this.metrics.countAbandonedConnections('peer');
 		});
 		this.#viewResponder = new ViewResponder(this.state);
+		if (parts.settings.cold_servers !== undefined) {
+			this.state.coldServers.enable();
+		}
+
 		const self = () => this.#describeSelf();
 		this.#views = new ViewExchange({
 			clock,
@@ -141,6 +145,7 @@
 			clients: this.#clients,
 			socket: this.#socket,
 			retries: {ratio, slack, window: seconds * 1000},
+			coldAllowance: parts.settings.cold_servers,
 			countConfigured: () => countConfiguredNodes(this.#parts.settings),
 			self,
 		});
@@ -390,6 +395,10 @@
 		this.#sourceAgeReporter.tick();
 		this.metrics.setState('usable_servers', this.state.usableServers);
 		this.metrics.setState('foreign_servers', this.state.foreignCount);
+		if (this.#parts.settings.cold_servers !== undefined) {
+			this.metrics.setState('cold_servers', this.state.coldServers.size);
+		}
+
 		this.metrics.setState('calls', this.#calls.inProgress);
 	}
 
--- a/src/gateway/peers/peer-rpc.ts
+++ b/src/gateway/peers/peer-rpc.ts
@@ -10,6 +10,7 @@
 import type {
 	Decision, ReportedLimit, Plan, PlanRequest, RetryHistory, RetryRequest, CrashReport,
 } from '../../planning/index.js';
+import type {ColdServer} from '../../routing/index.js';
 import {
 	askWithTimeout, rpcPath, sendNodeRequest, type NodeRequest,
 } from '../../rpc/node-fetch.js';
@@ -33,6 +34,8 @@
 	crashRecords: Array<[RequestFingerprint, CrashReport[]]>;
 	/** Request limits that servers announced or lifted. */
 	limits: ReportedLimit[];
+	/** Servers that are cold although their entries do not say so; absent from nodes of earlier builds. */
+	cold?: ColdServer[];
 	history: RetryHistory;
 };
 
@@ -58,6 +61,7 @@
 const planSchema = createShapeSchema<Plan>(['planId', 'request', 'server', 'helpers']);
 const historySchema = createShapeSchema<RetryHistory>(['life', 'age', 'known', 'requests', 'retries', 'meanWorth']);
 const crashSchema = z.custom<[RequestFingerprint, CrashReport[]]>(value => Array.isArray(value) && value.length === 2 && Array.isArray(value[1]));
+const coldSchema = createShapeSchema<ColdServer>(['server', 'coldFor']);
 const limitSchema = createShapeSchema<ReportedLimit>(['server', 'age']);
 const serviceSchema = z.string() as unknown as z.ZodType<ServiceName>;
 
@@ -68,7 +72,7 @@
 	decide: trpc.procedure.input(planRequestSchema).mutation(({ctx, input}) => ctx.service.decide(input)),
 	grantRetry: trpc.procedure.input(retryRequestSchema).mutation(({ctx, input}) => ctx.service.grantRetry(input)),
 	adopt: trpc.procedure.input(z.object({
-		service: serviceSchema, plans: z.array(planSchema), crashRecords: z.array(crashSchema), limits: z.array(limitSchema), history: historySchema,
+		service: serviceSchema, plans: z.array(planSchema), crashRecords: z.array(crashSchema), limits: z.array(limitSchema), cold: z.array(coldSchema).optional(), history: historySchema,
 	})).mutation(({ctx, input}) => {
 		ctx.service.adopt(input);
 		return true;
--- a/src/gateway/peers/plan-update.ts
+++ b/src/gateway/peers/plan-update.ts
@@ -10,6 +10,7 @@
 	BackendServerId, BoxId, RequestFingerprint, PlanId, ServiceName,
 } from '../../common/index.js';
 import type {ReportedLimit, PlanEvent, CrashReport} from '../../planning/index.js';
+import type {ColdServer} from '../../routing/index.js';
 
 /** Update from one node on one service. */
 export type PlanUpdate = {
@@ -25,6 +26,8 @@
 	limits?: ReportedLimit[];
 	/** Servers that are leaving. */
 	leaving?: BackendServerId[];
+	/** Servers that are cold although their entries do not say so. */
+	cold?: ColdServer[];
 };
 
 /** First byte of an update; heartbeats start with a different one. */
@@ -38,6 +41,7 @@
 	crashRecords: z.array(z.tuple([z.string(), z.array(z.object({server: z.string(), age: z.number(), weight: z.number()}))])).optional(),
 	limits: z.array(z.object({server: z.string(), requestsPerSecond: z.number().min(0).optional(), age: z.number()})).optional(),
 	leaving: z.array(z.string()).optional(),
+	cold: z.array(z.object({server: z.string(), coldFor: z.number()})).optional(),
 });
 
 /** Encodes an update as a datagram. */
--- a/src/gateway/scheduling/fleet-placer.ts
+++ b/src/gateway/scheduling/fleet-placer.ts
@@ -11,7 +11,8 @@
 	type BackendServerId, type BoxId, type Clock, type Failure, type IdSource, type Logger, type PlanId, type ServiceName, type Timer,
 } from '../../common/index.js';
 import {
-	isFirstAttempt, Planner, RestingServers,
+	isColdRejection, isFirstAttempt, Planner, RestingServers,
+	type ColdAllowance, type GrantedShares,
 	type Decision, type Plan, type PlanEvent, type PlanRequest, type RetryAllowance, type RetryLimits, type RestingServer, type RetryRequest, type PlannedServerStatus,
 } from '../../planning/index.js';
 import type {EngineProfile, FleetState} from '../../routing/index.js';
@@ -28,6 +29,8 @@
 import {PlanUpdateSender} from './plan-update-sender.js';
 import {LeavingNotices} from './leaving-notices.js';
 import {ReplicatedCrashes} from './replicated-crashes.js';
+import {ColdShares} from './cold-shares.js';
+import {ReplicatedCold} from './replicated-cold.js';
 import {ReplicatedLimits} from './replicated-limits.js';
 import {DistributedRetryBudget, type RetryBudget} from './distributed-retry-budget.js';
 
@@ -66,6 +69,8 @@
 	countConfigured: () => number;
 	/** Retry budget of the fleet for each service. */
 	retries: RetryLimits;
+	/** What is allowed beyond the rates of cold servers; undefined when they are not limited. */
+	coldAllowance?: ColdAllowance;
 	self: () => Peer;
 };
 
@@ -81,6 +86,7 @@
 	pendingEvents: PlanEvent[];
 	crashes: ReplicatedCrashes;
 	limits: ReplicatedLimits;
+	cold: ReplicatedCold;
 	leaving: LeavingNotices;
 	/** Servers that have asked this node for rest. */
 	resting: RestingServers;
@@ -111,6 +117,7 @@
 	readonly #schedulers: SchedulerSelector;
 	readonly #retries: DistributedRetryBudget;
 	readonly #updates: PlanUpdateSender;
+	readonly #coldShares: ColdShares | undefined;
 	#reconciledAt = 0;
 
 	constructor(parts: FleetPlacerParts) {
@@ -124,6 +131,10 @@
 		this.#retries = new DistributedRetryBudget({
 			clock, logger, peers, clients, schedulers: this.#schedulers, limits: parts.retries, countConfigured, decisionTimeout, self,
 		});
+		this.#coldShares = this.#createColdShares();
+		parts.state.coldServers.addListener((service, change) => {
+			this.#services.get(service)?.cold.applyChange(change);
+		});
 		parts.state.addListener(() => {
 			this.#refreshServers();
 		});
@@ -180,6 +191,11 @@
 				break;
 			}
 
+			case 'cold': {
+				this.#recordCold(service, server, notice.time);
+				break;
+			}
+
 			case 'leaving': {
 				this.#findPlans(service).leaving.recordAnswer(server);
 				break;
@@ -221,10 +237,11 @@
 
 	/** Applies an update of a node that runs plans; plans missing from its list have ended. */
 	applyPlanUpdate({
-		service, node, notes, active, crashRecords = [], limits = [], leaving = [],
+		service, node, notes, active, crashRecords = [], limits = [], leaving = [], cold = [],
 	}: PlanUpdate): void {
-		const {planner, crashes, limits: replicatedLimits, leaving: leavingNotices} = this.#findPlans(service);
+		const {planner, crashes, limits: replicatedLimits, leaving: leavingNotices, cold: replicatedCold} = this.#findPlans(service);
 		leavingNotices.merge(leaving, node);
+		replicatedCold.merge(cold);
 		for (const limit of limits) {
 			replicatedLimits.merge(limit, node);
 		}
@@ -237,6 +254,10 @@
 			}
 		}
 
+		if (active !== undefined && node !== this.#parts.self().name) {
+			this.#coldShares?.recordAsk(service, node);
+		}
+
 		const forgotten = active === undefined ? 0 : planner.reconcile(node, new Set(active), this.#parts.clock.readMonotonic());
 		if (forgotten > 0) {
 			this.#parts.logger.info({
@@ -247,10 +268,11 @@
 
 	/** Takes over a node from another scheduling node, with its running plans and retry history. */
 	adopt({
-		service, plans, crashRecords, limits, history,
+		service, plans, crashRecords, limits, cold = [], history,
 	}: Adoption): void {
 		this.#retries.mergeHistory(service, history);
-		const {planner, crashes} = this.#findPlans(service);
+		const {planner, crashes, cold: replicatedCold} = this.#findPlans(service);
+		replicatedCold.merge(cold);
 		const now = this.#parts.clock.readMonotonic();
 		planner.adopt(plans, now);
 		crashes.merge(crashRecords);
@@ -267,6 +289,7 @@
 		}
 
 		this.#reconciledAt = now;
+		this.#parts.state.coldServers.prune();
 		const self = this.#parts.self().name;
 		for (const [service, plans] of this.#services) {
 			this.#changeScheduler(service, plans, this.#schedulers.select(service));
@@ -282,6 +305,7 @@
 			if (plans.scheduler?.name === self) {
 				plans.crashes.replicateToNewNodes();
 				plans.limits.replicate();
+				plans.cold.replicate();
 				plans.leaving.replicate();
 			}
 		}
@@ -315,6 +339,28 @@
 		}
 	}
 
+	#recordCold(service: ServiceName, server: BackendServerId, time: number): void {
+		const plans = this.#findPlans(service);
+		const report = plans.cold.recordAnswer(server, time);
+		if (report !== undefined) {
+			this.#updates.sendToNode(plans.scheduler?.name, service, {cold: [report]});
+		}
+	}
+
+	#createColdShares(): ColdShares | undefined {
+		const {clock, peers, coldAllowance, self} = this.#parts;
+		return coldAllowance === undefined
+			? undefined
+			: new ColdShares({
+				clock,
+				allowance: coldAllowance,
+				self: () => self().name,
+				listKnown: () => peers.listKnown().map(peer => peer.name),
+				countSeen: () => peers.countLive() + 1,
+				countKnown: () => this.#retries.countKnown(),
+			});
+	}
+
 	#recordRest(service: ServiceName, rest: RestingServer): void {
 		if (this.#findPlans(service).resting.add(rest, this.#parts.clock.readMonotonic())) {
 			this.#parts.logger.info({event: 'server_resting', service, ...rest}, 'a backend server asked this node to send it no requests for a while');
@@ -351,12 +397,14 @@
 	#decideAsScheduler(request: PlanRequest): Either<Failure, Decision> {
 		const seen = this.#parts.peers.countLive() + 1;
 		const known = this.#retries.countKnown();
-		const limitShare = this.#schedulers.isPreferred(request.service) ? Math.min(1, seen / known) : fallbackLimitShare / known;
-		return this.#decideLocally(request, seen, limitShare);
+		const isPreferred = this.#schedulers.isPreferred(request.service);
+		const limitShare = isPreferred ? Math.min(1, seen / known) : fallbackLimitShare / known;
+		this.#coldShares?.recordAsk(request.service, request.node);
+		return this.#decideLocally(request, seen, limitShare, isPreferred);
 	}
 
 	/** Decides from the plans known here: those of `seen` nodes that ask this one, itself included. */
-	#decideLocally(request: PlanRequest, seen: number, limitShare = fallbackLimitShare / this.#retries.countKnown()): Either<Failure, Decision> {
+	#decideLocally(request: PlanRequest, seen: number, limitShare = fallbackLimitShare / this.#retries.countKnown(), isPreferred = false): Either<Failure, Decision> {
 		const {planner} = this.#findPlans(request.service);
 		const now = this.#parts.clock.readMonotonic();
 		if (isFirstAttempt(request)) {
@@ -365,13 +413,28 @@
 
 		const {logger, state} = this.#parts;
 		const visibility = {seen, known: this.#retries.countKnown()};
-		const decided = planner.decide(request, now, visibility, limitShare);
+		const decided = planner.decide(request, now, visibility, this.#findShares(request, limitShare, isPreferred));
+		this.#countColdLimited(request, decided);
 		logDecision(logger, request, decided, {
 			inProgress: planner.planCount, configVersion: state.configVersion, serversRevision: state.serversRevision, ...visibility,
 		});
 		return decided;
 	}
 
+	#findShares({service}: PlanRequest, limitShare: number, isPreferred: boolean): number | GrantedShares {
+		return this.#coldShares === undefined ? limitShare : {declared: limitShare, cold: this.#coldShares.findShare(service, isPreferred)};
+	}
+
+	#countColdLimited({service, waited}: PlanRequest, decided: Either<Failure, Decision>): void {
+		const result = decided.caseOf<'delayed' | 'rejected' | undefined>({
+			Left: failure => isColdRejection(failure) ? 'rejected' : undefined,
+			Right: decision => decision.kind === 'wait' && decision.reason === 'cold' && waited === 0 ? 'delayed' : undefined,
+		});
+		if (result !== undefined) {
+			this.#parts.metrics.countColdLimited(service, result);
+		}
+	}
+
 	async #decide(request: PlanRequest): Promise<{decidedBy: Placement['decidedBy']; result: Either<Failure, Decision>}> {
 		const plans = this.#findPlans(request.service);
 		const self = this.#parts.self();
@@ -427,6 +490,7 @@
 			plans: [...plans.ownPlans.values()].map(plan => ({...plan, startIn: 0})),
 			crashRecords: plans.crashes.describeAll(),
 			limits: plans.limits.describe(),
+			cold: plans.cold.describe(),
 			history: this.#retries.describeOwn(service, scheduler),
 		};
 		if (scheduler.name === this.#parts.self().name) {
@@ -482,6 +546,7 @@
 			pendingEvents: [],
 			crashes: new ReplicatedCrashes(parts),
 			limits: new ReplicatedLimits(parts),
+			cold: new ReplicatedCold(parts, this.#parts.coldAllowance),
 			leaving: new LeavingNotices(parts),
 			resting: new RestingServers(),
 			emptyListsLeft: emptyListRepeats,
@@ -490,10 +555,11 @@
 	}
 
 	#refreshServers(): void {
-		for (const [service, {planner, crashes, limits}] of this.#services) {
+		for (const [service, {planner, crashes, limits, cold}] of this.#services) {
 			planner.setServers(this.#parts.state.listServers(service), this.#parts.state.table?.findService(service)?.engine);
 			crashes.checkServers();
 			limits.prune();
+			cold.refresh();
 		}
 	}
 }
--- a/src/logs/find-cause.ts
+++ b/src/logs/find-cause.ts
@@ -232,6 +232,7 @@
 	reading: 'servers were still read or others read first',
 	writers: 'those who write would have paused too long',
 	memory: 'no memory was free',
+	cold: 'warm servers were full and cold ones took no more requests',
 };
 
 function describeWait({lines}: RequestTimeline): string {
@@ -252,10 +253,16 @@
 	server_leaving: 'it was leaving',
 	server_overwritten: 'another writer stood in its place',
 	server_restarted: 'it started again',
+	server_cold: 'it was cold',
 };
 
+/** Events of servers that only take fewer requests. */
+const coldEvents = new Set(['server_cold', 'server_warm']);
+
 function describeServer(server: string | undefined, {related}: RequestTimeline): string {
-	const line = server === undefined ? undefined : related.find(candidate => findText(candidate, 'server') === server || findText(candidate, 'before') === server);
+	const lines = server === undefined ? [] : related.filter(candidate => findText(candidate, 'server') === server || findText(candidate, 'before') === server);
+	// A server that ended has mostly been cold before, or is afterwards: its end explains more.
+	const line = lines.find(({event}) => !coldEvents.has(event)) ?? lines[0];
 	return line === undefined ? '' : serverStates[line.event] ?? '';
 }
 
--- a/src/logs/request-timeline.ts
+++ b/src/logs/request-timeline.ts
@@ -5,13 +5,11 @@
 import {findEndedCall, type EndedCall} from './ended-call.js';
 import {WriterClocks} from './writer-clocks.js';
 
-/** Events that change the state of a server or node, which may explain the outcome of a request. */
-const fleetEvents = new Set([
-	'server_gone', 'server_doubtful', 'server_leaving', 'server_overwritten', 'server_restarted', 'node_lost', 'own_gap', 'decider_changed', 'stopping', 'stopped', 'started',
-]);
+/** Events after which a server accepts no work or other amounts of it, or has restarted. */
+const serverEvents = new Set(['server_gone', 'server_doubtful', 'server_leaving', 'server_overwritten', 'server_restarted', 'server_cold', 'server_warm']);
 
-/** Events after which a server no longer accepts work or has restarted. */
-const serverEvents = new Set(['server_gone', 'server_doubtful', 'server_leaving', 'server_overwritten', 'server_restarted']);
+/** Events that change the state of a server or node, which may explain the outcome of a request. */
+const fleetEvents = new Set([...serverEvents, 'node_lost', 'own_gap', 'decider_changed', 'stopping', 'stopped', 'started']);
 
 /** Whether a line places a prefill that is distributed over several servers. */
 function isDistributedPrefill(line: LogLine): boolean {
