--- a/src/gateway/scheduling/cold-shares.ts
+++ b/src/gateway/scheduling/cold-shares.ts
@@ -22,9 +22,9 @@
 const discoveryTime = 1500;
 
 /**
- * Time for which a node counts as asking this one, in milliseconds, and for which a scheduling node that takes over grants as a second one.
+ * Time for which a node counts after it has asked, in milliseconds, and for which it must have selected this one before it counts.
  *
- * It is the same, so that a node which has changed its scheduling node no longer counts at the previous one when the next one grants the whole rate.
+ * It is the same, so that a node which changes its scheduling node counts at the next one only when it no longer counts at the previous one.
  * Nodes with running plans report once a second.
  */
 const settleTime = 1500;
@@ -50,7 +50,7 @@
 	countKnown: () => number;
 };
 
-type Askers = {askedAt: Map<BoxId, number>; preferredSince: number | undefined; counted: {at: number; count: number}};
+type Askers = {askedAt: Map<BoxId, number>; counted: {at: number; count: number}};
 
 /** Shares of all services. */
 export class ColdShares {
@@ -64,25 +64,37 @@
 		this.#startedAt = parts.clock.readMonotonic();
 	}
 
-	/** Records that a node, possibly this one, selects this node as scheduling node. */
-	recordAsk(service: ServiceName, node: BoxId): void {
-		this.#findAskers(service).askedAt.set(node, this.#now);
+	/** Records that a node, possibly this one, asks this one, and for how long it has selected it as scheduling node, in milliseconds. */
+	recordAsk(service: ServiceName, node: BoxId, selectedFor: number): void {
+		const {askedAt} = this.#findAskers(service);
+		if (selectedFor >= settleTime) {
+			askedAt.set(node, this.#now);
+		} else {
+			askedAt.delete(node);
+		}
+	}
+
+	/** Records that a node reports its plans to this one: it still selects it. */
+	recordReport(service: ServiceName, node: BoxId): void {
+		const {askedAt} = this.#findAskers(service);
+		if (this.#now - (askedAt.get(node) ?? -Infinity) < settleTime) {
+			askedAt.set(node, this.#now);
+		}
 	}
 
 	/** Finds the share for a decision; `isPreferred` says whether this node takes itself for the scheduling node when slowness is ignored. */
 	findShare(service: ServiceName, isPreferred: boolean): ColdShare {
 		const askers = this.#findAskers(service);
-		askers.preferredSince = isPreferred ? askers.preferredSince ?? this.#now : undefined;
 		if (this.#now - this.#startedAt < discoveryTime) {
 			return () => 0;
 		}
 
-		if (askers.preferredSince === undefined) {
+		if (!isPreferred) {
 			const share = this.#parts.allowance.slack < alone.minSlack ? 0 : this.#excess * alone.excessShare;
 			return server => this.#isAssigned(server) ? share : 0;
 		}
 
-		const share = this.#computeSchedulerShare(askers, askers.preferredSince);
+		const share = this.#computeSchedulerShare(askers);
 		return () => share;
 	}
 
@@ -95,14 +107,10 @@
 		return Math.min(1, Math.max(0, this.#parts.allowance.overage - 1));
 	}
 
-	#computeSchedulerShare(askers: Askers, preferredSince: number): number {
+	#computeSchedulerShare(askers: Askers): number {
 		const {allowance, countSeen, countKnown} = this.#parts;
 		const seenShare = Math.min(1, countSeen() / countKnown());
 		const secondShare = allowance.slack < second.minSlack ? 0 : this.#excess * second.excessShare * seenShare;
-		if (this.#now - preferredSince < settleTime) {
-			return secondShare;
-		}
-
 		const askShare = this.#countAskers(askers) / countKnown() * (1 + (askFactor * this.#excess));
 		return Math.max(secondShare, Math.min(1, allowance.overage, seenShare, askShare));
 	}
@@ -139,7 +147,7 @@
 	#findAskers(service: ServiceName): Askers {
 		let askers = this.#askers.get(service);
 		if (askers === undefined) {
-			askers = {askedAt: new Map(), preferredSince: undefined, counted: {at: -Infinity, count: 0}};
+			askers = {askedAt: new Map(), counted: {at: -Infinity, count: 0}};
 			this.#askers.set(service, askers);
 		}
 
--- a/src/gateway/scheduling/fleet-placer.ts
+++ b/src/gateway/scheduling/fleet-placer.ts
@@ -81,6 +81,8 @@
 	ownPlans: Map<PlanId, Plan>;
 	/** The scheduling node selected last. */
 	scheduler: Pick<Peer, 'name' | 'life'> | undefined;
+	/** Since when, by the monotonic clock. */
+	schedulerSince: number;
 	/** Whether that node may lack the running plans and retries of this one. */
 	isAdoptionPending: boolean;
 	pendingEvents: PlanEvent[];
@@ -255,7 +257,7 @@
 		}
 
 		if (active !== undefined && node !== this.#parts.self().name) {
-			this.#coldShares?.recordAsk(service, node);
+			this.#coldShares?.recordReport(service, node);
 		}
 
 		const forgotten = active === undefined ? 0 : planner.reconcile(node, new Set(active), this.#parts.clock.readMonotonic());
@@ -399,7 +401,7 @@
 		const known = this.#retries.countKnown();
 		const isPreferred = this.#schedulers.isPreferred(request.service);
 		const limitShare = isPreferred ? Math.min(1, seen / known) : fallbackLimitShare / known;
-		this.#coldShares?.recordAsk(request.service, request.node);
+		this.#coldShares?.recordAsk(request.service, request.node, request.selectedFor ?? 0);
 		return this.#decideLocally(request, seen, limitShare, isPreferred);
 	}
 
@@ -435,11 +437,12 @@
 		}
 	}
 
-	async #decide(request: PlanRequest): Promise<{decidedBy: Placement['decidedBy']; result: Either<Failure, Decision>}> {
-		const plans = this.#findPlans(request.service);
+	async #decide(original: PlanRequest): Promise<{decidedBy: Placement['decidedBy']; result: Either<Failure, Decision>}> {
+		const plans = this.#findPlans(original.service);
 		const self = this.#parts.self();
-		const scheduler = this.#schedulers.select(request.service);
-		this.#changeScheduler(request.service, plans, scheduler);
+		const scheduler = this.#schedulers.select(original.service);
+		this.#changeScheduler(original.service, plans, scheduler);
+		const request = this.#coldShares === undefined ? original : {...original, selectedFor: this.#parts.clock.readMonotonic() - plans.schedulerSince};
 		if (scheduler.name === self.name) {
 			return {decidedBy: 'self', result: this.#decideAsScheduler(request)};
 		}
@@ -475,6 +478,7 @@
 				event: 'decider_changed', service, from: plans.scheduler?.name, to: scheduler.name, own: plans.ownPlans.size,
 			}, 'the scheduling node of a service changed');
 			plans.scheduler = {name: scheduler.name, life: scheduler.life};
+			plans.schedulerSince = this.#parts.clock.readMonotonic();
 			plans.emptyListsLeft = emptyListRepeats;
 		}
 
@@ -542,6 +546,7 @@
 			planner,
 			ownPlans: new Map(),
 			scheduler: undefined,
+			schedulerSince: 0,
 			isAdoptionPending: false,
 			pendingEvents: [],
 			crashes: new ReplicatedCrashes(parts),
--- a/src/planning/cold-limits.ts
+++ b/src/planning/cold-limits.ts
@@ -41,28 +41,26 @@
 
 /** Limits of the cold servers of one service. */
 export class ColdLimits {
-	#slack = 0;
-	/** Whether servers may become cold, so that requests to warm ones are counted. */
-	#isEnabled = false;
+	/** Set if servers may become cold, so that requests to warm ones are counted. */
+	#allowance: ColdAllowance | undefined;
 	readonly #buckets = new Map<BackendServerId, Bucket>();
 	/** When requests were sent to each server in the last second. */
 	readonly #sentAt = new Map<BackendServerId, number[]>();
 
 	/** Sets what is allowed beyond the rates; without it nothing is limited. */
-	enable({slack}: ColdAllowance): void {
-		this.#isEnabled = true;
-		this.#slack = slack;
+	enable(allowance: ColdAllowance): void {
+		this.#allowance = allowance;
 	}
 
 	/** Sets the time for which a server is still cold, and its cold rate; 0 starts the rise to its full rate. */
 	update(server: BackendServerId, coldFor: number, rate: number, now: number): void {
 		const known = this.#buckets.get(server);
 		if (known !== undefined) {
-			known.rate = rate;
+			known.rate = this.#capRate(rate);
 			known.until = now + coldFor;
-		} else if (coldFor > 0 && this.#isEnabled) {
+		} else if (coldFor > 0 && this.#allowance !== undefined) {
 			this.#buckets.set(server, {
-				rate, until: now + coldFor, tokens: this.#computeFirstTokens(server, rate, now), filledAt: now,
+				rate: this.#capRate(rate), until: now + coldFor, tokens: this.#computeFirstTokens(server, rate, now), filledAt: now,
 			});
 		}
 	}
@@ -122,7 +120,7 @@
 
 	/** Counts a request that is sent to a server. */
 	take(server: BackendServerId, now: number): void {
-		if (!this.#isEnabled) {
+		if (this.#allowance === undefined) {
 			return;
 		}
 
@@ -139,6 +137,21 @@
 		return bucket === undefined || now >= bucket.until + rise.duration ? undefined : bucket;
 	}
 
+	get #slack(): number {
+		return this.#allowance?.slack ?? 0;
+	}
+
+	/** Tokens that one node may accumulate. */
+	get #maxTokens(): number {
+		return Math.min(burst.max, Math.max(burst.min, this.#slack * burst.slackShare));
+	}
+
+	/** Rate of the grants: its burst comes on top of it, and little may be allowed beyond the cold rate. */
+	#capRate(rate: number): number {
+		const {overage = 1, slack = 0} = this.#allowance ?? {};
+		return Math.max(minRate, Math.min(rate, (rate * overage) + slack - this.#maxTokens));
+	}
+
 	#listSent(server: BackendServerId, now: number): number[] {
 		return (this.#sentAt.get(server) ?? []).filter(at => now - at < windowLength);
 	}
@@ -152,7 +165,7 @@
 	}
 
 	#refill(bucket: Bucket, share: number, now: number): void {
-		const max = share < fullShare ? burst.min : Math.min(burst.max, Math.max(burst.min, this.#slack * burst.slackShare));
+		const max = share < fullShare ? burst.min : this.#maxTokens;
 		// The rate at the start of the interval: it only rises.
 		const earned = Math.max(0, now - bucket.filledAt) * computeRate(bucket, bucket.filledAt) * share / 1000;
 		bucket.tokens = Math.min(max, bucket.tokens + earned);
--- a/src/planning/plan.ts
+++ b/src/planning/plan.ts
@@ -55,6 +55,8 @@
 	failedAt?: BackendServerId[];
 	/** Servers that have said in answers that they are leaving, as known to the requesting node. */
 	leaving?: BackendServerId[];
+	/** Time for which the requesting node has selected the node that it asks as scheduling node, in milliseconds; absent where no servers are cold after a start. */
+	selectedFor?: number;
 	/** Servers that have asked the requesting node for rest: it must not send them the request before its end. */
 	resting?: RestingServer[];
 };
--- a/src/routing/cold-servers.ts
+++ b/src/routing/cold-servers.ts
@@ -78,14 +78,12 @@
 
 	/** Applies the entry of a server. */
 	applyEntry({server, isNew, isFirstView, isRepeated}: ColdEntry): void {
-		if (!this.#isEnabled) {
+		if (!this.#isEnabled || isRepeated) {
 			return;
 		}
 
 		const {id, service, coldFor = 0} = server;
-		if (isRepeated) {
-			this.applyReport(id, service, coldFor);
-		} else if (coldFor > 0) {
+		if (coldFor > 0) {
 			this.#set(id, service, coldFor, 'entry');
 		} else if (isNew && !isFirstView) {
 			this.#assumeCold(id, service);
--- a/src/routing/server-view.ts
+++ b/src/routing/server-view.ts
@@ -276,6 +276,8 @@
 			return;
 		}
 
+		// The other node may know more than the entry says.
+		this.#parts.coldServers.applyReport(server.id, server.service, server.coldFor ?? 0);
 		const now = this.#parts.clock.readMonotonic();
 		const known = this.#servers.get(server.name)!;
 		known.isOverwritten = isOverwritten;
--- a/test/helpers/gateways.ts
+++ b/test/helpers/gateways.ts
@@ -88,6 +88,8 @@
 export class GatewayFleet {
 	/** Loggers by index of the node; nodes without one do not log. */
 	readonly loggers: Logger[] = [];
+	/** Sections added to the settings of each node. */
+	extraSettings = '';
 	readonly store = new StandinStore();
 	readonly gateways: Gateway[] = [];
 	readonly settings: GatewaySettings[] = [];
@@ -164,7 +166,7 @@
 ratio = 0.2
 slack = ${retrySlack}
 window_seconds = 10
-`).unsafeCoerce();
+${this.extraSettings}`).unsafeCoerce();
 		const logger = this.loggers[index] ?? createSilentLogger();
 		const gateway = new Gateway({
 			settings, source: new PlatformSource(settings.store.address, logger), wire: new CallWire(), clock: systemClock, ids: randomIdSource, logger, random: Math.random,
