--- a/src/planning/cold-limits.ts
+++ b/src/planning/cold-limits.ts
@@ -25,8 +25,9 @@
 /** Requests that were sent in the second before a server was known to be cold and that need not be made up for, as a share of the slack. */
 const uncountedShare = 0.5;
 
-/** Minimum rate that delays are derived from: a node that may grant nothing now may be allowed to soon. */
+/** Minimum rate that is granted, and minimum share of a rate by which rejected callers are spread: a node that may grant nothing now sends them back to the whole fleet. */
 const minRate = 0.1;
+const minSpreadShare = 0.3;
 
 /** What the platform allows beyond the cold rate in any one second: requests up to the rate times `overage`, plus `slack`. */
 export type ColdAllowance = {overage: number; slack: number};
@@ -109,13 +110,14 @@
 			return 0;
 		}
 
-		return Math.min(missing / this.findGrantedRate(server, share, now) * 1000, this.computeColdLeft(server, now) + rise.duration);
+		const untilWarm = this.computeColdLeft(server, now) + rise.duration;
+		return share > 0 ? Math.min(missing / this.findGrantedRate(server, share, now) * 1000, untilWarm) : untilWarm;
 	}
 
 	/** The rate granted for a server; infinite for a warm one. */
 	findGrantedRate(server: BackendServerId, share: number, now: number): number {
 		const bucket = this.#find(server, now);
-		return bucket === undefined ? Infinity : Math.max(minRate, computeRate(bucket, now) * share);
+		return bucket === undefined ? Infinity : Math.max(minRate, computeRate(bucket, now) * (share > 0 ? share : minSpreadShare));
 	}
 
 	/** Counts a request that is sent to a server. */
--- a/src/routing/cold-servers.ts
+++ b/src/routing/cold-servers.ts
@@ -66,6 +66,11 @@
 		return this.#known.size;
 	}
 
+	/** Whether cold servers are kept. */
+	get isEnabled(): boolean {
+		return this.#isEnabled;
+	}
+
 	/** Starts to keep cold servers. */
 	enable(): void {
 		this.#isEnabled = true;
--- a/src/routing/server-view.ts
+++ b/src/routing/server-view.ts
@@ -8,7 +8,6 @@
  * An incarnation that is leaving stays so for the rest of its life, whether its entry or the server itself said it: its
  * entry may be late, lost or written again meanwhile.
  */
-import {isDeepStrictEqual} from 'node:util';
 import type {
 	BackendServerId, BackendServerName, Clock, Logger, ServiceName,
 } from '../common/index.js';
@@ -21,6 +20,9 @@
 /** How long a server whose entry disappeared in an outage is kept after the source is back, in milliseconds: servers re-register within about two seconds. */
 export const reregistrationGrace = 1800;
 
+/** What an entry that only repeats a known one has in common with it. */
+const refreshedKeys = ['id', 'service', 'address', 'availabilityZone', 'slots', 'isLeaving'] as const;
+
 /** How long a leaving incarnation is remembered, in milliseconds: far longer than it runs. Ids are not reused, so this only bounds memory. */
 const leavingRetention = 600_000;
 
@@ -151,7 +153,7 @@
 			return;
 		}
 
-		const isNotable = changes.some(change => !this.#isColdRefresh(change));
+		const isNotable = changes.some(({item}) => !this.#isRefresh(item));
 		for (const change of dropSupersededRemovals(changes)) {
 			this.#applyChange(change, revision, origin);
 		}
@@ -244,6 +246,7 @@
 
 		const isRestored = this.#checkRestored(revision, origin);
 		const listed = new Set(items.map(server => server.name));
+		const isNotable = items.length === 0 || this.#servers.size !== items.length || items.some(item => !this.#isRefresh(item));
 		for (const item of items) {
 			this.#applySnapshotItem(item, origin, isRestored);
 		}
@@ -255,7 +258,9 @@
 		}
 
 		this.#setRevision(revision, origin);
-		this.#parts.onChange();
+		if (isNotable) {
+			this.#parts.onChange();
+		}
 	}
 
 	/** Detects that the source was restored from a copy: servers whose entries it has lost may still be running, and register again. */
@@ -382,12 +387,18 @@
 		});
 	}
 
-	/** Whether a change only repeats that a server is cold: such changes arrive every 1.2 s for each cold server, and need no new plans or announcements. */
-	#isColdRefresh({item}: Change<BackendServer>): boolean {
+	/** Whether an entry only repeats what is known, as those of cold servers do every 1.2 s: it needs no new plans or announcements. */
+	#isRefresh(item: SnapshotServer | undefined): boolean {
+		const {coldServers} = this.#parts;
 		const known = item === undefined ? undefined : this.#servers.get(item.name);
-		return item?.coldFor !== undefined && known !== undefined && isUsable(known) && known.forgetAt === undefined
-			&& this.#parts.coldServers.computeColdLeft(item.id) > 0
-			&& isDeepStrictEqual({...dropColdTime(item), entryRevision: 0}, {...known.server, entryRevision: 0});
+		if (item === undefined || known === undefined || !coldServers.isEnabled || !isUsable(known) || known.forgetAt !== undefined) {
+			return false;
+		}
+
+		const {server} = known;
+		const isCold = coldServers.computeColdLeft(item.id) > 0;
+		return isCold === ((item.coldFor ?? 0) > 0) && item.isOverwritten !== true && item.forgetIn === undefined && item.doubtfulFor === undefined
+			&& refreshedKeys.every(key => item[key] === server[key]);
 	}
 
 	#describeCold(id: BackendServerId): {coldFor?: number} {
--- a/test/cold-servers.test.ts
+++ b/test/cold-servers.test.ts
@@ -11,6 +11,7 @@
 import {
 	isColdRejection, Planner, type Decision, type PlanRequest,
 } from '../src/planning/index.js';
+import {describeRequest, parseLogLine, TimelineCollector} from '../src/logs/index.js';
 import {FleetState, type BackendServer, type RoutingConfig} from '../src/routing/index.js';
 import {createConfig} from './helpers/gateways.js';
 import {LogCapture} from './helpers/logs.js';
@@ -169,8 +170,12 @@
 	expect(notified).toBe(1);
 	node.put(createEntry(1, 3, {coldFor: 1800}));
 	expect([notified, node.state.serversRevision]).toEqual([1, 3]);
-	node.put(createEntry(1, 4, {coldFor: 600, isLeaving: true}));
+	node.state.applyServers({revision: 4, items: [createEntry(1, 4, {coldFor: 1700}), createEntry(2, 4)]}, 'node');
+	expect([notified, node.state.serversRevision]).toEqual([1, 4]);
+	node.put(createEntry(1, 5, {coldFor: 600, isLeaving: true}));
 	expect(notified).toBe(2);
+	node.state.applyServers({revision: 6, items: [createEntry(2, 6)]}, 'node');
+	expect(notified).toBe(3);
 });
 
 test('without the section no server is cold', () => {
@@ -323,3 +328,27 @@
 		expect(perSecond[3]).toBeGreaterThan(coldRate * 1.5);
 	}
 });
+
+test('explain names the cold server as the reason of a rejection', () => {
+	const common = {request: 'r-1', service: 'app', node: 'edge-1'};
+	const reason = 'backend servers of app are cold and take few requests, and the others are full';
+	const lines = [
+		{
+			event: 'waits', time: 1000, ...common, reason: 'cold', waited: 0,
+		},
+		{
+			event: 'refused', time: 1200, ...common, reason, kind: 'overloaded', inProgress: 9,
+		},
+		{
+			event: 'call_ended', time: 1201, ...common, outcome: 'overloaded', reason, status: 503, sends: 0, took: 201, servers: [],
+		},
+	];
+	const collector = new TimelineCollector('r-1');
+	for (const line of lines) {
+		collector.add(parseLogLine(JSON.stringify(line), 'edge-1')!);
+	}
+
+	const {cause} = describeRequest(collector.finish()!);
+	const wait = 'it had waited, since warm servers were full and cold ones took no more requests';
+	expect(cause).toBe(`It was refused with 503 (overloaded), and ran nowhere: ${reason}; ${wait}; 9 plans of the service were in progress.`);
+});
--- a/test/cold-shares.test.ts
+++ b/test/cold-shares.test.ts
@@ -20,12 +20,12 @@
 /** Time between a grant and the arrival at the server, in milliseconds: a plan waits up to 60 ms, and the request is in transit. */
 const maxSendDelay = 65;
 
-type Node = {name: BoxId; limits: ColdLimits; shares: ColdShares; seen: number};
+type Node = {name: BoxId; limits: ColdLimits; shares: ColdShares};
 
 /** How each node finds its scheduling node during a phase, by index: of node 0, of node 1, or itself alone. */
 type Selection = 'first' | 'second' | 'alone';
 
-/** A phase: selections, whether nodes 0 and 1 take themselves for the scheduling node, the size of each part of a partitioned fleet, and its duration. */
+/** A phase: selections, whether nodes 0 and 1 take themselves for the scheduling node, and its duration in milliseconds. */
 type Phase = {selections: Selection[]; preferred: [boolean, boolean]; duration: number};
 
 function createNodes(clock: VirtualClock, allowance: ColdAllowance): Node[] {
@@ -33,12 +33,10 @@
 	return names.map(name => {
 		const limits = new ColdLimits();
 		limits.enable(allowance);
-		const node: Node = {
-			name, limits, seen: nodeCount, shares: new ColdShares({
-				clock, allowance, self: () => name, listKnown: () => names.filter(other => other !== name), countSeen: () => node.seen, countKnown: () => nodeCount,
-			}),
-		};
-		return node;
+		const shares = new ColdShares({
+			clock, allowance, self: () => name, listKnown: () => names.filter(other => other !== name), countSeen: () => nodeCount, countKnown: () => nodeCount,
+		});
+		return {name, limits, shares};
 	});
 }
 
