fix(gateway): count nodes by the scheduling node that they prefer, not by moments of slowness

A node that passed the scheduling node over for 600 ms no longer counted for 1.5 s after it, so that slow boxes brought the grants down to 0.3 of the cold rate; seen over sockets with 23 of 51 requests in three seconds. Servers in the rise after their cold time are used like cold ones, and services without a cold rate keep no cold servers.

--- a/src/gateway/scheduling/fleet-placer.ts
+++ b/src/gateway/scheduling/fleet-placer.ts
@@ -81,8 +81,8 @@
 	ownPlans: Map<PlanId, Plan>;
 	/** The scheduling node selected last. */
 	scheduler: Pick<Peer, 'name' | 'life'> | undefined;
-	/** Since when, by the monotonic clock. */
-	schedulerSince: number;
+	/** The scheduling node when slowness is ignored, and since when, by the monotonic clock. */
+	preferred: {life: string; since: number} | undefined;
 	/** Whether that node may lack the running plans and retries of this one. */
 	isAdoptionPending: boolean;
 	pendingEvents: PlanEvent[];
@@ -295,6 +295,7 @@
 		const self = this.#parts.self().name;
 		for (const [service, plans] of this.#services) {
 			this.#changeScheduler(service, plans, this.#schedulers.select(service));
+			this.#measureSelection(service, plans, this.#schedulers.select(service));
 			const active = [...plans.ownPlans.keys()];
 			this.applyPlanUpdate({
 				service, node: self, notes: [], active,
@@ -427,6 +428,17 @@
 		return this.#coldShares === undefined ? limitShare : {declared: limitShare, cold: this.#coldShares.findShare(service, isPreferred)};
 	}
 
+	/** Time for which this node has selected a node regardless of slowness, in milliseconds: one that only replaces a slow node for a moment has not been selected. */
+	#measureSelection(service: ServiceName, plans: ServicePlans, scheduler: Peer): number {
+		const now = this.#parts.clock.readMonotonic();
+		const {life} = this.#schedulers.selectPreferred(service);
+		if (plans.preferred?.life !== life) {
+			plans.preferred = {life, since: now};
+		}
+
+		return scheduler.life === life ? now - plans.preferred.since : 0;
+	}
+
 	#countColdLimited({service, waited}: PlanRequest, decided: Either<Failure, Decision>): void {
 		const result = decided.caseOf<'delayed' | 'rejected' | undefined>({
 			Left: failure => isColdRejection(failure) ? 'rejected' : undefined,
@@ -442,7 +454,7 @@
 		const self = this.#parts.self();
 		const scheduler = this.#schedulers.select(original.service);
 		this.#changeScheduler(original.service, plans, scheduler);
-		const request = this.#coldShares === undefined ? original : {...original, selectedFor: this.#parts.clock.readMonotonic() - plans.schedulerSince};
+		const request = this.#coldShares === undefined ? original : {...original, selectedFor: this.#measureSelection(original.service, plans, scheduler)};
 		if (scheduler.name === self.name) {
 			return {decidedBy: 'self', result: this.#decideAsScheduler(request)};
 		}
@@ -478,7 +490,6 @@
 				event: 'decider_changed', service, from: plans.scheduler?.name, to: scheduler.name, own: plans.ownPlans.size,
 			}, 'the scheduling node of a service changed');
 			plans.scheduler = {name: scheduler.name, life: scheduler.life};
-			plans.schedulerSince = this.#parts.clock.readMonotonic();
 			plans.emptyListsLeft = emptyListRepeats;
 		}
 
@@ -546,7 +557,7 @@
 			planner,
 			ownPlans: new Map(),
 			scheduler: undefined,
-			schedulerSince: 0,
+			preferred: undefined,
 			isAdoptionPending: false,
 			pendingEvents: [],
 			crashes: new ReplicatedCrashes(parts),
--- a/src/gateway/scheduling/scheduler-selector.ts
+++ b/src/gateway/scheduling/scheduler-selector.ts
@@ -34,6 +34,11 @@
 		return this.#findSelection(service).node;
 	}
 
+	/** Selects the scheduling node, also while it is slow. */
+	selectPreferred(service: ServiceName): Peer {
+		return this.#findSelection(service).preferred;
+	}
+
 	/** Whether this node is the scheduling node when slowness is ignored. Nodes that mark each other as slow may each select themselves; only one is preferred. */
 	isPreferred(service: ServiceName): boolean {
 		return this.#findSelection(service).preferred.name === this.#self().name;
--- a/src/planning/cold-limits.ts
+++ b/src/planning/cold-limits.ts
@@ -87,6 +87,11 @@
 		return this.#buckets.size > 0;
 	}
 
+	/** Whether a server is limited, cold or in the rise after it. */
+	isLimited(server: BackendServerId, now: number): boolean {
+		return this.#find(server, now) !== undefined;
+	}
+
 	/** Time for which a server is still cold; 0 for a warm one. */
 	computeColdLeft(server: BackendServerId, now: number): number {
 		return Math.max(0, (this.#buckets.get(server)?.until ?? 0) - now);
--- a/src/planning/limit-gate.ts
+++ b/src/planning/limit-gate.ts
@@ -53,9 +53,9 @@
 		return this.#queue.countAhead(request.requestId, now) < tokens;
 	}
 
-	/** Whether a server is cold; one in the rise to its full rate is not. */
+	/** Whether a server is cold, or rises to its full rate after that. */
 	isCold({server}: ServerLoad, now: number): boolean {
-		return this.cold.computeColdLeft(server.id, now) > 0;
+		return this.cold.isLimited(server.id, now);
 	}
 
 	/** Queues the request if it can be sent soon; otherwise rejects it with a retry delay. */
--- a/src/planning/planner.ts
+++ b/src/planning/planner.ts
@@ -139,7 +139,7 @@
 				readFor: Math.round(load.computePendingPrefill(now)),
 				restsFor: Math.round(load.health.computeBackoffLeft(now)),
 				requestLimit: this.limits.findRate(load.server.id),
-				coldFor: this.#gate.isCold(load, now) ? Math.round(this.coldLimits.computeColdLeft(load.server.id, now)) : undefined,
+				coldFor: Math.round(this.coldLimits.computeColdLeft(load.server.id, now)) || undefined,
 				spoiled: Math.round(load.health.computeFailureShare(now) * 100) / 100,
 				isDoubtful: load.health.isUnreliable(now),
 			}));
--- a/src/routing/cold-servers.ts
+++ b/src/routing/cold-servers.ts
@@ -163,7 +163,12 @@
 		}
 	}
 
+	/** Keeps a cold server, unless its service has no cold rate; returns whether it has become cold. */
 	#set(server: BackendServerId, service: ServiceName, stated: number, origin: ColdOrigin): boolean {
+		if (this.#parts.findColdStart(service) === undefined) {
+			return false;
+		}
+
 		const coldFor = Math.min(maxColdTime, stated);
 		const isNew = this.computeColdLeft(server) === 0;
 		this.#known.set(server, {
--- a/src/routing/fleet-state.ts
+++ b/src/routing/fleet-state.ts
@@ -12,7 +12,7 @@
 import {ConfigHistory} from './config-history.js';
 import type {Change, Listing} from './fleet-source.js';
 import type {
-	BackendServer, Organisation, Route, RoutingConfig, ServiceSpec,
+	BackendServer, ColdStart, Organisation, Route, RoutingConfig, ServiceSpec,
 } from './model.js';
 import {chooseService, RouteTable} from './route-table.js';
 import {ServerView, type ServersSnapshot} from './server-view.js';
@@ -55,7 +55,7 @@
 		this.sourceAgeTracker = new SourceAgeTracker(clock);
 		this.#clock = clock;
 		this.#logger = logger;
-		this.coldServers = new ColdServers({clock, logger, findColdStart: service => this.#table?.findService(service)?.coldStart});
+		this.coldServers = new ColdServers({clock, logger, findColdStart: service => this.#findColdStart(service)});
 		this.#servers = new ServerView({
 			coldServers: this.coldServers,
 			clock,
@@ -260,6 +260,11 @@
 		});
 	}
 
+	/** While no configuration is known, any service may have cold starts. */
+	#findColdStart(service: ServiceName): ColdStart | undefined {
+		return this.#table === undefined ? {requestsPerSecond: 0, duration: 0} : this.#table.findService(service)?.coldStart;
+	}
+
 	#notify(): void {
 		for (const listener of this.#listeners) {
 			listener();
--- a/test/cold-servers.test.ts
+++ b/test/cold-servers.test.ts
@@ -129,6 +129,7 @@
 	node.put(createEntry(3, 4, {id: 'i-003@2' as BackendServerId}));
 	expect(listCold(node)).toEqual([['i-003@2', 3000]]);
 	node.put(createEntry(4, 5, {service: 'app' as ServiceName}));
+	node.put(createEntry(5, 6, {service: 'app' as ServiceName, coldFor: 2000}));
 	expect(node.state.coldServers.size).toBe(1);
 });
 
