--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -92,6 +92,10 @@
 			this.metrics.countAbandonedConnections('peer');
 		});
 		this.#viewResponder = new ViewResponder(this.state);
+		if (parts.settings.cold_servers !== undefined) {
+			this.state.coldServers.enable();
+		}
+
 		const self = () => this.#describeSelf();
 		this.#views = new ViewExchange({
 			clock,
@@ -142,6 +146,7 @@
 			clients: this.#clients,
 			socket: this.#socket,
 			retries: {ratio, slack, window: seconds * 1000},
+			coldAllowance: parts.settings.cold_servers,
 			countConfigured: () => countConfiguredNodes(this.#parts.settings),
 			self,
 		});
@@ -402,6 +407,10 @@
 			this.metrics.setState('evacuated_zones', this.state.evacuations.list().length);
 		}
 
+		if (this.#parts.settings.cold_servers !== undefined) {
+			this.metrics.setState('cold_servers', this.state.coldServers.size);
+		}
+
 		this.metrics.setState('calls', this.#calls.inProgress);
 	}
 
--- a/src/gateway/scheduling/fleet-placer.ts
+++ b/src/gateway/scheduling/fleet-placer.ts
@@ -11,7 +11,8 @@
 	type BackendServerId, type BoxId, type Clock, type Failure, type IdSource, type Logger, type PlanId, type ServiceName, type Timer,
 } from '../../common/index.js';
 import {
-	isFirstAttempt, PlanHandover, Planner, RestingServers,
+	isColdRejection, isFirstAttempt, PlanHandover, Planner, RestingServers,
+	type ColdAllowance, type GrantedShares,
 	type Decision, type FleetVisibility, type Plan, type PlanEvent, type PlanRequest, type RetryAllowance, type RetryLimits, type RestingServer, type RetryRequest, type PlannedServerStatus,
 } from '../../planning/index.js';
 import type {EngineProfile, FleetState} from '../../routing/index.js';
@@ -28,6 +29,8 @@
 import {PlanUpdateSender} from './plan-update-sender.js';
 import {LeavingNotices} from './leaving-notices.js';
 import {ReplicatedCrashes} from './replicated-crashes.js';
+import {ColdShares} from './cold-shares.js';
+import {ReplicatedCold} from './replicated-cold.js';
 import {ReplicatedLimits} from './replicated-limits.js';
 import {DistributedRetryBudget, type RetryBudget} from './distributed-retry-budget.js';
 
@@ -69,6 +72,8 @@
 	countConfigured: () => number;
 	/** Retry budget of the fleet for each service. */
 	retries: RetryLimits;
+	/** What is allowed beyond the rates of cold servers; undefined when they are not limited. */
+	coldAllowance?: ColdAllowance;
 	self: () => Peer;
 };
 
@@ -79,6 +84,8 @@
 	ownPlans: Map<PlanId, Plan>;
 	/** The scheduling node selected last. */
 	scheduler: Pick<Peer, 'name' | 'life'> | undefined;
+	/** The scheduling node when slowness is ignored, and since when, by the monotonic clock. */
+	preferred: {life: string; since: number} | undefined;
 	/** Whether that node may lack the running plans and retries of this one. */
 	isAdoptionPending: boolean;
 	/** Whether this node has placed a request: before, it has nothing to hand over. */
@@ -88,6 +95,7 @@
 	pendingEvents: PlanEvent[];
 	crashes: ReplicatedCrashes;
 	limits: ReplicatedLimits;
+	cold: ReplicatedCold;
 	leaving: LeavingNotices;
 	/** Servers that have asked this node for rest. */
 	resting: RestingServers;
@@ -118,6 +126,7 @@
 	readonly #schedulers: SchedulerSelector;
 	readonly #retries: DistributedRetryBudget;
 	readonly #updates: PlanUpdateSender;
+	readonly #coldShares: ColdShares | undefined;
 	#reconciledAt = 0;
 	#handoverTimer: Timer | undefined;
 
@@ -132,6 +141,10 @@
 		this.#retries = new DistributedRetryBudget({
 			clock, logger, peers, clients, schedulers: this.#schedulers, limits: parts.retries, countConfigured, decisionTimeout, self,
 		});
+		this.#coldShares = this.#createColdShares();
+		parts.state.coldServers.addListener((service, change) => {
+			this.#services.get(service)?.cold.applyChange(change);
+		});
 		parts.state.addListener(() => {
 			this.#refreshServers();
 		});
@@ -194,6 +207,11 @@
 				break;
 			}
 
+			case 'cold': {
+				this.#recordCold(service, server, notice.time);
+				break;
+			}
+
 			case 'leaving': {
 				this.#findPlans(service).leaving.recordAnswer(server);
 				break;
@@ -235,10 +253,13 @@
 
 	/** Applies an update of a node that runs plans; plans missing from its list have ended. */
 	applyPlanUpdate({
-		service, node, notes, active, crashRecords = [], limits = [], leaving = [],
+		service, node, notes, active, crashRecords = [], limits = [], leaving = [], cold = [],
 	}: PlanUpdate): void {
-		const {planner, crashes, limits: replicatedLimits, leaving: leavingNotices, handover} = this.#findPlans(service);
+		const {
+			planner, crashes, limits: replicatedLimits, leaving: leavingNotices, cold: replicatedCold, handover,
+		} = this.#findPlans(service);
 		leavingNotices.merge(leaving, node);
+		replicatedCold.merge(cold);
 		for (const limit of limits) {
 			replicatedLimits.merge(limit, node);
 		}
@@ -256,6 +277,10 @@
 			handover.record(life);
 		}
 
+		if (active !== undefined && node !== this.#parts.self().name) {
+			this.#coldShares?.recordReport(service, node);
+		}
+
 		const forgotten = active === undefined ? 0 : planner.reconcile(node, new Set(active), this.#parts.clock.readMonotonic());
 		if (forgotten > 0) {
 			this.#parts.logger.info({
@@ -266,10 +291,13 @@
 
 	/** Takes over a node from another scheduling node, with its running plans and retry history. */
 	adopt({
-		service, plans, crashRecords, limits, history,
+		service, plans, crashRecords, limits, cold = [], history,
 	}: Adoption): void {
 		this.#retries.mergeHistory(service, history);
-		const {planner, crashes, handover} = this.#findPlans(service);
+		const {
+			planner, crashes, cold: replicatedCold, handover,
+		} = this.#findPlans(service);
+		replicatedCold.merge(cold);
 		const now = this.#parts.clock.readMonotonic();
 		planner.adopt(plans, now);
 		handover.record(history.life);
@@ -287,6 +315,7 @@
 		}
 
 		this.#reconciledAt = now;
+		this.#parts.state.coldServers.prune();
 		const self = this.#parts.self().name;
 		// Also for services without requests here: the scheduling node has to know that this node runs nothing.
 		for (const {name} of this.#parts.state.table?.config.services ?? []) {
@@ -295,6 +324,7 @@
 
 		this.#changeSchedulers();
 		for (const [service, plans] of this.#services) {
+			this.#measureSelection(service, plans, this.#schedulers.select(service));
 			const active = [...plans.ownPlans.keys()];
 			this.applyPlanUpdate({
 				service, node: self, notes: [], active,
@@ -307,6 +337,7 @@
 			if (plans.scheduler?.name === self) {
 				plans.crashes.replicateToNewNodes();
 				plans.limits.replicate();
+				plans.cold.replicate();
 				plans.leaving.replicate();
 			}
 		}
@@ -340,6 +371,28 @@
 		}
 	}
 
+	#recordCold(service: ServiceName, server: BackendServerId, time: number): void {
+		const plans = this.#findPlans(service);
+		const report = plans.cold.recordAnswer(server, time);
+		if (report !== undefined) {
+			this.#updates.sendToNode(plans.scheduler?.name, service, {cold: [report]});
+		}
+	}
+
+	#createColdShares(): ColdShares | undefined {
+		const {clock, peers, coldAllowance, self} = this.#parts;
+		return coldAllowance === undefined
+			? undefined
+			: new ColdShares({
+				clock,
+				allowance: coldAllowance,
+				self: () => self().name,
+				listKnown: () => peers.listKnown().map(peer => peer.name),
+				countSeen: () => peers.countLive() + 1,
+				countKnown: () => this.#retries.countKnown(),
+			});
+	}
+
 	#recordRest(service: ServiceName, rest: RestingServer): void {
 		if (this.#findPlans(service).resting.add(rest, this.#parts.clock.readMonotonic())) {
 			this.#parts.logger.info({event: 'server_resting', service, ...rest}, 'a backend server asked this node to send it no requests for a while');
@@ -388,12 +441,14 @@
 		const live = peers.length + 1;
 		const seen = this.#findPlans(request.service).handover.countKnown(peers) + 1;
 		const known = this.#retries.countKnown();
-		const limitShare = this.#schedulers.isPreferred(request.service) ? Math.min(1, live / known) : fallbackLimitShare / known;
-		return this.#decideLocally(request, {seen, known, live}, limitShare);
+		const isPreferred = this.#schedulers.isPreferred(request.service);
+		const limitShare = isPreferred ? Math.min(1, live / known) : fallbackLimitShare / known;
+		this.#coldShares?.recordAsk(request.service, request.node, request.selectedFor ?? 0);
+		return this.#decideLocally(request, {seen, known, live}, this.#findShares(request, limitShare, isPreferred));
 	}
 
 	/** Decides from the plans known here: those of the nodes that have reported them, this one included. */
-	#decideLocally(request: PlanRequest, visibility: FleetVisibility, limitShare: number): Either<Failure, Decision> {
+	#decideLocally(request: PlanRequest, visibility: FleetVisibility, shares: number | GrantedShares): Either<Failure, Decision> {
 		const {planner} = this.#findPlans(request.service);
 		const now = this.#parts.clock.readMonotonic();
 		if (isFirstAttempt(request)) {
@@ -402,20 +457,47 @@
 
 		const {logger, state} = this.#parts;
 		const evacuated = state.listEvacuatedZones(request.service);
-		const decided = planner.decide(request, now, visibility, limitShare).mapLeft(failure => explainEvacuation(failure, evacuated));
+		const decided = planner.decide(request, now, visibility, shares).mapLeft(failure => explainEvacuation(failure, evacuated));
+		this.#countColdLimited(request, decided);
 		logDecision(logger, request, decided, {
 			inProgress: planner.planCount, configVersion: state.configVersion, serversRevision: state.serversRevision, ...visibility, ...(evacuated.length > 0 && {evacuated}),
 		});
 		return decided;
 	}
 
-	async #decide(request: PlanRequest): Promise<{decidedBy: Placement['decidedBy']; result: Either<Failure, Decision>}> {
-		const plans = this.#findPlans(request.service);
+	#findShares({service}: PlanRequest, limitShare: number, isPreferred: boolean): number | GrantedShares {
+		return this.#coldShares === undefined ? limitShare : {declared: limitShare, cold: this.#coldShares.findShare(service, isPreferred)};
+	}
+
+	/** Time for which this node has selected a node regardless of slowness, in milliseconds: one that only replaces a slow node for a moment has not been selected. */
+	#measureSelection(service: ServiceName, plans: ServicePlans, scheduler: Peer): number {
+		const now = this.#parts.clock.readMonotonic();
+		const {life} = this.#schedulers.selectPreferred(service);
+		if (plans.preferred?.life !== life) {
+			plans.preferred = {life, since: now};
+		}
+
+		return scheduler.life === life ? now - plans.preferred.since : 0;
+	}
+
+	#countColdLimited({service, waited}: PlanRequest, decided: Either<Failure, Decision>): void {
+		const result = decided.caseOf<'delayed' | 'rejected' | undefined>({
+			Left: failure => isColdRejection(failure) ? 'rejected' : undefined,
+			Right: decision => decision.kind === 'wait' && decision.reason === 'cold' && waited === 0 ? 'delayed' : undefined,
+		});
+		if (result !== undefined) {
+			this.#parts.metrics.countColdLimited(service, result);
+		}
+	}
+
+	async #decide(original: PlanRequest): Promise<{decidedBy: Placement['decidedBy']; result: Either<Failure, Decision>}> {
+		const plans = this.#findPlans(original.service);
 		const self = this.#parts.self();
-		const scheduler = this.#schedulers.select(request.service);
+		const scheduler = this.#schedulers.select(original.service);
 		plans.isAdoptionPending ||= !plans.isUsed;
 		plans.isUsed = true;
-		this.#changeScheduler(request.service, plans, scheduler);
+		this.#changeScheduler(original.service, plans, scheduler);
+		const request = this.#coldShares === undefined ? original : {...original, selectedFor: this.#measureSelection(original.service, plans, scheduler)};
 		if (scheduler.name === self.name) {
 			return {decidedBy: 'self', result: this.#decideAsScheduler(request)};
 		}
@@ -445,7 +527,7 @@
 			event: 'decider_passed_over', request: request.requestId, node: scheduler.name, reason: isMissingServers ? 'it knows no server' : `no answer within ${decisionTimeout} ms`,
 		}, 'bypassed the scheduling node; this node schedules by itself');
 		const known = this.#retries.countKnown();
-		return {decidedBy: 'fallback', result: this.#decideLocally(request, {seen: 1, known}, fallbackLimitShare / known)};
+		return {decidedBy: 'fallback', result: this.#decideLocally(request, {seen: 1, known}, this.#findShares(request, fallbackLimitShare / known, false))};
 	}
 
 	#changeSchedulers(): void {
@@ -483,6 +565,7 @@
 			plans: [...plans.ownPlans.values()].map(plan => ({...plan, startIn: 0})),
 			crashRecords: plans.crashes.describeAll(),
 			limits: plans.limits.describe(),
+			cold: plans.cold.describe(),
 			history: this.#retries.describeOwn(service, scheduler),
 		};
 		if (scheduler.name === this.#parts.self().name) {
@@ -534,12 +617,14 @@
 			planner,
 			ownPlans: new Map(),
 			scheduler: undefined,
+			preferred: undefined,
 			isAdoptionPending: false,
 			isUsed: false,
 			handover: new PlanHandover(),
 			pendingEvents: [],
 			crashes: new ReplicatedCrashes(parts),
 			limits: new ReplicatedLimits(parts),
+			cold: new ReplicatedCold(parts, this.#parts.coldAllowance),
 			leaving: new LeavingNotices(parts),
 			resting: new RestingServers(),
 			emptyListsLeft: emptyListRepeats,
@@ -548,10 +633,11 @@
 	}
 
 	#refreshServers(): void {
-		for (const [service, {planner, crashes, limits}] of this.#services) {
+		for (const [service, {planner, crashes, limits, cold}] of this.#services) {
 			planner.setServers(this.#parts.state.listServers(service), this.#parts.state.table?.findService(service)?.engine);
 			crashes.checkServers();
 			limits.prune();
+			cold.refresh();
 		}
 	}
 }
--- a/src/routing/fleet-state.ts
+++ b/src/routing/fleet-state.ts
@@ -7,11 +7,12 @@
 import {
 	createFailure, type AvailabilityZone, type BackendServerId, type Clock, type Failure, type Logger, type ServiceName,
 } from '../common/index.js';
+import {ColdServers} from './cold-servers.js';
 import type {ConfigChanges} from './config-changes.js';
 import {ConfigHistory} from './config-history.js';
 import type {Change, Listing} from './fleet-source.js';
 import type {
-	BackendServer, Organisation, Route, RoutingConfig, ServiceSpec,
+	BackendServer, ColdStart, Organisation, Route, RoutingConfig, ServiceSpec,
 } from './model.js';
 import {chooseService, RouteTable} from './route-table.js';
 import {ServerView, type ServersSnapshot} from './server-view.js';
@@ -42,6 +43,8 @@
 	readonly evacuations: ZoneEvacuations | undefined;
 	/** Kinds of items that this node follows. */
 	readonly followedKinds: readonly FollowedKind[];
+	/** Servers that are cold. */
+	readonly coldServers: ColdServers;
 	readonly #clock: Clock;
 	readonly #logger: Logger;
 	readonly #servers: ServerView;
@@ -58,7 +61,9 @@
 		this.sourceAgeTracker = new SourceAgeTracker(clock);
 		this.#clock = clock;
 		this.#logger = logger;
+		this.coldServers = new ColdServers({clock, logger, findColdStart: service => this.#findColdStart(service)});
 		this.#servers = new ServerView({
+			coldServers: this.coldServers,
 			clock,
 			logger,
 			onChange: () => {
@@ -305,6 +310,11 @@
 		return this.evacuations?.has(availabilityZone) ?? false;
 	}
 
+	/** While no configuration is known, any service may have cold starts. */
+	#findColdStart(service: ServiceName): ColdStart | undefined {
+		return this.#table === undefined ? {requestsPerSecond: 0, duration: 0} : this.#table.findService(service)?.coldStart;
+	}
+
 	#notify(): void {
 		for (const listener of this.#listeners) {
 			listener();
--- a/src/routing/server-view.ts
+++ b/src/routing/server-view.ts
@@ -11,6 +11,7 @@
 import type {
 	BackendServerId, BackendServerName, Clock, Logger, ServiceName,
 } from '../common/index.js';
+import type {ColdServers} from './cold-servers.js';
 import type {Change, Listing} from './fleet-source.js';
 import type {BackendServer} from './model.js';
 import {IncarnationSet} from './incarnation-set.js';
@@ -19,6 +20,9 @@
 /** How long a server whose entry disappeared in an outage is kept after the source is back, in milliseconds: servers re-register within about two seconds. */
 export const reregistrationGrace = 1800;
 
+/** What an entry that only repeats a known one has in common with it. */
+const refreshedKeys = ['id', 'service', 'address', 'availabilityZone', 'slots', 'isLeaving'] as const;
+
 /** How long a leaving incarnation is remembered, in milliseconds: far longer than it runs. Ids are not reused, so this only bounds memory. */
 const leavingRetention = 600_000;
 
@@ -53,6 +57,8 @@
 
 /** Dependencies of a view. */
 export type ServerViewParts = {
+	/** Is told of each entry. */
+	coldServers: ColdServers;
 	clock: Clock;
 	logger: Logger;
 	onChange: () => void;
@@ -147,12 +153,13 @@
 			return;
 		}
 
+		const isNotable = changes.some(({item}) => !this.#isRefresh(item));
 		for (const change of dropSupersededRemovals(changes)) {
 			this.#applyChange(change, revision, origin);
 		}
 
 		this.#revision = revision;
-		if (changes.length > 0) {
+		if (isNotable) {
 			this.#parts.onChange();
 		}
 	}
@@ -226,6 +233,7 @@
 			...(isOverwritten && {isOverwritten}),
 			...(forgetAt !== undefined && {forgetIn: forgetAt - now}),
 			...(doubtfulUntil !== undefined && {doubtfulFor: doubtfulUntil - now}),
+			...this.#describeCold(server.id),
 		}));
 		return {revision: this.#revision, items};
 	}
@@ -238,6 +246,7 @@
 
 		const isRestored = this.#checkRestored(revision, origin);
 		const listed = new Set(items.map(server => server.name));
+		const isNotable = items.length === 0 || this.#servers.size !== items.length || items.some(item => !this.#isRefresh(item));
 		for (const item of items) {
 			this.#applySnapshotItem(item, origin, isRestored);
 		}
@@ -249,7 +258,9 @@
 		}
 
 		this.#setRevision(revision, origin);
-		this.#parts.onChange();
+		if (isNotable) {
+			this.#parts.onChange();
+		}
 	}
 
 	/** Detects that the source was restored from a copy: servers whose entries it has lost may still be running, and register again. */
@@ -270,6 +281,8 @@
 			return;
 		}
 
+		// The other node may know more than the entry says.
+		this.#parts.coldServers.applyReport(server.id, server.service, server.coldFor ?? 0);
 		const now = this.#parts.clock.readMonotonic();
 		const known = this.#servers.get(server.name)!;
 		known.isOverwritten = isOverwritten;
@@ -333,10 +346,11 @@
 			this.#leaving.add(server.id);
 		}
 
+		this.#applyCold(server, previous);
 		const isLeaving = this.#leaving.has(server.id);
 		const doubtfulUntil = this.#findDoubt(server, known, isRestored);
 		this.#put({
-			server: {...server, isLeaving}, isOverwritten: false, isLeavingByEntry: server.isLeaving, doubtfulUntil,
+			server: {...dropColdTime(server), isLeaving}, isOverwritten: false, isLeavingByEntry: server.isLeaving, doubtfulUntil,
 		});
 		if (doubtfulUntil !== undefined) {
 			this.#logDoubtful(server, origin, 'the restored source still has the entry of a backend server that has gone');
@@ -363,6 +377,35 @@
 		return isSameEntry ? known.doubtfulUntil : undefined;
 	}
 
+	#applyCold(server: BackendServer, previous: BackendServer | undefined): void {
+		const isSameIncarnation = previous?.id === server.id;
+		this.#parts.coldServers.applyEntry({
+			server,
+			isNew: !isSameIncarnation && !this.#gone.has(server.id),
+			isFirstView: this.#revision === 0,
+			isRepeated: isSameIncarnation && previous.entryRevision === server.entryRevision,
+		});
+	}
+
+	/** Whether an entry only repeats what is known, as those of cold servers do every 1.2 s: it needs no new plans or announcements. */
+	#isRefresh(item: SnapshotServer | undefined): boolean {
+		const {coldServers} = this.#parts;
+		const known = item === undefined ? undefined : this.#servers.get(item.name);
+		if (item === undefined || known === undefined || !coldServers.isEnabled || !isUsable(known) || known.forgetAt !== undefined) {
+			return false;
+		}
+
+		const {server} = known;
+		const isCold = coldServers.computeColdLeft(item.id) > 0;
+		return isCold === ((item.coldFor ?? 0) > 0) && item.isOverwritten !== true && item.forgetIn === undefined && item.doubtfulFor === undefined
+			&& refreshedKeys.every(key => item[key] === server[key]);
+	}
+
+	#describeCold(id: BackendServerId): {coldFor?: number} {
+		const coldFor = this.#parts.coldServers.computeColdLeft(id);
+		return coldFor > 0 ? {coldFor} : {};
+	}
+
 	#logDoubtful({id, service}: BackendServer, origin: string, message: string): void {
 		this.#parts.logger.info({
 			event: 'server_doubtful', server: id, service, origin,
@@ -395,6 +438,7 @@
 		const previous = this.#servers.get(name);
 		if (previous !== undefined && previous.server.id !== id) {
 			this.#incarnations.delete(previous.server.id);
+			this.#parts.coldServers.remove(previous.server.id);
 			this.#gone.add(previous.server.id);
 		}
 
@@ -438,6 +482,7 @@
 		const {server} = this.#servers.get(name)!;
 		this.#servers.delete(name);
 		this.#incarnations.delete(server.id);
+		this.#parts.coldServers.remove(server.id);
 		this.#gone.add(server.id);
 		this.#parts.logger.info({
 			event: 'server_gone', server: server.id, service: server.service, origin,
@@ -455,6 +500,11 @@
 	}
 }
 
+/** The time of an entry counts from when it was received, so it is kept as a deadline instead. */
+function dropColdTime({coldFor, ...server}: BackendServer): BackendServer {
+	return server;
+}
+
 function isUsable({server, isOverwritten, doubtfulUntil}: KnownServer): boolean {
 	return !server.isLeaving && !isOverwritten && doubtfulUntil === undefined;
 }
--- a/test/helpers/gateways.ts
+++ b/test/helpers/gateways.ts
@@ -90,6 +90,8 @@
 export class GatewayFleet {
 	/** Loggers by index of the node; nodes without one do not log. */
 	readonly loggers: Logger[] = [];
+	/** Sections added to the settings of each node. */
+	extraSettings = '';
 	readonly store = new StandinStore();
 	readonly gateways: Gateway[] = [];
 	readonly settings: GatewaySettings[] = [];
@@ -168,7 +170,8 @@
 ratio = 0.2
 slack = ${retrySlack}
 window_seconds = 10
-${evacuateWithin === undefined ? '' : `[evacuations]\napply_within_ms = ${evacuateWithin}\n`}`).unsafeCoerce();
+${evacuateWithin === undefined ? '' : `[evacuations]\napply_within_ms = ${evacuateWithin}\n`}
+${this.extraSettings}`).unsafeCoerce();
 		const logger = this.loggers[index] ?? createSilentLogger();
 		const gateway = new Gateway({
 			settings, source: new PlatformSource(settings.store.address, logger), wire: new CallWire(), clock: systemClock, ids: randomIdSource, logger, random: Math.random,
