--- a/test/evacuated-paths.test.ts
+++ b/test/evacuated-paths.test.ts
@@ -280,6 +280,22 @@
 	expect(started.state.listServers(app).map(server => String(server.availabilityZone))).toEqual(['north']);
 }, testTimeout);
 
+test('of two evacuations that a restored store has lost the one written again stays at every node, and the other ends', async () => {
+	fleet.store.era = 1;
+	await startFleet(3);
+	const copy = fleet.store.copy();
+	fleet.store.put('evacuations', 'south', {});
+	fleet.store.put('evacuations', 'north', {});
+	await waitUntil(() => areServersUsable(0), applyBound);
+	fleet.store.restore(copy);
+	fleet.store.put('evacuations', 'north', {});
+	await pause(3000);
+	expect(areServersUsable(0)).toBe(true);
+	await waitUntil(() => areServersUsable(1), 6000);
+	await pause(1000);
+	expect(fleet.gateways.map(gateway => gateway.state.listServers(app).map(server => String(server.availabilityZone)))).toEqual([['south'], ['south'], ['south']]);
+}, testTimeout);
+
 // Guards against calls to a source that does not serve the kind, each of which has a price.
 test('without the settings section the source is not asked for evacuations', async () => {
 	fleet.evacuateWithin = undefined;
