feat(planning): order requests by the shares of organisations while room is scarce

An organisation with four times the load got four times the capacity, and all organisations were late together. With a memory for shares, a planner counts the servers' time that each organisation uses and compares it with a max-min fair level. While a short prompt cannot be in time, requests of organisations above their level and less urgent requests are placed only where a server begins with them at once; they wait for that while they can be in time and are rejected at their first ask when they cannot. Prompts that wait for prefill and requests that wait for declared limits are ordered by the same rank.

Rejected callers get distinct return times, spread by the time that the servers need for each of them. One that comes back at its time goes before new requests of its rank; one that comes back sooner keeps its time, and a repeat is not counted as demand. Without the memory, decisions are as before.

--- a/src/planning/limit-queue.ts
+++ b/src/planning/limit-queue.ts
@@ -11,23 +11,24 @@
 /** Maximum retry delay of a rejected request. */
 const maxRetryDelay = 30_000;
 
-/** Requests in order of arrival. */
+/** A request that waits; a lower rank goes first. */
+type Waiting = {lastAskedAt: number; rank: number};
+
+/** Requests by rank, and those of one rank in order of arrival. */
 export class LimitQueue {
-	/** When each request last asked. */
-	readonly #waiting = new Map<RequestId, number>();
+	readonly #waiting = new Map<RequestId, Waiting>();
 	#lastRetryAt = -Infinity;
 
-	/** Number of requests that arrived before this one. */
-	countAhead(requestId: RequestId, now: number): number {
+	/** Number of requests that go before this one. */
+	countAhead(requestId: RequestId, now: number, rank = 0): number {
 		let aheadCount = 0;
-		for (const [other, lastAskedAt] of this.#waiting) {
+		let isLater = false;
+		for (const [other, waiting] of this.#waiting) {
 			if (other === requestId) {
-				break;
-			}
-
-			if (now - lastAskedAt > entryTimeout) {
+				isLater = true;
+			} else if (now - waiting.lastAskedAt > entryTimeout) {
 				this.#waiting.delete(other);
-			} else {
+			} else if (waiting.rank < rank || (waiting.rank === rank && !isLater)) {
 				aheadCount++;
 			}
 		}
@@ -36,8 +37,8 @@
 	}
 
 	/** Appends a request, or refreshes one that is queued. */
-	join(requestId: RequestId, now: number): void {
-		this.#waiting.set(requestId, now);
+	join(requestId: RequestId, now: number, rank = 0): void {
+		this.#waiting.set(requestId, {lastAskedAt: now, rank});
 	}
 
 	/** Removes a request that was sent or rejected. */
--- a/src/planning/plan.ts
+++ b/src/planning/plan.ts
@@ -21,6 +21,8 @@
 	/** Availability zone of that node: an answer from a server of the same zone causes no traffic between zones. */
 	availabilityZone?: AvailabilityZone;
 	organisation?: OrganisationId;
+	/** Priority of its organisation or route; 0 is the most urgent, and taken where it is undefined. */
+	priority?: number;
 	/** Tokens of the prompt; 0 for plain services. */
 	promptTokens: number;
 	/** Maximum tokens of the answer. */
@@ -103,8 +105,8 @@
 /** A planner's decision: a plan, or a wait after which to ask again. */
 export type Decision = {kind: 'plan'; plan: Plan} | {kind: 'wait'; askAgainIn: number; reason: WaitReason};
 
-/** Why a request waits: its servers are busy with other prefills (`reading`), decoding requests would be paused too long (`writers`), too little memory, the node sees too little of the fleet yet (`sight`), its isolated server is being drained (`trial`), or all servers have reached their declared limits (`limit`) or have asked for rest (`rest`). */
-export type WaitReason = 'reading' | 'writers' | 'memory' | 'sight' | 'trial' | 'limit' | 'rest';
+/** Why a request waits: its servers are busy with other prefills (`reading`), decoding requests would be paused too long (`writers`), too little memory, the node sees too little of the fleet yet (`sight`), its isolated server is being drained (`trial`), all servers have reached their declared limits (`limit`) or have asked for rest (`rest`), or room is scarce and others go first (`share`). */
+export type WaitReason = 'reading' | 'writers' | 'memory' | 'sight' | 'trial' | 'limit' | 'rest' | 'share';
 
 /** Progress of a plan, reported by the node that runs it. */
 export type PlanEvent =
--- a/src/planning/planner.ts
+++ b/src/planning/planner.ts
@@ -17,6 +17,7 @@
 import {CallerWaits} from './caller-waits.js';
 import {computePrefillTime} from './engine-model.js';
 import {findMin} from './find-min.js';
+import type {OrganisationShares} from './organisation-shares.js';
 import {ActivePlans, type ActivePlan} from './active-plans.js';
 import {
 	LimitedVisibility, divideWithoutDemand, visibilityRetryDelay, rotateServers, fullVisibility, type FleetVisibility,
@@ -28,8 +29,9 @@
 import type {ServerLoad} from './server-load.js';
 import {LimitGate} from './limit-gate.js';
 import type {ServerLimits} from './server-limits.js';
+import {ShareGate, type ShareReport} from './share-gate.js';
 import {ServerPartition, type ServerGroups} from './server-partition.js';
-import {placeShort} from './short-placement.js';
+import {forecastRoom, placeShort} from './short-placement.js';
 import {CrashRecords, isolatedCrashWeight, type QuarantineState} from './crash-records.js';
 import {trialRetryDelay, IsolationTrials} from './isolation-trials.js';
 
@@ -47,6 +49,8 @@
 	ids: IdSource;
 	/** Performance figures of the service's servers; undefined for plain services. */
 	engine?: EngineProfile;
+	/** How long the usage of organisations is remembered, in milliseconds; undefined when they have no shares. */
+	sharesMemory?: number;
 };
 
 /** Planned load and health of one server. */
@@ -80,7 +84,7 @@
 	readonly crashRecords = new CrashRecords();
 	readonly #ids: IdSource;
 	readonly #plans = new ActivePlans();
-	readonly #scheduler = new PrefillScheduler();
+	readonly #scheduler: PrefillScheduler;
 	readonly #callerWaits = new CallerWaits();
 	#engine: EngineProfile | undefined;
 	#shortestPause = defaultMaxPause;
@@ -88,11 +92,25 @@
 	readonly #visibility = new LimitedVisibility();
 	readonly #trials = new IsolationTrials();
 	readonly #abandoned = new AbandonedAttempts();
-	readonly #gate = new LimitGate();
+	readonly #gate: LimitGate;
+	readonly #shareGate: ShareGate | undefined;
 
 	constructor(parts: PlannerParts) {
 		this.#ids = parts.ids;
 		this.#engine = parts.engine;
+		this.#shareGate = parts.sharesMemory === undefined ? undefined : new ShareGate(parts.sharesMemory);
+		this.#scheduler = new PrefillScheduler(this.#shareGate);
+		this.#gate = new LimitGate(this.#shareGate);
+	}
+
+	/** Usage of organisations; undefined when they have no shares. */
+	get shares(): OrganisationShares | undefined {
+		return this.#shareGate?.shares;
+	}
+
+	/** Describes how shares apply to a request; undefined without shares. */
+	describeShare(request: PlanRequest, now: number): ShareReport | undefined {
+		return this.#shareGate?.describe(request, now);
 	}
 
 	/** Request limits that servers have declared. */
@@ -167,6 +185,7 @@
 			this.#plans.loads.get(server)?.health.recordRest(time, now);
 		}
 
+		this.#shareGate?.recordArrival(request, this.#engine, now);
 		const usable = this.#listUsable(request, quarantine, now);
 		if (usable.length === 0) {
 			return Left(createFailure('no_backend_server', `no backend server of ${request.service} takes new work`));
@@ -185,6 +204,7 @@
 			if (decision.kind === 'plan') {
 				this.#addPlan(decision.plan, now, true);
 				this.#gate.recordSent(gatedRequest, decision.plan.server, now);
+				this.#shareGate?.recordPlaced(request, this.#engine, now);
 				return quarantine.crashes === 0 ? decision : this.#addCrashes(decision.plan, now);
 			}
 
@@ -402,6 +422,15 @@
 
 	#planShort(request: PlanRequest, groups: ServerGroups, engine: EngineProfile, now: number): Either<Failure, Decision> {
 		const best = placeShort(request, groups, engine, now);
+		const verdict = this.#shareGate?.decide(request, forecastRoom(request, groups, best, engine), engine, now);
+		if (verdict?.kind === 'wait') {
+			return Right({...verdict, reason: 'share'});
+		}
+
+		if (verdict?.kind === 'rejected') {
+			return Left(createOverloadFailure(Math.max(0, best.finish - request.objective), verdict.retryIn));
+		}
+
 		if (best.finish > request.patience) {
 			return Left(createOverloadFailure(best.finish - request.patience));
 		}
--- a/src/planning/prefill-queue.ts
+++ b/src/planning/prefill-queue.ts
@@ -1,8 +1,8 @@
 /**
  * Long prompts that wait for prefill, and the order in which they are considered. Pure.
  *
- * Prompts that can be in time come first, by deadline. Where not all can be in time, those with the least value for their prefill time are
- * moved behind the others and served late. A request keeps its position by asking again.
+ * Prompts that can be in time come first, by deadline. Where not all can be in time, those of the last rank, and among them those with the least
+ * value for their prefill time, are moved behind the others and served late. A request keeps its position by asking again.
  */
 import type {RequestId} from '../common/index.js';
 import type {EngineProfile} from '../routing/index.js';
@@ -20,9 +20,18 @@
 /** A queued request; times by the planner's clock. */
 type QueuedPrompt = {request: PlanRequest; lastAskedAt: number; deadline: number};
 
+/** Position of a request in the order of organisations; lower goes first. */
+export type RankFunction = (request: PlanRequest) => number;
+
 /** Queue of prompts that wait for prefill. */
 export class PrefillQueue {
 	readonly #entries = new Map<RequestId, QueuedPrompt>();
+	readonly #computeRank: RankFunction | undefined;
+
+	/** Without a rank function all requests have the same rank. */
+	constructor(computeRank?: RankFunction) {
+		this.#computeRank = computeRank;
+	}
 
 	/** Number of queued requests. */
 	get length(): number {
@@ -70,6 +79,8 @@
 	#order(engine: EngineProfile, servers: number, now: number): QueuedPrompt[] {
 		const byDeadline = [...this.#entries.values()].sort((left, right) => left.deadline - right.deadline);
 		const computeTime = (entry: QueuedPrompt) => computePrefillTime(engine, entry.request.promptTokens, servers);
+		const ranks = new Map(this.#computeRank === undefined ? [] : byDeadline.map(entry => [entry, this.#computeRank!(entry.request)]));
+		const findRank = (entry: QueuedPrompt) => ranks.get(entry) ?? 0;
 		const inTime: QueuedPrompt[] = [];
 		const late: QueuedPrompt[] = [];
 		let end = now;
@@ -77,14 +88,15 @@
 			inTime.push(entry);
 			end += computeTime(entry);
 			while (end > entry.deadline && inTime.length > 0) {
-				const lowest = findMin(inTime, candidate => computeValueDensity(candidate, engine))!;
+				const lastRank = Math.max(...inTime.map(candidate => findRank(candidate)));
+				const lowest = findMin(inTime.filter(candidate => findRank(candidate) === lastRank), candidate => computeValueDensity(candidate, engine))!;
 				inTime.splice(inTime.indexOf(lowest), 1);
 				late.push(lowest);
 				end -= computeTime(lowest);
 			}
 		}
 
-		return [...inTime, ...late.sort((left, right) => computeValueDensity(right, engine) - computeValueDensity(left, engine))];
+		return [...inTime, ...late.sort((left, right) => findRank(left) - findRank(right) || computeValueDensity(right, engine) - computeValueDensity(left, engine))];
 	}
 }
 
--- a/src/planning/prefill-scheduler.ts
+++ b/src/planning/prefill-scheduler.ts
@@ -17,6 +17,7 @@
 } from './prefill-options.js';
 import {divideMemory} from './prompt-memory.js';
 import type {ServerLoad} from './server-load.js';
+import type {ShareGate} from './share-gate.js';
 
 /** Maximum time before its servers are free at which a prefill is planned, in milliseconds: later plans know more, and a pass takes about this long. */
 const planningHorizon = 60;
@@ -55,9 +56,16 @@
 
 /** Scheduler for the long prompts of one service. */
 export class PrefillScheduler {
-	readonly #queue = new PrefillQueue();
+	readonly #queue: PrefillQueue;
 	readonly #demand = new PrefillDemand();
 	readonly #overrun = new OverrunEstimator();
+	readonly #shares: ShareGate | undefined;
+	#now = 0;
+
+	constructor(shares?: ShareGate) {
+		this.#shares = shares;
+		this.#queue = new PrefillQueue(shares === undefined ? undefined : request => shares.computeRank(request, this.#now));
+	}
 
 	/** Number of queued prompts, including those whose callers have left but whose entries have not timed out. */
 	get waitingCount(): number {
@@ -66,13 +74,17 @@
 
 	/** Decides for one request; a waiting request keeps its position by asking again. */
 	decide(request: PlanRequest, servers: ServerLoad[], engine: EngineProfile, now: number): Either<Failure, PrefillDecision> {
-		this.#demand.add(request, engine, now);
+		this.#now = now;
+		if (this.#shares?.isRepeat(request, now) !== true) {
+			this.#demand.add(request, engine, now);
+		}
+
 		this.#queue.join(request, now);
 		const available = servers.map(load => ({load, freeIn: load.findLongPrefillEnd(now) - now}));
 		this.#reserveAhead(available, request, engine, now);
 		const option = this.#findOption(available, request, engine, now);
 		if (option === undefined) {
-			return this.#waitOrReject(request, engine, servers.length);
+			return this.#waitOrReject(request, engine, servers.length, now);
 		}
 
 		if (this.#mayOutlastCaller(option, request, engine, servers)) {
@@ -80,6 +92,7 @@
 		}
 
 		if (option.wait > planningHorizon) {
+			this.#shares?.recordHeld(request, now);
 			return Right({kind: 'wait', askAgainIn: Math.min(maxRetryDelay, Math.max(minRetryDelay, option.wait - (planningHorizon / 2))), reason: 'reading'});
 		}
 
@@ -131,7 +144,7 @@
 	}
 
 	/** Handles a prompt without a useful option: it waits while all servers together could be in time or would finish long before the caller leaves; otherwise it is rejected. */
-	#waitOrReject(request: PlanRequest, engine: EngineProfile, servers: number): Either<Failure, PrefillDecision> {
+	#waitOrReject(request: PlanRequest, engine: EngineProfile, servers: number, now: number): Either<Failure, PrefillDecision> {
 		const earliest = computeMinFinish(request, engine, servers);
 		if (earliest < request.objective || earliest * minPatienceRatio < request.patience) {
 			return Right({kind: 'wait', askAgainIn: planningHorizon, reason: 'writers'});
@@ -139,8 +152,10 @@
 
 		this.#queue.leave(request.requestId);
 		return Left(earliest > request.patience
-			? createOverloadFailure(earliest - request.patience)
-			: createFailure('overloaded', 'prefilling the prompt late would delay other requests for more than its value', {retryAfterSeconds: overloadRetryAfter}));
+			? createOverloadFailure(earliest - request.patience, this.#shares?.scheduleReturn(request, 0, {servers, engine}, now))
+			: createFailure('overloaded', 'prefilling the prompt late would delay other requests for more than its value', {
+				retryAfterSeconds: (this.#shares?.scheduleReturn(request, 0, {servers, engine}, now) ?? overloadRetryAfter * 1000) / 1000,
+			}));
 	}
 }
 
@@ -150,9 +165,9 @@
 	return computePrefillTime(engine, promptTokens, serverCount) + computePassTime(engine, 1, promptTokens / serverCount);
 }
 
-/** Rejection of a request that would be served too late; `excess` in milliseconds. */
-export function createOverloadFailure(excess: number): Failure {
-	const retryAfterSeconds = Math.max(0.1, excess / 1000);
+/** Rejection of a request that would be served too late; `excess` and `retryIn` in milliseconds. */
+export function createOverloadFailure(excess: number, retryIn = excess): Failure {
+	const retryAfterSeconds = Math.max(0.1, retryIn / 1000);
 	return createFailure('overloaded', `no backend server can start in time; the first event would be ${Math.round(excess)} ms too late`, {retryAfterSeconds});
 }
 
--- a/src/planning/short-placement.ts
+++ b/src/planning/short-placement.ts
@@ -1,12 +1,13 @@
 /** Chooses the server for a short request. Pure. */
 import type {EngineProfile} from '../routing/index.js';
 import {computeValue, estimateValueShare} from './answer-value.js';
-import {computePrefillTime} from './engine-model.js';
+import {computePassTime, computePrefillTime} from './engine-model.js';
 import {findMin} from './find-min.js';
 import type {PlanRequest} from './plan.js';
 import {usableMemoryShare} from './prompt-memory.js';
 import type {ServerLoad} from './server-load.js';
 import type {ServerGroups} from './server-partition.js';
+import type {RoomForecast} from './share-gate.js';
 
 /** Passes that a request waits for each request above a server's slots: about a tenth of a short answer. */
 const passesPerExcessRequest = 4;
@@ -35,6 +36,16 @@
 	return findMin([best, ...groups.forLong.map(load => evaluate(load))], option => option.cost)!;
 }
 
+/** The room that a short request finds where it earns most, and on all servers. */
+export function forecastRoom(request: PlanRequest, {forShort, forLong}: ServerGroups, best: PlacementOption, engine: EngineProfile): RoomForecast {
+	return {
+		finish: best.finish,
+		idleFinish: computePassTime(engine, 1, request.promptTokens) + computePrefillTime(engine, request.promptTokens),
+		servers: Math.max(forShort.length, forLong.length),
+		countFreeSlots: () => [...new Set([...forShort, ...forLong])].reduce((sum, load) => sum + Math.max(0, engine.slots - load.writers), 0),
+	};
+}
+
 function evaluatePlacement(load: ServerLoad, request: PlanRequest, engine: EngineProfile, now: number): PlacementOption {
 	const prefillTime = computePrefillTime(engine, request.promptTokens);
 	const value = computeValue(request.promptTokens);
--- a/src/replay/routed/replayed-request.ts
+++ b/src/replay/routed/replayed-request.ts
@@ -1,6 +1,6 @@
 /** One request of a replayed day: its caller and the node that serves it, on the replay's clock. */
 import type {
-	BackendServerId, BoxId, RequestId, ServiceName,
+	BackendServerId, BoxId, RequestFingerprint, RequestId, ServiceName,
 } from '../../common/index.js';
 import {
 	moveSilenceShare, type FleetVisibility, type Plan, type Planner, type PlanRequest, type Trouble,
@@ -160,6 +160,9 @@
 			requestId: this.#id,
 			service,
 			node,
+			organisation: flow.organisation,
+			priority: flow.priority,
+			fingerprint: this.#id as unknown as RequestFingerprint,
 			promptTokens,
 			outputTokens: events * 40,
 			waited: now - this.#askedFirst,
--- a/src/replay/routed/routed-replay.ts
+++ b/src/replay/routed/routed-replay.ts
@@ -110,7 +110,7 @@
 	}
 
 	#createPlanner(): Planner {
-		const planner = new Planner({ids: this.#ids, engine: this.#workload.engine});
+		const planner = new Planner({ids: this.#ids, engine: this.#workload.engine, sharesMemory: this.#workload.sharesMemory});
 		planner.setServers(this.#listServers(), this.#workload.engine);
 		return planner;
 	}
--- a/src/replay/routed/workloads.ts
+++ b/src/replay/routed/workloads.ts
@@ -3,6 +3,7 @@
  * mix swings, over servers of stated figures, some of which are lost for a while.
  */
 import seedrandom from 'seedrandom';
+import type {OrganisationId} from '../../common/index.js';
 import type {EngineProfile} from '../../routing/index.js';
 
 /** A kind of request. Times in milliseconds, lengths log-normal around their mean. */
@@ -19,6 +20,9 @@
 	patience: number;
 	/** What an answer in time is worth at the mean length. */
 	value: number;
+	/** Who sends it, and its priority; without organisation and of the highest priority when undefined. */
+	organisation?: OrganisationId;
+	priority?: number;
 };
 
 /** What is asked of a fleet of servers. */
@@ -39,6 +43,8 @@
 	lostTogether?: number;
 	/** Whether all nodes restart at the beginning of the last phase. */
 	hasRestart: boolean;
+	/** How long the planner remembers the usage of organisations, in milliseconds; they have no shares when undefined. */
+	sharesMemory?: number;
 	/** Nodes that take requests; only told apart while they have not found each other. 1 when undefined. */
 	nodes?: number;
 };
