feat(gateway): settings section organisation_shares, and usage in the hand-over between scheduling nodes

`[organisation_shares]` with `memory_seconds` turns the shares on. Decisions are logged with the share used and whether room is scarce, and a counter reports them. Requests carry the priority of their organisation or route to the scheduling node.

--- a/src/gateway/calls/placement-finder.ts
+++ b/src/gateway/calls/placement-finder.ts
@@ -2,6 +2,7 @@
 import type {
 	AvailabilityZone, BackendServerId, BoxId, Clock, Failure, Timer,
 } from '../../common/index.js';
+import {findPriority} from '../../routing/index.js';
 import {findMaxSilence} from './backend-attempt.js';
 import type {Call} from './call.js';
 import type {PlacementAnswer, Placement, Placer} from './placer.js';
@@ -93,6 +94,7 @@
 			node,
 			availabilityZone,
 			organisation: organisation?.name,
+			priority: findPriority(route, organisation),
 			promptTokens: head.promptTokens,
 			outputTokens: head.outputTokens,
 			waited,
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -36,6 +36,10 @@
 		name: 'cresshook_requests_at_server_end_total', help: 'requests that a backend server ran when it ended', labelNames: ['service'], registers: [this.#registry],
 	});
 
+	readonly #scarceDecisions = new Counter({
+		name: 'cresshook_scarce_decisions_total', help: 'decisions while room is scarce, by share of the organisation', labelNames: ['service', 'share', 'result'], registers: [this.#registry],
+	});
+
 	readonly #abandonedConnections = new Counter({
 		name: 'cresshook_connections_left_total', help: 'connections left because they were silent, by what they were for', labelNames: ['kind'], registers: [this.#registry],
 	});
@@ -82,6 +86,11 @@
 		this.#serverEnds.inc({service});
 	}
 
+	/** Counts a decision that this node made while room was scarce. */
+	countScarceDecision(service: string, share: 'over' | 'under', result: string): void {
+		this.#scarceDecisions.inc({service, share, result});
+	}
+
 	/** Counts kept connections to one target being closed because one of them was unresponsive. */
 	countAbandonedConnections(kind: string): void {
 		this.#abandonedConnections.inc({kind});
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -28,6 +28,9 @@
 	store: z.strictObject({address}),
 	stop: z.strictObject({grace_seconds: seconds}),
 	retry: z.strictObject({ratio: z.number().min(0), slack: z.number().min(0), window_seconds: seconds}),
+	organisation_shares: z.strictObject({
+		memory_seconds: z.number().gt(0, {error: 'write a number of seconds above 0, such as 3'}).max(60),
+	}).optional(),
 	address_lifetime_seconds: z.number().min(1).max(60).default(3),
 	log: z.strictObject({
 		level: z.enum(['debug', 'info', 'warn', 'error', 'silent'], {error: 'write one of "debug", "info", "warn", "error", "silent"'}).default('info'),
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -130,7 +130,7 @@
 			this.#views.compareView(peer, view);
 			this.#status.recordView(peer, view);
 		});
-		const {ratio, slack, window_seconds: seconds} = parts.settings.retry;
+		const {retry: {ratio, slack, window_seconds: seconds}, organisation_shares: shares} = parts.settings;
 		this.#placer = new FleetPlacer({
 			clock,
 			logger,
@@ -141,6 +141,7 @@
 			clients: this.#clients,
 			socket: this.#socket,
 			retries: {ratio, slack, window: seconds * 1000},
+			sharesMemory: shares === undefined ? undefined : shares.memory_seconds * 1000,
 			countConfigured: () => countConfiguredNodes(this.#parts.settings),
 			self,
 		});
--- a/src/gateway/peers/peer-rpc.ts
+++ b/src/gateway/peers/peer-rpc.ts
@@ -8,7 +8,7 @@
 	readErrorMessage, ReplaceableAgent, type Clock, type RequestFingerprint, type Failure, type ServiceName,
 } from '../../common/index.js';
 import type {
-	Decision, ReportedLimit, Plan, PlanRequest, RetryHistory, RetryRequest, CrashReport,
+	Decision, ReportedLimit, ReportedUsage, Plan, PlanRequest, RetryHistory, RetryRequest, CrashReport,
 } from '../../planning/index.js';
 import {
 	askWithTimeout, rpcPath, sendNodeRequest, type NodeRequest,
@@ -34,6 +34,8 @@
 	/** Request limits that servers announced or lifted. */
 	limits: ReportedLimit[];
 	history: RetryHistory;
+	/** Usage of the organisations that use most; undefined where they have no shares. */
+	usage?: ReportedUsage[];
 };
 
 /** Procedures that a node serves to other nodes. */
@@ -58,6 +60,7 @@
 const planSchema = createShapeSchema<Plan>(['planId', 'request', 'server', 'helpers']);
 const historySchema = createShapeSchema<RetryHistory>(['life', 'age', 'known', 'requests', 'retries', 'meanWorth']);
 const crashSchema = z.custom<[RequestFingerprint, CrashReport[]]>(value => Array.isArray(value) && value.length === 2 && Array.isArray(value[1]));
+const usageSchema = createShapeSchema<ReportedUsage>(['organisation', 'used', 'asked', 'age']);
 const limitSchema = createShapeSchema<ReportedLimit>(['server', 'age']);
 const serviceSchema = z.string() as unknown as z.ZodType<ServiceName>;
 
@@ -68,7 +71,7 @@
 	decide: trpc.procedure.input(planRequestSchema).mutation(({ctx, input}) => ctx.service.decide(input)),
 	grantRetry: trpc.procedure.input(retryRequestSchema).mutation(({ctx, input}) => ctx.service.grantRetry(input)),
 	adopt: trpc.procedure.input(z.object({
-		service: serviceSchema, plans: z.array(planSchema), crashRecords: z.array(crashSchema), limits: z.array(limitSchema), history: historySchema,
+		service: serviceSchema, plans: z.array(planSchema), crashRecords: z.array(crashSchema), limits: z.array(limitSchema), history: historySchema, usage: z.array(usageSchema).optional(),
 	})).mutation(({ctx, input}) => {
 		ctx.service.adopt(input);
 		return true;
--- a/src/gateway/peers/plan-update.ts
+++ b/src/gateway/peers/plan-update.ts
@@ -9,7 +9,9 @@
 import type {
 	BackendServerId, BoxId, RequestFingerprint, PlanId, ServiceName,
 } from '../../common/index.js';
-import type {ReportedLimit, PlanEvent, CrashReport} from '../../planning/index.js';
+import {
+	maxReportedOrganisations, type ReportedLimit, type ReportedUsage, type PlanEvent, type CrashReport,
+} from '../../planning/index.js';
 
 /** Update from one node on one service. */
 export type PlanUpdate = {
@@ -25,6 +27,8 @@
 	limits?: ReportedLimit[];
 	/** Servers that are leaving. */
 	leaving?: BackendServerId[];
+	/** Usage of the organisations that use most. */
+	usage?: ReportedUsage[];
 };
 
 /** First byte of an update; heartbeats start with a different one. */
@@ -38,6 +42,9 @@
 	crashRecords: z.array(z.tuple([z.string(), z.array(z.object({server: z.string(), age: z.number(), weight: z.number()}))])).optional(),
 	limits: z.array(z.object({server: z.string(), requestsPerSecond: z.number().min(0).optional(), age: z.number()})).optional(),
 	leaving: z.array(z.string()).optional(),
+	usage: z.array(z.object({
+		organisation: z.string(), used: z.number().min(0), asked: z.number().min(0), age: z.number().min(0),
+	})).max(maxReportedOrganisations).optional(),
 });
 
 /** Encodes an update as a datagram. */
--- a/src/gateway/scheduling/decision-log.ts
+++ b/src/gateway/scheduling/decision-log.ts
@@ -1,7 +1,9 @@
 /** Logs scheduling decisions and their inputs. */
 import type {Either} from 'purify-ts';
 import type {Failure, Logger} from '../../common/index.js';
-import type {Decision, OverrunReport, PlanRequest} from '../../planning/index.js';
+import type {
+	Decision, OverrunReport, PlanRequest, ShareReport,
+} from '../../planning/index.js';
 import {formatPosition} from '../../routing/index.js';
 
 /** Inputs of a decision besides the request. */
@@ -13,10 +15,12 @@
 	/** Number of nodes whose plans this node sees, and number of known nodes. */
 	seen: number;
 	known: number;
+	/** Present only where organisations have shares. */
+	share?: ShareReport;
 };
 
 /** Logs a placement, a wait or a refusal. */
-export function logDecision(logger: Logger, request: PlanRequest, decided: Either<Failure, Decision>, inputs: DecisionInputs): void {
+export function logDecision(logger: Logger, request: PlanRequest, decided: Either<Failure, Decision>, {share, ...inputs}: DecisionInputs): void {
 	const fields = {
 		request: request.requestId,
 		service: request.service,
@@ -29,6 +33,7 @@
 		crashes: request.crashes?.length,
 		...inputs,
 		serversRevision: formatPosition(inputs.serversRevision),
+		...(share !== undefined && {organisation: request.organisation, isScarce: share.isScarce, shareUsed: Math.round(share.shareUsed * 100) / 100}),
 	};
 	decided.caseOf({
 		Left(failure) {
--- a/src/gateway/scheduling/fleet-placer.ts
+++ b/src/gateway/scheduling/fleet-placer.ts
@@ -12,7 +12,7 @@
 } from '../../common/index.js';
 import {
 	isFirstAttempt, Planner, RestingServers,
-	type Decision, type Plan, type PlanEvent, type PlanRequest, type RetryAllowance, type RetryLimits, type RestingServer, type RetryRequest, type PlannedServerStatus,
+	type Decision, type Plan, type PlanEvent, type PlanRequest, type RetryAllowance, type RetryLimits, type RestingServer, type RetryRequest, type PlannedServerStatus, type ShareReport,
 } from '../../planning/index.js';
 import type {EngineProfile, FleetState} from '../../routing/index.js';
 import type {GatewayMetrics} from '../gateway-metrics.js';
@@ -66,6 +66,8 @@
 	countConfigured: () => number;
 	/** Retry budget of the fleet for each service. */
 	retries: RetryLimits;
+	/** How long the usage of organisations is remembered, in milliseconds; undefined when they have no shares. */
+	sharesMemory?: number;
 	self: () => Peer;
 };
 
@@ -221,7 +223,7 @@
 
 	/** Applies an update of a node that runs plans; plans missing from its list have ended. */
 	applyPlanUpdate({
-		service, node, notes, active, crashRecords = [], limits = [], leaving = [],
+		service, node, notes, active, crashRecords = [], limits = [], leaving = [], usage = [],
 	}: PlanUpdate): void {
 		const {planner, crashes, limits: replicatedLimits, leaving: leavingNotices} = this.#findPlans(service);
 		leavingNotices.merge(leaving, node);
@@ -230,6 +232,7 @@
 		}
 
 		crashes.merge(crashRecords);
+		planner.shares?.merge(usage, this.#parts.clock.readMonotonic());
 		for (const event of notes) {
 			this.#applyEvent(planner, event);
 			if (event.kind === 'server_ended') {
@@ -247,12 +250,13 @@
 
 	/** Takes over a node from another scheduling node, with its running plans and retry history. */
 	adopt({
-		service, plans, crashRecords, limits, history,
+		service, plans, crashRecords, limits, history, usage = [],
 	}: Adoption): void {
 		this.#retries.mergeHistory(service, history);
 		const {planner, crashes} = this.#findPlans(service);
 		const now = this.#parts.clock.readMonotonic();
 		planner.adopt(plans, now);
+		planner.shares?.merge(usage, now);
 		crashes.merge(crashRecords);
 		for (const limit of limits) {
 			planner.limits.update(limit, now);
@@ -283,6 +287,7 @@
 				plans.crashes.replicateToNewNodes();
 				plans.limits.replicate();
 				plans.leaving.replicate();
+				this.#replicateUsage(service, plans.planner);
 			}
 		}
 	}
@@ -307,6 +312,14 @@
 		};
 	}
 
+	/** Sends the usage of organisations to the node that would take over: it then knows all but the last second. */
+	#replicateUsage(service: ServiceName, planner: Planner): void {
+		const usage = planner.shares?.describe(this.#parts.clock.readMonotonic()) ?? [];
+		if (usage.length > 0) {
+			this.#updates.sendToSuccessors(service, false, {usage});
+		}
+	}
+
 	#recordLimit(service: ServiceName, server: BackendServerId, requestsPerSecond: number | undefined): void {
 		const plans = this.#findPlans(service);
 		const report = plans.limits.recordAnswer(server, requestsPerSecond, this.#parts.self().name);
@@ -366,12 +379,21 @@
 		const {logger, state} = this.#parts;
 		const visibility = {seen, known: this.#retries.countKnown()};
 		const decided = planner.decide(request, now, visibility, limitShare);
+		const share = planner.describeShare(request, now);
+		this.#countScarceDecision(request.service, decided, share);
 		logDecision(logger, request, decided, {
-			inProgress: planner.planCount, configVersion: state.configVersion, serversRevision: state.serversRevision, ...visibility,
+			inProgress: planner.planCount, configVersion: state.configVersion, serversRevision: state.serversRevision, ...visibility, share,
 		});
 		return decided;
 	}
 
+	#countScarceDecision(service: ServiceName, decided: Either<Failure, Decision>, share: ShareReport | undefined): void {
+		if (share?.isScarce === true) {
+			const result = decided.caseOf({Left: () => 'refused', Right: decision => decision.kind === 'plan' ? 'placed' : 'waits'});
+			this.#parts.metrics.countScarceDecision(service, share.shareUsed > 1 ? 'over' : 'under', result);
+		}
+	}
+
 	async #decide(request: PlanRequest): Promise<{decidedBy: Placement['decidedBy']; result: Either<Failure, Decision>}> {
 		const plans = this.#findPlans(request.service);
 		const self = this.#parts.self();
@@ -428,6 +450,7 @@
 			crashRecords: plans.crashes.describeAll(),
 			limits: plans.limits.describe(),
 			history: this.#retries.describeOwn(service, scheduler),
+			usage: plans.planner.shares?.describe(this.#parts.clock.readMonotonic()),
 		};
 		if (scheduler.name === this.#parts.self().name) {
 			this.#retries.mergeHistory(service, adoption.history);
@@ -468,9 +491,9 @@
 
 	#createPlans(service: ServiceName, engine: EngineProfile | undefined): ServicePlans {
 		const {
-			ids, clock, logger, state,
+			ids, clock, logger, state, sharesMemory,
 		} = this.#parts;
-		const planner = new Planner({ids, engine});
+		const planner = new Planner({ids, engine, sharesMemory});
 		const parts = {
 			service, planner, clock, logger, state, updates: this.#updates,
 		};
