perf(planning): compute ranks when prompts ask, and count placed cost only while room is scarce

The rank of every queued prompt was computed again at each decision. It is now kept with the entry, which asks again several times a second.

--- a/src/planning/organisation-shares.ts
+++ b/src/planning/organisation-shares.ts
@@ -107,7 +107,14 @@
 	#find(organisation: OrganisationId, now: number): Counter {
 		const known = this.#counters.get(organisation);
 		if (known !== undefined && now - known.at <= this.#memory) {
-			return Object.assign(known, decay(known, this.#memory, now));
+			if (now > known.at) {
+				const factor = Math.exp((known.at - now) / this.#memory);
+				known.used *= factor;
+				known.asked *= factor;
+				known.at = now;
+			}
+
+			return known;
 		}
 
 		const remembered = known === undefined ? 0 : decay(known, this.#memory, now).used;
--- a/src/planning/prefill-queue.ts
+++ b/src/planning/prefill-queue.ts
@@ -17,21 +17,15 @@
 /** Minimum time to the deadline in the waiting loss, in milliseconds: about one pass and one prefill. */
 const minSlack = 300;
 
-/** A queued request; times by the planner's clock. */
-type QueuedPrompt = {request: PlanRequest; lastAskedAt: number; deadline: number};
+/** Value per millisecond that one step of rank outweighs: far above that of any prompt. */
+const rankWeight = 1e6;
 
-/** Position of a request in the order of organisations; lower goes first. */
-export type RankFunction = (request: PlanRequest) => number;
+/** A queued request; times by the planner's clock. A lower rank goes first. */
+type QueuedPrompt = {request: PlanRequest; lastAskedAt: number; deadline: number; rank: number};
 
 /** Queue of prompts that wait for prefill. */
 export class PrefillQueue {
 	readonly #entries = new Map<RequestId, QueuedPrompt>();
-	readonly #computeRank: RankFunction | undefined;
-
-	/** Without a rank function all requests have the same rank. */
-	constructor(computeRank?: RankFunction) {
-		this.#computeRank = computeRank;
-	}
 
 	/** Number of queued requests. */
 	get length(): number {
@@ -39,8 +33,10 @@
 	}
 
 	/** Adds a request or refreshes its entry. */
-	join(request: PlanRequest, now: number): void {
-		this.#entries.set(request.requestId, {request, lastAskedAt: now, deadline: now + request.objective});
+	join(request: PlanRequest, now: number, rank = 0): void {
+		this.#entries.set(request.requestId, {
+			request, lastAskedAt: now, deadline: now + request.objective, rank,
+		});
 	}
 
 	/** Removes a request. */
@@ -79,8 +75,6 @@
 	#order(engine: EngineProfile, servers: number, now: number): QueuedPrompt[] {
 		const byDeadline = [...this.#entries.values()].sort((left, right) => left.deadline - right.deadline);
 		const computeTime = (entry: QueuedPrompt) => computePrefillTime(engine, entry.request.promptTokens, servers);
-		const ranks = new Map(this.#computeRank === undefined ? [] : byDeadline.map(entry => [entry, this.#computeRank!(entry.request)]));
-		const findRank = (entry: QueuedPrompt) => ranks.get(entry) ?? 0;
 		const inTime: QueuedPrompt[] = [];
 		const late: QueuedPrompt[] = [];
 		let end = now;
@@ -88,15 +82,14 @@
 			inTime.push(entry);
 			end += computeTime(entry);
 			while (end > entry.deadline && inTime.length > 0) {
-				const lastRank = Math.max(...inTime.map(candidate => findRank(candidate)));
-				const lowest = findMin(inTime.filter(candidate => findRank(candidate) === lastRank), candidate => computeValueDensity(candidate, engine))!;
+				const lowest = findMin(inTime, candidate => computeValueDensity(candidate, engine) - (candidate.rank * rankWeight))!;
 				inTime.splice(inTime.indexOf(lowest), 1);
 				late.push(lowest);
 				end -= computeTime(lowest);
 			}
 		}
 
-		return [...inTime, ...late.sort((left, right) => findRank(left) - findRank(right) || computeValueDensity(right, engine) - computeValueDensity(left, engine))];
+		return [...inTime, ...late.sort((left, right) => left.rank - right.rank || computeValueDensity(right, engine) - computeValueDensity(left, engine))];
 	}
 }
 
--- a/src/planning/prefill-scheduler.ts
+++ b/src/planning/prefill-scheduler.ts
@@ -56,15 +56,13 @@
 
 /** Scheduler for the long prompts of one service. */
 export class PrefillScheduler {
-	readonly #queue: PrefillQueue;
+	readonly #queue = new PrefillQueue();
 	readonly #demand = new PrefillDemand();
 	readonly #overrun = new OverrunEstimator();
 	readonly #shares: ShareGate | undefined;
-	#now = 0;
 
 	constructor(shares?: ShareGate) {
 		this.#shares = shares;
-		this.#queue = new PrefillQueue(shares === undefined ? undefined : request => shares.computeRank(request, this.#now));
 	}
 
 	/** Number of queued prompts, including those whose callers have left but whose entries have not timed out. */
@@ -74,12 +72,11 @@
 
 	/** Decides for one request; a waiting request keeps its position by asking again. */
 	decide(request: PlanRequest, servers: ServerLoad[], engine: EngineProfile, now: number): Either<Failure, PrefillDecision> {
-		this.#now = now;
 		if (this.#shares?.isRepeat(request, now) !== true) {
 			this.#demand.add(request, engine, now);
 		}
 
-		this.#queue.join(request, now);
+		this.#queue.join(request, now, this.#shares?.computeRank(request, now));
 		const available = servers.map(load => ({load, freeIn: load.findLongPrefillEnd(now) - now}));
 		this.#reserveAhead(available, request, engine, now);
 		const option = this.#findOption(available, request, engine, now);
--- a/src/planning/share-gate.ts
+++ b/src/planning/share-gate.ts
@@ -69,7 +69,7 @@
 	readonly #heldKinds = new Map<string, number>();
 	/** Until when room is scarce for requests of a priority. */
 	readonly #scarceUntil = new Map<number, number>();
-	/** Placed cost, of all requests and of those that went last; both decay with the rate window. */
+	/** Cost placed while room was scarce, of all requests and of those that went last; both decay with the rate window. */
 	#placed = {all: 0, last: 0, at: 0};
 
 	/** `memory` is the time for which usage is remembered, in milliseconds. */
@@ -87,11 +87,17 @@
 	/** Records a request that is placed. */
 	recordPlaced(request: PlanRequest, engine: EngineProfile | undefined, now: number): void {
 		const cost = computeCost(request, engine);
-		this.#decayPlaced(now);
-		this.#placed.all += cost;
-		this.#placed.last += this.isScarce(now) && this.#goesLast(request, now) ? cost : 0;
+		if (this.isScarce(now)) {
+			this.#decayPlaced(now);
+			this.#placed.all += cost;
+			this.#placed.last += this.#goesLast(request, now) ? cost : 0;
+		}
+
 		this.#held.delete(request.requestId);
-		this.#heldKinds.delete(describeKind(request));
+		if (this.#heldKinds.size > 0) {
+			this.#heldKinds.delete(describeKind(request));
+		}
+
 		this.returns.release(request.fingerprint);
 		if (request.organisation !== undefined) {
 			this.shares.recordUse(request.organisation, cost, now);
@@ -105,7 +111,13 @@
 
 	/** Whether any request could not be in time, or had to wait here, within the last second. */
 	isScarce(now: number): boolean {
-		return [...this.#scarceUntil.values()].some(until => until > now);
+		for (const until of this.#scarceUntil.values()) {
+			if (until > now) {
+				return true;
+			}
+		}
+
+		return false;
 	}
 
 	/** Position in the order of requests; lower goes first. */
--- a/test/organisation-shares.test.ts
+++ b/test/organisation-shares.test.ts
@@ -167,10 +167,10 @@
 });
 
 test('prompts of organisations above their share are moved behind first where not all can be in time', () => {
-	const [low, high] = [createPlanRequest(150_000, {objective: 600}), createPlanRequest(150_000, {objective: 500, priority: 1})];
-	const queue = new PrefillQueue(({priority = 0}) => priority);
-	queue.join(high, 0);
-	queue.join(low, 0);
+	const [low, high] = [600, 500].map(objective => createPlanRequest(150_000, {objective}));
+	const queue = new PrefillQueue();
+	queue.join(high, 0, 1);
+	queue.join(low, 0, 0);
 	expect(queue.listAhead(low.requestId, engine, 1, 0)).toEqual([]);
 	expect(queue.listAhead(high.requestId, engine, 1, 0)).toHaveLength(1);
 });
