fix(planning): send no usage of organisations that have long been idle

The scheduling node sent decayed usages of less than a millisecond once a second. A replay of two kinds of one organisation guards against a more urgent kind being served less often than a less urgent one.

--- a/src/planning/organisation-shares.ts
+++ b/src/planning/organisation-shares.ts
@@ -88,6 +88,7 @@
 	override describe(now: number): ReportedUsage[] {
 		return [...this.#counters]
 			.map(([organisation, counter]) => ({organisation, ...decay(counter, this.#memory, now)}))
+			.filter(({used, asked}) => Math.max(used, asked) >= 1)
 			.sort((left, right) => right.used - left.used)
 			.slice(0, maxReportedOrganisations)
 			.map(({organisation, used, asked}) => ({
--- a/test/organisation-shares.test.ts
+++ b/test/organisation-shares.test.ts
@@ -83,6 +83,20 @@
 	expect(placed[1]).toBe(placed[0]);
 });
 
+test('a more urgent kind is served in time at least as often as a less urgent one of the same organisation, and neither starves', () => {
+	const flows = [1, 0].map(priority => ({
+		...quick.flows[0], name: `priority-${priority}`, organisation: names[0], priority, perSecond: 54,
+	}));
+	const records = replay(createWorkload(1, {flows, phases: [[1, 1], [1, 1]], sharesMemory: memory}));
+	const [lessUrgent, urgent] = flows.map(flow => {
+		const own = records.filter(({request}) => request.flow === flow);
+		return own.filter(({outcome, firstAfter}) => outcome === 'whole' && firstAfter <= flow.objective).length / own.length;
+	});
+	expect(urgent).toBeGreaterThan(0.9);
+	expect(urgent).toBeGreaterThanOrEqual(lessUrgent - 0.05);
+	expect(lessUrgent).toBeGreaterThan(0.2);
+});
+
 test('the usage of an organisation above its share ends as the memory does, and idleness earns no credit', () => {
 	const shares = new DecayingShares(memory);
 	const [a, b, large] = [names[0], names[1], names[5]];
