fix(planning): report usage down to a tenth of a plain request at the hand-over

Organisations whose usage had decayed just below one plain request were left out, and the new scheduling node took them for newcomers at the mean usage. A test with two nodes guards against it and covers the setting and the log fields.

--- a/src/planning/organisation-shares.ts
+++ b/src/planning/organisation-shares.ts
@@ -13,6 +13,9 @@
 export const maxOrganisations = 256;
 export const maxReportedOrganisations = 64;
 
+/** Usage below which an organisation is not reported: a tenth of a plain request. */
+const minReportedUsage = 0.1;
+
 /** Share by which an organisation may exceed the mean usage before it counts as above its share: prompts of unlike sizes vary that much. */
 const tolerance = 0.1;
 
@@ -88,11 +91,11 @@
 	override describe(now: number): ReportedUsage[] {
 		return [...this.#counters]
 			.map(([organisation, counter]) => ({organisation, ...decay(counter, this.#memory, now)}))
-			.filter(({used, asked}) => Math.max(used, asked) >= 1)
+			.filter(({used, asked}) => Math.max(used, asked) >= minReportedUsage)
 			.sort((left, right) => right.used - left.used)
 			.slice(0, maxReportedOrganisations)
 			.map(({organisation, used, asked}) => ({
-				organisation, used: Math.round(used), asked: Math.round(asked), age: 0,
+				organisation, used: Math.round(used * 100) / 100, asked: Math.round(asked * 100) / 100, age: 0,
 			}));
 	}
 
--- a/test/helpers/gateways.ts
+++ b/test/helpers/gateways.ts
@@ -88,6 +88,8 @@
 export class GatewayFleet {
 	/** Loggers by index of the node; nodes without one do not log. */
 	readonly loggers: Logger[] = [];
+	/** How long nodes remember the usage of organisations, in seconds; without shares when undefined. */
+	sharesMemorySeconds: number | undefined;
 	readonly store = new StandinStore();
 	readonly gateways: Gateway[] = [];
 	readonly settings: GatewaySettings[] = [];
@@ -164,6 +166,7 @@
 ratio = 0.2
 slack = ${retrySlack}
 window_seconds = 10
+${this.sharesMemorySeconds === undefined ? '' : `[organisation_shares]\nmemory_seconds = ${this.sharesMemorySeconds}`}
 `).unsafeCoerce();
 		const logger = this.loggers[index] ?? createSilentLogger();
 		const gateway = new Gateway({
--- a/test/organisation-shares.test.ts
+++ b/test/organisation-shares.test.ts
@@ -2,7 +2,9 @@
 import {expect, test} from '@jest/globals';
 import fc from 'fast-check';
 import {quantile} from 'simple-statistics';
-import type {OrganisationId, RequestFingerprint, RequestId} from '../src/common/index.js';
+import {
+	createLogger, type OrganisationId, type RequestFingerprint, type RequestId,
+} from '../src/common/index.js';
 import {
 	computeCost, DecayingShares, maxOrganisations, maxReportedOrganisations, Planner, PrefillQueue, ReturnSchedule, ShareGate, type PlanRequest, type RoomForecast,
 } from '../src/planning/index.js';
@@ -12,11 +14,21 @@
 	drawDay, replayRouted, workloads, type RoutedRecord, type Workload,
 } from '../src/replay/routed/index.js';
 import {LimitQueue} from '../src/planning/limit-queue.js';
+import {createConfig, GatewayFleet, waitUntil} from './helpers/gateways.js';
+import {LogCapture} from './helpers/logs.js';
+import {pause} from './helpers/pause.js';
+import {createAnswerHeaders, type ServerBehaviour} from './helpers/platform-standins.js';
 import {
 	createIds, createPlanRequest, createServers, engine, shortOptions,
 } from './helpers/planning.js';
 
 const memory = 3000;
+
+const answerOk: ServerBehaviour = (request, response) => {
+	response.writeHead(200, {...createAnswerHeaders(request), 'content-length': '2'});
+	response.end('ok');
+};
+
 const names = ['a', 'b', 'c', 'd', 'e', 'large'].map(name => name as OrganisationId);
 const quick = workloads.find(workload => workload.name === 'quick')!;
 
@@ -232,6 +244,33 @@
 	expect(new Set(delays).size).toBe(20);
 });
 
+test('with the setting, decisions are logged with the share used, and a new scheduling node knows the usage', async () => {
+	const fleet = new GatewayFleet();
+	const logs = [new LogCapture(), new LogCapture()];
+	fleet.loggers.push(...logs.map(log => createLogger('info', log)));
+	fleet.sharesMemorySeconds = 60;
+	try {
+		await fleet.start({nodes: 2, runners: [{service: 'app', behaviour: answerOk}]});
+		fleet.store.put('config', 'main', createConfig(2, {tenants: [{name: 'guild', apiKeys: ['secret-key']}, {name: 'club', apiKeys: ['club-key']}]}));
+		await waitUntil(() => fleet.gateways.every(gateway => gateway.listReadyNodes().length === 2 && gateway.state.configVersion === 2));
+		const club = {path: '/again/', headers: {authorization: 'Bearer club-key'}};
+		await fleet.call(club);
+		await Promise.all(Array.from({length: 20}, async () => fleet.call({path: '/again/'})));
+		const first = logs.findIndex(log => log.listEvents('placed').length > 0);
+		expect(logs[first].listEvents('placed').at(-1)).toMatchObject({organisation: 'guild', isScarce: false});
+		await waitUntil(() => logs[first].listEvents('placed').length === 21);
+		await pause(1500);
+		await fleet.gateways[first].stop();
+		await fleet.call(club, 1 - first);
+		const [taken] = logs[1 - first].listEvents('placed');
+		// Alone, or taken for a newcomer, the club would be at 0.9 of its share or above.
+		expect(taken).toMatchObject({organisation: 'club', isScarce: false});
+		expect(taken.shareUsed).toBeLessThan(0.5);
+	} finally {
+		await fleet.stop();
+	}
+});
+
 test('the settings state how long usage is remembered', () => {
 	const parse = (text: string) => parseGatewaySettings(text).swap().unsafeCoerce().map(({key}) => key);
 	expect(parse('[organisation_shares]\nmemory_seconds = 3')).not.toContain('organisation_shares.memory_seconds');
