fix(planning): requests held for declared limits cannot starve

The order of requests that wait for declared limits had no bound for less urgent kinds. A kind of which none was placed for 1.5 s now goes before all others there too.

--- a/src/planning/limit-gate.ts
+++ b/src/planning/limit-gate.ts
@@ -41,6 +41,7 @@
 
 	/** Queues the request if it can be sent soon; otherwise rejects it with a retry delay. */
 	queueOrReject({request, usable, share}: GatedRequest, now: number): Either<Failure, Decision> {
+		this.#shares?.recordHeld(request, now);
 		const {requestId, service, patience, fingerprint} = request;
 		const rate = usable.reduce((sum, {server}) => sum + this.limits.findGrantedRate(server.id, share), 0);
 		const interval = 1000 / rate;
--- a/src/planning/share-gate.ts
+++ b/src/planning/share-gate.ts
@@ -120,11 +120,16 @@
 		return false;
 	}
 
-	/** Position in the order of requests; lower goes first. */
+	/** Position in the order of requests; lower goes first. A kind of which none was placed for too long goes before all others. */
 	computeRank(request: PlanRequest, now: number): number {
-		const excess = this.#isStarved(request, now) ? 0 : this.#computeExcess(request, now);
+		const returnRank = this.returns.isDue(request.fingerprint, now) ? 0 : 1;
+		if (this.#isStarved(request, now)) {
+			return returnRank;
+		}
+
+		const excess = this.#computeExcess(request, now);
 		const excessRank = excess === 0 ? 0 : (excess < 1 ? 1 : 2);
-		return ((request.priority ?? 0) * priorityStep) + (excessRank * excessStep) + (this.returns.isDue(request.fingerprint, now) ? 0 : 1);
+		return ((request.priority ?? 0) * priorityStep) + (excessRank * excessStep) + returnRank;
 	}
 
 	/** Describes the gate's state for a request. */
--- a/test/organisation-shares.test.ts
+++ b/test/organisation-shares.test.ts
@@ -210,6 +210,16 @@
 	expect([first, second, third].map((id, index) => queue.countAhead(id, 10, [2, 0, 2][index]))).toEqual([1, 0, 2]);
 });
 
+test('a kind of which none was placed for too long goes before all others', () => {
+	const gate = new ShareGate(memory);
+	const [lessUrgent, urgent] = [1, 0].map(priority => createPlanRequest(0, {priority}));
+	gate.recordHeld(lessUrgent, 0);
+	expect(gate.computeRank(lessUrgent, 1000)).toBeGreaterThan(gate.computeRank(urgent, 1000));
+	expect(gate.computeRank(lessUrgent, 1600)).toBeLessThanOrEqual(gate.computeRank(urgent, 1600));
+	gate.recordPlaced(lessUrgent, undefined, 1600);
+	expect(gate.computeRank(lessUrgent, 1600)).toBeGreaterThan(gate.computeRank(urgent, 1600));
+});
+
 test('rejected callers get distinct times, and one that comes back sooner keeps its own', () => {
 	const schedule = new ReturnSchedule();
 	const callers = Array.from({length: 50}, (_, index) => `caller-${index}` as RequestFingerprint);
