--- a/src/gateway/peers/peer-rpc.ts
+++ b/src/gateway/peers/peer-rpc.ts
@@ -8,7 +8,7 @@
 	readErrorMessage, ReplaceableAgent, type Clock, type RequestFingerprint, type Failure, type ServiceName,
 } from '../../common/index.js';
 import type {
-	Decision, ReportedLimit, Plan, PlanRequest, RetryHistory, RetryRequest, CrashReport,
+	Decision, ReportedLimit, ReportedUsage, Plan, PlanRequest, RetryHistory, RetryRequest, CrashReport,
 } from '../../planning/index.js';
 import type {ColdServer, EvacuationsSnapshot} from '../../routing/index.js';
 import {
@@ -39,6 +39,8 @@
 	/** Servers that are cold although their entries do not say so; absent from nodes of earlier builds. */
 	cold?: ColdServer[];
 	history: RetryHistory;
+	/** Usage of the organisations that use most; undefined where they have no shares. */
+	usage?: ReportedUsage[];
 };
 
 /** Procedures that a node serves to other nodes. */
@@ -64,6 +66,7 @@
 const historySchema = createShapeSchema<RetryHistory>(['life', 'age', 'known', 'requests', 'retries', 'meanWorth']);
 const crashSchema = z.custom<[RequestFingerprint, CrashReport[]]>(value => Array.isArray(value) && value.length === 2 && Array.isArray(value[1]));
 const coldSchema = createShapeSchema<ColdServer>(['server', 'coldFor']);
+const usageSchema = createShapeSchema<ReportedUsage>(['organisation', 'used', 'asked', 'age']);
 const limitSchema = createShapeSchema<ReportedLimit>(['server', 'age']);
 const serviceSchema = z.string() as unknown as z.ZodType<ServiceName>;
 
@@ -74,7 +77,7 @@
 	decide: trpc.procedure.input(planRequestSchema).mutation(({ctx, input}) => ctx.service.decide(input)),
 	grantRetry: trpc.procedure.input(retryRequestSchema).mutation(({ctx, input}) => ctx.service.grantRetry(input)),
 	adopt: trpc.procedure.input(z.object({
-		service: serviceSchema, plans: z.array(planSchema), crashRecords: z.array(crashSchema), limits: z.array(limitSchema), cold: z.array(coldSchema).optional(), history: historySchema,
+		service: serviceSchema, plans: z.array(planSchema), crashRecords: z.array(crashSchema), limits: z.array(limitSchema), cold: z.array(coldSchema).optional(), history: historySchema, usage: z.array(usageSchema).optional(),
 	})).mutation(({ctx, input}) => {
 		ctx.service.adopt(input);
 		return true;
--- a/src/gateway/peers/plan-update.ts
+++ b/src/gateway/peers/plan-update.ts
@@ -9,7 +9,9 @@
 import type {
 	BackendServerId, BoxId, RequestFingerprint, PlanId, ServiceName,
 } from '../../common/index.js';
-import type {ReportedLimit, PlanEvent, CrashReport} from '../../planning/index.js';
+import {
+	maxReportedOrganisations, type ReportedLimit, type ReportedUsage, type PlanEvent, type CrashReport,
+} from '../../planning/index.js';
 import type {ColdServer} from '../../routing/index.js';
 
 /** Update from one node on one service. */
@@ -28,6 +30,8 @@
 	leaving?: BackendServerId[];
 	/** Servers that are cold although their entries do not say so. */
 	cold?: ColdServer[];
+	/** Usage of the organisations that use most. */
+	usage?: ReportedUsage[];
 };
 
 /** First byte of an update; heartbeats start with a different one. */
@@ -42,6 +46,9 @@
 	limits: z.array(z.object({server: z.string(), requestsPerSecond: z.number().min(0).optional(), age: z.number()})).optional(),
 	leaving: z.array(z.string()).optional(),
 	cold: z.array(z.object({server: z.string(), coldFor: z.number()})).optional(),
+	usage: z.array(z.object({
+		organisation: z.string(), used: z.number().min(0), asked: z.number().min(0), age: z.number().min(0),
+	})).max(maxReportedOrganisations).optional(),
 });
 
 /** Encodes an update as a datagram. */
--- a/src/gateway/scheduling/decision-log.ts
+++ b/src/gateway/scheduling/decision-log.ts
@@ -1,7 +1,9 @@
 /** Logs scheduling decisions and their inputs. */
 import type {Either} from 'purify-ts';
 import type {AvailabilityZone, Failure, Logger} from '../../common/index.js';
-import type {Decision, OverrunReport, PlanRequest} from '../../planning/index.js';
+import type {
+	Decision, OverrunReport, PlanRequest, ShareReport,
+} from '../../planning/index.js';
 import {formatPosition} from '../../routing/index.js';
 
 /** Inputs of a decision besides the request. */
@@ -15,6 +17,8 @@
 	known: number;
 	/** Evacuated zones in which the service has servers; undefined when there are none. */
 	evacuated?: AvailabilityZone[];
+	/** Present only where organisations have shares. */
+	share?: ShareReport;
 };
 
 /** Adds the evacuated zones of the service to a refusal for lack of servers. */
@@ -25,7 +29,7 @@
 }
 
 /** Logs a placement, a wait or a refusal. */
-export function logDecision(logger: Logger, request: PlanRequest, decided: Either<Failure, Decision>, inputs: DecisionInputs): void {
+export function logDecision(logger: Logger, request: PlanRequest, decided: Either<Failure, Decision>, {share, ...inputs}: DecisionInputs): void {
 	const fields = {
 		request: request.requestId,
 		service: request.service,
@@ -38,6 +42,7 @@
 		crashes: request.crashes?.length,
 		...inputs,
 		serversRevision: formatPosition(inputs.serversRevision),
+		...(share !== undefined && {organisation: request.organisation, isScarce: share.isScarce, shareUsed: Math.round(share.shareUsed * 100) / 100}),
 	};
 	decided.caseOf({
 		Left(failure) {
--- a/src/gateway/scheduling/fleet-placer.ts
+++ b/src/gateway/scheduling/fleet-placer.ts
@@ -13,7 +13,7 @@
 import {
 	isColdRejection, isFirstAttempt, PlanHandover, Planner, RestingServers,
 	type ColdAllowance, type GrantedShares,
-	type Decision, type FleetVisibility, type Plan, type PlanEvent, type PlanRequest, type RetryAllowance, type RetryLimits, type RestingServer, type RetryRequest, type PlannedServerStatus,
+	type Decision, type FleetVisibility, type Plan, type PlanEvent, type PlanRequest, type RetryAllowance, type RetryLimits, type RestingServer, type RetryRequest, type PlannedServerStatus, type ShareReport,
 } from '../../planning/index.js';
 import type {EngineProfile, FleetState} from '../../routing/index.js';
 import type {GatewayMetrics} from '../gateway-metrics.js';
@@ -74,6 +74,8 @@
 	retries: RetryLimits;
 	/** What is allowed beyond the rates of cold servers; undefined when they are not limited. */
 	coldAllowance?: ColdAllowance;
+	/** How long the usage of organisations is remembered, in milliseconds; undefined when they have no shares. */
+	sharesMemory?: number;
 	self: () => Peer;
 };
 
@@ -253,7 +255,7 @@
 
 	/** Applies an update of a node that runs plans; plans missing from its list have ended. */
 	applyPlanUpdate({
-		service, node, notes, active, crashRecords = [], limits = [], leaving = [], cold = [],
+		service, node, notes, active, crashRecords = [], limits = [], leaving = [], cold = [], usage = [],
 	}: PlanUpdate): void {
 		const {
 			planner, crashes, limits: replicatedLimits, leaving: leavingNotices, cold: replicatedCold, handover,
@@ -265,6 +267,7 @@
 		}
 
 		crashes.merge(crashRecords);
+		planner.shares?.merge(usage, this.#parts.clock.readMonotonic());
 		for (const event of notes) {
 			this.#applyEvent(planner, event);
 			if (event.kind === 'server_ended') {
@@ -291,7 +294,7 @@
 
 	/** Takes over a node from another scheduling node, with its running plans and retry history. */
 	adopt({
-		service, plans, crashRecords, limits, cold = [], history,
+		service, plans, crashRecords, limits, cold = [], history, usage = [],
 	}: Adoption): void {
 		this.#retries.mergeHistory(service, history);
 		const {
@@ -301,6 +304,7 @@
 		const now = this.#parts.clock.readMonotonic();
 		planner.adopt(plans, now);
 		handover.record(history.life);
+		planner.shares?.merge(usage, now);
 		crashes.merge(crashRecords);
 		for (const limit of limits) {
 			planner.limits.update(limit, now);
@@ -339,6 +343,7 @@
 				plans.limits.replicate();
 				plans.cold.replicate();
 				plans.leaving.replicate();
+				this.#replicateUsage(service, plans.planner);
 			}
 		}
 	}
@@ -363,6 +368,14 @@
 		};
 	}
 
+	/** Sends the usage of organisations to the node that would take over: it then knows all but the last second. */
+	#replicateUsage(service: ServiceName, planner: Planner): void {
+		const usage = planner.shares?.describe(this.#parts.clock.readMonotonic()) ?? [];
+		if (usage.length > 0) {
+			this.#updates.sendToSuccessors(service, false, {usage});
+		}
+	}
+
 	#recordLimit(service: ServiceName, server: BackendServerId, requestsPerSecond: number | undefined): void {
 		const plans = this.#findPlans(service);
 		const report = plans.limits.recordAnswer(server, requestsPerSecond, this.#parts.self().name);
@@ -459,12 +472,21 @@
 		const evacuated = state.listEvacuatedZones(request.service);
 		const decided = planner.decide(request, now, visibility, shares).mapLeft(failure => explainEvacuation(failure, evacuated));
 		this.#countColdLimited(request, decided);
+		const share = planner.describeShare(request, now);
+		this.#countScarceDecision(request.service, decided, share);
 		logDecision(logger, request, decided, {
-			inProgress: planner.planCount, configVersion: state.configVersion, serversRevision: state.serversRevision, ...visibility, ...(evacuated.length > 0 && {evacuated}),
+			inProgress: planner.planCount, configVersion: state.configVersion, serversRevision: state.serversRevision, ...visibility, ...(evacuated.length > 0 && {evacuated}), share,
 		});
 		return decided;
 	}
 
+	#countScarceDecision(service: ServiceName, decided: Either<Failure, Decision>, share: ShareReport | undefined): void {
+		if (share?.isScarce === true) {
+			const result = decided.caseOf({Left: () => 'refused', Right: decision => decision.kind === 'plan' ? 'placed' : 'waits'});
+			this.#parts.metrics.countScarceDecision(service, share.shareUsed > 1 ? 'over' : 'under', result);
+		}
+	}
+
 	#findShares({service}: PlanRequest, limitShare: number, isPreferred: boolean): number | GrantedShares {
 		return this.#coldShares === undefined ? limitShare : {declared: limitShare, cold: this.#coldShares.findShare(service, isPreferred)};
 	}
@@ -567,6 +589,7 @@
 			limits: plans.limits.describe(),
 			cold: plans.cold.describe(),
 			history: this.#retries.describeOwn(service, scheduler),
+			usage: plans.planner.shares?.describe(this.#parts.clock.readMonotonic()),
 		};
 		if (scheduler.name === this.#parts.self().name) {
 			this.#retries.mergeHistory(service, adoption.history);
@@ -607,9 +630,9 @@
 
 	#createPlans(service: ServiceName, engine: EngineProfile | undefined): ServicePlans {
 		const {
-			ids, clock, logger, state,
+			ids, clock, logger, state, sharesMemory,
 		} = this.#parts;
-		const planner = new Planner({ids, engine});
+		const planner = new Planner({ids, engine, sharesMemory});
 		const parts = {
 			service, planner, clock, logger, state, updates: this.#updates,
 		};
--- a/src/planning/limit-gate.ts
+++ b/src/planning/limit-gate.ts
@@ -6,6 +6,7 @@
 import type {Decision, PlanRequest} from './plan.js';
 import type {ServerLoad} from './server-load.js';
 import {ServerLimits} from './server-limits.js';
+import type {ShareGate} from './share-gate.js';
 
 /** Share of its caller's patience for which a request waits, and the maximum time until it asks again, in milliseconds. */
 const maxWaitShare = 0.5;
@@ -35,6 +36,11 @@
 	/** Limits of cold servers. */
 	readonly cold = new ColdLimits();
 	readonly #queue = new LimitQueue();
+	readonly #shares: ShareGate | undefined;
+
+	constructor(shares?: ShareGate) {
+		this.#shares = shares;
+	}
 
 	/** Servers that may be sent one more request; empty while requests that have waited longer need the remaining tokens. */
 	listAvailable({request, usable, ...shares}: GatedRequest, now: number): ServerLoad[] {
@@ -50,7 +56,7 @@
 	hasTokens({request, usable, share, coldShare}: GatedRequest, now: number): boolean {
 		const tokens = usable.reduce((sum, {server: {id}}) =>
 			sum + Math.floor(Math.min(this.limits.countTokens(id, share, now), this.cold.countTokens(id, coldShare(id), now))), 0);
-		return this.#queue.countAhead(request.requestId, now) < tokens;
+		return this.#countAhead(request, now) < tokens;
 	}
 
 	/** Whether a server is cold, or rises to its full rate after that. */
@@ -60,7 +66,8 @@
 
 	/** Queues the request if it can be sent soon; otherwise rejects it with a retry delay. */
 	queueOrReject({request, usable, ...shares}: GatedRequest, now: number): Either<Failure, Decision> {
-		const {requestId, service, patience} = request;
+		this.#shares?.recordHeld(request, now);
+		const {requestId, service, patience, fingerprint} = request;
 		const rate = this.#sumRates({usable, ...shares}, now);
 		const interval = 1000 / rate;
 		const isCold = usable.some(load => this.isCold(load, now));
@@ -68,21 +75,21 @@
 		const delay = this.computeWait({request, usable, ...shares}, now);
 		if (delay > patience * maxWaitShare) {
 			this.#queue.leave(requestId);
-			const retryIn = this.#queue.scheduleRetry(delay, interval, now) / 1000;
+			const retryIn = (this.#shares?.returns.assign(fingerprint, {delay, interval}, now) ?? this.#queue.scheduleRetry(delay, interval, now)) / 1000;
 			const reason = isCold
 				? `backend servers of ${service} ${coldReason}, and the others are full`
 				: `all backend servers of ${service} have reached their declared request limits or asked for rest`;
 			return Left(createFailure('overloaded', reason, {retryAfterSeconds: Math.max(minRetryAfter, retryIn)}));
 		}
 
-		this.#queue.join(requestId, now);
+		this.#queue.join(requestId, now, this.#shares?.computeRank(request, now));
 		return Right({kind: 'wait', askAgainIn: Math.min(maxRetryDelay, Math.max(1, delay)), reason: isCold ? 'cold' : (isResting ? 'rest' : 'limit')});
 	}
 
 	/** Time until the request may be sent to one of the servers, after those that have waited longer. */
 	computeWait({request, usable, ...shares}: GatedRequest, now: number): number {
 		const firstDelay = Math.min(...usable.map(load => this.#computeDelay(load, {request, ...shares}, now)));
-		return firstDelay + (this.#queue.countAhead(request.requestId, now) * 1000 / this.#sumRates({usable, ...shares}, now));
+		return firstDelay + (this.#countAhead(request, now) * 1000 / this.#sumRates({usable, ...shares}, now));
 	}
 
 	/** Records that a request is sent to a server. */
@@ -92,6 +99,10 @@
 		this.#queue.leave(request.requestId);
 	}
 
+	#countAhead(request: PlanRequest, now: number): number {
+		return this.#queue.countAhead(request.requestId, now, this.#shares?.computeRank(request, now));
+	}
+
 	/** Time until a server may be sent the request, in milliseconds. */
 	#computeDelay(load: ServerLoad, {request, share, coldShare}: DelayInputs, now: number): number {
 		const {id} = load.server;
--- a/src/planning/prefill-queue.ts
+++ b/src/planning/prefill-queue.ts
@@ -1,8 +1,8 @@
 /**
  * Long prompts that wait for prefill, and the order in which they are considered. Pure.
  *
- * Prompts that can be in time come first, by deadline. Where not all can be in time, those with the least value for their prefill time are
- * moved behind the others and served late. A request keeps its position by asking again.
+ * Prompts that can be in time come first, by deadline. Where not all can be in time, those of the last rank, and among them those with the least
+ * value for their prefill time, are moved behind the others and served late. A request keeps its position by asking again.
  */
 import type {RequestId} from '../common/index.js';
 import type {EngineProfile} from '../routing/index.js';
@@ -17,8 +17,11 @@
 /** Minimum time to the deadline in the waiting loss, in milliseconds: about one pass and one prefill. */
 const minSlack = 300;
 
-/** A queued request; times by the planner's clock. */
-type QueuedPrompt = {request: PlanRequest; lastAskedAt: number; deadline: number};
+/** Value per millisecond that one step of rank outweighs: far above that of any prompt. */
+const rankWeight = 1e6;
+
+/** A queued request; times by the planner's clock. A lower rank goes first. */
+type QueuedPrompt = {request: PlanRequest; lastAskedAt: number; deadline: number; rank: number};
 
 /** Queue of prompts that wait for prefill. */
 export class PrefillQueue {
@@ -30,8 +33,10 @@
 	}
 
 	/** Adds a request or refreshes its entry. */
-	join(request: PlanRequest, now: number): void {
-		this.#entries.set(request.requestId, {request, lastAskedAt: now, deadline: now + request.objective});
+	join(request: PlanRequest, now: number, rank = 0): void {
+		this.#entries.set(request.requestId, {
+			request, lastAskedAt: now, deadline: now + request.objective, rank,
+		});
 	}
 
 	/** Removes a request. */
@@ -77,14 +82,14 @@
 			inTime.push(entry);
 			end += computeTime(entry);
 			while (end > entry.deadline && inTime.length > 0) {
-				const lowest = findMin(inTime, candidate => computeValueDensity(candidate, engine))!;
+				const lowest = findMin(inTime, candidate => computeValueDensity(candidate, engine) - (candidate.rank * rankWeight))!;
 				inTime.splice(inTime.indexOf(lowest), 1);
 				late.push(lowest);
 				end -= computeTime(lowest);
 			}
 		}
 
-		return [...inTime, ...late.sort((left, right) => computeValueDensity(right, engine) - computeValueDensity(left, engine))];
+		return [...inTime, ...late.sort((left, right) => left.rank - right.rank || computeValueDensity(right, engine) - computeValueDensity(left, engine))];
 	}
 }
 
--- a/test/helpers/gateways.ts
+++ b/test/helpers/gateways.ts
@@ -92,6 +92,8 @@
 	readonly loggers: Logger[] = [];
 	/** Sections added to the settings of each node. */
 	extraSettings = '';
+	/** How long nodes remember the usage of organisations, in seconds; without shares when undefined. */
+	sharesMemorySeconds: number | undefined;
 	readonly store = new StandinStore();
 	readonly gateways: Gateway[] = [];
 	readonly settings: GatewaySettings[] = [];
@@ -171,7 +173,9 @@
 slack = ${retrySlack}
 window_seconds = 10
 ${evacuateWithin === undefined ? '' : `[evacuations]\napply_within_ms = ${evacuateWithin}\n`}
-${this.extraSettings}`).unsafeCoerce();
+${this.extraSettings}
+${this.sharesMemorySeconds === undefined ? '' : `[organisation_shares]\nmemory_seconds = ${this.sharesMemorySeconds}`}
+`).unsafeCoerce();
 		const logger = this.loggers[index] ?? createSilentLogger();
 		const gateway = new Gateway({
 			settings, source: new PlatformSource(settings.store.address, logger), wire: new CallWire(), clock: systemClock, ids: randomIdSource, logger, random: Math.random,
