perf(gateway): calls between nodes skip the wrappers of fetch

Callers see no difference: the requests and answers are those of tRPC's HTTP link and Fastify adapter, which a test checks in both directions, since a fleet runs two builds during a rollout. The adapter wrapped each call in the requests, headers and streams of fetch, and the link loaded the fetch of Node.js to look for forms, once in each process. Procedures, input checks and error answers are still tRPC's.

Test: peer-calls.

--- a/src/gateway/peers/peer-rpc.ts
+++ b/src/gateway/peers/peer-rpc.ts
@@ -1,5 +1,5 @@
 /** RPC between gateway nodes, over tRPC: scheduling decisions and views of the fleet. */
-import {createTRPCClient, httpLink, type TRPCClient} from '@trpc/client';
+import {createTRPCClient, type TRPCClient} from '@trpc/client';
 import {initTRPC} from '@trpc/server';
 import {Left, Right, type Either} from 'purify-ts';
 import {Agent} from 'undici';
@@ -10,11 +10,10 @@
 import type {
 	Decision, ReportedLimit, Plan, PlanRequest, RetryHistory, RetryRequest, CrashReport,
 } from '../../planning/index.js';
-import {
-	askWithTimeout, rpcPath, sendNodeRequest, type NodeRequest,
-} from '../../rpc/node-fetch.js';
+import {askWithTimeout} from '../../rpc/node-fetch.js';
 import type {PackedText} from '../../rpc/packed-text.js';
 import {createIdleTimeout} from '../../rpc/idle-timeout.js';
+import {createPeerLink} from './peer-link.js';
 
 /** A decision, or the reason why there is none. */
 export type DecisionAnswer = {
@@ -77,7 +76,9 @@
 	takeConfig: trpc.procedure.input(z.object({version: z.number()})).query(({ctx, input}) => ctx.service.takeConfig(input)),
 });
 
-type PeerClient = TRPCClient<typeof peerRouter>;
+export type PeerRouter = typeof peerRouter;
+
+type PeerClient = TRPCClient<PeerRouter>;
 
 /** Timeout for connecting to another node, in milliseconds. */
 const connectTimeout = 300;
@@ -174,10 +175,5 @@
 }
 
 function createClient(address: string, findAgent: () => Agent, onData?: () => void): PeerClient {
-	return createTRPCClient<typeof peerRouter>({
-		links: [httpLink({
-			url: `http://${address}${rpcPath}`,
-			fetch: (async (target: string, init: NodeRequest) => sendNodeRequest(findAgent(), target, init, onData)) as unknown as typeof fetch,
-		})],
-	});
+	return createTRPCClient<PeerRouter>({links: [createPeerLink(address, findAgent, onData)]});
 }
--- a/src/gateway/servers.ts
+++ b/src/gateway/servers.ts
@@ -1,11 +1,9 @@
 /** The listeners of a gateway node, on Fastify. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {fastifyTRPCPlugin} from '@trpc/server/adapters/fastify';
 import fastify, {type FastifyInstance, type FastifyReply, type FastifyRequest} from 'fastify';
 import {createFailure, type AvailabilityZone} from '../common/index.js';
-import {rpcPath} from '../rpc/node-fetch.js';
 import {HttpSink, sendFailure} from './calls/index.js';
-import {peerRouter, type PeerService} from './peers/index.js';
+import {addPeerRoutes, type PeerService} from './peers/index.js';
 import {listenOnEarly, takeEarlyListener} from './early-listener.js';
 import {statusPath} from './node-status.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
@@ -131,10 +129,7 @@
 /** Opens the listener for other nodes. */
 export async function openPeersServer(address: string, service: PeerService): Promise<OpenServer> {
 	const server = createServer(maxPeerMessageBytes, peerIdleTimeout);
-	await server.register(fastifyTRPCPlugin, {
-		prefix: rpcPath,
-		trpcOptions: {router: peerRouter, createContext: () => ({service})},
-	});
+	addPeerRoutes(server, service);
 	return listen(server, address);
 }
 
