perf: the bundle of the gateway leaves out HTTP/2 and unused parts of prom-client

A node speaks neither HTTP/2 nor to a push gateway, but loaded Node.js's modules for them in each start, through undici, Fastify and prom-client. The bundle now holds stand-ins, as it does for the schema compilers.

--- a/scripts/build-gateway.js
+++ b/scripts/build-gateway.js
@@ -12,6 +12,7 @@
 
 const replacements = {
 	undici: 'undici-parts.cjs',
+	'prom-client': 'prom-client-parts.cjs',
 	'@fastify/ajv-compiler': 'no-schemas.cjs',
 	'@fastify/fast-json-stringify-compiler': 'no-schemas.cjs',
 };
@@ -24,6 +25,10 @@
 			const file = replacements[path];
 			return file === undefined ? undefined : {path: fileURLToPath(new URL(file, import.meta.url))};
 		});
+		// No node speaks HTTP/2, and to load Node.js's implementation took 12 to 20 ms of each start.
+		builder.onResolve({filter: /^node:http2$/}, ({importer}) => /\/(?:undici|fastify)\//.test(importer)
+			? {path: fileURLToPath(new URL('no-http2.cjs', import.meta.url))}
+			: undefined);
 	},
 };
 
