perf(gateway): the wait between heartbeats takes one timer

Callers see no difference: the interval, the least gap and early heartbeats are as before. Each interval took two timers, two abort controllers and their listeners; it now takes one timer, which a change brings forward. A change that is announced while a heartbeat is being sent is now sent after the gap instead of after the interval.

--- a/src/gateway/peers/peer-socket.ts
+++ b/src/gateway/peers/peer-socket.ts
@@ -3,7 +3,7 @@
 import {lookup} from 'node:dns';
 import {isIPv4} from 'node:net';
 import {
-	Child, readErrorMessage, waitFor, type Clock, type Logger,
+	Child, readErrorMessage, type Clock, type Logger,
 } from '../../common/index.js';
 import {decodeHeartbeat, encodeHeartbeat} from './heartbeat.js';
 import {
@@ -29,7 +29,8 @@
 export class PeerSocket extends Child {
 	override readonly name = 'heartbeats';
 	readonly #parts: PeerSocketParts;
-	#earlyWake: AbortController | undefined;
+	/** Brings the next heartbeat forward while one is awaited. */
+	#bringForward: (() => void) | undefined;
 	#hasChanges = false;
 	#socket: Socket | undefined;
 
@@ -40,8 +41,10 @@
 
 	/** Sends the next heartbeat early, to propagate a change. */
 	announce(): void {
-		this.#hasChanges = true;
-		this.#earlyWake?.abort();
+		if (!this.#hasChanges) {
+			this.#hasChanges = true;
+			this.#bringForward?.();
+		}
 	}
 
 	/** Sends a plan update to the heartbeat address of a node; delivery is not confirmed. */
@@ -64,6 +67,11 @@
 			socket.bind(this.#parts.port, this.#parts.host, resolve);
 		});
 		this.#socket = socket;
+		const endWait = () => {
+			this.#bringForward?.();
+		};
+
+		signal.addEventListener('abort', endWait);
 		try {
 			while (!signal.aborted) {
 				this.#sendHeartbeats(socket);
@@ -73,22 +81,29 @@
 
 			this.#sendHeartbeats(socket);
 		} finally {
+			signal.removeEventListener('abort', endWait);
 			this.#socket = undefined;
 			socket.close();
 		}
 	}
 
+	/** Waits for the interval, or for the minimum gap once there is a change; signals and a second timer for each interval took longer than the heartbeat itself. */
 	async #waitForNextHeartbeat(signal: AbortSignal): Promise<void> {
-		const earlyWake = new AbortController();
-		const wake = () => {
-			earlyWake.abort();
-		};
-
-		signal.addEventListener('abort', wake);
-		this.#earlyWake = earlyWake;
-		await waitFor(this.#parts.clock, minHeartbeatGap, signal);
-		await waitFor(this.#parts.clock, heartbeatInterval - minHeartbeatGap, earlyWake.signal);
-		signal.removeEventListener('abort', wake);
+		const {clock} = this.#parts;
+		const sentAt = clock.readMonotonic();
+		await new Promise<void>(resolve => {
+			let timer = clock.setTimer(heartbeatInterval, resolve);
+			this.#bringForward = () => {
+				const left = signal.aborted ? 0 : minHeartbeatGap - (clock.readMonotonic() - sentAt);
+				timer.cancel();
+				timer = clock.setTimer(Math.max(0, left), resolve);
+			};
+
+			if (signal.aborted || this.#hasChanges) {
+				this.#bringForward();
+			}
+		});
+		this.#bringForward = undefined;
 	}
 
 	#sendHeartbeats(socket: Socket): void {
