--- a/bench/fleet-node.ts
+++ b/bench/fleet-node.ts
@@ -28,6 +28,9 @@
 import {processHost} from '../test/helpers/process-host.js';
 import {BenchProcesses, readProcessorSeconds} from './processes.js';
 
+/** The program of a node; `BENCH_PROGRAM` in the environment names that of another build, to compare with. */
+const program = process.env.BENCH_PROGRAM ?? 'target/cresshook.cjs';
+
 const peerCount = 81;
 const serverCount = 70;
 const initialRoutes = 126;
@@ -247,7 +250,7 @@
 		const settings = this.#processes.writeFile('node.toml', describeSettings(ports, this.#store.address));
 		const {flags} = /run = "node (?<flags>.*?) target/.exec(readFileSync('deploy/system.toml', 'utf8'))!.groups!;
 		const profile = process.env.CPU_PROFILE === undefined ? [] : ['--cpu-prof', `--cpu-prof-dir=${process.env.CPU_PROFILE}`];
-		const {child, pid} = this.#processes.startProgram([...flags.split(' '), ...profile, 'target/cresshook.cjs', 'gateway', '--settings', settings]);
+		const {child, pid} = this.#processes.startProgram([...flags.split(' '), ...profile, program, 'gateway', '--settings', settings]);
 		child.stdout!.resume();
 		this.#pid = pid;
 		this.#address = `${processHost}:${ports[3]}`;
