--- a/src/gateway/peers/peer-rpc.ts
+++ b/src/gateway/peers/peer-rpc.ts
@@ -1,5 +1,5 @@
 /** RPC between gateway nodes, over tRPC: scheduling decisions and views of the fleet. */
-import {createTRPCClient, httpLink, type TRPCClient} from '@trpc/client';
+import {createTRPCClient, type TRPCClient} from '@trpc/client';
 import {initTRPC} from '@trpc/server';
 import {Left, Right, type Either} from 'purify-ts';
 import {Agent} from 'undici';
@@ -11,11 +11,10 @@
 	Decision, ReportedLimit, ReportedUsage, Plan, PlanRequest, RetryHistory, RetryRequest, CrashReport,
 } from '../../planning/index.js';
 import type {ColdServer, EvacuationsSnapshot} from '../../routing/index.js';
-import {
-	askWithTimeout, rpcPath, sendNodeRequest, type NodeRequest,
-} from '../../rpc/node-fetch.js';
+import {askWithTimeout} from '../../rpc/node-fetch.js';
 import type {PackedText} from '../../rpc/packed-text.js';
 import {createIdleTimeout} from '../../rpc/idle-timeout.js';
+import {createPeerLink} from './peer-link.js';
 
 /** A decision, or the reason why there is none. */
 export type DecisionAnswer = {
@@ -86,7 +85,9 @@
 	takeConfig: trpc.procedure.input(z.object({version: z.number()})).query(({ctx, input}) => ctx.service.takeConfig(input)),
 });
 
-type PeerClient = TRPCClient<typeof peerRouter>;
+export type PeerRouter = typeof peerRouter;
+
+type PeerClient = TRPCClient<PeerRouter>;
 
 /** Timeout for connecting to another node, in milliseconds. */
 const connectTimeout = 300;
@@ -183,10 +184,5 @@
 }
 
 function createClient(address: string, findAgent: () => Agent, onData?: () => void): PeerClient {
-	return createTRPCClient<typeof peerRouter>({
-		links: [httpLink({
-			url: `http://${address}${rpcPath}`,
-			fetch: (async (target: string, init: NodeRequest) => sendNodeRequest(findAgent(), target, init, onData)) as unknown as typeof fetch,
-		})],
-	});
+	return createTRPCClient<PeerRouter>({links: [createPeerLink(address, findAgent, onData)]});
 }
