fix(gateway): count error answers against the server that gave them

A server that answered 500 at once got every first try of a repeatable request, since an error answer reached the planner as answered and an idle server looks least loaded: of 240 requests 81 to 84 were answered.

An attempt that fails is now reported as spoiled, except where the status blames the request (501, 505, 504 at its deadline) or asks for rest.

--- a/src/gateway/calls/backend-attempt.ts
+++ b/src/gateway/calls/backend-attempt.ts
@@ -21,8 +21,8 @@
 export type AttemptOutcome =
 	/** The complete answer has been forwarded. */
 	| {kind: 'done'}
-	/** The server ran the request and answered with an error; `deliver` forwards that answer. */
-	| {kind: 'failed'; server: BackendServerId; status: number; deliver: () => void}
+	/** The server ran the request and answered with an error, possibly one that asks for rest; `deliver` forwards that answer. */
+	| {kind: 'failed'; server: BackendServerId; status: number; asksForRest: boolean; deliver: () => void}
 	/** The request did not run; `faultyAddress` is set when the server names a helper as the cause. */
 	| {kind: 'declined'; trouble: Trouble; server: BackendServerId; reason: string; faultyAddress?: string}
 	/** The request may have run, but there is no complete answer. */
@@ -291,6 +291,7 @@
 				kind: 'failed',
 				server,
 				status: head.status,
+				asksForRest: (head.rest ?? 0) > 0,
 				deliver: () => {
 					this.#deliver(head, body);
 				},
--- a/src/gateway/calls/call-run.ts
+++ b/src/gateway/calls/call-run.ts
@@ -14,6 +14,7 @@
 import type {Call} from './call.js';
 import {CallAttempts, type CallAttemptsListener} from './call-attempts.js';
 import type {CallSink} from './call-sink.js';
+import {isServerFault} from './failed-answer.js';
 import {sendFailure} from './failure-answer.js';
 import type {AttemptSilence, SendParts} from './live-attempt.js';
 import {PlacementFinder} from './placement-finder.js';
@@ -200,6 +201,10 @@
 			this.#recordTrouble(plan, outcome.trouble, outcome.server);
 		}
 
+		if (outcome.kind === 'failed' && isServerFault({...outcome, timeLeft: this.#placementFinder.timeLeft})) {
+			this.#recordTrouble(plan, 'spoiled', outcome.server);
+		}
+
 		if (outcome.kind === 'declined' || outcome.kind === 'lost' || outcome.kind === 'failed') {
 			this.#placementFinder.excluded.push(outcome.server);
 		}
