fix(planning): spread plain requests over servers of equal load

Of equally loaded servers the first by name was always taken, so a burst decided by several nodes, or the first request after each pause, went to one server. The request id now chooses among the equals; decisions about servers of unequal load stay as they are.

--- a/src/planning/planner.ts
+++ b/src/planning/planner.ts
@@ -16,10 +16,10 @@
 import {AbandonedAttempts} from './abandoned-attempts.js';
 import {CallerWaits} from './caller-waits.js';
 import {computePrefillTime} from './engine-model.js';
-import {findMin} from './find-min.js';
+import {findEqualMin} from './find-min.js';
 import {ActivePlans, type ActivePlan} from './active-plans.js';
 import {
-	LimitedVisibility, divideWithoutDemand, visibilityRetryDelay, rotateServers, fullVisibility, type FleetVisibility,
+	LimitedVisibility, divideWithoutDemand, visibilityRetryDelay, hashToShare, fullVisibility, type FleetVisibility,
 } from './fleet-visibility.js';
 import type {
 	Decision, OverrunReport, Plan, PlanEvent, PlanRequest,
@@ -379,8 +379,7 @@
 	}
 
 	#planPlain(request: PlanRequest, usable: ServerLoad[], now: number): Either<Failure, Decision> {
-		const ordered = this.#visibility.isLimited ? rotateServers(usable, request.requestId) : usable;
-		const best = findMin(ordered, load => (load.taskCount / load.server.slots) + load.health.computeFailureShare(now))!;
+		const best = findEqualMin(usable, load => (load.taskCount / load.server.slots) + load.health.computeFailureShare(now), hashToShare(request.requestId))!;
 		return Right(this.#createPlan(request, best.server.id, {expectedFirst: 0}));
 	}
 
