fix(planning): compare the failed answers of a server with those of the others

A server was avoided for its own smoothed share of failures: services on which 14 in 100 answers fail everywhere had healthy servers avoided in up to 24 in 100 decisions, a request that fails everywhere took all servers out, and an idle recovered server got no work.

Failed answers are now counted apart from lost requests and judged by the rate of the other servers.

--- a/src/gateway/calls/call.ts
+++ b/src/gateway/calls/call.ts
@@ -17,3 +17,8 @@
 	/** Version of the configuration that it was resolved with. */
 	configVersion: number;
 };
+
+/** Whether requests of a route may run again after a failure. */
+export function canRepeat({kind, canResume, attempts}: Route): boolean {
+	return attempts > 1 && (kind === 'repeatable' || (kind === 'stream' && canResume));
+}
--- a/src/gateway/calls/placement-finder.ts
+++ b/src/gateway/calls/placement-finder.ts
@@ -3,7 +3,7 @@
 	AvailabilityZone, BackendServerId, BoxId, Clock, Failure, Timer,
 } from '../../common/index.js';
 import {findMaxSilence} from './backend-attempt.js';
-import type {Call} from './call.js';
+import {canRepeat, type Call} from './call.js';
 import type {PlacementAnswer, Placement, Placer} from './placer.js';
 
 /** Dependencies of a placement finder. */
@@ -105,6 +105,7 @@
 			callerWaits: head.timeLeft,
 			hasBegun,
 			fingerprint: call.fingerprint,
+			canRepeat: canRepeat(route),
 			excluded,
 			failedAt: this.failedAt,
 		});
--- a/src/planning/active-plans.ts
+++ b/src/planning/active-plans.ts
@@ -48,6 +48,11 @@
 		return this.#plans.has(planId);
 	}
 
+	/** Finds a plan; undefined for an unknown one. */
+	findPlan(planId: PlanId): Plan | undefined {
+		return this.#plans.get(planId)?.plan;
+	}
+
 	/** Replaces the servers that accept new work. */
 	setServers(servers: BackendServer[]): void {
 		const ids = new Set(servers.map(server => server.id));
--- /dev/null
+++ b/src/planning/failure-record.ts
@@ -0,0 +1,156 @@
+/**
+ * Failed answers of one backend server, judged against those of the other servers of its service. Pure.
+ *
+ * Load patterns: a server that fails at once is idle and looks least loaded, so that it gets every first try; and on many services up to 14 in
+ * 100 answers fail on every server alike, which tells nothing about any of them.
+ *
+ * Times are monotonic milliseconds.
+ */
+
+/** Numbers of answers and of failed ones among them; fractional, since old ones count less. */
+export type AnswerCounts = {answers: number; failures: number};
+
+/** Time in which the weight of an answer halves, in milliseconds. */
+const halfLife = 30_000;
+
+/** Maximum number of answers that count: a server that has answered well for long is noticed after some seven failures. */
+const maxAnswers = 30;
+
+/** Weight of the assumption that a server without answers fails no more than others, in answers. */
+const priorAnswers = 2;
+
+/** Assumed answers and failures of the other servers: without any, 5 in 100 are expected to fail. */
+const otherPrior: AnswerCounts = {answers: 4, failures: 0.2};
+
+/** A server is avoided when its failure share exceeds that of the others by this much, and by this many standard deviations: three failures of three answers, or 12 of 30 beside 14 in 100. */
+const minExcess = 0.2;
+const minDeviations = 2.4;
+
+/** Excess that is disregarded: the rest of a failure that has decayed for minutes. */
+const negligibleExcess = 0.02;
+
+/** Time until an avoided server is tried with one request, in milliseconds; doubled after each failed trial up to the maximum. */
+const initialTrialDelay = 3000;
+const maxTrialDelay = 40_000;
+
+/** Good answers in a row after which an avoided server is used like others: one that fails half of its answers rarely gives as many. */
+const goodTrials = 5;
+
+/** Counts the answers of one server and decides whether it is avoided for failures. */
+export class FailureRecord {
+	#counts: AnswerCounts = {answers: 0, failures: 0};
+	#countedAt = 0;
+	#others: AnswerCounts = {answers: 0, failures: 0};
+	#isAvoided = false;
+	#trialAt = 0;
+	#trialDelay = 0;
+	#passedTrials = 0;
+	#lastAvoidedAt = -Infinity;
+	#lastFailureAt = -Infinity;
+
+	/** Whether it is avoided: only single trials go there. */
+	get isAvoided(): boolean {
+		return this.#isAvoided;
+	}
+
+	/**
+	 * Whether a server that gets less work because of its failures is to be tried with one more request beside `taskCount` others. Each good
+	 * answer of an avoided one permits one more.
+	 *
+	 * A failed trial of a request that may run only once is lost to its caller, so such requests are used only when no other came for long.
+	 */
+	isTrialDue(taskCount: number, now: number, canRepeat: boolean): boolean {
+		if (this.#isAvoided) {
+			return taskCount <= this.#passedTrials && now >= this.#trialAt + (canRepeat ? 0 : this.#trialDelay);
+		}
+
+		// While the service has little work, one failure keeps a server without requests that could show its recovery.
+		const delay = initialTrialDelay * (canRepeat ? 1 : 2);
+		return taskCount === 0 && now >= this.#lastFailureAt + delay && this.computeExcess(now) > 0;
+	}
+
+	/** Sets the counts of the other servers, with which this one is compared. */
+	setOthers(others: AnswerCounts): void {
+		this.#others = others;
+	}
+
+	/** Answers and failures that count at this time. */
+	readCounts(now: number): AnswerCounts {
+		const weight = 0.5 ** (Math.max(0, now - this.#countedAt) / halfLife);
+		return {answers: this.#counts.answers * weight, failures: this.#counts.failures * weight};
+	}
+
+	/** Share of failures above that of the other servers, less one standard deviation; 0 when it fails no more than they do. */
+	computeExcess(now: number): number {
+		if (this.#counts.failures === 0) {
+			return 0;
+		}
+
+		const {answers, failures} = this.readCounts(now);
+		const {expected, variance} = this.#predict(answers);
+		const excess = (failures - expected - Math.sqrt(variance)) / (answers + priorAnswers);
+		return excess < negligibleExcess ? 0 : excess;
+	}
+
+	/** Records a good answer. */
+	recordSuccess(now: number): void {
+		this.#count(0, now);
+		if (!this.#isAvoided) {
+			return;
+		}
+
+		this.#passedTrials++;
+		if (this.#passedTrials >= goodTrials) {
+			this.#isAvoided = false;
+			this.#lastAvoidedAt = now;
+			this.#counts = {answers: 0, failures: 0};
+		}
+	}
+
+	/** Records a failed answer. */
+	recordFailure(now: number): void {
+		const isTrial = this.#isAvoided && now >= this.#trialAt;
+		this.#count(1, now);
+		this.#lastFailureAt = now;
+		this.#passedTrials = 0;
+		if (isTrial || (!this.#isAvoided && this.#isOutlier(now))) {
+			this.#avoid(isTrial || now - this.#lastAvoidedAt < halfLife, now);
+		}
+	}
+
+	/** Takes back a failed answer: other servers fail the same request. */
+	retractFailure(now: number): void {
+		const {answers, failures} = this.readCounts(now);
+		this.#counts = {answers: Math.max(0, answers - 1), failures: Math.max(0, failures - 1)};
+		this.#countedAt = now;
+		this.#isAvoided &&= this.#trialDelay > initialTrialDelay || this.#isOutlier(now);
+	}
+
+	#avoid(isRepeated: boolean, now: number): void {
+		this.#isAvoided = true;
+		this.#passedTrials = 0;
+		this.#trialDelay = isRepeated ? Math.min(maxTrialDelay, this.#trialDelay * 2) : initialTrialDelay;
+		this.#trialAt = now + this.#trialDelay;
+	}
+
+	#count(failures: number, now: number): void {
+		const counts = this.readCounts(now);
+		const weight = Math.min(1, (maxAnswers - 1) / counts.answers);
+		this.#counts = {answers: (counts.answers * weight) + 1, failures: (counts.failures * weight) + failures};
+		this.#countedAt = now;
+	}
+
+	#isOutlier(now: number): boolean {
+		const {answers, failures} = this.readCounts(now);
+		const {expected, variance} = this.#predict(answers);
+		const excess = failures - expected;
+		return excess >= minExcess * (answers + priorAnswers) && excess >= minDeviations * Math.sqrt(variance + 1);
+	}
+
+	/** Failures expected among a number of answers at the rate of the others, and their variance, which includes that of the estimated rate. */
+	#predict(answers: number): {expected: number; variance: number} {
+		const others = this.#others.answers + otherPrior.answers;
+		const rate = (this.#others.failures + otherPrior.failures) / others;
+		return {expected: answers * rate, variance: answers * rate * (1 - rate) * (1 + (answers / others))};
+	}
+}
--- a/src/planning/plan.ts
+++ b/src/planning/plan.ts
@@ -49,6 +49,8 @@
 	fingerprint?: RequestFingerprint;
 	/** Crashes of servers that ran it: as known to the requesting node, and in a plan as known to the planner. */
 	crashes?: CrashReport[];
+	/** Whether it may run once more after a failure; undefined from nodes that do not state it. */
+	canRepeat?: boolean;
 	/** Servers that must not be chosen. */
 	excluded: BackendServerId[];
 	/** Excluded servers that answered it with a failure: they may be used again if there is no other. */
@@ -93,6 +95,8 @@
 	expectedFirst: number;
 	/** Tokens in the memory of the first server. */
 	ownTokens: number;
+	/** Servers that were avoided since their answers fail more often than those of others, at most a few of them; undefined when there were none. */
+	avoided?: BackendServerId[];
 	/** The pause that its prefill causes for requests decoding at its servers; undefined when there are none. */
 	pause?: PlannedPause;
 };
--- a/src/planning/planner.ts
+++ b/src/planning/planner.ts
@@ -17,6 +17,8 @@
 import {CallerWaits} from './caller-waits.js';
 import {computePrefillTime} from './engine-model.js';
 import {findEqualMin} from './find-min.js';
+import {FailureComparison} from './failure-comparison.js';
+import type {AnswerCounts} from './failure-record.js';
 import {ActivePlans, type ActivePlan} from './active-plans.js';
 import {
 	LimitedVisibility, divideWithoutDemand, visibilityRetryDelay, hashToShare, fullVisibility, type FleetVisibility,
@@ -65,11 +67,17 @@
 	restsFor: number;
 	/** Requests per second that it accepts from all nodes; undefined without a declared limit. */
 	requestLimit?: number;
-	/** Smoothed share of failed answers, and whether other servers are preferred because of it. */
+	/** Share of its answers that failed, and the number of answers behind it. */
 	spoiled: number;
+	answers: number;
+	/** Whether other servers are preferred because of failures. */
 	isDoubtful: boolean;
 };
 
+function describeFailures({answers, failures}: AnswerCounts): Pick<PlannedServerStatus, 'spoiled' | 'answers'> {
+	return {spoiled: answers === 0 ? 0 : Math.round(failures / answers * 100) / 100, answers: Math.round(answers)};
+}
+
 function createRejection({crashes, rejectedFor}: Extract<QuarantineState, {kind: 'rejected'}>): Failure {
 	return createFailure('ends_servers', `${crashes} backend servers crashed while they ran this request; it is not sent to another one`, {retryAfterSeconds: Math.ceil(rejectedFor / 1000)});
 }
@@ -89,6 +97,7 @@
 	readonly #trials = new IsolationTrials();
 	readonly #abandoned = new AbandonedAttempts();
 	readonly #gate = new LimitGate();
+	readonly #failures = new FailureComparison();
 
 	constructor(parts: PlannerParts) {
 		this.#ids = parts.ids;
@@ -130,7 +139,7 @@
 				readFor: Math.round(load.computePendingPrefill(now)),
 				restsFor: Math.round(load.health.computeBackoffLeft(now)),
 				requestLimit: this.limits.findRate(load.server.id),
-				spoiled: Math.round(load.health.computeFailureShare(now) * 100) / 100,
+				...describeFailures(load.health.failures.readCounts(now)),
 				isDoubtful: load.health.isUnreliable(now),
 			}));
 	}
@@ -167,6 +176,7 @@
 			this.#plans.loads.get(server)?.health.recordRest(time, now);
 		}
 
+		this.#failures.update(this.#plans.loads, now);
 		const usable = this.#listUsable(request, quarantine, now);
 		if (usable.length === 0) {
 			return Left(createFailure('no_backend_server', `no backend server of ${request.service} takes new work`));
@@ -180,12 +190,13 @@
 
 		const planned = quarantine.kind === 'isolated' && this.#plans.loads.size > 1
 			? this.#planIsolated(request, available, now)
-			: this.#planShared(request, available, now);
+			: this.#planShared(request, this.#chooseTrial(request, available, now), now);
 		return planned.map(decision => {
 			if (decision.kind === 'plan') {
-				this.#addPlan(decision.plan, now, true);
-				this.#gate.recordSent(gatedRequest, decision.plan.server, now);
-				return quarantine.crashes === 0 ? decision : this.#addCrashes(decision.plan, now);
+				const plan = this.#failures.addAvoided(decision.plan, this.#plans.loads, now);
+				this.#addPlan(plan, now, true);
+				this.#gate.recordSent(gatedRequest, plan.server, now);
+				return quarantine.crashes === 0 ? {kind: 'plan', plan} : this.#addCrashes(plan, now);
 			}
 
 			return decision;
@@ -216,7 +227,9 @@
 		if (event.kind === 'failed') {
 			const load = this.#plans.loads.get(event.server);
 			// A server is silent during a planned long prefill; that is no failure.
-			if (event.trouble !== 'silent' || !load?.hasRecentLongPrefill(now)) {
+			if (event.trouble === 'spoiled' && load !== undefined) {
+				this.#failures.recordFailure(load, this.#plans.findPlan(event.planId), this.#plans.loads, now);
+			} else if (event.trouble !== 'silent' || !load?.hasRecentLongPrefill(now)) {
 				load?.health.recordFailure(event.trouble, now);
 			}
 
@@ -283,6 +296,7 @@
 		}
 
 		this.#plans.loads.get(active.plan.server)?.health.recordSuccess(now);
+		this.#failures.recordSuccess(active.plan, now);
 		return this.#recordPrefill(active, now);
 	}
 
@@ -324,12 +338,19 @@
 		// A server that failed the request may succeed next time; without any other server the request would certainly fail.
 		const loads = others.length > 0 ? others : all.filter(load => failedAt.includes(load.server.id));
 		const notBackedOff = loads.filter(load => !load.health.isBackingOff(now));
-		const reliable = notBackedOff.filter(load => load.health.mayTake(load.taskCount, now));
+		const reliable = notBackedOff.filter(load => load.health.mayTake(load.taskCount, now, request.canRepeat));
 		const isOpenTo = (load: ServerLoad) => quarantine.kind === 'isolated' || !this.#trials.isReserved(load.server.id);
 		// Any server is better than none: the failures may have a common cause.
 		return [reliable.filter(load => isOpenTo(load)), notBackedOff.filter(load => isOpenTo(load)), reliable, notBackedOff, loads].find(list => list.length > 0) ?? [];
 	}
 
+	/** The server that the request is to try, if there is one; otherwise those available. */
+	#chooseTrial(request: PlanRequest, available: ServerLoad[], now: number): ServerLoad[] {
+		const trial = this.#failures.findTrial(request, available, now);
+		const isLong = this.#engine !== undefined && computePrefillTime(this.#engine, request.promptTokens) > longPrefillShare * this.#shortestPause;
+		return trial === undefined || isLong ? available : [trial];
+	}
+
 	/** Adds the crash records, as the node that runs the plan may have to decide for the request later. */
 	#addCrashes(plan: Plan, now: number): Decision {
 		const {request} = plan;
--- a/src/planning/server-health.ts
+++ b/src/planning/server-health.ts
@@ -1,9 +1,10 @@
 /**
  * Health of a backend server, as observed by requests. Pure.
  *
- * A single failed answer excludes no server. An unreachable or silent server is put in backoff, longer each time, and then tried with new
- * work again.
+ * An unreachable or silent server is put in backoff, longer each time, and then tried with new work again. One that often fails in this way is
+ * avoided by its share of failures. Answers that fail are judged against those of the other servers.
  */
+import {FailureRecord} from './failure-record.js';
 import type {Trouble} from './plan.js';
 
 /** Initial and maximum backoff, in milliseconds: a crashed server delays its callers once in this time. */
@@ -13,10 +14,10 @@
 /** Backoff of a server that reports being full, in milliseconds: about the time in which one of its slots becomes free. */
 const fullBackoff = 100;
 
-/** Weight of the latest answer in the smoothed failure share. */
+/** Weight of the latest request in the smoothed share of lost ones. */
 const smoothing = 0.15;
 
-/** Failure share above which a server is avoided while others are better. */
+/** Share of lost requests above which a server is avoided while others are better. */
 const unreliableShare = 0.35;
 
 /**
@@ -28,6 +29,10 @@
 
 /** Health of one server. */
 export class ServerHealth {
+	/** Answers that failed. */
+	readonly failures = new FailureRecord();
+	/** Whether failed answers are disregarded, since too many servers of the service fail. */
+	isIgnoringFailures = false;
 	#backoffUntil = 0;
 	#backoff = initialBackoff;
 	#failureShare = 0;
@@ -47,28 +52,31 @@
 		return Math.max(0, this.#backoffUntil - now);
 	}
 
-	/** Smoothed share of failed answers, from 0 to 1. A high share decays with time, since an avoided server gets no work that could show its recovery. */
+	/** Share of requests that are expected to fail here beyond those that fail on any server, from 0 to 1. */
 	computeFailureShare(now: number): number {
-		return this.#failureShare > unreliableShare
-			? this.#failureShare * (0.5 ** (Math.max(0, now - this.#failureShareAt) / this.#halfLife))
-			: this.#failureShare;
+		return Math.max(this.#computeLostShare(now), this.isIgnoringFailures ? 0 : this.failures.computeExcess(now));
 	}
 
 	/** Whether so many answers fail that other servers are preferred. */
 	isUnreliable(now: number): boolean {
-		return this.computeFailureShare(now) > unreliableShare;
+		return this.#isOftenLost(now) || this.#isAvoided;
 	}
 
 	/** Whether it may take one more request beside `taskCount` others. A server on probation takes one at a time. */
-	mayTake(taskCount: number, now: number): boolean {
-		return !this.isUnreliable(now) && (!this.#isOnProbation || taskCount === 0);
+	mayTake(taskCount: number, now: number, canRepeat = false): boolean {
+		if (this.#isOftenLost(now) || (this.#isOnProbation && taskCount > 0)) {
+			return false;
+		}
+
+		return !this.#isAvoided || this.failures.isTrialDue(taskCount, now, canRepeat);
 	}
 
 	/** Records a complete answer. */
 	recordSuccess(now: number): void {
 		this.#backoff = initialBackoff;
-		this.#setFailureShare(this.computeFailureShare(now) * (1 - smoothing), now);
-		if (!this.isUnreliable(now)) {
+		this.failures.recordSuccess(now);
+		this.#setFailureShare(this.#computeLostShare(now) * (1 - smoothing), now);
+		if (!this.#isOftenLost(now)) {
 			this.#isOnProbation = false;
 			this.#halfLife = initialHalfLife;
 		}
@@ -81,14 +89,19 @@
 			return false;
 		}
 
+		if (trouble === 'spoiled') {
+			this.failures.recordFailure(now);
+			return false;
+		}
+
 		// Requests that were sent before the backoff began observe the same silence. Counted one by one, three
 		// connections that fell silent together would make the server unreliable.
 		if (trouble === 'silent' && this.isBackingOff(now)) {
 			return false;
 		}
 
-		this.#recordFailedAnswer(now);
-		if (trouble === 'spoiled' || this.isBackingOff(now)) {
+		this.#recordLoss(now);
+		if (this.isBackingOff(now)) {
 			return false;
 		}
 
@@ -102,14 +115,29 @@
 		this.#backoffUntil = Math.max(this.#backoffUntil, now + time);
 	}
 
-	#recordFailedAnswer(now: number): void {
-		const hasDecayed = this.#isOnProbation && !this.isUnreliable(now);
-		this.#setFailureShare((this.computeFailureShare(now) * (1 - smoothing)) + smoothing, now);
+	get #isAvoided(): boolean {
+		return this.failures.isAvoided && !this.isIgnoringFailures;
+	}
+
+	/** Smoothed share of requests at which the server was unreachable or silent, from 0 to 1. A high share decays with time, since an avoided server gets no work that could show its recovery. */
+	#computeLostShare(now: number): number {
+		return this.#failureShare > unreliableShare
+			? this.#failureShare * (0.5 ** (Math.max(0, now - this.#failureShareAt) / this.#halfLife))
+			: this.#failureShare;
+	}
+
+	#isOftenLost(now: number): boolean {
+		return this.#computeLostShare(now) > unreliableShare;
+	}
+
+	#recordLoss(now: number): void {
+		const hasDecayed = this.#isOnProbation && !this.#isOftenLost(now);
+		this.#setFailureShare((this.#computeLostShare(now) * (1 - smoothing)) + smoothing, now);
 		if (hasDecayed) {
 			this.#halfLife = Math.min(maxHalfLife, this.#halfLife * 2);
 		}
 
-		this.#isOnProbation ||= this.isUnreliable(now);
+		this.#isOnProbation ||= this.#isOftenLost(now);
 	}
 
 	#setFailureShare(share: number, now: number): void {
