--- a/src/planning/failure-comparison.ts
+++ b/src/planning/failure-comparison.ts
@@ -15,7 +15,7 @@
 /** Time after the last failed answer in which servers are compared, in milliseconds: ten half-lives of an answer. */
 const memory = 300_000;
 
-/** Minimum time between two comparisons of all servers before decisions, in milliseconds: with 78 servers, a comparison for each doubled the time of a decision. */
+/** Minimum time between two comparisons of all servers before decisions, in milliseconds: with 78 servers, a comparison for each took longer than the rest of the decision. */
 const comparisonInterval = 50;
 
 /** Maximum number of avoided servers that a plan names. */
@@ -42,9 +42,9 @@
 		this.#compare(loads, now);
 		const {isCounted, cleared} = plan === undefined
 			? {isCounted: true, cleared: []}
-			: this.#requests.recordFailure(identify(plan.request), load.server.id, now, plan.request.failedAt);
+			: this.#requests.recordFailure(findIdentity(plan.request), load.server.id, now, plan.request.failedAt);
 		for (const server of cleared) {
-			loads.get(server)?.health.failures.retractFailure(now);
+			loads.get(server)?.health.failures.withdrawFailure(now);
 		}
 
 		if (isCounted) {
@@ -55,7 +55,7 @@
 	/** Records a good answer. */
 	recordSuccess({request}: Plan, now: number): void {
 		if (this.#isActive(now)) {
-			this.#requests.recordSuccess(identify(request));
+			this.#requests.recordSuccess(findIdentity(request));
 		}
 	}
 
@@ -111,7 +111,7 @@
 	return chosen !== undefined && taskCount / server.slots <= chosen.taskCount / chosen.server.slots && health.failures.excess > 0;
 }
 
-function identify({fingerprint, requestId}: PlanRequest): string {
+function findIdentity({fingerprint, requestId}: PlanRequest): string {
 	return fingerprint ?? requestId;
 }
 
--- a/src/planning/failure-record.ts
+++ b/src/planning/failure-record.ts
@@ -111,7 +111,7 @@
 		}
 
 		this.#passedTrials++;
-		this.#trialEvidence += this.#weighTrial(false);
+		this.#trialEvidence += this.#computeEvidence(false);
 		if (this.#trialEvidence <= -goodEvidence) {
 			this.#isAvoided = false;
 			this.#lastAvoidedAt = now;
@@ -126,15 +126,15 @@
 		this.#count(1, now);
 		this.#lastFailureAt = now;
 		this.#passedTrials = 0;
-		this.#trialEvidence += isTrial ? this.#weighTrial(true) : 0;
+		this.#trialEvidence += isTrial ? this.#computeEvidence(true) : 0;
 		const hasFailedTrial = isTrial && this.#trialEvidence >= badEvidence;
 		if (hasFailedTrial || (!this.#isAvoided && this.#isOutlier(now))) {
-			this.#avoid(hasFailedTrial || now - this.#lastAvoidedAt < halfLife, now);
+			this.#startAvoidance(hasFailedTrial || now - this.#lastAvoidedAt < halfLife, now);
 		}
 	}
 
 	/** Takes back a failed answer: other servers fail the same request. */
-	retractFailure(now: number): void {
+	withdrawFailure(now: number): void {
 		const {answers, failures} = this.readCounts(now);
 		this.#counts = {answers: Math.max(0, answers - 1), failures: Math.max(0, failures - 1)};
 		this.#countedAt = now;
@@ -146,7 +146,7 @@
 		return (this.#others.failures + otherPrior.failures) / (this.#others.answers + otherPrior.answers);
 	}
 
-	#avoid(isRepeated: boolean, now: number): void {
+	#startAvoidance(isRepeated: boolean, now: number): void {
 		this.#isAvoided = true;
 		this.#trialEvidence = 0;
 		this.#trialDelay = isRepeated ? Math.min(maxTrialDelay, this.#trialDelay * 2) : initialTrialDelay;
@@ -162,7 +162,7 @@
 	}
 
 	/** Logarithm of how much more likely an answer is at a failure rate above that of the others. */
-	#weighTrial(isFailure: boolean): number {
+	#computeEvidence(isFailure: boolean): number {
 		const rate = Math.min(maxTrialRate, Math.max(minTrialRate, this.#otherRate));
 		return isFailure ? Math.log((rate + trialExcess) / rate) : Math.log((1 - rate - trialExcess) / (1 - rate));
 	}
--- a/test/failing-decisions.test.ts
+++ b/test/failing-decisions.test.ts
@@ -12,7 +12,7 @@
 /** Time from which `simulateRecovery` has servers answer well, in milliseconds. */
 const recoversAt = 5000;
 
-function sumExceptFirst(values: number[]): number {
+function addExceptFirst(values: number[]): number {
 	return values.slice(1).reduce((sum, value) => sum + value, 0);
 }
 
@@ -34,7 +34,7 @@
 		servers: 4, rate: 120, duration: minute, seed: 2, findFailureShare: index => background + (index === 0 ? extra : 0),
 	});
 	expect(sentAt[0].length / sends).toBeLessThan(0.025);
-	expect(sumExceptFirst(avoided)).toBeLessThan(0.1);
+	expect(addExceptFirst(avoided)).toBeLessThan(0.1);
 });
 
 test.each([2, 4])('of 240 requests to %s servers, one of which fails at once, at most four reach it', servers => {
