--- a/src/gateway/calls/placement-finder.ts
+++ b/src/gateway/calls/placement-finder.ts
@@ -4,7 +4,7 @@
 } from '../../common/index.js';
 import {findPriority} from '../../routing/index.js';
 import {findMaxSilence} from './backend-attempt.js';
-import type {Call} from './call.js';
+import {canRepeat, type Call} from './call.js';
 import type {PlacementAnswer, Placement, Placer} from './placer.js';
 
 /** Dependencies of a placement finder. */
@@ -107,6 +107,7 @@
 			callerWaits: head.timeLeft,
 			hasBegun,
 			fingerprint: call.fingerprint,
+			canRepeat: canRepeat(route),
 			excluded,
 			failedAt: this.failedAt,
 		});
--- a/src/planning/planner.ts
+++ b/src/planning/planner.ts
@@ -16,16 +16,19 @@
 import {AbandonedAttempts} from './abandoned-attempts.js';
 import {CallerWaits} from './caller-waits.js';
 import {computePrefillTime} from './engine-model.js';
-import {findMin} from './find-min.js';
+import {findEqualMin} from './find-min.js';
+import {FailureComparison} from './failure-comparison.js';
+import type {AnswerCounts} from './failure-record.js';
 import type {OrganisationShares} from './organisation-shares.js';
 import {ActivePlans, type ActivePlan} from './active-plans.js';
 import {
-	LimitedVisibility, divideWithoutDemand, visibilityRetryDelay, rotateServers, fullVisibility, type FleetVisibility,
+	LimitedVisibility, divideWithoutDemand, visibilityRetryDelay, fullVisibility, type FleetVisibility,
 } from './fleet-visibility.js';
 import type {
 	Decision, OverrunReport, Plan, PlanEvent, PlanRequest,
 } from './plan.js';
 import {createOverloadFailure, PrefillScheduler} from './prefill-scheduler.js';
+import {hashAttempt} from './request-share.js';
 import type {ServerLoad} from './server-load.js';
 import {LimitGate, type GatedRequest} from './limit-gate.js';
 import type {ServerLimits} from './server-limits.js';
@@ -73,11 +76,17 @@
 	requestLimit?: number;
 	/** Remaining cold time, in milliseconds; undefined for a warm server. */
 	coldFor?: number;
-	/** Smoothed share of failed answers, and whether other servers are preferred because of it. */
+	/** Share of its answers that failed, and the number of answers behind it. */
 	spoiled: number;
+	answers: number;
+	/** Whether other servers are preferred because of failures. */
 	isDoubtful: boolean;
 };
 
+function describeFailures({answers, failures}: AnswerCounts): Pick<PlannedServerStatus, 'spoiled' | 'answers'> {
+	return {spoiled: answers === 0 ? 0 : Math.round(failures / answers * 100) / 100, answers: Math.round(answers)};
+}
+
 function createRejection({crashes, rejectedFor}: Extract<QuarantineState, {kind: 'rejected'}>): Failure {
 	return createFailure('ends_servers', `${crashes} backend servers crashed while they ran this request; it is not sent to another one`, {retryAfterSeconds: Math.ceil(rejectedFor / 1000)});
 }
@@ -98,6 +107,7 @@
 	readonly #abandoned = new AbandonedAttempts();
 	readonly #gate: LimitGate;
 	readonly #shareGate: ShareGate | undefined;
+	readonly #failures = new FailureComparison();
 
 	constructor(parts: PlannerParts) {
 		this.#ids = parts.ids;
@@ -163,7 +173,7 @@
 				restsFor: Math.round(load.health.computeBackoffLeft(now)),
 				requestLimit: this.limits.findRate(load.server.id),
 				coldFor: Math.round(this.coldLimits.computeColdLeft(load.server.id, now)) || undefined,
-				spoiled: Math.round(load.health.computeFailureShare(now) * 100) / 100,
+				...describeFailures(load.health.failures.readCounts(now)),
 				isDoubtful: load.health.isUnreliable(now),
 			}));
 	}
@@ -201,6 +211,7 @@
 		}
 
 		this.#shareGate?.recordArrival(request, this.#engine, now);
+		this.#failures.update(this.#plans.loads, now);
 		const usable = this.#listUsable(request, quarantine, now);
 		if (usable.length === 0) {
 			return Left(createFailure('no_backend_server', `no backend server of ${request.service} takes new work`));
@@ -216,13 +227,15 @@
 		}
 
 		const isIsolated = quarantine.kind === 'isolated' && this.#plans.loads.size > 1;
-		const planned = this.#planWarmFirst(gatedRequest, {available, isIsolated}, now);
+		const candidates = isIsolated ? available : this.#chooseTrial(request, available, now);
+		const planned = this.#planWarmFirst(gatedRequest, {available: candidates, isIsolated}, now);
 		return planned.map(decision => {
 			if (decision.kind === 'plan') {
-				this.#addPlan(decision.plan, now, true);
-				this.#recordSent(gatedRequest, decision.plan, now);
+				const plan = this.#failures.addAvoided(decision.plan, this.#plans.loads, now);
+				this.#addPlan(plan, now, true);
+				this.#recordSent(gatedRequest, plan, now);
 				this.#shareGate?.recordPlaced(request, this.#engine, now);
-				return quarantine.crashes === 0 ? decision : this.#addCrashes(decision.plan, now);
+				return quarantine.crashes === 0 ? {kind: 'plan', plan} : this.#addCrashes(plan, now);
 			}
 
 			return decision;
@@ -253,7 +266,9 @@
 		if (event.kind === 'failed') {
 			const load = this.#plans.loads.get(event.server);
 			// A server is silent during a planned long prefill; that is no failure.
-			if (event.trouble !== 'silent' || !load?.hasRecentLongPrefill(now)) {
+			if (event.trouble === 'spoiled' && load !== undefined) {
+				this.#failures.recordFailure(load, this.#plans.findPlan(event.planId), this.#plans.loads, now);
+			} else if (event.trouble !== 'silent' || !load?.hasRecentLongPrefill(now)) {
 				load?.health.recordFailure(event.trouble, now);
 			}
 
@@ -320,6 +335,7 @@
 		}
 
 		this.#plans.loads.get(active.plan.server)?.health.recordSuccess(now);
+		this.#failures.recordSuccess(active.plan, now);
 		return this.#recordPrefill(active, now);
 	}
 
@@ -361,12 +377,19 @@
 		// A server that failed the request may succeed next time; without any other server the request would certainly fail.
 		const loads = others.length > 0 ? others : all.filter(load => failedAt.includes(load.server.id));
 		const notBackedOff = loads.filter(load => !load.health.isBackingOff(now));
-		const reliable = notBackedOff.filter(load => load.health.mayTake(load.taskCount, now));
+		const reliable = notBackedOff.filter(load => load.health.mayTake(load.taskCount, now, request.canRepeat));
 		const isOpenTo = (load: ServerLoad) => quarantine.kind === 'isolated' || !this.#trials.isReserved(load.server.id);
 		// Any server is better than none: the failures may have a common cause.
 		return [reliable.filter(load => isOpenTo(load)), notBackedOff.filter(load => isOpenTo(load)), reliable, notBackedOff, loads].find(list => list.length > 0) ?? [];
 	}
 
+	/** The server that the request is to try, if there is one; otherwise those available. */
+	#chooseTrial(request: PlanRequest, available: ServerLoad[], now: number): ServerLoad[] {
+		const trial = this.#failures.findTrial(request, available, now);
+		const isLong = this.#engine !== undefined && computePrefillTime(this.#engine, request.promptTokens) > longPrefillShare * this.#shortestPause;
+		return trial === undefined || isLong ? available : [trial];
+	}
+
 	/** Adds the crash records, as the node that runs the plan may have to decide for the request later. */
 	#addCrashes(plan: Plan, now: number): Decision {
 		const {request} = plan;
@@ -453,8 +476,7 @@
 	}
 
 	#planPlain(request: PlanRequest, usable: ServerLoad[], now: number): Either<Failure, Decision> {
-		const ordered = this.#visibility.isLimited ? rotateServers(usable, request.requestId) : usable;
-		const best = findMin(ordered, load => (load.taskCount / load.server.slots) + load.health.computeFailureShare(now))!;
+		const best = findEqualMin(usable, load => (load.taskCount / load.server.slots) + load.health.computeFailureShare(now), hashAttempt(request))!;
 		return Right(this.#createPlan(request, best.server.id, {expectedFirst: 0}));
 	}
 
