feat(planning): a request that has waited loses more when it is not served

A caller whose prompt of 403,000 tokens had waited 8.7 of its 12 s was rejected when a burst of short prompts began, and a repeat of it after 1.9 s again: to wait in vain is worse than to be rejected at once.

What is lost when a request is not served grows with the time that it has waited, to its whole value after three quarters of its time.

--- a/src/planning/answer-value.ts
+++ b/src/planning/answer-value.ts
@@ -20,6 +20,9 @@
 const abortedLoss = 0.5;
 const rejectedRetryLoss = 0.3;
 
+/** Share of its time after which a request that waited and is not served loses its whole value in addition: its caller could have gone elsewhere. */
+const fullWaitShare = 0.75;
+
 /** Uncertainty of a predicted first event: a share of the predicted time, plus a minimum in milliseconds of about half a pass. */
 const relativeUncertainty = 0.06;
 const minUncertainty = 20;
@@ -29,13 +32,14 @@
 	return promptTokens + baseValue;
 }
 
-/** Share of its value that is lost in addition when a request is not served. */
-export function findLossShare(request: Pick<PlanRequest, 'hasBegun' | 'hasTried'>): number {
-	if (request.hasBegun) {
+/** Share of its value that is lost in addition when a request is not served; it grows with the time that it has waited. */
+export function findLossShare({hasBegun, hasTried, waited, patience}: Pick<PlanRequest, 'hasBegun' | 'hasTried' | 'waited' | 'patience'>): number {
+	if (hasBegun) {
 		return abortedLoss;
 	}
 
-	return request.hasTried ? rejectedRetryLoss : 0;
+	const waitedLoss = Math.min(1, waited / (fullWaitShare * Math.max(1, waited + patience)));
+	return Math.max(waitedLoss, hasTried ? rejectedRetryLoss : 0);
 }
 
 /** Expected share of its value that a request earns when its first event arrives after `finish`; all times in milliseconds from now. */
--- a/test/short-demand.test.ts
+++ b/test/short-demand.test.ts
@@ -53,3 +53,10 @@
 	demand.add(createPlanRequest(5000, {...shortOptions, waited: 50}), 0);
 	expect(demand.summarise(engine, 0)).toBeUndefined();
 });
+
+// Guards against callers that wait for seconds and are rejected in the end, when a burst begins meanwhile.
+test('a prompt that has waited for most of its time is prefilled in a burst that turns others away', () => {
+	const late = createPlanRequest(276_000, {objective: -1000, patience: 1300});
+	expect(countServers(late, createDemand())).toBeUndefined();
+	expect(countServers({...late, waited: 9000}, createDemand())).toBeGreaterThan(0);
+});
