--- a/src/routing/fleet-state.ts
+++ b/src/routing/fleet-state.ts
@@ -15,7 +15,8 @@
 	BackendServer, ColdStart, Organisation, Route, RoutingConfig, ServiceSpec,
 } from './model.js';
 import {chooseService, RouteTable} from './route-table.js';
-import {ServerView, type ServersSnapshot} from './server-view.js';
+import type {ServersSnapshot} from './server-snapshot.js';
+import {ServerView} from './server-view.js';
 import {listFollowedKinds, SourceAgeTracker, type FollowedKind} from './source-ages.js';
 import {ZoneEvacuations} from './zone-evacuations.js';
 
