refactor(planning): move server status and usable servers out of the planner

`describeServers` and `PlannedServerStatus` are in server-status.ts, and the choice of the servers that may run a request is the pure function `listUsableServers` in usable-servers.ts. `Planner.describeServers` and the exports of the index are as before; callers see no difference.

--- a/src/planning/index.ts
+++ b/src/planning/index.ts
@@ -19,5 +19,6 @@
 export * from './share-gate.js';
 export * from './server-health.js';
 export * from './server-limits.js';
+export type {PlannedServerStatus} from './server-status.js';
 export * from './short-demand.js';
 export * from './retry-histories.js';
--- a/src/planning/planner.ts
+++ b/src/planning/planner.ts
@@ -10,7 +10,7 @@
  */
 import {Left, Right, type Either} from 'purify-ts';
 import {
-	createFailure, type AvailabilityZone, type BackendServerId, type BoxId, type RequestFingerprint, type Failure, type IdSource, type PlanId,
+	createFailure, type BackendServerId, type BoxId, type RequestFingerprint, type Failure, type IdSource, type PlanId,
 } from '../common/index.js';
 import type {BackendServer, EngineProfile} from '../routing/index.js';
 import {AbandonedAttempts} from './abandoned-attempts.js';
@@ -18,7 +18,6 @@
 import {computePrefillTime} from './engine-model.js';
 import {findEqualMin} from './find-min.js';
 import {FailureComparison} from './failure-comparison.js';
-import type {AnswerCounts} from './failure-record.js';
 import type {OrganisationShares} from './organisation-shares.js';
 import {ActivePlans, type ActivePlan} from './active-plans.js';
 import {
@@ -34,7 +33,9 @@
 import type {ServerLimits} from './server-limits.js';
 import {ShareGate, type ShareReport} from './share-gate.js';
 import {ServerPartition, type ServerGroups} from './server-partition.js';
+import {describeServers, type PlannedServerStatus} from './server-status.js';
 import {forecastRoom, placeShort} from './short-placement.js';
+import {listUsableServers} from './usable-servers.js';
 import type {ColdLimits, GrantedShares} from './cold-limits.js';
 import {placeWarmFirst} from './cold-placement.js';
 import {CrashRecords, isolatedCrashWeight, type QuarantineState} from './crash-records.js';
@@ -58,35 +59,6 @@
 	sharesMemory?: number;
 };
 
-/** Planned load and health of one server. */
-export type PlannedServerStatus = {
-	server: BackendServerId;
-	availabilityZone: AvailabilityZone;
-	/** Requests, those among them that decode or are about to, and its capacity. */
-	work: number;
-	writers: number;
-	slots: number;
-	/** Memory in use, in tokens. */
-	heldTokens: number;
-	/** Prefill still to be done, in milliseconds. */
-	readFor: number;
-	/** Remaining backoff, in milliseconds; 0 without backoff. */
-	restsFor: number;
-	/** Requests per second that it accepts from all nodes; undefined without a declared limit. */
-	requestLimit?: number;
-	/** Remaining cold time, in milliseconds; undefined for a warm server. */
-	coldFor?: number;
-	/** Share of its answers that failed, and the number of answers behind it. */
-	spoiled: number;
-	answers: number;
-	/** Whether other servers are preferred because of failures. */
-	isDoubtful: boolean;
-};
-
-function describeFailures({answers, failures}: AnswerCounts): Pick<PlannedServerStatus, 'spoiled' | 'answers'> {
-	return {spoiled: answers === 0 ? 0 : Math.round(failures / answers * 100) / 100, answers: Math.round(answers)};
-}
-
 function createRejection({crashes, rejectedFor}: Extract<QuarantineState, {kind: 'rejected'}>): Failure {
 	return createFailure('ends_servers', `${crashes} backend servers crashed while they ran this request; it is not sent to another one`, {retryAfterSeconds: Math.ceil(rejectedFor / 1000)});
 }
@@ -159,23 +131,7 @@
 
 	/** Status of the busiest servers, at most `limit` of them. */
 	describeServers(now: number, limit: number): PlannedServerStatus[] {
-		return [...this.#plans.loads.values()]
-			.sort((left, right) => right.taskCount - left.taskCount)
-			.slice(0, limit)
-			.map(load => ({
-				server: load.server.id,
-				availabilityZone: load.server.availabilityZone,
-				work: load.taskCount,
-				writers: load.writers,
-				slots: load.server.slots,
-				heldTokens: Math.round(load.heldTokens),
-				readFor: Math.round(load.computePendingPrefill(now)),
-				restsFor: Math.round(load.health.computeBackoffLeft(now)),
-				requestLimit: this.limits.findRate(load.server.id),
-				coldFor: Math.round(this.coldLimits.computeColdLeft(load.server.id, now)) || undefined,
-				...describeFailures(load.health.failures.readCounts(now)),
-				isDoubtful: load.health.isUnreliable(now),
-			}));
+		return describeServers(this.#plans.loads.values(), this.#gate, {now, limit});
 	}
 
 	/** Replaces the performance figures and the servers that accept new work. */
@@ -212,7 +168,9 @@
 
 		this.#shareGate?.recordArrival(request, this.#engine, now);
 		this.#failures.update(this.#plans.loads, now);
-		const usable = this.#listUsable(request, quarantine, now);
+		const usable = listUsableServers({
+			request, quarantine, loads: this.#plans.loads.values(), isReserved: server => this.#trials.isReserved(server),
+		}, now);
 		if (usable.length === 0) {
 			return Left(createFailure('no_backend_server', `no backend server of ${request.service} takes new work`));
 		}
@@ -370,19 +328,6 @@
 		return {...request, objective: objective - elapsed, hasTried: elapsed > 0};
 	}
 
-	#listUsable(request: PlanRequest, quarantine: QuarantineState, now: number): ServerLoad[] {
-		const {excluded, failedAt = []} = request;
-		const all = [...this.#plans.loads.values()];
-		const others = all.filter(load => !excluded.includes(load.server.id));
-		// A server that failed the request may succeed next time; without any other server the request would certainly fail.
-		const loads = others.length > 0 ? others : all.filter(load => failedAt.includes(load.server.id));
-		const notBackedOff = loads.filter(load => !load.health.isBackingOff(now));
-		const reliable = notBackedOff.filter(load => load.health.mayTake(load.taskCount, now, request.canRepeat));
-		const isOpenTo = (load: ServerLoad) => quarantine.kind === 'isolated' || !this.#trials.isReserved(load.server.id);
-		// Any server is better than none: the failures may have a common cause.
-		return [reliable.filter(load => isOpenTo(load)), notBackedOff.filter(load => isOpenTo(load)), reliable, notBackedOff, loads].find(list => list.length > 0) ?? [];
-	}
-
 	/** The server that the request is to try, if there is one; otherwise those available. */
 	#chooseTrial(request: PlanRequest, available: ServerLoad[], now: number): ServerLoad[] {
 		const trial = this.#failures.findTrial(request, available, now);
