refactor(planning): move crash attribution out of the planner

`CrashAttribution` (crash-attribution.ts) keeps the crash records and the unanswered attempts of a service, weighs crashes and builds the rejection of a quarantined request. `Planner.crashRecords` is a getter for its records; the planner's other members delegate to it. Callers see no difference.

--- a/src/planning/planner.ts
+++ b/src/planning/planner.ts
@@ -13,7 +13,6 @@
 	createFailure, type BackendServerId, type BoxId, type RequestFingerprint, type Failure, type IdSource, type PlanId,
 } from '../common/index.js';
 import type {BackendServer, EngineProfile} from '../routing/index.js';
-import {AbandonedAttempts} from './abandoned-attempts.js';
 import {CallerWaits} from './caller-waits.js';
 import {computePrefillTime} from './engine-model.js';
 import {findEqualMin} from './find-min.js';
@@ -38,7 +37,8 @@
 import {listUsableServers} from './usable-servers.js';
 import type {ColdLimits, GrantedShares} from './cold-limits.js';
 import {placeWarmFirst} from './cold-placement.js';
-import {CrashRecords, isolatedCrashWeight, type QuarantineState} from './crash-records.js';
+import {CrashAttribution, createQuarantineFailure} from './crash-attribution.js';
+import type {CrashRecords} from './crash-records.js';
 import {trialRetryDelay, IsolationTrials} from './isolation-trials.js';
 
 /** A prompt whose prefill takes more than this share of the shortest accepted pause is long. */
@@ -59,14 +59,8 @@
 	sharesMemory?: number;
 };
 
-function createRejection({crashes, rejectedFor}: Extract<QuarantineState, {kind: 'rejected'}>): Failure {
-	return createFailure('ends_servers', `${crashes} backend servers crashed while they ran this request; it is not sent to another one`, {retryAfterSeconds: Math.ceil(rejectedFor / 1000)});
-}
-
 /** Plans for one service. */
 export class Planner {
-	/** Requests that were running on servers when they crashed. */
-	readonly crashRecords = new CrashRecords();
 	readonly #ids: IdSource;
 	readonly #plans = new ActivePlans();
 	readonly #scheduler: PrefillScheduler;
@@ -76,7 +70,7 @@
 	readonly #partition = new ServerPartition();
 	readonly #visibility = new LimitedVisibility();
 	readonly #trials = new IsolationTrials();
-	readonly #abandoned = new AbandonedAttempts();
+	readonly #crashes = new CrashAttribution(this.#plans, this.#trials);
 	readonly #gate: LimitGate;
 	readonly #shareGate: ShareGate | undefined;
 	readonly #failures = new FailureComparison();
@@ -89,6 +83,11 @@
 		this.#gate = new LimitGate(this.#shareGate);
 	}
 
+	/** Requests that were running on servers when they crashed. */
+	get crashRecords(): CrashRecords {
+		return this.#crashes.records;
+	}
+
 	/** Usage of organisations; undefined when they have no shares. */
 	get shares(): OrganisationShares | undefined {
 		return this.#shareGate?.shares;
@@ -153,13 +152,9 @@
 		}
 
 		this.#visibility.update(visibility, now);
-		if (request.fingerprint !== undefined && request.crashes !== undefined) {
-			this.crashRecords.merge(request.fingerprint, request.crashes, now);
-		}
-
-		const quarantine = this.crashRecords.classify(request.fingerprint, now);
+		const quarantine = this.#crashes.classify(request, now);
 		if (quarantine.kind === 'rejected') {
-			return Left(createRejection(quarantine));
+			return Left(createQuarantineFailure(quarantine));
 		}
 
 		for (const {server, time} of request.resting ?? []) {
@@ -193,7 +188,7 @@
 				this.#addPlan(plan, now, true);
 				this.#recordSent(gatedRequest, plan, now);
 				this.#shareGate?.recordPlaced(request, this.#engine, now);
-				return quarantine.crashes === 0 ? {kind: 'plan', plan} : this.#addCrashes(plan, now);
+				return {kind: 'plan', plan: quarantine.crashes === 0 ? plan : this.#crashes.addCrashes(plan, now)};
 			}
 
 			return decision;
@@ -212,7 +207,7 @@
 	/** Records the progress of a plan; returns a report when a long prefill exceeded its allowed overrun. */
 	recordEvent(event: PlanEvent, now: number): OverrunReport | undefined {
 		if (event.kind === 'server_ended') {
-			this.crashRecords.recordCrash(event.server, event.fingerprint, this.#computeCrashWeight(event.server, event.fingerprint), now);
+			this.#crashes.recordCrash(event.server, event.fingerprint, now);
 			return undefined;
 		}
 
@@ -239,7 +234,7 @@
 
 		const active = this.#release(event.planId);
 		if (active !== undefined && event.isUnanswered === true) {
-			this.#recordAbandoned(active.plan, now);
+			this.#crashes.recordAbandoned(active.plan, now);
 		}
 
 		return undefined;
@@ -247,24 +242,24 @@
 
 	/** Servers that may have crashed with unanswered attempts. */
 	listAbandonedServers(): BackendServerId[] {
-		return this.#abandoned.listServers();
+		return this.#crashes.listAbandonedServers();
 	}
 
 	/** Counts a server's crash against the requests whose attempts there ended without an answer at most `age` milliseconds ago; returns those for which it is new. */
 	attributeCrash(server: BackendServerId, now: number, age?: number): RequestFingerprint[] {
-		return this.#abandoned.take(server, now, age).filter(fingerprint => this.crashRecords.recordCrash(server, fingerprint, this.#computeCrashWeight(server, fingerprint), now));
+		return this.#crashes.attribute(server, now, age);
 	}
 
 	/** Drops the unanswered attempts at a server that leaves as planned. */
 	dropAbandoned(server: BackendServerId, now: number): void {
-		this.#abandoned.take(server, now);
+		this.#crashes.dropAbandoned(server, now);
 	}
 
 	/** Releases the plans of a failed node, which can no longer report a crash. */
 	releaseNode(node: BoxId, now: number): void {
 		for (const plan of this.#plans.listByNode(node)) {
 			this.#release(plan.planId);
-			this.#recordAbandoned(plan, now);
+			this.#crashes.recordAbandoned(plan, now);
 		}
 	}
 
@@ -335,12 +330,6 @@
 		return trial === undefined || isLong ? available : [trial];
 	}
 
-	/** Adds the crash records, as the node that runs the plan may have to decide for the request later. */
-	#addCrashes(plan: Plan, now: number): Decision {
-		const {request} = plan;
-		return {kind: 'plan', plan: {...plan, request: {...request, crashes: this.crashRecords.describe(request.fingerprint!, now)}}};
-	}
-
 	/** Plans on warm servers until they are full, then on cold ones; what occupies a server for long goes to a cold one only when there is no warm one. */
 	#planWarmFirst(gated: GatedRequest, {available, isIsolated}: {available: ServerLoad[]; isIsolated: boolean}, now: number): Either<Failure, Decision> {
 		const {request} = gated;
@@ -402,24 +391,6 @@
 		return Right(decision);
 	}
 
-	/** A server that accepts no new work may be leaving as planned, which is no crash. */
-	#recordAbandoned({server, request: {fingerprint}}: Plan, now: number): void {
-		if (fingerprint !== undefined && this.#plans.loads.has(server)) {
-			this.#abandoned.add(server, fingerprint, now);
-		}
-	}
-
-	/** Weight of a crash for a request; 0 for a request that runs on all servers. */
-	#computeCrashWeight(server: BackendServerId, fingerprint: RequestFingerprint): number {
-		if (this.#trials.isReserved(server)) {
-			return isolatedCrashWeight;
-		}
-
-		const otherServers = this.#plans.findServers(fingerprint);
-		otherServers.delete(server);
-		return 1 - (otherServers.size / Math.max(1, this.#plans.loads.size));
-	}
-
 	#planPlain(request: PlanRequest, usable: ServerLoad[], now: number): Either<Failure, Decision> {
 		const best = findEqualMin(usable, load => (load.taskCount / load.server.slots) + load.health.computeFailureShare(now), hashAttempt(request))!;
 		return Right(this.#createPlan(request, best.server.id, {expectedFirst: 0}));
