refactor(planning): move placement out of the planner

`RequestPlacement` (request-placement.ts) places a request on the servers that may be sent one: warm before cold, isolated, plain, short or long, and creates the plan. `PromptClassifier` (prompt-classifier.ts) keeps the engine figures and the shortest accepted pause, and tells long prompts from short ones.

--- a/src/planning/caller-waits.ts
+++ b/src/planning/caller-waits.ts
@@ -5,6 +5,7 @@
  * tried before, and its objective counts from its first try. The most common wait is the reference, not a high quantile, because declared
  * waits are unbounded: a few callers that declare 1e9 ms would make all others look like retries.
  */
+import type {PlanRequest} from './plan.js';
 
 /** Calls remembered for each route, and the minimum needed for an estimate. */
 const maxSamples = 40;
@@ -27,6 +28,21 @@
 		}
 	}
 
+	/** Counts a request's objective from its caller's first try, and records the declared wait of a new call. */
+	adjustObjective(request: PlanRequest): PlanRequest {
+		const {route, callerWaits, waited, objective} = request;
+		if (route === undefined || callerWaits === undefined) {
+			return request;
+		}
+
+		if (waited === 0) {
+			this.add(route, callerWaits);
+		}
+
+		const elapsed = this.estimateElapsed(route, callerWaits);
+		return {...request, objective: objective - elapsed, hasTried: elapsed > 0};
+	}
+
 	/** How long a caller had been trying before this call, in milliseconds; 0 when there is no evidence of an earlier try. */
 	estimateElapsed(route: string, wait: number): number {
 		const waits = this.#waits.get(route) ?? [];
--- a/src/planning/planner.ts
+++ b/src/planning/planner.ts
@@ -8,47 +8,35 @@
  * Pure: time is passed in, and nothing blocks. A plan says when it is to be sent, and the requesting node sends it then. A planner that takes
  * over is initialised by `adopt`.
  */
-import {Left, Right, type Either} from 'purify-ts';
+import {Left, type Either} from 'purify-ts';
 import {
 	createFailure, type BackendServerId, type BoxId, type RequestFingerprint, type Failure, type IdSource, type PlanId,
 } from '../common/index.js';
 import type {BackendServer, EngineProfile} from '../routing/index.js';
+import {ActivePlans, type ActivePlan} from './active-plans.js';
 import {CallerWaits} from './caller-waits.js';
-import {computePrefillTime} from './engine-model.js';
-import {findEqualMin} from './find-min.js';
+import type {ColdLimits, GrantedShares} from './cold-limits.js';
+import {CrashAttribution, createQuarantineFailure} from './crash-attribution.js';
+import type {CrashRecords} from './crash-records.js';
 import {FailureComparison} from './failure-comparison.js';
-import type {OrganisationShares} from './organisation-shares.js';
-import {ActivePlans, type ActivePlan} from './active-plans.js';
 import {
-	LimitedVisibility, divideWithoutDemand, visibilityRetryDelay, fullVisibility, type FleetVisibility,
+	LimitedVisibility, fullVisibility, type FleetVisibility,
 } from './fleet-visibility.js';
+import {IsolationTrials} from './isolation-trials.js';
+import {LimitGate, type GatedRequest} from './limit-gate.js';
+import type {OrganisationShares} from './organisation-shares.js';
 import type {
 	Decision, OverrunReport, Plan, PlanEvent, PlanRequest,
 } from './plan.js';
-import {createOverloadFailure, PrefillScheduler} from './prefill-scheduler.js';
-import {hashAttempt} from './request-share.js';
-import type {ServerLoad} from './server-load.js';
-import {LimitGate, type GatedRequest} from './limit-gate.js';
+import {PrefillScheduler} from './prefill-scheduler.js';
+import {PromptClassifier} from './prompt-classifier.js';
+import {RequestPlacement} from './request-placement.js';
 import type {ServerLimits} from './server-limits.js';
-import {ShareGate, type ShareReport} from './share-gate.js';
-import {ServerPartition, type ServerGroups} from './server-partition.js';
+import type {ServerLoad} from './server-load.js';
+import {ServerPartition} from './server-partition.js';
 import {describeServers, type PlannedServerStatus} from './server-status.js';
-import {forecastRoom, placeShort} from './short-placement.js';
+import {ShareGate, type ShareReport} from './share-gate.js';
 import {listUsableServers} from './usable-servers.js';
-import type {ColdLimits, GrantedShares} from './cold-limits.js';
-import {placeWarmFirst} from './cold-placement.js';
-import {CrashAttribution, createQuarantineFailure} from './crash-attribution.js';
-import type {CrashRecords} from './crash-records.js';
-import {trialRetryDelay, IsolationTrials} from './isolation-trials.js';
-
-/** A prompt whose prefill takes more than this share of the shortest accepted pause is long. */
-const longPrefillShare = 0.75;
-
-/** Pause assumed for requests that declare none, in milliseconds. */
-const defaultMaxPause = 250;
-
-/** Characters of a plan id: enough to be unique among thousands of plans, and short, because ids are listed once a second. */
-const planIdLength = 12;
 
 /** Dependencies of a planner. */
 export type PlannerParts = {
@@ -61,12 +49,10 @@
 
 /** Plans for one service. */
 export class Planner {
-	readonly #ids: IdSource;
 	readonly #plans = new ActivePlans();
 	readonly #scheduler: PrefillScheduler;
 	readonly #callerWaits = new CallerWaits();
-	#engine: EngineProfile | undefined;
-	#shortestPause = defaultMaxPause;
+	readonly #prompts = new PromptClassifier();
 	readonly #partition = new ServerPartition();
 	readonly #visibility = new LimitedVisibility();
 	readonly #trials = new IsolationTrials();
@@ -74,13 +60,24 @@
 	readonly #gate: LimitGate;
 	readonly #shareGate: ShareGate | undefined;
 	readonly #failures = new FailureComparison();
+	readonly #placement: RequestPlacement;
 
 	constructor(parts: PlannerParts) {
-		this.#ids = parts.ids;
-		this.#engine = parts.engine;
+		this.#prompts.engine = parts.engine;
 		this.#shareGate = parts.sharesMemory === undefined ? undefined : new ShareGate(parts.sharesMemory);
 		this.#scheduler = new PrefillScheduler(this.#shareGate);
 		this.#gate = new LimitGate(this.#shareGate);
+		this.#placement = new RequestPlacement({
+			ids: parts.ids,
+			plans: this.#plans,
+			prompts: this.#prompts,
+			partition: this.#partition,
+			visibility: this.#visibility,
+			trials: this.#trials,
+			scheduler: this.#scheduler,
+			gate: this.#gate,
+			shareGate: this.#shareGate,
+		});
 	}
 
 	/** Requests that were running on servers when they crashed. */
@@ -135,7 +132,7 @@
 
 	/** Replaces the performance figures and the servers that accept new work. */
 	setServers(servers: BackendServer[], engine: EngineProfile | undefined): void {
-		this.#engine = engine;
+		this.#prompts.engine = engine;
 		this.#plans.setServers(servers);
 	}
 
@@ -146,11 +143,8 @@
 	 */
 	decide(original: PlanRequest, now: number, visibility: FleetVisibility = fullVisibility, limitShare: number | GrantedShares = 1): Either<Failure, Decision> {
 		this.prune(now);
-		const request = this.#adjustObjective(original);
-		if (request.longestPause !== undefined) {
-			this.#shortestPause = Math.min(this.#shortestPause, request.longestPause);
-		}
-
+		const request = this.#callerWaits.adjustObjective(original);
+		this.#prompts.recordPause(request);
 		this.#visibility.update(visibility, now);
 		const quarantine = this.#crashes.classify(request, now);
 		if (quarantine.kind === 'rejected') {
@@ -161,7 +155,7 @@
 			this.#plans.loads.get(server)?.health.recordRest(time, now);
 		}
 
-		this.#shareGate?.recordArrival(request, this.#engine, now);
+		this.#shareGate?.recordArrival(request, this.#prompts.engine, now);
 		this.#failures.update(this.#plans.loads, now);
 		const usable = listUsableServers({
 			request, quarantine, loads: this.#plans.loads.values(), isReserved: server => this.#trials.isReserved(server),
@@ -181,13 +175,13 @@
 
 		const isIsolated = quarantine.kind === 'isolated' && this.#plans.loads.size > 1;
 		const candidates = isIsolated ? available : this.#chooseTrial(request, available, now);
-		const planned = this.#planWarmFirst(gatedRequest, {available: candidates, isIsolated}, now);
+		const planned = this.#placement.place(gatedRequest, {available: candidates, isIsolated}, now);
 		return planned.map(decision => {
 			if (decision.kind === 'plan') {
 				const plan = this.#failures.addAvoided(decision.plan, this.#plans.loads, now);
 				this.#addPlan(plan, now, true);
 				this.#recordSent(gatedRequest, plan, now);
-				this.#shareGate?.recordPlaced(request, this.#engine, now);
+				this.#shareGate?.recordPlaced(request, this.#prompts.engine, now);
 				return {kind: 'plan', plan: quarantine.crashes === 0 ? plan : this.#crashes.addCrashes(plan, now)};
 			}
 
@@ -308,52 +302,10 @@
 			};
 	}
 
-	/** Counts the objective from the caller's first try. */
-	#adjustObjective(request: PlanRequest): PlanRequest {
-		const {route, callerWaits, waited, objective} = request;
-		if (route === undefined || callerWaits === undefined) {
-			return request;
-		}
-
-		if (waited === 0) {
-			this.#callerWaits.add(route, callerWaits);
-		}
-
-		const elapsed = this.#callerWaits.estimateElapsed(route, callerWaits);
-		return {...request, objective: objective - elapsed, hasTried: elapsed > 0};
-	}
-
 	/** The server that the request is to try, if there is one; otherwise those available. */
 	#chooseTrial(request: PlanRequest, available: ServerLoad[], now: number): ServerLoad[] {
 		const trial = this.#failures.findTrial(request, available, now);
-		const isLong = this.#engine !== undefined && computePrefillTime(this.#engine, request.promptTokens) > longPrefillShare * this.#shortestPause;
-		return trial === undefined || isLong ? available : [trial];
-	}
-
-	/** Plans on warm servers until they are full, then on cold ones; what occupies a server for long goes to a cold one only when there is no warm one. */
-	#planWarmFirst(gated: GatedRequest, {available, isIsolated}: {available: ServerLoad[]; isIsolated: boolean}, now: number): Either<Failure, Decision> {
-		const {request} = gated;
-		const plan = (servers: ServerLoad[]) => isIsolated ? this.#planIsolated(request, servers, now) : this.#planShared(request, servers, now);
-		if (!this.#gate.cold.hasLimits(now)) {
-			return plan(available);
-		}
-
-		return placeWarmFirst({
-			gate: this.#gate, gated, available, plan, isHeavy: isIsolated || this.#isLong(request), isFull: decision => this.#isFull(decision),
-		}, now);
-	}
-
-	/** Whether a plan would make its request wait at its server, since all servers that it was chosen from are full. */
-	#isFull(decision: Decision): boolean {
-		const load = decision.kind === 'plan' ? this.#plans.loads.get(decision.plan.server) : undefined;
-		if (load === undefined || decision.kind !== 'plan') {
-			return false;
-		}
-
-		const {request: {promptTokens, objective}, expectedFirst} = decision.plan;
-		return this.#engine === undefined || promptTokens === 0
-			? load.taskCount >= load.server.slots
-			: load.writers >= this.#engine.slots || (objective > 0 && expectedFirst > objective);
+		return trial === undefined || this.#prompts.isLong(request) ? available : [trial];
 	}
 
 	#recordSent(gated: GatedRequest, {server, helpers}: Plan, now: number): void {
@@ -363,97 +315,9 @@
 		}
 	}
 
-	#isLong({promptTokens}: PlanRequest): boolean {
-		return this.#engine !== undefined && promptTokens > 0 && computePrefillTime(this.#engine, promptTokens) > longPrefillShare * this.#shortestPause;
-	}
-
-	#planShared(request: PlanRequest, usable: ServerLoad[], now: number): Either<Failure, Decision> {
-		return this.#engine === undefined || request.promptTokens === 0
-			? this.#planPlain(request, usable, now)
-			: this.#planPrompt(request, usable, this.#engine, now);
-	}
-
-	/** Runs a request that crashed servers on a server of its own. */
-	#planIsolated(request: PlanRequest, usable: ServerLoad[], now: number): Either<Failure, Decision> {
-		if (request.patience <= trialRetryDelay) {
-			return Left(createFailure('overloaded', 'backend servers crashed while they ran this request, and none is free to run it in isolation'));
-		}
-
-		const load = this.#trials.findServer(request.fingerprint!, usable, this.#plans.loads.size, now);
-		if (load === undefined) {
-			return Right({kind: 'wait', askAgainIn: trialRetryDelay, reason: 'trial'});
-		}
-
-		const isPrompt = this.#engine !== undefined && request.promptTokens > 0;
-		const expectedFirst = isPrompt ? computePrefillTime(this.#engine!, request.promptTokens) : 0;
-		const decision = this.#createPlan(request, load.server.id, {expectedFirst, ownTokens: isPrompt ? request.promptTokens + request.outputTokens : 0});
-		this.#trials.recordStart(load.server.id, decision.plan.planId);
-		return Right(decision);
-	}
-
-	#planPlain(request: PlanRequest, usable: ServerLoad[], now: number): Either<Failure, Decision> {
-		const best = findEqualMin(usable, load => (load.taskCount / load.server.slots) + load.health.computeFailureShare(now), hashAttempt(request))!;
-		return Right(this.#createPlan(request, best.server.id, {expectedFirst: 0}));
-	}
-
-	#planPrompt(request: PlanRequest, usable: ServerLoad[], engine: EngineProfile, now: number): Either<Failure, Decision> {
-		const groups = this.#visibility.isLimited ? divideWithoutDemand(usable, request.requestId) : this.#partition.divide([...this.#plans.loads.values()], usable, engine, now);
-		const prefillTime = computePrefillTime(engine, request.promptTokens);
-		if (this.#isLong(request)) {
-			this.#partition.recordLong(request, prefillTime, now);
-			if (this.#visibility.shouldWait(request, prefillTime, now)) {
-				return Right({kind: 'wait', askAgainIn: visibilityRetryDelay, reason: 'sight'});
-			}
-
-			return this.#planLong(request, [...new Set([...groups.forLong, ...groups.forShort])], engine, now);
-		}
-
-		this.#scheduler.recordShort(request, now);
-		return this.#planShort(request, groups, engine, now);
-	}
-
-	#planShort(request: PlanRequest, groups: ServerGroups, engine: EngineProfile, now: number): Either<Failure, Decision> {
-		const best = placeShort(request, groups, engine, now);
-		const verdict = this.#shareGate?.decide(request, forecastRoom(request, groups, best, engine), engine, now);
-		if (verdict?.kind === 'wait') {
-			return Right({...verdict, reason: 'share'});
-		}
-
-		if (verdict?.kind === 'rejected') {
-			return Left(createOverloadFailure(Math.max(0, best.finish - request.objective), verdict.retryIn));
-		}
-
-		if (best.finish > request.patience) {
-			return Left(createOverloadFailure(best.finish - request.patience));
-		}
-
-		return Right(this.#createPlan(request, best.load.server.id, {expectedFirst: best.finish, ownTokens: request.promptTokens + request.outputTokens}));
-	}
-
-	#planLong(request: PlanRequest, servers: ServerLoad[], engine: EngineProfile, now: number): Either<Failure, Decision> {
-		return this.#scheduler.decide(request, servers, engine, now).map(decision => decision.kind === 'wait'
-			? decision
-			: this.#createPlan(request, decision.server, decision.parts));
-	}
-
-	#createPlan(request: PlanRequest, server: BackendServerId, fields: Partial<Plan>): Extract<Decision, {kind: 'plan'}> {
-		const plan = {
-			planId: this.#ids.createUuid().slice(-planIdLength) as PlanId,
-			request,
-			server,
-			helpers: [],
-			startIn: 0,
-			expectedFirst: 0,
-			ownTokens: 0,
-			...fields,
-		};
-		return {kind: 'plan', plan};
-	}
-
 	#addPlan(plan: Plan, now: number, isDecidedHere: boolean): void {
-		const {promptTokens} = plan.request;
-		const engine = promptTokens > 0 ? this.#engine : undefined;
-		const isLong = engine !== undefined && computePrefillTime(engine, promptTokens) > longPrefillShare * this.#shortestPause;
+		const engine = plan.request.promptTokens > 0 ? this.#prompts.engine : undefined;
+		const isLong = this.#prompts.isLong(plan.request);
 		const {isShort} = this.#plans.add(plan, {engine, isLong, isDecidedHere}, now);
 		if (isShort) {
 			this.#partition.addShort();
