--- a/src/planning/planner.ts
+++ b/src/planning/planner.ts
@@ -8,46 +8,35 @@
  * Pure: time is passed in, and nothing blocks. A plan says when it is to be sent, and the requesting node sends it then. A planner that takes
  * over is initialised by `adopt`.
  */
-import {Left, Right, type Either} from 'purify-ts';
+import {Left, type Either} from 'purify-ts';
 import {
-	createFailure, type AvailabilityZone, type BackendServerId, type BoxId, type RequestFingerprint, type Failure, type IdSource, type PlanId,
+	createFailure, type BackendServerId, type BoxId, type RequestFingerprint, type Failure, type IdSource, type PlanId,
 } from '../common/index.js';
 import type {BackendServer, EngineProfile} from '../routing/index.js';
-import {AbandonedAttempts} from './abandoned-attempts.js';
+import {ActivePlans, type ActivePlan} from './active-plans.js';
 import {CallerWaits} from './caller-waits.js';
-import {computePrefillTime} from './engine-model.js';
-import {findEqualMin} from './find-min.js';
+import type {ColdLimits, GrantedShares} from './cold-limits.js';
+import {CrashAttribution, createQuarantineFailure} from './crash-attribution.js';
+import type {CrashRecords} from './crash-records.js';
 import {FailureComparison} from './failure-comparison.js';
-import type {AnswerCounts} from './failure-record.js';
-import type {OrganisationShares} from './organisation-shares.js';
-import {ActivePlans, type ActivePlan} from './active-plans.js';
 import {
-	LimitedVisibility, divideWithoutDemand, visibilityRetryDelay, fullVisibility, type FleetVisibility,
+	LimitedVisibility, fullVisibility, type FleetVisibility,
 } from './fleet-visibility.js';
+import {IsolationTrials} from './isolation-trials.js';
+import {LimitGate, type GatedRequest} from './limit-gate.js';
+import type {OrganisationShares} from './organisation-shares.js';
 import type {
 	Decision, OverrunReport, Plan, PlanEvent, PlanRequest,
 } from './plan.js';
-import {createOverloadFailure, PrefillScheduler} from './prefill-scheduler.js';
-import {hashAttempt} from './request-share.js';
-import type {ServerLoad} from './server-load.js';
-import {LimitGate, type GatedRequest} from './limit-gate.js';
+import {PrefillScheduler} from './prefill-scheduler.js';
+import {PromptClassifier} from './prompt-classifier.js';
+import {RequestPlacement} from './request-placement.js';
 import type {ServerLimits} from './server-limits.js';
+import type {ServerLoad} from './server-load.js';
+import {ServerPartition} from './server-partition.js';
+import {describeServers, type PlannedServerStatus} from './server-status.js';
 import {ShareGate, type ShareReport} from './share-gate.js';
-import {ServerPartition, type ServerGroups} from './server-partition.js';
-import {forecastRoom, placeShort} from './short-placement.js';
-import type {ColdLimits, GrantedShares} from './cold-limits.js';
-import {placeWarmFirst} from './cold-placement.js';
-import {CrashRecords, isolatedCrashWeight, type QuarantineState} from './crash-records.js';
-import {trialRetryDelay, IsolationTrials} from './isolation-trials.js';
-
-/** A prompt whose prefill takes more than this share of the shortest accepted pause is long. */
-const longPrefillShare = 0.75;
-
-/** Pause assumed for requests that declare none, in milliseconds. */
-const defaultMaxPause = 250;
-
-/** Characters of a plan id: enough to be unique among thousands of plans, and short, because ids are listed once a second. */
-const planIdLength = 12;
+import {listUsableServers} from './usable-servers.js';
 
 /** Dependencies of a planner. */
 export type PlannerParts = {
@@ -58,63 +47,42 @@
 	sharesMemory?: number;
 };
 
-/** Planned load and health of one server. */
-export type PlannedServerStatus = {
-	server: BackendServerId;
-	availabilityZone: AvailabilityZone;
-	/** Requests, those among them that decode or are about to, and its capacity. */
-	work: number;
-	writers: number;
-	slots: number;
-	/** Memory in use, in tokens. */
-	heldTokens: number;
-	/** Prefill still to be done, in milliseconds. */
-	readFor: number;
-	/** Remaining backoff, in milliseconds; 0 without backoff. */
-	restsFor: number;
-	/** Requests per second that it accepts from all nodes; undefined without a declared limit. */
-	requestLimit?: number;
-	/** Remaining cold time, in milliseconds; undefined for a warm server. */
-	coldFor?: number;
-	/** Share of its answers that failed, and the number of answers behind it. */
-	spoiled: number;
-	answers: number;
-	/** Whether other servers are preferred because of failures. */
-	isDoubtful: boolean;
-};
-
-function describeFailures({answers, failures}: AnswerCounts): Pick<PlannedServerStatus, 'spoiled' | 'answers'> {
-	return {spoiled: answers === 0 ? 0 : Math.round(failures / answers * 100) / 100, answers: Math.round(answers)};
-}
-
-function createRejection({crashes, rejectedFor}: Extract<QuarantineState, {kind: 'rejected'}>): Failure {
-	return createFailure('ends_servers', `${crashes} backend servers crashed while they ran this request; it is not sent to another one`, {retryAfterSeconds: Math.ceil(rejectedFor / 1000)});
-}
-
 /** Plans for one service. */
 export class Planner {
-	/** Requests that were running on servers when they crashed. */
-	readonly crashRecords = new CrashRecords();
-	readonly #ids: IdSource;
 	readonly #plans = new ActivePlans();
 	readonly #scheduler: PrefillScheduler;
 	readonly #callerWaits = new CallerWaits();
-	#engine: EngineProfile | undefined;
-	#shortestPause = defaultMaxPause;
+	readonly #prompts = new PromptClassifier();
 	readonly #partition = new ServerPartition();
 	readonly #visibility = new LimitedVisibility();
 	readonly #trials = new IsolationTrials();
-	readonly #abandoned = new AbandonedAttempts();
+	readonly #crashes = new CrashAttribution(this.#plans, this.#trials);
 	readonly #gate: LimitGate;
 	readonly #shareGate: ShareGate | undefined;
 	readonly #failures = new FailureComparison();
+	readonly #placement: RequestPlacement;
 
 	constructor(parts: PlannerParts) {
-		this.#ids = parts.ids;
-		this.#engine = parts.engine;
+		this.#prompts.engine = parts.engine;
 		this.#shareGate = parts.sharesMemory === undefined ? undefined : new ShareGate(parts.sharesMemory);
 		this.#scheduler = new PrefillScheduler(this.#shareGate);
 		this.#gate = new LimitGate(this.#shareGate);
+		this.#placement = new RequestPlacement({
+			ids: parts.ids,
+			plans: this.#plans,
+			prompts: this.#prompts,
+			partition: this.#partition,
+			visibility: this.#visibility,
+			trials: this.#trials,
+			scheduler: this.#scheduler,
+			gate: this.#gate,
+			shareGate: this.#shareGate,
+		});
+	}
+
+	/** Requests that were running on servers when they crashed. */
+	get crashRecords(): CrashRecords {
+		return this.#crashes.records;
 	}
 
 	/** Usage of organisations; undefined when they have no shares. */
@@ -159,28 +127,12 @@
 
 	/** Status of the busiest servers, at most `limit` of them. */
 	describeServers(now: number, limit: number): PlannedServerStatus[] {
-		return [...this.#plans.loads.values()]
-			.sort((left, right) => right.taskCount - left.taskCount)
-			.slice(0, limit)
-			.map(load => ({
-				server: load.server.id,
-				availabilityZone: load.server.availabilityZone,
-				work: load.taskCount,
-				writers: load.writers,
-				slots: load.server.slots,
-				heldTokens: Math.round(load.heldTokens),
-				readFor: Math.round(load.computePendingPrefill(now)),
-				restsFor: Math.round(load.health.computeBackoffLeft(now)),
-				requestLimit: this.limits.findRate(load.server.id),
-				coldFor: Math.round(this.coldLimits.computeColdLeft(load.server.id, now)) || undefined,
-				...describeFailures(load.health.failures.readCounts(now)),
-				isDoubtful: load.health.isUnreliable(now),
-			}));
+		return describeServers(this.#plans.loads.values(), this.#gate, {now, limit});
 	}
 
 	/** Replaces the performance figures and the servers that accept new work. */
 	setServers(servers: BackendServer[], engine: EngineProfile | undefined): void {
-		this.#engine = engine;
+		this.#prompts.engine = engine;
 		this.#plans.setServers(servers);
 	}
 
@@ -191,28 +143,23 @@
 	 */
 	decide(original: PlanRequest, now: number, visibility: FleetVisibility = fullVisibility, limitShare: number | GrantedShares = 1): Either<Failure, Decision> {
 		this.prune(now);
-		const request = this.#adjustObjective(original);
-		if (request.longestPause !== undefined) {
-			this.#shortestPause = Math.min(this.#shortestPause, request.longestPause);
-		}
-
+		const request = this.#callerWaits.adjustObjective(original);
+		this.#prompts.recordPause(request);
 		this.#visibility.update(visibility, now);
-		if (request.fingerprint !== undefined && request.crashes !== undefined) {
-			this.crashRecords.merge(request.fingerprint, request.crashes, now);
-		}
-
-		const quarantine = this.crashRecords.classify(request.fingerprint, now);
+		const quarantine = this.#crashes.classify(request, now);
 		if (quarantine.kind === 'rejected') {
-			return Left(createRejection(quarantine));
+			return Left(createQuarantineFailure(quarantine));
 		}
 
 		for (const {server, time} of request.resting ?? []) {
 			this.#plans.loads.get(server)?.health.recordRest(time, now);
 		}
 
-		this.#shareGate?.recordArrival(request, this.#engine, now);
+		this.#shareGate?.recordArrival(request, this.#prompts.engine, now);
 		this.#failures.update(this.#plans.loads, now);
-		const usable = this.#listUsable(request, quarantine, now);
+		const usable = listUsableServers({
+			request, quarantine, loads: this.#plans.loads.values(), isReserved: server => this.#trials.isReserved(server),
+		}, now);
 		if (usable.length === 0) {
 			return Left(createFailure('no_backend_server', `no backend server of ${request.service} takes new work`));
 		}
@@ -228,14 +175,14 @@
 
 		const isIsolated = quarantine.kind === 'isolated' && this.#plans.loads.size > 1;
 		const candidates = isIsolated ? available : this.#chooseTrial(request, available, now);
-		const planned = this.#planWarmFirst(gatedRequest, {available: candidates, isIsolated}, now);
+		const planned = this.#placement.place(gatedRequest, {available: candidates, isIsolated}, now);
 		return planned.map(decision => {
 			if (decision.kind === 'plan') {
 				const plan = this.#failures.addAvoided(decision.plan, this.#plans.loads, now);
 				this.#addPlan(plan, now, true);
 				this.#recordSent(gatedRequest, plan, now);
-				this.#shareGate?.recordPlaced(request, this.#engine, now);
-				return quarantine.crashes === 0 ? {kind: 'plan', plan} : this.#addCrashes(plan, now);
+				this.#shareGate?.recordPlaced(request, this.#prompts.engine, now);
+				return {kind: 'plan', plan: quarantine.crashes === 0 ? plan : this.#crashes.addCrashes(plan, now)};
 			}
 
 			return decision;
@@ -254,7 +201,7 @@
 	/** Records the progress of a plan; returns a report when a long prefill exceeded its allowed overrun. */
 	recordEvent(event: PlanEvent, now: number): OverrunReport | undefined {
 		if (event.kind === 'server_ended') {
-			this.crashRecords.recordCrash(event.server, event.fingerprint, this.#computeCrashWeight(event.server, event.fingerprint), now);
+			this.#crashes.recordCrash(event.server, event.fingerprint, now);
 			return undefined;
 		}
 
@@ -281,7 +228,7 @@
 
 		const active = this.#release(event.planId);
 		if (active !== undefined && event.isUnanswered === true) {
-			this.#recordAbandoned(active.plan, now);
+			this.#crashes.recordAbandoned(active.plan, now);
 		}
 
 		return undefined;
@@ -289,24 +236,24 @@
 
 	/** Servers that may have crashed with unanswered attempts. */
 	listAbandonedServers(): BackendServerId[] {
-		return this.#abandoned.listServers();
+		return this.#crashes.listAbandonedServers();
 	}
 
 	/** Counts a server's crash against the requests whose attempts there ended without an answer at most `age` milliseconds ago; returns those for which it is new. */
 	attributeCrash(server: BackendServerId, now: number, age?: number): RequestFingerprint[] {
-		return this.#abandoned.take(server, now, age).filter(fingerprint => this.crashRecords.recordCrash(server, fingerprint, this.#computeCrashWeight(server, fingerprint), now));
+		return this.#crashes.attribute(server, now, age);
 	}
 
 	/** Drops the unanswered attempts at a server that leaves as planned. */
 	dropAbandoned(server: BackendServerId, now: number): void {
-		this.#abandoned.take(server, now);
+		this.#crashes.dropAbandoned(server, now);
 	}
 
 	/** Releases the plans of a failed node, which can no longer report a crash. */
 	releaseNode(node: BoxId, now: number): void {
 		for (const plan of this.#plans.listByNode(node)) {
 			this.#release(plan.planId);
-			this.#recordAbandoned(plan, now);
+			this.#crashes.recordAbandoned(plan, now);
 		}
 	}
 
@@ -355,71 +302,10 @@
 			};
 	}
 
-	/** Counts the objective from the caller's first try. */
-	#adjustObjective(request: PlanRequest): PlanRequest {
-		const {route, callerWaits, waited, objective} = request;
-		if (route === undefined || callerWaits === undefined) {
-			return request;
-		}
-
-		if (waited === 0) {
-			this.#callerWaits.add(route, callerWaits);
-		}
-
-		const elapsed = this.#callerWaits.estimateElapsed(route, callerWaits);
-		return {...request, objective: objective - elapsed, hasTried: elapsed > 0};
-	}
-
-	#listUsable(request: PlanRequest, quarantine: QuarantineState, now: number): ServerLoad[] {
-		const {excluded, failedAt = []} = request;
-		const all = [...this.#plans.loads.values()];
-		const others = all.filter(load => !excluded.includes(load.server.id));
-		// A server that failed the request may succeed next time; without any other server the request would certainly fail.
-		const loads = others.length > 0 ? others : all.filter(load => failedAt.includes(load.server.id));
-		const notBackedOff = loads.filter(load => !load.health.isBackingOff(now));
-		const reliable = notBackedOff.filter(load => load.health.mayTake(load.taskCount, now, request.canRepeat));
-		const isOpenTo = (load: ServerLoad) => quarantine.kind === 'isolated' || !this.#trials.isReserved(load.server.id);
-		// Any server is better than none: the failures may have a common cause.
-		return [reliable.filter(load => isOpenTo(load)), notBackedOff.filter(load => isOpenTo(load)), reliable, notBackedOff, loads].find(list => list.length > 0) ?? [];
-	}
-
 	/** The server that the request is to try, if there is one; otherwise those available. */
 	#chooseTrial(request: PlanRequest, available: ServerLoad[], now: number): ServerLoad[] {
 		const trial = this.#failures.findTrial(request, available, now);
-		const isLong = this.#engine !== undefined && computePrefillTime(this.#engine, request.promptTokens) > longPrefillShare * this.#shortestPause;
-		return trial === undefined || isLong ? available : [trial];
-	}
-
-	/** Adds the crash records, as the node that runs the plan may have to decide for the request later. */
-	#addCrashes(plan: Plan, now: number): Decision {
-		const {request} = plan;
-		return {kind: 'plan', plan: {...plan, request: {...request, crashes: this.crashRecords.describe(request.fingerprint!, now)}}};
-	}
-
-	/** Plans on warm servers until they are full, then on cold ones; what occupies a server for long goes to a cold one only when there is no warm one. */
-	#planWarmFirst(gated: GatedRequest, {available, isIsolated}: {available: ServerLoad[]; isIsolated: boolean}, now: number): Either<Failure, Decision> {
-		const {request} = gated;
-		const plan = (servers: ServerLoad[]) => isIsolated ? this.#planIsolated(request, servers, now) : this.#planShared(request, servers, now);
-		if (!this.#gate.cold.hasLimits(now)) {
-			return plan(available);
-		}
-
-		return placeWarmFirst({
-			gate: this.#gate, gated, available, plan, isHeavy: isIsolated || this.#isLong(request), isFull: decision => this.#isFull(decision),
-		}, now);
-	}
-
-	/** Whether a plan would make its request wait at its server, since all servers that it was chosen from are full. */
-	#isFull(decision: Decision): boolean {
-		const load = decision.kind === 'plan' ? this.#plans.loads.get(decision.plan.server) : undefined;
-		if (load === undefined || decision.kind !== 'plan') {
-			return false;
-		}
-
-		const {request: {promptTokens, objective}, expectedFirst} = decision.plan;
-		return this.#engine === undefined || promptTokens === 0
-			? load.taskCount >= load.server.slots
-			: load.writers >= this.#engine.slots || (objective > 0 && expectedFirst > objective);
+		return trial === undefined || this.#prompts.isLong(request) ? available : [trial];
 	}
 
 	#recordSent(gated: GatedRequest, {server, helpers}: Plan, now: number): void {
@@ -429,115 +315,9 @@
 		}
 	}
 
-	#isLong({promptTokens}: PlanRequest): boolean {
-		return this.#engine !== undefined && promptTokens > 0 && computePrefillTime(this.#engine, promptTokens) > longPrefillShare * this.#shortestPause;
-	}
-
-	#planShared(request: PlanRequest, usable: ServerLoad[], now: number): Either<Failure, Decision> {
-		return this.#engine === undefined || request.promptTokens === 0
-			? this.#planPlain(request, usable, now)
-			: this.#planPrompt(request, usable, this.#engine, now);
-	}
-
-	/** Runs a request that crashed servers on a server of its own. */
-	#planIsolated(request: PlanRequest, usable: ServerLoad[], now: number): Either<Failure, Decision> {
-		if (request.patience <= trialRetryDelay) {
-			return Left(createFailure('overloaded', 'backend servers crashed while they ran this request, and none is free to run it in isolation'));
-		}
-
-		const load = this.#trials.findServer(request.fingerprint!, usable, this.#plans.loads.size, now);
-		if (load === undefined) {
-			return Right({kind: 'wait', askAgainIn: trialRetryDelay, reason: 'trial'});
-		}
-
-		const isPrompt = this.#engine !== undefined && request.promptTokens > 0;
-		const expectedFirst = isPrompt ? computePrefillTime(this.#engine!, request.promptTokens) : 0;
-		const decision = this.#createPlan(request, load.server.id, {expectedFirst, ownTokens: isPrompt ? request.promptTokens + request.outputTokens : 0});
-		this.#trials.recordStart(load.server.id, decision.plan.planId);
-		return Right(decision);
-	}
-
-	/** A server that accepts no new work may be leaving as planned, which is no crash. */
-	#recordAbandoned({server, request: {fingerprint}}: Plan, now: number): void {
-		if (fingerprint !== undefined && this.#plans.loads.has(server)) {
-			this.#abandoned.add(server, fingerprint, now);
-		}
-	}
-
-	/** Weight of a crash for a request; 0 for a request that runs on all servers. */
-	#computeCrashWeight(server: BackendServerId, fingerprint: RequestFingerprint): number {
-		if (this.#trials.isReserved(server)) {
-			return isolatedCrashWeight;
-		}
-
-		const otherServers = this.#plans.findServers(fingerprint);
-		otherServers.delete(server);
-		return 1 - (otherServers.size / Math.max(1, this.#plans.loads.size));
-	}
-
-	#planPlain(request: PlanRequest, usable: ServerLoad[], now: number): Either<Failure, Decision> {
-		const best = findEqualMin(usable, load => (load.taskCount / load.server.slots) + load.health.computeFailureShare(now), hashAttempt(request))!;
-		return Right(this.#createPlan(request, best.server.id, {expectedFirst: 0}));
-	}
-
-	#planPrompt(request: PlanRequest, usable: ServerLoad[], engine: EngineProfile, now: number): Either<Failure, Decision> {
-		const groups = this.#visibility.isLimited ? divideWithoutDemand(usable, request.requestId) : this.#partition.divide([...this.#plans.loads.values()], usable, engine, now);
-		const prefillTime = computePrefillTime(engine, request.promptTokens);
-		if (this.#isLong(request)) {
-			this.#partition.recordLong(request, prefillTime, now);
-			if (this.#visibility.shouldWait(request, prefillTime, now)) {
-				return Right({kind: 'wait', askAgainIn: visibilityRetryDelay, reason: 'sight'});
-			}
-
-			return this.#planLong(request, [...new Set([...groups.forLong, ...groups.forShort])], engine, now);
-		}
-
-		this.#scheduler.recordShort(request, now);
-		return this.#planShort(request, groups, engine, now);
-	}
-
-	#planShort(request: PlanRequest, groups: ServerGroups, engine: EngineProfile, now: number): Either<Failure, Decision> {
-		const best = placeShort(request, groups, engine, now);
-		const verdict = this.#shareGate?.decide(request, forecastRoom(request, groups, best, engine), engine, now);
-		if (verdict?.kind === 'wait') {
-			return Right({...verdict, reason: 'share'});
-		}
-
-		if (verdict?.kind === 'rejected') {
-			return Left(createOverloadFailure(Math.max(0, best.finish - request.objective), verdict.retryIn));
-		}
-
-		if (best.finish > request.patience) {
-			return Left(createOverloadFailure(best.finish - request.patience));
-		}
-
-		return Right(this.#createPlan(request, best.load.server.id, {expectedFirst: best.finish, ownTokens: request.promptTokens + request.outputTokens}));
-	}
-
-	#planLong(request: PlanRequest, servers: ServerLoad[], engine: EngineProfile, now: number): Either<Failure, Decision> {
-		return this.#scheduler.decide(request, servers, engine, now).map(decision => decision.kind === 'wait'
-			? decision
-			: this.#createPlan(request, decision.server, decision.parts));
-	}
-
-	#createPlan(request: PlanRequest, server: BackendServerId, fields: Partial<Plan>): Extract<Decision, {kind: 'plan'}> {
-		const plan = {
-			planId: this.#ids.createUuid().slice(-planIdLength) as PlanId,
-			request,
-			server,
-			helpers: [],
-			startIn: 0,
-			expectedFirst: 0,
-			ownTokens: 0,
-			...fields,
-		};
-		return {kind: 'plan', plan};
-	}
-
 	#addPlan(plan: Plan, now: number, isDecidedHere: boolean): void {
-		const {promptTokens} = plan.request;
-		const engine = promptTokens > 0 ? this.#engine : undefined;
-		const isLong = engine !== undefined && computePrefillTime(engine, promptTokens) > longPrefillShare * this.#shortestPause;
+		const engine = plan.request.promptTokens > 0 ? this.#prompts.engine : undefined;
+		const isLong = this.#prompts.isLong(plan.request);
 		const {isShort} = this.#plans.add(plan, {engine, isLong, isDecidedHere}, now);
 		if (isShort) {
 			this.#partition.addShort();
