fix(gateway): forward long plain answers as they arrive

Callers got 502 for every plain answer of more than 1 MiB, after the server had run the request. The node buffered each answer until its end and gave up at the limit. It now sends the head and what it holds at that point and forwards the rest as it arrives, pausing the server while the caller is slow. From then on the request is neither hedged nor sent again. If the answer breaks, the caller sees it: an answer without a length ends with a reset, since a clean close would make it look complete. This also holds for streams without a length.

Unsigned, encoded, declined and failed answers are known by their head and keep their rules. The head keeps the length that the server states.

--- a/src/gateway/calls/backend-attempt.ts
+++ b/src/gateway/calls/backend-attempt.ts
@@ -2,9 +2,8 @@
  * One attempt of a call at one backend server: validates the answer and forwards it.
  *
  * An answer that is not a stream is buffered until it is complete, so that a broken one can still be
- * replaced. The events of a stream are forwarded one by one, each once it is complete.
+ * replaced, or until it is too long for that. The events of a stream are forwarded one by one, each once it is complete.
  */
-import {Buffer} from 'node:buffer';
 import {
 	readErrorMessage, type BackendServerId, type Clock, type Timer,
 } from '../../common/index.js';
@@ -15,6 +14,7 @@
 import type {Call} from './call.js';
 import type {CallSink} from './call-sink.js';
 import {EventParser, type EventFrame} from './event-parser.js';
+import {minServerErrorStatus, PlainAnswer} from './plain-answer.js';
 import {listNotices, type ServerNotice} from './server-notice.js';
 
 /** How an attempt ended. */
@@ -25,8 +25,8 @@
 	| {kind: 'failed'; server: BackendServerId; status: number; deliver: () => void}
 	/** The request did not run; `faultyAddress` is set when the server names a helper as the cause. */
 	| {kind: 'declined'; trouble: Trouble; server: BackendServerId; reason: string; faultyAddress?: string}
-	/** The request may have run, but there is no complete answer. */
-	| {kind: 'lost'; trouble: Trouble; server: BackendServerId; reason: string}
+	/** The request may have run, but there is no complete answer; `isPartial` is set when the caller has a part that no other server can continue. */
+	| {kind: 'lost'; trouble: Trouble; server: BackendServerId; reason: string; isPartial: boolean}
 	/** Cancelled by this node. */
 	| {kind: 'stopped'; mayHaveRun: boolean};
 
@@ -55,7 +55,7 @@
 	onFirst: () => void;
 };
 
-/** Maximum size of a buffered answer, in bytes. */
+/** Maximum size of a buffered answer, in bytes; a longer one is forwarded as it arrives. */
 const maxBufferedBytes = 1024 * 1024;
 
 /** Timeout of the first event: a multiple of the route's objective and of the expected time, and at least this many milliseconds. */
@@ -65,8 +65,6 @@
 /** Share of the silence timeout after which a refused hedge is requested again. */
 const hedgeRetryShare = 0.25;
 
-const minServerErrorStatus = 500;
-
 /** Longest silence between two events that a server's other work may cause, in milliseconds; undefined when the route has no streams. */
 export function findMaxSilence({longestSilence}: Route): number | undefined {
 	return longestSilence === undefined ? undefined : longestSilence * moveSilenceShare;
@@ -85,9 +83,9 @@
 	readonly ended: Promise<AttemptOutcome>;
 	readonly #parts: AttemptParts;
 	readonly #parser = new EventParser();
-	readonly #buffered: Uint8Array[] = [];
-	#bufferedLength = 0;
 	#head: ResponseHead | undefined;
+	/** The answer, unless it is a stream. */
+	#plainAnswer: PlainAnswer | undefined;
 	#isStream = false;
 	#hasData = false;
 	#hasNotifiedFirst = false;
@@ -147,7 +145,7 @@
 
 	/** Requests a hedge at once if another server could take over; otherwise the closed connection ends the attempt. */
 	handleServerRestart(): void {
-		const canHedge = this.#findFirstEventTimeout() !== undefined;
+		const canHedge = !this.#isForwardingPlain && this.#findFirstEventTimeout() !== undefined;
 		if (!this.#isOver && canHedge) {
 			this.#setSilenceTimer(0, () => 'the server has started again');
 		}
@@ -179,6 +177,7 @@
 		}
 
 		this.#isStream = isSuccess && this.#parts.call.route.kind === 'stream';
+		this.#plainAnswer = this.#isStream ? undefined : new PlainAnswer(head, this.#parts.sink);
 	}
 
 	/**
@@ -196,8 +195,8 @@
 	}
 
 	#handleData(chunk: Uint8Array): void {
-		if (!this.#isStream) {
-			this.#collect(chunk);
+		if (this.#plainAnswer !== undefined) {
+			this.#collect(chunk, this.#plainAnswer);
 			return;
 		}
 
@@ -210,9 +209,7 @@
 			}
 		}
 
-		if (!canWriteMore) {
-			this.#waitForCaller();
-		}
+		this.#waitUnless(canWriteMore);
 	}
 
 	#forward({id, bytes}: EventFrame): boolean {
@@ -236,25 +233,51 @@
 		});
 	}
 
-	#collect(chunk: Uint8Array): void {
-		this.#buffered.push(chunk);
-		this.#bufferedLength += chunk.length;
-		if (this.#bufferedLength > maxBufferedBytes) {
+	#collect(chunk: Uint8Array, answer: PlainAnswer): void {
+		if (answer.isForwarding) {
+			this.#waitUnless(answer.forward(chunk));
+			return;
+		}
+
+		answer.add(chunk);
+		if (answer.bufferedLength <= maxBufferedBytes) {
+			return;
+		}
+
+		if (!answer.canForward) {
 			this.#fail('spoiled', `the answer is longer than ${maxBufferedBytes} bytes`);
+			return;
+		}
+
+		// From here on no other server may answer: neither a hedge that runs nor one that is being acquired.
+		this.#silenceTimer?.cancel();
+		this.#silenceTimer = undefined;
+		this.#parts.claimAnswer();
+		this.#notifyFirst();
+		this.#waitUnless(answer.startForwarding());
+	}
+
+	#waitUnless(canWriteMore: boolean): void {
+		if (!canWriteMore) {
+			this.#waitForCaller();
 		}
 	}
 
+	get #isForwardingPlain(): boolean {
+		return this.#plainAnswer?.isForwarding ?? false;
+	}
+
 	#handleEnd(): void {
 		if (this.#isOver || this.#head === undefined) {
 			return;
 		}
 
-		if (this.#isStream) {
+		if (this.#plainAnswer === undefined) {
 			this.#endStream();
 			return;
 		}
 
-		this.#endAnswer(this.#head);
+		this.#endAnswer(this.#head, this.#plainAnswer);
 	}
 
 	#endStream(): void {
@@ -275,9 +298,8 @@
 		this.#finish({kind: 'done'});
 	}
 
-	#endAnswer(head: ResponseHead): void {
+	#endAnswer(head: ResponseHead, answer: PlainAnswer): void {
 		const {server} = this.#parts.plan;
-		const body = Buffer.concat(this.#buffered);
 		if (head.isDeclined) {
 			const fault = head.faultyAddress === undefined ? '' : `, ${head.faultyAddress} at fault`;
 			this.#finish({
@@ -291,8 +313,8 @@
 				kind: 'failed',
 				server,
 				status: head.status,
-				deliver: () => {
-					this.#deliver(head, body);
+				deliver() {
+					answer.end();
 				},
 			});
 			return;
@@ -300,23 +322,10 @@
 
 		this.#parts.claimAnswer();
 		this.#notifyFirst();
-		this.#deliver(head, body);
+		answer.end();
 		this.#finish({kind: 'done'});
 	}
 
-	/** Sends a buffered answer; once the caller has the head of a stream, the answer can only be aborted. */
-	#deliver(head: ResponseHead, body: Uint8Array): void {
-		const {sink} = this.#parts;
-		if (sink.hasHead) {
-			sink.abort();
-			return;
-		}
-
-		const length = head.isFramed ? {'content-length': String(body.length)} : {};
-		sink.sendHead(head.status, {...head.headers, ...length}, head.isFramed);
-		sink.end(body);
-	}
-
 	#handleError(error: Error, wasSent: boolean): void {
 		const reason = readErrorMessage(error);
 		if (wasSent) {
@@ -341,7 +350,7 @@
 
 	#createLost(trouble: Trouble, reason: string): AttemptOutcome {
 		return {
-			kind: 'lost', trouble, server: this.#parts.plan.server, reason,
+			kind: 'lost', trouble, server: this.#parts.plan.server, reason, isPartial: this.#isForwardingPlain,
 		};
 	}
 
@@ -394,6 +403,10 @@
 
 	/** Silence after which a hedge is started, in milliseconds; undefined when the request may not run elsewhere. */
 	#findSilenceTimeout(): number | undefined {
+		if (this.#isForwardingPlain) {
+			return undefined;
+		}
+
 		return this.#hasData ? findStallTimeout(this.#parts.call.route) : this.#findFirstEventTimeout();
 	}
 
--- a/src/gateway/calls/call-run.ts
+++ b/src/gateway/calls/call-run.ts
@@ -251,7 +251,7 @@
 
 			case 'lost': {
 				await this.#recordServerCrash(outcome);
-				return this.#mayRepeat() && await this.#acquireRetry(outcome.server, outcome.reason) ? 'again' : createUnconfirmedFailure(outcome.reason);
+				return !outcome.isPartial && this.#mayRepeat() && await this.#acquireRetry(outcome.server, outcome.reason) ? 'again' : createUnconfirmedFailure(outcome.reason);
 			}
 		}
 	}
--- a/src/gateway/calls/call-sink.ts
+++ b/src/gateway/calls/call-sink.ts
@@ -73,6 +73,11 @@
 	}
 
 	override abort(): void {
+		// An unframed answer that ends with a clean close looks complete; only a reset shows that it is not.
+		if (!this.#isFramed) {
+			this.#response.socket?.resetAndDestroy();
+		}
+
 		this.#response.destroy();
 	}
 }
--- a/src/gateway/wire.ts
+++ b/src/gateway/wire.ts
@@ -61,6 +61,8 @@
 	isDeclined: boolean;
 	/** Whether the head frames the body; otherwise the body ends with the connection, and truncation cannot be detected. */
 	isFramed: boolean;
+	/** Length of the body in bytes, when the head states one. */
+	bodyLength?: number;
 	/** Whether the body has a content encoding, which genuine answers never have. */
 	isEncoded: boolean;
 	/** Rate limit of the server for all nodes together, in requests per second; undefined when it states none. */
