feat(gateway): read streams ahead of slow callers within a budget

Callers that pause while they read a long stream no longer lose their server: six callers that paused for 3 s within 10 MB made servers, which cut what is unread for 2 s, cut answers and run requests twice. Where the settings section [buffers] is present, the node queues what a caller has not taken and pauses the server only when the account says so. Request bodies and answers that are not forwarded yet count too. Past the reserve the slowest callers are cut off, with the log line caller_cut_off and cresshook_callers_cut_off_total; cresshook_buffered_bytes shows what is held.

A call counts as in progress until its response has closed, so that a planned stop waits for what was read ahead. Without the section each server waits for its caller as before.

--- a/src/gateway/calls/backend-attempt.ts
+++ b/src/gateway/calls/backend-attempt.ts
@@ -424,6 +424,10 @@
 		if (!this.#isOver) {
 			this.#isOver = true;
 			this.#silenceTimer?.cancel();
+			if (outcome.kind !== 'failed') {
+				this.#plainAnswer?.discard();
+			}
+
 			this.#resolve(outcome);
 		}
 	}
--- a/src/gateway/calls/buffer-account.ts
+++ b/src/gateway/calls/buffer-account.ts
@@ -11,12 +11,9 @@
  */
 import type {OrganisationId} from '../../common/index.js';
 
-/** Share of the budget that one organisation may hold, so that another one always has room. Calls without an organisation count as one. */
+/** Share of the budget and of the reserve that one organisation may hold, so that another one always has room. Calls without an organisation count as one. */
 const organisationShare = 0.5;
 
-/** Size of the reserve above the budget, as a share of it: chunks in transit, and bodies that cannot be held back. */
-const reserveShare = 0.1;
-
 /** Time for which a caller must have been slow to be cut off, in milliseconds: longer than a round trip, so that a full send buffer alone does not count. */
 const minSlowTime = 250;
 
@@ -33,7 +30,10 @@
 };
 
 /** A part of the calls with its own budget. */
-type Pool = {held: number; budget: number};
+type Pool = BufferBudget & {held: number};
+
+/** Bytes that may be held before anyone is held back, and bytes beyond that before anyone is cut off. */
+export type BufferBudget = {budget: number; reserve: number};
 
 /** The account of one node; `Call` identifies a call. */
 export class BufferAccount<Call> {
@@ -41,9 +41,8 @@
 	readonly #organisations = new Map<OrganisationId | undefined, Pool>();
 	readonly #node: Pool;
 
-	/** Creates an account with a budget in bytes. */
-	constructor(budget: number) {
-		this.#node = {held: 0, budget};
+	constructor(budget: BufferBudget) {
+		this.#node = {held: 0, ...budget};
 	}
 
 	/** Bytes held by all calls. */
@@ -57,7 +56,8 @@
 			call, organisation, bytes: {request: 0, answer: 0, unread: 0}, slowSince: 0, taken: 0,
 		});
 		if (!this.#organisations.has(organisation)) {
-			this.#organisations.set(organisation, {held: 0, budget: this.#node.budget * organisationShare});
+			const {budget, reserve} = this.#node;
+			this.#organisations.set(organisation, {held: 0, budget: budget * organisationShare, reserve: reserve * organisationShare});
 		}
 	}
 
@@ -144,11 +144,11 @@
 			largest = isMember(other) ? Math.max(largest, other.bytes.unread) : largest;
 		}
 
-		return holder.bytes.unread >= largest * (1 - (excess / (pool.budget * reserveShare)));
+		return holder.bytes.unread >= largest * (1 - (excess / pool.reserve));
 	}
 
 	#chooseCutOff(pool: Pool, now: number, chosen: Set<Holder<Call>>, isMember: (holder: Holder<Call>) => boolean): void {
-		const limit = pool.budget * (1 + reserveShare);
+		const limit = pool.budget + pool.reserve;
 		if (pool.held <= limit) {
 			return;
 		}
--- a/src/gateway/calls/call-service.ts
+++ b/src/gateway/calls/call-service.ts
@@ -13,6 +13,7 @@
 import {sendFailure} from './failure-answer.js';
 import type {HttpSink} from './call-sink.js';
 import {waitForFirstView} from './first-view.js';
+import type {NodeBuffers} from './node-buffers.js';
 import type {Placer} from './placer.js';
 import type {Reservations} from './reservations.js';
 import {ServerProbe} from './server-probe.js';
@@ -30,6 +31,8 @@
 	pool: BackendPool;
 	placer: Placer;
 	reservations: Reservations;
+	/** Buffers with a common budget; without them, each server waits for its caller. */
+	buffers: NodeBuffers | undefined;
 	/** Name and availability zone of this node. */
 	node: BoxId;
 	availabilityZone: AvailabilityZone;
@@ -101,6 +104,9 @@
 
 	async #run(call: Call, sink: HttpSink, response: ServerResponse): Promise<void> {
 		const {clock, logger, wire} = this.#parts;
+		const buffered = this.#parts.buffers?.open(sink, {
+			requestId: call.head.requestId, service: call.service.name, organisation: call.organisation?.name, bodyLength: call.body?.length ?? 0,
+		});
 		const run = new CallRun({
 			clock,
 			logger,
@@ -114,7 +120,7 @@
 			hasEnded: async id => this.#probe.hasEnded(id),
 			node: this.#parts.node,
 			availabilityZone: this.#parts.availabilityZone,
-		}, call, sink);
+		}, call, buffered ?? sink);
 		this.#runs.add(run);
 		response.once('close', () => {
 			if (!response.writableFinished) {
@@ -127,6 +133,9 @@
 			logger.error({event: 'call_crashed', request: call.head.requestId, reason: readErrorMessage(error)}, 'unexpected error in this node while serving a call');
 			sink.abort();
 		} finally {
+			buffered?.releaseCall();
+			// A planned stop waits for what is read ahead of a caller.
+			await buffered?.closed;
 			this.#runs.delete(run);
 		}
 	}
--- a/src/gateway/calls/call-sink.ts
+++ b/src/gateway/calls/call-sink.ts
@@ -10,6 +10,9 @@
 	/** Whether the head that was sent states how the body ends: by a length or in chunks. */
 	abstract readonly isFramed: boolean;
 
+	/** Counts bytes of an answer that is held and not forwarded yet; negative when they are held no longer. */
+	holdAnswer(_bytes: number): void {} // eslint-disable-line @typescript-eslint/no-empty-function -- only a sink with an account counts
+
 	/** Sends the head. An unframed answer ends with its connection, like the backend server's, so that the caller knows that its end proves nothing. */
 	abstract sendHead(status: number, headers: HeaderFields, isFramed: boolean): void;
 
@@ -64,6 +67,16 @@
 		return this.#response.write(chunk);
 	}
 
+	/** Bytes that were written and not sent yet. */
+	get unsentLength(): number {
+		return this.#response.writableLength;
+	}
+
+	/** Calls back once when the response has closed, sent whole or not. */
+	onClose(callback: () => void): void {
+		this.#response.once('close', callback);
+	}
+
 	override onDrain(resume: () => void): void {
 		this.#response.once('drain', resume);
 	}
--- a/src/gateway/calls/index.ts
+++ b/src/gateway/calls/index.ts
@@ -11,6 +11,7 @@
 export * from './failure-answer.js';
 export * from './first-view.js';
 export * from './memory-reservation.js';
+export * from './node-buffers.js';
 export * from './live-attempt.js';
 export * from './placement-finder.js';
 export * from './placer.js';
--- a/src/gateway/calls/plain-answer.ts
+++ b/src/gateway/calls/plain-answer.ts
@@ -43,6 +43,14 @@
 	add(chunk: Uint8Array): void {
 		this.#buffered.push(chunk);
 		this.#bufferedLength += chunk.length;
+		this.#sink.holdAnswer(chunk.length);
+	}
+
+	/** Drops what is held: the answer is not needed. */
+	discard(): void {
+		this.#sink.holdAnswer(-this.#bufferedLength);
+		this.#buffered = [];
+		this.#bufferedLength = 0;
 	}
 
 	/** Sends the head as the server framed it and everything that is held; false when the caller reads too slowly. */
@@ -81,8 +89,7 @@
 
 	#takeBody(): Uint8Array {
 		const body = Buffer.concat(this.#buffered);
-		this.#buffered = [];
-		this.#bufferedLength = 0;
+		this.discard();
 		return body;
 	}
 }
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -40,6 +40,14 @@
 		name: 'cresshook_cold_limited_total', help: 'requests that wait or are rejected because backend servers are cold', labelNames: ['service', 'result'], registers: [this.#registry],
 	});
 
+	readonly #callersCutOff = new Counter({
+		name: 'cresshook_callers_cut_off_total', help: 'slow callers cut off because the node held more bytes than its budget', labelNames: ['service'], registers: [this.#registry],
+	});
+
+	readonly #bufferedBytes = new Gauge({
+		name: 'cresshook_buffered_bytes', help: 'bytes held for calls: request bodies, answers, and what slow callers have not taken', registers: [this.#registry],
+	});
+
 	readonly #abandonedConnections = new Counter({
 		name: 'cresshook_connections_left_total', help: 'connections left because they were silent, by what they were for', labelNames: ['kind'], registers: [this.#registry],
 	});
@@ -91,6 +99,16 @@
 		this.#coldLimited.inc({service, result});
 	}
 
+	/** Counts a slow caller that was cut off for the memory of the node. */
+	countCallerCutOff(service: string): void {
+		this.#callersCutOff.inc({service});
+	}
+
+	/** Sets the number of bytes held for calls. */
+	setBufferedBytes(bytes: number): void {
+		this.#bufferedBytes.set(bytes);
+	}
+
 	/** Counts kept connections to one target being closed because one of them was unresponsive. */
 	countAbandonedConnections(kind: string): void {
 		this.#abandonedConnections.inc({kind});
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -35,6 +35,10 @@
 		overage: z.number().gt(0, {error: 'write the allowed ratio of requests to the rate of a cold server, above 0'}),
 		slack: z.number().min(0, {error: 'write the number of requests allowed on top of that ratio, 0 or more'}).default(0),
 	}).optional(),
+	buffers: z.strictObject({
+		memory_share: z.number().gt(0, {error: 'write the share of the memory for buffered bytes, above 0'}).max(0.5, {error: 'write a share of at most 0.5: the process needs the rest'}).default(0.1),
+		memory_mb: z.number().gt(0, {error: 'write the memory of the box in megabytes, above 0'}),
+	}).optional(),
 	address_lifetime_seconds: z.number().min(1).max(60).default(3),
 	log: z.strictObject({
 		level: z.enum(['debug', 'info', 'warn', 'error', 'silent'], {error: 'write one of "debug", "info", "warn", "error", "silent"'}).default('info'),
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -13,7 +13,9 @@
 	FleetState, Follower, followTiming, SourceHealth, type FleetSource, type RoutingConfig,
 } from '../routing/index.js';
 import type {PackedText} from '../rpc/packed-text.js';
-import {BackendPool, CallService, Reservations} from './calls/index.js';
+import {
+	BackendPool, CallService, NodeBuffers, Reservations,
+} from './calls/index.js';
 import {FleetPlacer} from './scheduling/index.js';
 import {
 	type Adoption, type DecisionAnswer, listCallerAddresses, type Peer, PeerClients, Peers, PeerService, PeerSocket,
@@ -54,6 +56,8 @@
 /** Interval between checks whether all calls have ended, in milliseconds. */
 const drainPollInterval = 50;
 
+const bytesPerMegabyte = 1_000_000;
+
 /** Length of an incarnation id, in characters: makes a collision among thousands improbable. */
 const incarnationLength = 6;
 
@@ -67,6 +71,7 @@
 	readonly #peers: Peers;
 	readonly #placer: FleetPlacer;
 	readonly #calls: CallService;
+	readonly #buffers: NodeBuffers | undefined;
 	readonly #servers: OpenServer[] = [];
 	readonly #supervisorStop = new AbortController();
 	readonly #incarnation: string;
@@ -150,6 +155,12 @@
 			countConfigured: () => countConfiguredNodes(this.#parts.settings),
 			self,
 		});
+		const {buffers} = parts.settings;
+		this.#buffers = buffers === undefined
+			? undefined
+			: new NodeBuffers({
+				clock, logger, metrics: this.metrics, budget: buffers.memory_mb * bytesPerMegabyte * buffers.memory_share,
+			});
 		this.#calls = new CallService({
 			clock,
 			logger,
@@ -161,6 +172,7 @@
 			reservations: new Reservations({
 				clock, logger, wire, pool: this.#pool, isLive: id => this.state.hasServer(id),
 			}),
+			buffers: this.#buffers,
 			node: parts.settings.box as BoxId,
 			availabilityZone: parts.settings.availability_zone as AvailabilityZone,
 			random: parts.random,
@@ -411,6 +423,10 @@
 			this.metrics.setState('cold_servers', this.state.coldServers.size);
 		}
 
+		if (this.#buffers !== undefined) {
+			this.metrics.setBufferedBytes(this.#buffers.held);
+		}
+
 		this.metrics.setState('calls', this.#calls.inProgress);
 	}
 
--- a/test/buffer-account.test.ts
+++ b/test/buffer-account.test.ts
@@ -10,7 +10,7 @@
 
 /** Creates an account whose calls hold unread bytes since moment 0, each of an organisation of its own unless given. */
 function createAccount(unread: Record<string, number>, organisationOf = (call: string) => call): BufferAccount<string> {
-	const account = new BufferAccount<string>(budget);
+	const account = new BufferAccount<string>({budget, reserve: budget / 10});
 	for (const [call, bytes] of Object.entries(unread)) {
 		account.open(call, organisationOf(call) as OrganisationId);
 		account.add(call, 'unread', bytes, 0);
@@ -68,7 +68,7 @@
 
 /** Performs steps as a node does: no reading ahead for calls that are held back, and those cut off are closed. */
 function runSteps(steps: Step[], check: (account: BufferAccount<number>, cut: number[], unreadSince: Map<number, number>, now: number) => void): void {
-	const account = new BufferAccount<number>(budget);
+	const account = new BufferAccount<number>({budget, reserve: budget / 10});
 	const unread = new Map<number, number>();
 	const unreadSince = new Map<number, number>();
 	let now = 0;
