--- a/test/long-answers.test.ts
+++ b/test/long-answers.test.ts
@@ -11,6 +11,7 @@
 import {VirtualClock} from '../src/common/index.js';
 import {BackendAttempt, type AttemptParts} from '../src/gateway/calls/index.js';
 import {GatewayFleet, waitUntil} from './helpers/gateways.js';
+import {pause} from './helpers/pause.js';
 import {createAnswerHeaders, type ServerBehaviour} from './helpers/platform-standins.js';
 import {RecordingSink} from './helpers/scripted-call.js';
 
@@ -138,6 +139,24 @@
 	expect(countRequests()).toBe(3);
 });
 
+test('a silent server whose answer becomes long before its hedge answers is the only one that answers', async () => {
+	let count = 0;
+	await startServers(async (request, response) => {
+		if (count++ > 0) {
+			return;
+		}
+
+		response.writeHead(200, {...createAnswerHeaders(request), 'content-length': String(2 * megabyte)});
+		response.write(Buffer.alloc(megabyte, 'a'));
+		await pause(1200);
+		response.end(Buffer.alloc(megabyte, 'a'));
+	});
+	const answer = await fleet.call({path: '/again/'});
+	expect([answer.status, answer.isComplete, answer.body.length]).toEqual([200, true, 2 * megabyte]);
+	expect(countRequests()).toBe(2);
+	await waitUntil(() => fleet.runners.reduce((sum, runner) => sum + runner.abandonedCount, 0) === 1);
+});
+
 test('a caller that leaves within a long answer ends the request at its server', async () => {
 	await startServers(answerLong(2 * megabyte, {interrupt: ignore}));
 	for (const path of paths) {
