--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -38,6 +38,10 @@
 	organisation_shares: z.strictObject({
 		memory_seconds: z.number().gt(0, {error: 'write a number of seconds above 0, such as 3'}).max(60),
 	}).optional(),
+	buffers: z.strictObject({
+		memory_share: z.number().gt(0, {error: 'write the share of the memory for buffered bytes, above 0'}).max(0.5, {error: 'write a share of at most 0.5: the process needs the rest'}).default(0.1),
+		memory_mb: z.number().gt(0, {error: 'write the memory of the box in megabytes, above 0'}),
+	}).optional(),
 	address_lifetime_seconds: z.number().min(1).max(60).default(3),
 	log: z.strictObject({
 		level: z.enum(['debug', 'info', 'warn', 'error', 'silent'], {error: 'write one of "debug", "info", "warn", "error", "silent"'}).default('info'),
--- a/test/cold-servers.test.ts
+++ b/test/cold-servers.test.ts
@@ -70,8 +70,9 @@
 	const template = await readFile('deploy/settings.toml.template', 'utf8');
 	expect(template.match(/{{#bounds\.coldOverage}}/g)).toHaveLength(1);
 	const [, section] = /\{\{#bounds\.coldOverage\}\}(?<section>.*)\{\{\/bounds\.coldOverage\}\}/su.exec(template)!;
-	const rendered = section.replaceAll(/\{\{[#/][^}]*\}\}/gu, '').replace('{{bounds.coldOverage}}', '1.5').replace('{{bounds.coldSlack}}', '5');
+	const rendered = section.replaceAll(/\{\{[#/][^}]*\}\}/gu, '').replace('{{bounds.coldOverage}}', '1.5').replace('{{bounds.coldSlack}}', '5').replace('{{limits.memoryMb}}', '250');
 	expect(parseGatewaySettings(base + rendered).unsafeCoerce().cold_servers).toEqual(allowance);
+	expect(parseGatewaySettings(base + rendered).unsafeCoerce().buffers).toEqual({memory_mb: 250, memory_share: 0.1});
 	expect(parseGatewaySettings(base).unsafeCoerce().cold_servers).toBeUndefined();
 });
 
