fix(planning): the forecast of short prompts ends with their burst

Callers got 503 for a prompt of 120,000 tokens beside idle servers: twelve short requests of the last two seconds counted as the demand of the next one.

The forecast counts as far as requests decode as the demand would keep there.

--- a/src/planning/prefill-options.ts
+++ b/src/planning/prefill-options.ts
@@ -11,7 +11,7 @@
 import type {PlannedPause, PlanRequest} from './plan.js';
 import {maxPrefillServers, type PrefillDemand} from './prefill-demand.js';
 import type {ServerLoad} from './server-load.js';
-import {estimateOverflowLoss, type ShortForecast} from './short-demand.js';
+import {estimateConfidence, estimateOverflowLoss, type ShortForecast} from './short-demand.js';
 
 /** Part of the accepted pause that a prefill leaves unused, in milliseconds: for a short prefill beside it and the transit of an event. */
 export const pauseMargin = 40;
@@ -135,7 +135,8 @@
 	const stalled = new Set(chosen.map(({load}) => load));
 	const free = all.filter(({freeIn}) => freeIn <= shortForecast.objective).map(({load}) => load);
 	const remaining = free.filter(load => !stalled.has(load));
-	return estimateOverflowLoss(shortForecast, remaining, engine, prefillTime) - estimateOverflowLoss(shortForecast, free, engine, prefillTime);
+	const added = estimateOverflowLoss(shortForecast, remaining, engine, prefillTime) - estimateOverflowLoss(shortForecast, free, engine, prefillTime);
+	return added * estimateConfidence(shortForecast, all.reduce((sum, {load}) => sum + load.writers, 0));
 }
 
 function findWorstPause(chosen: Candidate[], engine: EngineProfile, sharedTime: number): PlannedPause | undefined {
--- a/src/planning/short-demand.ts
+++ b/src/planning/short-demand.ts
@@ -58,6 +58,11 @@
 /** Demand for short requests: arrivals per millisecond, and means of one request, in milliseconds and tokens. */
 export type ShortForecast = {rate: number; objective: number; lateLoss: number; prefillTime: number; answerTime: number};
 
+/** Share of the forecast that holds while `writers` requests decode: far fewer than the demand would keep there mean that the burst has ended. */
+export function estimateConfidence({rate, answerTime}: ShortForecast, writers: number): number {
+	return Math.min(1, writers / Math.max(1, rate * answerTime));
+}
+
 /** Loss of the short requests that arrive in the next `stallTime` milliseconds and find no room on `servers`, in tokens. */
 export function estimateOverflowLoss(forecast: ShortForecast, servers: ServerLoad[], engine: EngineProfile, stallTime: number): number {
 	// Requests that arrive later start within their objective after the stall.
