--- a/src/gateway/calls/buffer-account.ts
+++ b/src/gateway/calls/buffer-account.ts
@@ -1,7 +1,7 @@
 /**
  * Counts the bytes that a node holds for its calls, and decides who is held back and who is cut off. Pure.
  *
- * Under the budget nobody is held back. Over it, those calls that hold most read no further ahead of their callers; the
+ * Under the budget all calls read ahead of their callers. Over it, those that hold most pause reading; the
  * farther over it, the more of them. Once the reserve above the budget is used too, the slowest callers are cut off. The
  * same rules bound each organisation at half of the budget.
  *
--- a/src/routing/server-view.ts
+++ b/src/routing/server-view.ts
@@ -30,7 +30,7 @@
 
 /** Dependencies of a view. */
 export type ServerViewParts = {
-	/** Is told of each entry. */
+	/** Receives the remaining cold time of each entry. */
 	coldServers: ColdServers;
 	clock: Clock;
 	logger: Logger;
--- a/src/routing/zone-evacuations.ts
+++ b/src/routing/zone-evacuations.ts
@@ -1,7 +1,7 @@
 /**
  * The availability zones that operators evacuate: their servers get no new requests. Pure except for the clock.
  *
- * The set is ordered by the position in the history of the source up to which it is known, whoever sends it. It does not
+ * The set is ordered by the position in the history of the source up to which it is known, regardless of the sender. It does not
  * change while the source is down. After the source was restored from a copy, an evacuation that the copy lacks is kept for
  * a while, and one that the copy still has is in force until its removal is written again: a zone without traffic for
  * seconds costs less than requests in a zone that is being emptied.
