--- a/src/planning/server-load.ts
+++ b/src/planning/server-load.ts
@@ -56,7 +56,7 @@
  */
 const overdueExtension = 0.2;
 
-/** Minimum time that an overdue prefill is expected to take in addition, in milliseconds: the report of its first event takes some of it. */
+/** Minimum time that an overdue prefill is expected to take in addition, in milliseconds: its server never counts as free. */
 const minOverdueExtension = 1;
 
 /** Share of its predicted time by which a long prefill may be overdue before it counts as ended: the report of its first event may be lost. */
