test(planning): give the socket test of organisation shares the time of the other socket tests

Alone, beside the same plays, it takes 4.45 s: a planned stop waits for three seconds of address answers, and the test for 1.5. No check of the test is a time; other socket tests have 30 s.

--- a/test/organisation-shares.test.ts
+++ b/test/organisation-shares.test.ts
@@ -254,6 +254,9 @@
 	expect(new Set(delays).size).toBe(20);
 });
 
+/** Timeout in milliseconds of tests that run for some seconds in real time over real sockets. */
+const fleetTestTimeout = 30_000;
+
 test('with the setting, decisions are logged with the share used, and a new scheduling node knows the usage', async () => {
 	const fleet = new GatewayFleet();
 	const logs = [new LogCapture(), new LogCapture()];
@@ -279,7 +282,7 @@
 	} finally {
 		await fleet.stop();
 	}
-});
+}, fleetTestTimeout);
 
 test('the settings state how long usage is remembered', () => {
 	const parse = (text: string) => parseGatewaySettings(text).swap().unsafeCoerce().map(({key}) => key);
