feat(observability): log which node's attempt puts a server into backoff

Change: the planner reports a new backoff with the trouble and the node, the scheduling node logs it as server_backoff.

--- a/src/gateway/calls/backend-pool.ts
+++ b/src/gateway/calls/backend-pool.ts
@@ -5,9 +5,10 @@
  * undici reports an answer without a length as complete even if a reset ended it.
  */
 import type {Socket} from 'node:net';
-import {buildConnector, Client} from 'undici';
+import {Client} from 'undici';
 import {createTimeout, type Clock} from '../../common/index.js';
 import type {BackendExchange} from './backend-exchange.js';
+import {TcpDialer, type ServerDialer} from './server-dialer.js';
 
 /** Connect timeout, in milliseconds: servers are a few milliseconds away, and one that lost power never answers. */
 const connectTimeout = 400;
@@ -40,11 +41,10 @@
 	idleSince = 0;
 	#socket: Socket | undefined;
 
-	constructor(address: string) {
-		const connect = buildConnector({timeout: connectTimeout});
+	constructor(address: string, dialer: ServerDialer) {
 		this.client = new Client(`http://${address}`, {
-			connect: (options, callback) => {
-				connect(options, (...result) => {
+			connect: (_options, callback) => {
+				dialer.dial(address, connectTimeout, (...result) => {
 					this.#socket = result[0] === null ? result[1] : undefined;
 					callback(...result);
 				});
@@ -65,11 +65,13 @@
 /** Connections to all backend servers, by address. */
 export class BackendPool {
 	readonly #clock: Clock;
+	readonly #dialer: ServerDialer;
 	readonly #idle = new Map<string, BackendConnection[]>();
 	readonly #connections = new Set<BackendConnection>();
 
-	constructor(clock: Clock) {
+	constructor(clock: Clock, dialer: ServerDialer = new TcpDialer()) {
 		this.#clock = clock;
+		this.#dialer = dialer;
 	}
 
 	/** Sends a request to an address, `IP:PORT`; the exchange receives the answer. */
@@ -166,7 +168,7 @@
 			this.#closeConnection(idle);
 		}
 
-		const connection = new BackendConnection(address);
+		const connection = new BackendConnection(address, this.#dialer);
 		this.#connections.add(connection);
 		return connection;
 	}
--- a/src/gateway/calls/call-service.ts
+++ b/src/gateway/calls/call-service.ts
@@ -16,6 +16,7 @@
 import type {NodeBuffers} from './node-buffers.js';
 import type {Placer} from './placer.js';
 import type {Reservations} from './reservations.js';
+import type {ServerDialer} from './server-dialer.js';
 import {ServerProbe} from './server-probe.js';
 
 /** Longest prompt that the metrics count as short, in tokens. */
@@ -31,6 +32,7 @@
 	pool: BackendPool;
 	placer: Placer;
 	reservations: Reservations;
+	dialer: ServerDialer;
 	/** Buffers with a common budget; without them, each server waits for its caller. */
 	buffers: NodeBuffers | undefined;
 	/** Name and availability zone of this node. */
@@ -48,8 +50,10 @@
 
 	constructor(parts: CallServiceParts) {
 		this.#parts = parts;
-		const {clock, state} = parts;
-		this.#probe = new ServerProbe({clock, findServer: id => state.findUsableServer(id), isLive: id => state.hasServer(id)});
+		const {clock, state, dialer} = parts;
+		this.#probe = new ServerProbe({
+			clock, dialer, findServer: id => state.findUsableServer(id), isLive: id => state.hasServer(id),
+		});
 	}
 
 	/** Handles the restart of a server: calls that ran in its previous process continue elsewhere at once. */
--- a/src/gateway/calls/index.ts
+++ b/src/gateway/calls/index.ts
@@ -16,4 +16,5 @@
 export * from './placement-finder.js';
 export * from './placer.js';
 export * from './reservations.js';
+export * from './server-dialer.js';
 export * from './server-probe.js';
--- a/src/gateway/calls/server-probe.ts
+++ b/src/gateway/calls/server-probe.ts
@@ -1,7 +1,7 @@
 /** Determines whether a backend server has ended, or only a connection to it was lost. */
-import {connect} from 'node:net';
 import type {BackendServerId, Clock} from '../../common/index.js';
 import type {BackendServer} from '../../routing/index.js';
+import {TcpDialer, type ServerDialer} from './server-dialer.js';
 
 /** Connect timeout, in milliseconds: a refusal takes one round trip, and the request waits for the result. */
 const connectTimeout = 100;
@@ -18,6 +18,7 @@
 	/** Finds a server that accepts new requests; undefined when its entry is gone. */
 	findServer: (id: BackendServerId) => BackendServer | undefined;
 	isLive: (id: BackendServerId) => boolean;
+	dialer?: ServerDialer;
 };
 
 /** Probes servers that broke off requests: opens a connection and sends nothing. */
@@ -49,28 +50,15 @@
 			return !this.#parts.isLive(id);
 		}
 
-		return isRefused(server.address, this.#parts.clock);
+		return isRefused(server.address, this.#parts.dialer ?? new TcpDialer());
 	}
 }
 
-async function isRefused(address: string, clock: Clock): Promise<boolean> {
-	const [host, port] = address.split(':');
+async function isRefused(address: string, dialer: ServerDialer): Promise<boolean> {
 	return new Promise(resolve => {
-		const socket = connect(Number(port), host);
-		const finish = (isEnded: boolean) => {
-			timer.cancel();
-			socket.destroy();
-			resolve(isEnded);
-		};
-
-		const timer = clock.setTimer(connectTimeout, () => {
-			finish(false);
-		});
-		socket.once('connect', () => {
-			finish(false);
-		});
-		socket.once('error', (error: NodeJS.ErrnoException) => {
-			finish(endedErrorCodes.has(error.code ?? ''));
+		dialer.dial(address, connectTimeout, (error, socket) => {
+			socket?.destroy();
+			resolve(error !== null && endedErrorCodes.has((error as NodeJS.ErrnoException).code ?? ''));
 		});
 	});
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -14,7 +14,7 @@
 } from '../routing/index.js';
 import type {PackedText} from '../rpc/packed-text.js';
 import {
-	BackendPool, CallService, NodeBuffers, Reservations,
+	BackendPool, CallService, NodeBuffers, Reservations, TcpDialer, type ServerDialer,
 } from './calls/index.js';
 import {FleetPlacer} from './scheduling/index.js';
 import {
@@ -45,6 +45,8 @@
 	logger: Logger;
 	/** Uniform random numbers in [0, 1). */
 	random: () => number;
+	/** Opens connections to backend servers; over TCP by default. */
+	dialer?: ServerDialer;
 };
 
 /** Share of the grace period after which a stopping node cuts off calls in progress. */
@@ -92,7 +94,8 @@
 		this.#addressLifetime = new AddressLifetime(clock, parts.settings.address_lifetime_seconds);
 		this.#incarnation = computeDigest(parts.ids.createUuid(), incarnationLength);
 		this.state = new FleetState(clock, logger, {followsEvacuations: parts.settings.evacuations !== undefined});
-		this.#pool = new BackendPool(clock);
+		const dialer = parts.dialer ?? new TcpDialer();
+		this.#pool = new BackendPool(clock, dialer);
 		this.#clients = new PeerClients(clock, () => {
 			this.metrics.countAbandonedConnections('peer');
 		});
@@ -173,6 +176,7 @@
 			reservations: new Reservations({
 				clock, logger, wire, pool: this.#pool, isLive: id => this.state.hasServer(id),
 			}),
+			dialer,
 			buffers: this.#buffers,
 			node: parts.settings.box as BoxId,
 			availabilityZone: parts.settings.availability_zone as AvailabilityZone,
--- a/src/gateway/scheduling/decision-log.ts
+++ b/src/gateway/scheduling/decision-log.ts
@@ -2,7 +2,7 @@
 import type {Either} from 'purify-ts';
 import type {AvailabilityZone, Failure, Logger} from '../../common/index.js';
 import type {
-	Decision, OverrunReport, PlanRequest, ShareReport,
+	BackoffReport, Decision, OverrunReport, PlanRequest, ShareReport,
 } from '../../planning/index.js';
 import {formatPosition} from '../../routing/index.js';
 
@@ -92,3 +92,10 @@
 		allowedOverrun: Math.round(allowedOverrun * 100) / 100,
 	}, 'reading a long prompt took longer than planned');
 }
+
+/** Logs a server that is put into backoff, with the node whose attempt failed. */
+export function logBackoff(logger: Logger, {server, trouble, node, backoff}: BackoffReport): void {
+	logger.info({
+		event: 'server_backoff', server, trouble, node, backoff: Math.round(backoff),
+	}, 'a backend server gets no requests for a time');
+}
--- a/src/gateway/scheduling/plan-event-reporter.ts
+++ b/src/gateway/scheduling/plan-event-reporter.ts
@@ -2,7 +2,7 @@
 import type {Clock, Logger, ServiceName} from '../../common/index.js';
 import type {Plan, PlanEvent, Planner} from '../../planning/index.js';
 import type {Peer} from '../peers/heartbeat.js';
-import {logReadOverrun} from './decision-log.js';
+import {logBackoff, logReadOverrun} from './decision-log.js';
 import type {PlanUpdateSender} from './plan-update-sender.js';
 import type {ServicePlans, ServicePlansRegistry} from './service-plans.js';
 
@@ -49,9 +49,15 @@
 
 	/** Applies an event of any node to a planner. */
 	apply(planner: Planner, event: PlanEvent): void {
-		const overrun = planner.recordEvent(event, this.#parts.clock.readMonotonic());
-		if (overrun !== undefined) {
-			logReadOverrun(this.#parts.logger, overrun);
+		const report = planner.recordEvent(event, this.#parts.clock.readMonotonic());
+		if (report === undefined) {
+			return;
+		}
+
+		if ('backoff' in report) {
+			logBackoff(this.#parts.logger, report);
+		} else {
+			logReadOverrun(this.#parts.logger, report);
 		}
 	}
 
--- a/src/planning/plan.ts
+++ b/src/planning/plan.ts
@@ -128,5 +128,8 @@
 /** A prefill that exceeded its allowed overrun; times in milliseconds, `allowedOverrun` as a share of the prediction. */
 export type OverrunReport = {plan: Plan; predicted: number; took: number; allowedOverrun: number};
 
+/** A server that gets no requests for a `backoff` in milliseconds, because of an attempt of a node; the node is undefined when its plan has ended. */
+export type BackoffReport = {server: BackendServerId; trouble: Trouble; node: BoxId | undefined; backoff: number};
+
 /** Failure of a server as its callers see it: full, unreachable, silent, or a failed answer (`spoiled`). */
 export type Trouble = 'full' | 'unreached' | 'silent' | 'spoiled';
--- a/src/planning/planner.ts
+++ b/src/planning/planner.ts
@@ -26,7 +26,7 @@
 import {LimitGate, type GatedRequest} from './limit-gate.js';
 import type {OrganisationShares} from './organisation-shares.js';
 import type {
-	Decision, OverrunReport, Plan, PlanEvent, PlanRequest,
+	BackoffReport, Decision, OverrunReport, Plan, PlanEvent, PlanRequest,
 } from './plan.js';
 import {PrefillScheduler} from './prefill-scheduler.js';
 import {PromptClassifier} from './prompt-classifier.js';
@@ -198,8 +198,8 @@
 		}
 	}
 
-	/** Records the progress of a plan; returns a report when a long prefill exceeded its allowed overrun. */
-	recordEvent(event: PlanEvent, now: number): OverrunReport | undefined {
+	/** Records the progress of a plan; reports a server that is put into backoff, or a long prefill that exceeded its allowed overrun. */
+	recordEvent(event: PlanEvent, now: number): BackoffReport | OverrunReport | undefined {
 		if (event.kind === 'server_ended') {
 			this.#crashes.recordCrash(event.server, event.fingerprint, now);
 			return undefined;
@@ -211,15 +211,7 @@
 		}
 
 		if (event.kind === 'failed') {
-			const load = this.#plans.loads.get(event.server);
-			// A server is silent during a planned long prefill; that is no failure.
-			if (event.trouble === 'spoiled' && load !== undefined) {
-				this.#failures.recordFailure(load, this.#plans.findPlan(event.planId), this.#plans.loads, now);
-			} else if (event.trouble !== 'silent' || !load?.hasRecentLongPrefill(now)) {
-				load?.health.recordFailure(event.trouble, now);
-			}
-
-			return undefined;
+			return this.#recordFailure(event, now);
 		}
 
 		if (event.kind === 'started') {
@@ -275,6 +267,28 @@
 		}
 	}
 
+	#recordFailure({planId, server, trouble}: Extract<PlanEvent, {kind: 'failed'}>, now: number): BackoffReport | undefined {
+		const load = this.#plans.loads.get(server);
+		const plan = this.#plans.findPlan(planId);
+		if (load === undefined) {
+			return undefined;
+		}
+
+		if (trouble === 'spoiled') {
+			this.#failures.recordFailure(load, plan, this.#plans.loads, now);
+			return undefined;
+		}
+
+		// A server is silent during a planned long prefill; that is no failure.
+		const isExplained = trouble === 'silent' && load.hasRecentLongPrefill(now);
+		const isNew = !isExplained && load.health.recordFailure(trouble, now);
+		return isNew
+			? {
+				server, trouble, node: plan?.request.node, backoff: load.health.computeBackoffLeft(now),
+			}
+			: undefined;
+	}
+
 	#recordStart(planId: PlanId, now: number): OverrunReport | undefined {
 		const active = this.#plans.recordStart(planId, now);
 		if (active === undefined) {
--- a/test/helpers/gateways.ts
+++ b/test/helpers/gateways.ts
@@ -5,6 +5,7 @@
 import {
 	createSilentLogger, randomIdSource, systemClock, type Logger,
 } from '../../src/common/index.js';
+import type {ServerDialer} from '../../src/gateway/calls/index.js';
 import {Gateway, parseGatewaySettings, type GatewaySettings} from '../../src/gateway/index.js';
 import {processHost} from './process-host.js';
 import {StandinServer, StandinStore, type ServerBehaviour} from './platform-standins.js';
@@ -90,6 +91,8 @@
 export class GatewayFleet {
 	/** Loggers by index of the node; nodes without one do not log. */
 	readonly loggers: Logger[] = [];
+	/** Dialers by index of the node; nodes without one connect to servers over TCP. */
+	readonly dialers: ServerDialer[] = [];
 	/** Sections added to the settings of each node. */
 	extraSettings = '';
 	/** How long nodes remember the usage of organisations, in seconds; without shares when undefined. */
@@ -178,7 +181,7 @@
 `).unsafeCoerce();
 		const logger = this.loggers[index] ?? createSilentLogger();
 		const gateway = new Gateway({
-			settings, source: new PlatformSource(settings.store.address, logger), wire: new CallWire(), clock: systemClock, ids: randomIdSource, logger, random: Math.random,
+			settings, source: new PlatformSource(settings.store.address, logger), wire: new CallWire(), clock: systemClock, ids: randomIdSource, logger, random: Math.random, dialer: this.dialers[index],
 		});
 		await gateway.start();
 		this.gateways.push(gateway);
