fix(gateway): forward requests to servers that a node does not reach through another node

Cause: a failed attempt meant a failed server.

Change: a node judges its own links from attempts, connections and probes (src/routing/server-links.ts, pure). A request that has not reached its server goes through another node, over that node's own link only. Nothing is sent twice: the forwarding node says whether it has sent the request. Troubles are reported, and refused connections counted as crashes, only when another node does not reach the server either.

Two crashes in a row looked like isolation and a request crashed a fourth server, so servers without failures are probed first. Probes that waited for whole answers cut healthy links.

--- a/src/gateway/calls/backend-exchange.ts
+++ b/src/gateway/calls/backend-exchange.ts
@@ -5,6 +5,7 @@
  * whose connection was established before it failed can have reached the server.
  */
 import type {Dispatcher} from 'undici';
+import type {BoxId} from '../../common/index.js';
 import type {HeaderFields} from '../wire.js';
 
 /** Callbacks of an exchange, in order: a head, data, and an end or an error. */
@@ -22,12 +23,16 @@
 export type ExchangeConnection = {
 	/** Whether the connection ended with an error. */
 	wasReset: () => boolean;
+	/** Whether the connection was opened for the exchange. */
+	isNew?: () => boolean;
 	/** Called once when the exchange no longer needs the connection. */
 	onDone: () => void;
 };
 
 /** Handler of one exchange. */
 export class BackendExchange implements Dispatcher.DispatchHandler {
+	/** The node that forwards the request to the server; undefined when this node is connected to it. */
+	relay: BoxId | undefined;
 	readonly #listener: ExchangeListener;
 	#controller: Dispatcher.DispatchController | undefined;
 	#wasSent = false;
@@ -45,6 +50,22 @@
 		return this.#wasSent;
 	}
 
+	/** Whether the exchange was ended by this node. */
+	get isAborted(): boolean {
+		return this.#isAborted;
+	}
+
+	/** Whether the head of the answer states how its body ends. */
+	get isFramed(): boolean {
+		return this.#isFramed;
+	}
+
+	/** Records that the request has not reached the server after all: the node that was to forward it did not. */
+	resetSend(): void {
+		this.#wasSent = false;
+		this.#controller = undefined;
+	}
+
 	/** Sets the connection that the exchange uses. */
 	attach(connection: ExchangeConnection): void {
 		this.#connection = connection;
@@ -101,7 +122,7 @@
 		this.#finish();
 	}
 
-	onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
+	onResponseError(_controller: Dispatcher.DispatchController | undefined, error: Error): void {
 		this.#finish(error);
 	}
 
--- a/src/gateway/calls/backend-pool.ts
+++ b/src/gateway/calls/backend-pool.ts
@@ -5,9 +5,11 @@
  * undici reports an answer without a length as complete even if a reset ended it.
  */
 import type {Socket} from 'node:net';
-import {Client} from 'undici';
-import {createTimeout, type Clock} from '../../common/index.js';
-import type {BackendExchange} from './backend-exchange.js';
+import {Client, type Dispatcher} from 'undici';
+import {
+	createTimeout, type BackendServerId, type Clock, type RequestId,
+} from '../../common/index.js';
+import type {BackendExchange, ExchangeConnection} from './backend-exchange.js';
 import {TcpDialer, type ServerDialer} from './server-dialer.js';
 
 /** Connect timeout, in milliseconds: servers are a few milliseconds away, and one that lost power never answers. */
@@ -21,6 +23,10 @@
 
 /** A request to a backend server. */
 export type BackendRequest = {
+	/** The server that it is meant for; without it, the request takes no other way than the address. */
+	server?: BackendServerId;
+	/** Id of the caller's request, for log lines. */
+	requestId?: RequestId;
 	method: string;
 	path: string;
 	headers: Record<string, string | string[]>;
@@ -35,16 +41,24 @@
  */
 export type ConnectionUse = 'kept' | 'fresh';
 
+/** Receives the answer of a request on a pooled connection. */
+export type PooledHandler = Dispatcher.DispatchHandler & {attach(connection: ExchangeConnection): void};
+
 /** One connection; its client reconnects when the server has closed it. */
 class BackendConnection {
 	readonly client: Client;
 	idleSince = 0;
+	/** Timeout of the next connection attempt, in milliseconds. */
+	connectTimeout = connectTimeout;
+	/** Number of connection attempts. */
+	dialled = 0;
 	#socket: Socket | undefined;
 
 	constructor(address: string, dialer: ServerDialer) {
 		this.client = new Client(`http://${address}`, {
 			connect: (_options, callback) => {
-				dialer.dial(address, connectTimeout, (...result) => {
+				this.dialled++;
+				dialer.dial(address, this.connectTimeout, (...result) => {
 					this.#socket = result[0] === null ? result[1] : undefined;
 					callback(...result);
 				});
@@ -62,6 +76,9 @@
 	}
 }
 
+/** A request that a server has not answered. */
+export type SilentRequest = {server: BackendServerId; address: string; exchange: BackendExchange; sentAt: number};
+
 /** Connections to all backend servers, by address. */
 export class BackendPool {
 	readonly #clock: Clock;
@@ -76,18 +93,11 @@
 
 	/** Sends a request to an address, `IP:PORT`; the exchange receives the answer. */
 	dispatch(address: string, request: BackendRequest, exchange: BackendExchange, use: ConnectionUse = 'kept'): void {
-		const connection = this.#acquire(address, use);
-		exchange.attach({
-			wasReset: () => connection.wasReset,
-			onDone: () => {
-				this.#release(address, connection);
-			},
-		});
-		connection.client.dispatch({...request, method: request.method}, exchange);
+		this.send(address, request, exchange, use);
 	}
 
 	/** Sends a request and reads its complete answer; rejects when there is none within `timeout` milliseconds. */
-	async ask(address: string, request: BackendRequest, timeout: number, use: ConnectionUse = 'kept'): Promise<{status: number; text: string}> {
+	async ask(address: string, {server: _server, requestId: _requestId, ...request}: BackendRequest, timeout: number, use: ConnectionUse = 'kept'): Promise<{status: number; text: string}> {
 		const connection = this.#acquire(address, use);
 		const askedAt = this.#clock.readMonotonic();
 		const deadline = createTimeout(this.#clock, timeout);
@@ -105,6 +115,16 @@
 		}
 	}
 
+	/** Handles the silence of a server to a request that was sent at `sentAt`, in monotonic milliseconds. */
+	recordSilence({address, sentAt}: SilentRequest): void {
+		this.closeSuspect(address, sentAt);
+	}
+
+	/** Whether the last failed attempt at a server is due to the server, and not to the way to it. */
+	verifyFault(_server: BackendServerId): boolean | Promise<boolean> {
+		return true;
+	}
+
 	/**
 	 * Closes idle connections that may be dead, after a request got no answer: each would delay another request as much.
 	 *
@@ -113,7 +133,7 @@
 	 */
 	closeSuspect(address: string, sentAt: number): void {
 		this.closeIdle(address);
-		this.#closeIdleBefore(sentAt);
+		this.closeIdleBefore(sentAt);
 	}
 
 	/** Closes the idle connections to a server. */
@@ -127,7 +147,7 @@
 
 	/** Closes connections that have been idle for too long. */
 	prune(): void {
-		this.#closeIdleBefore(this.#clock.readMonotonic() - maxIdleTime);
+		this.closeIdleBefore(this.#clock.readMonotonic() - maxIdleTime);
 	}
 
 	/** Closes all connections at once. */
@@ -135,7 +155,8 @@
 		await Promise.all([...this.#connections].map(async connection => connection.client.destroy()));
 	}
 
-	#closeIdleBefore(earliest: number): void {
+	/** Closes connections that have been idle since before a monotonic time in milliseconds. */
+	closeIdleBefore(earliest: number): void {
 		for (const [address, idle] of this.#idle) {
 			const remaining = idle.filter(connection => connection.idleSince >= earliest);
 			for (const connection of idle) {
@@ -152,6 +173,21 @@
 		}
 	}
 
+	/** Sends a request to an address on a pooled connection. */
+	protected send(address: string, {server: _server, requestId: _requestId, ...request}: BackendRequest, handler: PooledHandler, use: ConnectionUse, timeout = connectTimeout): void { // eslint-disable-line max-params
+		const connection = this.#acquire(address, use);
+		const {dialled} = connection;
+		connection.connectTimeout = timeout;
+		handler.attach({
+			wasReset: () => connection.wasReset,
+			isNew: () => connection.dialled > dialled,
+			onDone: () => {
+				this.#release(address, connection);
+			},
+		});
+		connection.client.dispatch({...request, method: request.method}, handler);
+	}
+
 	#closeConnection(connection: BackendConnection): void {
 		this.#connections.delete(connection);
 		void connection.client.destroy();
--- a/src/gateway/calls/call-run.ts
+++ b/src/gateway/calls/call-run.ts
@@ -373,7 +373,24 @@
 		this.#pendingRetryRequest = undefined;
 	}
 
+	/** Reports trouble with a server. A failed attempt is reported only if the server is the cause, since other nodes would avoid it too. */
 	#recordTrouble(plan: Plan, trouble: Trouble, server: BackendServerId): void {
+		const isServerAtFault = isAttemptFailure(trouble) ? this.#parts.pool.verifyFault(server) : true;
+		if (isServerAtFault === true) {
+			this.#reportTrouble(plan, trouble, server);
+			return;
+		}
+
+		void this.#reportConfirmed(isServerAtFault, {plan, trouble, server});
+	}
+
+	async #reportConfirmed(isServerAtFault: boolean | Promise<boolean>, {plan, trouble, server}: {plan: Plan; trouble: Trouble; server: BackendServerId}): Promise<void> {
+		if (await isServerAtFault) {
+			this.#reportTrouble(plan, trouble, server);
+		}
+	}
+
+	#reportTrouble(plan: Plan, trouble: Trouble, server: BackendServerId): void {
 		this.#parts.metrics.countTrouble(this.#call.service.name, trouble);
 		this.#parts.placer.report(plan, {
 			planId: plan.planId, kind: 'failed', server, trouble,
@@ -430,3 +447,8 @@
 function createUnconfirmedFailure(reason: string): Failure {
 	return createFailure('backend_unconfirmed', `a backend server may have run the request and its answer did not arrive: ${reason}`);
 }
+
+/** Whether a trouble may have its cause between this node and the server. */
+function isAttemptFailure(trouble: Trouble): boolean {
+	return trouble === 'unreached' || trouble === 'silent';
+}
--- a/src/gateway/calls/call-service.ts
+++ b/src/gateway/calls/call-service.ts
@@ -50,9 +50,11 @@
 
 	constructor(parts: CallServiceParts) {
 		this.#parts = parts;
-		const {clock, state, dialer} = parts;
+		const {
+			clock, state, dialer, pool,
+		} = parts;
 		this.#probe = new ServerProbe({
-			clock, dialer, findServer: id => state.findUsableServer(id), isLive: id => state.hasServer(id),
+			clock, dialer, findServer: id => state.findUsableServer(id), isLive: id => state.hasServer(id), verifyFault: async id => pool.verifyFault(id),
 		});
 	}
 
--- a/src/gateway/calls/index.ts
+++ b/src/gateway/calls/index.ts
@@ -17,4 +17,5 @@
 export * from './placer.js';
 export * from './reservations.js';
 export * from './server-dialer.js';
+export * from './server-notice.js';
 export * from './server-probe.js';
--- a/src/gateway/calls/live-attempt.ts
+++ b/src/gateway/calls/live-attempt.ts
@@ -222,7 +222,9 @@
 				listener.releaseHedge();
 			},
 			onSilent: reason => {
-				pool.closeSuspect(server.address, sentAt);
+				pool.recordSilence({
+					server: server.id, address: server.address, exchange: attempt.exchange, sentAt,
+				});
 				this.#notifySilence?.({kind: 'silent', plan, reason});
 			},
 			claimAnswer: () => {
@@ -240,6 +242,8 @@
 		});
 		this.#attempt = attempt;
 		pool.dispatch(server.address, {
+			server: server.id,
+			requestId: call.head.requestId,
 			method: call.head.method,
 			path: call.head.target,
 			body: call.body,
--- a/src/gateway/calls/memory-reservation.ts
+++ b/src/gateway/calls/memory-reservation.ts
@@ -151,7 +151,7 @@
 		const {pool, wire} = this.#parts;
 		try {
 			const answer = await pool.ask(this.reservation.address, {
-				method: 'GET', path: wire.reportPath, headers: {}, body: undefined,
+				server: this.reservation.server, method: 'GET', path: wire.reportPath, headers: {}, body: undefined,
 			}, orderTimeout);
 			return wire.readReservationUse(answer.text, this.reservation.reservation);
 		} catch {
@@ -162,10 +162,10 @@
 	/** Sends an order; returns whether the server confirmed it. */
 	async #sendOrder(order: ReservationOrder, use: ConnectionUse = 'kept'): Promise<boolean> {
 		const {logger, pool, wire} = this.#parts;
-		const {address, reservation} = this.reservation;
+		const {server, address, reservation} = this.reservation;
 		const message = wire.formatOrder(order);
 		try {
-			const answer = await pool.ask(address, {...message, headers: message.headers as Record<string, string>}, orderTimeout, use);
+			const answer = await pool.ask(address, {...message, server, headers: message.headers as Record<string, string>}, orderTimeout, use);
 			if (answer.status !== 200) {
 				logger.warn({
 					event: 'order_refused', order: order.kind, reservation, address, status: answer.status,
--- a/src/gateway/calls/server-probe.ts
+++ b/src/gateway/calls/server-probe.ts
@@ -19,6 +19,8 @@
 	findServer: (id: BackendServerId) => BackendServer | undefined;
 	isLive: (id: BackendServerId) => boolean;
 	dialer?: ServerDialer;
+	/** Whether a server that refuses connections of this node is itself at fault; by default it is. */
+	verifyFault?: (id: BackendServerId) => Promise<boolean>;
 };
 
 /** Probes servers that broke off requests: opens a connection and sends nothing. */
@@ -50,7 +52,8 @@
 			return !this.#parts.isLive(id);
 		}
 
-		return isRefused(server.address, this.#parts.dialer ?? new TcpDialer());
+		const {dialer = new TcpDialer(), verifyFault = async () => true} = this.#parts;
+		return await isRefused(server.address, dialer) && verifyFault(id);
 	}
 }
 
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -60,6 +60,18 @@
 		name: 'cresshook_connections_left_total', help: 'connections left because they were silent, by what they were for', labelNames: ['kind'], registers: [this.#registry],
 	});
 
+	readonly #relayed = new Counter({
+		name: 'cresshook_relayed_total', help: 'requests to backend servers that another node was to forward, by purpose and outcome', labelNames: ['service', 'purpose', 'outcome'], registers: [this.#registry],
+	});
+
+	readonly #forwarded = new Counter({
+		name: 'cresshook_forwarded_total', help: 'requests that this node was to forward for another one, by outcome', labelNames: ['outcome'], registers: [this.#registry],
+	});
+
+	readonly #linkFailures = new Counter({
+		name: 'cresshook_link_failures_total', help: 'failed attempts over the links of this node to backend servers, by kind', labelNames: ['failure'], registers: [this.#registry],
+	});
+
 	readonly #configLag = new Gauge({
 		name: 'cresshook_config_behind_seconds', help: 'for how long the node has known of a newer configuration than its own', registers: [this.#registry],
 	});
@@ -97,6 +109,21 @@
 		this.#troubles.inc({service, trouble});
 	}
 
+	/** Counts a request that another node was to forward. */
+	countRelayed(service: string, purpose: string, outcome: string): void {
+		this.#relayed.inc({service, purpose, outcome});
+	}
+
+	/** Counts a request that this node was to forward. */
+	countForwarded(outcome: string): void {
+		this.#forwarded.inc({outcome});
+	}
+
+	/** Counts a failed attempt over a link to a backend server. */
+	countLinkFailure(failure: string): void {
+		this.#linkFailures.inc({failure});
+	}
+
 	/** Counts a placement that avoided a backend server. */
 	countAvoidance(service: string, reason: 'failures'): void {
 		this.#avoidances.inc({service, reason});
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -14,8 +14,9 @@
 } from '../routing/index.js';
 import type {PackedText} from '../rpc/packed-text.js';
 import {
-	BackendPool, CallService, NodeBuffers, Reservations, TcpDialer, type ServerDialer,
+	CallService, NodeBuffers, Reservations, TcpDialer, type ServerDialer,
 } from './calls/index.js';
+import {LinkedPool, RelayPeers, RelayService} from './links/index.js';
 import {FleetPlacer} from './scheduling/index.js';
 import {
 	type Adoption, type DecisionAnswer, listCallerAddresses, type Peer, PeerClients, Peers, PeerService, PeerSocket,
@@ -68,7 +69,8 @@
 	readonly state: FleetState;
 	readonly metrics = new GatewayMetrics();
 	readonly #parts: GatewayParts;
-	readonly #pool: BackendPool;
+	readonly #pool: LinkedPool;
+	readonly #relays: RelayService;
 	readonly #clients: PeerClients;
 	readonly #peers: Peers;
 	readonly #placer: FleetPlacer;
@@ -95,7 +97,17 @@
 		this.#incarnation = computeDigest(parts.ids.createUuid(), incarnationLength);
 		this.state = new FleetState(clock, logger, {followsEvacuations: parts.settings.evacuations !== undefined});
 		const dialer = parts.dialer ?? new TcpDialer();
-		this.#pool = new BackendPool(clock, dialer);
+		this.#pool = new LinkedPool({
+			clock,
+			logger,
+			metrics: this.metrics,
+			dialer,
+			random: parts.random,
+			relays: new RelayPeers({clock, random: parts.random, listLive: () => this.#peers.listLive()}),
+			findServer: id => this.state.findServer(id),
+			listServers: () => (this.state.table?.config.services ?? []).flatMap(({name}) => this.state.listServers(name)),
+			reportPath: wire.reportPath,
+		});
 		this.#clients = new PeerClients(clock, () => {
 			this.metrics.countAbandonedConnections('peer');
 		});
@@ -182,6 +194,16 @@
 			availabilityZone: parts.settings.availability_zone as AvailabilityZone,
 			random: parts.random,
 		});
+		this.#relays = new RelayService({
+			logger,
+			metrics: this.metrics,
+			wire,
+			pool: this.#pool,
+			placer: this.#placer,
+			findUsableServer: id => this.state.findUsableServer(id),
+			findServer: id => this.state.findServer(id),
+			isStopping: () => this.#isStopping,
+		});
 		this.#status = new StatusReader({
 			clock,
 			state: this.state,
@@ -191,6 +213,7 @@
 			isStopping: () => this.#isStopping,
 			isWatcher: () => this.isWatcher,
 			countCalls: () => this.#calls.inProgress,
+			monitor: this.#pool.monitor,
 		});
 		this.state.addRestartListener(ended => {
 			this.#pool.closeIdle(ended.address);
@@ -227,7 +250,9 @@
 		const {settings, wire} = this.#parts;
 		const host = findHost(settings);
 		this.#servers.push(
-			await openPeersServer(settings.listen.peers, this),
+			await openPeersServer(settings.listen.peers, this, (request, body, response) => {
+				this.#relays.serve(request, body, response);
+			}),
 			await openReadyServer(settings.listen.ready, wire, () => this.isReady),
 			await openAddressServer(settings.listen.addresses, wire, zone => this.#listAddresses(zone)),
 			await openMetricsServer(`${host}:${settings.metrics_port}`, this.metrics, () => this.#status.formatText()),
@@ -278,7 +303,7 @@
 		logger.info({event: 'stopping', calls: this.#calls.inProgress}, 'the node is stopping; calls in progress continue');
 		await waitFor(clock, Math.min(this.#addressLifetime.computeRemaining(), grace * acceptShare));
 		this.#stopAccepting();
-		while (this.#calls.inProgress > 0 && clock.readMonotonic() < stoppingSince + (grace * forceStopShare)) {
+		while (this.#calls.inProgress + this.#relays.inProgress > 0 && clock.readMonotonic() < stoppingSince + (grace * forceStopShare)) {
 			await waitFor(clock, drainPollInterval);
 		}
 
--- a/src/gateway/node-status.ts
+++ b/src/gateway/node-status.ts
@@ -5,7 +5,10 @@
  * polling it cannot slow down the serving of calls.
  */
 import type {AvailabilityZone, BoxId, Clock} from '../common/index.js';
-import type {EvacuatedZone, FleetState, FollowedKind} from '../routing/index.js';
+import type {
+	EvacuatedZone, FailedLinkReport, FleetState, FollowedKind,
+} from '../routing/index.js';
+import type {LinkMonitor} from './links/index.js';
 import type {ServiceWork, FleetPlacer} from './scheduling/index.js';
 import type {Peer, Peers, PeerView} from './peers/index.js';
 
@@ -43,6 +46,8 @@
 	/** Calls in progress at this node. */
 	calls: number;
 	servers: {usable: number; foreign: number};
+	/** Links of this node to servers: for how long it has reached none, in milliseconds, and those that have failed. */
+	links: {isolatedFor?: number; failed: FailedLinkReport[]};
 	/** Evacuated zones; undefined where they are not followed, or not known yet. */
 	evacuations?: EvacuatedZone[];
 	services: ServiceWork[];
@@ -60,6 +65,7 @@
 	isStopping: () => boolean;
 	isWatcher: () => boolean;
 	countCalls: () => number;
+	monitor: LinkMonitor;
 };
 
 /** Builds and caches the status of this node. */
@@ -92,7 +98,7 @@
 
 	#read(): NodeStatus {
 		const {
-			state, peers, isStopping, isWatcher, countCalls,
+			state, peers, isStopping, isWatcher, countCalls, monitor,
 		} = this.#parts;
 		const live = peers.listLive();
 		const services = state.table?.config.services ?? [];
@@ -107,6 +113,7 @@
 			})),
 			calls: countCalls(),
 			servers: {usable: state.usableServers, foreign: state.foreignCount},
+			links: {isolatedFor: monitor.measureIsolation(), failed: monitor.describe(maxServers)},
 			evacuations: state.evacuations?.isKnown === true ? state.evacuations.list() : undefined,
 			services: this.#describeServices(services.slice(0, maxServices).map(service => service.name)),
 			nodes: {live: live.length + 1, known: peers.countKnown() + 1, listed: live.slice(0, maxNodes).map(peer => describePeer(peer, this.#views.get(peer.name)))},
--- a/src/gateway/servers.ts
+++ b/src/gateway/servers.ts
@@ -3,6 +3,7 @@
 import fastify, {type FastifyInstance, type FastifyReply, type FastifyRequest} from 'fastify';
 import {createFailure, type AvailabilityZone} from '../common/index.js';
 import {HttpSink, sendFailure} from './calls/index.js';
+import {relayPath} from './links/index.js';
 import {addPeerRoutes, type PeerService} from './peers/index.js';
 import {listenOnEarly, takeEarlyListener} from './early-listener.js';
 import {statusPath} from './node-status.js';
@@ -126,13 +127,34 @@
 	return listen(server, address);
 }
 
-/** Opens the listener for other nodes. */
-export async function openPeersServer(address: string, service: PeerService): Promise<OpenServer> {
+/** Serves one request that another node passes on. */
+export type ServeRelayed = (request: IncomingMessage, body: Uint8Array | undefined, response: ServerResponse) => void;
+
+/** Opens the listener for other nodes. Without `serveRelayed` it forwards no requests. */
+export async function openPeersServer(address: string, service: PeerService, serveRelayed?: ServeRelayed): Promise<OpenServer> {
 	const server = createServer(maxPeerMessageBytes, peerIdleTimeout);
 	addPeerRoutes(server, service);
+	if (serveRelayed !== undefined) {
+		addRelayRoute(server, serveRelayed);
+	}
+
 	return listen(server, address);
 }
 
+/** Bodies are forwarded as they are, whatever their content type. */
+function addRelayRoute(server: OpenServer, serveRelayed: ServeRelayed): void {
+	void server.register(async scope => {
+		scope.removeAllContentTypeParsers();
+		scope.addContentTypeParser('*', {parseAs: 'buffer'}, (_request, body, done) => {
+			done(null, body);
+		});
+		scope.all(relayPath, (request, reply) => {
+			void reply.hijack();
+			serveRelayed(request.raw, request.body as Uint8Array | undefined, reply.raw);
+		});
+	});
+}
+
 /** Opens the listener for metrics and the status. */
 export async function openMetricsServer(address: string, metrics: GatewayMetrics, formatStatus: () => string): Promise<OpenServer> {
 	const server = createServer(maxHeadBytes);
--- a/src/routing/fleet-state.ts
+++ b/src/routing/fleet-state.ts
@@ -240,6 +240,11 @@
 		return server === undefined || this.#isEvacuated(server) ? undefined : server;
 	}
 
+	/** Finds a current incarnation of a server, including one that accepts no new requests. */
+	findServer(id: BackendServerId): BackendServer | undefined {
+		return this.#servers.findServer(id);
+	}
+
 	/** Finds the evacuated zone because of which an incarnation gets no new requests; undefined when it gets some, or none for another reason. */
 	findEvacuatedZone(id: BackendServerId): AvailabilityZone | undefined {
 		const server = this.#servers.findUsableIncarnation(id);
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -7,6 +7,7 @@
 export * from './route-table.js';
 export {reregistrationGrace} from './server-expiry.js';
 export type {ServersSnapshot, SnapshotServer} from './server-snapshot.js';
+export * from './server-links.js';
 export * from './server-view.js';
 export * from './source-ages.js';
 export * from './source-health.js';
--- a/src/routing/server-view.ts
+++ b/src/routing/server-view.ts
@@ -164,6 +164,11 @@
 		return known !== undefined && isUsable(known) ? known.server : undefined;
 	}
 
+	/** Finds a current incarnation, including one that accepts no new requests. */
+	findServer(id: BackendServerId): BackendServer | undefined {
+		return this.#servers.findIncarnation(id)?.server;
+	}
+
 	/** Whether an incarnation is current, including one that accepts no new requests. */
 	hasIncarnation(id: BackendServerId): boolean {
 		return this.#servers.findIncarnation(id) !== undefined;
--- a/test/helpers/scripted-call.ts
+++ b/test/helpers/scripted-call.ts
@@ -542,7 +542,7 @@
 			}));
 		};
 
-		const pool: Partial<BackendPool> = {dispatch, closeSuspect() {}}; // eslint-disable-line @typescript-eslint/no-empty-function -- there is no connection
+		const pool: Partial<BackendPool> = {dispatch, recordSilence() {}, verifyFault: () => true}; // eslint-disable-line @typescript-eslint/no-empty-function -- there is no connection
 		return pool as BackendPool;
 	}
 
