--- a/src/gateway/calls/backend-pool.ts
+++ b/src/gateway/calls/backend-pool.ts
@@ -86,7 +86,7 @@
 	readonly #idle = new Map<string, BackendConnection[]>();
 	readonly #connections = new Set<BackendConnection>();
 
-	constructor(clock: Clock, dialer: ServerDialer = new TcpDialer()) {
+	constructor(clock: Clock, dialer: ServerDialer = new TcpDialer(clock)) {
 		this.#clock = clock;
 		this.#dialer = dialer;
 	}
--- a/src/gateway/calls/server-probe.ts
+++ b/src/gateway/calls/server-probe.ts
@@ -52,7 +52,7 @@
 			return !this.#parts.isLive(id);
 		}
 
-		const {dialer = new TcpDialer(), verifyFault = async () => true} = this.#parts;
+		const {clock, verifyFault = async () => true, dialer = new TcpDialer(clock)} = this.#parts;
 		return await isRefused(server.address, dialer) && verifyFault(id);
 	}
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -96,7 +96,7 @@
 		this.#addressLifetime = new AddressLifetime(clock, parts.settings.address_lifetime_seconds);
 		this.#incarnation = computeDigest(parts.ids.createUuid(), incarnationLength);
 		this.state = new FleetState(clock, logger, {followsEvacuations: parts.settings.evacuations !== undefined});
-		const dialer = parts.dialer ?? new TcpDialer();
+		const dialer = parts.dialer ?? new TcpDialer(clock);
 		this.#pool = new LinkedPool({
 			clock,
 			logger,
