test(soak): cut nodes from all servers and judge whether their callers are served

Cause: no run of the soak cut a node from the servers, so RECOVER was never judged. Links tell nodes apart by a source address for each node.

--- a/soak/detour.ts
+++ b/soak/detour.ts
@@ -7,6 +7,8 @@
 import process from 'node:process';
 
 const detours = JSON.parse(process.env.SOAK_DETOURS ?? '{}') as Record<string, number>;
+/** Address that connections of this process come from, so that links can tell nodes apart. */
+const source = process.env.SOAK_SOURCE;
 const {connect} = net;
 
 type Connect = (...words: unknown[]) => net.Socket;
@@ -15,7 +17,7 @@
 const connectByDetour: Connect = (options, ...rest) => {
 	const asked = options as Record<string, unknown>;
 	const port = detours[String(asked.port)];
-	return (connect as Connect)(port === undefined ? options : {...asked, port}, ...rest);
+	return (connect as Connect)({...asked, ...(port !== undefined && {port}), ...(source !== undefined && {localAddress: source})}, ...rest);
 };
 
 net.connect = connectByDetour;
--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -3,7 +3,9 @@
 import path from 'node:path';
 import {request as sendRequest} from 'undici';
 import {createConfig} from '../test/helpers/gateways.js';
-import {Link, pause} from './link.js';
+import {
+	Link, pause, type CutKind, type Cuts,
+} from './link.js';
 import type {LinkKind} from './plan.js';
 import {Processes, type SoakProcess} from './processes.js';
 import {keptVersions, type RunRecords} from './records.js';
@@ -12,6 +14,9 @@
 /** Paths of the bundles, which `npm run soak` builds. */
 const gatewayProgram = 'target/cresshook.cjs';
 const standinProgram = 'dist/soak-standin.cjs';
+/** First three parts of the source addresses of nodes. */
+const sourceNetwork = '127.0.9';
+
 const detourModule = 'dist/soak-detour.cjs';
 
 /** Grace period of a graceful shutdown, in seconds. */
@@ -79,6 +84,8 @@
 	storeLink: Link;
 	/** Link from the other nodes. */
 	peersLink: Link;
+	/** Source address of its connections. */
+	source: string;
 	process: SoakProcess;
 	/** Whether the node is being stopped or restarted. */
 	isChanging: boolean;
@@ -102,6 +109,9 @@
 	readonly #records: RunRecords;
 	readonly #size: FleetSize;
 	readonly #links: Link[] = [];
+	/** Nodes that are cut from all servers, by the source address of their connections. */
+	readonly #cuts = new Map<string, CutKind>();
+	#endpointCount = 0;
 	readonly #replaced = new Set<SoakServer>();
 	#store: SoakProcess | undefined;
 	#storeAddress = '';
@@ -165,6 +175,23 @@
 		return servers[target % servers.length];
 	}
 
+	/** Cuts nodes from all servers. */
+	cutFromServers(nodes: SoakNode[], kind: CutKind): void {
+		for (const {source} of nodes) {
+			this.#cuts.set(source, kind);
+			for (const {link} of kind === 'reset' ? this.servers : []) {
+				link.resetFrom(source);
+			}
+		}
+	}
+
+	/** Restores the links of nodes to all servers. */
+	restoreToServers(nodes: SoakNode[]): void {
+		for (const {source} of nodes) {
+			this.#cuts.delete(source);
+		}
+	}
+
 	/** Returns a link of a kind by index. */
 	findLink(kind: LinkKind, target: number): {link: Link; node?: SoakNode; server?: SoakServer} {
 		if (kind === 'server') {
@@ -379,8 +406,8 @@
 		}
 	}
 
-	async #openLink(findTarget: () => number): Promise<Link> {
-		const link = await new Link(findTarget).open();
+	async #openLink(findTarget: () => number, cuts?: Cuts): Promise<Link> {
+		const link = await new Link(findTarget, cuts).open();
 		this.#links.push(link);
 		return link;
 	}
@@ -394,11 +421,13 @@
 		const storeLink = await this.#openLink(() => Number(this.#storeAddress.split(':')[1]));
 		const peersLink = await this.#openLink(() => peers);
 		return {
-			name, ports, callersLink, storeLink, peersLink,
+			name, ports, callersLink, storeLink, peersLink, source: `${sourceNetwork}.${++this.#endpointCount}`,
 		};
 	}
 
-	#startNode({name, ports, storeLink}: NodeEndpoints): SoakProcess {
+	#startNode({
+		name, ports, storeLink, source,
+	}: NodeEndpoints): SoakProcess {
 		const file = path.join(this.#folder, `${name}.toml`);
 		writeFileSync(file, `
 box = "${name}"
@@ -424,7 +453,7 @@
 apply_within_ms = 5000
 `);
 		// A node advertises the address it listens on, so the preloaded module redirects connections through the links.
-		return this.processes.start(name, gatewayProgram, ['gateway', '--settings', file], {NODE_OPTIONS: `--require ${path.resolve(detourModule)}`, SOAK_DETOURS: JSON.stringify(this.#detours)});
+		return this.processes.start(name, gatewayProgram, ['gateway', '--settings', file], {NODE_OPTIONS: `--require ${path.resolve(detourModule)}`, SOAK_DETOURS: JSON.stringify(this.#detours), SOAK_SOURCE: source});
 	}
 
 	/** Writes an entry; errors are ignored, because store failures are injected. */
@@ -440,7 +469,7 @@
 		const zones = [lastingZone, ...evacuatedZones];
 		const zone = versionServices.includes(service) ? lastingZone : zones[this.#serverCount % zones.length];
 		const [port] = await findSteadyPorts(1);
-		const link = await this.#openLink(() => port);
+		const link = await this.#openLink(() => port, this.#cuts);
 		return this.#startProcess({
 			name, service, zone, link, port,
 		});
--- a/soak/judge.ts
+++ b/soak/judge.ts
@@ -51,6 +51,12 @@
 const crashesToReject = 3;
 const maxLateArrivals = 3;
 
+/** Time after a cut from which on callers of cut nodes must be served, in milliseconds; their minimum ratio to callers of other nodes; and the failures that are tolerated, as a number and a share. */
+const cutContactTime = 3000;
+const minCutServedRatio = 2 / 3;
+const toleratedCutFailures = 10;
+const toleratedCutFailureShare = 1 / 50;
+
 /** Fraction of the grace period during which a stopping node must not abort requests; in the rest it may. */
 const gracefulShare = 5 / 6;
 
@@ -65,6 +71,7 @@
 		...checkVersions(records),
 		...checkAdded(records),
 		...checkStops(records, graceMs),
+		...checkCuts(records),
 		...checkLimits(records),
 		...checkCrashing(records),
 		...records.unusedServers.map(({node, usable, ready}) => ({promise: 'every node uses the ready servers', id: node, detail: `${usable} of ${ready} servers`})),
@@ -200,6 +207,20 @@
 	return groups;
 }
 
+/** Callers of nodes that are cut from all servers must be served about as often as those of other nodes. */
+function checkCuts(records: RunRecords): Violation[] {
+	return records.cuts.flatMap(({nodes, from, to}) => {
+		const counted = records.calls.filter(call => call.kind !== 'added' && call.sentAt >= from + cutContactTime && call.sentAt < to
+			&& !isDisturbed(records, call, call.sentAt - recoveryTime, call.endedAt));
+		const [cut, others] = [true, false].map(isCut => counted.filter(call => nodes.includes(call.node) === isCut));
+		const [served, othersServed] = [cut, others].map(calls => calls.filter(({status, isComplete}) => status === 200 && isComplete).length);
+		const isTolerated = cut.length - served <= toleratedCutFailures + (counted.length * toleratedCutFailureShare);
+		return isTolerated || others.length === 0 || served / cut.length >= minCutServedRatio * othersServed / others.length
+			? []
+			: [{promise: 'nodes that are cut from all servers serve their callers', id: nodes.join(' '), detail: `${served} of ${cut.length} requests, the others ${othersServed} of ${others.length}`}];
+	});
+}
+
 /** Healthy nodes that have received a rate limit must not exceed it from three seconds after its announcement. */
 function checkLimits(records: RunRecords): Violation[] {
 	const spans = collectBy(records.limitedArrivals, ({server, namedAt}) => `${server} since ${namedAt}`);
--- a/soak/link.ts
+++ b/soak/link.ts
@@ -6,6 +6,12 @@
 /** Fault of a link: `delay` in milliseconds, and stalls towards the target (`forth`) or towards the client (`back`). */
 export type LinkFault = {delay: number; isSilentForth: boolean; isSilentBack: boolean};
 
+/** How a link treats connections from a source that is cut off: it resets them, or forwards nothing. */
+export type CutKind = 'reset' | 'silent';
+
+/** Sources that are cut off, by their IP address. */
+export type Cuts = ReadonlyMap<string, CutKind>;
+
 const noFault: LinkFault = {delay: 0, isSilentForth: false, isSilentBack: false};
 
 /** Interval for checking whether a stalled direction has recovered, in milliseconds. */
@@ -16,12 +22,23 @@
 	readonly #server: Server;
 	readonly #sockets = new Set<Socket>();
 	readonly #severed = new WeakSet<Socket>();
+	readonly #cuts: Cuts;
+	readonly #sources = new Map<Socket, string>();
 	#fault = noFault;
 
-	/** `findTarget` returns the port of the target, which may change. */
-	constructor(findTarget: () => number) {
+	/** `findTarget` returns the port of the target, which may change; `cuts` may change too. */
+	constructor(findTarget: () => number, cuts: Cuts = new Map()) {
+		this.#cuts = cuts;
 		this.#server = createServer({allowHalfOpen: true}, near => {
+			const source = near.remoteAddress ?? '';
+			if (cuts.get(source) === 'reset') {
+				near.resetAndDestroy();
+				return;
+			}
+
 			const far = connect({port: findTarget(), host: '127.0.0.1', allowHalfOpen: true});
+			this.#sources.set(near, source);
+			this.#sources.set(far, source);
 			this.#join(near, far);
 		});
 	}
@@ -61,6 +78,15 @@
 		}
 	}
 
+	/** Resets the open connections from a source. */
+	resetFrom(source: string): void {
+		for (const socket of this.#sockets) {
+			if (this.#sources.get(socket) === source) {
+				socket.resetAndDestroy();
+			}
+		}
+	}
+
 	/** Resets all connections. */
 	reset(): void {
 		for (const socket of this.#sockets) {
@@ -87,6 +113,7 @@
 			});
 			socket.on('close', () => {
 				this.#sockets.delete(socket);
+				this.#sources.delete(socket);
 				if (socket.errored === null && !this.#severed.has(socket)) {
 					other.end();
 				}
@@ -119,7 +146,8 @@
 			await pause(this.#fault.delay);
 		}
 
-		while (isForth ? this.#fault.isSilentForth : this.#fault.isSilentBack) {
+		const source = this.#sources.get(from) ?? '';
+		while ((isForth ? this.#fault.isSilentForth : this.#fault.isSilentBack) || this.#cuts.get(source) === 'silent') {
 			await pause(silencePoll);
 		}
 
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -31,11 +31,13 @@
 	| 'request_crash'
 	/** The operator evacuates an availability zone for a while. */
 	| 'zone_evacuate'
+	/** Some, most or all but one of the nodes lose their links to all backend servers; everything else reaches them. */
+	| 'nodes_cut'
 	/** The operator changes the configuration. */
 	| 'config_change';
 
 /** Kinds of the main series. Each other kind has its own random series, so that enabling it does not change the other faults of a seed. */
-type SeriesKind = Exclude<FaultKind, 'link_severed' | 'store_partial' | 'server_limit' | 'request_crash' | 'zone_evacuate'>;
+type SeriesKind = Exclude<FaultKind, 'link_severed' | 'store_partial' | 'server_limit' | 'request_crash' | 'zone_evacuate' | 'nodes_cut'>;
 
 /** A scheduled fault; times are in milliseconds from the start of the run. */
 export type Fault = {
@@ -81,7 +83,7 @@
 };
 
 /** All kinds of fault; the order determines what a seed draws. */
-export const faultKinds: FaultKind[] = [...Object.keys(weights) as SeriesKind[], 'link_severed', 'store_partial', 'server_limit', 'request_crash', 'zone_evacuate'];
+export const faultKinds: FaultKind[] = [...Object.keys(weights) as SeriesKind[], 'link_severed', 'store_partial', 'server_limit', 'request_crash', 'zone_evacuate', 'nodes_cut'];
 
 /** Mean time between two faults, in milliseconds; with durations of seconds, about four overlap. */
 const meanGap = 500;
@@ -112,6 +114,11 @@
 	name: 'evacuation', pause: 1500, shortest: 3500, longest: 7000,
 };
 
+/** The same for cuts: longer than the time from which on callers of cut nodes have to be served. */
+const cutSeries = {
+	name: 'cut', pause: 1500, shortest: 5000, longest: 8000,
+};
+
 /** Minimum and maximum duration of a fault in the main series, in milliseconds. */
 const shortest = 200;
 const longest = 3000;
@@ -128,6 +135,7 @@
 		...kinds.includes('store_partial') ? drawPartialSilences(seed, length) : [],
 		...kinds.includes('server_limit') ? drawSpans('server_limit', limitSeries, seed, length) : [],
 		...kinds.includes('request_crash') ? drawSpans('request_crash', crashSeries, seed, length) : [],
+		...kinds.includes('nodes_cut') ? drawSpans('nodes_cut', cutSeries, seed, length) : [],
 		...kinds.includes('zone_evacuate') ? drawSpans('zone_evacuate', evacuationSeries, seed, length) : [],
 	];
 }
--- a/soak/records.ts
+++ b/soak/records.ts
@@ -45,6 +45,9 @@
 	served?: string[];
 };
 
+/** Nodes that were cut from all backend servers for a time. */
+export type CutRecord = {nodes: string[]; from: number; to: number};
+
 /** A graceful shutdown of a node. */
 export type StopRecord = {node: string; at: number; endedAt: number};
 
@@ -68,6 +71,7 @@
 	faults: FaultRecord[];
 	stops: StopRecord[];
 	evacuations: EvacuationRecord[];
+	cuts: CutRecord[];
 	limitedArrivals: LimitedArrival[];
 	crashes: CrashRecord[];
 	leftMemory: LeftMemory[];
@@ -77,6 +81,6 @@
 /** Creates empty records. */
 export function createRecords(): RunRecords {
 	return {
-		calls: [], runs: [], changes: [], faults: [], stops: [], evacuations: [], limitedArrivals: [], crashes: [], leftMemory: [], unusedServers: [],
+		calls: [], runs: [], changes: [], faults: [], stops: [], evacuations: [], cuts: [], limitedArrivals: [], crashes: [], leftMemory: [], unusedServers: [],
 	};
 }
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -134,6 +134,12 @@
 				break;
 			}
 
+			case 'nodes': {
+				await this.#cutNodes();
+
+				break;
+			}
+
 			case 'entry': {
 				const server = this.#fleet.findServer(target);
 				await this.#record({server: server.id}, async () => this.#fleet.writeForeignEntries(server, target));
@@ -247,6 +253,21 @@
 		this.#fleet.sendToStore({endEvacuation: zone});
 	}
 
+	/** Not recorded as a fault: the nodes that are not cut reach all servers. */
+	async #cutNodes(): Promise<void> {
+		const {nodes} = this.#fleet;
+		const {target, duration} = this.#fault;
+		const counts = [1, Math.ceil(nodes.length / 2), nodes.length - 1];
+		const first = target % nodes.length;
+		const cut = [...nodes.slice(first), ...nodes.slice(0, first)].slice(0, counts[target % counts.length]);
+		const record = {nodes: cut.map(({name}) => name), from: Date.now(), to: Number.POSITIVE_INFINITY};
+		this.#records.cuts.push(record);
+		this.#fleet.cutFromServers(cut, target % 2 === 0 ? 'reset' : 'silent');
+		await pause(duration);
+		record.to = Date.now();
+		this.#fleet.restoreToServers(cut);
+	}
+
 	async #injectStoreFault(how: string): Promise<void> {
 		await this.#record({}, async () => {
 			this.#fleet.sendToStore(how === 'forget' ? {forget: true} : {trouble: how});
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -49,6 +49,22 @@
 	expect(listViolations(records => records.calls.push(createCall({wrong: 'it belongs to c-2'})))).toEqual(['a complete answer is whole and its own']);
 });
 
+test('a cut node that serves less than two thirds as often as the others is a violation, unless it fails few requests', () => {
+	const fill = (failed: number) => (records: RunRecords) => {
+		records.cuts.push({nodes: ['edge-0'], from: 5000, to: 15_000});
+		for (let call = 0; call < 40; call++) {
+			records.calls.push(createCall({id: `c-${call}`, status: call < failed ? 503 : 200}), createCall({id: `d-${call}`, node: 'edge-1'}));
+		}
+	};
+
+	expect(listViolations(fill(14))).toEqual(['nodes that are cut from all servers serve their callers']);
+	expect(listViolations(fill(13))).toEqual([]);
+	expect(listViolations(records => {
+		fill(40)(records);
+		records.cuts[0].from = 7500;
+	})).toEqual([]);
+});
+
 test('a second run, and a run of a request reported as not run, are violations', () => {
 	const run = {
 		id: 'c-1', server: 'i-1', service: 'app', node: 'edge-0', at: 10_010,
