fix(gateway): reset the connection of a cancelled request that has no answer

Cause: a cancelled request closed its connection in order. What a cut link holds up is still delivered after the cut, and servers run requests that were answered elsewhere long ago.

Evidence: the new test saw no reset at the server before ([]), ECONNRESET with the change.

--- a/src/gateway/calls/backend-exchange.ts
+++ b/src/gateway/calls/backend-exchange.ts
@@ -25,6 +25,8 @@
 	wasReset: () => boolean;
 	/** Whether the connection was opened for the exchange. */
 	isNew?: () => boolean;
+	/** Resets the connection instead of closing it. */
+	reset?: () => void;
 	/** Called once when the exchange no longer needs the connection. */
 	onDone: () => void;
 };
@@ -39,6 +41,7 @@
 	#isAborted = false;
 	#isDone = false;
 	#isFramed = false;
+	#hasHead = false;
 	#connection: ExchangeConnection | undefined;
 
 	constructor(listener: ExchangeListener) {
@@ -71,10 +74,18 @@
 		this.#connection = connection;
 	}
 
-	/** Ends the exchange and closes its connection, so that the server stops working on it. */
+	/**
+	 * Ends the exchange and closes its connection, so that the server stops working on it.
+	 *
+	 * Without an answer so far the connection is reset: what a cut link has held up would otherwise reach the server after the cut.
+	 */
 	abort(): void {
 		this.#isAborted = true;
 		if (!this.#isDone) {
+			if (this.#wasSent && !this.#hasHead) {
+				this.#connection?.reset?.();
+			}
+
 			this.#controller?.abort(new Error('the request was cancelled'));
 		}
 	}
@@ -101,6 +112,7 @@
 
 	onResponseStart(_controller: Dispatcher.DispatchController, status: number, headers: HeaderFields): void {
 		this.#isFramed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+		this.#hasHead ||= status >= firstFinalStatus;
 		if (status >= firstFinalStatus && !this.#isAborted) {
 			this.#listener.onHead(status, headers);
 		}
--- a/src/gateway/calls/backend-pool.ts
+++ b/src/gateway/calls/backend-pool.ts
@@ -70,6 +70,11 @@
 		});
 	}
 
+	/** Resets the last socket. */
+	reset(): void {
+		this.#socket?.resetAndDestroy();
+	}
+
 	/** Whether the last socket ended with an error instead of a clean close. */
 	get wasReset(): boolean {
 		return this.#socket?.errored !== null && this.#socket?.errored !== undefined;
@@ -181,6 +186,9 @@
 		handler.attach({
 			wasReset: () => connection.wasReset,
 			isNew: () => connection.dialled > dialled,
+			reset() {
+				connection.reset();
+			},
 			onDone: () => {
 				this.#release(address, connection);
 			},
--- a/test/silent-connections.test.ts
+++ b/test/silent-connections.test.ts
@@ -2,8 +2,10 @@
 	afterEach, beforeEach, expect, test,
 } from '@jest/globals';
 import {systemClock} from '../src/common/index.js';
+import {BackendExchange} from '../src/gateway/calls/backend-exchange.js';
 import {BackendPool} from '../src/gateway/calls/backend-pool.js';
 import {PeerClients} from '../src/gateway/peers/peer-rpc.js';
+import {waitUntil} from './helpers/gateways.js';
 import {LoopbackServer} from './helpers/platform-standins.js';
 
 /** Number of idle connections that are made silent. */
@@ -129,3 +131,27 @@
 	expect([...answering.sockets]).toEqual(keptSockets);
 	await pool.close();
 });
+
+// Guards against a request that a cut link has held up reaching its server after the cut: closing the connection would still deliver it.
+test('the connection of a cancelled request without an answer is reset', async () => {
+	const errors: string[] = [];
+	const silent = await new LoopbackServer(async request => {
+		request.socket.on('error', error => {
+			errors.push((error as NodeJS.ErrnoException).code ?? '');
+		});
+	}).start();
+	const pool = new BackendPool(systemClock);
+	const exchange = new BackendExchange({
+		onHead() {}, onData() {}, onEnd() {}, onError() {}, // eslint-disable-line @typescript-eslint/no-empty-function
+	});
+	pool.dispatch(silent.address, {
+		method: 'POST', path: '/', headers: {}, body: 'x',
+	}, exchange);
+	await waitUntil(() => exchange.wasSent && silent.sockets.size > 0);
+	await waitForIdle();
+	exchange.abort();
+	await waitForIdle();
+	await pool.close();
+	await silent.stop();
+	expect(errors).toEqual(['ECONNRESET']);
+});
