fix(gateway): other nodes tell whether a server behind a cut link has ended

Cause: a node probed a server over its own link after a broken answer. Over a silent link nothing is refused, so crashes under forwarded requests were not recorded.

Change: where the link is cut, the probes of other nodes decide.

Evidence: the new test failed before (5 servers crashed, status 502), passes twice with the change (3, 503).

--- a/src/gateway/calls/backend-pool.ts
+++ b/src/gateway/calls/backend-pool.ts
@@ -125,6 +125,11 @@
 		this.closeSuspect(address, sentAt);
 	}
 
+	/** Whether this node does not reach a server over its own link. */
+	isCut(_server: BackendServerId): boolean {
+		return false;
+	}
+
 	/** Whether the last failed attempt at a server is due to the server, and not to the way to it. */
 	verifyFault(_server: BackendServerId): boolean | Promise<boolean> {
 		return true;
--- a/src/gateway/calls/call-service.ts
+++ b/src/gateway/calls/call-service.ts
@@ -54,7 +54,7 @@
 			clock, state, dialer, pool,
 		} = parts;
 		this.#probe = new ServerProbe({
-			clock, dialer, findServer: id => state.findUsableServer(id), isLive: id => state.hasServer(id), verifyFault: async id => pool.verifyFault(id),
+			clock, dialer, findServer: id => state.findUsableServer(id), isLive: id => state.hasServer(id), isCut: id => pool.isCut(id), verifyFault: async id => pool.verifyFault(id),
 		});
 	}
 
--- a/src/gateway/calls/server-probe.ts
+++ b/src/gateway/calls/server-probe.ts
@@ -19,6 +19,8 @@
 	findServer: (id: BackendServerId) => BackendServer | undefined;
 	isLive: (id: BackendServerId) => boolean;
 	dialer?: ServerDialer;
+	/** Whether this node does not reach a server over its own link; by default it does. */
+	isCut?: (id: BackendServerId) => boolean;
 	/** Whether a server that refuses connections of this node is itself at fault; by default it is. */
 	verifyFault?: (id: BackendServerId) => Promise<boolean>;
 };
@@ -52,8 +54,11 @@
 			return !this.#parts.isLive(id);
 		}
 
-		const {clock, verifyFault = async () => true, dialer = new TcpDialer(clock)} = this.#parts;
-		return await isRefused(server.address, dialer) && verifyFault(id);
+		const {
+			clock, isCut, verifyFault = async () => true, dialer = new TcpDialer(clock),
+		} = this.#parts;
+		// Another node forwarded the request, and only other nodes can tell whether the server has ended.
+		return (isCut?.(id) === true || await isRefused(server.address, dialer)) && verifyFault(id);
 	}
 }
 
--- a/src/gateway/links/linked-pool.ts
+++ b/src/gateway/links/linked-pool.ts
@@ -114,6 +114,10 @@
 		this.#peers.prune();
 	}
 
+	override isCut(server: BackendServerId): boolean {
+		return this.#parts.relays.isAvailable && this.monitor.links.isCut(server);
+	}
+
 	override recordSilence(silent: SilentRequest): void {
 		super.recordSilence(silent);
 		this.#peers.closeIdleBefore(silent.sentAt);
--- a/test/relayed-requests.test.ts
+++ b/test/relayed-requests.test.ts
@@ -48,6 +48,12 @@
 	response.once('close', () => {
 		cancelled += response.writableFinished ? 0 : 1;
 	});
+	if (request.body === 'deadly') {
+		const index = Number((request.headers['cresshook-target-instance'] ?? '').slice(2));
+		await fleet.runners[index].stop();
+		return;
+	}
+
 	if (request.url.startsWith('/stream/')) {
 		response.writeHead(200, {...createAnswerHeaders(request), 'content-type': 'text/event-stream'});
 		const first = Number(request.headers['last-event-id'] ?? 0) + 1;
@@ -70,10 +76,10 @@
 };
 
 /** Starts nodes of which the first is cut from all servers, and waits until it knows. */
-async function startCutFleet(nodes: number): Promise<void> {
+async function startCutFleet(nodes: number, models = 2): Promise<void> {
 	links = [new ServerLinks()];
 	fleet.dialers.push(links[0]);
-	await fleet.start({nodes, runners: ['app', 'app', 'model', 'model'].map(service => ({service, behaviour: answer}))});
+	await fleet.start({nodes, runners: ['app', 'app', ...Array.from({length: models}, () => 'model')].map(service => ({service, behaviour: answer}))});
 	await waitUntil(() => fleet.gateways.every(gateway => gateway.listReadyNodes().length === nodes));
 	links[0].set('refused');
 	for (let call = 0; call < 4; call++) {
@@ -144,6 +150,19 @@
 	expect([status, listEvents(body), isComplete, runs.length]).toEqual([200, allEvents, true, 1]);
 }, testTimeout);
 
+// Guards against crashes that a cut node does not see: its own probes tell nothing about the server.
+test('a forwarded request is rejected after it crashed three servers', async () => {
+	await startCutFleet(3, 6);
+	links[0].set('silent');
+	const statuses = [];
+	for (let call = 0; call < 4; call++) {
+		const {status} = await fleet.call({...stream, body: 'deadly'});
+		statuses.push(status);
+	}
+
+	expect([runs.length, statuses.at(-1)]).toEqual([3, 503]);
+}, testTimeout);
+
 test('a server learns in time that the caller of a forwarded request has left', async () => {
 	await startCutFleet(2);
 	const called = fleet.call({...stream, abortAfter: eventGap * 2});
