feat(observability): log the prompt parts and the progress of requests on crashed servers

Cause: server_ended named a digest of the whole request, so the requests of several crashes could not be compared, and the streams beside a crash looked like its cause. Change: call heads hold the ids of the prompt's shared parts (all but the last; at most 16 of at most 32 hex digits, malformed ones skipped); server_ended gets organisation, sharedParts and lastEventId. No decision uses them. Conclusion: a part common to crashes can be read from logs now.

--- a/src/common/ids.ts
+++ b/src/common/ids.ts
@@ -31,6 +31,8 @@
 export type PlanId = Branded<'PlanId'>;
 /** Identifies a request across retries: a digest of its method, path, caller and body. */
 export type RequestFingerprint = Branded<'RequestFingerprint'>;
+/** Name that a caller gives to a part of a prompt; callers share names of common parts. */
+export type PromptPartId = Branded<'PromptPartId'>;
 /** Idempotency key of a request that must run at most once. */
 export type RunKey = Branded<'RunKey'>;
 
--- a/src/gateway/calls/call-run.ts
+++ b/src/gateway/calls/call-run.ts
@@ -263,7 +263,9 @@
 
 	/** Records a crash if the server has ended; a lost connection alone is none. */
 	async #recordServerCrash({server, trouble}: Extract<AttemptOutcome, {kind: 'lost'}>): Promise<void> {
-		const {head, fingerprint, service} = this.#call;
+		const {
+			head, fingerprint, service, organisation,
+		} = this.#call;
 		const plan = this.#placement?.plan;
 		if (plan === undefined || trouble === 'silent' || !await this.#parts.hasEnded(server)) {
 			return;
@@ -271,7 +273,14 @@
 
 		this.#parts.metrics.countServerEnd(service.name);
 		this.#parts.logger.info({
-			event: 'server_ended', request: head.requestId, service: service.name, server, fingerprint,
+			event: 'server_ended',
+			request: head.requestId,
+			service: service.name,
+			server,
+			fingerprint,
+			organisation: organisation?.name,
+			sharedParts: head.sharedParts,
+			lastEventId: this.#lastEventId,
 		}, 'a backend server ended while running a request');
 		this.#parts.placer.report(plan, {
 			planId: plan.planId, kind: 'server_ended', server, fingerprint,
--- a/src/gateway/wire.ts
+++ b/src/gateway/wire.ts
@@ -5,7 +5,7 @@
  */
 import type {Either} from 'purify-ts';
 import type {
-	AvailabilityZone, BackendServerName, Failure, OrganisationId, RequestId,
+	AvailabilityZone, BackendServerName, Failure, OrganisationId, PromptPartId, RequestId,
 } from '../common/index.js';
 
 /** Header fields as Node.js gives and takes them, names in lower case. */
@@ -28,6 +28,8 @@
 	/** Tokens of the prompt, and maximum tokens of the answer; 0 when unstated. */
 	promptTokens: number;
 	outputTokens: number;
+	/** Parts of the prompt that other requests may share, in order; empty when unstated. */
+	sharedParts: PromptPartId[];
 	/** Header fields to forward: all except hop-by-hop fields and those that the gateway sets. */
 	headers: HeaderFields;
 };
--- a/test/helpers/planned-fleet.ts
+++ b/test/helpers/planned-fleet.ts
@@ -257,7 +257,7 @@
 			availabilityZone: 'a' as AvailabilityZone,
 		}, {
 			head: {
-				requestId: call.id, method: 'POST', target: '/', host: 'shop.example', promptTokens: spec.promptTokens, outputTokens: spec.events * engine.stepsPerPass,
+				requestId: call.id, method: 'POST', target: '/', host: 'shop.example', promptTokens: spec.promptTokens, outputTokens: spec.events * engine.stepsPerPass, sharedParts: [],
 				headers: {'cresshook-attempt-id': call.id},
 			},
 			body: undefined,
--- a/test/helpers/scripted-call.ts
+++ b/test/helpers/scripted-call.ts
@@ -427,7 +427,7 @@
 			availabilityZone: 'a' as AvailabilityZone,
 		}, {
 			head: {
-				requestId, method: 'POST', target: '/', host: 'shop.example', promptTokens: 1000, outputTokens: 80, headers: {},
+				requestId, method: 'POST', target: '/', host: 'shop.example', promptTokens: 1000, outputTokens: 80, sharedParts: [], headers: {},
 			},
 			body: undefined,
 			fingerprint: 'fingerprint-1' as RequestFingerprint,
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -394,6 +394,18 @@
 	]);
 });
 
+// The last part belongs to one request; a caller may state any number of parts, and malformed ones must not cost it the request.
+test('parts of a prompt that others may share are read, bounded in number and length', () => {
+	const read = (parts: string) => wire.readCallHead('POST', '/a/', {...callHeaders, 'cresshook-prompt-prefix': parts}).unsafeCoerce().sharedParts;
+	expect(read('5c1e07a2:800,91BD3F06:410,e4402b7d:250')).toEqual(['5c1e07a2', '91bd3f06']);
+	expect(read(' 5c : 800 , 91:410 ,e4:250')).toEqual(['91']);
+	expect(read('e4402b7d:250')).toEqual([]);
+	expect(read('')).toEqual([]);
+	expect(read('x:1,5c:-1,5c,:9,,5c:9:9,5c:9,e4:1')).toEqual(['5c']);
+	expect(read(`${'a'.repeat(33)}:1,5c:9,e4:1`)).toEqual(['5c']);
+	expect(read(Array.from({length: 1000}, (_, index) => `${index}:1`).join(','))).toHaveLength(16);
+});
+
 // A negative count released memory that a server did not have, and one of three hundred digits made the estimated cost of
 // prefill infinite, so that every long prompt was rejected for the ten seconds in which it counted as demand.
 test('invalid token counts and event ids are treated as absent', () => {
