refactor(planning): give the attribution of crashes a folder of its own

Cause: its four files stood flat among 45. Change: moved to src/planning/crashes with an index; no change of logic.

--- a/src/planning/abandoned-attempts.ts
+++ b/src/planning/crashes/abandoned-attempts.ts
@@ -4,7 +4,7 @@
  * A crash is reported by the attempts that it breaks. An attempt that was stopped earlier (its client left, or another server answered
  * first), or whose server restarts at once or is behind a proxy, reports nothing: its request is matched with the crash here.
  */
-import type {BackendServerId, RequestFingerprint} from '../common/index.js';
+import type {BackendServerId, RequestFingerprint} from '../../common/index.js';
 
 /** How long an attempt is kept, in milliseconds: longer than the registry entry of a crashed server takes to expire. */
 const attemptRetention = 5000;
--- a/src/planning/crash-attribution.ts
+++ b/src/planning/crashes/crash-attribution.ts
@@ -6,12 +6,12 @@
  */
 import {
 	createFailure, type BackendServerId, type Failure, type RequestFingerprint,
-} from '../common/index.js';
+} from '../../common/index.js';
+import type {ActivePlans} from '../active-plans.js';
+import type {Plan, PlanRequest} from '../plan.js';
 import {AbandonedAttempts} from './abandoned-attempts.js';
-import type {ActivePlans} from './active-plans.js';
 import {CrashRecords, isolatedCrashWeight, type QuarantineState} from './crash-records.js';
 import type {IsolationTrials} from './isolation-trials.js';
-import type {Plan, PlanRequest} from './plan.js';
 
 /** The failure of a request that is rejected because of its crashes. */
 export function createQuarantineFailure({crashes, rejectedFor}: Extract<QuarantineState, {kind: 'rejected'}>): Failure {
--- a/src/planning/crash-records.ts
+++ b/src/planning/crashes/crash-records.ts
@@ -6,7 +6,7 @@
  *
  * Load pattern: fifteen of eight hundred requests crash each server that runs them, beside ten others each, within twenty seconds.
  */
-import type {BackendServerId, RequestFingerprint} from '../common/index.js';
+import type {BackendServerId, RequestFingerprint} from '../../common/index.js';
 
 /** Number of crashes after which a request is isolated, and rejected. */
 const crashesToIsolate = 2;
--- a/src/planning/isolation-trials.ts
+++ b/src/planning/crashes/isolation-trials.ts
@@ -1,7 +1,7 @@
 /** Servers reserved for requests that may crash them, one request on each server. Pure. */
-import type {BackendServerId, RequestFingerprint, PlanId} from '../common/index.js';
-import {findMin} from './find-min.js';
-import type {ServerLoad} from './server-load.js';
+import type {BackendServerId, RequestFingerprint, PlanId} from '../../common/index.js';
+import {findMin} from '../find-min.js';
+import type {ServerLoad} from '../server-load.js';
 
 /** At most one in `serversPerTrial` servers is reserved, and none where there are fewer than `minServers`. */
 const serversPerTrial = 6;
--- a/src/planning/index.ts
+++ b/src/planning/index.ts
@@ -1,5 +1,5 @@
 export * from './cold-limits.js';
-export * from './crash-records.js';
+export * from './crashes/index.js';
 export * from './answer-value.js';
 export * from './engine-model.js';
 export * from './fleet-retry-budget.js';
--- a/src/planning/plan.ts
+++ b/src/planning/plan.ts
@@ -2,7 +2,7 @@
 import type {
 	AvailabilityZone, BackendServerId, BoxId, RequestFingerprint, OrganisationId, PlanId, RequestId, ServiceName,
 } from '../common/index.js';
-import type {CrashReport} from './crash-records.js';
+import type {CrashReport} from './crashes/index.js';
 import type {RestingServer} from './resting-servers.js';
 
 /**
--- a/src/planning/planner.ts
+++ b/src/planning/planner.ts
@@ -16,13 +16,13 @@
 import {ActivePlans, type ActivePlan} from './active-plans.js';
 import {CallerWaits} from './caller-waits.js';
 import type {ColdLimits, GrantedShares} from './cold-limits.js';
-import {CrashAttribution, createQuarantineFailure} from './crash-attribution.js';
-import type {CrashRecords} from './crash-records.js';
+import {
+	CrashAttribution, createQuarantineFailure, IsolationTrials, type CrashRecords,
+} from './crashes/index.js';
 import {FailureComparison} from './failure-comparison.js';
 import {
 	LimitedVisibility, fullVisibility, type FleetVisibility,
 } from './fleet-visibility.js';
-import {IsolationTrials} from './isolation-trials.js';
 import {LimitGate, type GatedRequest} from './limit-gate.js';
 import type {OrganisationShares} from './organisation-shares.js';
 import type {
--- a/src/planning/request-placement.ts
+++ b/src/planning/request-placement.ts
@@ -12,7 +12,7 @@
 import {computePrefillTime} from './engine-model.js';
 import {findEqualMin} from './find-min.js';
 import {divideWithoutDemand, visibilityRetryDelay, type LimitedVisibility} from './fleet-visibility.js';
-import {trialRetryDelay, type IsolationTrials} from './isolation-trials.js';
+import {trialRetryDelay, type IsolationTrials} from './crashes/index.js';
 import type {GatedRequest, LimitGate} from './limit-gate.js';
 import type {Decision, Plan, PlanRequest} from './plan.js';
 import {createOverloadFailure, type PrefillScheduler} from './prefill-scheduler.js';
--- a/src/planning/usable-servers.ts
+++ b/src/planning/usable-servers.ts
@@ -1,6 +1,6 @@
 /** Chooses the servers that may run a request, by earlier failures and reservations; limits are applied later. Pure. */
 import type {BackendServerId} from '../common/index.js';
-import type {QuarantineState} from './crash-records.js';
+import type {QuarantineState} from './crashes/index.js';
 import type {PlanRequest} from './plan.js';
 import type {ServerLoad} from './server-load.js';
 
