fix(planning): attribute crashes of servers to prompt parts too

Cause: crashes were counted against whole requests (method, target, organisation, body) only. In the logs 52 bodies ran on 19 crashed servers, none on more than three: each new body could crash three servers. Class: evidence is filed under an identity that the cause does not have. Change: a crash counts against the traits of all requests that ran: the request and each shared part of its prompt, in requests of one organisation. A complete answer clears the traits of its request. Crashes that a more frequent trait explains don't count for those beside it; parts are judged across organisations only with crashes of their own or of two others. Records, answers and refusals carry traits between nodes. Why it works: after three crashes only the crashing part was at all of them and in no answer; sound requests share the others. Tests changed: classify and clear of CrashRecords became classifyTraits and recordAnswer; an isolated state names its trait. Ruled out: counting by parts without answers (the common first part is at every crash); blaming the first of two parts that can't be told apart (rejects sound requests).

--- a/src/common/ids.ts
+++ b/src/common/ids.ts
@@ -33,6 +33,10 @@
 export type RequestFingerprint = Branded<'RequestFingerprint'>;
 /** Name that a caller gives to a part of a prompt; callers share names of common parts. */
 export type PromptPartId = Branded<'PromptPartId'>;
+/** A prompt part in requests of one organisation, as a digest of both. */
+export type PromptPartTrait = Branded<'PromptPartTrait'>;
+/** What requests that crash backend servers may have in common: the whole request, or a part of its prompt. */
+export type CrashTrait = RequestFingerprint | PromptPartTrait;
 /** Idempotency key of a request that must run at most once. */
 export type RunKey = Branded<'RunKey'>;
 
--- a/src/gateway/calls/call-run.ts
+++ b/src/gateway/calls/call-run.ts
@@ -283,7 +283,7 @@
 			lastEventId: this.#lastEventId,
 		}, 'a backend server ended while running a request');
 		this.#parts.placer.report(plan, {
-			planId: plan.planId, kind: 'server_ended', server, fingerprint,
+			planId: plan.planId, kind: 'server_ended', server, fingerprint, parts: this.#call.parts,
 		});
 	}
 
--- a/src/gateway/calls/call-service.ts
+++ b/src/gateway/calls/call-service.ts
@@ -9,7 +9,7 @@
 import type {BackendPool} from './backend-pool.js';
 import type {Call} from './call.js';
 import {CallRun, type CallOutcome} from './call-run.js';
-import {computeFingerprint} from './request-fingerprint.js';
+import {computeFingerprint, computePartTraits} from './request-fingerprint.js';
 import {sendFailure} from './failure-answer.js';
 import type {HttpSink} from './call-sink.js';
 import {waitForFirstView} from './first-view.js';
@@ -149,7 +149,12 @@
 	/** Finds the route, the organisation and the service of a call. */
 	#resolve(head: CallHead, body: Uint8Array | undefined, arrived: number) {
 		return this.#parts.state.resolveCall(head.host, head.target, head.key, this.#parts.random()).map(resolved => ({
-			head, body, fingerprint: computeFingerprint(head, resolved.organisation?.name, body), arrived, ...resolved,
+			head,
+			body,
+			fingerprint: computeFingerprint(head, resolved.organisation?.name, body),
+			parts: computePartTraits(head.sharedParts, resolved.organisation?.name),
+			arrived,
+			...resolved,
 		}));
 	}
 
--- a/src/gateway/calls/call.ts
+++ b/src/gateway/calls/call.ts
@@ -1,5 +1,5 @@
 /** One request of a caller, as the node that received it handles it. */
-import type {RequestFingerprint} from '../../common/index.js';
+import type {PromptPartTrait, RequestFingerprint} from '../../common/index.js';
 import type {Organisation, Route, ServiceSpec} from '../../routing/index.js';
 import type {CallHead} from '../wire.js';
 
@@ -9,6 +9,8 @@
 	body: Uint8Array | undefined;
 	/** Identifies the request across its caller's retries. */
 	fingerprint: RequestFingerprint;
+	/** Parts of its prompt that other requests may share. */
+	parts: PromptPartTrait[];
 	route: Route;
 	service: ServiceSpec;
 	organisation?: Organisation;
--- a/src/gateway/calls/placement-finder.ts
+++ b/src/gateway/calls/placement-finder.ts
@@ -107,6 +107,7 @@
 			callerWaits: head.timeLeft,
 			hasBegun,
 			fingerprint: call.fingerprint,
+			parts: call.parts.length === 0 ? undefined : call.parts,
 			canRepeat: canRepeat(route),
 			excluded,
 			failedAt: this.failedAt,
--- a/src/gateway/peers/peer-rpc.ts
+++ b/src/gateway/peers/peer-rpc.ts
@@ -5,7 +5,7 @@
 import {Agent} from 'undici';
 import * as z from 'zod';
 import {
-	readErrorMessage, ReplaceableAgent, type Clock, type RequestFingerprint, type Failure, type ServiceName,
+	readErrorMessage, ReplaceableAgent, type Clock, type CrashTrait, type Failure, type ServiceName,
 } from '../../common/index.js';
 import type {
 	Decision, ReportedLimit, ReportedUsage, Plan, PlanRequest, RetryHistory, RetryRequest, CrashReport,
@@ -22,6 +22,8 @@
 	failure?: Failure;
 	/** Crashes attributed to the request, when it is refused because of them. */
 	crashes?: CrashReport[];
+	/** Crashes attributed to parts of its prompt, when it is refused because of them. */
+	partCrashes?: Array<[CrashTrait, CrashReport[]]>;
 	/** Evacuated zones, when the request is refused for lack of servers: the asking node may not know of them yet. */
 	evacuations?: EvacuationsSnapshot;
 };
@@ -31,8 +33,8 @@
 	service: ServiceName;
 	/** Plans that the sender is running. */
 	plans: Plan[];
-	/** Requests that crashed servers, with their crashes. */
-	crashRecords: Array<[RequestFingerprint, CrashReport[]]>;
+	/** Traits of requests that crashed servers, with their crashes. */
+	crashRecords: Array<[CrashTrait, CrashReport[]]>;
 	/** Request limits that servers announced or lifted. */
 	limits: ReportedLimit[];
 	/** Servers that are cold although their entries do not say so; absent from nodes of earlier builds. */
@@ -63,7 +65,7 @@
 const retryRequestSchema = createShapeSchema<RetryRequest>(['requestId', 'service', 'node', 'promptTokens']);
 const planSchema = createShapeSchema<Plan>(['planId', 'request', 'server', 'helpers']);
 const historySchema = createShapeSchema<RetryHistory>(['life', 'age', 'known', 'requests', 'retries', 'meanWorth']);
-const crashSchema = z.custom<[RequestFingerprint, CrashReport[]]>(value => Array.isArray(value) && value.length === 2 && Array.isArray(value[1]));
+const crashSchema = z.custom<[CrashTrait, CrashReport[]]>(value => Array.isArray(value) && value.length === 2 && Array.isArray(value[1]));
 const coldSchema = createShapeSchema<ColdServer>(['server', 'coldFor']);
 const usageSchema = createShapeSchema<ReportedUsage>(['organisation', 'used', 'asked', 'age']);
 const limitSchema = createShapeSchema<ReportedLimit>(['server', 'age']);
--- a/src/gateway/peers/plan-update.ts
+++ b/src/gateway/peers/plan-update.ts
@@ -7,7 +7,7 @@
 import {Buffer} from 'node:buffer';
 import * as z from 'zod';
 import type {
-	BackendServerId, BoxId, RequestFingerprint, PlanId, ServiceName,
+	BackendServerId, BoxId, CrashTrait, PlanId, ServiceName,
 } from '../../common/index.js';
 import {
 	maxReportedOrganisations, type ReportedLimit, type ReportedUsage, type PlanEvent, type CrashReport,
@@ -22,8 +22,8 @@
 	notes: PlanEvent[];
 	/** All plans that the node is running; undefined if the update does not list them. */
 	active?: PlanId[];
-	/** Requests that crashed servers, with their crashes. */
-	crashRecords?: Array<[RequestFingerprint, CrashReport[]]>;
+	/** Traits of requests that crashed servers, with their crashes. */
+	crashRecords?: Array<[CrashTrait, CrashReport[]]>;
 	/** Request limits that servers announced or lifted. */
 	limits?: ReportedLimit[];
 	/** Servers that are leaving. */
--- a/src/gateway/scheduling/fleet-placer.ts
+++ b/src/gateway/scheduling/fleet-placer.ts
@@ -280,9 +280,10 @@
 	}
 
 	/** Adds what the asking node may not know yet and needs to decide what follows a refusal. */
-	#describeRefusal({service, fingerprint}: PlanRequest, failure: Failure): DecisionAnswer {
+	#describeRefusal({service, fingerprint, parts = []}: PlanRequest, failure: Failure): DecisionAnswer {
 		if (failure.kind === 'ends_servers') {
-			return {failure, crashes: this.#services.findPlans(service).crashes.describe(fingerprint)};
+			const {crashes} = this.#services.findPlans(service);
+			return {failure, crashes: crashes.describe(fingerprint), partCrashes: crashes.describeTraits(parts)};
 		}
 
 		const evacuations = failure.kind === 'no_backend_server' ? this.#parts.state.evacuations?.takeSnapshot() : undefined;
@@ -319,6 +320,7 @@
 		}
 
 		this.#mergeCrashes({...request, crashes: answer?.crashes});
+		plans.crashes.merge(answer?.partCrashes ?? []);
 		if (answer?.decision !== undefined) {
 			return {decidedBy: 'planner', result: Right(answer.decision)};
 		}
--- a/src/gateway/scheduling/plan-event-reporter.ts
+++ b/src/gateway/scheduling/plan-event-reporter.ts
@@ -28,8 +28,9 @@
 
 	/** Applies an event of a plan that this node runs, and reports it to the other nodes that need it. */
 	report(plan: Plan, event: PlanEvent): void {
-		const {service, fingerprint} = plan.request;
+		const {service} = plan.request;
 		const plans = this.#parts.services.findPlans(service);
+		const survival = event.kind === 'ended' && event.wasAnswered === true ? plans.crashes.createSurvival(plan) : undefined;
 		this.apply(plans.planner, event);
 		if (event.kind === 'ended') {
 			plans.ownPlans.delete(plan.planId);
@@ -38,12 +39,9 @@
 		this.#queueEvent(service, plans, event);
 		if (event.kind === 'server_ended') {
 			plans.crashes.replicateOwn(event);
-		} else if (event.kind === 'ended' && event.wasAnswered === true && fingerprint !== undefined && plans.planner.crashRecords.has(fingerprint)) {
-			const survived: PlanEvent = {planId: plan.planId, kind: 'survived', fingerprint};
-			const isBroadcast = plans.crashes.hasRepeated(fingerprint);
-			this.apply(plans.planner, survived);
-			this.#queueEvent(service, plans, survived);
-			this.#parts.updates.sendToSuccessors(service, isBroadcast, {notes: [survived]});
+		} else if (survival !== undefined) {
+			this.#queueEvent(service, plans, survival.event);
+			this.#parts.updates.sendToSuccessors(service, survival.isKnownToAll, {notes: [survival.event]});
 		}
 	}
 
--- a/src/gateway/scheduling/replicated-crashes.ts
+++ b/src/gateway/scheduling/replicated-crashes.ts
@@ -1,6 +1,8 @@
 /** Crash records of one service: attributes server crashes to requests and replicates the records between nodes. */
-import type {BackendServerId, RequestFingerprint} from '../../common/index.js';
-import type {CrashReport, PlanEvent} from '../../planning/index.js';
+import type {BackendServerId, CrashTrait} from '../../common/index.js';
+import {
+	listTraits, type CrashReport, type Plan, type PlanEvent,
+} from '../../planning/index.js';
 import type {ServiceParts} from './service-parts.js';
 
 /** Maximum age of an unanswered attempt that a reported crash is attributed to, in milliseconds. */
@@ -9,9 +11,18 @@
 /** Maximum age of a node that is sent the records once a second, in milliseconds: it gets three datagrams, any of which may be lost. */
 const maxNewNodeAge = 3500;
 
-/** Maximum number of requests with crash records in one datagram. */
+/** Maximum number of traits with crash records in one datagram. */
 const maxCrashesReplicated = 20;
 
+type CrashEvent = Extract<PlanEvent, {kind: 'server_ended'}>;
+
+/** An answer to a request with crash records. */
+export type Survival = {
+	event: Extract<PlanEvent, {kind: 'survived'}>;
+	/** Whether all nodes may have the records. */
+	isKnownToAll: boolean;
+};
+
 /** Crash records of one service on this node. */
 export class ReplicatedCrashes {
 	readonly #parts: ServiceParts;
@@ -20,42 +31,56 @@
 		this.#parts = parts;
 	}
 
-	/** Describes the crashes attributed to a request, newest first. */
-	describe(fingerprint: RequestFingerprint | undefined): CrashReport[] {
-		return fingerprint === undefined ? [] : this.#parts.planner.crashRecords.describe(fingerprint, this.#now);
+	/** Describes the crashes attributed to a trait, newest first. */
+	describe(trait: CrashTrait | undefined): CrashReport[] {
+		return trait === undefined ? [] : this.#parts.planner.crashRecords.describe(trait, this.#now);
+	}
+
+	/** Describes the records of some traits; those without crashes are left out. */
+	describeTraits(traits: CrashTrait[]): Array<[CrashTrait, CrashReport[]]> {
+		return traits.map((trait): [CrashTrait, CrashReport[]] => [trait, this.describe(trait)]).filter(([, crashes]) => crashes.length > 0);
 	}
 
 	/** Describes all records, for a new scheduling node. */
-	describeAll(): Array<[RequestFingerprint, CrashReport[]]> {
+	describeAll(): Array<[CrashTrait, CrashReport[]]> {
 		return this.#parts.planner.crashRecords.describeAll(this.#now);
 	}
 
 	/** Merges records of another node. */
-	merge(records: Array<[RequestFingerprint, CrashReport[]]>): void {
-		for (const [fingerprint, crashes] of records) {
-			this.#parts.planner.crashRecords.merge(fingerprint, crashes, this.#now);
+	merge(records: Array<[CrashTrait, CrashReport[]]>): void {
+		for (const [trait, crashes] of records) {
+			this.#parts.planner.crashRecords.merge(trait, crashes, this.#now);
 		}
 	}
 
 	/** Replicates a crash that an attempt on this node reported. */
-	replicateOwn({server, fingerprint}: Extract<PlanEvent, {kind: 'server_ended'}>): void {
-		this.#replicate(fingerprint);
-		this.#attribute(server, maxReportedCrashAge);
+	replicateOwn(event: CrashEvent): void {
+		this.#replicate(listTraits(event));
+		this.#attribute(event.server, maxReportedCrashAge);
 	}
 
-	/** Replicates a crash that another node reported, if it is not the first of its request. */
-	replicateReported({server, fingerprint}: Extract<PlanEvent, {kind: 'server_ended'}>): void {
-		if (this.hasRepeated(fingerprint)) {
-			// Without replication, only the node that proxied the request may know of this crash.
-			this.#replicate(fingerprint);
-		}
-
-		this.#attribute(server, maxReportedCrashAge);
+	/** Replicates a crash that another node reported, for the traits for which it is not the first. */
+	replicateReported(event: CrashEvent): void {
+		// Without replication, only the node that proxied the request may know of this crash.
+		this.#replicate(listTraits(event).filter(trait => this.#hasRepeated(trait)));
+		this.#attribute(event.server, maxReportedCrashAge);
 	}
 
-	/** Whether more than one crash is recorded for a request. */
-	hasRepeated(fingerprint: RequestFingerprint): boolean {
-		return this.describe(fingerprint).length > 1;
+	/** Traits of an answered request that have records, as an event for the other nodes; undefined when there are none. */
+	createSurvival(plan: Plan): Survival | undefined {
+		const traits = listTraits(plan.request).filter(trait => this.#parts.planner.crashRecords.has(trait));
+		if (traits.length === 0) {
+			return undefined;
+		}
+
+		const {fingerprint, parts = []} = plan.request;
+		const event = {
+			planId: plan.planId,
+			kind: 'survived',
+			fingerprint: fingerprint !== undefined && traits.includes(fingerprint) ? fingerprint : undefined,
+			parts: parts.filter(part => traits.includes(part)),
+		} as const;
+		return {event, isKnownToAll: traits.some(trait => this.#hasRepeated(trait))};
 	}
 
 	/** Treats a server whose entry was removed without draining as crashed by the requests that it left unanswered. */
@@ -84,20 +109,32 @@
 		return this.#parts.clock.readMonotonic();
 	}
 
-	/** Sends a record to the next scheduling node, or to all nodes if the request crashed several servers: any node may have to schedule it. */
-	#replicate(fingerprint: RequestFingerprint): void {
+	/** Whether more than one crash is recorded for a trait. */
+	#hasRepeated(trait: CrashTrait): boolean {
+		return this.describe(trait).length > 1;
+	}
+
+	/** Sends records to the next scheduling node, and those of traits with several crashes to all nodes: any node may have to schedule their requests. */
+	#replicate(traits: CrashTrait[]): void {
 		const {service, updates} = this.#parts;
-		updates.sendToSuccessors(service, this.hasRepeated(fingerprint), {crashRecords: [[fingerprint, this.describe(fingerprint)]]});
+		const repeated = traits.filter(trait => this.#hasRepeated(trait));
+		const single = traits.filter(trait => !repeated.includes(trait));
+		for (const [list, isBroadcast] of [[repeated, true], [single, false]] as const) {
+			for (let start = 0; start < list.length; start += maxCrashesReplicated) {
+				updates.sendToSuccessors(service, isBroadcast, {crashRecords: this.describeTraits(list.slice(start, start + maxCrashesReplicated))});
+			}
+		}
 	}
 
 	/** Attributes a crash to requests whose attempts had ended unanswered before it and so cannot report it. */
 	#attribute(server: BackendServerId, age?: number): void {
 		const {service, planner, logger} = this.#parts;
-		for (const fingerprint of planner.attributeCrash(server, this.#now, age)) {
+		const traits = planner.attributeCrash(server, this.#now, age);
+		if (traits.length > 0) {
 			logger.info({
-				event: 'server_ended', service, server, fingerprint, isInferred: true,
-			}, 'attributed a backend server crash to an earlier unanswered attempt');
-			this.#replicate(fingerprint);
+				event: 'server_ended', service, server, traits, isInferred: true,
+			}, 'attributed a backend server crash to earlier unanswered attempts');
+			this.#replicate(traits);
 		}
 	}
 }
--- a/src/planning/active-plans.ts
+++ b/src/planning/active-plans.ts
@@ -4,9 +4,10 @@
  * Tasks are also kept for a server that accepts no new work and therefore has no load entry: it may accept new work again.
  */
 import type {
-	BackendServerId, BoxId, PlanId, RequestFingerprint,
+	BackendServerId, BoxId, CrashTrait, PlanId,
 } from '../common/index.js';
 import type {BackendServer, EngineProfile} from '../routing/index.js';
+import {listTraits} from './crashes/index.js';
 import {computePrefillTime} from './engine-model.js';
 import type {Plan} from './plan.js';
 import {
@@ -144,9 +145,9 @@
 			.map(({plan}) => plan);
 	}
 
-	/** Servers on which a request runs. */
-	findServers(fingerprint: RequestFingerprint): Set<BackendServerId> {
-		const plans = [...this.#plans.values()].filter(({plan}) => plan.request.fingerprint === fingerprint);
+	/** Servers on which requests with a trait run. */
+	findServers(trait: CrashTrait): Set<BackendServerId> {
+		const plans = [...this.#plans.values()].filter(({plan}) => listTraits(plan.request).includes(trait));
 		return new Set(plans.flatMap(({tasks}) => [...tasks.keys()]));
 	}
 
--- a/src/planning/crashes/crash-attribution.ts
+++ b/src/planning/crashes/crash-attribution.ts
@@ -4,19 +4,14 @@
  * A crash is reported by the attempts that it breaks; attempts that ended without an answer shortly before are matched with it here. How much
  * a crash counts against a request depends on where else the request runs.
  */
-import {
-	createFailure, type BackendServerId, type Failure, type RequestFingerprint,
-} from '../../common/index.js';
+import type {BackendServerId, CrashTrait} from '../../common/index.js';
 import type {ActivePlans} from '../active-plans.js';
 import type {Plan, PlanRequest} from '../plan.js';
 import {AbandonedAttempts} from './abandoned-attempts.js';
-import {CrashRecords, isolatedCrashWeight, type QuarantineState} from './crash-records.js';
+import {CrashRecords, isolatedCrashWeight} from './crash-records.js';
+import {listTraits} from './crash-traits.js';
 import type {IsolationTrials} from './isolation-trials.js';
-
-/** The failure of a request that is rejected because of its crashes. */
-export function createQuarantineFailure({crashes, rejectedFor}: Extract<QuarantineState, {kind: 'rejected'}>): Failure {
-	return createFailure('ends_servers', `${crashes} backend servers crashed while they ran this request; it is not sent to another one`, {retryAfterSeconds: Math.ceil(rejectedFor / 1000)});
-}
+import {classifyTraits, type QuarantineState} from './quarantine.js';
 
 /** Crash attribution of one service. */
 export class CrashAttribution {
@@ -32,12 +27,13 @@
 	}
 
 	/** The quarantine state of a request, with the crashes that its node knows. */
-	classify({fingerprint, crashes}: PlanRequest, now: number): QuarantineState {
+	classify(request: PlanRequest, now: number): QuarantineState {
+		const {fingerprint, crashes} = request;
 		if (fingerprint !== undefined && crashes !== undefined) {
 			this.records.merge(fingerprint, crashes, now);
 		}
 
-		return this.records.classify(fingerprint, now);
+		return classifyTraits(this.records, listTraits(request), now);
 	}
 
 	/** Adds the crash records, as the node that runs the plan may have to decide for the request later. */
@@ -46,16 +42,24 @@
 		return {...plan, request: {...request, crashes: this.records.describe(request.fingerprint!, now)}};
 	}
 
-	/** Counts a server's crash against a request that it ran; returns whether the crash is a new one for the request. */
-	recordCrash(server: BackendServerId, fingerprint: RequestFingerprint, now: number): boolean {
-		return this.records.recordCrash(server, fingerprint, this.#computeWeight(server, fingerprint), now);
+	/** Counts a server's crash against the traits of a request that it ran; returns those for which the crash is a new one. */
+	recordCrash(server: BackendServerId, traits: CrashTrait[], now: number): CrashTrait[] {
+		return traits.filter(trait => this.records.recordCrash(server, trait, this.#computeWeight(server, trait), now));
+	}
+
+	/** Records the complete answer to a request. */
+	recordAnswer(traits: CrashTrait[], now: number): void {
+		for (const trait of traits) {
+			this.records.recordAnswer(trait, now);
+		}
 	}
 
 	/** Records an attempt that ended without an answer. */
-	recordAbandoned({server, request: {fingerprint}}: Plan, now: number): void {
+	recordAbandoned({server, request}: Plan, now: number): void {
+		const traits = listTraits(request);
 		// A server that accepts no new work may be leaving as planned, which is no crash.
-		if (fingerprint !== undefined && this.#plans.loads.has(server)) {
-			this.#abandoned.add(server, fingerprint, now);
+		if (traits.length > 0 && this.#plans.loads.has(server)) {
+			this.#abandoned.add(server, traits, now);
 		}
 	}
 
@@ -64,9 +68,9 @@
 		return this.#abandoned.listServers();
 	}
 
-	/** Counts a server's crash against the requests whose attempts there ended without an answer at most `age` milliseconds ago; returns those for which it is new. */
-	attribute(server: BackendServerId, now: number, age?: number): RequestFingerprint[] {
-		return this.#abandoned.take(server, now, age).filter(fingerprint => this.recordCrash(server, fingerprint, now));
+	/** Counts a server's crash against the requests whose attempts there ended without an answer at most `age` milliseconds ago; returns the traits for which it is new. */
+	attribute(server: BackendServerId, now: number, age?: number): CrashTrait[] {
+		return this.recordCrash(server, this.#abandoned.take(server, now, age), now);
 	}
 
 	/** Drops the unanswered attempts at a server that leaves as planned. */
@@ -74,13 +78,13 @@
 		this.#abandoned.take(server, now);
 	}
 
-	/** Weight of a crash for a request; 0 for a request that runs on all servers. */
-	#computeWeight(server: BackendServerId, fingerprint: RequestFingerprint): number {
-		if (this.#trials.isReserved(server)) {
+	/** Weight of a crash for a trait; 0 for one that runs on all servers. */
+	#computeWeight(server: BackendServerId, trait: CrashTrait): number {
+		if (this.#trials.findTrait(server) === trait) {
 			return isolatedCrashWeight;
 		}
 
-		const otherServers = this.#plans.findServers(fingerprint);
+		const otherServers = this.#plans.findServers(trait);
 		otherServers.delete(server);
 		return 1 - (otherServers.size / Math.max(1, this.#plans.loads.size));
 	}
--- a/src/planning/crashes/crash-records.ts
+++ b/src/planning/crashes/crash-records.ts
@@ -1,19 +1,16 @@
 /**
  * Records which requests were running on backend servers when they crashed. Pure; time is passed in.
  *
- * Requests are identified by fingerprint, since clients retry them under new ids. A crash counts against every request that the server was
- * running. After two crashes a request runs on a server of its own, after three it is rejected.
- *
- * Load pattern: fifteen of eight hundred requests crash each server that runs them, beside ten others each, within twenty seconds.
+ * Requests are identified by their traits: a fingerprint, since clients retry them under new ids, and the shared parts of their prompts,
+ * since requests may have nothing else in common. A crash counts against every trait of the requests that the server was running; an
+ * answer of a server clears the traits of its request.
  */
-import type {BackendServerId, RequestFingerprint} from '../../common/index.js';
-
-/** Number of crashes after which a request is isolated, and rejected. */
-const crashesToIsolate = 2;
-const crashesToReject = 3;
+import type {BackendServerId, CrashTrait} from '../../common/index.js';
+import {findPartDigest} from './crash-traits.js';
+import {TraitAnswers} from './trait-answers.js';
 
 /** How long a crash counts, in milliseconds. */
-const crashRetention = 600_000;
+export const crashRetention = 600_000;
 
 /** At least this many crashes within this time, in milliseconds, count as one correlated failure: the loss of a rack, a zone or power. */
 const correlationWindow = 250;
@@ -25,109 +22,129 @@
 /** Weight of the crash of a server that ran only this request. */
 export const isolatedCrashWeight = 1.5;
 
-/** Maximum number of requests; the oldest are dropped first. */
-const maxRequests = 4096;
+/** Factor applied to the weight of crashes for a prompt part that was answered before them. */
+const answeredPartWeight = 0.5;
+
+/** Maximum number of traits; the oldest are dropped first. */
+const maxTraits = 4096;
 
-/** Maximum number of crashes of one request that are reported to other nodes. */
+/** Maximum number of crashes of one trait that are reported to other nodes. */
 const maxReported = 4;
 
-/** A crash of a server that ran a request; `age` in milliseconds. The weight is below 1 when the request ran on many servers, and above when it was isolated. */
+/** A crash of a server that ran a request; `age` in milliseconds. The weight is below 1 when the trait ran on many servers, and above when it was isolated. */
 export type CrashReport = {server: BackendServerId; age: number; weight: number};
 
-/** Quarantine state of a request; `rejectedFor` in milliseconds. */
-export type QuarantineState = {kind: 'clean' | 'suspect' | 'isolated'; crashes: number} | {kind: 'rejected'; crashes: number; rejectedFor: number};
-
 /** Reports of a server's crash within this time of its first report refer to the same crash, in milliseconds; a server takes longer to restart and crash again. */
 const sameCrashWindow = 5000;
 
-/** A crash of a server and the requests it was running. */
-type Crash = {server: BackendServerId; at: number; running: Set<RequestFingerprint>};
+/** A crash of a server and the traits of the requests that it was running. */
+export type Crash = {server: BackendServerId; at: number; running: Set<CrashTrait>};
 
 /** Crash records of one service. */
 export class CrashRecords {
-	/** The crashes of each request, with their weights. */
-	readonly #fingerprints = new Map<RequestFingerprint, Map<Crash, number>>();
+	/** The crashes of each trait, with their weights. */
+	readonly #traits = new Map<CrashTrait, Map<Crash, number>>();
 	readonly #crashes = new Map<BackendServerId, Crash[]>();
+	/** Traits with records of each prompt part. */
+	readonly #parts = new Map<string, Set<CrashTrait>>();
+	readonly #answers = new TraitAnswers();
 
-	/** Number of requests with a record. */
+	/** Number of traits with a record. */
 	get size(): number {
-		return this.#fingerprints.size;
+		return this.#traits.size;
 	}
 
-	/** Records a crash of a server that ran a request; returns whether the crash is a new one for the request. */
-	recordCrash(server: BackendServerId, fingerprint: RequestFingerprint, weight: number, now: number): boolean {
-		const isNew = this.#add(fingerprint, this.#findCrash(server, now), weight);
+	/** Records a crash of a server that ran a request with the trait; returns whether the crash is a new one for the trait. */
+	recordCrash(server: BackendServerId, trait: CrashTrait, weight: number, now: number): boolean {
+		const isNew = this.#add(trait, this.#findCrash(server, now), weight);
 		this.#prune(now);
 		return isNew;
 	}
 
-	/** Drops the record of a request that a server has answered. */
-	clear(fingerprint: RequestFingerprint): void {
-		this.#fingerprints.delete(fingerprint);
+	/** Records a complete answer to a request with the trait, which drops its crashes. */
+	recordAnswer(trait: CrashTrait, now: number): void {
+		// Whole requests are rarely sent again after an answer: only those with a record have to be remembered.
+		if (this.#traits.has(trait) || findPartDigest(trait) !== undefined) {
+			this.#answers.record(trait, now);
+		}
+
+		this.#drop(trait);
 	}
 
-	/** Whether a request has a record. */
-	has(fingerprint: RequestFingerprint): boolean {
-		return this.#fingerprints.has(fingerprint);
+	/** Whether a trait has a record. */
+	has(trait: CrashTrait): boolean {
+		return this.#traits.has(trait);
 	}
 
 	/** Merges crashes that another node reports. */
-	merge(fingerprint: RequestFingerprint, crashes: CrashReport[], now: number): void {
+	merge(trait: CrashTrait, crashes: CrashReport[], now: number): void {
 		for (const {server, age, weight} of crashes) {
-			this.#add(fingerprint, this.#findCrash(server, now - age), weight);
+			if (!this.#answers.hasSince(trait, now - age)) {
+				this.#add(trait, this.#findCrash(server, now - age), weight);
+			}
 		}
 
 		this.#prune(now);
 	}
 
-	/** The crashes of a request, newest first. */
-	describe(fingerprint: RequestFingerprint, now: number): CrashReport[] {
-		return [...this.#fingerprints.get(fingerprint) ?? []]
+	/** The crashes of a trait, newest first. */
+	describe(trait: CrashTrait, now: number): CrashReport[] {
+		return [...this.#traits.get(trait) ?? []]
 			.map(([{server, at}, weight]) => ({server, age: Math.round(now - at), weight}))
 			.filter(({age}) => age < crashRetention)
 			.sort((left, right) => left.age - right.age)
 			.slice(0, maxReported);
 	}
 
-	/** Requests with more than one crash. */
-	describeRepeated(now: number): Array<[RequestFingerprint, CrashReport[]]> {
+	/** Traits with more than one crash. */
+	describeRepeated(now: number): Array<[CrashTrait, CrashReport[]]> {
 		return this.describeAll(now).filter(([, crashes]) => crashes.length > 1);
 	}
 
-	/** Requests with at least one crash. */
-	describeAll(now: number): Array<[RequestFingerprint, CrashReport[]]> {
-		return [...this.#fingerprints.keys()]
-			.map((fingerprint): [RequestFingerprint, CrashReport[]] => [fingerprint, this.describe(fingerprint, now)])
+	/** Traits with at least one crash. */
+	describeAll(now: number): Array<[CrashTrait, CrashReport[]]> {
+		return [...this.#traits.keys()]
+			.map((trait): [CrashTrait, CrashReport[]] => [trait, this.describe(trait, now)])
 			.filter(([, crashes]) => crashes.length > 0);
 	}
 
-	/** The quarantine state of a request. */
-	classify(fingerprint: RequestFingerprint | undefined, now: number): QuarantineState {
-		const crashes = fingerprint === undefined ? undefined : this.#fingerprints.get(fingerprint);
-		if (crashes === undefined) {
-			return {kind: 'clean', crashes: 0};
-		}
+	/** The crashes that count for a trait. */
+	listCrashes(trait: CrashTrait, now: number): Crash[] {
+		return [...this.#traits.get(trait)?.keys() ?? []].filter(({at}) => now - at < crashRetention);
+	}
 
-		const counted = [...crashes].filter(([{at}]) => now - at < crashRetention);
-		const weight = counted.reduce((sum, [crash, crashWeight]) => sum + this.#computeWeight(crash, crashWeight), 0);
-		const known = {crashes: counted.length};
-		if (weight > crashesToReject - 1 && counted.length >= crashesToReject) {
-			const newest = Math.max(...counted.map(([{at}]) => at));
-			return {kind: 'rejected', ...known, rejectedFor: crashRetention - (now - newest)};
-		}
+	/** Number of crashes that count for a trait. */
+	countCrashes(trait: CrashTrait, now: number): number {
+		return this.listCrashes(trait, now).length;
+	}
 
-		return {kind: weight > crashesToIsolate - 1 ? 'isolated' : (counted.length > 0 ? 'suspect' : 'clean'), ...known};
+	/** Sum of the weights of some crashes of a trait. */
+	sumWeights(trait: CrashTrait, crashes: Crash[], now: number): number {
+		const weights = this.#traits.get(trait);
+		const factor = findPartDigest(trait) !== undefined && this.#answers.has(trait, now) ? answeredPartWeight : 1;
+		return factor * crashes.reduce((sum, crash) => sum + ((weights?.get(crash) ?? 0) * (this.#isCorrelated(crash, now) ? correlatedWeight : 1)), 0);
 	}
 
-	#computeWeight({at}: Crash, weight: number): number {
+	/** The traits of the same prompt part in requests of other organisations. */
+	listOtherOrganisations(trait: CrashTrait): CrashTrait[] {
+		const part = findPartDigest(trait);
+		return part === undefined ? [] : [...this.#parts.get(part) ?? []].filter(other => other !== trait);
+	}
+
+	/** Whether a request with the trait was answered recently. */
+	wasAnswered(trait: CrashTrait, now: number): boolean {
+		return this.#answers.has(trait, now);
+	}
+
+	#isCorrelated({at}: Crash, now: number): boolean {
 		const crashes = [...this.#crashes.values()].flat();
-		const correlated = crashes.filter(crash => Math.abs(crash.at - at) <= correlationWindow && !this.#isExplained(crash)).length;
-		return correlated >= minCorrelated ? weight * correlatedWeight : weight;
+		return crashes.filter(crash => Math.abs(crash.at - at) <= correlationWindow && !this.#isRepeated(crash, now)).length >= minCorrelated;
 	}
 
-	/** Whether a request that ran there crashed another server at about the same time, so that this is no correlated failure. */
-	#isExplained({at, running}: Crash): boolean {
-		return [...running].some(fingerprint => [...this.#fingerprints.get(fingerprint)?.keys() ?? []].filter(crash => Math.abs(crash.at - at) <= correlationWindow).length > 1);
+	/** Whether a trait of requests that ran there crashed another server at about the same time, so that this is no correlated failure. A part that is answered elsewhere is no cause. */
+	#isRepeated({at, running}: Crash, now: number): boolean {
+		return [...running].some(trait => !this.#answers.has(trait, now)
+			&& [...this.#traits.get(trait)?.keys() ?? []].filter(crash => Math.abs(crash.at - at) <= correlationWindow).length > 1);
 	}
 
 	/** The crash that a report refers to; a server may crash again under the same id. */
@@ -142,18 +159,29 @@
 		return crash;
 	}
 
-	#add(fingerprint: RequestFingerprint, crash: Crash, weight: number): boolean {
-		const crashes = this.#fingerprints.get(fingerprint) ?? new Map<Crash, number>();
-		const isNew = !crashes.has(crash);
-		crash.running.add(fingerprint);
-		if (isNew) {
-			crashes.set(crash, weight);
+	#add(trait: CrashTrait, crash: Crash, weight: number): boolean {
+		const crashes = this.#traits.get(trait) ?? new Map<Crash, number>();
+		const known = crashes.get(crash);
+		crash.running.add(trait);
+		crashes.set(crash, known === undefined ? weight : combineWeights(known, weight));
+		// Keeps the map ordered by latest crash.
+		this.#traits.delete(trait);
+		this.#traits.set(trait, crashes);
+		const part = findPartDigest(trait);
+		if (part !== undefined) {
+			this.#parts.set(part, (this.#parts.get(part) ?? new Set()).add(trait));
 		}
 
-		// Keeps the map ordered by latest crash.
-		this.#fingerprints.delete(fingerprint);
-		this.#fingerprints.set(fingerprint, crashes);
-		return isNew;
+		return known === undefined;
+	}
+
+	#drop(trait: CrashTrait): void {
+		this.#traits.delete(trait);
+		const part = findPartDigest(trait);
+		const others = part === undefined ? undefined : this.#parts.get(part);
+		if (others?.delete(trait) && others.size === 0) {
+			this.#parts.delete(part!);
+		}
 	}
 
 	#prune(now: number): void {
@@ -166,12 +194,17 @@
 			}
 		}
 
-		for (const fingerprint of this.#fingerprints.keys()) {
-			if (this.#fingerprints.size <= maxRequests) {
+		for (const trait of this.#traits.keys()) {
+			if (this.#traits.size <= maxTraits) {
 				return;
 			}
 
-			this.#fingerprints.delete(fingerprint);
+			this.#drop(trait);
 		}
 	}
 }
+
+/** Combines the weights that two nodes give a crash: isolation is known to one of them, and the node that knows more of the requests running elsewhere gives the lower weight. */
+function combineWeights(known: number, reported: number): number {
+	return Math.max(known, reported) > 1 ? Math.max(known, reported) : Math.min(known, reported);
+}
--- a/src/planning/crashes/isolation-trials.ts
+++ b/src/planning/crashes/isolation-trials.ts
@@ -1,5 +1,5 @@
-/** Servers reserved for requests that may crash them, one request on each server. Pure. */
-import type {BackendServerId, RequestFingerprint, PlanId} from '../../common/index.js';
+/** Servers reserved for requests that may crash them, one request of each suspect trait at a time. Pure. */
+import type {BackendServerId, CrashTrait, PlanId} from '../../common/index.js';
 import {findMin} from '../find-min.js';
 import type {ServerLoad} from '../server-load.js';
 
@@ -14,7 +14,7 @@
 export const trialRetryDelay = 40;
 
 /** A server that is reserved for a request or runs it. */
-type IsolationTrial = {fingerprint: RequestFingerprint; lastAskedAt: number; planId?: PlanId};
+type IsolationTrial = {trait: CrashTrait; lastAskedAt: number; planId?: PlanId};
 
 /** Isolation trials of one service. */
 export class IsolationTrials {
@@ -25,10 +25,15 @@
 		return this.#trials.has(server);
 	}
 
+	/** The trait that a server is reserved for; undefined when it is not. */
+	findTrait(server: BackendServerId): CrashTrait | undefined {
+		return this.#trials.get(server)?.trait;
+	}
+
 	/** The reserved server, once it is idle; undefined until then. `serverCount` counts all servers of the service. */
-	findServer(fingerprint: RequestFingerprint, usable: ServerLoad[], serverCount: number, now: number): ServerLoad | undefined {
+	findServer(trait: CrashTrait, usable: ServerLoad[], serverCount: number, now: number): ServerLoad | undefined {
 		this.#prune(now);
-		const reserved = this.#findReserved(fingerprint);
+		const reserved = this.#findReserved(trait);
 		if (reserved !== undefined) {
 			const [server, trial] = reserved;
 			trial.lastAskedAt = now;
@@ -43,7 +48,7 @@
 		}
 
 		const load = findMin(free, candidate => candidate.taskCount)!;
-		this.#trials.set(load.server.id, {fingerprint, lastAskedAt: now});
+		this.#trials.set(load.server.id, {trait, lastAskedAt: now});
 		return load.taskCount === 0 ? load : undefined;
 	}
 
@@ -64,8 +69,8 @@
 		}
 	}
 
-	#findReserved(fingerprint: RequestFingerprint): [BackendServerId, IsolationTrial] | undefined {
-		return [...this.#trials].find(([, trial]) => trial.fingerprint === fingerprint);
+	#findReserved(trait: CrashTrait): [BackendServerId, IsolationTrial] | undefined {
+		return [...this.#trials].find(([, trial]) => trial.trait === trait);
 	}
 
 	/** Drops the reservations of requests that no longer ask. */
--- a/src/planning/index.ts
+++ b/src/planning/index.ts
@@ -1,5 +1,7 @@
 export * from './cold-limits.js';
-export * from './crashes/index.js';
+export {
+	classifyTraits, CrashRecords, formatPartTrait, listTraits, type CrashReport, type QuarantineState,
+} from './crashes/index.js';
 export * from './answer-value.js';
 export * from './engine-model.js';
 export * from './fleet-retry-budget.js';
--- a/src/planning/plan.ts
+++ b/src/planning/plan.ts
@@ -1,6 +1,6 @@
 /** Requests to a planner and its decisions. */
 import type {
-	AvailabilityZone, BackendServerId, BoxId, RequestFingerprint, OrganisationId, PlanId, RequestId, ServiceName,
+	AvailabilityZone, BackendServerId, BoxId, RequestFingerprint, OrganisationId, PlanId, PromptPartTrait, RequestId, ServiceName,
 } from '../common/index.js';
 import type {CrashReport} from './crashes/index.js';
 import type {RestingServer} from './resting-servers.js';
@@ -49,6 +49,8 @@
 	hasTried?: boolean;
 	/** Identifies the request across retries of its caller. */
 	fingerprint?: RequestFingerprint;
+	/** Parts of its prompt that other requests may share; undefined from nodes that do not state them. */
+	parts?: PromptPartTrait[];
 	/** Crashes of servers that ran it: as known to the requesting node, and in a plan as known to the planner. */
 	crashes?: CrashReport[];
 	/** Whether it may run once more after a failure; undefined from nodes that do not state it. */
@@ -121,9 +123,9 @@
 	| {planId: PlanId; kind: 'ended'; wasAnswered?: boolean; isUnanswered?: boolean}
 	| {planId: PlanId; kind: 'failed'; server: BackendServerId; trouble: Trouble}
 	/** The server crashed while it ran the plan. */
-	| {planId: PlanId; kind: 'server_ended'; server: BackendServerId; fingerprint: RequestFingerprint}
-	/** A server answered a request that had crash records. */
-	| {planId: PlanId; kind: 'survived'; fingerprint: RequestFingerprint};
+	| {planId: PlanId; kind: 'server_ended'; server: BackendServerId; fingerprint: RequestFingerprint; parts?: PromptPartTrait[]}
+	/** A server answered a request that had crash records; `fingerprint` and `parts` are those that had some. */
+	| {planId: PlanId; kind: 'survived'; fingerprint?: RequestFingerprint; parts?: PromptPartTrait[]};
 
 /** A prefill that exceeded its allowed overrun; times in milliseconds, `allowedOverrun` as a share of the prediction. */
 export type OverrunReport = {plan: Plan; predicted: number; took: number; allowedOverrun: number};
--- a/src/planning/planner.ts
+++ b/src/planning/planner.ts
@@ -10,14 +10,14 @@
  */
 import {Left, type Either} from 'purify-ts';
 import {
-	createFailure, type BackendServerId, type BoxId, type RequestFingerprint, type Failure, type IdSource, type PlanId,
+	createFailure, type BackendServerId, type BoxId, type CrashTrait, type Failure, type IdSource, type PlanId,
 } from '../common/index.js';
 import type {BackendServer, EngineProfile} from '../routing/index.js';
 import {ActivePlans, type ActivePlan} from './active-plans.js';
 import {CallerWaits} from './caller-waits.js';
 import type {ColdLimits, GrantedShares} from './cold-limits.js';
 import {
-	CrashAttribution, createQuarantineFailure, IsolationTrials, type CrashRecords,
+	classifyTraits, CrashAttribution, createQuarantineFailure, IsolationTrials, listTraits, type CrashRecords, type QuarantineState,
 } from './crashes/index.js';
 import {FailureComparison} from './failure-comparison.js';
 import {
@@ -173,9 +173,9 @@
 			return this.#gate.queueOrReject(gatedRequest, now);
 		}
 
-		const isIsolated = quarantine.kind === 'isolated' && this.#plans.loads.size > 1;
-		const candidates = isIsolated ? available : this.#chooseTrial(request, available, now);
-		const planned = this.#placement.place(gatedRequest, {available: candidates, isIsolated}, now);
+		const isolatedTrait = quarantine.kind === 'isolated' && this.#plans.loads.size > 1 ? quarantine.trait : undefined;
+		const candidates = isolatedTrait === undefined ? this.#chooseTrial(request, available, now) : available;
+		const planned = this.#placement.place(gatedRequest, {available: candidates, isolatedTrait}, now);
 		return planned.map(decision => {
 			if (decision.kind === 'plan') {
 				const plan = this.#failures.addAvoided(decision.plan, this.#plans.loads, now);
@@ -189,6 +189,11 @@
 		});
 	}
 
+	/** The quarantine state of requests with these traits. */
+	classifyTraits(traits: CrashTrait[], now: number): QuarantineState {
+		return classifyTraits(this.crashRecords, traits, now);
+	}
+
 	/** Adopts plans that another planner made; `startIn` counts from now. */
 	adopt(plans: Plan[], now: number): void {
 		for (const plan of plans) {
@@ -201,12 +206,12 @@
 	/** Records the progress of a plan; reports a server that is put into backoff, or a long prefill that exceeded its allowed overrun. */
 	recordEvent(event: PlanEvent, now: number): BackoffReport | OverrunReport | undefined {
 		if (event.kind === 'server_ended') {
-			this.#crashes.recordCrash(event.server, event.fingerprint, now);
+			this.#crashes.recordCrash(event.server, listTraits(event), now);
 			return undefined;
 		}
 
 		if (event.kind === 'survived') {
-			this.crashRecords.clear(event.fingerprint);
+			this.#crashes.recordAnswer([...event.fingerprint === undefined ? [] : [event.fingerprint], ...event.parts ?? []], now);
 			return undefined;
 		}
 
@@ -223,6 +228,10 @@
 			this.#crashes.recordAbandoned(active.plan, now);
 		}
 
+		if (active !== undefined && event.wasAnswered === true) {
+			this.#crashes.recordAnswer(listTraits(active.plan.request), now);
+		}
+
 		return undefined;
 	}
 
@@ -231,8 +240,8 @@
 		return this.#crashes.listAbandonedServers();
 	}
 
-	/** Counts a server's crash against the requests whose attempts there ended without an answer at most `age` milliseconds ago; returns those for which it is new. */
-	attributeCrash(server: BackendServerId, now: number, age?: number): RequestFingerprint[] {
+	/** Counts a server's crash against the requests whose attempts there ended without an answer at most `age` milliseconds ago; returns the traits for which it is new. */
+	attributeCrash(server: BackendServerId, now: number, age?: number): CrashTrait[] {
 		return this.#crashes.attribute(server, now, age);
 	}
 
--- a/src/planning/request-placement.ts
+++ b/src/planning/request-placement.ts
@@ -4,7 +4,7 @@
  */
 import {Left, Right, type Either} from 'purify-ts';
 import {
-	createFailure, type BackendServerId, type Failure, type IdSource, type PlanId,
+	createFailure, type BackendServerId, type CrashTrait, type Failure, type IdSource, type PlanId,
 } from '../common/index.js';
 import type {EngineProfile} from '../routing/index.js';
 import type {ActivePlans} from './active-plans.js';
@@ -40,8 +40,8 @@
 	shareGate: ShareGate | undefined;
 };
 
-/** The servers that may be sent the request now, and whether it needs one of its own. */
-export type PlacementServers = {available: ServerLoad[]; isIsolated: boolean};
+/** The servers that may be sent the request now, and the trait for which it needs one of its own; undefined when it needs none. */
+export type PlacementServers = {available: ServerLoad[]; isolatedTrait: CrashTrait | undefined};
 
 /** Placement of one service's requests. */
 export class RequestPlacement {
@@ -52,16 +52,16 @@
 	}
 
 	/** Plans on warm servers until they are full, then on cold ones; what occupies a server for long goes to a cold one only when there is no warm one. */
-	place(gated: GatedRequest, {available, isIsolated}: PlacementServers, now: number): Either<Failure, Decision> {
+	place(gated: GatedRequest, {available, isolatedTrait}: PlacementServers, now: number): Either<Failure, Decision> {
 		const {gate, prompts} = this.#parts;
 		const {request} = gated;
-		const plan = (servers: ServerLoad[]) => isIsolated ? this.#planIsolated(request, servers, now) : this.#planShared(request, servers, now);
+		const plan = (servers: ServerLoad[]) => isolatedTrait === undefined ? this.#planShared(request, servers, now) : this.#planIsolated(request, isolatedTrait, servers, now);
 		if (!gate.cold.hasLimits(now)) {
 			return plan(available);
 		}
 
 		return placeWarmFirst({
-			gate, gated, available, plan, isHeavy: isIsolated || prompts.isLong(request), isFull: decision => this.#isFull(decision),
+			gate, gated, available, plan, isHeavy: isolatedTrait !== undefined || prompts.isLong(request), isFull: decision => this.#isFull(decision),
 		}, now);
 	}
 
@@ -87,13 +87,13 @@
 	}
 
 	/** Runs a request that crashed servers on a server of its own. */
-	#planIsolated(request: PlanRequest, usable: ServerLoad[], now: number): Either<Failure, Decision> {
+	#planIsolated(request: PlanRequest, trait: CrashTrait, usable: ServerLoad[], now: number): Either<Failure, Decision> {
 		if (request.patience <= trialRetryDelay) {
-			return Left(createFailure('overloaded', 'backend servers crashed while they ran this request, and none is free to run it in isolation'));
+			return Left(createFailure('overloaded', 'backend servers crashed while they ran this request or others with a part of its prompt, and none is free to run it in isolation'));
 		}
 
 		const {trials, plans, prompts: {engine}} = this.#parts;
-		const load = trials.findServer(request.fingerprint!, usable, plans.loads.size, now);
+		const load = trials.findServer(trait, usable, plans.loads.size, now);
 		if (load === undefined) {
 			return Right({kind: 'wait', askAgainIn: trialRetryDelay, reason: 'trial'});
 		}
--- a/test/abandoned-attempts.test.ts
+++ b/test/abandoned-attempts.test.ts
@@ -1,5 +1,5 @@
 import {expect, test} from '@jest/globals';
-import type {BackendServerId, RequestFingerprint} from '../src/common/index.js';
+import type {BackendServerId, CrashTrait, RequestFingerprint} from '../src/common/index.js';
 import type {Plan, Planner} from '../src/planning/index.js';
 import {
 	createPlanRequest, createPlanner, createServers, engine, planNow, shortOptions,
@@ -14,7 +14,7 @@
 	return plan;
 }
 
-function reportCrash(planner: Planner, server: BackendServerId, now: number): RequestFingerprint[] {
+function reportCrash(planner: Planner, server: BackendServerId, now: number): CrashTrait[] {
 	planner.recordEvent({
 		planId: 'plan-other' as Plan['planId'], kind: 'server_ended', server, fingerprint: 'fingerprint-other' as RequestFingerprint,
 	}, now);
@@ -29,7 +29,7 @@
 		planner.setServers(createServers(18).filter(({id}) => id !== server), engine);
 	}
 
-	expect(planner.crashRecords.classify(fingerprint, 21_000).kind).toBe('rejected');
+	expect(planner.classifyTraits([fingerprint], 21_000).kind).toBe('rejected');
 });
 
 test('counts an expired entry for a request that was stopped up to five seconds before', () => {
@@ -45,7 +45,7 @@
 	const {server} = abandonAttempt(planner, 0);
 	expect(reportCrash(planner, server, 1500)).toEqual([]);
 	abandonAttempt(planner, 10_000, false);
-	expect(planner.crashRecords.classify(fingerprint, 11_000)).toEqual({kind: 'clean', crashes: 0});
+	expect(planner.classifyTraits([fingerprint], 11_000)).toEqual({kind: 'clean', crashes: 0});
 });
 
 test('counts no crash for a request whose server is leaving', () => {
--- a/test/crash-records.test.ts
+++ b/test/crash-records.test.ts
@@ -1,6 +1,6 @@
 import {expect, test} from '@jest/globals';
 import type {BackendServerId, RequestFingerprint} from '../src/common/index.js';
-import {CrashRecords} from '../src/planning/index.js';
+import {classifyTraits, CrashRecords} from '../src/planning/index.js';
 
 const [a, b] = ['fingerprint-a', 'fingerprint-b'] as RequestFingerprint[];
 
@@ -20,12 +20,12 @@
 test('a request is suspect after one crash, isolated after two and rejected after three', () => {
 	const records = new CrashRecords();
 	const kinds = [0, 1, 2, 3].map(index => {
-		const {kind} = records.classify(a, index * 1000);
+		const {kind} = classifyTraits(records, [a], index * 1000);
 		records.recordCrash(nameServer(index), a, 1, index * 1000);
 		return kind;
 	});
 	expect(kinds).toEqual(['clean', 'suspect', 'isolated', 'rejected']);
-	expect(records.classify(b, 4000).kind).toBe('clean');
+	expect(classifyTraits(records, [b], 4000).kind).toBe('clean');
 });
 
 test('a crash reported by several nodes counts once', () => {
@@ -35,7 +35,7 @@
 		records.merge(a, [{server: nameServer(1), age: 10, weight: 1}], 1100);
 	}
 
-	expect(records.classify(a, 1200)).toEqual({kind: 'suspect', crashes: 1});
+	expect(classifyTraits(records, [a], 1200)).toEqual({kind: 'suspect', crashes: 1});
 });
 
 test('three correlated failures of many servers isolate a request but do not reject it', () => {
@@ -46,7 +46,7 @@
 		}
 	}
 
-	expect(records.classify(a, 16_000)).toEqual({kind: 'isolated', crashes: 3});
+	expect(classifyTraits(records, [a], 16_000)).toEqual({kind: 'isolated', crashes: 3, trait: a});
 });
 
 test('servers that one request crashes in quick succession are no correlated failure', () => {
@@ -55,7 +55,7 @@
 		records.recordCrash(nameServer(server), a, 1, server * 10);
 	}
 
-	expect(records.classify(a, 100).kind).toBe('rejected');
+	expect(classifyTraits(records, [a], 100).kind).toBe('rejected');
 });
 
 test('a request that runs on most servers is not suspected for the crashes of some', () => {
@@ -64,16 +64,16 @@
 		records.recordCrash(nameServer(server), a, 0.2, server * 1000);
 	}
 
-	expect(records.classify(a, 5000).kind).toBe('suspect');
+	expect(classifyTraits(records, [a], 5000).kind).toBe('suspect');
 });
 
 test('an answer of a server clears the records of a request', () => {
 	const records = new CrashRecords();
 	const now = crashServers(records, a, 3);
-	records.clear(a);
-	expect(records.classify(a, now)).toEqual({kind: 'clean', crashes: 0});
+	records.recordAnswer(a, now);
+	expect(classifyTraits(records, [a], now)).toEqual({kind: 'clean', crashes: 0});
 	const later = crashServers(records, a, 2, 10);
-	expect(records.classify(a, later).kind).toBe('isolated');
+	expect(classifyTraits(records, [a], later).kind).toBe('isolated');
 });
 
 test('crash records are transferred to another node, and both drop them after ten minutes', () => {
@@ -84,8 +84,8 @@
 		other.merge(fingerprint, crashes, now);
 	}
 
-	expect(other.classify(a, now).kind).toBe('rejected');
-	expect([records, other].map(known => known.classify(a, now + 600_000).kind)).toEqual(['clean', 'clean']);
+	expect(classifyTraits(other, [a], now).kind).toBe('rejected');
+	expect([records, other].map(known => classifyTraits(known, [a], now + 600_000).kind)).toEqual(['clean', 'clean']);
 });
 
 // Records merged from other nodes were once kept without a bound: only crashes that a node recorded itself triggered pruning.
@@ -105,7 +105,7 @@
 	}
 
 	expect(records.size).toBe(4096);
-	expect(records.classify('fingerprint-4999' as RequestFingerprint, 5000).kind).toBe('suspect');
+	expect(classifyTraits(records, ['fingerprint-4999' as RequestFingerprint], 5000).kind).toBe('suspect');
 });
 
 test('counts each crash of a server that restarts under the same id', () => {
@@ -115,5 +115,5 @@
 		records.merge(a, [{server: nameServer(1), age: 100, weight: 1}], at + 300);
 	}
 
-	expect(records.classify(a, 13_000)).toMatchObject({kind: 'rejected', crashes: 3});
+	expect(classifyTraits(records, [a], 13_000)).toMatchObject({kind: 'rejected', crashes: 3});
 });
--- a/test/helpers/planned-fleet.ts
+++ b/test/helpers/planned-fleet.ts
@@ -262,6 +262,7 @@
 			},
 			body: undefined,
 			fingerprint: call.id as string as RequestFingerprint,
+			parts: [],
 			route,
 			service,
 			arrived: this.clock.readMonotonic(),
--- a/test/helpers/scripted-call.ts
+++ b/test/helpers/scripted-call.ts
@@ -430,7 +430,7 @@
 				requestId, method: 'POST', target: '/', host: 'shop.example', promptTokens: 1000, outputTokens: 80, sharedParts: [], headers: {},
 			},
 			body: undefined,
-			fingerprint: 'fingerprint-1' as RequestFingerprint,
+			fingerprint: 'fingerprint-1' as RequestFingerprint, parts: [],
 			route,
 			service: modelService,
 			arrived: 0,
