fix(gateway): find a silent link by requests that may run once

Callers saw: at nodes whose links to servers are silent, requests that may run once end with 504 after 1,500 ms, all of them, for as long as no request that may be repeated comes. Cause: only an attempt that may be hedged has a silence limit, and only a hedge that was granted reported the silence. The attempt goes on waiting, nothing is sent twice. A server that has answered another request since is slow, and is not probed. Slow servers keep their links. Ruled out: holding a link that failed twice for 2 s and more.

--- a/src/gateway/calls/backend-attempt.ts
+++ b/src/gateway/calls/backend-attempt.ts
@@ -45,6 +45,8 @@
 	releaseHedge: () => void;
 	/** Called once for each silence for which a hedge was acquired. */
 	onSilent: (reason: string) => void;
+	/** Called when the server has sent nothing for its silence limit, whether or not a hedge is possible, or until the attempt was cancelled late. */
+	onQuiet: () => void;
 	/** Called before anything is forwarded: from then on only this server answers the caller. */
 	claimAnswer: () => void;
 	/** Called for each statement of the server about itself in the head of its answer. */
@@ -96,6 +98,7 @@
 	#longestPause = 0;
 	#isOver = false;
 	#silenceTimer: Timer | undefined;
+	#quietTimer: Timer | undefined;
 	#resolve!: (outcome: AttemptOutcome) => void;
 
 	constructor(parts: AttemptParts) {
@@ -119,6 +122,9 @@
 			},
 		});
 		this.#restartSilenceTimer();
+		this.#quietTimer = parts.clock.setTimer(this.#computeFirstEventTimeout(), () => {
+			parts.onQuiet();
+		});
 	}
 
 	/** Longest time between two forwarded events, in milliseconds. */
@@ -139,6 +145,11 @@
 	/** Cancels the request at the server: its answer is no longer needed. */
 	stop(): void {
 		const mayHaveRun = this.exchange.wasSent;
+		// Short deadlines end attempts before the silence limit.
+		if (mayHaveRun && this.#quietTimer !== undefined && this.silentFor >= this.#parts.call.route.objective) {
+			this.#parts.onQuiet();
+		}
+
 		this.exchange.abort();
 		this.#finish({kind: 'stopped', mayHaveRun});
 	}
@@ -161,6 +172,7 @@
 	#handleHead(status: number, headers: HeaderFields): void {
 		const head = this.#parts.wire.readResponseHead(status, headers);
 		this.#head = head;
+		this.#cancelQuietTimer();
 		if (head.requestId !== undefined && head.requestId !== this.#parts.call.head.requestId) {
 			this.#fail('spoiled', 'the answer belongs to another request');
 			return;
@@ -413,18 +425,24 @@
 
 	#findFirstEventTimeout(): number | undefined {
 		const {route} = this.#parts.call;
-		if (route.kind === 'once' || (route.kind === 'stream' && !route.canResume)) {
-			return undefined;
-		}
+		return route.kind === 'once' || (route.kind === 'stream' && !route.canResume) ? undefined : this.#computeFirstEventTimeout();
+	}
 
-		const {expectedFirst, startIn} = this.#parts.plan;
+	#computeFirstEventTimeout(): number {
+		const {plan: {expectedFirst, startIn}, call: {route}} = this.#parts;
 		return Math.max(minFirstEventTimeout, route.objective * firstEventTimeoutFactor, (expectedFirst - startIn) * firstEventTimeoutFactor);
 	}
 
+	#cancelQuietTimer(): void {
+		this.#quietTimer?.cancel();
+		this.#quietTimer = undefined;
+	}
+
 	#finish(outcome: AttemptOutcome): void {
 		if (!this.#isOver) {
 			this.#isOver = true;
 			this.#silenceTimer?.cancel();
+			this.#cancelQuietTimer();
 			if (outcome.kind !== 'failed') {
 				this.#plainAnswer?.discard();
 			}
--- a/src/gateway/calls/backend-pool.ts
+++ b/src/gateway/calls/backend-pool.ts
@@ -125,6 +125,9 @@
 		this.closeSuspect(address, sentAt);
 	}
 
+	/** Handles a request that its server has not answered, and that may not be sent to another one: a slow server, or a silent link. */
+	checkLink(_silent: SilentRequest): void {} // eslint-disable-line @typescript-eslint/no-empty-function -- there is no other way to a server
+
 	/** Whether this node does not reach a server over its own link. */
 	isCut(_server: BackendServerId): boolean {
 		return false;
--- a/src/gateway/calls/live-attempt.ts
+++ b/src/gateway/calls/live-attempt.ts
@@ -221,6 +221,11 @@
 			releaseHedge() {
 				listener.releaseHedge();
 			},
+			onQuiet() {
+				pool.checkLink({
+					server: server.id, address: server.address, exchange: attempt.exchange, sentAt,
+				});
+			},
 			onSilent: reason => {
 				pool.recordSilence({
 					server: server.id, address: server.address, exchange: attempt.exchange, sentAt,
--- a/src/gateway/links/link-monitor.ts
+++ b/src/gateway/links/link-monitor.ts
@@ -112,6 +112,11 @@
 		return this.links.describe(max, this.#parts.clock.readMonotonic());
 	}
 
+	/** Forgets links to servers that no longer exist. */
+	prune(): void {
+		this.links.prune(id => this.#parts.findServer(id) !== undefined);
+	}
+
 	/** Stops probing. */
 	stop(): void {
 		this.#isStopped = true;
@@ -142,8 +147,8 @@
 	}
 
 	#probeDue(): void {
-		const {clock, findServer, listServers, random} = this.#parts;
-		this.links.prune(id => findServer(id) !== undefined);
+		const {clock, listServers, random} = this.#parts;
+		this.prune();
 		const due = this.links.listDue(clock.readMonotonic());
 		if (this.links.isolatedSince !== undefined) {
 			// Also servers whose links have not failed: those that failed may have ended.
--- a/src/gateway/links/linked-pool.ts
+++ b/src/gateway/links/linked-pool.ts
@@ -111,6 +111,7 @@
 
 	override prune(): void {
 		super.prune();
+		this.monitor.prune();
 		this.#peers.prune();
 	}
 
@@ -126,6 +127,13 @@
 		}
 	}
 
+	override checkLink({server, exchange, sentAt}: SilentRequest): void {
+		// A server that has answered another request meanwhile is slow, and its link is sound.
+		if (exchange.relay === undefined && sentAt > this.monitor.links.findAnswerTime(server)) {
+			void this.verifyFault(server);
+		}
+	}
+
 	/** Asks the server directly and through another node at the same time: an answer that arrives only through the other node shows that the link is cut. */
 	override verifyFault(id: BackendServerId): boolean | Promise<boolean> {
 		const server = this.#parts.findServer(id);
--- a/src/routing/server-links.ts
+++ b/src/routing/server-links.ts
@@ -30,6 +30,7 @@
 /** Links of one node to all servers. */
 export class ServerLinks {
 	readonly #failed = new Map<BackendServerId, FailedLink>();
+	readonly #answerTimes = new Map<BackendServerId, number>();
 	#isolatedSince: number | undefined;
 	#answeredAt = -Infinity;
 	/** When a server last answered on a new connection: open connections may live on while new ones are refused. */
@@ -53,6 +54,7 @@
 	/** Records that a server has answered. `isNew` says whether on a connection that was opened for the request. */
 	recordAnswer(server: BackendServerId, isNew: boolean, now: number): void {
 		const failed = this.#failed.get(server);
+		this.#answerTimes.set(server, now);
 		if (isNew || failed?.kind !== 'connect') {
 			this.#failed.delete(server);
 		}
@@ -89,9 +91,11 @@
 
 	/** Forgets links to servers that no longer exist. */
 	prune(exists: (server: BackendServerId) => boolean): void {
-		for (const server of this.#failed.keys()) {
-			if (!exists(server)) {
-				this.#failed.delete(server);
+		for (const servers of [this.#failed, this.#answerTimes]) {
+			for (const server of servers.keys()) {
+				if (!exists(server)) {
+					servers.delete(server);
+				}
 			}
 		}
 
@@ -100,6 +104,11 @@
 		}
 	}
 
+	/** When a server last answered over this node's own link, in monotonic milliseconds. */
+	findAnswerTime(server: BackendServerId): number {
+		return this.#answerTimes.get(server) ?? -Infinity;
+	}
+
 	/** Lists the servers whose links are due for a probe, longest without an attempt first. */
 	listDue(now: number): BackendServerId[] {
 		return [...this.#failed].filter(([, link]) => link.isAvoided && findProbeTime(link) <= now).sort(([, left], [, right]) => left.lastAt - right.lastAt).map(([server]) => server);
--- a/test/long-answers.test.ts
+++ b/test/long-answers.test.ts
@@ -209,6 +209,7 @@
 		},
 		releaseHedge: ignore,
 		onSilent: ignore,
+		onQuiet: ignore,
 		claimAnswer: ignore,
 		onNotice: ignore,
 		onEvent: ignore,
