fix(gateway): error answers of servers do not clear crash records

Callers would see: a request that crashes servers and meets one that answers 500 may crash three more. Cause: every complete answer counted as survival, also one with status 500 or more, which says nothing of what the others crashed at. Change: only an answer that is no error clears the traits of its request. Figures: the test was red before (the ended attempt said answered) and is green. Conclusion: servers that fail part of their requests no longer reset the count.

--- a/src/gateway/calls/call-run.ts
+++ b/src/gateway/calls/call-run.ts
@@ -218,7 +218,7 @@
 		this.#parts.placer.report(plan, {
 			planId: plan.planId,
 			kind: 'ended',
-			wasAnswered: outcome.kind === 'done' || outcome.kind === 'failed',
+			wasAnswered: outcome.kind === 'done',
 			isUnanswered: outcome.kind === 'lost' || (outcome.kind === 'stopped' && outcome.mayHaveRun),
 		});
 	}
--- a/src/planning/plan.ts
+++ b/src/planning/plan.ts
@@ -119,7 +119,7 @@
 /** Progress of a plan, reported by the node that runs it. */
 export type PlanEvent =
 	| {planId: PlanId; kind: 'started'}
-	/** `wasAnswered` when its server completed the answer and is alive; `isUnanswered` when it was sent and then stopped or broken off: its server may have crashed. */
+	/** `wasAnswered` when its server completed an answer that is no error; `isUnanswered` when it was sent and then stopped or broken off: its server may have crashed. */
 	| {planId: PlanId; kind: 'ended'; wasAnswered?: boolean; isUnanswered?: boolean}
 	| {planId: PlanId; kind: 'failed'; server: BackendServerId; trouble: Trouble}
 	/** The server crashed while it ran the plan. */
--- a/test/helpers/scripted-call.ts
+++ b/test/helpers/scripted-call.ts
@@ -332,6 +332,8 @@
 /** Places each request on the first server that it may use. */
 class ScriptedPlacer extends Placer {
 	readonly openPlans = new Set<PlanId>();
+	/** Whether each plan that has ended was answered, in order. */
+	readonly answered: boolean[] = [];
 	grantedRetries = 0;
 	#count = 0;
 
@@ -367,6 +369,7 @@
 	override report(plan: Plan, note: PlanEvent): void {
 		if (note.kind === 'ended') {
 			this.openPlans.delete(plan.planId);
+			this.answered.push(note.wasAnswered === true);
 		}
 	}
 
--- a/test/quarantine.test.ts
+++ b/test/quarantine.test.ts
@@ -2,6 +2,8 @@
 import {expect, test} from '@jest/globals';
 import type {BackendServerId, CrashTrait, RequestFingerprint} from '../src/common/index.js';
 import {classifyTraits, CrashRecords, formatPartTrait} from '../src/planning/index.js';
+import {plannedRoutes} from './helpers/planned-calls.js';
+import {ScriptedCall} from './helpers/scripted-call.js';
 
 const second = 1000;
 
@@ -152,3 +154,14 @@
 	records.merge(other, [{server: 'i-late' as BackendServerId, age: 500, weight: 1}], second);
 	expect(classify(records, nameRequest('next', other), second)).toBe('clean');
 });
+
+// Guards against a server error that clears the crashes of a request, which then may crash three servers again.
+test('an error answer of a server does not clear a request', async () => {
+	const call = new ScriptedCall({route: plannedRoutes.repeatable});
+	await call.settle();
+	call.findOpen()!.fail();
+	await call.pass(50);
+	call.findOpen()!.speak();
+	await call.pass(50);
+	expect([call.outcome?.status, call.placer.answered]).toEqual([200, [false, true]]);
+});
