test: stand-ins of the connection pool know checks of links

Cause: added checkLink to the pool; two stand-ins of tests lacked it, so two tests of test/evacuated-paths failed (not a function). Change: both stand-ins have the method.

--- a/test/helpers/planned-fleet.ts
+++ b/test/helpers/planned-fleet.ts
@@ -453,6 +453,7 @@
 				this.#dispatch(address, request, exchange);
 			},
 			ask: async (address, request, timeout) => this.#ask(address, request, timeout),
+			checkLink() {}, // eslint-disable-line @typescript-eslint/no-empty-function -- there is no connection
 			recordSilence() {}, // eslint-disable-line @typescript-eslint/no-empty-function -- there is no connection
 			verifyFault: () => true,
 		};
--- a/test/helpers/scripted-call.ts
+++ b/test/helpers/scripted-call.ts
@@ -545,7 +545,9 @@
 			}));
 		};
 
-		const pool: Partial<BackendPool> = {dispatch, recordSilence() {}, verifyFault: () => true}; // eslint-disable-line @typescript-eslint/no-empty-function -- there is no connection
+		const pool: Partial<BackendPool> = {
+			dispatch, checkLink() {}, recordSilence() {}, verifyFault: () => true,
+		};
 		return pool as BackendPool;
 	}
 
