feat(observability): log when a trait is rejected and when an answer clears it

Cause: of a rejected prompt part, logs had only the refusals of single requests. Change: trait_rejected with the number of crashes, the last servers and the time of rejection, once a node; trait_cleared. Conclusion: a node's belief about a part can be read from its logs.

--- a/src/gateway/scheduling/fleet-placer.ts
+++ b/src/gateway/scheduling/fleet-placer.ts
@@ -11,7 +11,7 @@
 	BackendServerId, BoxId, Clock, Failure, IdSource, Logger, ServiceName,
 } from '../../common/index.js';
 import {
-	isFirstAttempt,
+	isFirstAttempt, listTraits,
 	type ColdAllowance, type Decision, type Plan, type PlanEvent, type PlannedServerStatus, type Planner, type PlanRequest, type RetryAllowance, type RetryLimits, type RetryRequest,
 } from '../../planning/index.js';
 import type {FleetState} from '../../routing/index.js';
@@ -189,6 +189,8 @@
 			this.#events.apply(planner, event);
 			if (event.kind === 'server_ended') {
 				crashes.replicateReported(event);
+			} else if (event.kind === 'survived') {
+				crashes.logCleared(listTraits(event));
 			}
 		}
 
--- a/src/gateway/scheduling/replicated-crashes.ts
+++ b/src/gateway/scheduling/replicated-crashes.ts
@@ -14,6 +14,9 @@
 /** Maximum number of traits with crash records in one datagram. */
 const maxCrashesReplicated = 20;
 
+/** Maximum number of traits whose rejection is remembered for logs. */
+const maxRejectedLogged = 1000;
+
 type CrashEvent = Extract<PlanEvent, {kind: 'server_ended'}>;
 
 /** An answer to a request with crash records. */
@@ -26,6 +29,8 @@
 /** Crash records of one service on this node. */
 export class ReplicatedCrashes {
 	readonly #parts: ServiceParts;
+	/** Traits whose rejection was logged. */
+	readonly #rejected = new Set<CrashTrait>();
 
 	constructor(parts: ServiceParts) {
 		this.#parts = parts;
@@ -51,16 +56,28 @@
 		for (const [trait, crashes] of records) {
 			this.#parts.planner.crashRecords.merge(trait, crashes, this.#now);
 		}
+
+		this.#logRejected(records.map(([trait]) => trait));
+	}
+
+	/** Logs that an answer to another request has ended the rejection of traits. */
+	logCleared(traits: CrashTrait[]): void {
+		const {service, logger} = this.#parts;
+		for (const trait of traits.filter(cleared => this.#rejected.delete(cleared))) {
+			logger.info({event: 'trait_cleared', service, trait}, 'a backend server answered a request with a trait that was rejected');
+		}
 	}
 
 	/** Replicates a crash that an attempt on this node reported. */
 	replicateOwn(event: CrashEvent): void {
+		this.#logRejected(listTraits(event));
 		this.#replicate(listTraits(event));
 		this.#attribute(event.server, maxReportedCrashAge);
 	}
 
 	/** Replicates a crash that another node reported, for the traits for which it is not the first. */
 	replicateReported(event: CrashEvent): void {
+		this.#logRejected(listTraits(event));
 		// Without replication, only the node that proxied the request may know of this crash.
 		this.#replicate(listTraits(event).filter(trait => this.#hasRepeated(trait)));
 		this.#attribute(event.server, maxReportedCrashAge);
@@ -73,6 +90,7 @@
 			return undefined;
 		}
 
+		this.logCleared(traits);
 		const {fingerprint, parts = []} = plan.request;
 		const event = {
 			planId: plan.planId,
@@ -134,7 +152,30 @@
 			logger.info({
 				event: 'server_ended', service, server, traits, isInferred: true,
 			}, 'attributed a backend server crash to earlier unanswered attempts');
+			this.#logRejected(traits);
 			this.#replicate(traits);
 		}
 	}
+
+	/** Logs traits for which requests are rejected from now on, with the evidence. */
+	#logRejected(traits: CrashTrait[]): void {
+		const {service, planner, logger} = this.#parts;
+		for (const trait of traits.filter(candidate => !this.#rejected.has(candidate))) {
+			const state = planner.classifyTraits([trait], this.#now);
+			if (state.kind === 'rejected') {
+				this.#rejected.add(trait);
+				logger.warn({
+					event: 'trait_rejected', service, trait, crashes: state.crashes, rejectedFor: Math.round(state.rejectedFor), servers: this.describe(trait).map(({server}) => server),
+				}, 'rejecting requests with a trait that crashes backend servers');
+			}
+		}
+
+		for (const trait of this.#rejected) {
+			if (this.#rejected.size <= maxRejectedLogged) {
+				return;
+			}
+
+			this.#rejected.delete(trait);
+		}
+	}
 }
--- a/src/planning/crashes/crash-traits.ts
+++ b/src/planning/crashes/crash-traits.ts
@@ -16,7 +16,7 @@
 	return end === -1 ? undefined : trait.slice(0, end);
 }
 
-/** Lists the traits of a request; empty when it cannot be identified. */
+/** Lists the traits of a request, or of an event that concerns some of them. */
 export function listTraits({fingerprint, parts = []}: Pick<PlanRequest, 'fingerprint' | 'parts'>): CrashTrait[] {
-	return fingerprint === undefined ? [] : [fingerprint, ...parts];
+	return fingerprint === undefined ? parts : [fingerprint, ...parts];
 }
--- a/src/planning/planner.ts
+++ b/src/planning/planner.ts
@@ -211,7 +211,7 @@
 		}
 
 		if (event.kind === 'survived') {
-			this.#crashes.recordAnswer([...event.fingerprint === undefined ? [] : [event.fingerprint], ...event.parts ?? []], now);
+			this.#crashes.recordAnswer(listTraits(event), now);
 			return undefined;
 		}
 
--- a/test/helpers/scripted-call.ts
+++ b/test/helpers/scripted-call.ts
@@ -546,7 +546,10 @@
 		};
 
 		const pool: Partial<BackendPool> = {
-			dispatch, checkLink() {}, recordSilence() {}, verifyFault: () => true,
+			dispatch,
+			checkLink() {}, // eslint-disable-line @typescript-eslint/no-empty-function -- there is no connection
+			recordSilence() {}, // eslint-disable-line @typescript-eslint/no-empty-function -- there is no connection
+			verifyFault: () => true,
 		};
 		return pool as BackendPool;
 	}
