fix(observability): log a rejected part that comes with another one only

Cause: the line was written for a trait alone, and of two parts at the same crashes neither is blamed alone: a new test of four nodes found no line at any. Change: the traits of a crash are judged together, as those of a request are; a test for the lines of all nodes, and one for a node that joins later and is left alone. Decisions are not changed.

--- a/src/gateway/scheduling/replicated-crashes.ts
+++ b/src/gateway/scheduling/replicated-crashes.ts
@@ -157,19 +157,23 @@
 		}
 	}
 
-	/** Logs traits for which requests are rejected from now on, with the evidence. */
+	/** Logs the trait for which requests with these traits are rejected from now on, with the evidence. */
 	#logRejected(traits: CrashTrait[]): void {
 		const {service, planner, logger} = this.#parts;
-		for (const trait of traits.filter(candidate => !this.#rejected.has(candidate))) {
-			const state = planner.classifyTraits([trait], this.#now);
-			if (state.kind === 'rejected') {
-				this.#rejected.add(trait);
-				logger.warn({
-					event: 'trait_rejected', service, trait, crashes: state.crashes, rejectedFor: Math.round(state.rejectedFor), servers: this.describe(trait).map(({server}) => server),
-				}, 'rejecting requests with a trait that crashes backend servers');
-			}
+		const state = planner.classifyTraits(traits, this.#now);
+		if (state.kind !== 'rejected' || this.#rejected.has(state.trait)) {
+			return;
 		}
 
+		this.#rejected.add(state.trait);
+		logger.warn({
+			event: 'trait_rejected',
+			service,
+			trait: state.trait,
+			crashes: state.crashes,
+			rejectedFor: Math.round(state.rejectedFor),
+			servers: this.describe(state.trait).map(({server}) => server),
+		}, 'rejecting requests with a trait that crashes backend servers');
 		for (const trait of this.#rejected) {
 			if (this.#rejected.size <= maxRejectedLogged) {
 				return;
--- a/test/crashing-prompt-parts.test.ts
+++ b/test/crashing-prompt-parts.test.ts
@@ -1,7 +1,9 @@
 // Requests that are all different and share a prompt part that crashes every server that runs them.
 import {afterEach, expect, test} from '@jest/globals';
-import type {ReceivedResponse} from './helpers/gateways.js';
+import {createLogger} from '../src/common/index.js';
+import {waitUntil, type ReceivedResponse} from './helpers/gateways.js';
 import {CrashingFleet, crashSigns, type CrashSign} from './helpers/crashing-fleet.js';
+import {LogCapture} from './helpers/logs.js';
 import {pause} from './helpers/pause.js';
 
 /** Timeout of tests with seconds of load, in milliseconds. */
@@ -134,3 +136,44 @@
 test('two prompt parts at a time crash few servers each', async () => {
 	await expectStopped('reset after the first event', [[firstPart, 'bad1', otherPart], [firstPart, 'bad2']], 14);
 }, testTimeout);
+
+/** Sends requests with the crashing part until they are rejected. */
+async function crashUntilRejected(): Promise<void> {
+	crashing.crashingParts.add(crashingPart);
+	for (let attempt = 0; attempt < 40; attempt++) {
+		const {status} = await crashing.send([firstPart, crashingPart]);
+		if (status === 503) {
+			return;
+		}
+
+		await pause(100);
+	}
+}
+
+test('every node rejects a prompt part, and logs why, within a second of the last crash', async () => {
+	crashing = new CrashingFleet('reset after the first event');
+	const logs = Array.from({length: nodes}, () => new LogCapture());
+	crashing.fleet.loggers.push(...logs.map(log => createLogger('info', log)));
+	await crashing.start(nodes, servers);
+	await crashUntilRejected();
+	await pause(1000);
+	const answers = await Promise.all(logs.map(async () => crashing.send([firstPart, crashingPart])));
+	expect(answers.map(({status}) => status)).toEqual(logs.map(() => 503));
+	expect(logs.map(log => log.listEvents('trait_rejected').some(({service, trait}) => service === 'model' && String(trait).includes('.')))).toEqual(logs.map(() => true));
+}, testTimeout);
+
+test('a node that joins after the crashes rejects the prompt part when it is left alone', async () => {
+	crashing = new CrashingFleet('reset after the first event');
+	await crashing.start(nodes, servers);
+	await crashUntilRejected();
+	const {fleet} = crashing;
+	const before = crashing.crashes.get(crashingPart)?.length;
+	await fleet.addGateway();
+	await waitUntil(() => fleet.gateways.every(gateway => gateway.listReadyNodes().length === nodes + 1));
+	await pause(2000);
+	await Promise.all(fleet.gateways.splice(0, nodes).map(async gateway => gateway.close()));
+	fleet.settings.splice(0, nodes);
+	await pause(2000);
+	const {status} = await crashing.send([firstPart, crashingPart]);
+	expect([status, crashing.crashes.get(crashingPart)?.length]).toEqual([503, before]);
+}, testTimeout);
