--- a/test/cut-links-once.test.ts
+++ b/test/cut-links-once.test.ts
@@ -1,7 +1,7 @@
 // Nodes that are cut from backend servers while only one kind of request comes: none may rely on another kind to find the cut.
 import {afterEach, expect, test} from '@jest/globals';
 import {
-	CutFleet, recoveryTime, requestKinds, silenceLimit,
+	recoveryTime, requestKinds, silenceLimit, startCutFleet, type CutFleet,
 } from './helpers/cut-fleet.js';
 import {pause} from './helpers/pause.js';
 import {cutStates} from './helpers/server-links.js';
@@ -10,25 +10,17 @@
 /** Timeout of tests with seconds of load, in milliseconds. */
 const testTimeout = 60_000;
 
-const nodes = 4;
-const serversPerService = 4;
-
 let cut: CutFleet;
 
 afterEach(async () => {
 	await cut.stop();
 });
 
-async function startFleet(): Promise<void> {
-	cut = new CutFleet(nodes, serversPerService);
-	await cut.start();
-}
-
 const cuts = cutStates.flatMap(state => [1, 3].map(count => [state, count] as const));
 
 // Guards against a cut that only requests which may be repeated find.
 test.each(cuts)('once requests alone are served when links are %s at %i of 4 nodes', async (state, count) => {
-	await startFleet();
+	cut = await startCutFleet();
 	await cut.expectServed('once', count, {
 		change() {
 			cut.setLinks(count, state);
@@ -38,7 +30,7 @@
 }, testTimeout);
 
 test('once requests alone are served when links to the servers of their service are silent at 2 of 4 nodes', async () => {
-	await startFleet();
+	cut = await startCutFleet();
 	await cut.expectServed('once', 2, {
 		change() {
 			cut.setLinks(2, 'silent', cut.listAddresses('app'));
@@ -49,7 +41,7 @@
 
 // Guards against links that fail again as soon as one answer has passed.
 test.each([['stream', 'silent'], ['once', 'silent'], ['once', 'refused']] as const)('%s requests alone are served when links are %s and open by turns at 2 of 4 nodes', async (kind, state) => {
-	await startFleet();
+	cut = await startCutFleet();
 	const stop = new AbortController();
 	const flap = async () => {
 		for (let turn = 0; !stop.signal.aborted; turn++) {
@@ -72,7 +64,7 @@
 }, testTimeout);
 
 test('once requests to servers that work longer than the silence limit are served over their own links', async () => {
-	await startFleet();
+	cut = await startCutFleet();
 	cut.workTime = silenceLimit + 200;
 	const responses = await loadSteadily(cut.fleet, {...requestKinds.once, rate: 10, duration: 3000});
 	expect(cut.measureServed(responses, () => true)).toBe(1);
--- a/test/helpers/cut-fleet.ts
+++ b/test/helpers/cut-fleet.ts
@@ -124,3 +124,10 @@
 		};
 	}
 }
+
+/** Starts four nodes before four servers of each service. */
+export async function startCutFleet(): Promise<CutFleet> {
+	const cut = new CutFleet(4, 4);
+	await cut.start();
+	return cut;
+}
