fix(planning): judging crashes does not grow with all crashes of a fleet

Callers would see: after the loss of all servers at once the scheduling node stalls. Found by reading the diff, then by a test: 150 servers with ten requests each, three traits; a thousand judgements did not end within 100 s (stopped). Cause: each judgement weighed all crashes of each trait that ran at them, and looked for correlated crashes anew each time; a common part is at every crash. Change: the newest eight crashes of a trait are judged; counts, weights and correlations are kept until a record changes.

--- a/src/planning/crashes/crash-records.ts
+++ b/src/planning/crashes/crash-records.ts
@@ -25,6 +25,12 @@
 /** Factor applied to the weight of crashes for a prompt part that was answered before them. */
 const answeredPartWeight = 0.5;
 
+/** Maximum number of crashes of a trait that are judged, the newest ones: all servers of a fleet may crash at once. */
+const maxJudged = 8;
+
+/** Time after which crashes that have expired are no longer counted, in milliseconds. */
+const summaryLifetime = 1000;
+
 /** Maximum number of traits; the oldest are dropped first. */
 const maxTraits = 4096;
 
@@ -40,6 +46,9 @@
 /** A crash of a server and the traits of the requests that it was running. */
 export type Crash = {server: BackendServerId; at: number; running: Set<CrashTrait>};
 
+/** Crashes that count for a trait: their number, the newest of them, and the sum of the weights of these. */
+export type CrashSummary = {count: number; crashes: Crash[]; weight: number};
+
 /** Crash records of one service. */
 export class CrashRecords {
 	/** The crashes of each trait, with their weights. */
@@ -48,6 +57,11 @@
 	/** Traits with records of each prompt part. */
 	readonly #parts = new Map<string, Set<CrashTrait>>();
 	readonly #answers = new TraitAnswers();
+	/** Correlations and summaries, as far as they were asked for since the last change. */
+	readonly #correlations = new Map<Crash, boolean>();
+	readonly #repetitions = new Map<Crash, boolean>();
+	readonly #summaries = new Map<CrashTrait, CrashSummary>();
+	#summarisedAt = -Infinity;
 
 	/** Number of traits with a record. */
 	get size(): number {
@@ -109,13 +123,21 @@
 	}
 
 	/** The crashes that count for a trait. */
-	listCrashes(trait: CrashTrait, now: number): Crash[] {
-		return [...this.#traits.get(trait)?.keys() ?? []].filter(({at}) => now - at < crashRetention);
-	}
+	summarise(trait: CrashTrait, now: number): CrashSummary {
+		if (now - this.#summarisedAt > summaryLifetime) {
+			this.#forgetSummaries();
+			this.#summarisedAt = now;
+		}
 
-	/** Number of crashes that count for a trait. */
-	countCrashes(trait: CrashTrait, now: number): number {
-		return this.listCrashes(trait, now).length;
+		let summary = this.#summaries.get(trait);
+		if (summary === undefined) {
+			const all = [...this.#traits.get(trait)?.keys() ?? []].filter(({at}) => now - at < crashRetention);
+			const crashes = all.sort((left, right) => right.at - left.at).slice(0, maxJudged);
+			summary = {count: all.length, crashes, weight: this.sumWeights(trait, crashes, now)};
+			this.#summaries.set(trait, summary);
+		}
+
+		return summary;
 	}
 
 	/** Sum of the weights of some crashes of a trait. */
@@ -136,15 +158,40 @@
 		return this.#answers.has(trait, now);
 	}
 
-	#isCorrelated({at}: Crash, now: number): boolean {
-		const crashes = [...this.#crashes.values()].flat();
-		return crashes.filter(crash => Math.abs(crash.at - at) <= correlationWindow && !this.#isRepeated(crash, now)).length >= minCorrelated;
+	#forgetSummaries(): void {
+		this.#correlations.clear();
+		this.#repetitions.clear();
+		this.#summaries.clear();
+	}
+
+	#isCorrelated(crash: Crash, now: number): boolean {
+		const known = this.#correlations.get(crash);
+		if (known !== undefined) {
+			return known;
+		}
+
+		let count = 0;
+		for (const other of [...this.#crashes.values()].flat()) {
+			if (count < minCorrelated && Math.abs(other.at - crash.at) <= correlationWindow && !this.#isRepeated(other, now)) {
+				count++;
+			}
+		}
+
+		this.#correlations.set(crash, count >= minCorrelated);
+		return count >= minCorrelated;
 	}
 
 	/** Whether a trait of requests that ran there crashed another server at about the same time, so that this is no correlated failure. A part that is answered elsewhere is no cause. */
-	#isRepeated({at, running}: Crash, now: number): boolean {
-		return [...running].some(trait => !this.#answers.has(trait, now)
-			&& [...this.#traits.get(trait)?.keys() ?? []].filter(crash => Math.abs(crash.at - at) <= correlationWindow).length > 1);
+	#isRepeated(crash: Crash, now: number): boolean {
+		const known = this.#repetitions.get(crash);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const isRepeated = [...crash.running].some(trait => !this.#answers.has(trait, now)
+			&& [...this.#traits.get(trait)?.keys() ?? []].filter(({at}) => Math.abs(at - crash.at) <= correlationWindow).length > 1);
+		this.#repetitions.set(crash, isRepeated);
+		return isRepeated;
 	}
 
 	/** The crash that a report refers to; a server may crash again under the same id. */
@@ -160,6 +207,7 @@
 	}
 
 	#add(trait: CrashTrait, crash: Crash, weight: number): boolean {
+		this.#forgetSummaries();
 		const crashes = this.#traits.get(trait) ?? new Map<Crash, number>();
 		const known = crashes.get(crash);
 		crash.running.add(trait);
@@ -176,7 +224,10 @@
 	}
 
 	#drop(trait: CrashTrait): void {
-		this.#traits.delete(trait);
+		if (this.#traits.delete(trait)) {
+			this.#forgetSummaries();
+		}
+
 		const part = findPartDigest(trait);
 		const others = part === undefined ? undefined : this.#parts.get(part);
 		if (others?.delete(trait) && others.size === 0) {
--- a/src/planning/crashes/quarantine.ts
+++ b/src/planning/crashes/quarantine.ts
@@ -9,7 +9,7 @@
  */
 import {createFailure, type CrashTrait, type Failure} from '../../common/index.js';
 import {
-	crashRetention, type Crash, type CrashRecords,
+	crashRetention, type Crash, type CrashRecords, type CrashSummary,
 } from './crash-records.js';
 import {findPartDigest} from './crash-traits.js';
 
@@ -65,8 +65,8 @@
 	}
 
 	classify(trait: CrashTrait): QuarantineState {
-		const crashes = this.#records.listCrashes(trait, this.#now);
-		const own = this.#listUnexplained(trait, crashes);
+		const summary = this.#summarise(trait);
+		const own = this.#listUnexplained(trait, summary);
 		const others = this.#listAccusations(trait, own);
 		const weight = this.#sumWeights(trait, own) + others.reduce((sum, other) => sum + this.#sumWeights(other.trait, other.crashes), 0);
 		const counted = [...own, ...others.flatMap(other => other.crashes)];
@@ -84,13 +84,13 @@
 			return {kind: 'isolated', crashes: count, trait};
 		}
 
-		return {kind: crashes.length > 0 ? 'suspect' : 'clean', crashes: crashes.length};
+		return {kind: summary.count > 0 ? 'suspect' : 'clean', crashes: summary.count};
 	}
 
 	/** The crashes that no other trait explains. */
-	#listUnexplained(trait: CrashTrait, crashes: Crash[]): Crash[] {
+	#listUnexplained(trait: CrashTrait, {crashes, weight}: CrashSummary): Crash[] {
 		// Most traits with records were beside one or two crashes, which isolate or reject nothing.
-		if (this.#sumWeights(trait, crashes) <= crashesToIsolate - 1) {
+		if (weight <= crashesToIsolate - 1) {
 			return crashes;
 		}
 
@@ -99,23 +99,24 @@
 
 	/** Whether the crashes of a trait would reject requests if no other trait explained them. */
 	#isConvicted(trait: CrashTrait): boolean {
-		const crashes = this.#records.listCrashes(trait, this.#now);
-		return crashes.length >= crashesToReject && this.#sumWeights(trait, crashes) > crashesToReject - 1;
+		const {count, weight} = this.#summarise(trait);
+		return count >= crashesToReject && weight > crashesToReject - 1;
 	}
 
 	/** Whether another trait was running at more crashes. At the same ones, a request and a part are excused for each other, and two parts for requests that have one of them. */
 	#explains(other: CrashTrait, trait: CrashTrait, crashes: Crash[]): boolean {
-		const count = this.#records.countCrashes(other, this.#now);
+		const {count} = this.#summarise(other);
+		const {count: ownCount} = this.#summarise(trait);
 		const isPart = findPartDigest(trait) !== undefined || findPartDigest(other) !== undefined;
-		const isExcused = isPart && count === crashes.length && !this.#traits.has(other);
-		return count > crashes.length || (isExcused && crashes.every(({running}) => running.has(other)));
+		const isExcused = isPart && count === ownCount && !this.#traits.has(other);
+		return count > ownCount || (isExcused && crashes.every(({running}) => running.has(other)));
 	}
 
 	/** The other crashes of the same prompt part in requests of other organisations, if they count for this one. */
 	#listAccusations(trait: CrashTrait, own: Crash[]): Array<{trait: CrashTrait; crashes: Crash[]}> {
 		const others = this.#records.wasAnswered(trait, this.#now) ? [] : this.#records.listOtherOrganisations(trait);
 		const accusations = others
-			.map(other => ({trait: other, crashes: this.#listUnexplained(other, this.#records.listCrashes(other, this.#now)).filter(crash => !own.includes(crash))}))
+			.map(other => ({trait: other, crashes: this.#listUnexplained(other, this.#summarise(other)).filter(crash => !own.includes(crash))}))
 			.filter(({crashes}) => crashes.length > 0);
 		return own.length > 0 || accusations.length >= minAccusers ? accusations : [];
 	}
@@ -123,7 +124,11 @@
 	/** A prompt part is isolated only when no other trait was running at the same crashes: many requests may share it, and they would wait for each other. */
 	#mayIsolate(trait: CrashTrait, crashes: Crash[]): boolean {
 		return findPartDigest(trait) === undefined || ![...crashes[0]?.running ?? []].some(other => other !== trait && !this.#traits.has(other)
-			&& this.#records.countCrashes(other, this.#now) >= crashes.length && crashes.every(({running}) => running.has(other)));
+			&& this.#summarise(other).count >= crashes.length && crashes.every(({running}) => running.has(other)));
+	}
+
+	#summarise(trait: CrashTrait): CrashSummary {
+		return this.#records.summarise(trait, this.#now);
 	}
 
 	#sumWeights(trait: CrashTrait, crashes: Crash[]): number {
--- a/test/quarantine.test.ts
+++ b/test/quarantine.test.ts
@@ -1,4 +1,5 @@
 // Which traits of requests are blamed for crashes of servers.
+import {performance} from 'node:perf_hooks';
 import {expect, test} from '@jest/globals';
 import type {BackendServerId, CrashTrait, RequestFingerprint} from '../src/common/index.js';
 import {classifyTraits, CrashRecords, formatPartTrait} from '../src/planning/index.js';
@@ -165,3 +166,18 @@
 	await call.pass(50);
 	expect([call.outcome?.status, call.placer.answered]).toEqual([200, [false, true]]);
 });
+
+// Guards against judgements that grow with all crashes: the node that schedules would stall when a whole fleet loses its servers.
+test('after the crash of all of 150 servers, a thousand requests are judged within a second', () => {
+	const records = new CrashRecords();
+	for (let server = 0; server < 150; server++) {
+		crashServer(records, Array.from({length: 10}, (_, index) => nameRequest(`${server}-${index}`, first, namePart(`subject-${(server + index) % 40}`))), server, 0.6);
+	}
+
+	const began = performance.now();
+	for (let index = 0; index < 1000; index++) {
+		classify(records, nameRequest(`next-${index}`, first, namePart(`subject-${index % 40}`)), second);
+	}
+
+	expect(performance.now() - began).toBeLessThan(1000);
+});
