--- a/test/gateway-parts.test.ts
+++ b/test/gateway-parts.test.ts
@@ -91,7 +91,7 @@
 	};
 	const placer = new WaitingPlacer();
 	const call = {
-		arrived: 0, head: {}, route: {objective: 300}, service: {name: 'model'},
+		arrived: 0, head: {}, parts: [], route: {objective: 300}, service: {name: 'model'},
 	} as unknown as Call;
 	await new PlacementFinder({
 		clock, placer, call, node: 'edge-1' as BoxId, availabilityZone: 'a' as AvailabilityZone, deadline: 1000,
@@ -104,7 +104,7 @@
 	const placer = new WaitingPlacer();
 	placer.waits.push(0, 0);
 	const call = {
-		arrived: 0, head: {}, route: {objective: 300}, service: {name: 'model'},
+		arrived: 0, head: {}, parts: [], route: {objective: 300}, service: {name: 'model'},
 	} as unknown as Call;
 	const finder = new PlacementFinder({
 		clock: systemClock, placer, call, node: 'edge-1' as BoxId, availabilityZone: 'a' as AvailabilityZone, deadline: 1000,
