--- a/src/routing/server-links.ts
+++ b/src/routing/server-links.ts
@@ -120,7 +120,7 @@
 		return avoided.length === 0 ? undefined : Math.max(0, Math.min(...avoided.map(link => findProbeTime(link))) - now);
 	}
 
-	/** Whether so many servers have failed that others should be probed, to tell failed servers from an isolated node. */
+	/** Whether enough servers have failed to probe others: one that answers shows that the node is not isolated. */
 	isSuspicious(serverCount: number, now: number): boolean {
 		const evidence = this.#listEvidence(now);
 		return this.#isolatedSince === undefined && evidence.length >= this.#capThreshold(suspicionThreshold, evidence, serverCount);
