--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -19,6 +19,9 @@
 /** Longest run of a case, in milliseconds. */
 const maxRunTime = 110_000;
 
+/** Maximum number of breaks that the result names, the last ones. */
+const maxNamed = 6;
+
 const exitCodes = {held: 0, broken: 1, notRun: 2};
 
 /** The bounds of the sheets of the small deployments, as the settings give them. */
@@ -237,7 +240,7 @@
 
 	try {
 		const broken = await play(fleet, hasTrouble);
-		finish(broken.length > 0 ? exitCodes.broken : exitCodes.held, broken.length > 0 ? `the rule was broken: ${broken.join('; ')}` : 'the rule held');
+		finish(broken.length > 0 ? exitCodes.broken : exitCodes.held, broken.length > 0 ? `the rule was broken, ${broken.length} times: ${broken.slice(-maxNamed).join('; ')}` : 'the rule held');
 	} catch (error) {
 		finish(exitCodes.notRun, `the case could not run: ${error.stack}`);
 	}
