--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -20,7 +20,7 @@
 const heldAfter = timeout + 500;
 
 /** Requests to each node: one in so many milliseconds, for so long. */
-const requestGap = 120;
+const requestGap = 60;
 const trafficTime = 12_000;
 
 /** One in so many answers of the faulty runner is spoilt. */
--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -238,6 +238,12 @@
 		process.exit(code); // eslint-disable-line unicorn/no-process-exit -- connections that are still open must not delay the end
 	};
 
+	for (const signal of ['SIGTERM', 'SIGINT']) {
+		process.once(signal, () => {
+			finish(exitCodes.notRun, 'the case was stopped');
+		});
+	}
+
 	try {
 		const broken = await play(fleet, hasTrouble);
 		finish(broken.length > 0 ? exitCodes.broken : exitCodes.held, broken.length > 0 ? `the rule was broken, ${broken.length} times: ${broken.slice(-maxNamed).join('; ')}` : 'the rule held');
