fix(build): failed assertions in the bundle do not read its source

Cause: an assertion without a message makes Node.js parse the source file to quote the failed expression. In the minified bundle this parses lines of hundreds of kilobytes over and over, in the event loop.

Ruled out: that the assertion itself or the lost connection costs time; the same bundle with short lines or not minified is blocked for 13 to 35 ms.

Change: the bundle gets node:assert with a message for every assertion.

Conclusion: what is not read cannot be parsed; shorter lines would only make the cost smaller. The test starts the program as the deploy file does.

--- a/scripts/build-gateway.js
+++ b/scripts/build-gateway.js
@@ -1,14 +1,20 @@
 /**
- * Bundles the gateway, small and without what only other commands use, into `target/`, with its code cache.
+ * Bundles the gateway, small and without what only other commands use, with its code cache.
+ *
+ * Writes to `target/`, or to the folder that is given: `node scripts/build-gateway.js FOLDER`.
  *
  * A node that was killed is back only when its program has loaded: what is not in the
  * bundle need not be read, compiled and kept.
  */
 import {execFileSync} from 'node:child_process';
 import {copyFileSync, readFileSync} from 'node:fs';
+import path from 'node:path';
 import process from 'node:process';
 import {fileURLToPath} from 'node:url';
 import {build} from 'esbuild';
+import {replaceAssert} from './replace-assert.js';
+
+const [folder = 'target'] = process.argv.slice(2);
 
 const replacements = {
 	undici: 'undici-parts.cjs',
@@ -21,8 +27,8 @@
 const replacePackages = {
 	name: 'replace-packages',
 	setup(builder) {
-		builder.onResolve({filter: /^[^./]/}, ({path}) => {
-			const file = replacements[path];
+		builder.onResolve({filter: /^[^./]/}, ({path: specifier}) => {
+			const file = replacements[specifier];
 			return file === undefined ? undefined : {path: fileURLToPath(new URL(file, import.meta.url))};
 		});
 		// No node speaks HTTP/2, and to load Node.js's implementation took 12 to 20 ms of each start.
@@ -34,19 +40,19 @@
 
 await build({
 	entryPoints: {gateway: 'src/gateway-main.ts'},
-	outdir: 'target',
+	outdir: folder,
 	outExtension: {'.js': '.cjs'},
 	bundle: true,
 	platform: 'node',
 	target: 'node20',
 	format: 'cjs',
 	minify: true,
-	plugins: [replacePackages],
+	plugins: [replacePackages, replaceAssert],
 	logLevel: 'warning',
 });
 
-copyFileSync('scripts/gateway-loader.cjs', 'target/cresshook.cjs');
+copyFileSync('scripts/gateway-loader.cjs', path.join(folder, 'cresshook.cjs'));
 
 // V8 takes a cache only under the flags it was written with: those of the deploy file.
 const {flags} = /run = "node (?<flags>.*?) target/.exec(readFileSync('deploy/system.toml', 'utf8')).groups;
-execFileSync(process.execPath, [...flags.split(' '), 'scripts/write-code-cache.cjs'], {stdio: ['ignore', 'ignore', 'inherit']});
+execFileSync(process.execPath, [...flags.split(' '), 'scripts/write-code-cache.cjs', folder], {stdio: ['ignore', 'ignore', 'inherit']});
--- a/scripts/write-code-cache.cjs
+++ b/scripts/write-code-cache.cjs
@@ -11,7 +11,7 @@
 const process = require('node:process');
 const {program, warmStart} = require('./warm-start.cjs');
 
-const target = path.join(__dirname, '../target');
+const target = path.resolve(process.argv[2]);
 
 async function writeCache() {
 	rmSync(path.join(target, 'gateway.cache'), {force: true});
--- /dev/null
+++ b/test/helpers/gateway-process.ts
@@ -0,0 +1,136 @@
+/** The gateway as the deploy file runs it: bundled, in a process of its own. */
+import {execFileSync, spawn, type ChildProcess} from 'node:child_process';
+import {once} from 'node:events';
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import process from 'node:process';
+import {
+	findFreePorts, formatSettings, send, waitUntil, type NodeSettings,
+} from './gateways.js';
+import {LogCapture} from './logs.js';
+import {processHost} from './process-host.js';
+
+/** Time within which a process has to be ready, in milliseconds. */
+const startLimit = 8000;
+
+/** A built program and the settings files of its processes, in a temporary folder. */
+export class GatewayProgram {
+	readonly #folder = mkdtempSync(join(tmpdir(), 'cresshook-gateway-'));
+	readonly #processes: GatewayProcess[] = [];
+
+	constructor() {
+		execFileSync(process.execPath, ['scripts/build-gateway.js', this.#folder]);
+	}
+
+	/** Starts a process without waiting for it. */
+	async spawn(changes: Partial<NodeSettings> & Pick<NodeSettings, 'storeAddress'>): Promise<GatewayProcess> {
+		const settings = {
+			index: this.#processes.length, host: processHost, seeds: [], isFirstStart: false, retrySlack: 100, ports: await findFreePorts(6), ...changes,
+		};
+		const file = join(this.#folder, `node-${settings.index}.toml`);
+		writeFileSync(file, formatSettings(settings));
+		const started = new GatewayProcess([join(this.#folder, 'cresshook.cjs'), 'gateway', '--settings', file, '--early-callers', `${settings.host}:${settings.ports[0]}`], settings);
+		this.#processes.push(started);
+		return started;
+	}
+
+	/** Starts a process and waits until it is ready. */
+	async start(changes: Parameters<GatewayProgram['spawn']>[0]): Promise<GatewayProcess> {
+		const started = await this.spawn(changes);
+		await started.waitUntilReady();
+		return started;
+	}
+
+	/** Kills all processes. */
+	async killAll(): Promise<void> {
+		await Promise.all(this.#processes.splice(0).map(async each => each.kill()));
+	}
+
+	/** Removes the program. */
+	remove(): void {
+		rmSync(this.#folder, {recursive: true});
+	}
+}
+
+/** One process. */
+export class GatewayProcess {
+	readonly log = new LogCapture();
+	readonly #child: ChildProcess;
+	readonly #settings: NodeSettings;
+
+	constructor(words: string[], settings: NodeSettings) {
+		this.#settings = settings;
+		this.#child = spawn(process.execPath, words, {stdio: ['ignore', 'pipe', 'inherit']});
+		this.#child.stdout!.pipe(this.log);
+	}
+
+	/** `IP:PORT` for callers. */
+	get callers(): string {
+		return this.#formatAddress(0);
+	}
+
+	/** `IP:PORT` of the readiness check. */
+	get ready(): string {
+		return this.#formatAddress(1);
+	}
+
+	/** `IP:PORT` for heartbeats. */
+	get heartbeats(): string {
+		return this.#formatAddress(4);
+	}
+
+	/** Exit code, or the signal that ended the process; undefined while it runs. */
+	get end(): number | string | undefined {
+		return this.#child.exitCode ?? this.#child.signalCode ?? undefined;
+	}
+
+	signal(name: NodeJS.Signals): void {
+		this.#child.kill(name);
+	}
+
+	async waitUntilReady(): Promise<void> {
+		const limit = Date.now() + startLimit;
+		while (await this.#readReadiness() !== 200) {
+			if (Date.now() > limit || this.end !== undefined) {
+				throw new Error(`the process is not ready, its end: ${this.end}`);
+			}
+		}
+	}
+
+	/** Returns the longest time in milliseconds that the readiness check took to answer until `isOver` returned true. */
+	async measureLongestBlock(isOver: () => boolean): Promise<number> {
+		let longest = 0;
+		while (!isOver()) {
+			const askedAt = performance.now();
+			await this.#readReadiness();
+			longest = Math.max(longest, performance.now() - askedAt);
+		}
+
+		return longest;
+	}
+
+	async waitForEnd(limit: number): Promise<number | string | undefined> {
+		await waitUntil(() => this.end !== undefined, limit);
+		return this.end;
+	}
+
+	async kill(): Promise<void> {
+		if (this.end === undefined) {
+			this.#child.kill('SIGKILL');
+			await once(this.#child, 'exit');
+		}
+	}
+
+	async #readReadiness(): Promise<number> {
+		const {status} = await send(this.ready, {path: '/v1/readyz', method: 'GET'});
+		await new Promise(resolve => {
+			setTimeout(resolve, 10);
+		});
+		return status;
+	}
+
+	#formatAddress(port: number): string {
+		return `${this.#settings.host}:${this.#settings.ports[port]}`;
+	}
+}
--- a/test/helpers/gateways.ts
+++ b/test/helpers/gateways.ts
@@ -85,6 +85,35 @@
 	storeAddress?: string;
 };
 
+/** Values of a node's settings; `ports` are those for callers, readiness, addresses, peers, heartbeats and metrics. */
+export type NodeSettings = Required<Pick<NodeOptions, 'index' | 'ports' | 'host' | 'seeds' | 'isFirstStart' | 'retrySlack' | 'storeAddress'>>;
+
+/** Formats the settings file of a node. */
+export function formatSettings({index, ports, host, seeds, isFirstStart, retrySlack, storeAddress}: NodeSettings): string {
+	return `
+box = "edge-${index}"
+region = "r"
+availability_zone = "north"
+heartbeat_port = ${ports[4]}
+metrics_port = ${ports[5]}
+seeds = ${JSON.stringify(seeds)}
+first_start = ${isFirstStart}
+address_lifetime_seconds = 1
+[listen]
+callers = "${host}:${ports[0]}"
+ready = "${host}:${ports[1]}"
+addresses = "${host}:${ports[2]}"
+peers = "${host}:${ports[3]}"
+[store]
+address = "${storeAddress}"
+[stop]
+grace_seconds = 4
+[retry]
+ratio = 0.2
+slack = ${retrySlack}
+window_seconds = 10`;
+}
+
 let callCount = 0;
 
 /** The gateway nodes, the store and the runners of one test. */
@@ -153,28 +182,9 @@
 			index = this.gateways.length, host = processHost, seeds = [], isFirstStart = seeds.length > 0, retrySlack = 100, storeAddress = this.store.address, evacuateWithin = this.evacuateWithin,
 		} = options;
 		const ports = options.ports ?? await findFreePorts(6);
-		const settings = parseGatewaySettings(`
-box = "edge-${index}"
-region = "r"
-availability_zone = "north"
-heartbeat_port = ${ports[4]}
-metrics_port = ${ports[5]}
-seeds = ${JSON.stringify(seeds)}
-first_start = ${isFirstStart}
-address_lifetime_seconds = 1
-[listen]
-callers = "${host}:${ports[0]}"
-ready = "${host}:${ports[1]}"
-addresses = "${host}:${ports[2]}"
-peers = "${host}:${ports[3]}"
-[store]
-address = "${storeAddress}"
-[stop]
-grace_seconds = 4
-[retry]
-ratio = 0.2
-slack = ${retrySlack}
-window_seconds = 10
+		const settings = parseGatewaySettings(`${formatSettings({
+			index, ports, host, seeds, isFirstStart, retrySlack, storeAddress,
+		})}
 ${evacuateWithin === undefined ? '' : `[evacuations]\napply_within_ms = ${evacuateWithin}\n`}
 ${this.extraSettings}
 ${this.sharesMemorySeconds === undefined ? '' : `[organisation_shares]\nmemory_seconds = ${this.sharesMemorySeconds}`}
