fix(gateway): the time to read an event does not grow with its chunks

Cause: the event parser joined, searched and copied all bytes of the event again with each chunk, and each small chunk that was kept was an object of its own.

Conclusion: the same limits hold, at a cost that is linear.

--- a/src/common/index.ts
+++ b/src/common/index.ts
@@ -1,3 +1,4 @@
+export * from './byte-queue.js';
 export * from './clock.js';
 export * from './errors.js';
 export * from './ids.js';
--- a/src/gateway/calls/backend-attempt.ts
+++ b/src/gateway/calls/backend-attempt.ts
@@ -4,6 +4,7 @@
  * An answer that is not a stream is buffered until it is complete, so that a broken one can still be
  * replaced, or until it is too long for that. The events of a stream are forwarded one by one, each once it is complete.
  */
+import {Buffer} from 'node:buffer';
 import {
 	readErrorMessage, type BackendServerId, type Clock, type Timer,
 } from '../../common/index.js';
@@ -214,25 +215,32 @@
 
 		this.#hasData = true;
 		this.#restartSilenceTimer();
-		let canWriteMore = true;
-		for (const frame of this.#parser.push(chunk)) {
-			if (frame.id === undefined || this.#lastEventId === undefined || frame.id > this.#lastEventId) {
-				canWriteMore = this.#forward(frame);
-			}
+		const frames = this.#parser.push(chunk).filter(frame => this.#isNew(frame));
+		if (frames.length > 0) {
+			this.#waitUnless(this.#forward(frames));
+		}
+	}
+
+	/** Whether the caller has not received an event; records its id. */
+	#isNew({id}: EventFrame): boolean {
+		if (id === undefined) {
+			return true;
 		}
 
-		this.#waitUnless(canWriteMore);
+		const isNew = this.#lastEventId === undefined || id > this.#lastEventId;
+		this.#lastEventId = isNew ? id : this.#lastEventId;
+		return isNew;
 	}
 
-	#forward({id, bytes}: EventFrame): boolean {
+	/** Forwards the events of one chunk in one write: written one by one, thousands of tiny events would block the event loop. */
+	#forward(frames: EventFrame[]): boolean {
 		this.#claimStream();
 		this.#notifyFirst();
 		const now = this.#parts.clock.readMonotonic();
 		this.#longestPause = Math.max(this.#longestPause, now - (this.#lastEventAt ?? now));
 		this.#lastEventAt = now;
-		this.#lastEventId = id ?? this.#lastEventId;
-		this.#parts.onEvent(id, now);
-		return this.#parts.sink.write(bytes);
+		this.#parts.onEvent(this.#lastEventId, now);
+		return this.#parts.sink.write(frames.length === 1 ? frames[0].bytes : Buffer.concat(frames.map(({bytes}) => bytes)));
 	}
 
 	/** Applies backpressure without the silence timer: a slow caller must not make the server look silent. */
--- a/src/gateway/calls/plain-answer.ts
+++ b/src/gateway/calls/plain-answer.ts
@@ -4,7 +4,7 @@
  * It is buffered so that a broken answer can still be replaced. One that is too long to be buffered is forwarded from
  * there on as it arrives; it can no longer be replaced, and is aborted if it breaks.
  */
-import {Buffer} from 'node:buffer';
+import {ByteQueue} from '../../common/index.js';
 import type {ResponseHead} from '../wire.js';
 import type {CallSink} from './call-sink.js';
 
@@ -15,8 +15,7 @@
 export class PlainAnswer {
 	readonly #head: ResponseHead;
 	readonly #sink: CallSink;
-	#buffered: Uint8Array[] = [];
-	#bufferedLength = 0;
+	readonly #buffered = new ByteQueue();
 	#isForwarding = false;
 
 	constructor(head: ResponseHead, sink: CallSink) {
@@ -31,7 +30,7 @@
 
 	/** Number of bytes that are held. */
 	get bufferedLength(): number {
-		return this.#bufferedLength;
+		return this.#buffered.length;
 	}
 
 	/** Whether the answer may be forwarded before it is complete: it is the last word of its server, and the caller has no other head. */
@@ -41,16 +40,14 @@
 
 	/** Holds a chunk. */
 	add(chunk: Uint8Array): void {
-		this.#buffered.push(chunk);
-		this.#bufferedLength += chunk.length;
+		this.#buffered.append(chunk);
 		this.#sink.holdAnswer(chunk.length);
 	}
 
 	/** Drops what is held: the answer is not needed. */
 	discard(): void {
-		this.#sink.holdAnswer(-this.#bufferedLength);
-		this.#buffered = [];
-		this.#bufferedLength = 0;
+		this.#sink.holdAnswer(-this.#buffered.length);
+		this.#buffered.clear();
 	}
 
 	/** Sends the head as the server framed it and everything that is held; false when the caller reads too slowly. */
@@ -88,8 +85,7 @@
 	}
 
 	#takeBody(): Uint8Array {
-		const body = Buffer.concat(this.#buffered);
-		this.discard();
-		return body;
+		this.#sink.holdAnswer(-this.#buffered.length);
+		return this.#buffered.take();
 	}
 }
--- a/src/gateway/calls/read-ahead-sink.ts
+++ b/src/gateway/calls/read-ahead-sink.ts
@@ -1,5 +1,6 @@
 /** A sink that queues what a slow caller has not taken yet, so that its server need not wait for it. */
 import {Buffer} from 'node:buffer';
+import {ByteQueue} from '../../common/index.js';
 import type {HeaderFields} from '../wire.js';
 import type {BufferKind} from './buffer-account.js';
 import {CallSink, type HttpSink} from './call-sink.js';
@@ -26,7 +27,7 @@
 	readonly closed: Promise<void>;
 	readonly #target: HttpSink;
 	readonly #listener: ReadAheadListener;
-	#queue: Uint8Array[] = [];
+	readonly #queue = new ByteQueue();
 	/** Bytes that the response itself holds until it drains. */
 	#unsentLength = 0;
 	#isSlow = false;
@@ -40,7 +41,7 @@
 		this.#listener = listener;
 		this.closed = new Promise(resolve => {
 			target.onClose(() => {
-				this.#queue = [];
+				this.#queue.clear();
 				listener.onClose();
 				resolve();
 			});
@@ -98,7 +99,7 @@
 
 	override abort(): void {
 		this.#isAborted = true;
-		this.#queue = [];
+		this.#queue.clear();
 		this.#target.abort();
 	}
 
@@ -116,9 +117,8 @@
 		this.#listener.subtract('answer', Infinity);
 	}
 
-	/** Copies the chunk: a part of a larger block of memory would keep the whole block. */
 	#enqueue(chunk: Uint8Array): void {
-		this.#queue.push(Buffer.from(chunk));
+		this.#queue.append(chunk);
 		this.#listener.add('unread', chunk.length);
 	}
 
@@ -137,7 +137,7 @@
 	/** Writes what is queued until the caller is slow again. */
 	#flush(): void {
 		while (this.#queue.length > 0) {
-			const bytes = this.#takeNext();
+			const bytes = this.#queue.take(minWriteSize);
 			const canWriteMore = this.#target.write(bytes);
 			this.#listener.subtract('unread', bytes.length);
 			if (!canWriteMore) {
@@ -157,15 +157,6 @@
 		this.resume();
 	}
 
-	#takeNext(): Uint8Array {
-		let count = 0;
-		for (let length = 0; count < this.#queue.length && length < minWriteSize; count++) {
-			length += this.#queue[count].length;
-		}
-
-		return Buffer.concat(this.#queue.splice(0, count));
-	}
-
 	#endTarget(chunk?: Uint8Array | string): void {
 		this.#target.end(chunk);
 		this.#countUnsent();
--- a/test/gateway-parts.test.ts
+++ b/test/gateway-parts.test.ts
@@ -45,6 +45,19 @@
 	expect(() => parser.push(Buffer.alloc(5_000_000, 'a'))).toThrow('longer than');
 });
 
+// The bytes of an incomplete event were copied and searched again with each chunk, for minutes in the event loop.
+test('the time to read an event does not grow with the number of its chunks and lines', () => {
+	const parser = new EventParser();
+	const chunk = Buffer.from('data: abc\n');
+	const startedAt = performance.now();
+	for (let sent = 0; sent < 1_000_000; sent += chunk.length) {
+		parser.push(chunk);
+	}
+
+	expect(parser.push(Buffer.from('\n'))).toHaveLength(1);
+	expect(performance.now() - startedAt).toBeLessThan(500);
+});
+
 test('callers get the addresses of their own zone, and others rather than a single address', () => {
 	const nodes = [createPeer('a'), createPeer('b'), createPeer('c', {availabilityZone: 'z' as AvailabilityZone})];
 	expect(listCallerAddresses(nodes, 'a' as AvailabilityZone)).toEqual(['a:1', 'b:1']);
