fix(gateway): a stopping node takes no late requests on kept connections

Cause: a node closes its listener and idle connections at the end of its accept time. A connection that was busy then was never closed, and nothing refused the requests on it.

Change: requests that come after the accept time get 503 at once, as not executed, with Retry-After: 0; connections are closed once they are idle.

test/stopping-nodes: two tests, both fail before (the late request ran and was cut off; the connection stayed open) and pass after.

Conclusion: nothing that arrives after the accept time reaches a server.

--- a/src/gateway/calls/call-service.ts
+++ b/src/gateway/calls/call-service.ts
@@ -1,5 +1,6 @@
 /** Serves callers' requests: resolves the route, runs the call and logs its outcome. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import {Left} from 'purify-ts';
 import {
 	readErrorMessage, type AvailabilityZone, type BackendServerId, type BoxId, type Clock, type Logger,
 } from '../../common/index.js';
@@ -14,6 +15,7 @@
 import type {HttpSink} from './call-sink.js';
 import {waitForFirstView} from './first-view.js';
 import type {NodeBuffers} from './node-buffers.js';
+import {createStoppedFailure} from './placement-finder.js';
 import type {Placer} from './placer.js';
 import type {Reservations} from './reservations.js';
 import type {ServerDialer} from './server-dialer.js';
@@ -46,6 +48,7 @@
 export class CallService {
 	readonly #parts: CallServiceParts;
 	readonly #runs = new Set<CallRun>();
+	#isRefusing = false;
 	readonly #probe: ServerProbe;
 
 	constructor(parts: CallServiceParts) {
@@ -70,6 +73,11 @@
 		return this.#runs.size;
 	}
 
+	/** Refuses new calls from now on, as not executed. */
+	refuseNew(): void {
+		this.#isRefusing = true;
+	}
+
 	/** Cancels all calls at once. */
 	stopNow(): void {
 		for (const run of this.#runs) {
@@ -88,7 +96,7 @@
 			return;
 		}
 
-		const resolved = head.chain(value => this.#resolve(value, body, arrived));
+		const resolved = head.chain(value => this.#isRefusing ? Left(createStoppedFailure()) : this.#resolve(value, body, arrived));
 		if (resolved.isLeft()) {
 			const failure = resolved.extract();
 			const requestId = head.caseOf<CallHead['requestId'] | undefined>({Left: () => undefined, Right: value => value.requestId});
--- a/src/gateway/calls/placement-finder.ts
+++ b/src/gateway/calls/placement-finder.ts
@@ -1,6 +1,6 @@
 /** Finds a placement for one call: asks until one is granted. */
-import type {
-	AvailabilityZone, BackendServerId, BoxId, Clock, Failure, Timer,
+import {
+	createFailure, type AvailabilityZone, type BackendServerId, type BoxId, type Clock, type Failure, type Timer,
 } from '../../common/index.js';
 import {findPriority} from '../../routing/index.js';
 import {findMaxSilence} from './backend-attempt.js';
@@ -19,6 +19,11 @@
 	deadline: number;
 };
 
+/** The failure of a call that has not run and that a stopping node cannot serve: other nodes may at once. */
+export function createStoppedFailure(): Failure {
+	return createFailure('node_stopped', 'this node is stopping and can\'t serve the request before; use another address', {ran: 'no', retryAfterSeconds: 0});
+}
+
 /** Finds the placements of one call, one after another. */
 export class PlacementFinder {
 	/** Servers that must not be chosen again. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -305,6 +305,8 @@
 		this.#stopAccepting();
 		while (this.#calls.inProgress + this.#relays.inProgress > 0 && clock.readMonotonic() < stoppingSince + (grace * forceStopShare)) {
 			await waitFor(clock, drainPollInterval);
+			// A connection that was busy when the node stopped accepting is closed as soon as it is idle.
+			this.#findCallersServer()?.closeIdleConnections();
 		}
 
 		logger.info({event: 'stopped', cutOff: this.#calls.inProgress, took: Math.round(clock.readMonotonic() - stoppingSince)}, 'the node shuts down');
@@ -344,13 +346,18 @@
 		return this.#viewResponder.takeConfig(known);
 	}
 
-	/** Accepts no new connections and closes idle ones; busy ones close after their answers. */
+	/** Accepts no new connections, closes idle ones and refuses requests on the others, which are closed after their answers. */
 	#stopAccepting(): void {
-		const callers = this.#servers.at(-1)?.server;
+		this.#calls.refuseNew();
+		const callers = this.#findCallersServer();
 		callers?.close();
 		callers?.closeIdleConnections();
 	}
 
+	#findCallersServer(): OpenServer['server'] | undefined {
+		return this.#servers.at(-1)?.server;
+	}
+
 	#listAddresses(zone: AvailabilityZone): {addresses: string[]; lifetime: number} {
 		// A node without live peers that cannot reach its source is more likely partitioned than the only one left.
 		const isCutOff = this.#peers.listLive().length === 0 && !this.state.isSourceReachable;
@@ -463,7 +470,7 @@
 	/** Applies the configuration's timeouts to new connections. */
 	#applyLimits(): void {
 		const limits = this.state.table?.config.limits;
-		const callers = this.#servers.at(-1)?.server;
+		const callers = this.#findCallersServer();
 		if (limits !== undefined && callers !== undefined) {
 			callers.headersTimeout = limits.headerTime;
 			callers.keepAliveTimeout = limits.idleTime;
--- /dev/null
+++ b/test/stopping-nodes.test.ts
@@ -0,0 +1,130 @@
+// What a stopping node does with the requests that it has, and with those that still reach it.
+import {connect, type Socket} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {
+	afterEach, beforeEach, expect, test,
+} from '@jest/globals';
+import {createConfig, GatewayFleet, waitUntil} from './helpers/gateways.js';
+import {
+	createAnswerHeaders, createTextAnswer, formatEvent, type ServerBehaviour,
+} from './helpers/platform-standins.js';
+
+const testTimeout = 20_000;
+
+const eventGap = 100;
+
+let fleet: GatewayFleet;
+/** Time for which new streams go on, in milliseconds. */
+let streamTime: number;
+/** Paths of the requests that servers began to run, in order. */
+let runs: string[];
+const sockets: Socket[] = [];
+
+const answer: ServerBehaviour = async (request, response) => {
+	runs.push(request.url);
+	if (request.url.startsWith('/once/silent')) {
+		return;
+	}
+
+	if (!request.url.startsWith('/stream/')) {
+		await createTextAnswer('ok')(request, response, response.socket!);
+		return;
+	}
+
+	response.writeHead(200, {...createAnswerHeaders(request), 'content-type': 'text/event-stream'});
+	const eventCount = streamTime / eventGap;
+	for (let id = 1; id <= eventCount; id++) {
+		response.write(formatEvent(id));
+		await sleep(eventGap);
+	}
+
+	response.end();
+};
+
+beforeEach(async () => {
+	fleet = new GatewayFleet();
+	streamTime = 2000;
+	runs = [];
+	await fleet.start({runners: [{service: 'app', behaviour: answer}, {service: 'model', behaviour: answer}]});
+	const routes = createConfig(1).routes as Array<Record<string, unknown>>;
+	fleet.store.put('config', 'main', createConfig(2, {routes: routes.map(route => ({...route, timeoutMs: 15_000, targetLatencyMs: 10_000}))}));
+	await waitUntil(() => fleet.gateways[0].state.configVersion === 2);
+});
+
+afterEach(async () => {
+	for (const socket of sockets.splice(0)) {
+		socket.destroy();
+	}
+
+	await fleet.stop();
+});
+
+/** A connection that stays open as long as the node keeps it. */
+class KeptConnection {
+	received = '';
+	isClosed = false;
+	readonly #socket: Socket;
+
+	constructor(address: string) {
+		const [host, port] = address.split(':');
+		this.#socket = connect(Number(port), host);
+		sockets.push(this.#socket);
+		this.#socket.on('data', chunk => {
+			this.received += String(chunk);
+		});
+		this.#socket.on('error', () => {}); // eslint-disable-line @typescript-eslint/no-empty-function
+		this.#socket.once('close', () => {
+			this.isClosed = true;
+		});
+	}
+
+	/** Statuses of the answers received, in order. */
+	get statuses(): number[] {
+		return [...this.received.matchAll(/HTTP\/1\.1 (?<status>\d+)/gu)].map(match => Number(match.groups?.status));
+	}
+
+	/** Sends a request whose body has `length` bytes, of which `body` are sent now. */
+	request(path: string, {body = '', length = 0} = {}): void {
+		const fields = ['host: shop.example', 'authorization: Bearer secret-key', `cresshook-attempt-id: ${path}`, 'cresshook-deadline-ms: 15000', `content-length: ${length}`];
+		this.write(`POST ${path} HTTP/1.1\r\n${fields.join('\r\n')}\r\n\r\n${body}`);
+	}
+
+	write(text: string): void {
+		this.#socket.write(text);
+	}
+}
+
+function openConnection(): KeptConnection {
+	return new KeptConnection(fleet.settings[0].listen.callers);
+}
+
+// Such a request was passed on and cut off with its node.
+test('a stopping node refuses a request on a connection that was busy when it stopped accepting', async () => {
+	const [kept, longer] = [openConnection(), openConnection()];
+	kept.request('/stream/a');
+	await waitUntil(() => kept.received.includes('piece 1\n'));
+	streamTime = 2800;
+	longer.request('/stream/b');
+	await waitUntil(() => longer.received.includes('piece 1\n'));
+	const stopping = fleet.gateways[0].stop();
+	await waitUntil(() => kept.received.endsWith('0\r\n\r\n'));
+	kept.request('/once/silent');
+	await stopping;
+	expect(runs).toEqual(['/stream/a', '/stream/b']);
+	expect([[200], [200, 503]]).toContainEqual(kept.statuses);
+}, testTimeout);
+
+test('a stopping node closes a connection that was busy when it stopped accepting once its answer has ended', async () => {
+	const [kept, longer] = [openConnection(), openConnection()];
+	kept.request('/stream/a');
+	await waitUntil(() => kept.received.includes('piece 1\n'));
+	streamTime = 2800;
+	longer.request('/stream/b');
+	await waitUntil(() => longer.received.includes('piece 1\n'));
+	const stopping = fleet.gateways[0].stop();
+	await waitUntil(() => kept.received.endsWith('0\r\n\r\n'));
+	await waitUntil(() => kept.isClosed, 500);
+	expect(longer.isClosed).toBe(false);
+	await stopping;
+	expect(longer.received.endsWith('0\r\n\r\n')).toBe(true);
+}, testTimeout);
