fix(gateway): calls that a stopping node cuts off get an answer

Cause: the end of a stop handled calls like those whose callers have left, and closed all connections in the same turn of the event loop.

Change: 503 where nothing was sent, 502 where the request may have run, a broken answer where a part was sent; the node waits up to 250 ms until these are sent. Calls that wait are planned with the time until the cut-off, so the planner refuses those that cannot begin before.

Conclusion: a caller learns what happened, and other nodes can take what has not run.

--- a/src/gateway/calls/call-run.ts
+++ b/src/gateway/calls/call-run.ts
@@ -17,7 +17,7 @@
 import {isServerFault} from './failed-answer.js';
 import {sendFailure} from './failure-answer.js';
 import type {AttemptSilence, SendParts} from './live-attempt.js';
-import {PlacementFinder} from './placement-finder.js';
+import {createStoppedFailure, PlacementFinder} from './placement-finder.js';
 import type {Placement, Placer} from './placer.js';
 
 /** Extra sends beyond the attempts of the route, to make up for servers that declined the request. */
@@ -39,6 +39,8 @@
 	/** Name and availability zone of this node. */
 	node: Plan['request']['node'];
 	availabilityZone: AvailabilityZone;
+	/** When this node cuts off calls, by the monotonic clock; Infinity unless it is stopping. */
+	readStopTime: () => number;
 };
 
 /** How a call ended, for its log line. */
@@ -59,6 +61,9 @@
 
 type FailedAnswer = Extract<AttemptOutcome, {kind: 'failed'}>;
 
+/** Why a call ends before its answer is complete: its time is over, its caller has disconnected, or this node stops. */
+type StopReason = 'deadline' | 'gone' | 'node_stop';
+
 /** Runs one call. */
 export class CallRun {
 	readonly #parts: CallRunParts;
@@ -67,7 +72,7 @@
 	readonly #placementFinder: PlacementFinder;
 	readonly #attempts: CallAttempts;
 	#deadlineTimer: Timer | undefined;
-	#stopReason: 'deadline' | 'gone' | undefined;
+	#stopReason: StopReason | undefined;
 	#lastEventId: number | undefined;
 	#firstAfter: number | undefined;
 	#placement: Placement | undefined;
@@ -87,10 +92,10 @@
 		this.#lastEventId = call.head.lastEventId;
 		const deadline = call.arrived + Math.min(call.head.timeLeft ?? Infinity, call.route.timeLimit);
 		const {
-			clock, placer, node, availabilityZone,
+			clock, placer, node, availabilityZone, readStopTime,
 		} = parts;
 		this.#placementFinder = new PlacementFinder({
-			clock, placer, call, node, availabilityZone, deadline,
+			clock, placer, call, node, availabilityZone, deadline, readStopTime,
 		});
 		this.#attempts = new CallAttempts({
 			...parts,
@@ -123,12 +128,22 @@
 		this.#stop('gone');
 	}
 
+	/** Applies the stop time of this node: a call that is waiting is refused at once unless it can be served before. */
+	handlePlannedStop(): void {
+		this.#placementFinder.askNow();
+	}
+
+	/** Ends the call because the node stops: the caller gets a failure, or a broken answer if it has a part of one. */
+	stopWithNode(): void {
+		this.#stop('node_stop');
+	}
+
 	/** Handles the restart of a server: requests in its previous process will not be answered. */
 	handleServerRestart(server: BackendServerId): void {
 		this.#attempts.handleServerRestart(server);
 	}
 
-	#stop(reason: 'deadline' | 'gone'): void {
+	#stop(reason: StopReason): void {
 		this.#stopReason ??= reason;
 		this.#attempts.stop();
 		this.#placementFinder.stop();
@@ -417,6 +432,10 @@
 			return createFailure('caller_gone', 'the caller closed its connection');
 		}
 
+		if (this.#stopReason === 'node_stop') {
+			return this.#attempts.runs === 0 ? createStoppedFailure() : createUnconfirmedFailure('this node has stopped');
+		}
+
 		return this.#attempts.runs === 0
 			? createFailure('bound_passed_waiting', 'the time for this request passed before a backend server ran it')
 			: createFailure('bound_passed_running', 'the time for this request passed while a backend server ran it');
--- a/src/gateway/calls/call-service.ts
+++ b/src/gateway/calls/call-service.ts
@@ -48,6 +48,8 @@
 export class CallService {
 	readonly #parts: CallServiceParts;
 	readonly #runs = new Set<CallRun>();
+	/** When calls are cut off, by the monotonic clock; Infinity unless the node is stopping. */
+	#stopTime = Infinity;
 	#isRefusing = false;
 	readonly #probe: ServerProbe;
 
@@ -73,15 +75,24 @@
 		return this.#runs.size;
 	}
 
+	/** Announces that all calls will be cut off at a time by the monotonic clock: those that wait and cannot be served before are refused at once. */
+	planStop(stopTime: number): void {
+		this.#stopTime = stopTime;
+		for (const run of this.#runs) {
+			run.handlePlannedStop();
+		}
+	}
+
 	/** Refuses new calls from now on, as not executed. */
 	refuseNew(): void {
 		this.#isRefusing = true;
 	}
 
-	/** Cancels all calls at once. */
+	/** Ends all calls at once; their callers get a failure, or a broken answer if they have a part of one. */
 	stopNow(): void {
+		this.refuseNew();
 		for (const run of this.#runs) {
-			run.cancel();
+			run.stopWithNode();
 		}
 	}
 
@@ -134,6 +145,7 @@
 			hasEnded: async id => this.#probe.hasEnded(id),
 			node: this.#parts.node,
 			availabilityZone: this.#parts.availabilityZone,
+			readStopTime: () => this.#stopTime,
 		}, call, buffered ?? sink);
 		this.#runs.add(run);
 		response.once('close', () => {
--- a/src/gateway/calls/placement-finder.ts
+++ b/src/gateway/calls/placement-finder.ts
@@ -17,6 +17,8 @@
 	availabilityZone: AvailabilityZone;
 	/** Deadline of the call, by the monotonic clock, in milliseconds. */
 	deadline: number;
+	/** When this node cuts off calls, by the monotonic clock; Infinity unless it is stopping. */
+	readStopTime: () => number;
 };
 
 /** The failure of a call that has not run and that a stopping node cannot serve: other nodes may at once. */
@@ -81,6 +83,11 @@
 		return answer;
 	}
 
+	/** Asks again at once when it is waiting. */
+	askNow(): void {
+		this.#skipWait?.();
+	}
+
 	/** Ends a wait in progress and any later one. */
 	stop(): void {
 		this.#isStopped = true;
@@ -89,10 +96,11 @@
 
 	async #ask(waited: number, hasBegun: boolean, excluded = this.excluded): Promise<PlacementAnswer | Failure> {
 		const {
-			clock, placer, call, node, availabilityZone,
+			clock, placer, call, node, availabilityZone, readStopTime,
 		} = this.#parts;
 		const {route, service, organisation, head, arrived} = call;
 		const now = clock.readMonotonic();
+		const untilStop = Math.max(0, readStopTime() - now);
 		const result = await placer.place({
 			requestId: head.requestId,
 			service: service.name,
@@ -104,8 +112,8 @@
 			outputTokens: head.outputTokens,
 			waited,
 			objective: route.objective - (now - arrived),
-			patience: this.#findPatience(now),
-			timeLeft: this.timeLeft,
+			patience: Math.min(untilStop, this.#findPatience(now)),
+			timeLeft: Math.min(untilStop, this.timeLeft),
 			longestPause: route.longestPause,
 			longestSilence: findMaxSilence(route),
 			route: route.name,
@@ -117,7 +125,7 @@
 			excluded,
 			failedAt: this.failedAt,
 		});
-		return result.caseOf<PlacementAnswer | Failure>({Left: failure => failure, Right: value => value});
+		return result.caseOf<PlacementAnswer | Failure>({Left: failure => failure.kind === 'overloaded' && untilStop < this.timeLeft ? createStoppedFailure() : failure, Right: value => value});
 	}
 
 	/** Time until the caller disconnects if it receives nothing, counted from its last event or its arrival; in milliseconds. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -32,7 +32,7 @@
 import {compareSettings, type SettingsChange} from './settings-change.js';
 import {computeDigest} from './digest.js';
 import {
-	defaultBodyLimit, openAddressServer, openCallersServer, openMetricsServer, openPeersServer, openReadyServer, type OpenServer,
+	defaultBodyLimit, openAddressServer, openCallersServer, openMetricsServer, openPeersServer, openReadyServer, OpenRequests, type OpenServer,
 } from './servers.js';
 import type {GatewayWire} from './wire.js';
 
@@ -59,6 +59,10 @@
 /** Interval between checks whether all calls have ended, in milliseconds. */
 const drainPollInterval = 50;
 
+/** Time for the answers to calls that are cut off, and the interval between checks whether all are sent, in milliseconds. */
+const maxAnswerTime = 250;
+const answerPollInterval = 5;
+
 const bytesPerMegabyte = 1_000_000;
 
 /** Length of an incarnation id, in characters: makes a collision among thousands improbable. */
@@ -77,6 +81,7 @@
 	readonly #calls: CallService;
 	readonly #buffers: NodeBuffers | undefined;
 	readonly #servers: OpenServer[] = [];
+	readonly #openRequests = new OpenRequests();
 	readonly #supervisorStop = new AbortController();
 	readonly #incarnation: string;
 	readonly #addressLifetime: AddressLifetime;
@@ -258,6 +263,7 @@
 			await openMetricsServer(`${host}:${settings.metrics_port}`, this.metrics, () => this.#status.formatText()),
 			await openCallersServer(settings.listen.callers, {
 				wire,
+				openRequests: this.#openRequests,
 				isStopping: () => this.#isStopping,
 				findBodyLimit: () => this.state.table?.config.limits.bodyBytes ?? defaultBodyLimit,
 				serve: async (request, body, sink, response) => this.#calls.serve(request, body, sink, response),
@@ -301,9 +307,11 @@
 		const stoppingSince = clock.readMonotonic();
 		const grace = settings.stop.grace_seconds * 1000;
 		logger.info({event: 'stopping', calls: this.#calls.inProgress}, 'the node is stopping; calls in progress continue');
+		const stopTime = stoppingSince + (grace * forceStopShare);
+		this.#calls.planStop(stopTime);
 		await waitFor(clock, Math.min(this.#addressLifetime.computeRemaining(), grace * acceptShare));
 		this.#stopAccepting();
-		while (this.#calls.inProgress + this.#relays.inProgress > 0 && clock.readMonotonic() < stoppingSince + (grace * forceStopShare)) {
+		while (this.#calls.inProgress + this.#relays.inProgress > 0 && clock.readMonotonic() < stopTime) {
 			await waitFor(clock, drainPollInterval);
 			// A connection that was busy when the node stopped accepting is closed as soon as it is idle.
 			this.#findCallersServer()?.closeIdleConnections();
@@ -313,12 +321,18 @@
 		await this.close();
 	}
 
-	/** Stops immediately; calls in progress are cut off. */
+	/** Stops immediately; calls in progress are cut off, with an answer that says so where none has begun. */
 	async close(): Promise<void> {
-		this.#supervisorStop.abort();
-		await Promise.allSettled([this.#running]);
+		const {clock} = this.#parts;
 		this.#calls.stopNow();
+		this.#relays.stopNow();
+		const sentBy = clock.readMonotonic() + maxAnswerTime;
+		while (this.#openRequests.count + this.#relays.inProgress > 0 && clock.readMonotonic() < sentBy) {
+			await waitFor(clock, answerPollInterval);
+		}
 
+		this.#supervisorStop.abort();
+		await Promise.allSettled([this.#running]);
 		await Promise.all(this.#servers.map(async server => {
 			server.server.closeAllConnections();
 			await server.close();
--- a/src/gateway/links/relay-service.ts
+++ b/src/gateway/links/relay-service.ts
@@ -27,10 +27,13 @@
 	isStopping: () => boolean;
 };
 
+/** A request that is being forwarded. */
+type Forward = {exchange: BackendExchange; response: ServerResponse};
+
 /** Serves the requests that other nodes pass on. */
 export class RelayService {
 	readonly #parts: RelayServiceParts;
-	#inProgress = 0;
+	readonly #forwards = new Set<Forward>();
 
 	constructor(parts: RelayServiceParts) {
 		this.#parts = parts;
@@ -38,7 +41,16 @@
 
 	/** Number of requests that are being forwarded. */
 	get inProgress(): number {
-		return this.#inProgress;
+		return this.#forwards.size;
+	}
+
+	/** Ends all requests in progress: the nodes that passed them on learn which of them may have run. */
+	stopNow(): void {
+		for (const {exchange, response} of this.#forwards) {
+			const {wasSent} = exchange;
+			exchange.abort();
+			this.#fail(response, wasSent ? 'lost' : 'declined', 'the node that forwards the request has stopped');
+		}
 	}
 
 	/** Forwards one request; the response has the outcome in its head. */
@@ -91,16 +103,13 @@
 				response.end();
 			},
 			onError: (error, wasSent) => {
-				if (response.headersSent) {
-					response.destroy();
-				} else {
-					this.#reject(response, wasSent ? 'lost' : 'unreachable', error.message);
-				}
+				this.#fail(response, wasSent ? 'lost' : 'unreachable', error.message);
 			},
 		});
-		this.#inProgress++;
+		const forward = {exchange, response};
+		this.#forwards.add(forward);
 		response.once('close', () => {
-			this.#inProgress--;
+			this.#forwards.delete(forward);
 			if (!response.writableFinished) {
 				exchange.abort();
 				logger.debug({event: 'relay_cancelled', server: server.id}, 'the node that passed a request on has cancelled it');
@@ -117,6 +126,15 @@
 		}
 	}
 
+	/** Rejects a request, or breaks off its answer. */
+	#fail(response: ServerResponse, outcome: RelayOutcome, reason: string): void {
+		if (response.headersSent) {
+			response.destroy();
+		} else {
+			this.#reject(response, outcome, reason);
+		}
+	}
+
 	#reject(response: ServerResponse, outcome: RelayOutcome, reason: string): void {
 		this.#parts.metrics.countForwarded(outcome);
 		response.writeHead(serviceUnavailable, formatRelayFailure(outcome, Buffer.byteLength(reason)));
--- a/src/gateway/servers.ts
+++ b/src/gateway/servers.ts
@@ -51,8 +51,28 @@
 	return server;
 }
 
+/** Requests whose head has been read and whose answer has not been sent whole. */
+export class OpenRequests {
+	#count = 0;
+
+	get count(): number {
+		return this.#count;
+	}
+
+	/** Counts the requests of a listener. */
+	observe({server}: OpenServer): void {
+		server.on('request', (_request: IncomingMessage, response: ServerResponse) => {
+			this.#count++;
+			response.once('close', () => {
+				this.#count--;
+			});
+		});
+	}
+}
+
 /** Dependencies of the callers' listener. */
 export type CallersContext = {
+	openRequests: OpenRequests;
 	wire: GatewayWire;
 	isStopping: () => boolean;
 	findBodyLimit: () => number;
@@ -87,6 +107,7 @@
 		sendFailure(new HttpSink(reply.raw, () => true), context.wire, createFailure(kind, error.message), undefined);
 	});
 	limitBodyIdleTime(server);
+	context.openRequests.observe(server);
 	const serve = async (request: FastifyRequest, reply: FastifyReply) => {
 		void reply.hijack();
 		const sink = new HttpSink(reply.raw, context.isStopping);
--- a/test/helpers/planned-fleet.ts
+++ b/test/helpers/planned-fleet.ts
@@ -255,6 +255,7 @@
 			hasEnded: async () => false,
 			node: node.name,
 			availabilityZone: 'a' as AvailabilityZone,
+			readStopTime: () => Infinity,
 		}, {
 			head: {
 				requestId: call.id, method: 'POST', target: '/', host: 'shop.example', promptTokens: spec.promptTokens, outputTokens: spec.events * engine.stepsPerPass, sharedParts: [],
--- a/test/helpers/scripted-call.ts
+++ b/test/helpers/scripted-call.ts
@@ -428,6 +428,7 @@
 			hasEnded: async () => false,
 			node: 'edge-1' as BoxId,
 			availabilityZone: 'a' as AvailabilityZone,
+			readStopTime: () => Infinity,
 		}, {
 			head: {
 				requestId, method: 'POST', target: '/', host: 'shop.example', promptTokens: 1000, outputTokens: 80, sharedParts: [], headers: {},
--- a/test/stopping-nodes.test.ts
+++ b/test/stopping-nodes.test.ts
@@ -4,9 +4,18 @@
 import {
 	afterEach, beforeEach, expect, test,
 } from '@jest/globals';
-import {createConfig, GatewayFleet, waitUntil} from './helpers/gateways.js';
+import {CallWire} from '../platform/index.js';
+import {createSilentLogger} from '../src/common/index.js';
+import type {Placer} from '../src/gateway/calls/index.js';
+import {GatewayMetrics} from '../src/gateway/gateway-metrics.js';
+import {RelayService, type LinkedPool} from '../src/gateway/links/index.js';
+import {formatRelayRequest, readRelayOutcome} from '../src/gateway/links/relay-wire.js';
+import type {BackendServer} from '../src/routing/index.js';
 import {
-	createAnswerHeaders, createTextAnswer, formatEvent, type ServerBehaviour,
+	createConfig, GatewayFleet, send, waitUntil,
+} from './helpers/gateways.js';
+import {
+	createAnswerHeaders, createTextAnswer, formatEvent, LoopbackServer, type ServerBehaviour,
 } from './helpers/platform-standins.js';
 
 const testTimeout = 20_000;
@@ -128,3 +137,59 @@
 	await stopping;
 	expect(longer.received.endsWith('0\r\n\r\n')).toBe(true);
 }, testTimeout);
+
+// Their connections were closed without an answer when the node's time was over.
+test('requests that wait in a stopping node get an answer that says that they have not run', async () => {
+	streamTime = 20_000;
+	const waiting = Array.from({length: 8}, async (_, index) => fleet.call({
+		path: `/stream/${index}`,
+		headers: {
+			'cresshook-deadline-ms': '15000', 'cresshook-model': 'm', 'cresshook-token-usage': '150000,2400', 'cresshook-prompt-prefix': `${index}a:150000`,
+		},
+	}));
+	await waitUntil(() => runs.length > 0);
+	await sleep(200);
+	const runsBefore = runs.length;
+	await fleet.gateways[0].stop();
+	const answers = await Promise.all(waiting);
+	const unsent = answers.filter((_, index) => !runs.includes(`/stream/${index}`));
+	expect(unsent.length).toBeGreaterThan(0);
+	expect(unsent.map(({status, isComplete}) => [status, isComplete])).toEqual(unsent.map(() => [503, true]));
+	expect(runs.length).toBeLessThanOrEqual(runsBefore + 1);
+}, testTimeout);
+
+test('a request that runs when the time of a stopping node is over gets an answer that says that it may have run', async () => {
+	const running = fleet.call({path: '/once/silent', headers: {'cresshook-deadline-ms': '15000'}});
+	await waitUntil(() => runs.length === 1);
+	await fleet.gateways[0].stop();
+	const {status, isComplete, body} = await running;
+	expect([status, isComplete]).toEqual([502, true]);
+	expect(JSON.parse(body)).toMatchObject({error: {code: 'backend_unconfirmed', ran: 'maybe'}});
+}, testTimeout);
+
+// The node that had passed it on took the closed connection for a request that may have run.
+test('a stopping node says of a request that it forwards for another node that it was not sent', async () => {
+	const server = {id: 'i-0', service: 'app'} as unknown as BackendServer;
+	const relays = new RelayService({
+		logger: createSilentLogger(),
+		metrics: new GatewayMetrics(),
+		wire: new CallWire(),
+		pool: {monitor: {links: {isCut: () => false}}, forward() {}} as unknown as LinkedPool, // eslint-disable-line @typescript-eslint/no-empty-function -- a server that is never connected
+		placer: {isResting: () => false} as unknown as Placer,
+		findUsableServer: () => server,
+		findServer: () => server,
+		isStopping: () => false,
+	});
+	const listener = await new LoopbackServer(async (request, response) => {
+		relays.serve(request, undefined, response);
+	}).start();
+	const request = formatRelayRequest({
+		server: server.id, method: 'POST', path: '/once/', headers: {}, body: undefined,
+	}, 'request', 'fresh');
+	const forwarded = send(listener.address, {path: request.path, headers: request.headers as Record<string, string>});
+	await waitUntil(() => relays.inProgress === 1);
+	relays.stopNow();
+	const {headers, isComplete} = await forwarded;
+	await listener.stop();
+	expect([readRelayOutcome(headers), isComplete]).toEqual(['declined', true]);
+}, testTimeout);
