fix(gateway): a stop waits for requests whose body is still arriving

An upload under way when a node without calls stopped lost its connection at once.

Cause: the stop waited for calls, and a request becomes one when its body has been read.

Change: it waits for requests whose head has been read; one whose body comes after the accept time is refused with 503.

test/stopping-nodes "waits for the body of a request that it has begun to read": closed without an answer before, 503 after. "ends as soon as its last answer has been sent" passes before and after.

Conclusion: the count that a stop waits for begins with the head.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -311,7 +311,7 @@
 		this.#calls.planStop(stopTime);
 		await waitFor(clock, Math.min(this.#addressLifetime.computeRemaining(), grace * acceptShare));
 		this.#stopAccepting();
-		while (this.#calls.inProgress + this.#relays.inProgress > 0 && clock.readMonotonic() < stopTime) {
+		while (this.#openRequests.count + this.#relays.inProgress > 0 && clock.readMonotonic() < stopTime) {
 			await waitFor(clock, drainPollInterval);
 			// A connection that was busy when the node stopped accepting is closed as soon as it is idle.
 			this.#findCallersServer()?.closeIdleConnections();
--- a/test/stopping-nodes.test.ts
+++ b/test/stopping-nodes.test.ts
@@ -20,6 +20,10 @@
 
 const testTimeout = 20_000;
 
+/** Times after SIGTERM, in milliseconds: a node accepts calls until the first and cuts them off at the second. */
+const acceptTime = 1000;
+const cutOffTime = 3600;
+
 const eventGap = 100;
 
 let fleet: GatewayFleet;
@@ -167,6 +171,28 @@
 	expect(JSON.parse(body)).toMatchObject({error: {code: 'backend_unconfirmed', ran: 'maybe'}});
 }, testTimeout);
 
+test('a stopping node waits for the body of a request that it has begun to read, and refuses it', async () => {
+	const upload = openConnection();
+	upload.request('/once/upload', {body: 'first half ', length: 22});
+	await sleep(100);
+	const stopping = fleet.gateways[0].stop();
+	await sleep(acceptTime + 500);
+	upload.write('second half');
+	await waitUntil(() => upload.isClosed);
+	await stopping;
+	expect(upload.statuses).toEqual([503]);
+	expect(runs).toEqual([]);
+}, testTimeout);
+
+test('a stopping node ends as soon as its last answer has been sent', async () => {
+	const running = fleet.call({path: '/stream/a'});
+	await waitUntil(() => runs.length === 1);
+	const stoppedAt = performance.now();
+	await fleet.gateways[0].stop();
+	expect(performance.now() - stoppedAt).toBeLessThan(cutOffTime - 500);
+	expect(await running).toMatchObject({status: 200, isComplete: true});
+}, testTimeout);
+
 // The node that had passed it on took the closed connection for a request that may have run.
 test('a stopping node says of a request that it forwards for another node that it was not sent', async () => {
 	const server = {id: 'i-0', service: 'app'} as unknown as BackendServer;
