fix(gateway): requests of one connection are served one after another

A pipelined request behind an answer with Connection: close (in a stop, or an answer without a length) ran and its connection closed without an answer.

Cause: Node.js hands over pipelined requests while the answer before them is under way, and drops their answers after the last one of the connection.

Change: RequestTurns holds a request until the earlier answers on its connection are sent, and drops it when the connection is then closed.

test/stopping-nodes: "a pipelined request behind the last answer of its connection is not run" fails before (it ran) and passes after; "served in order while the connection is kept" passes before and after.

Conclusion: no request is passed on whose answer cannot be sent.

--- a/src/gateway/calls/call-service.ts
+++ b/src/gateway/calls/call-service.ts
@@ -17,6 +17,7 @@
 import type {NodeBuffers} from './node-buffers.js';
 import {createStoppedFailure} from './placement-finder.js';
 import type {Placer} from './placer.js';
+import {RequestTurns} from './request-turns.js';
 import type {Reservations} from './reservations.js';
 import type {ServerDialer} from './server-dialer.js';
 import {ServerProbe} from './server-probe.js';
@@ -48,6 +49,7 @@
 export class CallService {
 	readonly #parts: CallServiceParts;
 	readonly #runs = new Set<CallRun>();
+	readonly #turns = new RequestTurns();
 	/** When calls are cut off, by the monotonic clock; Infinity unless the node is stopping. */
 	#stopTime = Infinity;
 	#isRefusing = false;
@@ -102,8 +104,9 @@
 		const {wire, logger} = this.#parts;
 		const head = wire.readCallHead(request.method ?? 'GET', request.url ?? '/', request.headers);
 		await waitForFirstView(this.#parts.clock, this.#parts.state);
-		if (response.destroyed) {
-			logger.info({event: 'call_refused', kind: 'caller_gone', status: 0}, 'the caller disconnected before the node had its first view of the fleet');
+		const hasTurn = await this.#turns.wait(request, response);
+		if (!hasTurn) {
+			logger.info({event: 'call_refused', kind: 'caller_gone', status: 0}, 'the connection was closed before the request could be served');
 			return;
 		}
 
--- a/test/stopping-nodes.test.ts
+++ b/test/stopping-nodes.test.ts
@@ -193,6 +193,26 @@
 	expect(await running).toMatchObject({status: 200, isComplete: true});
 }, testTimeout);
 
+test('a pipelined request behind the last answer of its connection is not run', async () => {
+	streamTime = 500;
+	const stopping = fleet.gateways[0].stop();
+	const pipelined = openConnection();
+	pipelined.request('/stream/a');
+	pipelined.request('/once/b');
+	await waitUntil(() => pipelined.isClosed);
+	await stopping;
+	expect([pipelined.statuses, runs]).toEqual([[200], ['/stream/a']]);
+}, testTimeout);
+
+test('pipelined requests are served in order while the connection is kept', async () => {
+	streamTime = 300;
+	const pipelined = openConnection();
+	pipelined.request('/stream/a');
+	pipelined.request('/once/b');
+	await waitUntil(() => pipelined.statuses.length === 2);
+	expect([pipelined.statuses, runs]).toEqual([[200, 200], ['/stream/a', '/once/b']]);
+}, testTimeout);
+
 // The node that had passed it on took the closed connection for a request that may have run.
 test('a stopping node says of a request that it forwards for another node that it was not sent', async () => {
 	const server = {id: 'i-0', service: 'app'} as unknown as BackendServer;
