fix(node): a stopping node refuses requests after its last one has ended

A request on a kept connection that came between the end of the last request and the closing of the listeners got a part of its answer and a closed connection.

Change: it refuses them with 503, as not executed, Retry-After: 0; the same once an immediate stop has begun.

test/stop-and-crash "a stopping node refuses a request that comes when all others have ended": status 200, cut off, before; 503 after.

Conclusion: both paths refuse from the moment at which they stop waiting.

--- a/src/node/entry/entry.ts
+++ b/src/node/entry/entry.ts
@@ -59,6 +59,7 @@
 	readonly #retryBudget: RetryBudget;
 	readonly #slowdownTracker = new SlowdownTracker();
 	readonly #stopController = new AbortController();
+	#isRefusing = false;
 	readonly #keyedRouter: KeyedRouter;
 	#requestCount = 0;
 	#inProgress = 0;
@@ -122,8 +123,14 @@
 			organisation.services.filter(name => this.#parts.view.find('Service', name)?.type === 'engine'));
 	}
 
+	/** Refuses new requests from now on, as not executed. */
+	refuseNew(): void {
+		this.#isRefusing = true;
+	}
+
 	/** Aborts every request in progress with an error. */
 	abortRequests(): void {
+		this.refuseNew();
 		this.#stopController.abort();
 	}
 
@@ -211,6 +218,10 @@
 	}
 
 	#findRefusal(bodyLength: number): Failure | undefined {
+		if (this.#isRefusing) {
+			return createFailure('node_stopped', 'this node is stopping; use another address', {ran: 'no', retryAfterSeconds: 0});
+		}
+
 		if (this.#parts.view.revision === 0) {
 			return createFailure('node_not_ready', 'this node has not loaded its configuration yet; use another address');
 		}
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -293,6 +293,8 @@
 			await waitFor(clock, drainPollInterval, this.#supervisorStop.signal);
 		}
 
+		// A kept connection may still bring a request, which would be cut off when the listeners close.
+		this.#entry.refuseNew();
 		await this.#transferOutcomes();
 		await waitFor(clock, closeDelay);
 		await this.#close();
--- a/test/stop-and-crash.test.ts
+++ b/test/stop-and-crash.test.ts
@@ -8,6 +8,9 @@
 } from './helpers/calls.js';
 import {TestFleet} from './helpers/fleet.js';
 
+/** Time for which callers may use the address of a stopping node, in milliseconds. */
+const addressLifetime = 30_000;
+
 let fleet: TestFleet;
 
 beforeEach(async () => {
@@ -37,6 +40,17 @@
 	await fleet.settle(stopping);
 });
 
+// It was taken after the last request had ended, and cut off when the listeners closed.
+test('a stopping node refuses a request that comes when all others have ended', async () => {
+	const node = fleet.nodes[0];
+	const stopping = node.stop();
+	await fleet.advanceTime(addressLifetime + 60, 10);
+	const late = await fleet.settle(sendChat(node.callerUrl, {stream: true, max_tokens: 200}));
+	expect([late.status, late.wasCut]).toEqual([503, false]);
+	expect(readError(late)).toMatchObject({code: 'node_stopped', ran: 'no', retry_after_seconds: 0});
+	await fleet.settle(stopping);
+});
+
 test('all nodes remove a stopping node from their address lists within a second', async () => {
 	const stopping = fleet.nodes[0].stop();
 	await fleet.advanceTime(500);
