fix(gateway): one connection does not occupy the event loop

A server that sends its answer in chunks of a few bytes blocked its node for 0.7 to 2 s at a time.

Cause: undici reads a connection while it has data, and libuv reads it up to 32 times in one turn of the event loop.

Change: ReadGate lets a connection read 64 KB a turn.

Conclusion: the cost of such an answer is spread over turns; its total is as before.

--- a/src/common/read-gate.ts
+++ b/src/common/read-gate.ts
@@ -1,6 +1,9 @@
 /** Stops the reading of a connection without the knowledge of the HTTP client that reads it. */
 import type {Socket} from 'node:net';
 
+/** Number of bytes after which the event loop turns before more are read: one connection must not occupy it. */
+const maxBytesPerTurn = 65_536;
+
 /**
  * Lets a connection's data through, or holds it back in the socket.
  *
@@ -11,6 +14,9 @@
 	readonly #socket: Socket;
 	readonly #read: Socket['read'];
 	#isClosed = false;
+	#isYielding = false;
+	/** Bytes read since the event loop was given a turn. */
+	#readLength = 0;
 
 	constructor(socket: Socket) {
 		this.#socket = socket;
@@ -37,11 +43,26 @@
 			return this.#read(0) as unknown;
 		}
 
-		if (this.#isClosed) {
+		if (this.#isClosed || this.#isYielding) {
 			return null;
 		}
 
-		return this.#read(size) as unknown;
+		const data = this.#read(size) as Uint8Array | undefined;
+		this.#readLength += data?.length ?? 0;
+		if (this.#readLength >= maxBytesPerTurn) {
+			this.#yieldTurn();
+		}
+
+		return data;
+	}
+
+	#yieldTurn(): void {
+		this.#readLength = 0;
+		this.#isYielding = true;
+		setImmediate(() => {
+			this.#isYielding = false;
+			this.#wakeReader();
+		});
 	}
 
 	#wakeReader(): void {
--- a/test/blocked-event-loop.test.ts
+++ b/test/blocked-event-loop.test.ts
@@ -7,7 +7,7 @@
 import {GatewayProgram, type GatewayProcess} from './helpers/gateway-process.js';
 import {createConfig, findFreePorts, send} from './helpers/gateways.js';
 import {
-	StandinServer, StandinStore, streamEvents, type ServerBehaviour,
+	createAnswerHeaders, StandinServer, StandinStore, streamEvents, type ServerBehaviour,
 } from './helpers/platform-standins.js';
 import {createPeer} from './helpers/peers.js';
 import {processHost} from './helpers/process-host.js';
@@ -162,3 +162,26 @@
 	expect(connections).toBeGreaterThan(0);
 	expect(block).toBeLessThan(maxBlock);
 }, processTimeout);
+
+/** Bodies of streams in HTTP chunks, each within the limits of an event and of a line. */
+const costlyStreams: Array<[name: string, body: string]> = [
+	['one long event in chunks of one byte', `6\r\ndata: \r\n${'1\r\nx\r\n'.repeat(1_000_000)}2\r\n\n\n\r\n0\r\n\r\n`],
+	['one event of many short lines', `300000\r\n${'a\n'.repeat(0x30_00_00 / 2)}\r\n2\r\n\n\n\r\n0\r\n\r\n`],
+	['one event of many short lines, a chunk each', `${'2\r\na\n\r\n'.repeat(500_000)}1\r\n\n\r\n0\r\n\r\n`],
+	['many events of two bytes', `400000\r\n${'\n\n'.repeat(0x40_00_00 / 2)}\r\n0\r\n\r\n`],
+];
+
+// A connection was read for as long as it had data, within one turn of the event loop.
+test.each(costlyStreams)('a stream with %s does not block a node', async (_name, body) => {
+	node = await program.start({storeAddress: store.address});
+	for (const server of servers) {
+		server.behaviour = (request, _response, socket) => {
+			const fields = Object.entries({...createAnswerHeaders(request), 'content-type': 'text/event-stream', 'transfer-encoding': 'chunked'});
+			socket.write(`HTTP/1.1 200 OK\r\n${fields.map(([field, value]) => `${field}: ${value}\r\n`).join('')}\r\n${body}`);
+		};
+	}
+
+	const {block, result} = await measureBlock(async () => send(node.callers, {path: '/stream/a'}));
+	expect(result.status).toBe(200);
+	expect(block).toBeLessThan(maxBlock);
+}, processTimeout);
