fix(gateway): a server that is not read does not count as silent

Callers: a second run of a request whose caller reads slowly, on another server ("a node over its budget stops reading ahead and cuts off nobody" once on: five requests where four were sent).

Cause: the timer of a server's silence was armed after reading was resumed, also if the data that this delivered had paused the server again.

Change: it is not armed while the exchange is paused.

test/long-answers "a caller that is slow again as soon as its server is resumed starts no hedge": one hedge on, none now.

--- a/src/gateway/calls/backend-attempt.ts
+++ b/src/gateway/calls/backend-attempt.ts
@@ -391,7 +391,7 @@
 		this.#lastActivityAt = this.#parts.clock.readMonotonic();
 		this.#silenceTimer?.cancel();
 		const timeout = this.#findSilenceTimeout();
-		if (timeout !== undefined) {
+		if (timeout !== undefined && !this.exchange.isPaused) {
 			this.#setSilenceTimer(timeout);
 		}
 	}
--- a/src/routing/server-links.ts
+++ b/src/routing/server-links.ts
@@ -70,7 +70,7 @@
 	}
 
 	/** Records a failed attempt. `serverCount` is the number of servers known to this node. */
-	recordFailure(server: BackendServerId, kind: LinkFailure, serverCount: number, now: number): void {
+	recordFailure(server: BackendServerId, kind: LinkFailure, serverCount: number, now: number): void { // eslint-disable-line max-params
 		const failed = this.#failed.get(server);
 		this.#failed.set(server, {
 			kind: failed?.kind === 'connect' ? 'connect' : kind, isAvoided: kind === 'connect' || failed?.isAvoided === true, since: failed?.since ?? now, lastAt: now, count: (failed?.count ?? 0) + 1,
--- a/test/long-answers.test.ts
+++ b/test/long-answers.test.ts
@@ -12,7 +12,7 @@
 import {BackendAttempt, type AttemptParts} from '../src/gateway/calls/index.js';
 import {GatewayFleet, waitUntil} from './helpers/gateways.js';
 import {pause} from './helpers/pause.js';
-import {createAnswerHeaders, type ServerBehaviour} from './helpers/platform-standins.js';
+import {createAnswerHeaders, formatEvent, type ServerBehaviour} from './helpers/platform-standins.js';
 import {RecordingSink} from './helpers/scripted-call.js';
 
 let fleet: GatewayFleet;
@@ -190,11 +190,12 @@
 });
 
 /** An attempt whose server is driven by hand; counts pauses and hedges. */
-function createAttempt() {
+function createAttempt(route: Record<string, unknown>) {
 	const counts = {pauses: 0, resumes: 0, hedges: 0};
 	const clock = new VirtualClock();
 	const sink = new RecordingSink();
-	const call: unknown = {head: {requestId: 'id-1'}, route: {kind: 'repeatable', objective: 300}};
+	const call: unknown = {head: {requestId: 'id-1'}, route};
+	const callbacks = {onResume: ignore};
 	const plan: unknown = {server: 'i-0', expectedFirst: 0, startIn: 0};
 	const parts: AttemptParts = {
 		clock,
@@ -217,7 +218,8 @@
 	};
 	const {exchange, ended} = new BackendAttempt(parts);
 	// The client's own way to pause must not be used: it ends the process when the server ends its answer meanwhile.
-	const handled = {} as Dispatcher.DispatchController;
+	const controller: Partial<Dispatcher.DispatchController> = {};
+	const handled = controller as Dispatcher.DispatchController;
 	exchange.attach({
 		wasReset: () => false,
 		pause() {
@@ -225,6 +227,7 @@
 		},
 		resume() {
 			counts.resumes++;
+			callbacks.onResume();
 		},
 		onDone: ignore,
 	});
@@ -234,13 +237,17 @@
 		exchange.onResponseData(handled, Buffer.alloc(size, 'a'));
 	};
 
+	const writeEvent = (id: number) => {
+		exchange.onResponseData(handled, Buffer.from(formatEvent(id)));
+	};
+
 	return {
-		counts, clock, sink, exchange, ended, write,
+		counts, clock, sink, exchange, ended, write, writeEvent, callbacks,
 	};
 }
 
 test('a long answer pauses its server while the caller is slow, and starts no hedge', async () => {
-	const {counts, clock, sink, exchange, ended, write} = createAttempt();
+	const {counts, clock, sink, exchange, ended, write} = createAttempt({kind: 'repeatable', objective: 300});
 	sink.isSlow = true;
 	write(megabyte);
 	expect([sink.hasHead, counts.pauses]).toEqual([false, 0]);
@@ -255,3 +262,20 @@
 	expect(await ended).toEqual({kind: 'done'});
 	expect([sink.body.length, sink.ending, sink.violations]).toEqual([3 * megabyte, 'whole', []]);
 });
+
+// The silence of a server that its node does not read started a second run.
+test('a caller that is slow again as soon as its server is resumed starts no hedge', () => {
+	const {counts, clock, sink, writeEvent, callbacks} = createAttempt({
+		kind: 'stream', objective: 300, canResume: true, longestSilence: 2000,
+	});
+	sink.isSlow = true;
+	writeEvent(1);
+	callbacks.onResume = () => {
+		sink.isSlow = true;
+		writeEvent(2);
+	};
+
+	sink.drain();
+	clock.advance(20_000);
+	expect(counts).toEqual({pauses: 2, resumes: 1, hedges: 0});
+});
