fix(gateway): a caller sees where an answer without a length is cut off

Cause: the missing length was passed on, so any close ended the answer. And a reset that is pending together with the last data reaches Node.js as an orderly end: libuv reports the end on a hang-up without another read.

Change: callers of HTTP/1.1 get chunks, or the length where the whole is held; callers of HTTP/1.0 a reset on failure, also where the server sent chunks.

--- a/src/gateway/calls/backend-pool.ts
+++ b/src/gateway/calls/backend-pool.ts
@@ -89,9 +89,14 @@
 		this.#socket?.resetAndDestroy();
 	}
 
-	/** Whether the last socket ended with an error instead of a clean close. */
+	/**
+	 * Whether the last socket ended with a reset instead of a clean close.
+	 *
+	 * Node.js reports a reset that it notices together with the last data as a clean end, without an error. The system
+	 * knows the address of the other side after a clean end only.
+	 */
 	get wasReset(): boolean {
-		return this.#socket?.errored !== null && this.#socket?.errored !== undefined;
+		return this.#socket !== undefined && (this.#socket.errored !== null || this.#socket.remoteAddress === undefined);
 	}
 }
 
--- a/src/gateway/calls/call-sink.ts
+++ b/src/gateway/calls/call-sink.ts
@@ -7,13 +7,13 @@
 	/** Whether the head has been sent. */
 	abstract readonly hasHead: boolean;
 
-	/** Whether the head that was sent states how the body ends: by a length or in chunks. */
+	/** Whether the backend server's head stated how its body ends: by a length or in chunks. */
 	abstract readonly isFramed: boolean;
 
 	/** Counts bytes of an answer that is held and not forwarded yet; negative when they are held no longer. */
 	holdAnswer(_bytes: number): void {} // eslint-disable-line @typescript-eslint/no-empty-function -- only a sink with an account counts
 
-	/** Sends the head. An unframed answer ends with its connection, like the backend server's, so that the caller knows that its end proves nothing. */
+	/** Sends the head. `isFramed` says whether the backend server's head stated how its body ends. */
 	abstract sendHead(status: number, headers: HeaderFields, isFramed: boolean): void;
 
 	/** Sends a chunk; false when the caller reads too slowly. */
@@ -34,6 +34,8 @@
 	readonly #response: ServerResponse;
 	readonly #isStopping: () => boolean;
 	#isFramed = true;
+	/** Whether only the end of the connection ends the body, for a caller that does not know chunks. */
+	#endsWithConnection = false;
 
 	constructor(response: ServerResponse, isStopping: () => boolean) {
 		super();
@@ -48,14 +50,12 @@
 	override sendHead(status: number, headers: HeaderFields, isFramed: boolean): void {
 		this.#isFramed = isFramed;
 		const fields = Object.entries(headers).filter((entry): entry is [string, string | string[]] => entry[1] !== undefined);
-		if (this.#isStopping() || !isFramed) {
+		if (this.#isStopping()) {
 			this.#response.shouldKeepAlive = false;
 		}
 
-		if (!isFramed) {
-			this.#response.useChunkedEncodingByDefault = false;
-		}
-
+		// In chunks, a caller sees that an answer is cut off, also by the end of this process.
+		this.#endsWithConnection = headers['content-length'] === undefined && !this.#response.useChunkedEncodingByDefault;
 		this.#response.writeHead(status, Object.fromEntries(fields));
 	}
 
@@ -86,8 +86,8 @@
 	}
 
 	override abort(): void {
-		// An unframed answer that ends with a clean close looks complete; only a reset shows that it is not.
-		if (!this.#isFramed) {
+		// A body that ends with a clean close looks complete; only a reset shows that it is not.
+		if (this.#endsWithConnection) {
 			this.#response.socket?.resetAndDestroy();
 		}
 
--- a/src/gateway/calls/plain-answer.ts
+++ b/src/gateway/calls/plain-answer.ts
@@ -50,10 +50,10 @@
 		this.#buffered.clear();
 	}
 
-	/** Sends the head as the server framed it and everything that is held; false when the caller reads too slowly. */
+	/** Sends the head and everything that is held; false when the caller reads too slowly. */
 	startForwarding(): boolean {
 		this.#isForwarding = true;
-		this.#sendHead(this.#head.bodyLength);
+		this.#sendHead(this.#head.bodyLength, this.#head.isFramed);
 		return this.#sink.write(this.#takeBody());
 	}
 
@@ -75,12 +75,12 @@
 		}
 
 		const body = this.#takeBody();
-		this.#sendHead(this.#head.isFramed ? body.length : undefined);
+		this.#sendHead(body.length, true);
 		this.#sink.end(body);
 	}
 
-	#sendHead(length: number | undefined): void {
-		const {status, headers, isFramed} = this.#head;
+	#sendHead(length: number | undefined, isFramed: boolean): void {
+		const {status, headers} = this.#head;
 		this.#sink.sendHead(status, length === undefined ? headers : {...headers, 'content-length': String(length)}, isFramed);
 	}
 
