fix(gateway): signals during a start or a stop do not end the process

Cause: the handler of SIGTERM was removed by the first one, and handlers were installed after the start.

--- a/scripts/gateway-loader.cjs
+++ b/scripts/gateway-loader.cjs
@@ -15,6 +15,26 @@
 const process = require('node:process');
 const vm = require('node:vm');
 
+recordSignals();
+
+/** Records signals until the program handles them, see `src/cli/process-signals.ts`: by default they would end the process. */
+function recordSignals() {
+	const received = [];
+	const handlers = ['SIGTERM', 'SIGINT', 'SIGHUP'].map(name => [name, () => received.push(name)]);
+	for (const [name, handler] of handlers) {
+		process.on(name, handler);
+	}
+
+	globalThis[Symbol.for('cresshook.early-signals')] = {
+		received,
+		release() {
+			for (const [name, handler] of handlers) {
+				process.off(name, handler);
+			}
+		},
+	};
+}
+
 /** Opens the callers' port before the program is loaded; the program goes on with it, see `src/gateway/early-listener.ts`. */
 function openEarly(address) {
 	const [host, port] = address.split(':');
--- a/src/cli/gateway-command.ts
+++ b/src/cli/gateway-command.ts
@@ -10,6 +10,7 @@
 } from '../gateway/index.js';
 import {formatProblem} from '../settings/index.js';
 import {exitCodes} from './exit-codes.js';
+import {ProcessSignals} from './process-signals.js';
 
 /** Adds the command. */
 export function addGatewayCommand(program: Command): void {
@@ -35,6 +36,7 @@
 
 async function runGateway(settings: GatewaySettings, path: string): Promise<void> {
 	const logger = createLogger(settings.log.level, openLogOutput());
+	const signals = new ProcessSignals(logger);
 	const gateway = new Gateway({
 		settings,
 		source: new PlatformSource(settings.store.address, logger),
@@ -62,12 +64,6 @@
 	logger.info({
 		event: 'started', box: settings.box, zone: settings.availability_zone, callers: settings.listen.callers, store: settings.store.address,
 	}, 'the node listens');
-	process.once('SIGTERM', () => {
-		void stopGateway(gateway);
-	});
-	process.once('SIGINT', () => {
-		void stopGateway(gateway);
-	});
 	const watching = new AbortController();
 	const reloader = new SettingsReloader({
 		path,
@@ -78,8 +74,13 @@
 			gateway.changeSettings(changed);
 		},
 	});
-	process.on('SIGHUP', () => {
-		void reloader.reload('signal');
+	signals.activate({
+		stop() {
+			void stopGateway(gateway);
+		},
+		reload() {
+			void reloader.reload('signal');
+		},
 	});
 	void reloader.watch(watching.signal);
 	await waitForEnd(gateway, logger);
--- a/test/helpers/gateway-process.ts
+++ b/test/helpers/gateway-process.ts
@@ -1,6 +1,7 @@
 /** The gateway as the deploy file runs it: bundled, in a process of its own. */
 import {execFileSync, spawn, type ChildProcess} from 'node:child_process';
 import {once} from 'node:events';
+import {connect} from 'node:net';
 import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
@@ -89,6 +90,24 @@
 		this.#child.kill(name);
 	}
 
+	/** Waits until the callers' port is open: the loader opens it before it loads the program. */
+	async waitUntilListening(): Promise<void> {
+		const [host, port] = this.callers.split(':');
+		let isOpen = false;
+		while (!isOpen && this.end === undefined) {
+			isOpen = await new Promise<boolean>(resolve => {
+				const socket = connect(Number(port), host);
+				socket.once('connect', () => {
+					socket.destroy();
+					resolve(true);
+				});
+				socket.once('error', () => {
+					resolve(false);
+				});
+			});
+		}
+	}
+
 	async waitUntilReady(): Promise<void> {
 		const limit = Date.now() + startLimit;
 		while (await this.#readReadiness() !== 200) {
