fix(gateway): a start that fails ends the process

Cause: listeners were remembered when all were open, so close() closed none of those that kept the process alive.

Change: each listener is remembered once it is open; after start_failed the process closes what is open and exits with 1.

test/signals, five listeners: exit code 1 within a second. Not run to its end on the code before.

Conclusion: whoever supervises the process can start it again.

--- a/src/cli/gateway-command.ts
+++ b/src/cli/gateway-command.ts
@@ -50,10 +50,9 @@
 		await gateway.start();
 	} catch (error) {
 		logger.fatal({event: 'start_failed', reason: readErrorMessage(error)}, 'the node could not start; check the addresses of its listeners');
-		process.exitCode = exitCodes.failed;
 		closeEarlyListener();
 		await gateway.close();
-		return;
+		process.exit(exitCodes.failed); // eslint-disable-line unicorn/no-process-exit -- callers' open connections must not delay the exit
 	}
 
 	const unused = closeEarlyListener();
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -81,6 +81,7 @@
 	readonly #calls: CallService;
 	readonly #buffers: NodeBuffers | undefined;
 	readonly #servers: OpenServer[] = [];
+	#callersServer: OpenServer | undefined;
 	readonly #openRequests = new OpenRequests();
 	readonly #supervisorStop = new AbortController();
 	readonly #incarnation: string;
@@ -254,21 +255,27 @@
 	async start(): Promise<void> {
 		const {settings, wire} = this.#parts;
 		const host = findHost(settings);
-		this.#servers.push(
-			await openPeersServer(settings.listen.peers, this, (request, body, response) => {
+		const listeners = [
+			async () => openPeersServer(settings.listen.peers, this, (request, body, response) => {
 				this.#relays.serve(request, body, response);
 			}),
-			await openReadyServer(settings.listen.ready, wire, () => this.isReady),
-			await openAddressServer(settings.listen.addresses, wire, zone => this.#listAddresses(zone)),
-			await openMetricsServer(`${host}:${settings.metrics_port}`, this.metrics, () => this.#status.formatText()),
-			await openCallersServer(settings.listen.callers, {
-				wire,
-				openRequests: this.#openRequests,
-				isStopping: () => this.#isStopping,
-				findBodyLimit: () => this.state.table?.config.limits.bodyBytes ?? defaultBodyLimit,
-				serve: async (request, body, sink, response) => this.#calls.serve(request, body, sink, response),
-			}),
-		);
+			async () => openReadyServer(settings.listen.ready, wire, () => this.isReady),
+			async () => openAddressServer(settings.listen.addresses, wire, zone => this.#listAddresses(zone)),
+			async () => openMetricsServer(`${host}:${settings.metrics_port}`, this.metrics, () => this.#status.formatText()),
+		];
+		for (const open of listeners) {
+			// Remembered once it is open, so that a failed start closes it.
+			this.#servers.push(await open());
+		}
+
+		this.#callersServer = await openCallersServer(settings.listen.callers, {
+			wire,
+			openRequests: this.#openRequests,
+			isStopping: () => this.#isStopping,
+			findBodyLimit: () => this.state.table?.config.limits.bodyBytes ?? defaultBodyLimit,
+			serve: async (request, body, sink, response) => this.#calls.serve(request, body, sink, response),
+		});
+		this.#servers.push(this.#callersServer);
 		this.#addSeeds(host);
 		this.#running = this.#supervise();
 		const {source, clock, logger} = this.#parts;
@@ -314,7 +321,7 @@
 		while (this.#openRequests.count + this.#relays.inProgress > 0 && clock.readMonotonic() < stopTime) {
 			await waitFor(clock, drainPollInterval);
 			// A connection that was busy when the node stopped accepting is closed as soon as it is idle.
-			this.#findCallersServer()?.closeIdleConnections();
+			this.#callersServer?.server.closeIdleConnections();
 		}
 
 		logger.info({event: 'stopped', cutOff: this.#calls.inProgress, took: Math.round(clock.readMonotonic() - stoppingSince)}, 'the node shuts down');
@@ -363,15 +370,11 @@
 	/** Accepts no new connections, closes idle ones and refuses requests on the others, which are closed after their answers. */
 	#stopAccepting(): void {
 		this.#calls.refuseNew();
-		const callers = this.#findCallersServer();
+		const callers = this.#callersServer?.server;
 		callers?.close();
 		callers?.closeIdleConnections();
 	}
 
-	#findCallersServer(): OpenServer['server'] | undefined {
-		return this.#servers.at(-1)?.server;
-	}
-
 	#listAddresses(zone: AvailabilityZone): {addresses: string[]; lifetime: number} {
 		// A node without live peers that cannot reach its source is more likely partitioned than the only one left.
 		const isCutOff = this.#peers.listLive().length === 0 && !this.state.isSourceReachable;
@@ -484,7 +487,7 @@
 	/** Applies the configuration's timeouts to new connections. */
 	#applyLimits(): void {
 		const limits = this.state.table?.config.limits;
-		const callers = this.#findCallersServer();
+		const callers = this.#callersServer?.server;
 		if (limits !== undefined && callers !== undefined) {
 			callers.headersTimeout = limits.headerTime;
 			callers.keepAliveTimeout = limits.idleTime;
--- a/test/signals.test.ts
+++ b/test/signals.test.ts
@@ -1,10 +1,14 @@
 // Signals at any moment of a gateway's life, and starts that fail, with the program as it is deployed.
+import {createServer, type Server} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	afterAll, afterEach, beforeAll, beforeEach, expect, test,
 } from '@jest/globals';
 import {GatewayProgram, type GatewayProcess} from './helpers/gateway-process.js';
-import {createConfig, send, waitUntil} from './helpers/gateways.js';
+import {
+	createConfig, findFreePorts, send, waitUntil,
+} from './helpers/gateways.js';
+import {processHost} from './helpers/process-host.js';
 import {
 	createAnswerHeaders, formatEvent, StandinServer, StandinStore,
 } from './helpers/platform-standins.js';
@@ -100,3 +104,17 @@
 	// A connection that the listener had not accepted yet is refused.
 	expect([[200, true], [503, true], [0, false]]).toContainEqual([status, isComplete]);
 }, testTimeout);
+
+const listeners: Array<[name: string, port: number]> = [['callers', 0], ['ready', 1], ['addresses', 2], ['peers', 3], ['metrics', 5]];
+
+test.each(listeners)('a start ends within a second when the port for %s is taken', async (_name, index) => {
+	const ports = await findFreePorts(6);
+	const taken: Server = createServer();
+	await new Promise<void>(resolve => {
+		taken.listen(ports[index], processHost, resolve);
+	});
+	const node = await program.spawn({storeAddress: store.address, ports});
+	await waitUntil(() => node.log.listEvents('start_failed').length === 1 || node.end !== undefined);
+	expect(await node.waitForEnd(1000)).toBe(1);
+	taken.close();
+}, testTimeout);
