fix(build): builds that run at once do not end each other

Developers: a build beside six others failed (exit 1 of write-code-cache): its two warm nodes met a port taken by another build, and since a failed start ends the process, which here is the one that writes the cache.

Change: the warm nodes have addresses of their own process, and the writer goes on without a node that cannot start, as it did before.

--- a/scripts/warm-start.cjs
+++ b/scripts/warm-start.cjs
@@ -17,7 +17,8 @@
 	answerFields, calls, config, requestIdField, servers,
 } = require('../platform/warm-up.json');
 
-const hosts = ['127.0.0.1', '127.0.0.2'];
+/** Addresses of this process alone: builds that run at once would take each other's ports. */
+const hosts = [1, 2].map(network => `127.${network}.${Math.floor(process.pid / 256) % 256}.${process.pid % 256}`);
 
 /** Longest time until both nodes are ready, and time for heartbeats and plans after the calls, in milliseconds. */
 const readyWithin = 5000;
--- a/scripts/write-code-cache.cjs
+++ b/scripts/write-code-cache.cjs
@@ -26,6 +26,9 @@
 		loaded.run();
 	};
 
+	// A node that cannot start ends its process, which is this one.
+	const {exit} = process;
+	process.exit = () => {}; // eslint-disable-line no-empty-function
 	try {
 		await warmStart(start);
 	} catch (error) {
@@ -33,6 +36,7 @@
 		process.stderr.write(`the code cache holds a part of what a node runs: ${error.message}\n`);
 	}
 
+	process.exit = exit;
 	writeFileSync(loaded.cache, loaded.script.createCachedData());
 }
 
