--- a/test/answer-limits.test.ts
+++ b/test/answer-limits.test.ts
@@ -1,4 +1,4 @@
-// Answers that do not end: a node stops reading at a limit, whoever sends them.
+// Limits of the answers that a node reads.
 import {Buffer} from 'node:buffer';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
--- a/test/stopping-nodes.test.ts
+++ b/test/stopping-nodes.test.ts
@@ -111,8 +111,8 @@
 	return new KeptConnection(fleet.settings[0].listen.callers);
 }
 
-// Such a request was passed on and cut off with its node.
-test('a stopping node refuses a request on a connection that was busy when it stopped accepting', async () => {
+/** Stops the node while streams run on two connections; returns when the first of them has ended. */
+async function stopWhileStreaming(): Promise<{kept: KeptConnection; longer: KeptConnection; stopping: Promise<void>}> {
 	const [kept, longer] = [openConnection(), openConnection()];
 	kept.request('/stream/a');
 	await waitUntil(() => kept.received.includes('piece 1\n'));
@@ -121,6 +121,12 @@
 	await waitUntil(() => longer.received.includes('piece 1\n'));
 	const stopping = fleet.gateways[0].stop();
 	await waitUntil(() => kept.received.endsWith('0\r\n\r\n'));
+	return {kept, longer, stopping};
+}
+
+// Such a request was passed on and cut off with its node.
+test('a stopping node refuses a request on a connection that was busy when it stopped accepting', async () => {
+	const {kept, stopping} = await stopWhileStreaming();
 	kept.request('/once/silent');
 	await stopping;
 	expect(runs).toEqual(['/stream/a', '/stream/b']);
@@ -128,14 +134,7 @@
 }, testTimeout);
 
 test('a stopping node closes a connection that was busy when it stopped accepting once its answer has ended', async () => {
-	const [kept, longer] = [openConnection(), openConnection()];
-	kept.request('/stream/a');
-	await waitUntil(() => kept.received.includes('piece 1\n'));
-	streamTime = 2800;
-	longer.request('/stream/b');
-	await waitUntil(() => longer.received.includes('piece 1\n'));
-	const stopping = fleet.gateways[0].stop();
-	await waitUntil(() => kept.received.endsWith('0\r\n\r\n'));
+	const {kept, longer, stopping} = await stopWhileStreaming();
 	await waitUntil(() => kept.isClosed, 500);
 	expect(longer.isClosed).toBe(false);
 	await stopping;
