fix(gateway): a stop cuts off no answer that its caller has not read yet

Cause: Node.js counts a connection as idle once response.end() was called, also while a part of the answer waits in the process. A stopping node closes idle connections every 50 ms and with its listener, so each slow caller had tens of milliseconds to seconds in which its answer was cut.

Connections are now counted as idle after their last answer has been sent and while nothing of the next request has been read. Connections that have not sent a request are still left open, as before; pipelined requests keep their connection busy.

Ruled out: closing with unread bytes of the caller. The answers that were cut had none.

--- a/src/gateway/servers.ts
+++ b/src/gateway/servers.ts
@@ -1,5 +1,6 @@
 /** The listeners of a gateway node, on Fastify. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
 import fastify, {type FastifyInstance, type FastifyReply, type FastifyRequest} from 'fastify';
 import {createFailure, type AvailabilityZone} from '../common/index.js';
 import {HttpSink, sendFailure} from './calls/index.js';
@@ -50,20 +51,62 @@
 
 /** Requests whose head has been read and whose answer has not been sent whole. */
 export class OpenRequests {
+	/** Number by connection; pipelined requests of one are open together. */
+	readonly #counts = new Map<Socket, number>();
+	/** Connections between two requests, and the number of bytes read from each when it became idle. */
+	readonly #idle = new Map<Socket, number>();
 	#count = 0;
 
 	get count(): number {
 		return this.#count;
 	}
 
-	/** Counts the requests of a listener. */
+	/** Counts the requests of a listener, which from now on closes idle connections as told by this count. */
 	observe({server}: OpenServer): void {
-		server.on('request', (_request: IncomingMessage, response: ServerResponse) => {
-			this.#count++;
+		server.on('request', ({socket}: IncomingMessage, response: ServerResponse) => {
+			this.#add(socket);
 			response.once('close', () => {
-				this.#count--;
+				this.#remove(socket);
 			});
 		});
+		server.on('connection', (socket: Socket) => {
+			socket.once('close', () => {
+				this.#idle.delete(socket);
+			});
+		});
+		// Node.js counts a connection as idle once its answer has ended, although a slow caller has not got all of it.
+		server.closeIdleConnections = () => {
+			this.#closeIdle();
+		};
+	}
+
+	#add(socket: Socket): void {
+		this.#count++;
+		this.#counts.set(socket, (this.#counts.get(socket) ?? 0) + 1);
+		this.#idle.delete(socket);
+	}
+
+	#remove(socket: Socket): void {
+		this.#count--;
+		const left = this.#counts.get(socket)! - 1;
+		if (left > 0) {
+			this.#counts.set(socket, left);
+			return;
+		}
+
+		this.#counts.delete(socket);
+		if (!socket.destroyed) {
+			this.#idle.set(socket, socket.bytesRead);
+		}
+	}
+
+	/** A connection on which the next request has begun to arrive is not idle. */
+	#closeIdle(): void {
+		for (const [socket, readLength] of this.#idle) {
+			if (socket.bytesRead === readLength) {
+				socket.destroy();
+			}
+		}
 	}
 }
 
--- a/test/stopping-nodes.test.ts
+++ b/test/stopping-nodes.test.ts
@@ -1,5 +1,5 @@
 // What a stopping node does with the requests that it has, and with those that still reach it.
-import {connect, type Socket} from 'node:net';
+import {connect, type AddressInfo, type Socket} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	afterEach, beforeEach, expect, test,
@@ -8,15 +8,17 @@
 import {createSilentLogger} from '../src/common/index.js';
 import type {Placer} from '../src/gateway/calls/index.js';
 import {GatewayMetrics} from '../src/gateway/gateway-metrics.js';
+import {openCallersServer, OpenRequests, type OpenServer} from '../src/gateway/servers.js';
 import {RelayService, type LinkedPool} from '../src/gateway/links/index.js';
 import {formatRelayRequest, readRelayOutcome} from '../src/gateway/links/relay-wire.js';
 import type {BackendServer} from '../src/routing/index.js';
 import {
-	createConfig, GatewayFleet, send, waitUntil,
+	createConfig, findFreePorts, GatewayFleet, send, waitUntil,
 } from './helpers/gateways.js';
 import {
 	createAnswerHeaders, createTextAnswer, formatEvent, LoopbackServer, type ServerBehaviour,
 } from './helpers/platform-standins.js';
+import {processHost} from './helpers/process-host.js';
 
 const testTimeout = 20_000;
 
@@ -26,12 +28,16 @@
 
 const eventGap = 100;
 
+/** Length of an answer that the system's buffers do not take whole, in bytes. */
+const unsentLength = 12_000_000;
+
 let fleet: GatewayFleet;
 /** Time for which new streams go on, in milliseconds. */
 let streamTime: number;
 /** Paths of the requests that servers began to run, in order. */
 let runs: string[];
 const sockets: Socket[] = [];
+const servers: OpenServer[] = [];
 
 const answer: ServerBehaviour = async (request, response) => {
 	runs.push(request.url);
@@ -69,6 +75,7 @@
 		socket.destroy();
 	}
 
+	await Promise.all(servers.splice(0).map(async server => server.close()));
 	await fleet.stop();
 });
 
@@ -105,6 +112,14 @@
 	write(text: string): void {
 		this.#socket.write(text);
 	}
+
+	pause(): void {
+		this.#socket.pause();
+	}
+
+	resume(): void {
+		this.#socket.resume();
+	}
 }
 
 function openConnection(): KeptConnection {
@@ -212,6 +227,55 @@
 	expect([pipelined.statuses, runs]).toEqual([[200, 200], ['/stream/a', '/once/b']]);
 }, testTimeout);
 
+/** Opens a callers' listener that answers each request but `/held` with so many bytes at once. */
+async function openAnsweringServer(length: number): Promise<OpenServer> {
+	const [port] = await findFreePorts(1);
+	const server = await openCallersServer(`${processHost}:${port}`, {
+		openRequests: new OpenRequests(),
+		wire: new CallWire(),
+		isStopping: () => false,
+		findBodyLimit: () => 1,
+		async serve(request, _body, sink) {
+			runs.push(request.url!);
+			if (request.url === '/held') {
+				return;
+			}
+
+			sink.sendHead(200, {'content-length': String(length)}, true);
+			sink.end('x'.repeat(length));
+		},
+	});
+	servers.push(server);
+	return server;
+}
+
+// A stop closed the connection of a slow caller in the middle of an answer that its server had ended.
+test.each([
+	['idle connections', (server: OpenServer['server']) => {
+		server.closeIdleConnections();
+	}],
+	['the listener', (server: OpenServer['server']) => {
+		server.close();
+	}],
+])('closing %s closes idle connections and leaves those with a request or an answer that has not been sent', async (_name, close) => {
+	const server = await openAnsweringServer(unsentLength);
+	const {address, port} = server.server.address() as AddressInfo;
+	const [slow, idle, pipelined] = Array.from({length: 3}, () => new KeptConnection(`${address}:${port}`));
+	idle.request('/idle');
+	pipelined.request('/first');
+	pipelined.request('/held');
+	await waitUntil(() => idle.received.length > unsentLength && pipelined.received.length > unsentLength);
+	slow.pause();
+	slow.request('/slow');
+	await waitUntil(() => runs.length === 4);
+	close(server.server);
+	await waitUntil(() => idle.isClosed);
+	expect(pipelined.isClosed).toBe(false);
+	slow.resume();
+	await waitUntil(() => slow.received.length > unsentLength || slow.isClosed);
+	expect(slow.received.length - slow.received.indexOf('x')).toBe(unsentLength);
+}, testTimeout);
+
 // The node that had passed it on took the closed connection for a request that may have run.
 test('a stopping node says of a request that it forwards for another node that it was not sent', async () => {
 	const server = {id: 'i-0', service: 'app'} as unknown as BackendServer;
