fix(gateway): an odd entry among the nodes does not end a node

What callers saw: one entry of another writer among the registrations of nodes, whose address is a nested list or an object that cannot be written as text, ended each node that read the list 1.5 s after its start, and again after each restart, with all of its requests. One with a port of 0 or above 65535 stopped the heartbeats of the node, for up to 5 s at a time, so that other nodes took it for lost.

Cause: listNodes turned any value into text, outside the check of the other kinds, and the error was an unhandled rejection of the registration. An address with an invalid port became a candidate for heartbeats, where the socket throws on it each second.

--- a/src/common/index.ts
+++ b/src/common/index.ts
@@ -1,3 +1,4 @@
+export * from './address.js';
 export * from './byte-queue.js';
 export * from './clock.js';
 export * from './errors.js';
--- a/src/gateway/peers/peer-socket.ts
+++ b/src/gateway/peers/peer-socket.ts
@@ -3,7 +3,7 @@
 import {lookup} from 'node:dns';
 import {isIPv4} from 'node:net';
 import {
-	Child, readErrorMessage, type Clock, type Logger,
+	Child, isAddress, readErrorMessage, type Clock, type Logger,
 } from '../../common/index.js';
 import {decodeHeartbeat, encodeHeartbeat} from './heartbeat.js';
 import {
@@ -148,6 +148,11 @@
 };
 
 function sendDatagram(socket: Socket, message: Uint8Array, address: string): void {
+	if (!isAddress(address)) {
+		// A socket throws on an invalid port.
+		return;
+	}
+
 	const [host, port] = address.split(':');
 	// Send errors are ignored: the protocol tolerates lost datagrams.
 	socket.send(message, Number(port), host, () => {}); // eslint-disable-line @typescript-eslint/no-empty-function
--- a/src/gateway/views/registration.ts
+++ b/src/gateway/views/registration.ts
@@ -1,6 +1,6 @@
 /** Registers a node in the source, through which nodes without seeds discover each other. */
 import {
-	createTimeout, waitFor, type Clock, type Logger,
+	createTimeout, readErrorMessage, waitFor, type Clock, type Logger,
 } from '../../common/index.js';
 import {
 	readEra, type FleetSource, type FleetState, type SourceCall,
@@ -58,9 +58,14 @@
 	const limit = createTimeout(parts.clock, timeout, signal);
 	// A retry uses another connection, since the previous one may be broken.
 	const call = {signal: limit.signal, isOnNewConnection: timeout > firstTimeout, onData() {}}; // eslint-disable-line @typescript-eslint/no-empty-function
-	const isDone = await registerOnce(parts, call);
-	limit.cancel();
-	return isDone;
+	try {
+		return await registerOnce(parts, call);
+	} catch (error) {
+		logFailure(parts.logger, readErrorMessage(error));
+		return false;
+	} finally {
+		limit.cancel();
+	}
 }
 
 async function registerOnce({source, self, peers, logger}: RegistrationParts, call: SourceCall): Promise<boolean> {
@@ -77,6 +82,10 @@
 	}
 
 	const failure = [registered, listed].find(result => result.isLeft())?.extract() as {message: string};
-	logger.warn({event: 'register_failed', reason: failure.message}, 'the node could not be registered; retrying');
+	logFailure(logger, failure.message);
 	return false;
 }
+
+function logFailure(logger: Logger, reason: string): void {
+	logger.warn({event: 'register_failed', reason}, 'the node could not be registered; retrying');
+}
--- a/test/helpers/gateway-process.ts
+++ b/test/helpers/gateway-process.ts
@@ -2,7 +2,9 @@
 import {execFileSync, spawn, type ChildProcess} from 'node:child_process';
 import {once} from 'node:events';
 import {connect} from 'node:net';
-import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {
+	mkdtempSync, readFileSync, rmSync, writeFileSync,
+} from 'node:fs';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import process from 'node:process';
@@ -129,6 +131,18 @@
 		return longest;
 	}
 
+	/** Returns the most processor time in milliseconds that the event loop used while the readiness check waited for its answer, until `isOver` returned true: other processes do not count. */
+	async measureLongestWork(isOver: () => boolean): Promise<number> {
+		let longest = 0;
+		while (!isOver() && this.end === undefined) {
+			const before = this.#readProcessorTime();
+			await this.#readReadiness();
+			longest = Math.max(longest, this.#readProcessorTime() - before);
+		}
+
+		return longest;
+	}
+
 	async waitForEnd(limit: number): Promise<number | string | undefined> {
 		await waitUntil(() => this.end !== undefined, limit);
 		return this.end;
@@ -149,6 +163,17 @@
 		return status;
 	}
 
+	/** Processor time of the main thread, in milliseconds. */
+	#readProcessorTime(): number {
+		try {
+			const [nanoseconds] = readFileSync(`/proc/${this.#child.pid}/schedstat`, 'utf8').split(' ');
+			return Number(nanoseconds) / 1e6;
+		} catch {
+			// The process has ended.
+			return 0;
+		}
+	}
+
 	#formatAddress(port: number): string {
 		return `${this.#settings.host}:${this.#settings.ports[port]}`;
 	}
--- a/test/helpers/platform-standins.ts
+++ b/test/helpers/platform-standins.ts
@@ -96,6 +96,8 @@
 	readonly calls: string[] = [];
 	/** Sent with every answer; undefined for a store that does not send it. */
 	era: number | undefined;
+	/** JSON texts, such as numbers that no program can hold, that replace the strings of these names in answers. */
+	readonly rawTexts = new Map<string, string>();
 	#objects = new Map<string, Map<string, StoredObject>>();
 	#events: StoreEvent[] = [];
 	#revision = 0;
@@ -109,8 +111,8 @@
 	}
 
 	/** Writes an object, as operators and runners do. */
-	put(kind: string, name: string, spec: unknown): void {
-		const object = {metadata: {name, revision: ++this.#revision}, spec};
+	put(kind: string, name: string, spec: unknown, otherMetadata: Record<string, unknown> = {}): void {
+		const object = {metadata: {...otherMetadata, name, revision: ++this.#revision}, spec};
 		this.#getObjects(kind).set(name, object);
 		this.#publish({
 			kind, revision: this.#revision, gone: false, object,
@@ -251,7 +253,7 @@
 			return;
 		}
 
-		sendJson(response, this.#getObjects(kind).get(target));
+		this.#send(response, this.#getObjects(kind).get(target));
 	}
 
 	/** Writes an object; one that changes only the heartbeat sequence gets no new revision and publishes no event. */
@@ -270,7 +272,7 @@
 		const objects = [...this.#getObjects(kind).values()]
 			.sort((left, right) => left.metadata.name < right.metadata.name ? -1 : 1)
 			.filter(object => object.metadata.name > after);
-		sendJson(response, {items: objects.slice(0, this.pageSize), more: objects.length > this.pageSize, at: this.#revision});
+		this.#send(response, {items: objects.slice(0, this.pageSize), more: objects.length > this.pageSize, at: this.#revision});
 	}
 
 	/** Whether the request stays unanswered; its connection stays silent after the fault has ended. */
@@ -310,7 +312,17 @@
 			return;
 		}
 
-		sendJson(response, {events: find().map(event => ({object: event.object, gone: event.gone})), at: this.#revision});
+		this.#send(response, {events: find().map(event => ({object: event.object, gone: event.gone})), at: this.#revision});
+	}
+
+	#send(response: ServerResponse, value: unknown): void {
+		let text = JSON.stringify(value);
+		for (const [name, raw] of this.rawTexts) {
+			text = text.replaceAll(`"${name}"`, () => raw);
+		}
+
+		response.writeHead(200, {'content-type': 'application/json'});
+		response.end(text);
 	}
 
 	async #waitForEvent(wait: number): Promise<void> {
@@ -416,8 +428,3 @@
 
 	return text;
 }
-
-function sendJson(response: ServerResponse, value: unknown): void {
-	response.writeHead(200, {'content-type': 'application/json'});
-	response.end(JSON.stringify(value));
-}
--- /dev/null
+++ b/test/odd-entries.test.ts
@@ -0,0 +1,188 @@
+import {
+	afterAll, afterEach, beforeAll, beforeEach, expect, test,
+} from '@jest/globals';
+import {GatewayProgram, type GatewayProcess} from './helpers/gateway-process.js';
+import {createConfig, findFreePorts, send} from './helpers/gateways.js';
+import {pause} from './helpers/pause.js';
+import {createTextAnswer, StandinServer, StandinStore} from './helpers/platform-standins.js';
+
+/** Timeout of tests with processes, in milliseconds. */
+const processTimeout = 30_000;
+
+/** Most processor time for which the event loop of a node may be occupied, in milliseconds: callers get their answer within it after their time is over. */
+const maxWork = 500;
+
+/** Time within which a change must take effect, in milliseconds. */
+const maxChangeTime = 2000;
+
+/** Time after which nodes have registered and have sent heartbeats to all that they know, in milliseconds. */
+const registrationTime = 3500;
+
+/** Maximum size of the log of a node in a test, in characters. */
+const maxLogLength = 200_000;
+
+/** The reading node, and one that cannot reach the store and follows the first. */
+const hosts = ['127.0.3.1', '127.0.3.2'];
+
+const serverSpec = {
+	service: 'app', address: '127.0.3.9:1', zone: 'north', version: 'v1', slots: 11, state: 'ready', coldRemainingMs: 0, sequence: 1,
+};
+
+/** An entry of another writer. */
+type OddEntry = {kind: string; name: string; spec: unknown; metadata?: Record<string, unknown>};
+
+let program: GatewayProgram;
+let store: StandinStore;
+let servers: StandinServer[];
+let nodes: GatewayProcess[];
+
+beforeAll(() => {
+	program = new GatewayProgram();
+}, processTimeout);
+
+afterAll(() => {
+	program.remove();
+});
+
+beforeEach(async () => {
+	store = await new StandinStore().start();
+	store.pageSize = 500;
+	for (const [name, raw] of rawTexts) {
+		store.rawTexts.set(name, raw);
+	}
+
+	store.put('config', 'main', createConfig(1));
+	servers = await Promise.all(['a', 'b'].map(async name => new StandinServer(createTextAnswer(name)).start()));
+	for (const index of servers.keys()) {
+		putServer(index, 'ready');
+	}
+}, processTimeout);
+
+afterEach(async () => {
+	await program.killAll();
+	await Promise.all([...servers, store].map(async standin => standin.stop()));
+});
+
+function putServer(index: number, state: 'ready' | 'draining'): void {
+	store.put('servers', `i-${index}`, {...serverSpec, address: servers[index].address, state});
+}
+
+async function startNodes(): Promise<void> {
+	const ports = await findFreePorts(6);
+	const [unusedPort] = await findFreePorts(1);
+	nodes = await Promise.all(hosts.map(async (host, index) => program.spawn({
+		index, host, ports, seeds: hosts.map(each => `${each}:${ports[3]}`), storeAddress: index === 0 ? store.address : `${host}:${unusedPort}`,
+	})));
+	await Promise.all(nodes.map(async node => node.waitUntilReady()));
+}
+
+function putAll(entries: OddEntry[], prefix: string): void {
+	for (const {kind, name, spec, metadata} of entries) {
+		store.put(kind, kind === 'servers' || kind === 'cresshook-nodes' ? prefix + name : name, spec, metadata);
+	}
+}
+
+/** Returns the statuses of requests to both nodes. */
+async function callNodes(path: string, count = 1): Promise<number[]> {
+	const answers = await Promise.all(nodes.flatMap(node => Array.from({length: count}, async () => send(node.callers, {path}))));
+	return answers.map(({status}) => status);
+}
+
+async function waitForStatus(path: string, wanted: number): Promise<number> {
+	const since = performance.now();
+	while (performance.now() - since < maxChangeTime) {
+		const statuses = await callNodes(path);
+		if (statuses.every(status => status === wanted)) {
+			break;
+		}
+
+		await pause(20);
+	}
+
+	return performance.now() - since;
+}
+
+/** Changes the configuration and lets a server leave; both must be known in time at both nodes. */
+async function checkChanges(version: number): Promise<void> {
+	const {routes} = createConfig(version) as {routes: Array<Record<string, unknown>>};
+	store.put('config', 'main', createConfig(version, {routes: [...routes, {...routes[2], name: 'added', pathPrefix: '/added/'}]}));
+	expect(await waitForStatus('/added/x', 200)).toBeLessThan(maxChangeTime);
+	putServer(0, 'draining');
+	await pause(maxChangeTime);
+	const before = servers[0].receivedRequests.length;
+	expect(new Set(await callNodes('/again/x', 20))).toEqual(new Set([200]));
+	expect(servers[0].receivedRequests).toHaveLength(before);
+}
+
+function nest(levels: number): string {
+	return '['.repeat(levels) + ']'.repeat(levels);
+}
+
+function nestObjects(levels: number): string {
+	return '{"a":'.repeat(levels) + '0' + '}'.repeat(levels);
+}
+
+/** Values that are sent as they are; a store takes objects of a megabyte. */
+const rawTexts: Array<[string, string]> = [
+	['deep-10000', nest(10_000)], ['deep-objects', nestObjects(10_000)],
+];
+
+const deepValues = ['deep-10000', 'deep-objects'];
+const oddAddresses = [
+	'127.0.3.9:0',
+	'127.0.3.9:65536',
+	'127.0.3.9:99999',
+	'127.0.3.9:99999999999',
+	'127.0.3.9:-1',
+	'127.0.3.9:1e3',
+	'127.0.3.9:',
+	'127.0.3.9',
+	':80',
+	'127.0.3.9 :80',
+	'[::1]:80',
+	'::1:80',
+	'a%zz:80',
+	'user@127.0.3.9:80',
+	'a/b:80',
+	'?:80',
+	'#:80',
+	String.raw`a\b:80`,
+	'a\0b:80',
+	'<>:80',
+	`${'x'.repeat(100_000)}:80`,
+	'\uD800:80',
+	'999.999.999.999:80',
+];
+
+function createEntries(kind: string, specs: unknown[]): OddEntry[] {
+	return specs.map((spec, index) => ({kind, name: `odd-${index}`, spec}));
+}
+
+const cases: Array<[string, () => OddEntry[]]> = [
+	['deep nesting among nodes', () => createEntries('cresshook-nodes', deepValues.flatMap(deep => [deep, {deep}, {peerAddress: deep}, {peerAddress: [deep]}]))],
+	['values that are no text among nodes', () => createEntries('cresshook-nodes', [5, null, true, {}, [], {toString: 1}].flatMap(peerAddress => [{peerAddress}, peerAddress]))],
+	['addresses of nodes', () => createEntries('cresshook-nodes', oddAddresses.flatMap(peerAddress => [{peerAddress}, peerAddress]))],
+];
+
+test.each(cases)('odd entries of another writer do not end or stop a node: %s', async (_name, createOdd) => {
+	const odd = createOdd();
+	putAll(odd, 'a-');
+	await startNodes();
+	let isOver = false;
+	const work = Promise.all(nodes.map(async node => node.measureLongestWork(() => isOver)));
+	try {
+		await pause(registrationTime / 2);
+		putAll(odd, 'z-');
+		await pause(registrationTime / 2);
+		expect(nodes.map(node => node.end)).toEqual([undefined, undefined]);
+		expect(new Set(await callNodes('/once/x', 20))).toEqual(new Set([200]));
+		await checkChanges(2);
+	} finally {
+		isOver = true;
+	}
+
+	expect(Math.max(...await work)).toBeLessThan(maxWork);
+	expect(nodes.map(node => node.end)).toEqual([undefined, undefined]);
+	expect(nodes.map(node => node.log.listEvents('child_restarted'))).toEqual([[], []]);
+	expect(Math.max(...nodes.map(node => node.log.text.length))).toBeLessThan(maxLogLength);
+}, processTimeout);
