fix(planning): attempts at crashed servers do not excuse a request

Cause: the weight of a crash is 1 minus the share of the servers that run the request elsewhere. It counted every attempt in progress, also those at servers that had crashed already or were gone from the list, but divided by the listed servers only. When servers crash faster than their entries are replaced, attempts are left at more servers than are listed, and the weight falls below 0; the lowest weight of all nodes wins.

Now only attempts at listed servers count that the request has not crashed: those are the evidence that it may be a bystander.

Ruled out: that the records did not reach the deciding nodes (each logged four crashes).

--- a/src/planning/crashes/crash-attribution.ts
+++ b/src/planning/crashes/crash-attribution.ts
@@ -44,7 +44,7 @@
 
 	/** Counts a server's crash against the traits of a request that it ran; returns those for which the crash is a new one. */
 	recordCrash(server: BackendServerId, traits: CrashTrait[], now: number): CrashTrait[] {
-		return traits.filter(trait => this.records.recordCrash(server, trait, this.#computeWeight(server, trait), now));
+		return traits.filter(trait => this.records.recordCrash(server, trait, this.#computeWeight(server, trait, now), now));
 	}
 
 	/** Records the complete answer to a request. */
@@ -78,14 +78,15 @@
 		this.#abandoned.take(server, now);
 	}
 
-	/** Weight of a crash for a trait; 0 for one that runs on all servers. */
-	#computeWeight(server: BackendServerId, trait: CrashTrait): number {
+	/** Weight of a crash for a trait; 0 for one that runs on all other servers, none of which it has crashed. */
+	#computeWeight(server: BackendServerId, trait: CrashTrait, now: number): number {
 		if (this.#trials.findTrait(server) === trait) {
 			return isolatedCrashWeight;
 		}
 
-		const otherServers = this.#plans.findServers(trait);
-		otherServers.delete(server);
-		return 1 - (otherServers.size / Math.max(1, this.#plans.loads.size));
+		// Attempts at crashed servers are left until their nodes notice.
+		const {loads} = this.#plans;
+		const soundServers = [...this.#plans.findServers(trait)].filter(other => other !== server && loads.has(other) && !this.records.hasCrashed(other, trait, now));
+		return 1 - (soundServers.length / Math.max(1, loads.size));
 	}
 }
--- a/src/planning/crashes/crash-records.ts
+++ b/src/planning/crashes/crash-records.ts
@@ -90,6 +90,11 @@
 		return this.#traits.has(trait);
 	}
 
+	/** Whether a server that ran a request with the trait has crashed recently. */
+	hasCrashed(server: BackendServerId, trait: CrashTrait, now: number): boolean {
+		return [...this.#traits.get(trait)?.keys() ?? []].some(crash => crash.server === server && now - crash.at <= sameCrashWindow);
+	}
+
 	/** Merges crashes that another node reports. */
 	merge(trait: CrashTrait, crashes: CrashReport[], now: number): void {
 		for (const {server, age, weight} of crashes) {
