fix(gateway): a fleet that stops as a whole tells callers when to return

A stopping node that still answered said Retry-After: 0, although no node was ready to take the request.

Cause: each node closes its listener three eighths of its grace after its own signal, whether or not another node is ready. A refused connection tells a caller nothing, so it spends its tries within milliseconds; the first node was ready again 0.7 to 2 s after the last listener had closed.

Change: without another ready node the listener stays open, and requests are refused at once with 503 and the time until the node's own cut-off. It closes when another node is ready. While one is, nothing changes.

The test of a stopping node with a running call expected a refused connection in a fleet of one node. That expectation moves to a fleet of two, where another node is ready; alone, the node has to answer 503, and nothing runs. The new test fails on the code before (status 0 in place of 503).

--- a/src/gateway/calls/call-run.ts
+++ b/src/gateway/calls/call-run.ts
@@ -41,6 +41,8 @@
 	availabilityZone: AvailabilityZone;
 	/** When this node cuts off calls, by the monotonic clock; Infinity unless it is stopping. */
 	readStopTime: () => number;
+	/** Time until another node is expected to serve what this one refuses in a stop, in milliseconds. */
+	estimateReturnDelay: () => number;
 };
 
 /** How a call ended, for its log line. */
@@ -92,10 +94,10 @@
 		this.#lastEventId = call.head.lastEventId;
 		const deadline = call.arrived + Math.min(call.head.timeLeft ?? Infinity, call.route.timeLimit);
 		const {
-			clock, placer, node, availabilityZone, readStopTime,
+			clock, placer, node, availabilityZone, readStopTime, estimateReturnDelay,
 		} = parts;
 		this.#placementFinder = new PlacementFinder({
-			clock, placer, call, node, availabilityZone, deadline, readStopTime,
+			clock, placer, call, node, availabilityZone, deadline, readStopTime, estimateReturnDelay,
 		});
 		this.#attempts = new CallAttempts({
 			...parts,
@@ -433,7 +435,7 @@
 		}
 
 		if (this.#stopReason === 'node_stop') {
-			return this.#attempts.runs === 0 ? createStoppedFailure() : createUnconfirmedFailure('this node has stopped');
+			return this.#attempts.runs === 0 ? createStoppedFailure(this.#parts.estimateReturnDelay()) : createUnconfirmedFailure('this node has stopped');
 		}
 
 		return this.#attempts.runs === 0
--- a/src/gateway/calls/call-service.ts
+++ b/src/gateway/calls/call-service.ts
@@ -43,6 +43,8 @@
 	availabilityZone: AvailabilityZone;
 	/** Returns uniform random numbers from 0 (included) to 1 (excluded). */
 	random: () => number;
+	/** Time until another node is expected to serve what this one refuses in a stop, in milliseconds. */
+	estimateReturnDelay: () => number;
 };
 
 /** Serves the calls of one node. */
@@ -110,7 +112,7 @@
 			return;
 		}
 
-		const resolved = head.chain(value => this.#isRefusing ? Left(createStoppedFailure()) : this.#resolve(value, body, arrived));
+		const resolved = head.chain(value => this.#isRefusing ? Left(createStoppedFailure(this.#parts.estimateReturnDelay())) : this.#resolve(value, body, arrived));
 		if (resolved.isLeft()) {
 			const failure = resolved.extract();
 			const requestId = head.caseOf<CallHead['requestId'] | undefined>({Left: () => undefined, Right: value => value.requestId});
@@ -149,6 +151,7 @@
 			node: this.#parts.node,
 			availabilityZone: this.#parts.availabilityZone,
 			readStopTime: () => this.#stopTime,
+			estimateReturnDelay: this.#parts.estimateReturnDelay,
 		}, call, buffered ?? sink);
 		this.#runs.add(run);
 		response.once('close', () => {
--- a/src/gateway/calls/placement-finder.ts
+++ b/src/gateway/calls/placement-finder.ts
@@ -19,11 +19,13 @@
 	deadline: number;
 	/** When this node cuts off calls, by the monotonic clock; Infinity unless it is stopping. */
 	readStopTime: () => number;
+	/** Time until another node is expected to serve what this one refuses in a stop, in milliseconds. */
+	estimateReturnDelay: () => number;
 };
 
-/** The failure of a call that has not run and that a stopping node cannot serve: other nodes may at once. */
-export function createStoppedFailure(): Failure {
-	return createFailure('node_stopped', 'this node is stopping and can\'t serve the request before; use another address', {ran: 'no', retryAfterSeconds: 0});
+/** The failure of a call that has not run and that a stopping node cannot serve; `delay` is the time until another node is expected to, in milliseconds. */
+export function createStoppedFailure(delay: number): Failure {
+	return createFailure('node_stopped', 'this node is stopping and can\'t serve the request before; use another address', {ran: 'no', retryAfterSeconds: delay / 1000});
 }
 
 /** Finds the placements of one call, one after another. */
@@ -96,7 +98,7 @@
 
 	async #ask(waited: number, hasBegun: boolean, excluded = this.excluded): Promise<PlacementAnswer | Failure> {
 		const {
-			clock, placer, call, node, availabilityZone, readStopTime,
+			clock, placer, call, node, availabilityZone, readStopTime, estimateReturnDelay,
 		} = this.#parts;
 		const {route, service, organisation, head, arrived} = call;
 		const now = clock.readMonotonic();
@@ -125,7 +127,10 @@
 			excluded,
 			failedAt: this.failedAt,
 		});
-		return result.caseOf<PlacementAnswer | Failure>({Left: failure => failure.kind === 'overloaded' && untilStop < this.timeLeft ? createStoppedFailure() : failure, Right: value => value});
+		return result.caseOf<PlacementAnswer | Failure>({
+			Left: failure => failure.kind === 'overloaded' && untilStop < this.timeLeft ? createStoppedFailure(estimateReturnDelay()) : failure,
+			Right: value => value,
+		});
 	}
 
 	/** Time until the caller disconnects if it receives nothing, counted from its last event or its arrival; in milliseconds. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -93,6 +93,8 @@
 	readonly #status: StatusReader;
 	readonly #sourceHealth = new SourceHealth();
 	#isStopping = false;
+	/** When calls are cut off, by the monotonic clock; Infinity unless the node is stopping. */
+	#stopTime = Infinity;
 	#running: Promise<void> | undefined;
 
 	constructor(parts: GatewayParts) {
@@ -199,6 +201,7 @@
 			node: parts.settings.box as BoxId,
 			availabilityZone: parts.settings.availability_zone as AvailabilityZone,
 			random: parts.random,
+			estimateReturnDelay: () => this.#estimateReturnDelay(),
 		});
 		this.#relays = new RelayService({
 			logger,
@@ -314,11 +317,16 @@
 		const stoppingSince = clock.readMonotonic();
 		const grace = settings.stop.grace_seconds * 1000;
 		logger.info({event: 'stopping', calls: this.#calls.inProgress}, 'the node is stopping; calls in progress continue');
-		const stopTime = stoppingSince + (grace * forceStopShare);
-		this.#calls.planStop(stopTime);
+		this.#stopTime = stoppingSince + (grace * forceStopShare);
+		this.#calls.planStop(this.#stopTime);
 		await waitFor(clock, Math.min(this.#addressLifetime.computeRemaining(), grace * acceptShare));
-		this.#stopAccepting();
-		while (this.#openRequests.count + this.#relays.inProgress > 0 && clock.readMonotonic() < stopTime) {
+		this.#calls.refuseNew();
+		while (this.#openRequests.count + this.#relays.inProgress > 0 && clock.readMonotonic() < this.#stopTime) {
+			// Without another ready node, callers get an answer that says when to return instead of a refused connection.
+			if (this.#peers.listReady().length > 0) {
+				this.#closeListener();
+			}
+
 			await waitFor(clock, drainPollInterval);
 			// A connection that was busy when the node stopped accepting is closed as soon as it is idle.
 			this.#callersServer?.server.closeIdleConnections();
@@ -367,12 +375,17 @@
 		return this.#viewResponder.takeConfig(known);
 	}
 
-	/** Accepts no new connections, closes idle ones and refuses requests on the others, which are closed after their answers. */
-	#stopAccepting(): void {
-		this.#calls.refuseNew();
+	/** Time until another node serves requests, in milliseconds: at once when one is ready, else when this one has stopped and is replaced. */
+	#estimateReturnDelay(): number {
+		return this.#peers.listReady().length > 0 ? 0 : Math.max(0, this.#stopTime - this.#parts.clock.readMonotonic());
+	}
+
+	/** Accepts no new connections. */
+	#closeListener(): void {
 		const callers = this.#callersServer?.server;
-		callers?.close();
-		callers?.closeIdleConnections();
+		if (callers?.listening === true) {
+			callers.close();
+		}
 	}
 
 	#listAddresses(zone: AvailabilityZone): {addresses: string[]; lifetime: number} {
--- a/test/helpers/planned-fleet.ts
+++ b/test/helpers/planned-fleet.ts
@@ -256,6 +256,7 @@
 			node: node.name,
 			availabilityZone: 'a' as AvailabilityZone,
 			readStopTime: () => Infinity,
+			estimateReturnDelay: () => 0,
 		}, {
 			head: {
 				requestId: call.id, method: 'POST', target: '/', host: 'shop.example', promptTokens: spec.promptTokens, outputTokens: spec.events * engine.stepsPerPass, sharedParts: [],
--- a/test/helpers/scripted-call.ts
+++ b/test/helpers/scripted-call.ts
@@ -429,6 +429,7 @@
 			node: 'edge-1' as BoxId,
 			availabilityZone: 'a' as AvailabilityZone,
 			readStopTime: () => Infinity,
+			estimateReturnDelay: () => 0,
 		}, {
 			head: {
 				requestId, method: 'POST', target: '/', host: 'shop.example', promptTokens: 1000, outputTokens: 80, sharedParts: [], headers: {},
--- a/test/stopping-nodes.test.ts
+++ b/test/stopping-nodes.test.ts
@@ -207,6 +207,39 @@
 	expect(await running).toMatchObject({status: 200, isComplete: true});
 }, testTimeout);
 
+/** Stops a node while it runs a stream, and calls it when it no longer accepts calls. */
+async function callStoppingNode({gateways, settings}: GatewayFleet): Promise<Awaited<ReturnType<typeof send>>> {
+	const {callers} = settings[0].listen;
+	const running = send(callers, {path: '/stream/a'});
+	await waitUntil(() => runs.length === 1);
+	const stopping = gateways[0].stop();
+	await sleep(acceptTime + 200);
+	const refused = await send(callers, {path: '/once/late'});
+	await stopping;
+	expect(await running).toMatchObject({status: 200, isComplete: true});
+	expect(runs).toEqual(['/stream/a']);
+	return refused;
+}
+
+// Callers of a fleet that stops as a whole found refused connections only, and gave up.
+test('a stopping node without a ready one beside it says when to return', async () => {
+	const {status, isComplete, headers} = await callStoppingNode(fleet);
+	expect([status, isComplete, headers.connection]).toEqual([503, true, 'close']);
+	const untilCutOff = (cutOffTime - acceptTime) / 1000;
+	expect(Number(headers['retry-after'])).toBeGreaterThan(untilCutOff - 1);
+	expect(Number(headers['retry-after'])).toBeLessThanOrEqual(untilCutOff);
+}, testTimeout);
+
+test('a stopping node accepts no new connection while another node is ready', async () => {
+	const pair = new GatewayFleet();
+	await pair.start({nodes: 0, runners: [{service: 'model', behaviour: answer}]});
+	await pair.startTogether(2);
+	await waitUntil(() => pair.gateways.every(gateway => gateway.listReadyNodes().length === 2));
+	const {status, isComplete} = await callStoppingNode(pair);
+	await pair.stop();
+	expect([status, isComplete]).toEqual([0, false]);
+}, testTimeout);
+
 test('a pipelined request behind the last answer of its connection is not run', async () => {
 	streamTime = 500;
 	const stopping = fleet.gateways[0].stop();
