fix(common): what has arrived is read before a time limit that passed meanwhile

A node that is short of processor lost requests and missed changes although all others were sound (LOST, CONFIG).

Cause: after a pause Node.js runs the timers that have become due before it reads its sockets. Each time limit that a pause outlasts is passed, whatever has arrived. The class is a limit on others that is judged by a process that stood still itself.

Fix: timers of the system clock call back after the next reads. Data that has arrived ends the wait first and cancels the timer.

--- a/src/common/clock.ts
+++ b/src/common/clock.ts
@@ -22,10 +22,15 @@
 	now: () => new Date(),
 	readMonotonic: () => performance.now(),
 	setTimer(delay, callback) {
-		const handle = setTimeout(callback, delay);
+		// After a pause of the process, Node.js runs timers before it reads what has arrived meanwhile, such as the answer that a time limit waits for.
+		let afterReads: NodeJS.Immediate | undefined;
+		const handle = setTimeout(() => {
+			afterReads = setImmediate(callback);
+		}, delay);
 		return {
 			cancel() {
 				clearTimeout(handle);
+				clearImmediate(afterReads);
 			},
 		};
 	},
