fix(gateway): a connection is released once

Cause: a request that cannot be forwarded releases its connection to the other node when it takes another way, and again when it ends with an error. The connection then stands twice in the pool: two requests get it at the same time, the second waits behind the first, and closing it as an idle connection cuts off whichever runs on it. A server that takes no connection is enough to get there; load is not needed.

Fix: the pool takes a connection back once for each request.

--- a/src/gateway/calls/backend-pool.ts
+++ b/src/gateway/calls/backend-pool.ts
@@ -206,6 +206,7 @@
 	protected send(address: string, {server: _server, requestId: _requestId, ...request}: BackendRequest, handler: PooledHandler, use: ConnectionUse, timeout = connectTimeout): void { // eslint-disable-line max-params
 		const connection = this.#acquire(address, use);
 		const {dialled} = connection;
+		let isReleased = false;
 		connection.connectTimeout = timeout;
 		handler.attach({
 			wasReset: () => connection.wasReset,
@@ -220,7 +221,10 @@
 				connection.resume();
 			},
 			onDone: () => {
-				this.#release(address, connection);
+				if (!isReleased) {
+					isReleased = true;
+					this.#release(address, connection);
+				}
 			},
 		});
 		connection.client.dispatch({...request, method: request.method}, handler);
