fix(gateway): a busy node answers what reached it before it closes its listener

Callers whose requests reached a stopping node that was short of processor had their connections closed in place of a refusal, at the moment when it stopped accepting.

Cause: the timer that ends the accept time runs before the event loop reads what has arrived. Requests on kept connections and connections that wait to be accepted were closed unread; with a late timer these are all of the delay.

The new test holds the event loop for 300 ms: without the fix both kinds of connection end without an answer, with it both get 503.

A reset of an unread request breaks no rule, but costs its caller a wait and an attempt.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -321,16 +321,17 @@
 		this.#calls.planStop(this.#stopTime);
 		await waitFor(clock, Math.min(this.#addressLifetime.computeRemaining(), grace * acceptShare));
 		this.#calls.refuseNew();
-		while (this.#openRequests.count + this.#relays.inProgress > 0 && clock.readMonotonic() < this.#stopTime) {
+		do {
 			// Without another ready node, callers get an answer that says when to return instead of a refused connection.
 			if (this.#peers.listReady().length > 0) {
 				this.#closeListener();
 			}
 
+			// Also the time in which the request of a connection that was accepted last can be read.
 			await waitFor(clock, drainPollInterval);
 			// A connection that was busy when the node stopped accepting is closed as soon as it is idle.
 			this.#callersServer?.server.closeIdleConnections();
-		}
+		} while (this.#openRequests.count + this.#relays.inProgress > 0 && clock.readMonotonic() < this.#stopTime);
 
 		logger.info({event: 'stopped', cutOff: this.#calls.inProgress, took: Math.round(clock.readMonotonic() - stoppingSince)}, 'the node shuts down');
 		await this.close();
--- a/test/stopping-nodes.test.ts
+++ b/test/stopping-nodes.test.ts
@@ -126,6 +126,13 @@
 	return new KeptConnection(fleet.settings[0].listen.callers);
 }
 
+function occupyEventLoop(time: number): void {
+	const until = performance.now() + time;
+	while (performance.now() < until) {
+		// Busy.
+	}
+}
+
 /** Stops the node while streams run on two connections; returns when the first of them has ended. */
 async function stopWhileStreaming(): Promise<{kept: KeptConnection; longer: KeptConnection; stopping: Promise<void>}> {
 	const [kept, longer] = [openConnection(), openConnection()];
@@ -260,6 +267,25 @@
 	expect([pipelined.statuses, runs]).toEqual([[200, 200], ['/stream/a', '/once/b']]);
 }, testTimeout);
 
+// Their connections were reset, since their requests had not been read yet.
+test.each(['a kept', 'a new'])('a node that is busy when it stops accepting answers a request that reached it before: %s connection', async kind => {
+	const waiting = openConnection();
+	if (kind === 'a kept') {
+		waiting.request('/once/first');
+		await waitUntil(() => waiting.statuses.length === 1);
+	}
+
+	const stopping = fleet.gateways[0].stop();
+	await sleep(acceptTime - 100);
+	const late = kind === 'a kept' ? waiting : openConnection();
+	late.request('/once/late');
+	occupyEventLoop(300);
+	await waitUntil(() => late.isClosed);
+	await stopping;
+	expect(late.statuses.at(-1)).toBe(503);
+	expect(runs).not.toContain('/once/late');
+}, testTimeout);
+
 /** Opens a callers' listener that answers each request but `/held` with so many bytes at once. */
 async function openAnsweringServer(length: number): Promise<OpenServer> {
 	const [port] = await findFreePorts(1);
