fix(gateway): a late call to another node does not end a node in its stop

Cause: at its end a node destroys its connections to other nodes. A call that is still waiting then runs into its timeout, replaces the connections it used, and closes the destroyed ones once more, which rejects; nothing awaits that promise. Under load calls to other nodes are slow, so that a stop is likely to meet one.

A closed agent is not replaced any more.

--- a/src/common/replaceable-agent.ts
+++ b/src/common/replaceable-agent.ts
@@ -11,6 +11,7 @@
 	readonly #options: Agent.Options;
 	/** Agents with open connections; the last one serves new calls. */
 	#agents: Agent[];
+	#isClosed = false;
 
 	constructor(options: Agent.Options) {
 		this.#options = options;
@@ -25,10 +26,10 @@
 	/**
 	 * Replaces an agent on which a call got no response. New calls open new connections; calls in progress keep theirs.
 	 *
-	 * @returns false when the agent has already been replaced.
+	 * @returns false when the agent has already been replaced, or all are closed.
 	 */
 	replace(agent: Agent): boolean {
-		if (agent !== this.current) {
+		if (this.#isClosed || agent !== this.current) {
 			return false;
 		}
 
@@ -39,6 +40,7 @@
 
 	/** Closes all connections. */
 	async close(): Promise<void> {
+		this.#isClosed = true;
 		await Promise.all(this.#agents.map(async agent => agent.destroy()));
 	}
 
