fix(platform): an odd address of a server does not end a node

What callers saw: one entry of another writer among the servers of a service, with the address ?:80 or <>:80, ended every node at the first request that was placed there, nodes that knew it from another node too, and again after each restart.

Cause: an address passed if it had a valid port, whatever stood before it. The HTTP client cannot be created for a host that is none; its error was thrown in the middle of an attempt, where nothing catches it.

The pool checks it again, since nodes of an earlier build pass such entries on: the request counts as not sent.

--- a/src/gateway/calls/backend-pool.ts
+++ b/src/gateway/calls/backend-pool.ts
@@ -7,7 +7,7 @@
 import type {Socket} from 'node:net';
 import {Client, type Dispatcher} from 'undici';
 import {
-	createTimeout, fetchAnswer, ReadGate, type BackendServerId, type Clock, type RequestId,
+	createTimeout, fetchAnswer, isAddress, ReadGate, type BackendServerId, type Clock, type RequestId,
 } from '../../common/index.js';
 import type {BackendExchange, ExchangeConnection} from './backend-exchange.js';
 import {TcpDialer, type ServerDialer} from './server-dialer.js';
@@ -24,6 +24,9 @@
 /** Maximum size of a server's answer to an order, or of its report, in bytes. */
 const maxControlBytes = 1024 * 1024;
 
+/** Maximum length of an invalid address in an error, in characters. */
+const maxLoggedAddress = 100;
+
 /** A request to a backend server. */
 export type BackendRequest = {
 	/** The server that it is meant for; without it, the request takes no other way than the address. */
@@ -204,6 +207,14 @@
 
 	/** Sends a request to an address on a pooled connection. */
 	protected send(address: string, {server: _server, requestId: _requestId, ...request}: BackendRequest, handler: PooledHandler, use: ConnectionUse, timeout = connectTimeout): void { // eslint-disable-line max-params
+		if (!isAddress(address)) {
+			// Another node's view may hold an address that this node would not accept; a client cannot be created for it.
+			queueMicrotask(() => {
+				handler.onResponseError?.(undefined as never, new TypeError(`not an address: ${address.slice(0, maxLoggedAddress)}`));
+			});
+			return;
+		}
+
 		const connection = this.#acquire(address, use);
 		const {dialled} = connection;
 		let isReleased = false;
--- a/test/odd-entries.test.ts
+++ b/test/odd-entries.test.ts
@@ -1,6 +1,9 @@
 import {
 	afterAll, afterEach, beforeAll, beforeEach, expect, test,
 } from '@jest/globals';
+import {systemClock} from '../src/common/index.js';
+import {BackendExchange} from '../src/gateway/calls/backend-exchange.js';
+import {BackendPool} from '../src/gateway/calls/backend-pool.js';
 import {GatewayProgram, type GatewayProcess} from './helpers/gateway-process.js';
 import {createConfig, findFreePorts, send} from './helpers/gateways.js';
 import {pause} from './helpers/pause.js';
@@ -162,6 +165,7 @@
 	['deep nesting among nodes', () => createEntries('cresshook-nodes', deepValues.flatMap(deep => [deep, {deep}, {peerAddress: deep}, {peerAddress: [deep]}]))],
 	['values that are no text among nodes', () => createEntries('cresshook-nodes', [5, null, true, {}, [], {toString: 1}].flatMap(peerAddress => [{peerAddress}, peerAddress]))],
 	['addresses of nodes', () => createEntries('cresshook-nodes', oddAddresses.flatMap(peerAddress => [{peerAddress}, peerAddress]))],
+	['addresses of servers', () => createEntries('servers', oddAddresses.map(address => ({...serverSpec, address})))],
 ];
 
 test.each(cases)('odd entries of another writer do not end or stop a node: %s', async (_name, createOdd) => {
@@ -186,3 +190,19 @@
 	expect(nodes.map(node => node.log.listEvents('child_restarted'))).toEqual([[], []]);
 	expect(Math.max(...nodes.map(node => node.log.text.length))).toBeLessThan(maxLogLength);
 }, processTimeout);
+
+// Nodes of an earlier build pass such addresses on.
+test('a request to an address that is none fails as not sent', async () => {
+	const pool = new BackendPool(systemClock);
+	const outcomes = await Promise.all(oddAddresses.map(async address => new Promise(resolve => {
+		pool.dispatch(address, {
+			method: 'GET', path: '/', headers: {}, body: undefined,
+		}, new BackendExchange({
+			onHead: resolve, onData: resolve, onEnd() {}, onError(_error, wasSent) { // eslint-disable-line @typescript-eslint/no-empty-function
+				resolve(wasSent);
+			},
+		}));
+	})));
+	expect(new Set(outcomes)).toEqual(new Set([false]));
+	await pool.close();
+});
