--- a/test/odd-entries.test.ts
+++ b/test/odd-entries.test.ts
@@ -49,7 +49,6 @@
 
 beforeEach(async () => {
 	store = await new StandinStore().start();
-	store.pageSize = 500;
 	for (const [name, raw] of rawTexts) {
 		store.rawTexts.set(name, raw);
 	}
@@ -127,7 +126,12 @@
 
 /** Values that are sent as they are; a store takes objects of a megabyte. */
 const rawTexts: Array<[string, string]> = [
-	['deep-10000', nest(10_000)], ['deep-objects', nestObjects(10_000)],
+	['deep-10000', nest(10_000)],
+	['deep-objects', nestObjects(10_000)],
+	['number-1e400', '1e400'],
+	['number-9e15', '9e15'],
+	['number-minus-0', '-0'],
+	['number-digits', '9'.repeat(100_000)],
 ];
 
 const deepValues = ['deep-10000', 'deep-objects'];
@@ -157,20 +161,37 @@
 	'999.999.999.999:80',
 ];
 
+const oddNumbers = ['number-1e400', 'number-9e15', 'number-minus-0', 'number-digits', 1e308, -1e308, 2 ** 53, (2 ** 53) - 1, 2 ** 31, 2 ** 40, 4e9, -5, 0.5];
+const oddNames = ['__proto__', 'constructor', 'toString', '', 'a/b', '../main', 'a b', 'a\0b', 'a\r\nb: c', '\uD800', 'x'.repeat(300_000), 'ü', '💥', '%2f', '?watch=1', '\uDC00\uD800'];
+
 function createEntries(kind: string, specs: unknown[]): OddEntry[] {
 	return specs.map((spec, index) => ({kind, name: `odd-${index}`, spec}));
 }
 
-const cases: Array<[string, () => OddEntry[]]> = [
+function changeEachField(value: unknown): unknown[] {
+	return Object.keys(serverSpec).map(field => ({...serverSpec, [field]: value}));
+}
+
+const cases: Array<[name: string, createOdd: () => OddEntry[], pageSize?: number]> = [
 	['deep nesting among nodes', () => createEntries('cresshook-nodes', deepValues.flatMap(deep => [deep, {deep}, {peerAddress: deep}, {peerAddress: [deep]}]))],
 	['values that are no text among nodes', () => createEntries('cresshook-nodes', [5, null, true, {}, [], {toString: 1}].flatMap(peerAddress => [{peerAddress}, peerAddress]))],
 	['addresses of nodes', () => createEntries('cresshook-nodes', oddAddresses.flatMap(peerAddress => [{peerAddress}, peerAddress]))],
 	['addresses of servers', () => createEntries('servers', oddAddresses.map(address => ({...serverSpec, address})))],
+	['names that no header field can hold', () => oddNames.filter(name => !/^[!-~]{1,99}$/u.test(name)).map(name => ({kind: 'servers', name, spec: serverSpec}))],
+	['other names', () => oddNames.map(name => ({kind: 'servers', name, spec: {...serverSpec, service: 'other'}}))],
+	['names on pages of their own', () => oddNames.map(name => ({kind: 'servers', name, spec: {}})), 1],
+	['names of nodes', () => oddNames.map(name => ({kind: 'cresshook-nodes', name, spec: {peerAddress: '127.0.3.9:80'}})), 1],
+	['names of services and zones', () => createEntries('servers', oddNames.flatMap(name => [{...serverSpec, service: name}, {...serverSpec, service: 'other', zone: name}]))],
+	['numbers', () => createEntries('servers', oddNumbers.flatMap(number => ['slots', 'coldRemainingMs', 'sequence', 'born', 'version'].map(field => ({...serverSpec, service: 'other', [field]: number}))))],
+	['slots, in use', () => createEntries('servers', oddNumbers.map(slots => ({...serverSpec, slots})))],
+	['deep nesting', () => createEntries('servers', deepValues.flatMap(deep => [deep, {deep}, {...serverSpec, service: 'other', deep}, ...changeEachField(deep)]))],
+	['thousands of entries', () => createEntries('servers', Array.from({length: 5000}, (_, index) => ({...serverSpec, address: `127.0.3.9:${index + 65_536}`})))],
 ];
 
-test.each(cases)('odd entries of another writer do not end or stop a node: %s', async (_name, createOdd) => {
+test.each(cases)('odd entries of another writer do not end or stop a node: %s', async (_name, createOdd, pageSize = 500) => {
+	store.pageSize = pageSize;
 	const odd = createOdd();
-	putAll(odd, 'a-');
+	putAll(odd, '');
 	await startNodes();
 	let isOver = false;
 	const work = Promise.all(nodes.map(async node => node.measureLongestWork(() => isOver)));
