fix(platform): the log of odd entries is bounded

What operators saw: 5,000 odd entries of another writer gave 3.6 MB of log in seven seconds, and one with a name of 300 kB 0.35 to 1.5 MB. A name also stayed in memory for each entry ever seen.

Cause: a line for each entry and revision, with the whole name.

Fix: at most twelve lines in ten seconds for each kind, with the number of those left out; texts of at most 200 characters, and 10,000 names.

--- a/src/cli/gateway-command.ts
+++ b/src/cli/gateway-command.ts
@@ -39,7 +39,7 @@
 	const signals = new ProcessSignals(logger);
 	const gateway = new Gateway({
 		settings,
-		source: new PlatformSource(settings.store.address, logger),
+		source: new PlatformSource(settings.store.address, logger, systemClock),
 		wire: new CallWire(),
 		clock: systemClock,
 		ids: randomIdSource,
