--- a/test/odd-entries.test.ts
+++ b/test/odd-entries.test.ts
@@ -12,6 +12,9 @@
 /** Timeout of tests with processes, in milliseconds. */
 const processTimeout = 30_000;
 
+/** Most processor time for which the event loop of a node may be occupied by one entry, in milliseconds. */
+const maxEntryWork = 100;
+
 /** Most processor time for which the event loop of a node may be occupied, in milliseconds: callers get their answer within it after their time is over. */
 const maxWork = 500;
 
@@ -128,6 +131,7 @@
 const rawTexts: Array<[string, string]> = [
 	['deep-10000', nest(10_000)],
 	['deep-objects', nestObjects(10_000)],
+	['deep-500000', nest(500_000)],
 	['number-1e400', '1e400'],
 	['number-9e15', '9e15'],
 	['number-minus-0', '-0'],
@@ -168,8 +172,8 @@
 	return specs.map((spec, index) => ({kind, name: `odd-${index}`, spec}));
 }
 
-function changeEachField(value: unknown): unknown[] {
-	return Object.keys(serverSpec).map(field => ({...serverSpec, [field]: value}));
+function changeEachField(value: unknown, fields = Object.keys(serverSpec)): Array<typeof serverSpec> {
+	return fields.map(field => ({...serverSpec, [field]: value}));
 }
 
 const cases: Array<[name: string, createOdd: () => OddEntry[], pageSize?: number]> = [
@@ -182,7 +186,7 @@
 	['names on pages of their own', () => oddNames.map(name => ({kind: 'servers', name, spec: {}})), 1],
 	['names of nodes', () => oddNames.map(name => ({kind: 'cresshook-nodes', name, spec: {peerAddress: '127.0.3.9:80'}})), 1],
 	['names of services and zones', () => createEntries('servers', oddNames.flatMap(name => [{...serverSpec, service: name}, {...serverSpec, service: 'other', zone: name}]))],
-	['numbers', () => createEntries('servers', oddNumbers.flatMap(number => ['slots', 'coldRemainingMs', 'sequence', 'born', 'version'].map(field => ({...serverSpec, service: 'other', [field]: number}))))],
+	['numbers', () => createEntries('servers', oddNumbers.flatMap(number => changeEachField(number, ['slots', 'coldRemainingMs', 'sequence', 'born', 'version']).map(spec => ({...spec, service: 'other'}))))],
 	['slots, in use', () => createEntries('servers', oddNumbers.map(slots => ({...serverSpec, slots})))],
 	['deep nesting', () => createEntries('servers', deepValues.flatMap(deep => [deep, {deep}, {...serverSpec, service: 'other', deep}, ...changeEachField(deep)]))],
 	['thousands of entries', () => createEntries('servers', Array.from({length: 5000}, (_, index) => ({...serverSpec, address: `127.0.3.9:${index + 65_536}`})))],
@@ -212,6 +216,20 @@
 	expect(Math.max(...nodes.map(node => node.log.text.length))).toBeLessThan(maxLogLength);
 }, processTimeout);
 
+test('an entry of half a million levels does not occupy a node', async () => {
+	await startNodes();
+	let isOver = false;
+	const work = Promise.all(nodes.map(async node => node.measureLongestWork(() => isOver)));
+	for (let index = 0; index < 6; index++) {
+		store.put('servers', `odd-${index}`, {...serverSpec, service: 'other', deep: 'deep-500000'});
+		await pause(500);
+	}
+
+	isOver = true;
+	expect(Math.max(...await work)).toBeLessThan(maxEntryWork);
+	await checkChanges(2);
+}, processTimeout);
+
 // Nodes of an earlier build pass such addresses on.
 test('a request to an address that is none fails as not sent', async () => {
 	const pool = new BackendPool(systemClock);
