--- a/src/routing/zone-evacuations.ts
+++ b/src/routing/zone-evacuations.ts
@@ -17,6 +17,9 @@
 /** Maximum size of the zones in a snapshot, in characters: snapshots are sent in datagrams. */
 const maxSnapshotLength = 4000;
 
+/** Maximum length of a zone, in characters: no server has a longer one. */
+const maxZoneLength = 256;
+
 /** An evacuated zone as nodes send it to each other; times in milliseconds. */
 export type SnapshotZone = {
 	zone: AvailabilityZone;
@@ -172,7 +175,7 @@
 	#put({zone, position, age, keptFor}: SnapshotZone, origin: string): boolean {
 		const now = this.#parts.clock.readMonotonic();
 		const before = this.#zones.get(zone);
-		if (before !== undefined && position < before.position) {
+		if (zone.length > maxZoneLength || (before !== undefined && position < before.position)) {
 			return false;
 		}
 
--- a/test/odd-entries.test.ts
+++ b/test/odd-entries.test.ts
@@ -1,9 +1,12 @@
 import {
 	afterAll, afterEach, beforeAll, beforeEach, expect, test,
 } from '@jest/globals';
-import {systemClock} from '../src/common/index.js';
+import {
+	createSilentLogger, systemClock, VirtualClock, type AvailabilityZone,
+} from '../src/common/index.js';
 import {BackendExchange} from '../src/gateway/calls/backend-exchange.js';
 import {BackendPool} from '../src/gateway/calls/backend-pool.js';
+import {ZoneEvacuations} from '../src/routing/index.js';
 import {GatewayProgram, type GatewayProcess} from './helpers/gateway-process.js';
 import {createConfig, findFreePorts, send} from './helpers/gateways.js';
 import {pause} from './helpers/pause.js';
@@ -186,7 +189,7 @@
 	['names on pages of their own', () => oddNames.map(name => ({kind: 'servers', name, spec: {}})), 1],
 	['names of nodes', () => oddNames.map(name => ({kind: 'cresshook-nodes', name, spec: {peerAddress: '127.0.3.9:80'}})), 1],
 	['names of services and zones', () => createEntries('servers', oddNames.flatMap(name => [{...serverSpec, service: name}, {...serverSpec, service: 'other', zone: name}]))],
-	['numbers', () => createEntries('servers', oddNumbers.flatMap(number => changeEachField(number, ['slots', 'coldRemainingMs', 'sequence', 'born', 'version']).map(spec => ({...spec, service: 'other'}))))],
+	['numbers', () => createEntries('servers', oddNumbers.flatMap(number => changeEachField(number, ['slots', 'coldRemainingMs', 'sequence', 'born', 'version'])).map(spec => ({...spec, service: 'other'})))],
 	['slots, in use', () => createEntries('servers', oddNumbers.map(slots => ({...serverSpec, slots})))],
 	['deep nesting', () => createEntries('servers', deepValues.flatMap(deep => [deep, {deep}, {...serverSpec, service: 'other', deep}, ...changeEachField(deep)]))],
 	['thousands of entries', () => createEntries('servers', Array.from({length: 5000}, (_, index) => ({...serverSpec, address: `127.0.3.9:${index + 65_536}`})))],
@@ -230,6 +233,15 @@
 	await checkChanges(2);
 }, processTimeout);
 
+test('an evacuation with a long name does not keep later ones from other nodes', () => {
+	const parts = {clock: new VirtualClock(), logger: createSilentLogger(), onChange() {}}; // eslint-disable-line @typescript-eslint/no-empty-function
+	const [reader, other] = [new ZoneEvacuations(parts), new ZoneEvacuations(parts)];
+	const names = ['south', 'x'.repeat(1_000_000), 'y'.repeat(3990), 'north'] as AvailabilityZone[];
+	reader.applyList({items: names.map((zone, index) => ({zone, position: index + 1})), revision: 4}, 'source');
+	other.applySnapshot(reader.takeSnapshot()!, 'node');
+	expect([other.has(names[0]), other.has(names[3])]).toEqual([true, true]);
+});
+
 // Nodes of an earlier build pass such addresses on.
 test('a request to an address that is none fails as not sent', async () => {
 	const pool = new BackendPool(systemClock);
