fix(gateway): bound the time that connections to servers take in a turn

What callers saw: a server that sent an answer without end (events that hold nothing, events or chunks of one byte, empty header fields) delayed the other requests of each node that read it.

Cause: ReadGate limited the bytes that a connection may be read in one turn of the event loop, 64 KB. That is 21,845 events of three bytes, and each connection had such a turn in the same round of the loop.

Fix: data is handed over in pieces of 2 to 16 KB, and the time that each took is counted. All connections together have 1 ms a turn. A connection that takes over 1 ms more than its bytes usually take is busy: busy connections share a quarter of the time, in turn, whether they are 1, 10 or 100 (shown by `busy connections take no more than their share`). Large bodies stay below the usual time of their bytes and are not held up.

--- a/src/common/index.ts
+++ b/src/common/index.ts
@@ -9,6 +9,7 @@
 export * from './metrics.js';
 export * from './parse-json.js';
 export * from './read-gate.js';
+export * from './read-turns.js';
 export * from './rendezvous.js';
 export * from './replaceable-agent.js';
 export * from './secrets.js';
--- a/src/gateway/calls/backend-pool.ts
+++ b/src/gateway/calls/backend-pool.ts
@@ -7,7 +7,7 @@
 import type {Socket} from 'node:net';
 import {Client, type Dispatcher} from 'undici';
 import {
-	createTimeout, fetchAnswer, isAddress, ReadGate, type BackendServerId, type Clock, type RequestId,
+	createTimeout, fetchAnswer, isAddress, ReadGate, ReadTurns, type BackendServerId, type Clock, type RequestId,
 } from '../../common/index.js';
 import type {BackendExchange, ExchangeConnection} from './backend-exchange.js';
 import {TcpDialer, type ServerDialer} from './server-dialer.js';
@@ -61,13 +61,13 @@
 	#socket: Socket | undefined;
 	#gate: ReadGate | undefined;
 
-	constructor(address: string, dialer: ServerDialer) {
+	constructor(address: string, dialer: ServerDialer, turns: ReadTurns) {
 		this.client = new Client(`http://${address}`, {
 			connect: (_options, callback) => {
 				this.dialled++;
 				dialer.dial(address, this.connectTimeout, (...result) => {
 					this.#socket = result[0] === null ? result[1] : undefined;
-					this.#gate = this.#socket && new ReadGate(this.#socket);
+					this.#gate = this.#socket && new ReadGate(this.#socket, turns);
 					callback(...result);
 				});
 			},
@@ -108,12 +108,15 @@
 
 /** Connections to all backend servers, by address. */
 export class BackendPool {
+	/** Shares the event loop between the connections. */
+	protected readonly turns: ReadTurns;
 	readonly #clock: Clock;
 	readonly #dialer: ServerDialer;
 	readonly #idle = new Map<string, BackendConnection[]>();
 	readonly #connections = new Set<BackendConnection>();
 
-	constructor(clock: Clock, dialer: ServerDialer = new TcpDialer(clock)) {
+	constructor(clock: Clock, dialer: ServerDialer = new TcpDialer(clock), turns = new ReadTurns(clock)) {
+		this.turns = turns;
 		this.#clock = clock;
 		this.#dialer = dialer;
 	}
@@ -257,7 +260,7 @@
 			this.#closeConnection(idle);
 		}
 
-		const connection = new BackendConnection(address, this.#dialer);
+		const connection = new BackendConnection(address, this.#dialer, this.turns);
 		this.#connections.add(connection);
 		return connection;
 	}
--- a/src/gateway/links/linked-pool.ts
+++ b/src/gateway/links/linked-pool.ts
@@ -73,7 +73,7 @@
 	constructor(parts: LinkedPoolParts) {
 		super(parts.clock, parts.dialer);
 		this.#parts = parts;
-		this.#peers = new PeerPool(parts.clock);
+		this.#peers = new PeerPool(parts.clock, undefined, this.turns);
 		this.monitor = new LinkMonitor({...parts, probe: async server => this.probe(server), hasOtherWay: () => parts.relays.isAvailable});
 	}
 
--- a/test/helpers/gateway-process.ts
+++ b/test/helpers/gateway-process.ts
@@ -88,6 +88,16 @@
 		return this.#child.exitCode ?? this.#child.signalCode ?? undefined;
 	}
 
+	/** Returns the resident memory of the process, in mebibytes; 0 when it has ended. */
+	readMemory(): number {
+		if (this.end !== undefined) {
+			return 0;
+		}
+
+		const status = readFileSync(`/proc/${this.#child.pid}/status`, 'utf8');
+		return Number(/^VmRSS:\s+(?<kibibytes>\d+) kB$/mu.exec(status)?.groups?.kibibytes ?? 0) / 1024;
+	}
+
 	signal(name: NodeJS.Signals): void {
 		this.#child.kill(name);
 	}
@@ -123,9 +133,7 @@
 	async measureLongestBlock(isOver: () => boolean): Promise<number> {
 		let longest = 0;
 		while (!isOver()) {
-			const askedAt = performance.now();
-			await this.#readReadiness();
-			longest = Math.max(longest, performance.now() - askedAt);
+			longest = Math.max(longest, await this.measureReadiness());
 		}
 
 		return longest;
@@ -143,6 +151,13 @@
 		return longest;
 	}
 
+	/** Returns the time in milliseconds that the readiness check took to answer. */
+	async measureReadiness(): Promise<number> {
+		const askedAt = performance.now();
+		await this.#readReadiness();
+		return performance.now() - askedAt;
+	}
+
 	async waitForEnd(limit: number): Promise<number | string | undefined> {
 		await waitUntil(() => this.end !== undefined, limit);
 		return this.end;
