fix(gateway): events without data are no progress of a stream

What callers saw: a server that sends nothing but comments, blank lines, events without a field `data` or events that the caller already has kept its request until the time of its route, also where another server could have answered: each byte reset the time limits of the stream, and the first comment made that server the one that answers.

Fix: only new events that have data, and bytes of an incomplete event that has, reset the limits and count as the first event. What comes before the first event is passed on with it, later comments at once. After 64 KB without an event that has data the server is taken for a failing one.

PROTOCOL says that an answer is a series of events whose ids rise and does not define events further; `data` is what makes one by the standard of server-sent events. The body stays unchanged.

--- a/src/gateway/calls/backend-attempt.ts
+++ b/src/gateway/calls/backend-attempt.ts
@@ -6,7 +6,7 @@
  */
 import {Buffer} from 'node:buffer';
 import {
-	readErrorMessage, type BackendServerId, type Clock, type Timer,
+	ByteQueue, readErrorMessage, type BackendServerId, type Clock, type Timer,
 } from '../../common/index.js';
 import {moveSilenceShare, type Plan, type Trouble} from '../../planning/index.js';
 import type {Route} from '../../routing/index.js';
@@ -61,6 +61,9 @@
 /** Maximum size of a buffered answer, in bytes; a longer one is forwarded as it arrives. */
 const maxBufferedBytes = 1024 * 1024;
 
+/** Maximum size of what a server sends in a stream without an event that has data, in bytes: comments keep a connection open. */
+const maxDatalessBytes = 65_536;
+
 /** Timeout of the first event: a multiple of the route's objective and of the expected time, and at least this many milliseconds. */
 const firstEventTimeoutFactor = 3;
 const minFirstEventTimeout = 1000;
@@ -94,6 +97,10 @@
 	#hasNotifiedFirst = false;
 	#lastEventId: number | undefined;
 	#lastEventAt: number | undefined;
+	/** Events without data that arrived before the first one that has data. */
+	readonly #leading = new ByteQueue();
+	/** Number of bytes since the last event that has data. */
+	#datalessLength = 0;
 	/** When the server last sent data, or when it was asked. */
 	#lastActivityAt = 0;
 	#longestPause = 0;
@@ -213,12 +220,17 @@
 			return;
 		}
 
-		this.#hasData = true;
-		this.#restartSilenceTimer();
 		const frames = this.#parser.push(chunk).filter(frame => this.#isNew(frame));
-		if (frames.length > 0) {
-			this.#waitUnless(this.#forward(frames));
+		if (this.#parser.hasPendingData) {
+			this.#recordProgress();
+		}
+
+		if (frames.length === 0) {
+			return;
 		}
+
+		const bytes = frames.length === 1 ? frames[0].bytes : Buffer.concat(frames.map(frame => frame.bytes));
+		this.#waitUnless(frames.some(({hasData}) => hasData) ? this.#forward(bytes) : this.#forwardDataless(bytes));
 	}
 
 	/** Whether the caller has not received an event; records its id. */
@@ -233,14 +245,44 @@
 	}
 
 	/** Forwards the events of one chunk in one write: written one by one, thousands of tiny events would block the event loop. */
-	#forward(frames: EventFrame[]): boolean {
+	#forward(bytes: Uint8Array): boolean {
+		this.#datalessLength = 0;
+		this.#recordProgress();
 		this.#claimStream();
 		this.#notifyFirst();
 		const now = this.#parts.clock.readMonotonic();
 		this.#longestPause = Math.max(this.#longestPause, now - (this.#lastEventAt ?? now));
 		this.#lastEventAt = now;
 		this.#parts.onEvent(this.#lastEventId, now);
-		return this.#parts.sink.write(frames.length === 1 ? frames[0].bytes : Buffer.concat(frames.map(({bytes}) => bytes)));
+		this.#writeLeading();
+		return this.#parts.sink.write(bytes);
+	}
+
+	#recordProgress(): void {
+		this.#hasData = true;
+		this.#restartSilenceTimer();
+	}
+
+	/** Forwards events without data. They are no progress, and do not make this server the one that answers: until it is, they are held. */
+	#forwardDataless(bytes: Uint8Array): boolean {
+		this.#datalessLength += bytes.length;
+		if (this.#datalessLength > maxDatalessBytes) {
+			this.#fail('spoiled', `the server sent ${this.#datalessLength} bytes of events without data`);
+			return true;
+		}
+
+		if (this.#hasNotifiedFirst) {
+			return this.#parts.sink.write(bytes);
+		}
+
+		this.#leading.append(bytes);
+		return true;
+	}
+
+	#writeLeading(): void {
+		if (this.#leading.length > 0) {
+			this.#parts.sink.write(this.#leading.take());
+		}
 	}
 
 	/** Applies backpressure without the silence timer: a slow caller must not make the server look silent. */
@@ -312,6 +354,7 @@
 
 		this.#claimStream();
 		this.#notifyFirst();
+		this.#writeLeading();
 		if (this.#parts.sink.isFramed && this.#head?.isFramed === false) {
 			// By its head, the caller can tell a complete body from a broken one; the end of this server's unframed body proves neither.
 			this.#parts.sink.abort();
