--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -367,8 +367,16 @@
 test('a caller uses one connection until the node closes it', async () => {
 	let connections = 0;
 	let requests = 0;
+	let finish: () => void;
+	const enough = new Promise<void>(resolve => {
+		finish = resolve;
+	});
 	const server = createHttpServer((request, response) => {
 		requests++;
+		if (requests === 25) {
+			finish();
+		}
+
 		request.resume();
 		response.writeHead(200, requests % 10 === 0 ? {connection: 'close'} : {});
 		response.end('answer');
@@ -383,10 +391,7 @@
 	const node = {name: 'edge-0', ports: {callers: port}} as SoakNode; // eslint-disable-line @typescript-eslint/consistent-type-assertions -- callers use nothing else
 	const callers = new KeptCallers(records, 1, () => node);
 	const isRunning = callers.run(0.5);
-	while (requests < 25) {
-		await pause(10);
-	}
-
+	await enough;
 	callers.stop();
 	await isRunning;
 	server.close();
