test(gateway): planned work in drawn series, with a judge for LOST and CONFIG

Signals, restarts, reloads, configurations and draining servers had tests one by one; that series of them lose nothing was shown by no test of processes as they are deployed.

Forty callers keep their connections, read slowly, upload slowly and wait for a server that never answers. SIGHUP is sent to processes that listen: before their first line it still ends them.

A process that the platform kills at the end of the grace period breaks no clause by itself; what it cuts off is judged.

--- a/test/helpers/gateway-process.ts
+++ b/test/helpers/gateway-process.ts
@@ -33,7 +33,7 @@
 		};
 		const file = join(this.#folder, `node-${settings.index}.toml`);
 		writeFileSync(file, formatSettings(settings));
-		const started = new GatewayProcess([join(this.#folder, 'cresshook.cjs'), 'gateway', '--settings', file, '--early-callers', `${settings.host}:${settings.ports[0]}`], settings);
+		const started = new GatewayProcess([join(this.#folder, 'cresshook.cjs'), 'gateway', '--settings', file, '--early-callers', `${settings.host}:${settings.ports[0]}`], settings, file);
 		this.#processes.push(started);
 		return started;
 	}
@@ -62,7 +62,7 @@
 	readonly #child: ChildProcess;
 	readonly #settings: NodeSettings;
 
-	constructor(words: string[], settings: NodeSettings) {
+	constructor(words: string[], settings: NodeSettings, readonly settingsFile: string) {
 		this.#settings = settings;
 		this.#child = spawn(process.execPath, words, {stdio: ['ignore', 'pipe', 'inherit']});
 		this.#child.stdout!.pipe(this.log);
@@ -73,6 +73,11 @@
 		return this.#formatAddress(0);
 	}
 
+	/** `IP:PORT` that resolves the addresses of nodes. */
+	get addresses(): string {
+		return this.#formatAddress(2);
+	}
+
 	/** `IP:PORT` of the readiness check. */
 	get ready(): string {
 		return this.#formatAddress(1);
@@ -158,6 +163,11 @@
 		return performance.now() - askedAt;
 	}
 
+	/** Calls back once when the process has ended. */
+	onEnd(callback: () => void): void {
+		this.#child.once('exit', callback);
+	}
+
 	async waitForEnd(limit: number): Promise<number | string | undefined> {
 		await waitUntil(() => this.end !== undefined, limit);
 		return this.end;
