--- a/soak/floods.ts
+++ b/soak/floods.ts
@@ -9,8 +9,8 @@
 /** Kind of a flood. */
 export type FloodKind = typeof floodKinds[number];
 
-/** Size of one write in bytes, and time between two writes in milliseconds. */
-const pieceSize = 65_536;
+/** Size of one write in bytes, and time between two writes in milliseconds: what the callers of the soak still read beside their other requests. */
+const pieceSize = 4096;
 const pieceGap = 10;
 
 const units: Record<FloodKind, string> = {
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -29,7 +29,8 @@
 	nodes: number;
 	servers: number;
 	routes: number;
-	kinds?: FaultKind[];
+	kinds: FaultKind[];
+	without: FaultKind[];
 	logs?: string;
 	regressions?: boolean;
 };
@@ -53,7 +54,7 @@
 	const folder = options.logs === undefined ? mkdtempSync(path.join(tmpdir(), 'cresshook-soak-')) : path.join(options.logs, String(seed));
 	mkdirSync(folder, {recursive: true});
 	const result = await runOnce({
-		seed, length: seconds * 1000, size: {nodes, modelServers: servers, fillerRoutes: options.routes}, folder, kinds: options.kinds,
+		seed, length: seconds * 1000, size: {nodes, modelServers: servers, fillerRoutes: options.routes}, folder, kinds: options.kinds.filter(kind => !options.without.includes(kind)),
 	});
 	process.stdout.write(`${JSON.stringify({...result, violations: result.violations.slice(0, maxPrinted), broken: result.violations.length})}\n`);
 	if (result.violations.length > 0) {
@@ -101,7 +102,8 @@
 		.option('--routes <count>', 'additional routes without traffic', Number, 0)
 		.option('--logs <folder>', 'keep the logs of all processes in this folder')
 		.option('--regressions', `run the seeds of ${regressionsFile} instead`)
-		.addOption(new Option('--kinds <kinds...>', 'only these kinds of fault').choices(faultKinds))
+		.addOption(new Option('--kinds <kinds...>', 'only these kinds of fault').choices(faultKinds).default(faultKinds, 'all'))
+		.addOption(new Option('--without <kinds...>', 'without these kinds of fault').choices(faultKinds).default([], 'none'))
 		.action(runSeeds);
 	await program.parseAsync(process.argv);
 }
