fix(common): time limits of more than 24 days do not end at once

Callers of a route with timeoutMs of 2,160,000,000 or more and without a deadline of their own got 503, and no server got their requests; with a targetLatencyMs or gap_aim_ms of 1e9 each stream was hedged at once (three requests made five or six arrivals).

Cause: a timer of Node.js with a delay above 2^31 - 1 ms fires at once. The configuration has no upper bound for its times.

Fix: the system clock caps the delay, for all limits.

--- a/src/common/clock.ts
+++ b/src/common/clock.ts
@@ -17,6 +17,9 @@
 	setTimer(delay: number, callback: () => void): Timer;
 };
 
+/** Longest delay of a timer of Node.js, in milliseconds; with a longer one it fires at once. */
+const maxTimerDelay = (2 ** 31) - 1;
+
 /** Clock of the operating system. */
 export const systemClock: Clock = {
 	now: () => new Date(),
@@ -26,7 +29,7 @@
 		let afterReads: NodeJS.Immediate | undefined;
 		const handle = setTimeout(() => {
 			afterReads = setImmediate(callback);
-		}, delay);
+		}, Math.min(delay, maxTimerDelay));
 		return {
 			cancel() {
 				clearTimeout(handle);
--- a/test/system-clock.test.ts
+++ b/test/system-clock.test.ts
@@ -51,3 +51,16 @@
 	});
 	expect(hasFired).toBe(false);
 });
+
+// Limits of more than 24 days ended requests at once.
+test.each([2_147_483_648, 1e300, Infinity])('a timer of %d ms does not fire at once', async delay => {
+	let hasFired = false;
+	const timer = systemClock.setTimer(delay, () => {
+		hasFired = true;
+	});
+	await new Promise(resolve => {
+		setTimeout(resolve, 30);
+	});
+	timer.cancel();
+	expect(hasFired).toBe(false);
+});
