fix(gateway): a request that fails with an unexpected error gets an answer

The caller now gets 500 with `ran: maybe`; an answer under way is still broken off. The new test has a call reject: its connection was closed before.

--- a/src/gateway/calls/call-service.ts
+++ b/src/gateway/calls/call-service.ts
@@ -2,7 +2,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {Left} from 'purify-ts';
 import {
-	readErrorMessage, type AvailabilityZone, type BackendServerId, type BoxId, type Clock, type Logger,
+	createFailure, readErrorMessage, type AvailabilityZone, type BackendServerId, type BoxId, type Clock, type Logger,
 } from '../../common/index.js';
 import type {FleetState} from '../../routing/index.js';
 import type {GatewayMetrics} from '../gateway-metrics.js';
@@ -163,7 +163,11 @@
 			this.#recordOutcome(call, await run.run());
 		} catch (error) {
 			logger.error({event: 'call_crashed', request: call.head.requestId, reason: readErrorMessage(error)}, 'unexpected error in this node while serving a call');
-			sink.abort();
+			if (sink.hasHead) {
+				sink.abort();
+			} else {
+				sendFailure(sink, wire, createFailure('internal', 'this node failed while serving the request'), call.head.requestId);
+			}
 		} finally {
 			buffered?.releaseCall();
 			// A planned stop waits for what is read ahead of a caller.
--- a/test/gateway-calls.test.ts
+++ b/test/gateway-calls.test.ts
@@ -1,7 +1,8 @@
 import {
-	afterEach, beforeEach, expect, test,
+	afterEach, beforeEach, expect, jest, test,
 } from '@jest/globals';
 import type {ServiceName} from '../src/common/index.js';
+import {CallRun} from '../src/gateway/calls/call-run.js';
 import {
 	createConfig, GatewayFleet, waitUntil, type ReceivedResponse,
 } from './helpers/gateways.js';
@@ -54,6 +55,16 @@
 	expect(fleet.runners[0].receivedRequests).toHaveLength(0);
 });
 
+// Its connection was closed without an answer.
+test('a request that fails with an unexpected error of its node gets an answer', async () => {
+	await fleet.start({runners: [{service: 'app', behaviour: createTextAnswer('ok')}]});
+	const failure = jest.spyOn(CallRun.prototype, 'run').mockRejectedValueOnce(new TypeError('unexpected'));
+	const answer = await fleet.call({path: '/again/'});
+	failure.mockRestore();
+	expect([answer.status, answer.isComplete, JSON.parse(answer.body)]).toMatchObject([500, true, {error: {code: 'internal', ran: 'maybe'}}]);
+	expect(await fleet.call({path: '/again/'})).toMatchObject({status: 200, body: 'ok'});
+});
+
 test('a request that may run only once is sent once, and a lost answer is reported as unconfirmed', async () => {
 	await fleet.start({
 		runners: [1, 2].map(() => ({service: 'app', behaviour: dropConnection})),
