fix(backends): a list of requests that is not JSON does not stop the reconciler

An engine that answers the question for its requests with anything but JSON ended the reconciler of the OpenAI path, which was restarted and ended again (7 times in 6 s with `hello`, found by the review), so that work of lost callers was not cancelled.

--- a/src/backends/engine-client.ts
+++ b/src/backends/engine-client.ts
@@ -65,7 +65,7 @@
 	async listRunning(url: string): Promise<Either<BackendFailure, RequestId[]>> {
 		const answer = await this.#call('GET', `${url}/v1/requests`);
 		return answer.chain(text => {
-			const checked = runningSchema.safeParse(JSON.parse(text));
+			const checked = runningSchema.safeParse(parseJson(text));
 			return checked.success
 				? Right(checked.data.requests.map(entry => entry.id as RequestId))
 				: Left({kind: 'lost' as const, message: 'the engine sent a list of requests in an unknown format'});
@@ -118,3 +118,12 @@
 		return undefined;
 	}
 }
+
+/** Returns undefined when the text is not JSON. */
+function parseJson(text: string): unknown {
+	try {
+		return JSON.parse(text) as unknown;
+	} catch {
+		return undefined;
+	}
+}
