fix(node): a rejected request is not written into the answer before it

Bytes that are no request, sent behind a running stream of the OpenAI path, put `HTTP/1.1 400 …` between its events (found by the review). The handler did not check whether an answer is under way.

--- a/src/node/listeners.ts
+++ b/src/node/listeners.ts
@@ -1,5 +1,6 @@
 /** HTTP listeners of a node for callers, operators and other nodes, each on its own port. */
 import {Buffer} from 'node:buffer';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import 'reflect-metadata'; // eslint-disable-line import-x/no-unassigned-import
 import {Module, type DynamicModule, type Type} from '@nestjs/common';
@@ -81,6 +82,12 @@
 			bodyLimit, keepAliveTimeout: idleConnectionTimeout, forceCloseConnections: true, clientErrorHandler: rejectMalformedRequest,
 		});
 		this.#bodyLimit = bodyLimit;
+		this.getInstance().server.on('request', ({socket}: IncomingMessage, response: ServerResponse) => {
+			openAnswers.set(socket, (openAnswers.get(socket) ?? 0) + 1);
+			response.once('close', () => {
+				openAnswers.set(socket, openAnswers.get(socket)! - 1);
+			});
+		});
 	}
 
 	override setErrorHandler(): ReturnType<FastifyAdapter['setErrorHandler']> {
@@ -108,9 +115,13 @@
 	await reply.code(head.status).headers(head.headers).send(JSON.stringify(formatErrorBody(failure)));
 }
 
+/** Number of requests on a connection whose answers have not been sent. */
+const openAnswers = new WeakMap<Socket, number>();
+
 /** Responds to a request head that the HTTP parser rejects, with the error format of all other responses. */
 function rejectMalformedRequest(error: Error & {code?: string}, socket: Socket): void {
-	if (!socket.writable) {
+	// A response that is written now would be a part of the answer under way.
+	if (!socket.writable || (openAnswers.get(socket) ?? 0) > 0) {
 		socket.destroy();
 		return;
 	}
