test(soak): a server that works into the last sixth of the grace excuses a cut

The judge asked whether the server still worked when the request was cut; the rule asks whether it was still at work in the last sixth of the grace. A request whose server had finished before is a violation as before.

--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -306,6 +306,7 @@
 	const promise = 'a planned stop cuts off no request on a kept connection';
 	expect(judge({sentAt: 10_500, endedAt: 13_900})).toEqual([]);
 	expect(judge({sentAt: 10_500, endedAt: 13_900}, 13_000)).toEqual([promise]);
+	expect(judge({sentAt: 10_500, endedAt: 13_900}, 13_400)).toEqual([]);
 	expect(judge({sentAt: 13_100, endedAt: 13_900})).toEqual([promise]);
 	expect(judge({sentAt: 10_500, endedAt: 13_000})).toEqual(['a planned stop cuts nothing off', promise]);
 });
