--- a/soak/node-series.ts
+++ b/soak/node-series.ts
@@ -10,7 +10,7 @@
 const rollChangePause = 1500;
 const rollReloadPause = 800;
 
-/** Plays series of signals. */
+/** Injects planned work on nodes. */
 export class NodeSeries {
 	readonly #fleet: SoakFleet;
 	readonly #records: RunRecords;
@@ -62,8 +62,8 @@
 		await this.#fleet.restartNode(node);
 	}
 
-	/** Plays a drawn series of signals. */
-	async play(node: SoakNode, {signals, isInStart}: Fault): Promise<void> {
+	/** Injects a drawn series of signals. */
+	async injectSignals(node: SoakNode, {signals, isInStart}: Fault): Promise<void> {
 		if (isInStart === true) {
 			await this.signal(node);
 			await this.#fleet.startNode(node);
@@ -75,7 +75,7 @@
 	}
 
 	/** Restarts node after node, one or two at a time, while versions and settings change. */
-	async roll({target, at, duration}: Fault): Promise<void> {
+	async injectRoll({target, at, duration}: Fault): Promise<void> {
 		const random = seedrandom(`roll-${target}-${at}`);
 		const until = Date.now() + duration;
 		const repeat = async (maxPause: number, act: () => Promise<void>) => {
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -147,7 +147,7 @@
 			}
 
 			case 'nodes': {
-				await (how === 'roll' ? this.#series.roll(this.#fault) : this.#cutNodes());
+				await (how === 'roll' ? this.#series.injectRoll(this.#fault) : this.#cutNodes());
 
 				break;
 			}
@@ -204,7 +204,7 @@
 			if (how === 'stop') {
 				await this.#series.restart(node);
 			} else if (how === 'signals') {
-				await this.#series.play(node, this.#fault);
+				await this.#series.injectSignals(node, this.#fault);
 			} else {
 				await this.#record({node: node.name}, async () => {
 					await node.process.kill();
