--- a/soak/run.ts
+++ b/soak/run.ts
@@ -1,6 +1,7 @@
 /** Executes one run: starts a fleet, sends traffic, injects the faults of the seed, and checks the records. */
 import {writeFileSync} from 'node:fs';
 import path from 'node:path';
+import {monitorEventLoopDelay} from 'node:perf_hooks';
 import {
 	evacuatedZones, SoakFleet, stopGrace, type FleetSize, type SoakNode, type SoakServer,
 } from './fleet.js';
@@ -30,8 +31,8 @@
 	kinds?: FaultKind[];
 };
 
-/** Summary of a run: `whole` counts complete responses with status 200. */
-export type RunResult = {seed: number; calls: number; whole: number; faults: number; processes: number; violations: Violation[]};
+/** Summary of a run: `whole` counts complete responses with status 200, `ownDelay` is the longest delay of the soak's own event loop in milliseconds. */
+export type RunResult = {seed: number; calls: number; whole: number; faults: number; processes: number; ownDelay: number; violations: Violation[]};
 
 /** File in the folder of a run with everything that was observed. */
 const recordsFile = 'records.json';
@@ -65,6 +66,8 @@
 
 async function executeRun(fleet: SoakFleet, records: RunRecords, options: RunOptions): Promise<RunResult> {
 	const load = new Load(fleet, records, options.seed);
+	const delays = monitorEventLoopDelay();
+	delays.enable();
 	const loading = load.run();
 	const faults = drawFaults(options.seed, options.length, options.kinds);
 	try {
@@ -85,6 +88,7 @@
 		whole: records.calls.filter(call => call.isComplete && call.status === 200).length,
 		faults: faults.length,
 		processes: fleet.processes.count,
+		ownDelay: Math.round(delays.max / 1e6),
 		violations: evaluateRun(records, stopGrace),
 	};
 }
