--- a/test/helpers/planned-series.ts
+++ b/test/helpers/planned-series.ts
@@ -33,9 +33,9 @@
 
 const eventGap = 50;
 
-/** Interval at which pauses of this process are looked for, and the shortest pause that counts: nodes take a store that is silent for longer for lost. */
+/** Interval at which pauses of this process are looked for, and the shortest pause that counts as a disruption of the store, in milliseconds. */
 const pauseInterval = 20;
-const minPause = 150;
+const minPause = 500;
 
 /** Length of a long answer, and the rate at which its caller reads, in bytes and bytes a second: slower than its server, faster than a stop. */
 const longAnswer = 5_000_000;
