fix(platform): a long answer of the store does not occupy a node

What callers saw: an answer of the store of a megabyte that holds 350,000 empty entries kept a node for 0.56 s of processor time, at each list and change. Changes of more than 32 MB since a node's last position could never be read: the same call was repeated for good.

Cause: each entry that is none was a failure of the schema, 3 to 6 microseconds, all in one turn of the event loop. A watch that fails is repeated from the same position, whose answer only grows.

Not solved: a store that answers a watch with invalid JSON for good keeps its followers from changes; the call is repeated.

--- a/src/common/fetch-answer.ts
+++ b/src/common/fetch-answer.ts
@@ -19,6 +19,13 @@
 	onData?: () => void;
 };
 
+/** The body of an answer is longer than the reader allows. */
+export class OversizedAnswerError extends Error {
+	constructor(maxBytes: number) {
+		super(`the answer is longer than ${maxBytes} bytes`);
+	}
+}
+
 const firstFinalStatus = 200;
 
 /**
@@ -69,7 +76,7 @@
 		this.#body.append(chunk);
 		if (this.#body.length > this.#options.maxBytes) {
 			this.#body.clear();
-			controller.abort(new Error(`the answer is longer than ${this.#options.maxBytes} bytes`));
+			controller.abort(new OversizedAnswerError(this.#options.maxBytes));
 		}
 	}
 
--- a/src/common/index.ts
+++ b/src/common/index.ts
@@ -14,4 +14,5 @@
 export * from './replaceable-agent.js';
 export * from './secrets.js';
 export * from './supervisor.js';
+export * from './turns.js';
 export * from './virtual-clock.js';
--- a/test/odd-entries.test.ts
+++ b/test/odd-entries.test.ts
@@ -1,6 +1,7 @@
 import {
 	afterAll, afterEach, beforeAll, beforeEach, expect, test,
 } from '@jest/globals';
+import {PlatformSource} from '../platform/index.js';
 import {
 	createSilentLogger, systemClock, VirtualClock, type AvailabilityZone,
 } from '../src/common/index.js';
@@ -135,6 +136,8 @@
 	['deep-10000', nest(10_000)],
 	['deep-objects', nestObjects(10_000)],
 	['deep-500000', nest(500_000)],
+	['more-items', `0}${',{}'.repeat(350_000)},{"spec":0`],
+	['more-events', `0},"gone":false}${',{}'.repeat(350_000)},{"object":{"spec":0`],
 	['number-1e400', '1e400'],
 	['number-9e15', '9e15'],
 	['number-minus-0', '-0'],
@@ -233,6 +236,43 @@
 	await checkChanges(2);
 }, processTimeout);
 
+test('a megabyte of empty entries does not occupy a node', async () => {
+	store.put('servers', 'odd', 'more-items');
+	await startNodes();
+	let isOver = false;
+	const work = Promise.all(nodes.map(async node => node.measureLongestWork(() => isOver)));
+	await pause(500);
+	store.forgetHistory();
+	await pause(1000);
+	store.remove('servers', 'odd');
+	store.forgetHistory();
+	await pause(500);
+	store.put('servers', 'odd', 'more-events');
+	await pause(1000);
+	store.remove('servers', 'odd');
+	store.forgetHistory();
+	await pause(500);
+	isOver = true;
+	expect(Math.max(...await work)).toBeLessThan(maxEntryWork);
+	await checkChanges(2);
+}, processTimeout);
+
+test('changes that are too long for one answer are listed', async () => {
+	const source = new PlatformSource(store.address, createSilentLogger());
+	const call = {signal: new AbortController().signal, isOnNewConnection: false, onData() {}}; // eslint-disable-line @typescript-eslint/no-empty-function
+	store.pageSize = 1;
+	store.put('servers', 'i-2', {...serverSpec, other: 'x'.repeat(1_000_000)});
+	for (let index = 0; index < 40; index++) {
+		store.put('servers', 'i-3', {...serverSpec, other: 'x'.repeat(1_000_000)});
+	}
+
+	const followed = await source.servers.follow({revision: 1, wait: 0}, call);
+	expect(followed.swap().unsafeCoerce().kind).toBe('history_lost');
+	const listed = await source.servers.list(call);
+	expect(listed.unsafeCoerce().items).toHaveLength(4);
+	await source.close();
+});
+
 test('an evacuation with a long name does not keep later ones from other nodes', () => {
 	const parts = {clock: new VirtualClock(), logger: createSilentLogger(), onChange() {}}; // eslint-disable-line @typescript-eslint/no-empty-function
 	const [reader, other] = [new ZoneEvacuations(parts), new ZoneEvacuations(parts)];
