--- a/test/odd-entries.test.ts
+++ b/test/odd-entries.test.ts
@@ -1,13 +1,15 @@
 import {
 	afterAll, afterEach, beforeAll, beforeEach, expect, test,
 } from '@jest/globals';
+import fc from 'fast-check';
 import {PlatformSource} from '../platform/index.js';
 import {
-	createSilentLogger, systemClock, VirtualClock, type AvailabilityZone,
+	createSilentLogger, isAddress, systemClock, VirtualClock, type AvailabilityZone,
 } from '../src/common/index.js';
 import {BackendExchange} from '../src/gateway/calls/backend-exchange.js';
 import {BackendPool} from '../src/gateway/calls/backend-pool.js';
-import {ZoneEvacuations} from '../src/routing/index.js';
+import {FleetState, ZoneEvacuations, type ServersSnapshot} from '../src/routing/index.js';
+import {formatPacked, parsePacked} from '../src/rpc/packed-text.js';
 import {GatewayProgram, type GatewayProcess} from './helpers/gateway-process.js';
 import {createConfig, findFreePorts, send} from './helpers/gateways.js';
 import {pause} from './helpers/pause.js';
@@ -182,6 +184,8 @@
 	return fields.map(field => ({...serverSpec, [field]: value}));
 }
 
+const numberFields = ['slots', 'coldRemainingMs', 'sequence', 'born', 'version'];
+
 const cases: Array<[name: string, createOdd: () => OddEntry[], pageSize?: number]> = [
 	['deep nesting among nodes', () => createEntries('cresshook-nodes', deepValues.flatMap(deep => [deep, {deep}, {peerAddress: deep}, {peerAddress: [deep]}]))],
 	['values that are no text among nodes', () => createEntries('cresshook-nodes', [5, null, true, {}, [], {toString: 1}].flatMap(peerAddress => [{peerAddress}, peerAddress]))],
@@ -192,7 +196,7 @@
 	['names on pages of their own', () => oddNames.map(name => ({kind: 'servers', name, spec: {}})), 1],
 	['names of nodes', () => oddNames.map(name => ({kind: 'cresshook-nodes', name, spec: {peerAddress: '127.0.3.9:80'}})), 1],
 	['names of services and zones', () => createEntries('servers', oddNames.flatMap(name => [{...serverSpec, service: name}, {...serverSpec, service: 'other', zone: name}]))],
-	['numbers', () => createEntries('servers', oddNumbers.flatMap(number => changeEachField(number, ['slots', 'coldRemainingMs', 'sequence', 'born', 'version'])).map(spec => ({...spec, service: 'other'})))],
+	['numbers', () => createEntries('servers', oddNumbers.flatMap(number => changeEachField(number, numberFields)).map(spec => ({...spec, service: 'other'})))],
 	['slots, in use', () => createEntries('servers', oddNumbers.map(slots => ({...serverSpec, slots})))],
 	['deep nesting', () => createEntries('servers', deepValues.flatMap(deep => [deep, {deep}, {...serverSpec, service: 'other', deep}, ...changeEachField(deep)]))],
 	['thousands of entries', () => createEntries('servers', Array.from({length: 5000}, (_, index) => ({...serverSpec, address: `127.0.3.9:${index + 65_536}`})))],
@@ -297,3 +301,50 @@
 	expect(new Set(outcomes)).toEqual(new Set([false]));
 	await pool.close();
 });
+
+const oddValue = fc.oneof(
+	fc.constantFrom(...oddAddresses, ...oddNames, ...rawTexts.map(([name]) => name).filter(name => !name.startsWith('more-') && name !== 'deep-500000'), null, true, 0, -1, 1e300, 2 ** 53),
+	fc.string({unit: 'binary', maxLength: 20}),
+	fc.anything({maxDepth: 2}).filter(value => typeof value !== 'bigint').map(value => JSON.parse(JSON.stringify(value) ?? 'null') as unknown),
+);
+
+const oddSpec = fc.oneof(oddValue, fc.dictionary(fc.constantFrom(...Object.keys(serverSpec), 'born', 'peerAddress'), oddValue, {maxKeys: 3}).map(changes => ({...serverSpec, ...changes})));
+
+const oddObjects = fc.array(fc.tuple(fc.oneof(fc.constantFrom(...oddNames), fc.string({unit: 'binary', maxLength: 20})), oddSpec), {maxLength: 8});
+
+test('among drawn entries sound servers and nodes are read, and a request can be sent to each server that another node knows from them', async () => {
+	const call = {signal: new AbortController().signal, isOnNewConnection: false, onData() {}}; // eslint-disable-line @typescript-eslint/no-empty-function
+	await fc.assert(fc.asyncProperty(oddObjects, fc.integer({min: 1, max: 4}), async (objects, pageSize) => {
+		const own = await new StandinStore().start();
+		own.pageSize = pageSize;
+		for (const [name, raw] of rawTexts) {
+			own.rawTexts.set(name, raw);
+		}
+
+		own.put('servers', 'i-1', serverSpec);
+		own.put('cresshook-nodes', 'edge-1', {peerAddress: '127.0.3.9:80'});
+		for (const [name, spec] of objects) {
+			own.put('servers', `o${name}`, spec);
+			own.put('cresshook-nodes', `o${name}`, spec);
+		}
+
+		const source = new PlatformSource(own.address, createSilentLogger());
+		const [reader, other] = [new FleetState(systemClock, createSilentLogger()), new FleetState(systemClock, createSilentLogger())];
+		const listed = await source.servers.list(call);
+		const followed = await source.servers.follow({revision: 1, wait: 0}, call);
+		const registered = await source.listNodes(call);
+		reader.applyServerList(listed.unsafeCoerce(), 'source');
+		other.applyServers(parsePacked<ServersSnapshot>(formatPacked(reader.getServersSnapshot(0))), 'node');
+		expect(followed.isRight()).toBe(true);
+		expect(registered.unsafeCoerce().map(({name}) => name)).toContain('edge-1');
+		expect(listed.unsafeCoerce().items.map(({name}) => name)).toContain('i-1');
+		expect(other.describeServers()).toBe(reader.describeServers());
+		const {items} = other.getServersSnapshot(0)!;
+		for (const {address, name, slots} of items) {
+			expect([isAddress(address), /^[!-~]+$/u.test(name), slots <= 10_000]).toEqual([true, true, true]);
+		}
+
+		await source.close();
+		await own.stop();
+	}), {seed: 82, numRuns: 150});
+}, processTimeout);
