fix(gateway): bodies of GET and HEAD requests reach their servers

Callers that sent a body with GET or HEAD had it dropped: the server got the request without it.

Cause: Fastify does not read the bodies of methods that have none by custom, and Node.js discards what is not read. The same happened on the listener through which nodes forward requests to each other.

RFC 9110, section 9.3.1 lets a server refuse such a body; the platform's protocol asks that method, path and body arrive unaltered, so they are passed on. The callers' listener now reads bodies itself, the same way for all methods and content types, and copies small chunks together. A body that is longer than the limit is refused by its stated length, before it is received, and without `100 Continue`.

A refusal was ruled out: it would deny requests that the protocol allows. The OpenAI-style path still drops these bodies.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -32,7 +32,7 @@
 import {compareSettings, type SettingsChange} from './settings-change.js';
 import {computeDigest} from './digest.js';
 import {
-	defaultBodyLimit, openAddressServer, openCallersServer, openMetricsServer, openPeersServer, openReadyServer, OpenRequests, type OpenServer,
+	defaultBodyLimit, defaultIdleTimeout, openAddressServer, openCallersServer, openMetricsServer, openPeersServer, openReadyServer, OpenRequests, type OpenServer,
 } from './servers.js';
 import type {GatewayWire} from './wire.js';
 
@@ -276,6 +276,7 @@
 			openRequests: this.#openRequests,
 			isStopping: () => this.#isStopping,
 			findBodyLimit: () => this.state.table?.config.limits.bodyBytes ?? defaultBodyLimit,
+			findIdleTime: () => this.state.table?.config.limits.idleTime ?? defaultIdleTimeout,
 			serve: async (request, body, sink, response) => this.#calls.serve(request, body, sink, response),
 		});
 		this.#servers.push(this.#callersServer);
--- a/src/gateway/servers.ts
+++ b/src/gateway/servers.ts
@@ -1,13 +1,18 @@
 /** The listeners of a gateway node, on Fastify. */
-import type {IncomingMessage, ServerResponse} from 'node:http';
+import {METHODS, type IncomingMessage, type ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import fastify, {type FastifyInstance, type FastifyReply, type FastifyRequest} from 'fastify';
-import {createFailure, type AvailabilityZone} from '../common/index.js';
+import {
+	createFailure, readErrorMessage, type AvailabilityZone,
+} from '../common/index.js';
 import {HttpSink, sendFailure} from './calls/index.js';
 import {relayPath} from './links/index.js';
 import {addPeerRoutes, maxPeerMessageBytes, type PeerService} from './peers/index.js';
 import {listenOnEarly, takeEarlyListener} from './early-listener.js';
 import {statusPath} from './node-status.js';
+import {
+	BodyTooLargeError, hasBody, readBody, statesLargeBody,
+} from './request-body.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
 import type {GatewayWire} from './wire.js';
 
@@ -18,11 +23,14 @@
 const defaultHeadTimeout = 5000;
 
 /** Time for which an idle connection is kept until a configuration sets one, in milliseconds. */
-const defaultIdleTimeout = 15_000;
+export const defaultIdleTimeout = 15_000;
 
 /** Time for which an idle connection between nodes is kept, in milliseconds. */
 const peerIdleTimeout = 60_000;
 
+/** Option of a method whose body Fastify does not read. */
+const withoutBody = {hasBody: false, overrideExisting: true};
+
 /** A Fastify instance that listens; the gateway closes it. */
 export type OpenServer = FastifyInstance;
 
@@ -116,52 +124,69 @@
 	wire: GatewayWire;
 	isStopping: () => boolean;
 	findBodyLimit: () => number;
+	/** Longest time for which a caller may send nothing within a body, in milliseconds. */
+	findIdleTime: () => number;
 	serve: (request: IncomingMessage, body: Uint8Array | undefined, sink: HttpSink, response: ServerResponse) => Promise<void>;
 };
 
 /** Maximum size of a body until a configuration sets one, in bytes. */
 export const defaultBodyLimit = 4 * 1024 * 1024;
 
-/** Closes the connection of a caller that stops sending within its body; otherwise the connection and the partial body would be kept indefinitely. A slow caller is not affected. */
-function limitBodyIdleTime(server: OpenServer): void {
-	server.addHook('onRequest', (request, _reply, done) => {
-		request.raw.setTimeout(server.server.keepAliveTimeout);
-		done();
-	});
-	server.addHook('preValidation', (request, _reply, done) => {
-		request.raw.setTimeout(0);
-		done();
-	});
-}
-
-/** Opens the callers' listener. Bodies are buffered whole, whatever their content type. */
+/** Opens the callers' listener. */
 export async function openCallersServer(address: string, context: CallersContext): Promise<OpenServer> {
-	const server = createServer(defaultBodyLimit * 4);
-	server.removeAllContentTypeParsers();
-	server.addContentTypeParser('*', {parseAs: 'buffer'}, (_request, body, done) => {
-		done(null, body);
+	const server = createServer(maxHeadBytes);
+	context.openRequests.observe(server);
+	for (const method of METHODS.filter(each => server.supportedMethods.includes(each))) {
+		// Bodies are read by this node, of all methods and content types.
+		server.addHttpMethod(method, withoutBody);
+	}
+
+	server.server.on('checkContinue', (request: IncomingMessage, response: ServerResponse) => {
+		if (!statesLargeBody(request, context.findBodyLimit())) {
+			response.writeContinue();
+		}
+
+		server.server.emit('request', request, response);
 	});
-	server.setErrorHandler(async (error: {statusCode?: number; message: string}, _request, reply: FastifyReply) => {
+	server.all('*', async (request: FastifyRequest, reply: FastifyReply) => {
 		void reply.hijack();
-		const kind = error.statusCode === 413 ? 'body_too_large' : 'invalid_request';
-		sendFailure(new HttpSink(reply.raw, () => true), context.wire, createFailure(kind, error.message), undefined);
+		await serveCaller(request.raw, reply.raw, context);
 	});
-	limitBodyIdleTime(server);
-	context.openRequests.observe(server);
-	const serve = async (request: FastifyRequest, reply: FastifyReply) => {
-		void reply.hijack();
-		const sink = new HttpSink(reply.raw, context.isStopping);
-		const body = request.body as Uint8Array | undefined;
-		if (body !== undefined && body.length > context.findBodyLimit()) {
-			sendFailure(sink, context.wire, createFailure('body_too_large', `the body is longer than ${context.findBodyLimit()} bytes`), undefined);
-			return;
-		}
+	return listen(server, address);
+}
 
-		await context.serve(request.raw, body, sink, reply.raw);
+async function serveCaller(request: IncomingMessage, response: ServerResponse, context: CallersContext): Promise<void> {
+	const sink = new HttpSink(response, context.isStopping);
+	const refuse = (kind: 'invalid_request' | 'body_too_large', message: string) => {
+		// The rest of the request is not read.
+		response.shouldKeepAlive = false;
+		sendFailure(sink, context.wire, createFailure(kind, message), undefined);
 	};
 
-	server.all('*', serve);
-	return listen(server, address);
+	let body: Uint8Array | undefined;
+	try {
+		body = await readCallerBody(request, context);
+	} catch (error) {
+		refuse(error instanceof BodyTooLargeError ? 'body_too_large' : 'invalid_request', readErrorMessage(error));
+		return;
+	}
+
+	await context.serve(request, body, sink, response);
+}
+
+/** Reads the body of a request. The connection of a caller that stops sending within it is closed; a slow caller is not affected. */
+async function readCallerBody(request: IncomingMessage, context: CallersContext): Promise<Uint8Array | undefined> {
+	if (!hasBody(request)) {
+		return undefined;
+	}
+
+	const {socket} = request;
+	socket.setTimeout(context.findIdleTime());
+	try {
+		return await readBody(request, context.findBodyLimit());
+	} finally {
+		socket.setTimeout(0);
+	}
 }
 
 /** Opens the listener of the readiness check. */
@@ -204,6 +229,10 @@
 
 /** Bodies are forwarded as they are, whatever their content type. */
 function addRelayRoute(server: OpenServer, serveRelayed: ServeRelayed): void {
+	for (const method of ['GET', 'HEAD']) {
+		server.addHttpMethod(method, {hasBody: true, overrideExisting: true});
+	}
+
 	void server.register(async scope => {
 		scope.removeAllContentTypeParsers();
 		scope.addContentTypeParser('*', {parseAs: 'buffer'}, (_request, body, done) => {
