--- a/src/gateway/servers.ts
+++ b/src/gateway/servers.ts
@@ -1,10 +1,10 @@
 /** The listeners of a gateway node, on Fastify. */
 import {METHODS, type IncomingMessage, type ServerResponse} from 'node:http';
-import type {Socket} from 'node:net';
 import fastify, {type FastifyInstance, type FastifyReply, type FastifyRequest} from 'fastify';
 import {
 	createFailure, readErrorMessage, type AvailabilityZone,
 } from '../common/index.js';
+import {CallerConnections} from './caller-connections.js';
 import {HttpSink, sendFailure} from './calls/index.js';
 import {relayPath} from './links/index.js';
 import {addPeerRoutes, maxPeerMessageBytes, type PeerService} from './peers/index.js';
@@ -59,62 +59,20 @@
 
 /** Requests whose head has been read and whose answer has not been sent whole. */
 export class OpenRequests {
-	/** Number by connection; pipelined requests of one are open together. */
-	readonly #counts = new Map<Socket, number>();
-	/** Connections between two requests, and the number of bytes read from each when it became idle. */
-	readonly #idle = new Map<Socket, number>();
 	#count = 0;
 
 	get count(): number {
 		return this.#count;
 	}
 
-	/** Counts the requests of a listener, which from now on closes idle connections as told by this count. */
+	/** Counts the requests of a listener. */
 	observe({server}: OpenServer): void {
-		server.on('request', ({socket}: IncomingMessage, response: ServerResponse) => {
-			this.#add(socket);
+		server.on('request', (_request: IncomingMessage, response: ServerResponse) => {
+			this.#count++;
 			response.once('close', () => {
-				this.#remove(socket);
+				this.#count--;
 			});
 		});
-		server.on('connection', (socket: Socket) => {
-			socket.once('close', () => {
-				this.#idle.delete(socket);
-			});
-		});
-		// Node.js counts a connection as idle once its answer has ended, although a slow caller has not got all of it.
-		server.closeIdleConnections = () => {
-			this.#closeIdle();
-		};
-	}
-
-	#add(socket: Socket): void {
-		this.#count++;
-		this.#counts.set(socket, (this.#counts.get(socket) ?? 0) + 1);
-		this.#idle.delete(socket);
-	}
-
-	#remove(socket: Socket): void {
-		this.#count--;
-		const left = this.#counts.get(socket)! - 1;
-		if (left > 0) {
-			this.#counts.set(socket, left);
-			return;
-		}
-
-		this.#counts.delete(socket);
-		if (!socket.destroyed) {
-			this.#idle.set(socket, socket.bytesRead);
-		}
-	}
-
-	/** A connection on which the next request has begun to arrive is not idle. */
-	#closeIdle(): void {
-		for (const [socket, readLength] of this.#idle) {
-			if (socket.bytesRead === readLength) {
-				socket.destroy();
-			}
-		}
 	}
 }
 
@@ -135,6 +93,7 @@
 /** Opens the callers' listener. */
 export async function openCallersServer(address: string, context: CallersContext): Promise<OpenServer> {
 	const server = createServer(maxHeadBytes);
+	new CallerConnections().observe(server.server);
 	context.openRequests.observe(server);
 	for (const method of METHODS.filter(each => server.supportedMethods.includes(each))) {
 		// Bodies are read by this node, of all methods and content types.
--- a/test/stopping-nodes.test.ts
+++ b/test/stopping-nodes.test.ts
@@ -294,6 +294,7 @@
 		wire: new CallWire(),
 		isStopping: () => false,
 		findBodyLimit: () => 1,
+		findIdleTime: () => 5000,
 		async serve(request, _body, sink) {
 			runs.push(request.url!);
 			if (request.url === '/held') {
