fix(gateway): what callers send without end does not hold up or end a node

A caller that sends chunks of one byte, pipelined requests or blank lines without end held up all others, and ended the process: with ten connections the heap was full after 40 MB in all (SIGABRT on for chunks with extensions and for pipelined requests), and the readiness check took up to 2.7 s. Heads that were never complete were closed up to 30 s late, and blank lines after a request kept a connection for ever.

Cause: Node.js reads 64 KB at once, up to 32 times a turn, and calls back for every chunk and request in it; bodies were kept as one object a chunk, up to 16 MB; late heads are looked for each 30 s. Pausing the socket or the parser within a read was tried: the rest of the read is parsed all the same.

Heads are checked each second, more than 999 fields are refused with 431 (Node.js dropped fields from 2,000 on without notice), and a head that is invalid or late writes nothing into an answer that is due before it.

--- a/src/common/errors.ts
+++ b/src/common/errors.ts
@@ -29,6 +29,7 @@
 	service_forbidden: {status: 403, type: 'permission_error', ran: 'no'},
 	unknown_model: {status: 404, type: 'not_found_error', ran: 'no'},
 	unknown_path: {status: 404, type: 'not_found_error', ran: 'no'},
+	headers_too_large: {status: 431, type: 'invalid_request_error', ran: 'no'},
 	body_too_large: {status: 413, type: 'invalid_request_error', ran: 'no'},
 	prompt_too_large: {status: 400, type: 'invalid_request_error', ran: 'no'},
 	run_key_reused: {status: 409, type: 'invalid_request_error', ran: 'no'},
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -273,6 +273,7 @@
 
 		this.#callersServer = await openCallersServer(settings.listen.callers, {
 			wire,
+			clock: this.#parts.clock,
 			openRequests: this.#openRequests,
 			isStopping: () => this.#isStopping,
 			findBodyLimit: () => this.state.table?.config.limits.bodyBytes ?? defaultBodyLimit,
--- a/src/gateway/request-body.ts
+++ b/src/gateway/request-body.ts
@@ -20,7 +20,7 @@
 }
 
 /** Reads a body of at most `maxBytes` bytes; small chunks are copied together. Rejects when it is longer or not complete. */
-export async function readBody(request: IncomingMessage, maxBytes: number): Promise<Uint8Array> {
+export async function readBody(request: IncomingMessage, maxBytes: number, onChunk: () => void): Promise<Uint8Array> {
 	if (statesLargeBody(request, maxBytes)) {
 		throw new BodyTooLargeError(maxBytes);
 	}
@@ -29,6 +29,7 @@
 		const body = new ByteQueue();
 		const handleData = (chunk: Uint8Array) => {
 			body.append(chunk);
+			onChunk();
 			if (body.length > maxBytes) {
 				body.clear();
 				request.off('data', handleData);
--- a/src/gateway/servers.ts
+++ b/src/gateway/servers.ts
@@ -1,8 +1,11 @@
 /** The listeners of a gateway node, on Fastify. */
 import {METHODS, type IncomingMessage, type ServerResponse} from 'node:http';
-import fastify, {type FastifyInstance, type FastifyReply, type FastifyRequest} from 'fastify';
+import type {Socket} from 'node:net';
+import fastify, {
+	type FastifyInstance, type FastifyReply, type FastifyRequest, type FastifyServerOptions,
+} from 'fastify';
 import {
-	createFailure, readErrorMessage, type AvailabilityZone,
+	createFailure, readErrorMessage, type AvailabilityZone, type Clock,
 } from '../common/index.js';
 import {CallerConnections} from './caller-connections.js';
 import {HttpSink, sendFailure} from './calls/index.js';
@@ -22,6 +25,12 @@
 /** Timeout for a request head until a configuration sets one, in milliseconds. */
 const defaultHeadTimeout = 5000;
 
+/** Interval between checks for callers' heads that are not complete in time, in milliseconds. */
+const headCheckInterval = 1000;
+
+/** Maximum number of header fields of a request; Node.js drops further ones without notice. */
+const maxHeaderFields = 1000;
+
 /** Time for which an idle connection is kept until a configuration sets one, in milliseconds. */
 export const defaultIdleTimeout = 15_000;
 
@@ -34,13 +43,16 @@
 /** A Fastify instance that listens; the gateway closes it. */
 export type OpenServer = FastifyInstance;
 
-function createServer(bodyLimit: number, idleTime = defaultIdleTimeout): OpenServer {
+function createServer(bodyLimit: number, idleTime = defaultIdleTimeout, clientErrorHandler?: FastifyServerOptions['clientErrorHandler']): OpenServer {
 	return fastify({
 		bodyLimit,
 		keepAliveTimeout: idleTime,
 		forceCloseConnections: 'idle',
 		exposeHeadRoutes: false,
-		http: {maxHeaderSize: maxHeadBytes, headersTimeout: defaultHeadTimeout},
+		http: {
+			maxHeaderSize: maxHeadBytes, headersTimeout: defaultHeadTimeout, ...(clientErrorHandler && {connectionsCheckingInterval: headCheckInterval}),
+		},
+		clientErrorHandler,
 	});
 }
 
@@ -78,6 +90,7 @@
 
 /** Dependencies of the callers' listener. */
 export type CallersContext = {
+	clock: Clock;
 	openRequests: OpenRequests;
 	wire: GatewayWire;
 	isStopping: () => boolean;
@@ -92,9 +105,13 @@
 
 /** Opens the callers' listener. */
 export async function openCallersServer(address: string, context: CallersContext): Promise<OpenServer> {
-	const server = createServer(maxHeadBytes);
-	new CallerConnections().observe(server.server);
+	const connections = new CallerConnections(context.clock);
+	const server = createServer(maxHeadBytes, defaultIdleTimeout, (error, socket) => {
+		rejectHead(error, socket, connections);
+	});
+	connections.observe(server.server);
 	context.openRequests.observe(server);
+	server.server.maxHeadersCount = maxHeaderFields;
 	for (const method of METHODS.filter(each => server.supportedMethods.includes(each))) {
 		// Bodies are read by this node, of all methods and content types.
 		server.addHttpMethod(method, withoutBody);
@@ -109,22 +126,48 @@
 	});
 	server.all('*', async (request: FastifyRequest, reply: FastifyReply) => {
 		void reply.hijack();
-		await serveCaller(request.raw, reply.raw, context);
+		await serveCaller(request.raw, reply.raw, connections, context);
 	});
 	return listen(server, address);
 }
 
-async function serveCaller(request: IncomingMessage, response: ServerResponse, context: CallersContext): Promise<void> {
+/** Statuses for heads that are not read, by the error code of Node.js; 400 for all others. */
+const headStatuses: Record<string, string> = {
+	ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
+	HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+};
+
+/** Answers a head that is invalid or late, and closes the connection. */
+function rejectHead(error: Error & {code?: string}, socket: Socket, connections: CallerConnections): void {
+	const isLate = error.code === 'ERR_HTTP_REQUEST_TIMEOUT';
+	if (!connections.owesAnswer(socket)) {
+		if (socket.writable) {
+			socket.write(`HTTP/1.1 ${headStatuses[error.code ?? ''] ?? '400 Bad Request'}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+		}
+
+		socket.destroy(error);
+	} else if (!isLate) {
+		// What is written now would be a part of the answer that is due.
+		socket.destroy(error);
+	}
+}
+
+async function serveCaller(request: IncomingMessage, response: ServerResponse, connections: CallerConnections, context: CallersContext): Promise<void> {
 	const sink = new HttpSink(response, context.isStopping);
-	const refuse = (kind: 'invalid_request' | 'body_too_large', message: string) => {
+	const refuse = (kind: 'invalid_request' | 'headers_too_large' | 'body_too_large', message: string) => {
 		// The rest of the request is not read.
 		response.shouldKeepAlive = false;
 		sendFailure(sink, context.wire, createFailure(kind, message), undefined);
 	};
 
+	if (request.rawHeaders.length >= maxHeaderFields * 2) {
+		refuse('headers_too_large', `send less than ${maxHeaderFields} header fields`);
+		return;
+	}
+
 	let body: Uint8Array | undefined;
 	try {
-		body = await readCallerBody(request, context);
+		body = await readCallerBody(request, connections, context);
 	} catch (error) {
 		refuse(error instanceof BodyTooLargeError ? 'body_too_large' : 'invalid_request', readErrorMessage(error));
 		return;
@@ -134,7 +177,7 @@
 }
 
 /** Reads the body of a request. The connection of a caller that stops sending within it is closed; a slow caller is not affected. */
-async function readCallerBody(request: IncomingMessage, context: CallersContext): Promise<Uint8Array | undefined> {
+async function readCallerBody(request: IncomingMessage, connections: CallerConnections, context: CallersContext): Promise<Uint8Array | undefined> {
 	if (!hasBody(request)) {
 		return undefined;
 	}
@@ -142,7 +185,9 @@
 	const {socket} = request;
 	socket.setTimeout(context.findIdleTime());
 	try {
-		return await readBody(request, context.findBodyLimit());
+		return await readBody(request, context.findBodyLimit(), () => {
+			connections.recordChunk(socket);
+		});
 	} finally {
 		socket.setTimeout(0);
 	}
--- a/test/stopping-nodes.test.ts
+++ b/test/stopping-nodes.test.ts
@@ -5,7 +5,7 @@
 	afterEach, beforeEach, expect, test,
 } from '@jest/globals';
 import {CallWire} from '../platform/index.js';
-import {createSilentLogger} from '../src/common/index.js';
+import {createSilentLogger, systemClock} from '../src/common/index.js';
 import type {Placer} from '../src/gateway/calls/index.js';
 import {GatewayMetrics} from '../src/gateway/gateway-metrics.js';
 import {openCallersServer, OpenRequests, type OpenServer} from '../src/gateway/servers.js';
@@ -290,6 +290,7 @@
 async function openAnsweringServer(length: number): Promise<OpenServer> {
 	const [port] = await findFreePorts(1);
 	const server = await openCallersServer(`${processHost}:${port}`, {
+		clock: systemClock,
 		openRequests: new OpenRequests(),
 		wire: new CallWire(),
 		isStopping: () => false,
