--- a/test/odd-entries.test.ts
+++ b/test/odd-entries.test.ts
@@ -184,6 +184,11 @@
 	return fields.map(field => ({...serverSpec, [field]: value}));
 }
 
+function createNestedConfig(): Record<string, unknown> {
+	const {routes} = createConfig(1) as {routes: unknown[]};
+	return createConfig(1, {deep: 'deep-10000', other: 'deep-500000', routes: [...routes, 'deep-10000', {name: 'deep-objects'}]});
+}
+
 const numberFields = ['slots', 'coldRemainingMs', 'sequence', 'born', 'version'];
 
 const cases: Array<[name: string, createOdd: () => OddEntry[], pageSize?: number]> = [
@@ -199,6 +204,12 @@
 	['numbers', () => createEntries('servers', oddNumbers.flatMap(number => changeEachField(number, numberFields)).map(spec => ({...spec, service: 'other'})))],
 	['slots, in use', () => createEntries('servers', oddNumbers.map(slots => ({...serverSpec, slots})))],
 	['deep nesting', () => createEntries('servers', deepValues.flatMap(deep => [deep, {deep}, {...serverSpec, service: 'other', deep}, ...changeEachField(deep)]))],
+	['deep nesting in the configuration', () => [
+		...createEntries('config', [...deepValues, 'deep-500000', {deep: 'deep-10000'}]),
+		{
+			kind: 'config', name: 'main', spec: createNestedConfig(), metadata: {made: 'deep-10000'},
+		},
+	]],
 	['thousands of entries', () => createEntries('servers', Array.from({length: 5000}, (_, index) => ({...serverSpec, address: `127.0.3.9:${index + 65_536}`})))],
 ];
 
