fix(gateway): busy connections have two thirds of the time, in turns of 2 ms

Busy connections now have two thirds of the time, in turns of 2 ms (timers have a resolution of 1 ms), all together, whether they are 1, 10 or 100.

--- a/src/common/read-gate.ts
+++ b/src/common/read-gate.ts
@@ -1,6 +1,6 @@
 /** Stops the reading of a connection without the knowledge of the HTTP client that reads it. */
 import type {Socket} from 'node:net';
-import {busyShare, type ReadTurns} from './read-turns.js';
+import type {ReadTurns} from './read-turns.js';
 
 /** Time in milliseconds that a byte of a body may take; only what takes longer counts, so that large answers are not held up. */
 const usualByteTime = 0.02 / 1024;
@@ -8,6 +8,9 @@
 /** Time in milliseconds beyond the usual one and its share that a connection may use before it is busy. */
 const maxBurstTime = 1;
 
+/** Share of the time that a connection may take beyond the usual one without being busy. */
+const burstShare = 0.25;
+
 /** Time beyond the usual one for which a busy connection is read when it is resumed, in milliseconds. */
 const maxBusyTurnTime = 0.5;
 
@@ -117,7 +120,7 @@
 
 	#canRead(): boolean {
 		if (this.#grantUsed !== undefined) {
-			return this.#grantUsed < maxBusyTurnTime && !this.#turns.isUsedUp;
+			return this.#grantUsed < maxBusyTurnTime;
 		}
 
 		if (this.#burstTime >= maxBurstTime) {
@@ -143,7 +146,7 @@
 
 	#openPiece(length: number): void {
 		const now = this.#turns.readTime();
-		this.#burstTime = Math.max(0, this.#burstTime - ((now - this.#pieceAt) * busyShare));
+		this.#burstTime = Math.max(0, this.#burstTime - ((now - this.#pieceAt) * burstShare));
 		this.#pieceAt = now;
 		this.#pieceLength = length;
 	}
--- a/src/common/read-turns.ts
+++ b/src/common/read-turns.ts
@@ -7,8 +7,11 @@
 /** Share of that time from which a turn is noticed: its callback would otherwise cost each small read a wake-up. */
 const noticedShare = 0.5;
 
+/** Time for which busy connections are read one after another before they leave time to the others, in milliseconds. */
+const maxBusyTime = 2;
+
 /** Share of the time that all busy connections have together. */
-export const busyShare = 0.25;
+export const busyShare = 2 / 3;
 
 /** A connection whose data is processed. */
 export type TurnTaker = {
@@ -74,7 +77,7 @@
 			setImmediate(() => {
 				this.#isTurnScheduled = false;
 				this.#usedTime = 0;
-				this.#resume(this.#waiting);
+				this.#resume(this.#waiting, maxTurnTime);
 				if (this.#waiting.length > 0) {
 					this.#scheduleTurn();
 				}
@@ -86,7 +89,7 @@
 		if (!this.#isBusyScheduled) {
 			this.#isBusyScheduled = true;
 			this.#clock.setTimer(Math.max(0, this.#restsUntil - this.readTime()), () => {
-				const usedTime = this.#resume(this.#waitingBusy);
+				const usedTime = this.#resume(this.#waitingBusy, maxBusyTime);
 				this.#isBusyScheduled = false;
 				this.#restsUntil = this.readTime() + (usedTime * ((1 / busyShare) - 1));
 				if (this.#waitingBusy.length > 0) {
@@ -96,11 +99,11 @@
 		}
 	}
 
-	/** Resumes connections until the time of a turn is used up, and returns the time that they used. Those that wait again go last. */
-	#resume(queue: TurnTaker[]): number {
+	/** Resumes connections until a time is used up, and returns the time that they used. Those that wait again go last. */
+	#resume(queue: TurnTaker[], maxTime: number): number {
 		const startedAt = this.readTime();
 		let usedTime = 0;
-		for (let count = queue.length; count > 0 && usedTime < maxTurnTime; count--) {
+		while (queue.length > 0 && usedTime < maxTime) {
 			queue.shift()!.resume();
 			usedTime = this.readTime() - startedAt;
 		}
