fix(gateway): a node without callers has no timer for their connections

The check for connections that send bytes without a request ran on until its next interval after the last connection had closed, so a process that ends by itself could wait up to a second for it. The timer is now cancelled when the last connection closes. Found by reading; no caller was seen to be hit. test/caller-floods and test/silent-callers pass.

--- a/src/gateway/caller-connections.ts
+++ b/src/gateway/caller-connections.ts
@@ -142,6 +142,10 @@
 			connection.held = [];
 			this.#connections.delete(socket);
 			this.#waiting.delete(socket);
+			if (this.#connections.size === 0) {
+				this.#timer?.cancel();
+				this.#timer = undefined;
+			}
 		});
 		this.#scheduleCheck();
 	}
@@ -287,9 +291,7 @@
 		this.#timer ??= this.#clock.setTimer(checkInterval, () => {
 			this.#timer = undefined;
 			this.#closeUnused();
-			if (this.#connections.size > 0) {
-				this.#scheduleCheck();
-			}
+			this.#scheduleCheck();
 		});
 	}
 
