fix(gateway): a stop of a forwarding node does not break off what its server has ended

A node that passed a request on got a broken answer when the node that forwards it stopped, although the server had ended the answer and only a part of it was still to be sent to a slow reader (3,932,314 of 12,000,000 bytes in the review's test). The test failed before.

--- a/src/gateway/links/relay-service.ts
+++ b/src/gateway/links/relay-service.ts
@@ -47,6 +47,11 @@
 	/** Ends all requests in progress: the nodes that passed them on learn which of them may have run. */
 	stopNow(): void {
 		for (const {exchange, response} of this.#forwards) {
+			// The server has ended its answer, and a part of it is still to be sent.
+			if (response.writableEnded) {
+				continue;
+			}
+
 			const {wasSent} = exchange;
 			exchange.abort();
 			this.#fail(response, wasSent ? 'lost' : 'declined', 'the node that forwards the request has stopped');
