--- a/test/helpers/floods.ts
+++ b/test/helpers/floods.ts
@@ -90,7 +90,7 @@
 	/** Number of requests, and time between two of them in milliseconds. */
 	requests?: number;
 	interval?: number;
-	/** One of so many requests at the flooding server is answered with a flood. */
+	/** Number of requests at the flooding server of which one is answered with a flood. */
 	every?: number;
 	/** Number of requests that both servers flood, one after another from the start; no other request is flooded then. */
 	atOnce?: number;
--- a/test/stopping-nodes.test.ts
+++ b/test/stopping-nodes.test.ts
@@ -6,7 +6,7 @@
 } from '@jest/globals';
 import {CallWire} from '../platform/index.js';
 import {createSilentLogger, systemClock} from '../src/common/index.js';
-import type {Placer} from '../src/gateway/calls/index.js';
+import type {BackendExchange, Placer} from '../src/gateway/calls/index.js';
 import {GatewayMetrics} from '../src/gateway/gateway-metrics.js';
 import {openCallersServer, OpenRequests, type OpenServer} from '../src/gateway/servers.js';
 import {RelayService, type LinkedPool} from '../src/gateway/links/index.js';
@@ -286,7 +286,7 @@
 	expect(runs.filter(path => path === '/once/late').length).toBe(status === 200 ? 1 : 0);
 }, testTimeout);
 
-/** Opens a callers' listener that answers each request but `/held` with so many bytes at once. */
+/** Opens a callers' listener that answers each request except `/held` with `length` bytes at once. */
 async function openAnsweringServer(length: number): Promise<OpenServer> {
 	const [port] = await findFreePorts(1);
 	const server = await openCallersServer(`${processHost}:${port}`, {
@@ -337,15 +337,20 @@
 	expect(slow.received.length - slow.received.indexOf('x')).toBe(unsentLength);
 }, testTimeout);
 
-// The node that had passed it on took the closed connection for a request that may have run.
-test('a stopping node says of a request that it forwards for another node that it was not sent', async () => {
+/** Opens a listener that forwards requests of other nodes to a server; `forward` stands for the connection to it. */
+async function openRelay(forward: (exchange: BackendExchange) => void): Promise<{relays: RelayService; listener: LoopbackServer; request: ReturnType<typeof formatRelayRequest>}> {
 	const server = {id: 'i-0', service: 'app'} as unknown as BackendServer;
 	const relays = new RelayService({
 		logger: createSilentLogger(),
 		metrics: new GatewayMetrics(),
 		wire: new CallWire(),
-		pool: {monitor: {links: {isCut: () => false}}, forward() {}} as unknown as LinkedPool, // eslint-disable-line @typescript-eslint/no-empty-function -- a server that is never connected
-		placer: {isResting: () => false} as unknown as Placer,
+		pool: {
+			monitor: {links: {isCut: () => false}},
+			forward(_server: BackendServer, _request: unknown, exchange: BackendExchange) {
+				forward(exchange);
+			},
+		} as unknown as LinkedPool,
+		placer: {isResting: () => false, recordNotice() {}} as unknown as Placer, // eslint-disable-line @typescript-eslint/no-empty-function -- notices do not count here
 		findUsableServer: () => server,
 		findServer: () => server,
 		isStopping: () => false,
@@ -356,6 +361,12 @@
 	const request = formatRelayRequest({
 		server: server.id, method: 'POST', path: '/once/', headers: {}, body: undefined,
 	}, 'request', 'fresh');
+	return {relays, listener, request};
+}
+
+// The node that had passed it on took the closed connection for a request that may have run.
+test('a stopping node says of a request that it forwards for another node that it was not sent', async () => {
+	const {relays, listener, request} = await openRelay(() => {}); // eslint-disable-line @typescript-eslint/no-empty-function -- a server that is never connected
 	const forwarded = send(listener.address, {path: request.path, headers: request.headers as Record<string, string>});
 	await waitUntil(() => relays.inProgress === 1);
 	relays.stopNow();
@@ -363,3 +374,24 @@
 	await listener.stop();
 	expect([readRelayOutcome(headers), isComplete]).toEqual(['declined', true]);
 }, testTimeout);
+
+// The node that had passed it on got a broken answer, although the server had ended it.
+test('a stop of a forwarding node does not break off an answer that its server has ended', async () => {
+	const {relays, listener, request} = await openRelay(exchange => {
+		exchange.attach({wasReset: () => false, onDone() {}}); // eslint-disable-line @typescript-eslint/no-empty-function -- no pool
+		exchange.onRequestStart({abort() {}} as never); // eslint-disable-line @typescript-eslint/no-empty-function -- nothing is aborted
+		exchange.onResponseStart({} as never, 200, {'content-length': String(unsentLength)});
+		exchange.onResponseData({} as never, new Uint8Array(unsentLength));
+		exchange.onResponseEnd();
+	});
+	const reader = new KeptConnection(listener.address);
+	reader.pause();
+	const fields = Object.entries(request.headers).map(([name, value]) => `${name}: ${String(value)}\r\n`).join('');
+	reader.write(`POST ${request.path} HTTP/1.1\r\nhost: x\r\n${fields}content-length: 0\r\n\r\n`);
+	await waitUntil(() => relays.inProgress === 1);
+	relays.stopNow();
+	reader.resume();
+	await waitUntil(() => reader.isClosed || reader.received.length > unsentLength);
+	await listener.stop();
+	expect(reader.received.length).toBeGreaterThan(unsentLength);
+}, testTimeout);
