fix(gateway): the times of a stop count from its signal

Callers lost streams that they sent 3.0 to 3.4 s after SIGTERM: passed on and cut off at the end of the grace period. Operators count from the signal that they send; the node counted from when it noticed it. A process that stood still for 0.4 s accepted until 3.4 s after the signal, one that was starting until 3 s after its start, and a start of a second moved the cut-off past the SIGKILL.

The times of a stop are now in StopSchedule and count from the earliest moment at which the signal may have been sent: when periodic work was last done if that is overdue, and the start of the process for a signal in the start.

--- a/src/cli/gateway-command.ts
+++ b/src/cli/gateway-command.ts
@@ -74,8 +74,8 @@
 		},
 	});
 	signals.activate({
-		stop() {
-			void stopGateway(gateway);
+		stop(signalledAt) {
+			void stopGateway(gateway, signalledAt);
 		},
 		reload() {
 			void reloader.reload('signal');
@@ -86,8 +86,8 @@
 	watching.abort();
 }
 
-async function stopGateway(gateway: Gateway): Promise<void> {
-	await gateway.stop();
+async function stopGateway(gateway: Gateway, signalledAt?: number): Promise<void> {
+	await gateway.stop(signalledAt);
 	process.exit(exitCodes.done); // eslint-disable-line unicorn/no-process-exit -- pending log output must not delay the exit
 }
 
--- a/src/cli/process-signals.ts
+++ b/src/cli/process-signals.ts
@@ -1,7 +1,8 @@
 /**
  * The signals of the process: SIGTERM and SIGINT stop it, SIGHUP reloads its settings.
  *
- * From the first line of the loader on they only have these meanings. What came during the start is handled after it.
+ * From the first line of the loader on they only have these meanings. What came during the start is handled after it. The grace period
+ * of a stop counts from the signal, which a busy start notices late, so a stop in the start counts from the start of the process.
  */
 import process from 'node:process';
 import type {Logger} from '../common/index.js';
@@ -16,7 +17,14 @@
 const handledSignals = ['SIGTERM', 'SIGINT', 'SIGHUP'] as const;
 
 /** What the signals do. */
-export type SignalActions = {stop: () => void; reload: () => void};
+export type SignalActions = {
+	/** `signalledAt` is the earliest time at which the signal may have been sent, by the monotonic clock in milliseconds, where it came during the start. */
+	stop: (signalledAt?: number) => void;
+	reload: () => void;
+};
+
+/** Monotonic time of the start of the process. */
+const processStart = 0;
 
 /** Handles the signals of this process. */
 export class ProcessSignals {
@@ -48,11 +56,11 @@
 	activate(actions: SignalActions): void {
 		this.#actions = actions;
 		for (const name of this.#pending.splice(0)) {
-			this.#handle(name);
+			this.#handle(name, processStart);
 		}
 	}
 
-	#handle(name: NodeJS.Signals): void {
+	#handle(name: NodeJS.Signals, signalledAt?: number): void {
 		const isRepeatedInterrupt = name === 'SIGINT' && this.#hasInterrupted;
 		this.#hasInterrupted ||= name === 'SIGINT';
 		if (isRepeatedInterrupt) {
@@ -68,7 +76,7 @@
 		if (name === 'SIGHUP') {
 			this.#reload();
 		} else {
-			this.#stop(name);
+			this.#stop(name, signalledAt);
 		}
 	}
 
@@ -81,13 +89,13 @@
 		this.#actions?.reload();
 	}
 
-	#stop(name: NodeJS.Signals): void {
+	#stop(name: NodeJS.Signals, signalledAt: number | undefined): void {
 		if (this.#isStopping) {
 			this.#logger.info({event: 'signal_ignored', signal: name}, 'the node is stopping already');
 			return;
 		}
 
 		this.#isStopping = true;
-		this.#actions?.stop();
+		this.#actions?.stop(signalledAt);
 	}
 }
--- a/src/gateway/calls/call-service.ts
+++ b/src/gateway/calls/call-service.ts
@@ -6,6 +6,7 @@
 } from '../../common/index.js';
 import type {FleetState} from '../../routing/index.js';
 import type {GatewayMetrics} from '../gateway-metrics.js';
+import type {StopSchedule} from '../stop-schedule.js';
 import type {CallHead, GatewayWire} from '../wire.js';
 import type {BackendPool} from './backend-pool.js';
 import type {Call} from './call.js';
@@ -52,8 +53,8 @@
 	readonly #parts: CallServiceParts;
 	readonly #runs = new Set<CallRun>();
 	readonly #turns = new RequestTurns();
-	/** When calls are cut off, by the monotonic clock; Infinity unless the node is stopping. */
-	#stopTime = Infinity;
+	/** Undefined unless the node is stopping. */
+	#stopSchedule: StopSchedule | undefined;
 	#isRefusing = false;
 	readonly #probe: ServerProbe;
 
@@ -79,9 +80,9 @@
 		return this.#runs.size;
 	}
 
-	/** Announces that all calls will be cut off at a time by the monotonic clock: those that wait and cannot be served before are refused at once. */
-	planStop(stopTime: number): void {
-		this.#stopTime = stopTime;
+	/** Announces when calls will be cut off: those that wait and cannot be served before are refused at once. */
+	planStop(schedule: StopSchedule): void {
+		this.#stopSchedule = schedule;
 		for (const run of this.#runs) {
 			run.handlePlannedStop();
 		}
@@ -150,7 +151,7 @@
 			hasEnded: async id => this.#probe.hasEnded(id),
 			node: this.#parts.node,
 			availabilityZone: this.#parts.availabilityZone,
-			readStopTime: () => this.#stopTime,
+			readStopTime: () => this.#stopSchedule?.cutOffAt ?? Infinity,
 			estimateReturnDelay: this.#parts.estimateReturnDelay,
 		}, call, buffered ?? sink);
 		this.#runs.add(run);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -19,7 +19,7 @@
 import {LinkedPool, RelayPeers, RelayService} from './links/index.js';
 import {FleetPlacer} from './scheduling/index.js';
 import {
-	type Adoption, type DecisionAnswer, listCallerAddresses, type Peer, PeerClients, Peers, PeerService, PeerSocket,
+	type Adoption, type DecisionAnswer, heartbeatInterval, listCallerAddresses, type Peer, PeerClients, Peers, PeerService, PeerSocket,
 } from './peers/index.js';
 import {
 	register, SourceAgeReporter, ViewResponder, ViewExchange,
@@ -28,6 +28,7 @@
 import {GatewayMetrics} from './gateway-metrics.js';
 import type {GatewaySettings} from './gateway-settings.js';
 import {StatusReader} from './node-status.js';
+import {StopSchedule} from './stop-schedule.js';
 import {AddressLifetime} from './address-lifetime.js';
 import {compareSettings, type SettingsChange} from './settings-change.js';
 import {computeDigest} from './digest.js';
@@ -50,12 +51,6 @@
 	dialer?: ServerDialer;
 };
 
-/** Share of the grace period after which a stopping node cuts off calls in progress. */
-const forceStopShare = 0.9;
-
-/** Maximum share of the grace period for which a stopping node accepts new calls: the rest is needed for their answers. */
-const acceptShare = 0.375;
-
 /** Interval between checks whether all calls have ended, in milliseconds. */
 const drainPollInterval = 50;
 
@@ -93,14 +88,16 @@
 	readonly #status: StatusReader;
 	readonly #sourceHealth = new SourceHealth();
 	#isStopping = false;
-	/** When calls are cut off, by the monotonic clock; Infinity unless the node is stopping. */
-	#stopTime = Infinity;
+	#stopSchedule: StopSchedule | undefined;
+	/** When periodic work was last done, by the monotonic clock in milliseconds. */
+	#tickedAt: number;
 	#running: Promise<void> | undefined;
 
 	constructor(parts: GatewayParts) {
 		super();
 		const {clock, logger, wire} = parts;
 		this.#parts = {...parts};
+		this.#tickedAt = clock.readMonotonic();
 		this.#addressLifetime = new AddressLifetime(clock, parts.settings.address_lifetime_seconds);
 		this.#incarnation = computeDigest(parts.ids.createUuid(), incarnationLength);
 		this.state = new FleetState(clock, logger, {followsEvacuations: parts.settings.evacuations !== undefined});
@@ -311,17 +308,18 @@
 	 *
 	 * The node is removed from address answers at once, but accepts calls until the answers that
 	 * list it have expired. Then it stops accepting, so that no call arrives too late to be
-	 * served, and ends when no call is left or the grace period is over.
+	 * served, and ends when no call is left or the grace period is over. `signalledAt` is the earliest
+	 * time at which the stop may have been requested, by the monotonic clock in milliseconds.
 	 */
-	async stop(): Promise<void> {
+	async stop(signalledAt = this.#estimateSignalTime()): Promise<void> {
 		const {clock, logger, settings} = this.#parts;
 		this.#isStopping = true;
-		const stoppingSince = clock.readMonotonic();
-		const grace = settings.stop.grace_seconds * 1000;
-		logger.info({event: 'stopping', calls: this.#calls.inProgress}, 'the node is stopping; calls in progress continue');
-		this.#stopTime = stoppingSince + (grace * forceStopShare);
-		this.#calls.planStop(this.#stopTime);
-		await waitFor(clock, Math.min(this.#addressLifetime.computeRemaining(), grace * acceptShare));
+		const noticedAt = clock.readMonotonic();
+		const schedule = new StopSchedule(signalledAt, settings.stop.grace_seconds * 1000, noticedAt - signalledAt + this.#addressLifetime.computeRemaining());
+		this.#stopSchedule = schedule;
+		logger.info({event: 'stopping', calls: this.#calls.inProgress, noticedAfter: Math.round(noticedAt - signalledAt)}, 'the node is stopping; calls in progress continue');
+		this.#calls.planStop(schedule);
+		await waitFor(clock, Math.max(0, schedule.acceptUntil - clock.readMonotonic()));
 		this.#calls.refuseNew();
 		do {
 			// Without another ready node, callers get an answer that says when to return instead of a refused connection.
@@ -333,9 +331,9 @@
 			await waitFor(clock, drainPollInterval);
 			// A connection that was busy when the node stopped accepting is closed as soon as it is idle.
 			this.#callersServer?.server.closeIdleConnections();
-		} while (this.#openRequests.count + this.#relays.inProgress > 0 && clock.readMonotonic() < this.#stopTime);
+		} while (this.#openRequests.count + this.#relays.inProgress > 0 && clock.readMonotonic() < schedule.cutOffAt);
 
-		logger.info({event: 'stopped', cutOff: this.#calls.inProgress, took: Math.round(clock.readMonotonic() - stoppingSince)}, 'the node shuts down');
+		logger.info({event: 'stopped', cutOff: this.#calls.inProgress, took: Math.round(clock.readMonotonic() - signalledAt)}, 'the node shuts down');
 		await this.close();
 	}
 
@@ -380,7 +378,13 @@
 
 	/** Time until another node serves requests, in milliseconds: at once when one is ready, else when this one has stopped and is replaced. */
 	#estimateReturnDelay(): number {
-		return this.#peers.listReady().length > 0 ? 0 : Math.max(0, this.#stopTime - this.#parts.clock.readMonotonic());
+		return this.#peers.listReady().length > 0 ? 0 : Math.max(0, (this.#stopSchedule?.cutOffAt ?? 0) - this.#parts.clock.readMonotonic());
+	}
+
+	/** Earliest time at which a signal that is noticed now may have been sent: periodic work is overdue when the process was delayed. */
+	#estimateSignalTime(): number {
+		const now = this.#parts.clock.readMonotonic();
+		return now - this.#tickedAt > heartbeatInterval ? this.#tickedAt : now;
 	}
 
 	/** Accepts no new connections. */
@@ -476,6 +480,7 @@
 
 	/** Periodic work, done at each heartbeat. */
 	#tick(): void {
+		this.#tickedAt = this.#parts.clock.readMonotonic();
 		this.#pool.prune();
 		this.#placer.tick();
 		this.#views.chooseWatchers(this.#peers);
