fix(gateway): a stopping node starts only requests that can end before it does

Callers lost requests to a node that was about to end: three nodes, requests of 6 s sent up to 3 s after SIGTERM were passed on by the clock alone and cut off at 7.2 s (streams) or answered 502 (requests that may run once, which had run), with another node free all the time. Long prompts waited seven seconds in a stopping node that could not serve them.

From the signal on, a request that has not been sent is started only if 98 in 100 of the recent requests of its route would end before the cut-off with 250 ms to spare; without a recent one, its route's or caller's time counts. Others get 503 at once, as not executed, with Retry-After 0, also those that wait. Without another ready node, repeatable ones are still started: there is no better place. call_refused and call_ended say how long after the signal they are.

Ruled out: a prediction from the model of a server, which knows neither plain services nor the time that a prompt waits there.

--- a/src/gateway/calls/call-attempts.ts
+++ b/src/gateway/calls/call-attempts.ts
@@ -39,6 +39,7 @@
 	#hasSeenSilence = false;
 	#runs = 0;
 	#longestPause = 0;
+	#firstSentAt: number | undefined;
 
 	constructor(parts: CallAttemptsParts) {
 		this.#parts = parts;
@@ -60,6 +61,11 @@
 		return this.servers.length;
 	}
 
+	/** When the request was first sent, by the monotonic clock in milliseconds. */
+	get firstSentAt(): number | undefined {
+		return this.#firstSentAt;
+	}
+
 	/** Longest pause between two events of one server's stream, in milliseconds. */
 	get longestPause(): number {
 		return this.#longestPause;
@@ -159,6 +165,7 @@
 			},
 			onSend: plan => {
 				this.servers.push(plan.server);
+				this.#firstSentAt ??= this.#parts.clock.readMonotonic();
 			},
 			onEnded: (attempt, outcome) => {
 				this.#recordOutcome(attempt, outcome);
--- a/src/gateway/calls/call-run.ts
+++ b/src/gateway/calls/call-run.ts
@@ -41,6 +41,8 @@
 	availabilityZone: AvailabilityZone;
 	/** When this node cuts off calls, by the monotonic clock; Infinity unless it is stopping. */
 	readStopTime: () => number;
+	/** Whether a call that is sent now ends before this node cuts it off, as far as it is known. */
+	endsBeforeStop: (call: Call) => boolean;
 	/** Time until another node is expected to serve what this one refuses in a stop, in milliseconds. */
 	estimateReturnDelay: () => number;
 };
@@ -56,6 +58,8 @@
 	/** Time from the last event to the end of an incomplete answer, in milliseconds. */
 	sinceLastEvent?: number;
 	sends: number;
+	/** Time from the first send to the end, in milliseconds; undefined when nothing was sent. */
+	servedFor?: number;
 	servers: BackendServerId[];
 	expectedFirst?: number;
 	decidedBy?: Placement['decidedBy'];
@@ -97,7 +101,16 @@
 			clock, placer, node, availabilityZone, readStopTime, estimateReturnDelay,
 		} = parts;
 		this.#placementFinder = new PlacementFinder({
-			clock, placer, call, node, availabilityZone, deadline, readStopTime, estimateReturnDelay,
+			clock,
+			placer,
+			call,
+			node,
+			availabilityZone,
+			deadline,
+			readStopTime,
+			// A request that has been sent goes on: its caller was told of nothing, or has a part of the answer.
+			endsBeforeStop: () => this.#attempts.sends > 0 || parts.endsBeforeStop(call),
+			estimateReturnDelay,
 		});
 		this.#attempts = new CallAttempts({
 			...parts,
@@ -444,7 +457,9 @@
 	}
 
 	#finish(failure: Failure | undefined): CallOutcome {
+		const {firstSentAt} = this.#attempts;
 		const outcome = {
+			servedFor: firstSentAt === undefined ? undefined : this.#parts.clock.readMonotonic() - firstSentAt,
 			failure,
 			firstAfter: this.#firstAfter,
 			longestPause: this.#attempts.longestPause,
--- a/src/gateway/calls/call-service.ts
+++ b/src/gateway/calls/call-service.ts
@@ -1,16 +1,17 @@
 /** Serves callers' requests: resolves the route, runs the call and logs its outcome. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {Left} from 'purify-ts';
+import {Left, Right} from 'purify-ts';
 import {
-	createFailure, readErrorMessage, type AvailabilityZone, type BackendServerId, type BoxId, type Clock, type Logger,
+	createFailure, readErrorMessage, type AvailabilityZone, type BackendServerId, type BoxId, type Clock, type Failure, type Logger,
 } from '../../common/index.js';
 import type {FleetState} from '../../routing/index.js';
 import type {GatewayMetrics} from '../gateway-metrics.js';
 import type {StopSchedule} from '../stop-schedule.js';
 import type {CallHead, GatewayWire} from '../wire.js';
 import type {BackendPool} from './backend-pool.js';
-import type {Call} from './call.js';
+import {canRepeat, type Call} from './call.js';
 import {CallRun, type CallOutcome} from './call-run.js';
+import {ServiceTimes} from './service-times.js';
 import {computeFingerprint, computePartTraits} from './request-fingerprint.js';
 import {sendFailure} from './failure-answer.js';
 import type {HttpSink} from './call-sink.js';
@@ -26,6 +27,9 @@
 /** Longest prompt that the metrics count as short, in tokens. */
 const maxShortPromptTokens = 25_000;
 
+/** Time between the expected end of a call and the cut-off of a stopping node from which on it is started, in milliseconds. */
+const minTimeBeforeCutOff = 250;
+
 /** Dependencies of the service. */
 export type CallServiceParts = {
 	clock: Clock;
@@ -53,6 +57,7 @@
 	readonly #parts: CallServiceParts;
 	readonly #runs = new Set<CallRun>();
 	readonly #turns = new RequestTurns();
+	readonly #serviceTimes = new ServiceTimes();
 	/** Undefined unless the node is stopping. */
 	#stopSchedule: StopSchedule | undefined;
 	#isRefusing = false;
@@ -113,7 +118,9 @@
 			return;
 		}
 
-		const resolved = head.chain(value => this.#isRefusing ? Left(createStoppedFailure(this.#parts.estimateReturnDelay())) : this.#resolve(value, body, arrived));
+		const resolved = head
+			.chain(value => this.#isRefusing ? Left(this.#createStoppedFailure()) : this.#resolve(value, body, arrived))
+			.chain(call => this.#endsBeforeStop(call) ? Right(call) : Left(this.#createStoppedFailure()));
 		if (resolved.isLeft()) {
 			const failure = resolved.extract();
 			const requestId = head.caseOf<CallHead['requestId'] | undefined>({Left: () => undefined, Right: value => value.requestId});
@@ -126,6 +133,7 @@
 				status,
 				configVersion: this.#parts.state.configVersion,
 				configAge: this.#parts.state.sourceAgeTracker.measureFleetAge('configuration'),
+				sinceSignal: this.#measureSinceSignal(),
 			}, failure.message);
 			return;
 		}
@@ -152,6 +160,7 @@
 			node: this.#parts.node,
 			availabilityZone: this.#parts.availabilityZone,
 			readStopTime: () => this.#stopSchedule?.cutOffAt ?? Infinity,
+			endsBeforeStop: value => this.#endsBeforeStop(value),
 			estimateReturnDelay: this.#parts.estimateReturnDelay,
 		}, call, buffered ?? sink);
 		this.#runs.add(run);
@@ -177,6 +186,30 @@
 		}
 	}
 
+	/**
+	 * Whether a call that has not been sent may be sent in a planned stop: only if nearly all requests of its route would end before
+	 * the cut-off. Without another ready node, one that may be repeated is started in any case.
+	 */
+	#endsBeforeStop({route, head, arrived}: Call): boolean {
+		if (this.#stopSchedule === undefined || (canRepeat(route) && this.#parts.estimateReturnDelay() > 0)) {
+			return true;
+		}
+
+		const now = this.#parts.clock.readMonotonic();
+		const limit = arrived + Math.min(head.timeLeft ?? Infinity, route.timeLimit);
+		const end = Math.min(limit, now + (this.#serviceTimes.estimate(route.name) ?? Infinity));
+		return end <= this.#stopSchedule.cutOffAt - minTimeBeforeCutOff;
+	}
+
+	#createStoppedFailure(): Failure {
+		return createStoppedFailure(this.#parts.estimateReturnDelay());
+	}
+
+	/** Time since the signal for a planned stop, in milliseconds; undefined unless the node is stopping. */
+	#measureSinceSignal(): number | undefined {
+		return this.#stopSchedule === undefined ? undefined : Math.round(this.#parts.clock.readMonotonic() - this.#stopSchedule.signalledAt);
+	}
+
 	/** Finds the route, the organisation and the service of a call. */
 	#resolve(head: CallHead, body: Uint8Array | undefined, arrived: number) {
 		return this.#parts.state.resolveCall(head.host, head.target, head.key, this.#parts.random()).map(resolved => ({
@@ -192,6 +225,10 @@
 	#recordOutcome(call: Call, outcome: CallOutcome): void {
 		const {clock, logger} = this.#parts;
 		const service = call.service.name;
+		if (outcome.servedFor !== undefined) {
+			this.#serviceTimes.record(call.route.name, outcome.servedFor);
+		}
+
 		this.#parts.metrics.countCall(service, outcome.failure?.kind ?? 'whole');
 		if (outcome.firstAfter !== undefined) {
 			this.#parts.metrics.recordFirstEvent(service, call.head.promptTokens <= maxShortPromptTokens ? 'short' : 'long', outcome.firstAfter);
@@ -218,6 +255,7 @@
 			pauseAim: call.route.longestPause,
 			callerWaits: call.head.timeLeft,
 			objective: call.route.objective,
+			sinceSignal: this.#measureSinceSignal(),
 			took: Math.round(clock.readMonotonic() - call.arrived),
 		}, 'a call ended');
 	}
--- a/src/gateway/calls/placement-finder.ts
+++ b/src/gateway/calls/placement-finder.ts
@@ -19,6 +19,8 @@
 	deadline: number;
 	/** When this node cuts off calls, by the monotonic clock; Infinity unless it is stopping. */
 	readStopTime: () => number;
+	/** Whether a call that has not been sent can end before this node cuts it off. */
+	endsBeforeStop: () => boolean;
 	/** Time until another node is expected to serve what this one refuses in a stop, in milliseconds. */
 	estimateReturnDelay: () => number;
 };
@@ -57,6 +59,10 @@
 		// Exactly 0 for the first ask: only that one counts as an arrival.
 		let waited = 0;
 		for (;;) {
+			if (!this.#parts.endsBeforeStop()) {
+				return createStoppedFailure(this.#parts.estimateReturnDelay());
+			}
+
 			const answer = await this.#ask(waited, hasBegun);
 			if ('askAgainIn' in answer) {
 				await this.#wait(answer.askAgainIn);
@@ -85,7 +91,7 @@
 		return answer;
 	}
 
-	/** Asks again at once when it is waiting. */
+	/** Checks a waiting call again at once. */
 	askNow(): void {
 		this.#skipWait?.();
 	}
--- a/test/gateway-parts.test.ts
+++ b/test/gateway-parts.test.ts
@@ -107,7 +107,7 @@
 		arrived: 0, head: {}, parts: [], route: {objective: 300}, service: {name: 'model'},
 	} as unknown as Call;
 	await new PlacementFinder({
-		clock, placer, call, node: 'edge-1' as BoxId, availabilityZone: 'a' as AvailabilityZone, deadline: 1000, readStopTime: () => Infinity, estimateReturnDelay: () => 0,
+		clock, placer, call, node: 'edge-1' as BoxId, availabilityZone: 'a' as AvailabilityZone, deadline: 1000, readStopTime: () => Infinity, endsBeforeStop: () => true, estimateReturnDelay: () => 0,
 	}).findPlacement(false);
 	expect(placer.waits[0]).toBe(0);
 	expect(placer.waits.slice(1).every(waited => waited > 0)).toBe(true);
@@ -120,7 +120,7 @@
 		arrived: 0, head: {}, parts: [], route: {objective: 300}, service: {name: 'model'},
 	} as unknown as Call;
 	const finder = new PlacementFinder({
-		clock: systemClock, placer, call, node: 'edge-1' as BoxId, availabilityZone: 'a' as AvailabilityZone, deadline: 1000, readStopTime: () => Infinity, estimateReturnDelay: () => 0,
+		clock: systemClock, placer, call, node: 'edge-1' as BoxId, availabilityZone: 'a' as AvailabilityZone, deadline: 1000, readStopTime: () => Infinity, endsBeforeStop: () => true, estimateReturnDelay: () => 0,
 	});
 	const asked = finder.findHedge(true, 'i-1' as BackendServerId);
 	finder.stop();
--- a/test/helpers/planned-fleet.ts
+++ b/test/helpers/planned-fleet.ts
@@ -256,6 +256,7 @@
 			node: node.name,
 			availabilityZone: 'a' as AvailabilityZone,
 			readStopTime: () => Infinity,
+			endsBeforeStop: () => true,
 			estimateReturnDelay: () => 0,
 		}, {
 			head: {
--- a/test/helpers/scripted-call.ts
+++ b/test/helpers/scripted-call.ts
@@ -429,6 +429,7 @@
 			node: 'edge-1' as BoxId,
 			availabilityZone: 'a' as AvailabilityZone,
 			readStopTime: () => Infinity,
+			endsBeforeStop: () => true,
 			estimateReturnDelay: () => 0,
 		}, {
 			head: {
--- a/test/late-requests.test.ts
+++ b/test/late-requests.test.ts
@@ -23,6 +23,9 @@
 const firstSent = 2500;
 const lastSent = 3700;
 
+/** Longest time until a refused request has its answer, in milliseconds. */
+const maxRefusalTime = 300;
+
 /** Time for which a process stands still around its signal, in milliseconds. */
 const pauseTime = 400;
 
@@ -61,6 +64,9 @@
 			{
 				...common, name: 'once', pathPrefix: '/once/', kind: 'non_idempotent',
 			},
+			{
+				...common, name: 'short', pathPrefix: '/short/', kind: 'non_idempotent',
+			},
 		],
 		services: [{name: 'app', maxConnections: 300}],
 	}));
@@ -126,18 +132,18 @@
 	}
 }
 
-/** Sends requests around the end of the time in which callers may still arrive, half of them on connections that were used before. */
-async function callLate(node: GatewayProcess, route: string, stoppedAt: number, agents: Agent[]): Promise<void> {
-	const gap = (lastSent - firstSent) / lateCount;
+/** Sends requests in a span after the signal, by default around the time until which a stop may excuse the loss of them, half of them on connections that were used before. */
+async function callLate(node: GatewayProcess, path: string, stoppedAt: number, agents: Agent[], {from = firstSent, to = lastSent} = {}): Promise<void> {
+	const gap = (to - from) / lateCount;
 	await Promise.all(Array.from({length: lateCount}, async (_, index) => call(node, {
-		id: `late-${index}`, path: `/${route}/${workTime}`, at: stoppedAt + firstSent + (index * gap), agent: agents[index] ?? new Agent(),
+		id: `late-${index}`, path, at: stoppedAt + from + (index * gap), agent: agents[index] ?? new Agent(),
 	})));
 }
 
 async function openConnections(node: GatewayProcess): Promise<Agent[]> {
 	const agents = Array.from({length: lateCount / 2}, () => new Agent({keepAlive: true, maxSockets: 1}));
 	await Promise.all(agents.map(async (agent, index) => call(node, {
-		id: `first-${index}`, path: '/once/10', at: 0, agent,
+		id: `first-${index}`, path: '/short/10', at: 0, agent,
 	})));
 	return agents;
 }
@@ -159,10 +165,31 @@
 	await startNode();
 	const node = await startNode();
 	const agents = await openConnections(node);
-	await callLate(node, route, stopNode(node), agents);
+	await callLate(node, `/${route}/${workTime}`, stopNode(node), agents);
 	await expectNoLoss(node);
 	const refused = record.calls.filter(({status}) => status === 503);
-	expect(refused.filter(({sentAt, endedAt}) => endedAt - sentAt > 300)).toEqual([]);
+	expect(refused.filter(({sentAt, endedAt}) => endedAt - sentAt > maxRefusalTime)).toEqual([]);
+}, testTimeout);
+
+// It was cut off at the end of the grace period, although another node was free all the time.
+test.each(routes)('a %s request of unknown length is refused from the signal on', async route => {
+	await startNode();
+	const node = await startNode();
+	const agents = await openConnections(node);
+	await callLate(node, `/${route}/${workTime}`, stopNode(node), agents, {from: 50, to: firstSent});
+	await expectNoLoss(node);
+	const refused = record.calls.filter(({id, status}) => id.startsWith('late') && status === 503);
+	expect(refused.length).toBe(lateCount);
+	expect(refused.filter(({sentAt, endedAt}) => endedAt - sentAt > maxRefusalTime)).toEqual([]);
+}, testTimeout);
+
+test('requests that end in time are served by a stopping node', async () => {
+	await startNode();
+	const node = await startNode();
+	const agents = await openConnections(node);
+	await callLate(node, '/short/20', stopNode(node), agents, {from: 50, to: 2300});
+	await expectNoLoss(node);
+	expect(record.calls.filter(({status}) => status !== 200)).toEqual([]);
 }, testTimeout);
 
 test.each(routes)('a %s request after a pause of a stopping node is not cut off', async route => {
@@ -174,7 +201,7 @@
 	setTimeout(() => {
 		node.signal('SIGCONT');
 	}, pauseTime);
-	await callLate(node, route, stoppedAt, agents);
+	await callLate(node, `/${route}/${workTime}`, stoppedAt, agents);
 	await expectNoLoss(node);
 }, testTimeout);
 
@@ -182,6 +209,6 @@
 	await startNode();
 	const node = await spawnNode();
 	await node.waitUntilListening();
-	await callLate(node, route, stopNode(node), []);
+	await callLate(node, `/${route}/${workTime}`, stopNode(node), []);
 	await expectNoLoss(node);
 }, testTimeout);
