fix(gateway): the connections of callers are closed before the other parts of a node end

The listener stayed open, without another ready node, while followers, pools and listeners ended one after another, and the answers of cut-off calls were awaited for 0.25 s only.

'closed' logs what was unanswered and when.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -54,8 +54,8 @@
 /** Interval between checks whether all calls have ended, in milliseconds. */
 const drainPollInterval = 50;
 
-/** Time for the answers to calls that are cut off, and the interval between checks whether all are sent, in milliseconds. */
-const maxAnswerTime = 250;
+/** Minimum time for the answers to calls that are cut off, and the interval between checks whether all are sent, in milliseconds. */
+const minAnswerTime = 250;
 const answerPollInterval = 5;
 
 const bytesPerMegabyte = 1_000_000;
@@ -339,14 +339,19 @@
 
 	/** Stops immediately; calls in progress are cut off, with an answer that says so where none has begun. */
 	async close(): Promise<void> {
-		const {clock} = this.#parts;
+		const {clock, logger} = this.#parts;
 		this.#calls.stopNow();
 		this.#relays.stopNow();
-		const sentBy = clock.readMonotonic() + maxAnswerTime;
-		while (this.#openRequests.count + this.#relays.inProgress > 0 && clock.readMonotonic() < sentBy) {
+		this.#closeListener();
+		const answerUntil = Math.max(this.#stopSchedule?.answerUntil ?? 0, clock.readMonotonic() + minAnswerTime);
+		do {
+			// Also the time in which the requests of connections that were accepted last can be read.
 			await waitFor(clock, answerPollInterval);
-		}
+		} while (this.#openRequests.count + this.#relays.inProgress > 0 && clock.readMonotonic() < answerUntil);
 
+		const unanswered = this.#openRequests.count;
+		// Callers must not wait for the parts below, which may take long in a busy process.
+		this.#callersServer?.server.closeAllConnections();
 		this.#supervisorStop.abort();
 		await Promise.allSettled([this.#running]);
 		await Promise.all(this.#servers.map(async server => {
@@ -354,6 +359,7 @@
 			await server.close();
 		}));
 		await Promise.all([this.#clients.close(), this.#pool.close(), this.#parts.source.close()]);
+		logger.info({event: 'closed', unanswered, sinceSignal: this.#stopSchedule === undefined ? undefined : Math.round(clock.readMonotonic() - this.#stopSchedule.signalledAt)}, 'all connections are closed');
 	}
 
 	override decide(request: PlanRequest): DecisionAnswer {
--- a/test/delayed-stops.test.ts
+++ b/test/delayed-stops.test.ts
@@ -1,7 +1,9 @@
+import {once} from 'node:events';
 import {connect} from 'node:net';
 import {performance} from 'node:perf_hooks';
 import {setImmediate, setTimeout as sleep} from 'node:timers/promises';
-import {expect, test} from '@jest/globals';
+import {expect, jest, test} from '@jest/globals';
+import {Supervisor} from '../src/common/index.js';
 import {GatewayFleet, waitUntil} from './helpers/gateways.js';
 import {createTextAnswer} from './helpers/platform-standins.js';
 
@@ -53,3 +55,31 @@
 	await fleet.stop();
 	expect(countAnswers()).toEqual([2, 2, 2, 2]);
 }, 20_000);
+
+// Requests that came while the parts of a busy node ended lost their connections with the process.
+test('a node that closes ends the connections of callers before its other parts', async () => {
+	const fleet = new GatewayFleet();
+	let partsEndedAt = Infinity;
+	const {run} = Supervisor.prototype;
+	const spy = jest.spyOn(Supervisor.prototype, 'run').mockImplementation(async function (this: Supervisor, signal: AbortSignal) {
+		await run.call(this, signal);
+		await sleep(300);
+		partsEndedAt = performance.now();
+	});
+	await fleet.start({runners: [{service: 'app', behaviour: createTextAnswer('ok')}]});
+	spy.mockRestore();
+	const [host, port] = fleet.settings[0].listen.callers.split(':');
+	const socket = connect(Number(port), host);
+	socket.on('error', () => {}); // eslint-disable-line @typescript-eslint/no-empty-function
+	await once(socket, 'connect');
+	await sleep(50);
+	const closing = fleet.gateways[0].close();
+	socket.resume();
+	await once(socket, 'close');
+	const closedAt = performance.now();
+	const late = connect(Number(port), host);
+	const [error] = await once(late, 'error') as [NodeJS.ErrnoException];
+	await closing;
+	await fleet.stop();
+	expect([closedAt < partsEndedAt, error.code]).toEqual([true, 'ECONNREFUSED']);
+}, 20_000);
--- a/test/helpers/planned-series.ts
+++ b/test/helpers/planned-series.ts
@@ -189,7 +189,7 @@
 	/** Log lines of the nodes on a request, and on their stops. */
 	listLogLines(ids: string[]): string[] {
 		return this.#lives.flatMap(({name, life, process: {log}}) => log.text.split('\n')
-			.filter(line => ids.some(id => line.includes(`"${id}"`)) || line.includes('"stopp'))
+			.filter(line => ids.some(id => line.includes(`"${id}"`)) || /"event":"(?:stopp|closed)/u.test(line))
 			.map(line => `${name}/${life} ${line}`));
 	}
 
@@ -435,6 +435,11 @@
 				life = this.#listCurrent()[Math.floor(random() * this.#options.nodes)];
 			}
 
+			if (life.process.end !== undefined) {
+				// A new connection to its address is one to its successor.
+				life = this.#listCurrent()[life.index];
+			}
+
 			const call = await this.#call(life, agent, random);
 			if (call !== undefined) {
 				this.record.calls.push(call);
--- a/test/helpers/timed-calls.ts
+++ b/test/helpers/timed-calls.ts
@@ -34,9 +34,12 @@
 		sentAt: performance.now(), endedAt: 0, status: 0, isComplete: false, wasReset: false,
 	};
 	const isConnected = await new Promise<boolean>(resolve => {
+		let isSent = false;
 		const finish = (wasConnected = true) => {
 			clearTimeout(timer);
 			answer.endedAt = performance.now();
+			// A request of which a part was sent was never read whole.
+			answer.sentAt = isSent ? answer.sentAt : answer.endedAt;
 			resolve(wasConnected);
 		};
 
@@ -70,9 +73,12 @@
 			answer.wasReset = isReset(error);
 			finish((error as NodeJS.ErrnoException).code !== 'ECONNREFUSED');
 		});
+		sent.once('finish', () => {
+			isSent = true;
+			answer.sentAt = performance.now();
+		});
 		void sendBody(parts, partGap, text => sent.write(text), () => {
 			sent.end();
-			answer.sentAt = performance.now();
 		});
 	});
 	return isConnected ? answer : undefined;
