fix(gateway): a start reads its settings file again while it is rewritten

A start now reads an invalid file again for up to a second before it gives up; a file that stays invalid still ends it, with its problems.

--- a/src/cli/gateway-command.ts
+++ b/src/cli/gateway-command.ts
@@ -6,7 +6,7 @@
 	createLogger, openLogOutput, randomIdSource, readErrorMessage, systemClock, type Logger,
 } from '../common/index.js';
 import {
-	closeEarlyListener, Gateway, loadGatewaySettings, SettingsReloader, type GatewaySettings,
+	closeEarlyListener, Gateway, loadStartSettings, SettingsReloader, type GatewaySettings,
 } from '../gateway/index.js';
 import {formatProblem} from '../settings/index.js';
 import {exitCodes} from './exit-codes.js';
@@ -19,7 +19,7 @@
 		.requiredOption('--settings <file>', 'settings file, TOML')
 		.option('--early-callers <address>', 'IP:PORT of listen.callers, opened by the loader before the program is loaded')
 		.action(async (options: {settings: string}) => {
-			const loaded = await loadGatewaySettings(options.settings);
+			const loaded = await loadStartSettings(options.settings, systemClock);
 			if (loaded.isLeft()) {
 				for (const problem of loaded.extract()) {
 					process.stderr.write(`${formatProblem(problem)}\n`);
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -2,7 +2,7 @@
 import {readFile} from 'node:fs/promises';
 import {Left, type Either} from 'purify-ts';
 import * as z from 'zod';
-import {readErrorMessage} from '../common/index.js';
+import {readErrorMessage, waitFor, type Clock} from '../common/index.js';
 import {checkToml, type SettingsProblem} from '../settings/index.js';
 
 const address = z.string().regex(/^(?:\d{1,3}\.){3}\d{1,3}:\d{1,5}$/, {error: 'write IP:PORT, such as "10.0.0.5:8080"'});
@@ -56,6 +56,22 @@
 	return checkToml(text, gatewaySchema);
 }
 
+/** Number of attempts to read a settings file at a start, and the time between two, in milliseconds. */
+const maxStartReads = 10;
+const startReadInterval = 100;
+
+/** Reads and checks a settings file at a start. One that is invalid is read again, since it may just be rewritten. */
+export async function loadStartSettings(path: string, clock: Clock): Promise<Either<SettingsProblem[], GatewaySettings>> {
+	for (let reads = 1; ; reads++) {
+		const loaded = await loadGatewaySettings(path);
+		if (loaded.isRight() || reads === maxStartReads) {
+			return loaded;
+		}
+
+		await waitFor(clock, startReadInterval);
+	}
+}
+
 /** Reads and checks a settings file. */
 export async function loadGatewaySettings(path: string): Promise<Either<SettingsProblem[], GatewaySettings>> {
 	try {
--- a/test/signals.test.ts
+++ b/test/signals.test.ts
@@ -1,4 +1,5 @@
 // Signals at any moment of a gateway's life, and starts that fail, with the program as it is deployed.
+import {readFileSync, writeFileSync} from 'node:fs';
 import {createServer, type Server} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
@@ -118,3 +119,19 @@
 	expect(await node.waitForEnd(1000)).toBe(1);
 	taken.close();
 }, testTimeout);
+
+// The process ended with code 2, as for a file that stays invalid.
+test('a start whose settings file is empty while it is rewritten reads it again', async () => {
+	const node = await program.spawn({storeAddress: store.address});
+	const text = readFileSync(node.settingsFile, 'utf8');
+	writeFileSync(node.settingsFile, '');
+	await sleep(300);
+	writeFileSync(node.settingsFile, text);
+	await node.waitUntilReady();
+}, testTimeout);
+
+test('a start whose settings file stays invalid ends with its problems', async () => {
+	const node = await program.spawn({storeAddress: store.address});
+	writeFileSync(node.settingsFile, 'box = ');
+	expect(await node.waitForEnd(stopLimit)).toBe(2);
+}, testTimeout);
