fix(node): a stopping node of the OpenAI path waits for uploads

A caller whose body still arrived when the node had served everybody else lost its connection without an answer: a stop counted requests once their body had been read. It now also waits for the requests whose head has been read, as the gateway does, by the same OpenRequests (moved to src/common); they get 503, as not executed, once they are read.

--- a/src/common/index.ts
+++ b/src/common/index.ts
@@ -7,6 +7,7 @@
 export * from './incarnation.js';
 export * from './log.js';
 export * from './metrics.js';
+export * from './open-requests.js';
 export * from './parse-json.js';
 export * from './read-gate.js';
 export * from './read-turns.js';
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -5,7 +5,7 @@
  * node that schedules a service place them, and proxies them to backend servers.
  */
 import {
-	Supervisor, waitFor, type AvailabilityZone, type BoxId, type Clock,
+	OpenRequests, Supervisor, waitFor, type AvailabilityZone, type BoxId, type Clock,
 	type IdSource, type Logger,
 } from '../common/index.js';
 import type {PlanRequest, RetryRequest} from '../planning/index.js';
@@ -33,7 +33,7 @@
 import {compareSettings, type SettingsChange} from './settings-change.js';
 import {computeDigest} from './digest.js';
 import {
-	defaultBodyLimit, defaultIdleTimeout, openAddressServer, openCallersServer, openMetricsServer, openPeersServer, openReadyServer, OpenRequests, type OpenServer,
+	defaultBodyLimit, defaultIdleTimeout, openAddressServer, openCallersServer, openMetricsServer, openPeersServer, openReadyServer, type OpenServer,
 } from './servers.js';
 import type {GatewayWire} from './wire.js';
 
--- a/src/gateway/servers.ts
+++ b/src/gateway/servers.ts
@@ -5,7 +5,7 @@
 	type FastifyInstance, type FastifyReply, type FastifyRequest, type FastifyServerOptions,
 } from 'fastify';
 import {
-	createFailure, readErrorMessage, type AvailabilityZone, type Clock,
+	createFailure, readErrorMessage, type AvailabilityZone, type Clock, type OpenRequests,
 } from '../common/index.js';
 import {CallerConnections} from './caller-connections.js';
 import {HttpSink, sendFailure} from './calls/index.js';
@@ -69,25 +69,6 @@
 	return server;
 }
 
-/** Requests whose head has been read and whose answer has not been sent whole. */
-export class OpenRequests {
-	#count = 0;
-
-	get count(): number {
-		return this.#count;
-	}
-
-	/** Counts the requests of a listener. */
-	observe({server}: OpenServer): void {
-		server.on('request', (_request: IncomingMessage, response: ServerResponse) => {
-			this.#count++;
-			response.once('close', () => {
-				this.#count--;
-			});
-		});
-	}
-}
-
 /** Dependencies of the callers' listener. */
 export type CallersContext = {
 	clock: Clock;
@@ -110,7 +91,7 @@
 		rejectHead(error, socket, connections);
 	});
 	connections.observe(server.server);
-	context.openRequests.observe(server);
+	context.openRequests.observe(server.server);
 	server.server.maxHeadersCount = maxHeaderFields;
 	for (const method of METHODS.filter(each => server.supportedMethods.includes(each))) {
 		// Bodies are read by this node, of all methods and content types.
--- a/src/node/listeners.ts
+++ b/src/node/listeners.ts
@@ -1,7 +1,7 @@
 /** HTTP listeners of a node for callers, operators and other nodes, each on its own port. */
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {Socket} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
 import 'reflect-metadata'; // eslint-disable-line import-x/no-unassigned-import
 import {Module, type DynamicModule, type Type} from '@nestjs/common';
 import {NestFactory} from '@nestjs/core';
@@ -9,7 +9,7 @@
 import {fastifyTRPCPlugin} from '@trpc/server/adapters/fastify';
 import type {FastifyError, FastifyReply, FastifyRequest} from 'fastify';
 import {
-	createFailure, formatErrorBody, hashSecret, matchesHash, readBearerToken,
+	createFailure, formatErrorBody, hashSecret, matchesHash, OpenRequests, readBearerToken,
 } from '../common/index.js';
 import {nodeRouter, rpcPath, type NodeService} from '../rpc/index.js';
 import type {ListenerSettings} from '../settings/index.js';
@@ -21,6 +21,8 @@
 export type Listener = {
 	/** Base URL. */
 	url: string;
+	/** Requests that are owed an answer, those whose body still arrives included. */
+	openRequests: OpenRequests;
 	/** Closes the listener and all connections; call it when no response is in progress. */
 	close(): Promise<void>;
 };
@@ -135,10 +137,14 @@
 
 async function listen(app: NestFastifyApplication, settings: ListenerSettings): Promise<Listener> {
 	await app.listen(settings.port, settings.host);
-	const address = app.getHttpServer().address() as {port: number};
+	const server = app.getHttpServer();
+	const openRequests = new OpenRequests();
+	openRequests.observe(server);
+	const address = server.address() as AddressInfo;
 	const host = settings.host.includes(':') ? `[${settings.host}]` : settings.host;
 	return {
 		url: `http://${host}:${address.port}`,
+		openRequests,
 		close: async () => app.close(),
 	};
 }
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -296,7 +296,11 @@
 		// A kept connection may still bring a request, which would be cut off when the listeners close.
 		this.#entry.refuseNew();
 		await this.#transferOutcomes();
-		await waitFor(clock, closeDelay);
+		do {
+			await waitFor(clock, closeDelay);
+			// A request whose body still arrives is refused once it is read.
+		} while ((this.#callersListener?.openRequests.count ?? 0) > 0 && !this.#supervisorStop.signal.aborted);
+
 		await this.#close();
 	}
 
--- a/test/stopping-nodes.test.ts
+++ b/test/stopping-nodes.test.ts
@@ -5,10 +5,10 @@
 	afterEach, beforeEach, expect, test,
 } from '@jest/globals';
 import {CallWire} from '../platform/index.js';
-import {createSilentLogger, systemClock} from '../src/common/index.js';
+import {createSilentLogger, OpenRequests, systemClock} from '../src/common/index.js';
 import type {BackendExchange, Placer} from '../src/gateway/calls/index.js';
 import {GatewayMetrics} from '../src/gateway/gateway-metrics.js';
-import {openCallersServer, OpenRequests, type OpenServer} from '../src/gateway/servers.js';
+import {openCallersServer, type OpenServer} from '../src/gateway/servers.js';
 import {RelayService, type LinkedPool} from '../src/gateway/links/index.js';
 import {formatRelayRequest, readRelayOutcome} from '../src/gateway/links/relay-wire.js';
 import type {BackendServer} from '../src/routing/index.js';
