fix(gateway): an answer that bytes behind its request break off does not look complete to HTTP/1.0 callers

A caller of HTTP/1.0 got a part of an answer as a whole one: bytes that are no request, behind a request whose answer is under way, close the connection, and a body without a length or chunks ends with an orderly close. The connection is now reset, on both paths.

--- a/src/gateway/servers.ts
+++ b/src/gateway/servers.ts
@@ -128,8 +128,8 @@
 
 		socket.destroy(error);
 	} else if (!isLate) {
-		// What is written now would be a part of the answer that is due.
-		socket.destroy(error);
+		// What is written now would be a part of the answer that is due, and a body that ends with a clean close looks complete.
+		socket.resetAndDestroy();
 	}
 }
 
--- a/src/node/listeners.ts
+++ b/src/node/listeners.ts
@@ -124,7 +124,8 @@
 function rejectMalformedRequest(error: Error & {code?: string}, socket: Socket): void {
 	// A response that is written now would be a part of the answer under way.
 	if (!socket.writable || (openAnswers.get(socket) ?? 0) > 0) {
-		socket.destroy();
+		// A body that ends with a clean close looks complete.
+		socket.resetAndDestroy();
 		return;
 	}
 
