fix(backends): what an engine sends without end does not fill the memory of a node

Operators of systems like ours saw a machine keep the bytes that a faulty server sent without end, until it had no memory left and ended with all its requests.

Lists and confirmations are read with a limit of 1 MB (fetchAnswer, as the gateway does), refusals with 64 KB, and a stream is given up when 4 MB have come without an event.

--- a/src/backends/engine-client.ts
+++ b/src/backends/engine-client.ts
@@ -3,9 +3,11 @@
  * plus resuming, cancelling and listing requests.
  */
 import {Left, Right, type Either} from 'purify-ts';
-import {request, type Dispatcher} from 'undici';
+import type {Dispatcher} from 'undici';
 import * as z from 'zod';
-import {type Clock, createTimeout, type RequestId} from '../common/index.js';
+import {
+	type Clock, createTimeout, fetchAnswer, type RequestId,
+} from '../common/index.js';
 import {EventStreamHandler, type EngineEvent} from './event-stream.js';
 import {classifyError, type BackendFailure} from './failure.js';
 
@@ -14,6 +16,9 @@
 
 const callTimeout = 2000;
 
+/** Maximum size of a list of running requests, in bytes: some ten thousand ids. */
+const maxListBytes = 1024 * 1024;
+
 /** A completion to run. */
 export type EngineCall = {
 	url: string;
@@ -75,9 +80,9 @@
 	async #call(method: 'GET' | 'POST', url: string): Promise<Either<BackendFailure, string>> {
 		const timeout = createTimeout(this.#clock, callTimeout);
 		try {
-			const response = await request(url, {method, dispatcher: this.#dispatcher, signal: timeout.signal});
-			const text = await response.body.text();
-			return response.statusCode < 300 ? Right(text) : Left(classifyStatus(response.statusCode, text));
+			const {origin, pathname: path} = new URL(url);
+			const {status, text} = await fetchAnswer(this.#dispatcher, {method, origin, path}, {signal: timeout.signal, maxBytes: maxListBytes});
+			return status < 300 ? Right(text) : Left(classifyStatus(status, text));
 		} catch (error) {
 			return Left(classifyError(error));
 		} finally {
--- a/src/backends/event-stream.ts
+++ b/src/backends/event-stream.ts
@@ -25,6 +25,10 @@
 /** Events buffered for a slow reader before the connection is paused. */
 const maxBufferedEvents = 64;
 
+/** Maximum size of an event, and of the body of an answer that is no stream, in bytes. */
+const maxEventBytes = 4 * 1024 * 1024;
+const maxTextBytes = 65_536;
+
 /** Handles one request whose response is a stream of events. */
 export class EventStreamHandler implements Dispatcher.DispatchHandler, AsyncIterable<EngineEvent[]> {
 	/** Resolves once the response has started; rejects if there is none. */
@@ -38,6 +42,8 @@
 	#controller: Dispatcher.DispatchController | undefined;
 	#status = 0;
 	#text = '';
+	/** Bytes received since the last event. */
+	#pendingBytes = 0;
 	#events: EngineEvent[] = [];
 	#hasEnded = false;
 	#resumeReader: (() => void) | undefined;
@@ -50,6 +56,7 @@
 		});
 		this.#parser = createParser({
 			onEvent: ({id, data}) => {
+				this.#pendingBytes = 0;
 				this.#events.push({sequence: Number(id), data});
 			},
 		});
@@ -76,6 +83,12 @@
 
 	onResponseData(controller: Dispatcher.DispatchController, chunk: Uint8Array): void {
 		const text = this.#decoder.write(chunk);
+		this.#pendingBytes += chunk.length;
+		if (this.#pendingBytes > (this.#status === 200 ? maxEventBytes : maxTextBytes)) {
+			controller.abort(new Error('the answer of the engine does not end'));
+			return;
+		}
+
 		if (this.#status !== 200) {
 			this.#text += text;
 			return;
