test(gateway): bytes that are no answer do not fill the memory of a node

Shown for the routed path, after the report of other operators: a status line, a header name or value, the size or extension of a chunk, a body without a length, an event or a comment that does not end, as fast as it is read, beside 100 other requests: the node goes on, the others are served, the connections are closed, and its memory stays under the 350 MB of the deployments.

--- a/test/endless-answers.test.ts
+++ b/test/endless-answers.test.ts
@@ -11,6 +11,9 @@
 /** Longest time for which a node may be blocked, in milliseconds. */
 const maxBlock = 100;
 
+/** Memory of a node on the deployments, in mebibytes. */
+const maxMemory = 350;
+
 let program: GatewayProgram;
 let flooded: FloodedNode;
 
@@ -74,6 +77,32 @@
 	}
 }, testTimeout);
 
+const chunkedHead = 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n';
+
+const noAnswers: Array<[name: string, flood: Flood]> = [
+	['bytes in place of a status line', {...plain, place: 'start', unit: 'x'}],
+	['blank lines in place of a status line', {...plain, place: 'start', unit: '\r\n'}],
+	['a header name', {...plain, place: 'head', unit: 'x'}],
+	['a header value', {
+		...plain, place: 'head', first: 'x: ', unit: 'x',
+	}],
+	['a size of a chunk', {
+		...plain, place: 'start', first: chunkedHead, unit: '0',
+	}],
+	['an extension of a chunk', {
+		...plain, place: 'start', first: `${chunkedHead}2;`, unit: 'x',
+	}],
+	['a body without a length', {...plain, place: 'body', unit: 'x'}],
+	['an event', {...stream, first: 'data: ', unit: 'x'}],
+	['a comment', {...stream, first: ':', unit: 'x'}],
+];
+
+// Machines of other operators kept such bytes until they had no memory left.
+test.each(noAnswers)('%s without end does not fill the memory of a node', async (_name, flood) => {
+	await expectServed({flood, requests: 100});
+	expect(flooded.node.readPeakMemory()).toBeLessThan(maxMemory);
+}, testTimeout);
+
 /** A clock that goes on by the time that is spent, and to its next timer. */
 class StepClock implements Clock {
 	#time = 0;
--- a/test/helpers/gateway-process.ts
+++ b/test/helpers/gateway-process.ts
@@ -100,12 +100,12 @@
 
 	/** Returns the resident memory of the process, in mebibytes; 0 when it has ended. */
 	readMemory(): number {
-		if (this.end !== undefined) {
-			return 0;
-		}
+		return this.#readStatus('VmRSS');
+	}
 
-		const status = readFileSync(`/proc/${this.#child.pid}/status`, 'utf8');
-		return Number(/^VmRSS:\s+(?<kibibytes>\d+) kB$/mu.exec(status)?.groups?.kibibytes ?? 0) / 1024;
+	/** Returns the highest resident memory of the process so far, in mebibytes; 0 when it has ended. */
+	readPeakMemory(): number {
+		return this.#readStatus('VmHWM');
 	}
 
 	signal(name: NodeJS.Signals): void {
@@ -185,6 +185,15 @@
 		}
 	}
 
+	#readStatus(field: string): number {
+		if (this.end !== undefined) {
+			return 0;
+		}
+
+		const status = readFileSync(`/proc/${this.#child.pid}/status`, 'utf8');
+		return Number(new RegExp(`^${field}:\\s+(?<kibibytes>\\d+) kB$`, 'mu').exec(status)?.groups?.kibibytes ?? 0) / 1024;
+	}
+
 	async #readReadiness(): Promise<number> {
 		const {status} = await send(this.ready, {path: '/v1/readyz', method: 'GET'});
 		await new Promise(resolve => {
