fix(gateway): requests in progress count for the time that those of their route take

A node that has served a route for a second knows only the requests that have ended by then, the short ones: in drawn stops it started a stream of up to 8 s after one of 0.3 s. The times so far of requests in progress count too, and an estimate from few requests leaves more room (nine times that of one, twice that of eight).

--- a/src/gateway/calls/call-run.ts
+++ b/src/gateway/calls/call-run.ts
@@ -123,6 +123,17 @@
 		});
 	}
 
+	/** Name of its route. */
+	get route(): string {
+		return this.#call.route.name;
+	}
+
+	/** Time since its first send, in milliseconds; undefined before. */
+	get servedFor(): number | undefined {
+		const {firstSentAt} = this.#attempts;
+		return firstSentAt === undefined ? undefined : this.#parts.clock.readMonotonic() - firstSentAt;
+	}
+
 	/** Serves the call; the sink has ended when this resolves. */
 	async run(): Promise<CallOutcome> {
 		this.#deadlineTimer = this.#parts.clock.setTimer(this.#placementFinder.timeLeft, () => {
@@ -457,9 +468,8 @@
 	}
 
 	#finish(failure: Failure | undefined): CallOutcome {
-		const {firstSentAt} = this.#attempts;
 		const outcome = {
-			servedFor: firstSentAt === undefined ? undefined : this.#parts.clock.readMonotonic() - firstSentAt,
+			servedFor: this.servedFor,
 			failure,
 			firstAfter: this.#firstAfter,
 			longestPause: this.#attempts.longestPause,
--- a/src/gateway/calls/call-service.ts
+++ b/src/gateway/calls/call-service.ts
@@ -197,7 +197,8 @@
 
 		const now = this.#parts.clock.readMonotonic();
 		const limit = arrived + Math.min(head.timeLeft ?? Infinity, route.timeLimit);
-		const end = Math.min(limit, now + (this.#serviceTimes.estimate(route.name) ?? Infinity));
+		const running = [...this.#runs].flatMap(run => run.route === route.name ? run.servedFor ?? [] : []);
+		const end = Math.min(limit, now + (this.#serviceTimes.estimate(route.name, running) ?? Infinity));
 		return end <= this.#stopSchedule.cutOffAt - minTimeBeforeCutOff;
 	}
 
--- a/src/gateway/calls/service-times.ts
+++ b/src/gateway/calls/service-times.ts
@@ -7,7 +7,7 @@
 const quantile = 0.98;
 
 /** How far an estimate exceeds its quantile, as a share for one sample; it falls with their number. */
-const uncertainty = 2;
+const uncertainty = 8;
 
 /** Maximum number of routes; those that were first used longest ago are forgotten. */
 const maxRoutes = 1000;
@@ -26,13 +26,18 @@
 		samples.next = (samples.next + 1) % sampleCount;
 	}
 
-	/** Time in milliseconds within which nearly all requests of a route end; undefined without a recent one. */
-	estimate(route: string): number | undefined {
-		const times = this.#routes.get(route)?.times.toSorted((left, right) => left - right);
-		if (times === undefined) {
+	/**
+	 * Time in milliseconds within which nearly all requests of a route end; undefined without a recent one.
+	 *
+	 * `running` are the times so far of those in progress: long ones would otherwise count only once they have ended.
+	 */
+	estimate(route: string, running: number[] = []): number | undefined {
+		const recent = this.#routes.get(route)?.times;
+		if (recent === undefined) {
 			return undefined;
 		}
 
+		const times = [...recent, ...running].sort((left, right) => left - right);
 		return times[Math.ceil(times.length * quantile) - 1] * (1 + (uncertainty / times.length));
 	}
 
