fix(gateway): connections that wait in the backlog are accepted before a listener closes

Node.js accepts one connection in each turn of the event loop (libuv 1.46), so after a pause nearly all that had come meanwhile were still in the backlog when the listener closed, and the system resets these.

A listener now closes once a turn has accepted nothing, after 1000 connections at the latest.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -24,6 +24,7 @@
 import {
 	register, SourceAgeReporter, ViewResponder, ViewExchange,
 } from './views/index.js';
+import {acceptPending} from './accept-pending.js';
 import {createEvacuationFollower} from './evacuation-follower.js';
 import {GatewayMetrics} from './gateway-metrics.js';
 import type {GatewaySettings} from './gateway-settings.js';
@@ -324,7 +325,7 @@
 		do {
 			// Without another ready node, callers get an answer that says when to return instead of a refused connection.
 			if (this.#peers.listReady().length > 0) {
-				this.#closeListener();
+				await this.#closeListener();
 			}
 
 			// Also the time in which the request of a connection that was accepted last can be read.
@@ -342,7 +343,7 @@
 		const {clock, logger} = this.#parts;
 		this.#calls.stopNow();
 		this.#relays.stopNow();
-		this.#closeListener();
+		await this.#closeListener();
 		const answerUntil = Math.max(this.#stopSchedule?.answerUntil ?? 0, clock.readMonotonic() + minAnswerTime);
 		do {
 			// Also the time in which the requests of connections that were accepted last can be read.
@@ -393,10 +394,11 @@
 		return now - this.#tickedAt > heartbeatInterval ? this.#tickedAt : now;
 	}
 
-	/** Accepts no new connections. */
-	#closeListener(): void {
+	/** Accepts no new connections but those that wait already. */
+	async #closeListener(): Promise<void> {
 		const callers = this.#callersServer?.server;
 		if (callers?.listening === true) {
+			await acceptPending(callers);
 			callers.close();
 		}
 	}
--- a/test/stopping-nodes.test.ts
+++ b/test/stopping-nodes.test.ts
@@ -286,6 +286,25 @@
 	expect(runs.filter(path => path === '/once/late').length).toBe(status === 200 ? 1 : 0);
 }, testTimeout);
 
+// Node.js accepts one connection in each turn of the event loop, and those that were not accepted were reset.
+test('a node that is busy when it stops accepting answers the requests of all connections that reached it before', async () => {
+	const pair = new GatewayFleet();
+	await pair.start({nodes: 0, runners: [{service: 'app', behaviour: answer}]});
+	await pair.startTogether(2);
+	await waitUntil(() => pair.gateways.every(gateway => gateway.listReadyNodes().length === 2));
+	const stopping = pair.gateways[0].stop();
+	await sleep(acceptTime - 100);
+	const late = Array.from({length: 20}, (_, index) => {
+		const connection = new KeptConnection(pair.settings[0].listen.callers);
+		connection.request(`/once/late-${index}`);
+		return connection;
+	});
+	occupyEventLoop(300);
+	await waitUntil(() => late.every(({isClosed}) => isClosed));
+	await Promise.all([stopping, pair.stop()]);
+	expect(late.map(({statuses}) => statuses)).toEqual(late.map(() => [503]));
+}, testTimeout);
+
 /** Opens a callers' listener that answers each request except `/held` with `length` bytes at once. */
 async function openAnsweringServer(length: number): Promise<OpenServer> {
 	const [port] = await findFreePorts(1);
