fix(gateway): without another ready node, requests that their callers may repeat are started

On a route with one attempt a stopping node alone refused repeatable requests of unknown length, though their callers may send them again: it asked whether the node itself may run them again. It now asks for the kind of the route only.

--- a/src/gateway/calls/call-run.ts
+++ b/src/gateway/calls/call-run.ts
@@ -11,7 +11,7 @@
 import type {Plan, Trouble} from '../../planning/index.js';
 import type {GatewayMetrics} from '../gateway-metrics.js';
 import type {AttemptOutcome} from './backend-attempt.js';
-import type {Call} from './call.js';
+import {isRepeatable, type Call} from './call.js';
 import {CallAttempts, type CallAttemptsListener} from './call-attempts.js';
 import type {CallSink} from './call-sink.js';
 import {isServerFault} from './failed-answer.js';
@@ -364,8 +364,7 @@
 	/** Whether the request may run once more, in addition to the attempts in progress. */
 	#mayRepeat(): boolean {
 		const {route} = this.#call;
-		const isRepeatable = route.kind === 'repeatable' || (route.kind === 'stream' && route.canResume);
-		return isRepeatable && this.#attempts.runs + this.#attempts.running < Math.max(1, route.attempts);
+		return isRepeatable(route) && this.#attempts.runs + this.#attempts.running < Math.max(1, route.attempts);
 	}
 
 	/** Whether the request may be sent once more, counting declined sends. */
--- a/src/gateway/calls/call-service.ts
+++ b/src/gateway/calls/call-service.ts
@@ -9,7 +9,7 @@
 import type {StopSchedule} from '../stop-schedule.js';
 import type {CallHead, GatewayWire} from '../wire.js';
 import type {BackendPool} from './backend-pool.js';
-import {canRepeat, type Call} from './call.js';
+import {isRepeatable, type Call} from './call.js';
 import {CallRun, type CallOutcome} from './call-run.js';
 import {ServiceTimes} from './service-times.js';
 import {computeFingerprint, computePartTraits} from './request-fingerprint.js';
@@ -191,7 +191,7 @@
 	 * the cut-off. Without another ready node, one that may be repeated is started in any case.
 	 */
 	#endsBeforeStop({route, head, arrived}: Call): boolean {
-		if (this.#stopSchedule === undefined || (canRepeat(route) && this.#parts.estimateReturnDelay() > 0)) {
+		if (this.#stopSchedule === undefined || (isRepeatable(route) && this.#parts.estimateReturnDelay() > 0)) {
 			return true;
 		}
 
--- a/src/gateway/calls/call.ts
+++ b/src/gateway/calls/call.ts
@@ -20,7 +20,12 @@
 	configVersion: number;
 };
 
-/** Whether requests of a route may run again after a failure. */
-export function canRepeat({kind, canResume, attempts}: Route): boolean {
-	return attempts > 1 && (kind === 'repeatable' || (kind === 'stream' && canResume));
+/** Whether requests of a route may run more than once. */
+export function isRepeatable({kind, canResume}: Route): boolean {
+	return kind === 'repeatable' || (kind === 'stream' && canResume);
+}
+
+/** Whether this node may run requests of a route again after a failure. */
+export function canRepeat(route: Route): boolean {
+	return route.attempts > 1 && isRepeatable(route);
 }
