--- a/src/gateway/calls/call-run.ts
+++ b/src/gateway/calls/call-run.ts
@@ -41,7 +41,7 @@
 	availabilityZone: AvailabilityZone;
 	/** When this node cuts off calls, by the monotonic clock; Infinity unless it is stopping. */
 	readStopTime: () => number;
-	/** Whether a call that is sent now ends before this node cuts it off, as far as it is known. */
+	/** Whether a call that is sent now is expected to end before this node cuts it off. */
 	endsBeforeStop: (call: Call) => boolean;
 	/** Time until another node is expected to serve what this one refuses in a stop, in milliseconds. */
 	estimateReturnDelay: () => number;
@@ -108,7 +108,7 @@
 			availabilityZone,
 			deadline,
 			readStopTime,
-			// A request that has been sent goes on: its caller was told of nothing, or has a part of the answer.
+			// A request that may have run is not refused as not executed.
 			endsBeforeStop: () => this.#attempts.sends > 0 || parts.endsBeforeStop(call),
 			estimateReturnDelay,
 		});
