review: a node that was frozen brings a runner that is gone back to others

Cause: a node that watches the store wakes up after a freeze and reads a removal in the answer to its own long poll. It takes its silence for an outage of the store and keeps the runner for 1.8 s.

Change: case 5, a script.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+cd "$(dirname "$0")/../.." && exec node review/5/case.mjs
